--- /dev/null
+++ b/core/message.c
@@ -0,0 +1,48 @@
+#include "core/message.h"
+
+static const char *const type_names[DP_MESSAGE_COUNT] = {
+  [DP_MESSAGE_GRANT_ASK] = "grant_ask",
+  [DP_MESSAGE_GRANT_PROGRESS] = "grant_progress",
+  [DP_MESSAGE_GRANT_DONE] = "grant_done",
+  [DP_MESSAGE_GRANT_HELD] = "grant_held",
+  [DP_MESSAGE_GRANT_GIVEN] = "grant_given",
+  [DP_MESSAGE_GRANT_QUEUED] = "grant_queued",
+  [DP_MESSAGE_GRANT_REFUSED] = "grant_refused",
+  [DP_MESSAGE_GRANT_REVOKED] = "grant_revoked",
+  [DP_MESSAGE_ADVERT] = "advert",
+  [DP_MESSAGE_HOLDER_ASK] = "holder_ask",
+  [DP_MESSAGE_HOLDER_ANSWER] = "holder_answer",
+  [DP_MESSAGE_QUARANTINE] = "quarantine",
+  [DP_MESSAGE_HELLO] = "hello",
+  [DP_MESSAGE_MANIFEST] = "manifest",
+  [DP_MESSAGE_VIEW] = "view",
+  [DP_MESSAGE_PROBE] = "probe",
+  [DP_MESSAGE_PROBE_ACK] = "probe_ack",
+  [DP_MESSAGE_MANIFEST_ASK] = "manifest_ask",
+};
+
+const char *
+dp_message_type_name (DpMessageType type)
+{
+  return type < DP_MESSAGE_COUNT ? type_names[type] : "invalid";
+}
+
+void
+dp_message_clear (DpMessage *message)
+{
+  switch (message->type)
+    {
+    case DP_MESSAGE_MANIFEST:
+      g_clear_pointer (&message->manifest.text, g_bytes_unref);
+      break;
+    case DP_MESSAGE_VIEW:
+      g_clear_pointer (&message->view.vms, g_array_unref);
+      break;
+    case DP_MESSAGE_PROBE:
+    case DP_MESSAGE_PROBE_ACK:
+      g_clear_pointer (&message->probe.news, g_array_unref);
+      break;
+    default:
+      break;
+    }
+}
--- /dev/null
+++ b/core/message.h
@@ -0,0 +1,272 @@
+/* Messages between the system's own processes.
+ *
+ * A message is a tagged union; net/codec.h turns it into msgpack and back. Unknown members of
+ * a newer release are ignored by the decoder. Durations travel as what remains, never as a
+ * time of day: the processes' clocks need not agree.
+ */
+#pragma once
+
+#include "common/id.h"
+#include "core/reason.h"
+
+#include <glib.h>
+
+/* Hashed prefix blocks carried with a request. */
+#define DP_PREFIX_BLOCKS_MAX 32
+/* Targets a request may not be sent to again. */
+#define DP_EXCLUDED_MAX 4
+/* Grants named in one report of an entry. */
+#define DP_HELD_MAX 64
+#define DP_ADVERT_TIERS_MAX 8
+
+typedef enum DpRole
+{
+  DP_ROLE_ENTRY,
+  DP_ROLE_SCHEDULER,
+  DP_ROLE_AGENT,
+} DpRole;
+
+/* A process of the system. */
+typedef struct DpPeer
+{
+  DpName vm;
+  DpRole role;
+} DpPeer;
+
+typedef enum DpMessageType
+{
+  /* entry -> scheduler */
+  DP_MESSAGE_GRANT_ASK,
+  DP_MESSAGE_GRANT_PROGRESS,
+  DP_MESSAGE_GRANT_DONE,
+  DP_MESSAGE_GRANT_HELD,
+  /* scheduler -> entry */
+  DP_MESSAGE_GRANT_GIVEN,
+  DP_MESSAGE_GRANT_QUEUED,
+  DP_MESSAGE_GRANT_REFUSED,
+  DP_MESSAGE_GRANT_REVOKED,
+  DP_MESSAGE_ADVERT,
+  /* entry <-> entry */
+  DP_MESSAGE_HOLDER_ASK,
+  DP_MESSAGE_HOLDER_ANSWER,
+  DP_MESSAGE_QUARANTINE,
+  /* entry, scheduler <-> agent of the same VM */
+  DP_MESSAGE_HELLO,
+  DP_MESSAGE_MANIFEST,
+  DP_MESSAGE_VIEW,
+  /* agent <-> agent */
+  DP_MESSAGE_PROBE,
+  DP_MESSAGE_PROBE_ACK,
+  DP_MESSAGE_MANIFEST_ASK,
+  DP_MESSAGE_COUNT,
+} DpMessageType;
+
+/* What one request wants of a group. Sent again under the same attempt when it was not
+ * answered; the owner treats a repeat as the same ask. */
+typedef struct DpGrantAsk
+{
+  DpId attempt;
+  DpName group;
+  DpName tier;
+  DpName workspace;
+  DpName model; /* 0 for plain services */
+  guint prompt_tokens;
+  guint output_tokens; /* upper bound asked by the caller; 0: none given */
+  guint sent_tokens;   /* already streamed to the caller by earlier attempts */
+  DpUsec remaining;    /* until the deadline */
+  gboolean repeatable;
+  guint prefix_count;
+  guint64 prefix[DP_PREFIX_BLOCKS_MAX]; /* chained block hashes, longest prefix last */
+  guint excluded_count;
+  DpName excluded[DP_EXCLUDED_MAX];
+} DpGrantAsk;
+
+typedef struct DpGrantGiven
+{
+  DpId attempt;
+  DpName group;
+  DpName target;
+} DpGrantGiven;
+
+typedef struct DpGrantQueued
+{
+  DpId attempt;
+  DpName group;
+  guint position;
+  DpUsec wait; /* estimate */
+} DpGrantQueued;
+
+typedef struct DpGrantRefused
+{
+  DpId attempt;
+  DpName group;
+  DpReason reason;
+  DpUsec retry_after; /* from the queue's drain estimate */
+} DpGrantRefused;
+
+/* The grant, or the place in the queue, is taken back. */
+typedef struct DpGrantRevoked
+{
+  DpId attempt;
+  DpName group;
+  DpReason reason;
+  DpUsec retry_after;
+} DpGrantRevoked;
+
+/* The first token has come (prefill is over). */
+typedef struct DpGrantProgress
+{
+  DpId attempt;
+  DpName group;
+} DpGrantProgress;
+
+/* The attempt is over, or the ask is withdrawn: the owner forgets it. */
+typedef struct DpGrantDone
+{
+  DpId attempt;
+  DpName group;
+  DpName target;       /* 0 if the ask never got a grant */
+  DpReason reason;     /* NONE: complete; CALLER_GONE, PREEMPTED, TARGET_... otherwise */
+  guint prompt_tokens; /* as counted by the target; 0 if unknown */
+  guint cached_tokens;
+  guint output_tokens;
+  DpUsec first_token_after; /* from dispatch; 0 if there was none */
+  DpUsec duration;          /* from dispatch */
+} DpGrantDone;
+
+/* One grant that an entry holds, or one ask that waits. */
+typedef struct DpHeld
+{
+  DpId attempt;
+  DpName target; /* 0: waits */
+  DpName tier;
+  DpName workspace;
+  DpName model;
+  guint tokens;     /* estimated cost */
+  gboolean started; /* first token seen */
+} DpHeld;
+
+/* What an entry holds of one group: its heartbeat to the group's owner. */
+typedef struct DpGrantHeld
+{
+  DpName group;
+  guint64 incarnation; /* of the entry */
+  guint part;          /* reports of more than DP_HELD_MAX rows come in parts, from 0 */
+  gboolean last;
+  guint count;
+  DpHeld held[DP_HELD_MAX];
+} DpGrantHeld;
+
+/* State of one group, sent by its owner to the entries that use it. */
+typedef struct DpAdvert
+{
+  DpName group;
+  guint free_slots;
+  DpUsec wait; /* estimate for a new request of the lowest tier */
+  guint tier_count;
+  /* by tier index, most urgent first */
+  guint running[DP_ADVERT_TIERS_MAX];
+  guint waiting[DP_ADVERT_TIERS_MAX];
+} DpAdvert;
+
+/* "What became of the request that you claimed under this key?" */
+typedef struct DpHolderAsk
+{
+  DpId key;     /* hash of (workspace, idempotency key) */
+  DpId attempt; /* as recorded in the claim */
+  guint64 incarnation;
+  DpName asking_vm;
+} DpHolderAsk;
+
+typedef enum DpHolderState
+{
+  DP_HOLDER_IN_FLIGHT,
+  DP_HOLDER_DONE,
+  DP_HOLDER_RELEASED,
+  DP_HOLDER_UNKNOWN, /* the outcome is unknown, or this incarnation never held the claim */
+} DpHolderState;
+
+typedef struct DpHolderAnswer
+{
+  DpId key;
+  DpId attempt;
+  DpHolderState state;
+} DpHolderAnswer;
+
+/* A request with this fingerprint has brought down two targets. */
+typedef struct DpQuarantine
+{
+  guint64 fingerprint;
+  guint failures;
+  DpUsec remaining;
+} DpQuarantine;
+
+/* Heartbeat of an entry or scheduler to its VM's agent. */
+typedef struct DpHello
+{
+  DpRole role;
+  guint64 incarnation;
+  gboolean leaving;
+  guint64 manifest_revision; /* in force; 0: none */
+  guint64 view_version;
+} DpHello;
+
+typedef struct DpManifestText
+{
+  guint64 revision;
+  guint64 digest;
+  GBytes *text; /* owned by the message */
+} DpManifestText;
+
+/* One row of the view on the wire. */
+typedef struct DpViewText
+{
+  guint64 version;
+  GArray *vms; /* DpVm; owned by the message */
+} DpViewText;
+
+/* Probe between agents, with news of VMs and the accepted revision piggybacked. */
+typedef struct DpProbe
+{
+  guint64 sequence;
+  guint64 incarnation;
+  gboolean leaving;
+  guint64 manifest_revision;
+  guint64 manifest_digest;
+  GArray *news; /* DpVm; owned by the message; may be NULL */
+} DpProbe;
+
+typedef struct DpManifestAsk
+{
+  guint64 revision; /* held by the asker */
+} DpManifestAsk;
+
+typedef struct DpMessage
+{
+  DpMessageType type;
+  union
+  {
+    DpGrantAsk grant_ask;
+    DpGrantProgress grant_progress;
+    DpGrantDone grant_done;
+    DpGrantHeld grant_held;
+    DpGrantGiven grant_given;
+    DpGrantQueued grant_queued;
+    DpGrantRefused grant_refused;
+    DpGrantRevoked grant_revoked;
+    DpAdvert advert;
+    DpHolderAsk holder_ask;
+    DpHolderAnswer holder_answer;
+    DpQuarantine quarantine;
+    DpHello hello;
+    DpManifestText manifest;
+    DpViewText view;
+    DpProbe probe; /* also for PROBE_ACK */
+    DpManifestAsk manifest_ask;
+  };
+} DpMessage;
+
+const char *dp_message_type_name (DpMessageType type);
+
+/* Releases what the message owns. */
+void dp_message_clear (DpMessage *message);
