--- a/common/prefix.h
+++ b/common/prefix.h
@@ -11,7 +11,7 @@
 #define DP_PREFIX_BLOCK_TOKENS 64
 /* Bytes of text that count as one token where nobody has counted. */
 #define DP_BYTES_PER_TOKEN 4
-#define DP_PREFIX_BLOCK_BYTES (DP_PREFIX_BLOCK_TOKENS * DP_BYTES_PER_TOKEN)
+#define DP_PREFIX_BLOCK_BYTES ((gsize)DP_PREFIX_BLOCK_TOKENS * DP_BYTES_PER_TOKEN)
 
 /* Writes at most `max` hashes; returns how many. */
 guint dp_prefix_blocks (const char *text, gsize length, guint64 *out, guint max);
