--- a/core/entry.h
+++ b/core/entry.h
@@ -12,6 +12,7 @@
 
 #include "common/counters.h"
 #include "core/message.h"
+#include "core/store.h"
 #include "core/view.h"
 #include "manifest/manifest.h"
 
@@ -60,16 +61,6 @@
   guint32 index; /* bucket within the slot */
 } DpBucketId;
 
-typedef enum DpStoreResult
-{
-  DP_STORE_OK,          /* read, or written: `version` is the new one */
-  DP_STORE_ABSENT,      /* read: there is no such object */
-  DP_STORE_CONFLICT,    /* not written: the version differs */
-  DP_STORE_UNAVAILABLE, /* certainly not written */
-  DP_STORE_LOST,        /* no answer: it may have been written, now or later */
-  DP_STORE_BROKEN,      /* read, but does not parse */
-} DpStoreResult;
-
 /* --- events --- */
 
 typedef enum DpEntryEventType
--- /dev/null
+++ b/scripts/check_core.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# The core must not do I/O, read a clock or draw randomness of its own.
+set -eu
+cd "$(dirname "$0")/.."
+if grep -nE '#include <(event2?|zmq|sys/socket|time\.h|sys/time|unistd|stdio)' core/*.[ch]; then
+  echo "core/ includes a header of I/O or time"
+  exit 1
+fi
+if grep -nE '\b(g_get_(monotonic|real)_time|g_random_|clock_gettime|getrandom|rand) *\(' core/*.[ch]; then
+  echo "core/ reads a clock or draws randomness"
+  exit 1
+fi
+echo "core is free of I/O, clock and randomness"
