net: codec of messages between processes

Cause: entry, scheduler and agent need one wire form that two releases share. One table of members a message drives encoder and decoder. msgpack-c allocates what a header claims before it sees the elements, so each frame is checked first (net/frame_check): five bytes can't ask for gigabytes. Ruled out: msgpack_unpacker with its own limits; 4.0.0 has none.

Tests: net_codec (round trip and truncation of each type, 72,000 seeded bit flips, frames by hand, random bytes).

--- /dev/null
+++ b/net/codec_fields.c
@@ -0,0 +1,231 @@
+#include "net/codec_fields.h"
+
+#include "core/view.h"
+#include "manifest/manifest.h"
+#include "net/codec.h"
+
+/* Rows of a table: member key, member, limits. */
+#define UINT(key, Type, member, limit)                                                         \
+  {                                                                                            \
+    key, DP_FIELD_UINT, G_STRUCT_OFFSET (Type, member), limit, 0, NULL                         \
+  }
+#define FLAG(key, Type, member) UINT (key, Type, member, 1)
+#define UINT64(key, Type, member)                                                              \
+  {                                                                                            \
+    key, DP_FIELD_UINT64, G_STRUCT_OFFSET (Type, member), G_MAXUINT64, 0, NULL                 \
+  }
+#define USEC(key, Type, member)                                                                \
+  {                                                                                            \
+    key, DP_FIELD_USEC, G_STRUCT_OFFSET (Type, member), G_MAXINT64, 0, NULL                    \
+  }
+#define ID(key, Type, member)                                                                  \
+  {                                                                                            \
+    key, DP_FIELD_ID, G_STRUCT_OFFSET (Type, member), 0, 0, NULL                               \
+  }
+#define TEXT(key, Type, member)                                                                \
+  {                                                                                            \
+    key, DP_FIELD_TEXT, G_STRUCT_OFFSET (Type, member), sizeof (((Type *)NULL)->member), 0,    \
+      NULL                                                                                     \
+  }
+#define BYTES(key, Type, member, limit)                                                        \
+  {                                                                                            \
+    key, DP_FIELD_BYTES, G_STRUCT_OFFSET (Type, member), (guint)(limit), 0, NULL               \
+  }
+#define LIST(key, KIND, Type, member, count_member, limit, row_table)                          \
+  {                                                                                            \
+    key, KIND, G_STRUCT_OFFSET (Type, member), limit, G_STRUCT_OFFSET (Type, count_member),    \
+      row_table                                                                                \
+  }
+#define ARRAY(key, Type, member, limit, row_table)                                             \
+  {                                                                                            \
+    key, DP_FIELD_ARRAY, G_STRUCT_OFFSET (Type, member), limit, 0, row_table                   \
+  }
+#define TABLE(Type, rows)                                                                      \
+  {                                                                                            \
+    sizeof (Type), G_N_ELEMENTS (rows), rows                                                   \
+  }
+
+#define REASON_MAX (DP_REASON_COUNT - 1)
+
+static const DpField grant_ask_fields[] = {
+  ID (1, DpMessage, grant_ask.attempt),
+  UINT64 (2, DpMessage, grant_ask.group),
+  UINT64 (3, DpMessage, grant_ask.tier),
+  UINT64 (4, DpMessage, grant_ask.workspace),
+  UINT64 (5, DpMessage, grant_ask.model),
+  UINT (6, DpMessage, grant_ask.prompt_tokens, G_MAXUINT),
+  UINT (7, DpMessage, grant_ask.output_tokens, G_MAXUINT),
+  UINT (8, DpMessage, grant_ask.sent_tokens, G_MAXUINT),
+  USEC (9, DpMessage, grant_ask.remaining),
+  FLAG (10, DpMessage, grant_ask.repeatable),
+  LIST (11,
+        DP_FIELD_UINT64S,
+        DpMessage,
+        grant_ask.prefix,
+        grant_ask.prefix_count,
+        DP_PREFIX_BLOCKS_MAX,
+        NULL),
+  LIST (12,
+        DP_FIELD_UINT64S,
+        DpMessage,
+        grant_ask.excluded,
+        grant_ask.excluded_count,
+        DP_EXCLUDED_MAX,
+        NULL),
+};
+
+static const DpField grant_progress_fields[] = {
+  ID (1, DpMessage, grant_progress.attempt),
+  UINT64 (2, DpMessage, grant_progress.group),
+};
+
+static const DpField grant_done_fields[] = {
+  ID (1, DpMessage, grant_done.attempt),
+  UINT64 (2, DpMessage, grant_done.group),
+  UINT64 (3, DpMessage, grant_done.target),
+  UINT (4, DpMessage, grant_done.reason, REASON_MAX),
+  UINT (5, DpMessage, grant_done.prompt_tokens, G_MAXUINT),
+  UINT (6, DpMessage, grant_done.cached_tokens, G_MAXUINT),
+  UINT (7, DpMessage, grant_done.output_tokens, G_MAXUINT),
+  USEC (8, DpMessage, grant_done.first_token_after),
+  USEC (9, DpMessage, grant_done.duration),
+};
+
+static const DpField held_fields[] = {
+  ID (1, DpHeld, attempt),   UINT64 (2, DpHeld, target),
+  UINT64 (3, DpHeld, tier),  UINT64 (4, DpHeld, workspace),
+  UINT64 (5, DpHeld, model), UINT (6, DpHeld, tokens, G_MAXUINT),
+  FLAG (7, DpHeld, started),
+};
+static const DpFieldTable held_table = TABLE (DpHeld, held_fields);
+
+static const DpField grant_held_fields[] = {
+  UINT64 (1, DpMessage, grant_held.group),
+  UINT64 (2, DpMessage, grant_held.incarnation),
+  UINT (3, DpMessage, grant_held.part, G_MAXUINT),
+  FLAG (4, DpMessage, grant_held.last),
+  LIST (
+    5, DP_FIELD_ROWS, DpMessage, grant_held.held, grant_held.count, DP_HELD_MAX, &held_table),
+};
+
+static const DpField grant_given_fields[] = {
+  ID (1, DpMessage, grant_given.attempt),
+  UINT64 (2, DpMessage, grant_given.group),
+  UINT64 (3, DpMessage, grant_given.target),
+};
+
+static const DpField grant_queued_fields[] = {
+  ID (1, DpMessage, grant_queued.attempt),
+  UINT64 (2, DpMessage, grant_queued.group),
+  UINT (3, DpMessage, grant_queued.position, G_MAXUINT),
+  USEC (4, DpMessage, grant_queued.wait),
+};
+
+static const DpField grant_refused_fields[] = {
+  ID (1, DpMessage, grant_refused.attempt),
+  UINT64 (2, DpMessage, grant_refused.group),
+  UINT (3, DpMessage, grant_refused.reason, REASON_MAX),
+  USEC (4, DpMessage, grant_refused.retry_after),
+};
+
+static const DpField grant_revoked_fields[] = {
+  ID (1, DpMessage, grant_revoked.attempt),
+  UINT64 (2, DpMessage, grant_revoked.group),
+  UINT (3, DpMessage, grant_revoked.reason, REASON_MAX),
+  USEC (4, DpMessage, grant_revoked.retry_after),
+};
+
+/* Both lists carry the count; they are of one length. */
+static const DpField advert_fields[] = {
+  UINT64 (1, DpMessage, advert.group),
+  UINT (2, DpMessage, advert.free_slots, G_MAXUINT),
+  USEC (3, DpMessage, advert.wait),
+  LIST (
+    4, DP_FIELD_UINTS, DpMessage, advert.running, advert.tier_count, DP_ADVERT_TIERS_MAX, NULL),
+  LIST (
+    5, DP_FIELD_UINTS, DpMessage, advert.waiting, advert.tier_count, DP_ADVERT_TIERS_MAX, NULL),
+};
+
+static const DpField holder_ask_fields[] = {
+  ID (1, DpMessage, holder_ask.key),
+  ID (2, DpMessage, holder_ask.attempt),
+  UINT64 (3, DpMessage, holder_ask.incarnation),
+  UINT64 (4, DpMessage, holder_ask.asking_vm),
+};
+
+static const DpField holder_answer_fields[] = {
+  ID (1, DpMessage, holder_answer.key),
+  ID (2, DpMessage, holder_answer.attempt),
+  UINT (3, DpMessage, holder_answer.state, DP_HOLDER_UNKNOWN),
+};
+
+static const DpField quarantine_fields[] = {
+  UINT64 (1, DpMessage, quarantine.fingerprint),
+  UINT (2, DpMessage, quarantine.failures, G_MAXUINT),
+  USEC (3, DpMessage, quarantine.remaining),
+};
+
+static const DpField hello_fields[] = {
+  UINT (1, DpMessage, hello.role, DP_ROLE_AGENT),
+  UINT64 (2, DpMessage, hello.incarnation),
+  FLAG (3, DpMessage, hello.leaving),
+  UINT64 (4, DpMessage, hello.manifest_revision),
+  UINT64 (5, DpMessage, hello.view_version),
+};
+
+static const DpField manifest_fields[] = {
+  UINT64 (1, DpMessage, manifest.revision),
+  UINT64 (2, DpMessage, manifest.digest),
+  BYTES (3, DpMessage, manifest.text, DP_MANIFEST_BYTES_MAX),
+};
+
+static const DpField vm_fields[] = {
+  UINT64 (1, DpVm, name),  UINT64 (2, DpVm, data_centre),     TEXT (3, DpVm, text),
+  TEXT (4, DpVm, address), UINT (5, DpVm, state, DP_VM_DEAD), UINT64 (6, DpVm, incarnation),
+};
+static const DpFieldTable vm_table = TABLE (DpVm, vm_fields);
+
+static const DpField view_fields[] = {
+  UINT64 (1, DpMessage, view.version),
+  ARRAY (2, DpMessage, view.vms, DP_CODEC_VMS_MAX, &vm_table),
+};
+
+static const DpField probe_fields[] = {
+  UINT64 (1, DpMessage, probe.sequence),
+  UINT64 (2, DpMessage, probe.incarnation),
+  FLAG (3, DpMessage, probe.leaving),
+  UINT64 (4, DpMessage, probe.manifest_revision),
+  UINT64 (5, DpMessage, probe.manifest_digest),
+  ARRAY (6, DpMessage, probe.news, DP_CODEC_VMS_MAX, &vm_table),
+};
+
+static const DpField manifest_ask_fields[] = {
+  UINT64 (1, DpMessage, manifest_ask.revision),
+};
+
+static const DpFieldTable tables[DP_MESSAGE_COUNT] = {
+  [DP_MESSAGE_GRANT_ASK] = TABLE (DpMessage, grant_ask_fields),
+  [DP_MESSAGE_GRANT_PROGRESS] = TABLE (DpMessage, grant_progress_fields),
+  [DP_MESSAGE_GRANT_DONE] = TABLE (DpMessage, grant_done_fields),
+  [DP_MESSAGE_GRANT_HELD] = TABLE (DpMessage, grant_held_fields),
+  [DP_MESSAGE_GRANT_GIVEN] = TABLE (DpMessage, grant_given_fields),
+  [DP_MESSAGE_GRANT_QUEUED] = TABLE (DpMessage, grant_queued_fields),
+  [DP_MESSAGE_GRANT_REFUSED] = TABLE (DpMessage, grant_refused_fields),
+  [DP_MESSAGE_GRANT_REVOKED] = TABLE (DpMessage, grant_revoked_fields),
+  [DP_MESSAGE_ADVERT] = TABLE (DpMessage, advert_fields),
+  [DP_MESSAGE_HOLDER_ASK] = TABLE (DpMessage, holder_ask_fields),
+  [DP_MESSAGE_HOLDER_ANSWER] = TABLE (DpMessage, holder_answer_fields),
+  [DP_MESSAGE_QUARANTINE] = TABLE (DpMessage, quarantine_fields),
+  [DP_MESSAGE_HELLO] = TABLE (DpMessage, hello_fields),
+  [DP_MESSAGE_MANIFEST] = TABLE (DpMessage, manifest_fields),
+  [DP_MESSAGE_VIEW] = TABLE (DpMessage, view_fields),
+  [DP_MESSAGE_PROBE] = TABLE (DpMessage, probe_fields),
+  [DP_MESSAGE_PROBE_ACK] = TABLE (DpMessage, probe_fields),
+  [DP_MESSAGE_MANIFEST_ASK] = TABLE (DpMessage, manifest_ask_fields),
+};
+
+const DpFieldTable *
+dp_codec_fields (DpMessageType type)
+{
+  return type < DP_MESSAGE_COUNT ? &tables[type] : NULL;
+}
--- /dev/null
+++ b/tests/test_net_codec.c
@@ -0,0 +1,400 @@
+/* Messages on the wire: round trips, truncation, bit flips, foreign members, hostile counts. */
+#include "core/view.h"
+#include "net/codec.h"
+#include "net/frame_check.h"
+
+#include <check.h>
+#include <msgpack.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FLIPS_PER_MESSAGE 4000
+#define FLIP_SEED 20261204
+
+static const DpPeer sender = { .vm = 0x1122334455667788ULL, .role = DP_ROLE_SCHEDULER };
+
+static GArray *
+two_vms (void)
+{
+  GArray *vms = g_array_new (FALSE, TRUE, sizeof (DpVm));
+  DpVm first = { 5, 6, "vm-a", "127.0.1.1", DP_VM_LEAVING, 7 };
+  DpVm second = { G_MAXUINT64, 1, "vm-b", "127.0.1.2", DP_VM_DEAD, G_MAXUINT64 };
+  g_array_append_val (vms, first);
+  g_array_append_val (vms, second);
+  return vms;
+}
+
+static DpMessage
+sample_ask (void)
+{
+  return (DpMessage){ .type = DP_MESSAGE_GRANT_ASK,
+                      .grant_ask = { .attempt = { 1, G_MAXUINT64 },
+                                     .group = 2,
+                                     .tier = 3,
+                                     .workspace = 4,
+                                     .model = 5,
+                                     .prompt_tokens = G_MAXUINT,
+                                     .output_tokens = 7,
+                                     .sent_tokens = 8,
+                                     .remaining = G_MAXINT64,
+                                     .repeatable = TRUE,
+                                     .prefix_count = DP_PREFIX_BLOCKS_MAX,
+                                     .prefix = { 9, 10, 11 },
+                                     .excluded_count = 2,
+                                     .excluded = { 12, 13 } } };
+}
+
+static DpMessage
+sample_held (void)
+{
+  DpMessage message = { .type = DP_MESSAGE_GRANT_HELD,
+                        .grant_held = { 1, 2, 3, TRUE, DP_HELD_MAX, { { { 0, 0 } } } } };
+  for (guint i = 0; i < DP_HELD_MAX; i++)
+    message.grant_held.held[i] = (DpHeld){ { i, 2 }, 3, 4, 5, 6, 7 + i, i % 2 == 0 };
+  return message;
+}
+
+static DpMessage
+sample_probe (DpMessageType type)
+{
+  return (DpMessage){ .type = type, .probe = { 1, 2, TRUE, 3, 4, two_vms () } };
+}
+
+/* A message with all members set. */
+static DpMessage
+sample (DpMessageType type)
+{
+  const DpId id = { 0x0102030405060708ULL, 0x090a0b0c0d0e0f10ULL };
+  DpMessage message = { .type = type };
+  switch (type)
+    {
+    case DP_MESSAGE_GRANT_ASK:
+      return sample_ask ();
+    case DP_MESSAGE_GRANT_PROGRESS:
+      message.grant_progress = (DpGrantProgress){ id, 1 };
+      break;
+    case DP_MESSAGE_GRANT_DONE:
+      message.grant_done = (DpGrantDone){ id, 1, 2, DP_REASON_TARGET_BROKE, 3, 4, 5, 6, 7 };
+      break;
+    case DP_MESSAGE_GRANT_HELD:
+      return sample_held ();
+    case DP_MESSAGE_GRANT_GIVEN:
+      message.grant_given = (DpGrantGiven){ id, 1, 2 };
+      break;
+    case DP_MESSAGE_GRANT_QUEUED:
+      message.grant_queued = (DpGrantQueued){ id, 1, 2, 3 };
+      break;
+    case DP_MESSAGE_GRANT_REFUSED:
+      message.grant_refused = (DpGrantRefused){ id, 1, DP_REASON_QUEUE_FULL, 2 };
+      break;
+    case DP_MESSAGE_GRANT_REVOKED:
+      message.grant_revoked = (DpGrantRevoked){ id, 1, DP_REASON_PREEMPTED, 2 };
+      break;
+    case DP_MESSAGE_ADVERT:
+      message.advert = (DpAdvert){ 1, 2, 3, 4, { 5, 6, 7, 8 }, { 9, 10, 11, 12 } };
+      break;
+    case DP_MESSAGE_HOLDER_ASK:
+      message.holder_ask = (DpHolderAsk){ id, id, 1, 2 };
+      break;
+    case DP_MESSAGE_HOLDER_ANSWER:
+      message.holder_answer = (DpHolderAnswer){ id, id, DP_HOLDER_RELEASED };
+      break;
+    case DP_MESSAGE_QUARANTINE:
+      message.quarantine = (DpQuarantine){ 1, 2, 3 };
+      break;
+    case DP_MESSAGE_HELLO:
+      message.hello = (DpHello){ DP_ROLE_SCHEDULER, 1, TRUE, 2, 3 };
+      break;
+    case DP_MESSAGE_MANIFEST:
+      message.manifest = (DpManifestText){ 1, 2, g_bytes_new_static ("{ }", 3) };
+      break;
+    case DP_MESSAGE_VIEW:
+      message.view = (DpViewText){ 1, two_vms () };
+      break;
+    case DP_MESSAGE_PROBE:
+    case DP_MESSAGE_PROBE_ACK:
+      return sample_probe (type);
+    case DP_MESSAGE_MANIFEST_ASK:
+      message.manifest_ask.revision = 1;
+      break;
+    case DP_MESSAGE_COUNT:
+      break;
+    }
+  return message;
+}
+
+/* Decodes a copy of exactly `length` bytes, so that a sanitizer sees any read past its end. */
+static gboolean
+decode_copy (const guint8 *data, gsize length, DpPeer *from, DpMessage *message, GError **error)
+{
+  guint8 *copy = g_memdup2 (data, length);
+  gboolean ok = dp_codec_decode (copy, length, from, message, error);
+  g_free (copy);
+  return ok;
+}
+
+START_TEST (each_type_survives_a_round_trip)
+{
+  DpMessage message = sample ((DpMessageType)_i);
+  GByteArray *frame = dp_codec_encode (sender, &message);
+  DpPeer from;
+  DpMessage back;
+  GError *error = NULL;
+  ck_assert (decode_copy (frame->data, frame->len, &from, &back, &error));
+  ck_assert_ptr_null (error);
+  ck_assert_uint_eq (from.vm, sender.vm);
+  ck_assert_int_eq (from.role, sender.role);
+  ck_assert_int_eq (back.type, message.type);
+  /* Equal messages have equal frames: all members are in the frame. */
+  GByteArray *again = dp_codec_encode (sender, &back);
+  ck_assert_uint_eq (again->len, frame->len);
+  ck_assert_mem_eq (again->data, frame->data, frame->len);
+  g_byte_array_unref (again);
+  g_byte_array_unref (frame);
+  dp_message_clear (&back);
+  dp_message_clear (&message);
+}
+END_TEST
+
+START_TEST (members_arrive_where_they_were)
+{
+  DpMessage message = sample_ask ();
+  GByteArray *frame = dp_codec_encode (sender, &message);
+  DpPeer from;
+  DpMessage back;
+  ck_assert (decode_copy (frame->data, frame->len, &from, &back, NULL));
+  ck_assert (dp_id_equal (back.grant_ask.attempt, message.grant_ask.attempt));
+  ck_assert_uint_eq (back.grant_ask.tier, 3);
+  ck_assert_uint_eq (back.grant_ask.prompt_tokens, G_MAXUINT);
+  ck_assert_int_eq (back.grant_ask.remaining, G_MAXINT64);
+  ck_assert_uint_eq (back.grant_ask.prefix_count, DP_PREFIX_BLOCKS_MAX);
+  ck_assert_uint_eq (back.grant_ask.prefix[2], 11);
+  ck_assert_uint_eq (back.grant_ask.excluded_count, 2);
+  ck_assert_uint_eq (back.grant_ask.excluded[1], 13);
+  g_byte_array_unref (frame);
+
+  message = sample (DP_MESSAGE_VIEW);
+  frame = dp_codec_encode (sender, &message);
+  ck_assert (decode_copy (frame->data, frame->len, &from, &back, NULL));
+  ck_assert_uint_eq (back.view.vms->len, 2);
+  const DpVm *vm = &g_array_index (back.view.vms, DpVm, 0);
+  ck_assert_str_eq (vm->text, "vm-a");
+  ck_assert_str_eq (vm->address, "127.0.1.1");
+  ck_assert_int_eq (vm->state, DP_VM_LEAVING);
+  g_byte_array_unref (frame);
+  dp_message_clear (&back);
+  dp_message_clear (&message);
+}
+END_TEST
+
+START_TEST (each_truncation_is_refused)
+{
+  DpMessage message = sample ((DpMessageType)_i);
+  GByteArray *frame = dp_codec_encode (sender, &message);
+  for (guint length = 0; length < frame->len; length++)
+    {
+      DpPeer from;
+      DpMessage back;
+      GError *error = NULL;
+      ck_assert (!decode_copy (frame->data, length, &from, &back, &error));
+      ck_assert (g_error_matches (error, DP_CODEC_ERROR, DP_CODEC_ERROR_MALFORMED));
+      g_error_free (error);
+    }
+  g_byte_array_unref (frame);
+  dp_message_clear (&message);
+}
+END_TEST
+
+START_TEST (bit_flips_never_crash)
+{
+  DpMessage message = sample ((DpMessageType)_i);
+  GByteArray *frame = dp_codec_encode (sender, &message);
+  GRand *rand = g_rand_new_with_seed (FLIP_SEED + (guint32)_i);
+  for (guint n = 0; n < FLIPS_PER_MESSAGE; n++)
+    {
+      guint8 *copy = g_memdup2 (frame->data, frame->len);
+      guint flips = (guint)g_rand_int_range (rand, 1, 4);
+      for (guint i = 0; i < flips; i++)
+        {
+          gint32 bit = g_rand_int_range (rand, 0, (gint32)(frame->len * 8));
+          copy[bit / 8] ^= (guint8)(1U << (bit % 8));
+        }
+      DpPeer from;
+      DpMessage back;
+      GError *error = NULL;
+      if (dp_codec_decode (copy, frame->len, &from, &back, &error))
+        dp_message_clear (&back);
+      else
+        ck_assert_ptr_nonnull (error);
+      g_clear_error (&error);
+      g_free (copy);
+    }
+  g_rand_free (rand);
+  g_byte_array_unref (frame);
+  dp_message_clear (&message);
+}
+END_TEST
+
+/* --- frames written by hand --- */
+
+typedef struct FrameCase
+{
+  const char *name;
+  const char *bytes;
+  gsize length;
+  int error; /* -1: decodes */
+} FrameCase;
+
+#define FRAME(name, literal, error)                                                            \
+  {                                                                                            \
+    name, literal, sizeof (literal) - 1, error                                                 \
+  }
+
+/* 0x95: array of 5; 0x01: version 1; 0x0c: hello; 0x02, 0x00: VM 2, entry; then the body. */
+static const FrameCase frame_cases[] = {
+  FRAME ("empty", "", DP_CODEC_ERROR_MALFORMED),
+  FRAME ("no array", "\x80", DP_CODEC_ERROR_MALFORMED),
+  FRAME ("short array", "\x94\x01\x0c\x02\x00", DP_CODEC_ERROR_MALFORMED),
+  FRAME ("no member", "\x95\x01\x0c\x02\x00\x80", -1),
+  FRAME ("newer elements", "\x97\x01\x0c\x02\x00\x80\xc0\xa1x", -1),
+  FRAME ("newer member", "\x95\x01\x0c\x02\x00\x82\x60\xa3new\x02\x09", -1),
+  FRAME ("member with a text key", "\x95\x01\x0c\x02\x00\x81\xa1k\x92\x01\x02", -1),
+  FRAME ("trailing bytes", "\x95\x01\x0c\x02\x00\x80\x00", DP_CODEC_ERROR_MALFORMED),
+  FRAME ("other version", "\x95\x02\x0c\x02\x00\x80", DP_CODEC_ERROR_VERSION),
+  FRAME ("unknown type", "\x95\x01\x7f\x02\x00\x80", DP_CODEC_ERROR_TYPE),
+  FRAME ("huge type",
+         "\x95\x01\xcf\xff\xff\xff\xff\xff\xff\xff\xff\x02\x00\x80",
+         DP_CODEC_ERROR_TYPE),
+  FRAME ("unknown role", "\x95\x01\x0c\x02\x03\x80", DP_CODEC_ERROR_MALFORMED),
+  FRAME ("body is no map", "\x95\x01\x0c\x02\x00\x90", DP_CODEC_ERROR_VALUE),
+  FRAME ("negative number", "\x95\x01\x0c\x02\x00\x81\x02\xff", DP_CODEC_ERROR_VALUE),
+  FRAME ("text for a number", "\x95\x01\x0c\x02\x00\x81\x02\xa1x", DP_CODEC_ERROR_VALUE),
+  FRAME ("float for a number",
+         "\x95\x01\x0c\x02\x00\x81\x02\xca\x3f\x80\x00\x00",
+         DP_CODEC_ERROR_VALUE),
+  FRAME ("flag of 2", "\x95\x01\x0c\x02\x00\x81\x03\x02", DP_CODEC_ERROR_VALUE),
+  FRAME ("role out of range", "\x95\x01\x0c\x02\x00\x81\x01\x09", DP_CODEC_ERROR_VALUE),
+  FRAME ("claimed array of 4 G", "\xdd\xff\xff\xff\xff", DP_CODEC_ERROR_MALFORMED),
+  FRAME (
+    "claimed map of 4 G", "\x95\x01\x0c\x02\x00\xdf\xff\xff\xff\xff", DP_CODEC_ERROR_MALFORMED),
+  FRAME ("claimed bytes of 4 G",
+         "\x95\x01\x0d\x02\x00\x81\x03\xc6\xff\xff\xff\xff",
+         DP_CODEC_ERROR_MALFORMED),
+  FRAME (
+    "extension type", "\x95\x01\x0c\x02\x00\x81\x60\xd4\x01\x02", DP_CODEC_ERROR_MALFORMED),
+  FRAME ("too deep",
+         "\x95\x01\x0c\x02\x00\x81\x60\x91\x91\x91\x91\x91\x91\x91\x91\xc0",
+         DP_CODEC_ERROR_MALFORMED),
+  /* grant_ask: five excluded targets, one more than fit */
+  FRAME ("too many elements",
+         "\x95\x01\x00\x02\x00\x81\x0c\x95\x01\x02\x03\x04\x05",
+         DP_CODEC_ERROR_TOO_LARGE),
+  FRAME ("id of 3 bytes", "\x95\x01\x00\x02\x00\x81\x01\xc4\x03xyz", DP_CODEC_ERROR_VALUE),
+  /* manifest: the text twice; the first must not leak */
+  FRAME ("repeated member", "\x95\x01\x0d\x02\x00\x82\x03\xc4\x01x\x03\xc4\x01y", -1),
+  /* view: a row after a good row is broken */
+  FRAME ("broken second row", "\x95\x01\x0e\x02\x00\x81\x02\x92\x80\xc0", DP_CODEC_ERROR_VALUE),
+  FRAME (
+    "NUL in a text", "\x95\x01\x0e\x02\x00\x81\x02\x91\x81\x03\xa2x\x00", DP_CODEC_ERROR_VALUE),
+};
+
+START_TEST (frames_by_hand)
+{
+  const FrameCase *c = &frame_cases[_i];
+  DpPeer from;
+  DpMessage message;
+  GError *error = NULL;
+  gboolean ok = decode_copy ((const guint8 *)c->bytes, c->length, &from, &message, &error);
+  ck_assert_msg (ok == (c->error < 0), "%s: %s", c->name, ok ? "decoded" : error->message);
+  if (ok)
+    dp_message_clear (&message);
+  else
+    ck_assert_msg (g_error_matches (error, DP_CODEC_ERROR, c->error), "%s: %s", c->name,
+                   error->message);
+  g_clear_error (&error);
+}
+END_TEST
+
+START_TEST (a_text_that_does_not_fit_is_refused)
+{
+  msgpack_sbuffer buffer;
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer packer;
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  const guint envelope[] = { DP_CODEC_VERSION, DP_MESSAGE_VIEW, 2, 0 };
+  msgpack_pack_array (&packer, 5);
+  for (guint i = 0; i < G_N_ELEMENTS (envelope); i++)
+    msgpack_pack_uint64 (&packer, envelope[i]);
+  msgpack_pack_map (&packer, 1);
+  msgpack_pack_uint64 (&packer, 2); /* vms */
+  msgpack_pack_array (&packer, 1);
+  msgpack_pack_map (&packer, 1);
+  msgpack_pack_uint64 (&packer, 4); /* address: char[46] */
+  char text[46];
+  memset (text, '1', sizeof text);
+  msgpack_pack_str (&packer, sizeof text);
+  msgpack_pack_str_body (&packer, text, sizeof text);
+  DpPeer from;
+  DpMessage message;
+  GError *error = NULL;
+  ck_assert (!dp_codec_decode (buffer.data, buffer.size, &from, &message, &error));
+  ck_assert (g_error_matches (error, DP_CODEC_ERROR, DP_CODEC_ERROR_TOO_LARGE));
+  g_error_free (error);
+  msgpack_sbuffer_destroy (&buffer);
+}
+END_TEST
+
+START_TEST (random_bytes_never_crash)
+{
+  GRand *rand = g_rand_new_with_seed (FLIP_SEED);
+  for (guint n = 0; n < 20000; n++)
+    {
+      guint8 bytes[64];
+      gsize length = (gsize)g_rand_int_range (rand, 0, sizeof bytes);
+      for (gsize i = 0; i < length; i++)
+        bytes[i] = (guint8)g_rand_int_range (rand, 0, 256);
+      DpPeer from;
+      DpMessage message;
+      if (decode_copy (bytes, length, &from, &message, NULL))
+        dp_message_clear (&message);
+    }
+  g_rand_free (rand);
+}
+END_TEST
+
+START_TEST (a_frame_of_too_many_values_is_refused)
+{
+  gsize count = DP_FRAME_VALUES_MAX;
+  guint8 *frame = g_malloc0 (5 + count);
+  frame[0] = 0xdd;
+  frame[2] = (guint8)(count >> 16);
+  ck_assert (!dp_frame_check (frame, 5 + count));
+  frame[2] = 0;
+  frame[3] = (guint8)((count - 1) >> 8);
+  frame[4] = (guint8)((count - 1) & 0xff);
+  ck_assert (dp_frame_check (frame, 5 + count - 1));
+  g_free (frame);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("net_codec");
+  TCase *tcase = tcase_create ("codec");
+  tcase_set_timeout (tcase, 60);
+  tcase_add_loop_test (tcase, each_type_survives_a_round_trip, 0, DP_MESSAGE_COUNT);
+  tcase_add_test (tcase, members_arrive_where_they_were);
+  tcase_add_loop_test (tcase, each_truncation_is_refused, 0, DP_MESSAGE_COUNT);
+  tcase_add_loop_test (tcase, bit_flips_never_crash, 0, DP_MESSAGE_COUNT);
+  tcase_add_loop_test (tcase, frames_by_hand, 0, G_N_ELEMENTS (frame_cases));
+  tcase_add_test (tcase, a_text_that_does_not_fit_is_refused);
+  tcase_add_test (tcase, random_bytes_never_crash);
+  tcase_add_test (tcase, a_frame_of_too_many_values_is_refused);
+  suite_add_tcase (suite, tcase);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
