net: bus between processes over ZeroMQ

Cause: grants, heartbeats and manifests travel between processes whose peers come and go.

Tests: net_bus.

--- /dev/null
+++ b/tests/test_net_bus.c
@@ -0,0 +1,298 @@
+/* Processes that talk over ZeroMQ on loopback addresses. */
+#include "net/bus.h"
+#include "net/codec.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <zmq.h>
+
+#define PORT_ENTRY 17091
+#define PORT_SCHEDULER 17092
+#define PORT_AGENT 17093
+/* An event that has not come by then never will. */
+#define PATIENCE_SECONDS 20
+
+typedef struct Node
+{
+  struct event_base *base;
+  DpCounters *counters;
+  DpBus *bus;
+  DpPeer self;
+  guint expected; /* messages; the loop ends with the last */
+  guint received;
+  DpPeer from;
+  GArray *revisions; /* guint64, in the order of their arrival */
+} Node;
+
+static void
+on_message (gpointer user, DpPeer from, const DpMessage *message)
+{
+  Node *node = user;
+  node->from = from;
+  if (message->type == DP_MESSAGE_MANIFEST_ASK)
+    g_array_append_val (node->revisions, message->manifest_ask.revision);
+  if (++node->received == node->expected)
+    event_base_loopbreak (node->base);
+}
+
+static Node
+make_node (struct event_base *base, const char *name, DpRole role, const char *address)
+{
+  return (Node){ .base = base,
+                 .counters = dp_counters_new (),
+                 .self = { dp_name (name), role },
+                 .revisions = g_array_new (FALSE, FALSE, sizeof (guint64)) };
+}
+
+static gboolean
+start_node (Node *node, const char *address, GError **error)
+{
+  DpBusOptions options = { .base = node->base,
+                           .self = node->self,
+                           .address = address,
+                           .ports = { PORT_ENTRY, PORT_SCHEDULER, PORT_AGENT },
+                           .counters = node->counters,
+                           .receive = on_message,
+                           .user = node };
+  node->bus = dp_bus_new (&options, error);
+  return node->bus != NULL;
+}
+
+static void
+clear_node (Node *node)
+{
+  dp_bus_free (node->bus);
+  dp_counters_unref (node->counters);
+  g_array_unref (node->revisions);
+}
+
+static DpView *
+make_view (guint count)
+{
+  DpVm vms[2] = { { .name = dp_name ("a"), .text = "a", .address = "127.0.1.11" },
+                  { .name = dp_name ("b"), .text = "b", .address = "127.0.1.12" } };
+  return dp_view_new (1, vms, count);
+}
+
+static void
+on_patience_end (evutil_socket_t fd, short what, void *user)
+{
+  ck_abort_msg ("no event within %d s", PATIENCE_SECONDS);
+}
+
+static void
+run (struct event_base *base)
+{
+  struct event *patience = event_new (base, -1, 0, on_patience_end, NULL);
+  const struct timeval limit = { .tv_sec = PATIENCE_SECONDS };
+  event_add (patience, &limit);
+  event_base_dispatch (base);
+  event_free (patience);
+}
+
+static guint64
+dropped (const Node *node, const char *reason)
+{
+  return dp_counters_get (node->counters, "dogwoodplank_bus_dropped_total", "reason", reason);
+}
+
+static guint64
+bad_frames (const Node *node, const char *reason)
+{
+  return dp_counters_get (node->counters, "dogwoodplank_bus_bad_frames_total", "reason",
+                          reason);
+}
+
+static void
+send_revision (Node *node, DpPeer to, guint64 revision)
+{
+  DpMessage message
+    = { .type = DP_MESSAGE_MANIFEST_ASK, .manifest_ask = { .revision = revision } };
+  dp_bus_send (node->bus, to, &message);
+}
+
+START_TEST (messages_arrive_in_order_from_the_first_on)
+{
+  struct event_base *base = event_base_new ();
+  Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
+  Node b = make_node (base, "b", DP_ROLE_SCHEDULER, "127.0.1.12");
+  ck_assert (start_node (&a, "127.0.1.11", NULL));
+  ck_assert (start_node (&b, "127.0.1.12", NULL));
+  DpView *view = make_view (2);
+  dp_bus_set_view (a.bus, view);
+  /* The first goes out before the link is up. */
+  b.expected = 300;
+  for (guint64 i = 0; i < b.expected; i++)
+    send_revision (&a, b.self, i);
+  run (base);
+  ck_assert_uint_eq (b.received, 300);
+  for (guint i = 0; i < b.expected; i++)
+    ck_assert_uint_eq (g_array_index (b.revisions, guint64, i), i);
+  ck_assert_uint_eq (b.from.vm, a.self.vm);
+  ck_assert_int_eq (b.from.role, DP_ROLE_ENTRY);
+  ck_assert_uint_eq (
+    dp_counters_get (a.counters, "dogwoodplank_bus_messages_total", "direction", "sent"), 300);
+  dp_view_unref (view);
+  clear_node (&a);
+  clear_node (&b);
+  event_base_free (base);
+}
+END_TEST
+
+START_TEST (own_vm_is_reached_without_a_view)
+{
+  struct event_base *base = event_base_new ();
+  Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
+  Node agent = make_node (base, "a", DP_ROLE_AGENT, "127.0.1.11");
+  ck_assert (start_node (&a, "127.0.1.11", NULL));
+  ck_assert (start_node (&agent, "127.0.1.11", NULL));
+  agent.expected = 1;
+  send_revision (&a, agent.self, 1);
+  run (base);
+  ck_assert_uint_eq (agent.received, 1);
+  clear_node (&a);
+  clear_node (&agent);
+  event_base_free (base);
+}
+END_TEST
+
+START_TEST (a_peer_that_starts_late_is_reached)
+{
+  struct event_base *base = event_base_new ();
+  Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
+  Node b = make_node (base, "b", DP_ROLE_SCHEDULER, "127.0.1.12");
+  ck_assert (start_node (&a, "127.0.1.11", NULL));
+  DpView *view = make_view (2);
+  dp_bus_set_view (a.bus, view);
+  send_revision (&a, b.self, 1);
+  event_base_loop (base, EVLOOP_NONBLOCK);
+  ck_assert (start_node (&b, "127.0.1.12", NULL));
+  b.expected = 1;
+  run (base);
+  ck_assert_uint_eq (b.received, 1);
+  dp_view_unref (view);
+  clear_node (&a);
+  clear_node (&b);
+  event_base_free (base);
+}
+END_TEST
+
+START_TEST (unknown_and_removed_peers_are_counted)
+{
+  struct event_base *base = event_base_new ();
+  Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
+  ck_assert (start_node (&a, "127.0.1.11", NULL));
+  DpPeer b = { dp_name ("b"), DP_ROLE_SCHEDULER };
+  send_revision (&a, b, 1);
+  ck_assert_uint_eq (dropped (&a, "no_peer"), 1);
+  DpView *both = make_view (2);
+  DpView *alone = make_view (1);
+  dp_bus_set_view (a.bus, both);
+  send_revision (&a, b, 1);
+  ck_assert_uint_eq (dropped (&a, "no_peer"), 1);
+  dp_bus_set_view (a.bus, alone);
+  send_revision (&a, b, 1);
+  ck_assert_uint_eq (dropped (&a, "no_peer"), 2);
+  send_revision (&a, (DpPeer){ a.self.vm, (DpRole)77 }, 1);
+  ck_assert_uint_eq (dropped (&a, "no_peer"), 3);
+  dp_view_unref (both);
+  dp_view_unref (alone);
+  clear_node (&a);
+  event_base_free (base);
+}
+END_TEST
+
+START_TEST (a_silent_peer_costs_bounded_memory)
+{
+  struct event_base *base = event_base_new ();
+  Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
+  ck_assert (start_node (&a, "127.0.1.11", NULL));
+  DpView *view = make_view (2);
+  dp_bus_set_view (a.bus, view);
+  for (guint i = 0; i < 2000; i++)
+    send_revision (&a, (DpPeer){ dp_name ("b"), DP_ROLE_SCHEDULER }, i);
+  ck_assert_uint_ge (dropped (&a, "queue_full"), 1000);
+  dp_view_unref (view);
+  clear_node (&a);
+  event_base_free (base);
+}
+END_TEST
+
+START_TEST (an_address_in_use_is_an_error)
+{
+  struct event_base *base = event_base_new ();
+  Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
+  Node other = make_node (base, "c", DP_ROLE_ENTRY, "127.0.1.11");
+  ck_assert (start_node (&a, "127.0.1.11", NULL));
+  GError *error = NULL;
+  ck_assert (!start_node (&other, "127.0.1.11", &error));
+  ck_assert (g_error_matches (error, DP_BUS_ERROR, DP_BUS_ERROR_BIND));
+  g_error_free (error);
+  clear_node (&a);
+  clear_node (&other);
+  event_base_free (base);
+}
+END_TEST
+
+/* Frames of a stranger on the same port. */
+START_TEST (bad_frames_are_counted_and_dropped)
+{
+  struct event_base *base = event_base_new ();
+  Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
+  Node b = make_node (base, "b", DP_ROLE_SCHEDULER, "127.0.1.12");
+  ck_assert (start_node (&a, "127.0.1.11", NULL));
+  ck_assert (start_node (&b, "127.0.1.12", NULL));
+  void *context = zmq_ctx_new ();
+  void *stranger = zmq_socket (context, ZMQ_DEALER);
+  ck_assert_int_eq (zmq_connect (stranger, "tcp://127.0.1.12:17092"), 0);
+  zmq_send (stranger, "garbage", 7, 0);
+  zmq_send (stranger, "two", 3, ZMQ_SNDMORE);
+  zmq_send (stranger, "parts", 5, 0);
+  DpMessage message = { .type = DP_MESSAGE_MANIFEST_ASK };
+  GByteArray *frame = dp_codec_encode (a.self, &message);
+  zmq_send (stranger, frame->data, frame->len, 0); /* in another's name */
+  frame->data[1]++;                                /* version */
+  zmq_send (stranger, frame->data, frame->len, 0);
+  g_byte_array_unref (frame);
+  struct timeval step = { .tv_usec = 1000 };
+  gint64 end = g_get_monotonic_time () + PATIENCE_SECONDS * G_USEC_PER_SEC;
+  while (bad_frames (&b, "version") == 0 && g_get_monotonic_time () < end)
+    {
+      event_base_loopexit (base, &step);
+      event_base_dispatch (base);
+    }
+  ck_assert_uint_eq (bad_frames (&b, "malformed"), 1);
+  ck_assert_uint_eq (bad_frames (&b, "parts"), 1);
+  ck_assert_uint_eq (bad_frames (&b, "sender"), 1);
+  ck_assert_uint_eq (bad_frames (&b, "version"), 1);
+  ck_assert_uint_eq (b.received, 0);
+  int linger = 0;
+  zmq_setsockopt (stranger, ZMQ_LINGER, &linger, sizeof linger);
+  zmq_close (stranger);
+  zmq_ctx_term (context);
+  clear_node (&a);
+  clear_node (&b);
+  event_base_free (base);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("net_bus");
+  TCase *tcase = tcase_create ("bus");
+  tcase_set_timeout (tcase, 60);
+  tcase_add_test (tcase, messages_arrive_in_order_from_the_first_on);
+  tcase_add_test (tcase, own_vm_is_reached_without_a_view);
+  tcase_add_test (tcase, a_peer_that_starts_late_is_reached);
+  tcase_add_test (tcase, unknown_and_removed_peers_are_counted);
+  tcase_add_test (tcase, a_silent_peer_costs_bounded_memory);
+  tcase_add_test (tcase, an_address_in_use_is_an_error);
+  tcase_add_test (tcase, bad_frames_are_counted_and_dropped);
+  suite_add_tcase (suite, tcase);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
