--- a/tests/test_net_bus.c
+++ b/tests/test_net_bus.c
@@ -255,7 +255,7 @@
   zmq_send (stranger, frame->data, frame->len, 0);
   g_byte_array_unref (frame);
   struct timeval step = { .tv_usec = 1000 };
-  gint64 end = g_get_monotonic_time () + PATIENCE_SECONDS * G_USEC_PER_SEC;
+  gint64 end = g_get_monotonic_time () + (gint64)PATIENCE_SECONDS * G_USEC_PER_SEC;
   while (bad_frames (&b, "version") == 0 && g_get_monotonic_time () < end)
     {
       event_base_loopexit (base, &step);
