--- /dev/null
+++ b/net/http_server.c
@@ -0,0 +1,433 @@
+#include "net/http_server.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <string.h>
+
+/* evhttp answers larger bodies itself, with a page of its own. */
+#define BODY_SLACK 2
+/* Bytes taken from a caller beyond the request that is being answered. */
+#define READ_AHEAD_BYTES 16384
+#define ALL_METHODS                                                                            \
+  (EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE     \
+   | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH)
+
+struct DpHttpServer
+{
+  /* constant */
+  DpHttpServerOptions options;
+  char *name;
+  /* for the life of the server */
+  struct evhttp *http;
+  struct evhttp_bound_socket *bound; /* NULL once it stopped accepting */
+  GHashTable *exchanges;             /* open ones */
+  GHashTable *closing;               /* struct event *: connections about to be closed */
+};
+
+struct DpHttpExchange
+{
+  DpHttpServer *server;
+  struct evhttp_request *request;
+  gsize body_length;
+  DpHttpGone gone;
+  gpointer user;
+  struct event *doom; /* closes the connection; set once the caller was too slow */
+};
+
+/* A connection that is closed by the next turn of the loop. */
+typedef struct Closing
+{
+  DpHttpServer *server;
+  struct evhttp_connection *connection; /* NULL once evhttp has freed it */
+  struct event *event;
+} Closing;
+
+static struct timeval
+to_timeval (DpUsec span)
+{
+  return (struct timeval){ .tv_sec = span / DP_USEC_PER_SEC,
+                           .tv_usec = span % DP_USEC_PER_SEC };
+}
+
+static void
+count (DpHttpServer *server, const char *name)
+{
+  dp_counters_add (server->options.counters, name, "listener", server->name, 1);
+}
+
+static struct bufferevent *
+exchange_bufferevent (const DpHttpExchange *exchange)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (exchange->request);
+  return connection != NULL ? evhttp_connection_get_bufferevent (connection) : NULL;
+}
+
+static void
+free_exchange (DpHttpExchange *exchange)
+{
+  g_hash_table_remove (exchange->server->exchanges, exchange);
+  if (exchange->doom != NULL)
+    event_free (exchange->doom);
+  g_free (exchange);
+}
+
+/* --- connections that close under an exchange --- */
+
+/* evhttp detaches a request that is still being answered from its dead connection; it then
+ * belongs to us. */
+static void
+on_connection_closed (struct evhttp_connection *connection, void *user)
+{
+  DpHttpExchange *exchange = user;
+  if (evhttp_request_get_connection (exchange->request) == NULL)
+    evhttp_request_free (exchange->request);
+  count (exchange->server, "dogwoodplank_http_callers_gone_total");
+  DpHttpGone gone = exchange->gone;
+  gpointer data = exchange->user;
+  free_exchange (exchange);
+  if (gone != NULL)
+    gone (data);
+}
+
+/* Reads on while the request is answered, only to learn of the caller's leaving: evhttp stops
+ * the process on input that it does not expect, so its read callback is taken off. */
+static void
+watch_caller (DpHttpExchange *exchange)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (exchange->request);
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
+  bufferevent_data_cb on_write;
+  bufferevent_event_cb on_event;
+  void *arg;
+  bufferevent_getcb (bev, NULL, &on_write, &on_event, &arg);
+  bufferevent_setcb (bev, NULL, on_write, on_event, arg);
+  bufferevent_setwatermark (bev, EV_READ, 0, READ_AHEAD_BYTES);
+  struct timeval write_timeout = to_timeval (exchange->server->options.write_timeout);
+  bufferevent_set_timeouts (bev, NULL, &write_timeout);
+  bufferevent_enable (bev, EV_READ);
+  evhttp_connection_set_closecb (connection, on_connection_closed, exchange);
+}
+
+static void
+unwatch_caller (DpHttpExchange *exchange)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (exchange->request);
+  if (connection == NULL)
+    return;
+  evhttp_connection_set_closecb (connection, NULL, NULL);
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
+  bufferevent_setwatermark (bev, EV_READ, 0, 0);
+  struct timeval read_timeout = to_timeval (exchange->server->options.read_timeout);
+  struct timeval write_timeout = to_timeval (exchange->server->options.write_timeout);
+  bufferevent_set_timeouts (bev, &read_timeout, &write_timeout);
+}
+
+/* Frees the exchange; evhttp keeps the request until the answer is written. */
+static void
+release_exchange (DpHttpExchange *exchange)
+{
+  unwatch_caller (exchange);
+  free_exchange (exchange);
+}
+
+static void
+free_closing (gpointer data)
+{
+  Closing *closing = data;
+  if (closing->connection != NULL)
+    evhttp_connection_set_closecb (closing->connection, NULL, NULL);
+  event_free (closing->event);
+  g_free (closing);
+}
+
+static void
+on_close_event (evutil_socket_t fd, short what, void *user)
+{
+  Closing *closing = user;
+  struct evhttp_connection *connection = closing->connection;
+  g_hash_table_remove (closing->server->closing, closing);
+  if (connection != NULL)
+    evhttp_connection_free (connection);
+}
+
+static void
+on_closing_closed (struct evhttp_connection *connection, void *user)
+{
+  Closing *closing = user;
+  closing->connection = NULL;
+}
+
+/* Ends the exchange without a final chunk. A connection can't be freed from evhttp's callbacks,
+ * from which this may be called, so the loop does it next. */
+static void
+close_later (DpHttpExchange *exchange)
+{
+  DpHttpServer *server = exchange->server;
+  Closing *closing = g_new0 (Closing, 1);
+  closing->server = server;
+  closing->connection = evhttp_request_get_connection (exchange->request);
+  closing->event = event_new (server->options.base, -1, 0, on_close_event, closing);
+  g_hash_table_add (server->closing, closing);
+  release_exchange (exchange);
+  if (closing->connection != NULL)
+    evhttp_connection_set_closecb (closing->connection, on_closing_closed, closing);
+  event_active (closing->event, EV_TIMEOUT, 0);
+}
+
+/* --- requests --- */
+
+/* For requests that the handler never sees. */
+static void
+refuse (struct evhttp_request *request, int status, const char *title)
+{
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+  evhttp_add_header (headers, "Content-Type", "application/problem+json");
+  evhttp_add_header (headers, "Connection", "close");
+  struct evbuffer *body = evbuffer_new ();
+  evbuffer_add_printf (
+    body, "{\"type\":\"about:blank\",\"title\":\"%s\",\"status\":%d,\"outcome\":\"not_run\"}\n",
+    title, status);
+  evhttp_send_reply (request, status, title, body);
+  evbuffer_free (body);
+}
+
+static void
+on_request (struct evhttp_request *request, void *user)
+{
+  DpHttpServer *server = user;
+  count (server, "dogwoodplank_http_requests_total");
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  if (evbuffer_get_length (input) > server->options.body_max)
+    {
+      count (server, "dogwoodplank_http_bodies_too_large_total");
+      refuse (request, 413, "body too large");
+      return;
+    }
+  if (g_hash_table_size (server->exchanges) >= server->options.exchanges_max)
+    {
+      count (server, "dogwoodplank_http_exchanges_refused_total");
+      evhttp_add_header (evhttp_request_get_output_headers (request), "Retry-After", "1");
+      refuse (request, 503, "too many open requests");
+      return;
+    }
+  DpHttpExchange *exchange = g_new0 (DpHttpExchange, 1);
+  exchange->server = server;
+  exchange->request = request;
+  exchange->body_length = evbuffer_get_length (input);
+  evbuffer_add (input, "", 1);
+  g_hash_table_add (server->exchanges, exchange);
+  watch_caller (exchange);
+  server->options.handler (server->options.user, exchange);
+}
+
+static gboolean
+bind_listener (DpHttpServer *server)
+{
+  server->bound = evhttp_bind_socket_with_handle (server->http, server->options.address,
+                                                  server->options.port);
+  return server->bound != NULL;
+}
+
+DpHttpServer *
+dp_http_server_new (const DpHttpServerOptions *options)
+{
+  DpHttpServer *server = g_new0 (DpHttpServer, 1);
+  server->options = *options;
+  server->name = g_strdup (options->name);
+  dp_counters_ref (options->counters);
+  server->exchanges = g_hash_table_new (NULL, NULL);
+  server->closing = g_hash_table_new_full (NULL, NULL, free_closing, NULL);
+  server->http = evhttp_new (options->base);
+  evhttp_set_max_headers_size (server->http, (ev_ssize_t)options->head_max);
+  evhttp_set_max_body_size (server->http, (ev_ssize_t)(options->body_max * BODY_SLACK));
+  evhttp_set_allowed_methods (server->http, ALL_METHODS);
+  evhttp_set_default_content_type (server->http, NULL);
+  struct timeval timeout = to_timeval (options->read_timeout);
+  evhttp_set_timeout_tv (server->http, &timeout);
+  evhttp_set_gencb (server->http, on_request, server);
+  if (bind_listener (server))
+    return server;
+  dp_http_server_free (server);
+  return NULL;
+}
+
+static void
+forget_exchange (gpointer key, gpointer value, gpointer user)
+{
+  DpHttpExchange *exchange = key;
+  struct evhttp_connection *connection = evhttp_request_get_connection (exchange->request);
+  if (connection != NULL)
+    evhttp_connection_set_closecb (connection, NULL, NULL);
+  if (exchange->doom != NULL)
+    event_free (exchange->doom);
+  g_free (exchange);
+}
+
+void
+dp_http_server_free (DpHttpServer *server)
+{
+  if (server == NULL)
+    return;
+  g_hash_table_foreach (server->exchanges, forget_exchange, NULL);
+  g_hash_table_unref (server->exchanges);
+  g_hash_table_unref (server->closing);
+  evhttp_free (server->http);
+  dp_counters_unref (server->options.counters);
+  g_free (server->name);
+  g_free (server);
+}
+
+void
+dp_http_server_stop_accepting (DpHttpServer *server)
+{
+  if (server->bound != NULL)
+    evhttp_del_accept_socket (server->http, server->bound);
+  server->bound = NULL;
+}
+
+guint
+dp_http_server_open_exchanges (const DpHttpServer *server)
+{
+  return g_hash_table_size (server->exchanges);
+}
+
+const char *
+dp_http_exchange_method (const DpHttpExchange *exchange)
+{
+  switch (evhttp_request_get_command (exchange->request))
+    {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    case EVHTTP_REQ_OPTIONS:
+      return "OPTIONS";
+    case EVHTTP_REQ_PATCH:
+      return "PATCH";
+    default:
+      return "";
+    }
+}
+
+const char *
+dp_http_exchange_target (const DpHttpExchange *exchange)
+{
+  return evhttp_request_get_uri (exchange->request);
+}
+
+const char *
+dp_http_exchange_header (const DpHttpExchange *exchange, const char *name)
+{
+  return evhttp_find_header (evhttp_request_get_input_headers (exchange->request), name);
+}
+
+const char *
+dp_http_exchange_body (const DpHttpExchange *exchange, gsize *length)
+{
+  *length = exchange->body_length;
+  struct evbuffer *input = evhttp_request_get_input_buffer (exchange->request);
+  return (const char *)evbuffer_pullup (input, -1);
+}
+
+gboolean
+dp_http_exchange_can_stream (const DpHttpExchange *exchange)
+{
+  const struct evhttp_request *request = exchange->request;
+  return request->major > 1 || (request->major == 1 && request->minor >= 1);
+}
+
+void
+dp_http_exchange_set_gone (DpHttpExchange *exchange, DpHttpGone gone, gpointer user)
+{
+  exchange->gone = gone;
+  exchange->user = user;
+}
+
+void
+dp_http_exchange_add_header (DpHttpExchange *exchange, const char *name, const char *value)
+{
+  evhttp_add_header (evhttp_request_get_output_headers (exchange->request), name, value);
+}
+
+/* A server that stops, closes each connection after its answer. */
+static void
+add_connection_header (DpHttpExchange *exchange)
+{
+  if (exchange->server->bound == NULL)
+    dp_http_exchange_add_header (exchange, "Connection", "close");
+}
+
+void
+dp_http_exchange_reply (DpHttpExchange *exchange, int status, const void *body, gsize length)
+{
+  struct evhttp_request *request = exchange->request;
+  add_connection_header (exchange);
+  release_exchange (exchange);
+  struct evbuffer *buffer = evbuffer_new ();
+  evbuffer_add (buffer, body, length);
+  evhttp_send_reply (request, status, NULL, buffer);
+  evbuffer_free (buffer);
+}
+
+void
+dp_http_exchange_start (DpHttpExchange *exchange, int status)
+{
+  add_connection_header (exchange);
+  evhttp_send_reply_start (exchange->request, status, NULL);
+}
+
+/* Closes the connection, which runs on_connection_closed(). */
+static void
+on_doom (evutil_socket_t fd, short what, void *user)
+{
+  DpHttpExchange *exchange = user;
+  struct evhttp_connection *connection = evhttp_request_get_connection (exchange->request);
+  if (connection != NULL)
+    evhttp_connection_free (connection);
+}
+
+void
+dp_http_exchange_write (DpHttpExchange *exchange, const void *data, gsize length)
+{
+  if (exchange->doom != NULL)
+    return;
+  struct evbuffer *buffer = evbuffer_new ();
+  evbuffer_add (buffer, data, length);
+  evhttp_send_reply_chunk (exchange->request, buffer);
+  evbuffer_free (buffer);
+  struct bufferevent *bev = exchange_bufferevent (exchange);
+  gsize unread = bev != NULL ? evbuffer_get_length (bufferevent_get_output (bev)) : 0;
+  if (unread <= exchange->server->options.unread_max)
+    return;
+  count (exchange->server, "dogwoodplank_http_callers_slow_total");
+  exchange->doom = event_new (exchange->server->options.base, -1, 0, on_doom, exchange);
+  event_active (exchange->doom, EV_TIMEOUT, 0);
+}
+
+void
+dp_http_exchange_finish (DpHttpExchange *exchange)
+{
+  struct evhttp_request *request = exchange->request;
+  if (exchange->doom != NULL)
+    {
+      close_later (exchange);
+      return;
+    }
+  release_exchange (exchange);
+  evhttp_send_reply_end (request);
+}
+
+void
+dp_http_exchange_break_off (DpHttpExchange *exchange)
+{
+  close_later (exchange);
+}
