core: say when a collected answer starts again, name answers to outcome queries

With DpHead.stream FALSE nothing reaches the caller before END, so a retry may start the collection again with a second HEAD, and a PROBLEM may still replace it. Claim operations are answered exactly once. Two reasons are appended for queries of an outcome: no_record, released.

--- a/core/entry.h
+++ b/core/entry.h
@@ -140,6 +140,8 @@
   gboolean nothing_sent; /* certain: no byte was handed to the target */
 } DpTargetFailed;
 
+/* The shell answers each CLAIM_READ and CLAIM_WRITE exactly once, with LOST if need be, and
+ * drops what the platform says after that. */
 typedef struct DpClaimReply
 {
   DpBucketId bucket;
@@ -202,7 +204,8 @@
   DpUsec remaining;  /* until the deadline */
 } DpDispatch;
 
-/* Starts the caller's answer. */
+/* Starts the caller's answer. With `stream` FALSE nothing reaches the caller before END: a
+ * second HEAD then drops what was collected and starts again, and a PROBLEM drops it too. */
 typedef struct DpHead
 {
   DpCaller caller;
--- a/core/reason.h
+++ b/core/reason.h
@@ -49,7 +49,10 @@
   X (STOPPING, "stopping", 503, TRUE)                                                          \
   X (NOT_READY, "not_ready", 503, TRUE)                                                        \
   X (RESUMED_AFTER_PAUSE, "resumed_after_pause", 503, TRUE)                                    \
-  X (OVERLOADED_ENTRY, "entry_overloaded", 503, TRUE)
+  X (OVERLOADED_ENTRY, "entry_overloaded", 503, TRUE)                                          \
+  /* answers to a question for an outcome */                                                   \
+  X (NO_RECORD, "no_record", 404, TRUE)                                                        \
+  X (RELEASED, "released", 404, TRUE)
 
 typedef enum DpReason
 {
