--- /dev/null
+++ b/core/entry_held.c
@@ -0,0 +1,106 @@
+/* Heartbeat of an entry to the owners at which it holds grants or waits. */
+#include "core/entry_board.h"
+
+#define HELD_INTERVAL (500 * DP_USEC_PER_MSEC)
+
+/* One row to report, with where it goes. */
+typedef struct HeldRow
+{
+  DpName owner;
+  DpName group;
+  DpHeld held;
+} HeldRow;
+
+static int
+compare_rows (gconstpointer a, gconstpointer b)
+{
+  const HeldRow *left = a;
+  const HeldRow *right = b;
+  if (left->owner != right->owner)
+    return left->owner < right->owner ? -1 : 1;
+  if (left->group != right->group)
+    return left->group < right->group ? -1 : 1;
+  return 0;
+}
+
+static gboolean
+is_same_report (const HeldRow *a, const HeldRow *b)
+{
+  return a->owner == b->owner && a->group == b->group;
+}
+
+static HeldRow
+make_row (const Request *request)
+{
+  const DpManifest *manifest = request->routes->manifest;
+  HeldRow row = {
+    .owner = request->owner.vm,
+    .group = DP_MANIFEST_ROW (manifest, groups, DpGroup, request->group)->name,
+    .held = {
+      .attempt = request->attempt,
+      .target = request->phase == PHASE_SENT ? request->target : 0,
+      .tier = request->ask.tier,
+      .workspace = request->ask.workspace,
+      .model = request->ask.model,
+      .tokens = request->ask.prompt_tokens + request->ask.output_tokens,
+      .started = request->first_token_after > 0,
+    },
+  };
+  return row;
+}
+
+static GArray *
+collect_rows (DpEntryBoard *board)
+{
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (HeldRow));
+  for (DpHandle h = dp_table_next (board->requests, 0); h != 0;
+       h = dp_table_next (board->requests, h))
+    {
+      const Request *request = entry_request (board, h);
+      if (request->owner.vm == 0 || request->group < 0)
+        continue;
+      HeldRow row = make_row (request);
+      g_array_append_val (rows, row);
+    }
+  g_array_sort (rows, compare_rows);
+  return rows;
+}
+
+/* Sends rows[first..end), which go to one owner and group, in parts. */
+static void
+send_report (DpEntryBoard *board, const GArray *rows, guint first, guint end)
+{
+  const HeldRow *head = &g_array_index (rows, HeldRow, first);
+  DpPeer owner = { .vm = head->owner, .role = DP_ROLE_SCHEDULER };
+  for (guint part = 0; first < end; part++)
+    {
+      DpMessage message = { .type = DP_MESSAGE_GRANT_HELD };
+      DpGrantHeld *report = &message.grant_held;
+      report->group = head->group;
+      report->incarnation = board->options.incarnation;
+      report->part = part;
+      while (first < end && report->count < DP_HELD_MAX)
+        report->held[report->count++] = g_array_index (rows, HeldRow, first++).held;
+      report->last = first == end;
+      entry_send (board, owner, &message);
+    }
+}
+
+void
+entry_held_tick (DpEntryBoard *board)
+{
+  if (board->now - board->last_held < HELD_INTERVAL)
+    return;
+  board->last_held = board->now;
+  GArray *rows = collect_rows (board);
+  for (guint first = 0; first < rows->len;)
+    {
+      const HeldRow *head = &g_array_index (rows, HeldRow, first);
+      guint end = first + 1;
+      while (end < rows->len && is_same_report (head, &g_array_index (rows, HeldRow, end)))
+        end++;
+      send_report (board, rows, first, end);
+      first = end;
+    }
+  g_array_unref (rows);
+}
