core: a revoke with NO_OWNER sends the ask to the group's owner again

Cause: a scheduler that lost a group, or that was paused and forgot its queue, had no way to tell a waiting entry so but silence, which costs the entry 1.5 s. A new use of an existing reason and message; an entry that ignores it falls back on its own timeout.

--- a/core/message.h
+++ b/core/message.h
@@ -104,7 +104,9 @@
   DpUsec retry_after; /* from the queue's drain estimate */
 } DpGrantRefused;
 
-/* The grant, or the place in the queue, is taken back. */
+/* The grant, or the place in the queue, is taken back. With NO_OWNER the ask does not wait here
+ * (any more), for example since another VM owns the group now: the entry asks the owner of its
+ * newest view again, under the same attempt. */
 typedef struct DpGrantRevoked
 {
   DpId attempt;
