--- a/core/scheduler.c
+++ b/core/scheduler.c
@@ -70,6 +70,7 @@
       dp_targets_poll (board, group);
       dp_grants_expire (board, group);
       dp_grants_fill (board, group);
+      dp_preempt_run (board, group);
     }
 }
 
--- a/core/scheduler_board.h
+++ b/core/scheduler_board.h
@@ -113,7 +113,7 @@
   GArray *models;      /* DpName */
   /* in service */
   GPtrArray *grants;    /* DpGrant */
-  guint64 tokens;       /* estimated, of all grants */
+  double tokens;        /* estimated, of all grants */
   double prefill_ahead; /* uncached prompt tokens of grants without a first token */
   /* last report */
   gboolean reachable;
@@ -249,6 +249,17 @@
 /* scheduler_targets.c: window, load, choice of a target */
 gboolean dp_target_is_able (const DpTargetState *target, const DpGrant *grant);
 gboolean dp_target_has_room (const DpTargetState *target, const DpGrant *grant);
+/* What a target would no longer hold. */
+typedef struct DpTargetFreed
+{
+  guint count;
+  double tokens;
+  double prefill; /* prompt tokens */
+} DpTargetFreed;
+
+gboolean dp_target_has_room_without (const DpTargetState *target,
+                                     const DpGrant *grant,
+                                     const DpTargetFreed *freed);
 void dp_target_add (DpTargetState *target, DpGrant *grant);
 void dp_target_remove (DpTargetState *target, DpGrant *grant);
 void dp_target_first_token (DpTargetState *target, DpGrant *grant);
@@ -265,6 +276,11 @@
 void dp_grants_done (DpSchedulerBoard *board, DpName entry, const DpGrantDone *done);
 void dp_grants_fill (DpSchedulerBoard *board, DpGroupState *group);
 void dp_grants_expire (DpSchedulerBoard *board, DpGroupState *group);
+/* Gives a target to a grant that waits. */
+void dp_grants_give_waiting (DpSchedulerBoard *board,
+                             DpGroupState *group,
+                             DpGrant *grant,
+                             DpTargetState *target);
 /* Forgets the grant, whether it waits or runs. */
 void dp_grants_forget (DpSchedulerBoard *board, DpGrant *grant);
 void dp_grants_revoke (DpSchedulerBoard *board, DpGrant *grant, DpReason reason);
@@ -277,6 +293,11 @@
                       DpName entry,
                       const DpHeld *held);
 
+/* scheduler_preempt.c: running requests that give way */
+void dp_preempt_run (DpSchedulerBoard *board, DpGroupState *group);
+/* The cheapest victim of the lowest tier that runs below `tier`, or NULL. */
+DpGrant *dp_preempt_lowest_running (DpSchedulerBoard *board, DpGroupState *group, guint tier);
+
 /* scheduler_owners.c: ownership, entries' reports, adverts */
 void dp_owners_apply_view (DpSchedulerBoard *board, DpView *view);
 void dp_owners_activate (DpSchedulerBoard *board, DpGroupState *group);
--- a/core/scheduler_grants.c
+++ b/core/scheduler_grants.c
@@ -144,11 +144,31 @@
   return FALSE;
 }
 
-/* Takes back the newest waiting request of the lowest tier. */
+static guint
+running_below (const DpGroupState *group, guint tier)
+{
+  guint running = 0;
+  for (guint i = tier + 1; i < DP_TIERS_MAX; i++)
+    running += group->running[i];
+  return running;
+}
+
+/* Makes room in a full queue for a request of that tier: what gives way is of the lowest tier
+ * that runs or waits; of those that wait, the newest. FALSE: nothing below it can give way. */
 static gboolean
 displace_below (DpSchedulerBoard *board, DpGroupState *group, guint tier)
 {
   int lowest = dp_queue_lowest_below (group, tier);
+  guint bound = lowest >= 0 ? (guint)lowest : tier;
+  DpGrant *running = dp_preempt_lowest_running (board, group, bound);
+  if (running != NULL)
+    {
+      dp_grants_revoke (board, running, DP_REASON_PREEMPTED);
+      dp_grants_fill (board, group);
+      return TRUE;
+    }
+  if (running_below (group, bound) > group->waiting - board->options.queue_max)
+    return TRUE;
   if (lowest < 0)
     return FALSE;
   DpGrant *victim = g_queue_peek_tail (&group->tiers[lowest].newest);
@@ -214,6 +234,7 @@
   dp_queue_push (board, group, grant);
   send_queued (board, group, grant);
   dp_grants_fill (board, group);
+  dp_preempt_run (board, group);
 }
 
 static void
@@ -228,8 +249,7 @@
           DpGrant *grant = dp_queue_first_servable (board, group, tier, target);
           if (grant == NULL)
             break;
-          dp_queue_take (board, group, grant);
-          give (board, group, grant, target);
+          dp_grants_give_waiting (board, group, grant, target);
         }
     }
 }
@@ -252,6 +272,16 @@
   return g_hash_table_lookup (board->grant_by_attempt, &attempt);
 }
 
+void
+dp_grants_give_waiting (DpSchedulerBoard *board,
+                        DpGroupState *group,
+                        DpGrant *grant,
+                        DpTargetState *target)
+{
+  dp_queue_take (board, group, grant);
+  give (board, group, grant, target);
+}
+
 void
 dp_grants_forget (DpSchedulerBoard *board, DpGrant *grant)
 {
--- /dev/null
+++ b/core/scheduler_preempt.c
@@ -0,0 +1,225 @@
+/* Preemption: a waiting request takes the place of running ones of lower tiers.
+ *
+ * Victims are of the lowest tier; among them, those that waste least prefill. A request that
+ * has its first token is a victim only for one that would otherwise miss its deadline. What may
+ * not be repeated is never a victim. */
+#include "core/scheduler_board.h"
+
+/* Top-tier requests wait this long before they preempt. */
+#define TOP_TIER_WAIT_USEC (100 * DP_USEC_PER_MSEC)
+/* Before its latest start a request of any tier preempts. */
+#define CRITICAL_USEC (300 * DP_USEC_PER_MSEC)
+/* Victims for one request. */
+#define VICTIMS_MAX 8
+/* Waiting requests looked at in one run. */
+#define SCAN_MAX 64
+
+typedef struct Plan
+{
+  DpTargetState *target;
+  guint count;
+  DpGrant *victims[VICTIMS_MAX];
+  guint highest_tier; /* most urgent tier among the victims */
+  double waste;       /* prompt tokens computed for them */
+} Plan;
+
+/* Prompt tokens that the target has computed for the grant, as far as known. */
+static double
+computed_prefill (const DpSchedulerBoard *board,
+                  const DpTargetState *target,
+                  const DpGrant *grant)
+{
+  if (grant->started)
+    return grant->prompt_tokens;
+  double seconds = (double)(board->now - grant->granted_at) / (double)DP_USEC_PER_SEC;
+  return MIN (grant->prefill_tokens, seconds * target->prefill_speed);
+}
+
+static gboolean
+may_be_victim (const DpGrant *victim, guint tier, gboolean critical)
+{
+  if (!victim->repeatable || victim->tier <= tier)
+    return FALSE;
+  return critical || !victim->started;
+}
+
+/* TRUE if `a` is taken before `b`. */
+static gboolean
+better_victim (const DpSchedulerBoard *board,
+               const DpTargetState *target,
+               const DpGrant *a,
+               const DpGrant *b)
+{
+  if (a->tier != b->tier)
+    return a->tier > b->tier;
+  return computed_prefill (board, target, a) < computed_prefill (board, target, b);
+}
+
+static gboolean
+is_planned (const Plan *plan, const DpGrant *grant)
+{
+  for (guint i = 0; i < plan->count; i++)
+    {
+      if (plan->victims[i] == grant)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static DpGrant *
+next_victim (const DpSchedulerBoard *board,
+             const Plan *plan,
+             const DpTargetState *target,
+             guint tier,
+             gboolean critical)
+{
+  DpGrant *best = NULL;
+  for (guint i = 0; i < target->grants->len; i++)
+    {
+      DpGrant *grant = g_ptr_array_index (target->grants, i);
+      if (!may_be_victim (grant, tier, critical) || is_planned (plan, grant))
+        continue;
+      if (best == NULL || better_victim (board, target, grant, best))
+        best = grant;
+    }
+  return best;
+}
+
+static gboolean
+fits_after (const Plan *plan, const DpTargetState *target, const DpGrant *grant)
+{
+  DpTargetFreed freed = { .count = plan->count };
+  for (guint i = 0; i < plan->count; i++)
+    {
+      freed.tokens += plan->victims[i]->cost;
+      freed.prefill += plan->victims[i]->prefill_tokens;
+    }
+  return dp_target_has_room_without (target, grant, &freed);
+}
+
+/* The cheapest victims on the target that make room for the grant. FALSE: there are none. */
+static gboolean
+plan_target (const DpSchedulerBoard *board,
+             DpTargetState *target,
+             const DpGrant *grant,
+             gboolean critical,
+             Plan *plan)
+{
+  *plan = (Plan){ .target = target, .highest_tier = DP_TIERS_MAX };
+  while (!fits_after (plan, target, grant))
+    {
+      DpGrant *victim = next_victim (board, plan, target, grant->tier, critical);
+      if (victim == NULL || plan->count == VICTIMS_MAX)
+        return FALSE;
+      plan->victims[plan->count] = victim;
+      plan->count += 1;
+      plan->highest_tier = MIN (plan->highest_tier, victim->tier);
+      plan->waste += computed_prefill (board, target, victim);
+    }
+  return TRUE;
+}
+
+static gboolean
+better_plan (const Plan *a, const Plan *b)
+{
+  if (b->target == NULL || a->highest_tier != b->highest_tier)
+    return b->target == NULL || a->highest_tier > b->highest_tier;
+  return a->waste < b->waste;
+}
+
+static gboolean
+preempt_for (DpSchedulerBoard *board, DpGroupState *group, DpGrant *grant, gboolean critical)
+{
+  Plan best = { .target = NULL };
+  for (guint i = 0; i < group->targets->len; i++)
+    {
+      DpTargetState *target = dp_group_target (board, group, i);
+      Plan plan;
+      if (!dp_target_is_able (target, grant) || !target->reachable
+          || board->now + dp_estimate_idle (target, grant) > grant->deadline)
+        continue;
+      if (plan_target (board, target, grant, critical, &plan) && better_plan (&plan, &best))
+        best = plan;
+    }
+  if (best.target == NULL)
+    return FALSE;
+  for (guint i = 0; i < best.count; i++)
+    dp_grants_revoke (board, best.victims[i], DP_REASON_PREEMPTED);
+  dp_grants_give_waiting (board, group, grant, best.target);
+  return TRUE;
+}
+
+static gboolean
+runs_below (const DpGroupState *group, guint tier)
+{
+  for (guint i = tier + 1; i < DP_TIERS_MAX; i++)
+    {
+      if (group->running[i] > 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Requests of the top tier that have waited too long, oldest first. */
+static void
+serve_top_tier (DpSchedulerBoard *board, DpGroupState *group)
+{
+  GList *next;
+  guint seen = 0;
+  for (GList *link = group->tiers[0].newest.head; link != NULL && seen < SCAN_MAX; link = next)
+    {
+      DpGrant *grant = link->data;
+      next = link->next;
+      seen++;
+      if (board->now - grant->arrived < TOP_TIER_WAIT_USEC || !runs_below (group, 0))
+        return;
+      preempt_for (board, group, grant, FALSE);
+    }
+}
+
+/* Requests that are about to miss their deadlines. */
+static void
+serve_critical (DpSchedulerBoard *board, DpGroupState *group)
+{
+  guint seen = 0;
+  GSequenceIter *next;
+  for (GSequenceIter *at = g_sequence_get_begin_iter (group->by_latest_start);
+       !g_sequence_iter_is_end (at) && seen < SCAN_MAX; at = next)
+    {
+      DpGrant *grant = g_sequence_get (at);
+      next = g_sequence_iter_next (at);
+      seen++;
+      if (grant->latest_start - board->now > CRITICAL_USEC)
+        return;
+      if (runs_below (group, grant->tier))
+        preempt_for (board, group, grant, TRUE);
+    }
+}
+
+DpGrant *
+dp_preempt_lowest_running (DpSchedulerBoard *board, DpGroupState *group, guint tier)
+{
+  DpGrant *best = NULL;
+  if (!runs_below (group, tier))
+    return NULL;
+  for (guint i = 0; i < group->targets->len; i++)
+    {
+      DpTargetState *target = dp_group_target (board, group, i);
+      Plan none = { .count = 0 };
+      DpGrant *victim = next_victim (board, &none, target, tier, TRUE);
+      if (victim == NULL)
+        continue;
+      if (best == NULL || better_victim (board, target, victim, best))
+        best = victim;
+    }
+  return best;
+}
+
+void
+dp_preempt_run (DpSchedulerBoard *board, DpGroupState *group)
+{
+  if (!group->settled || group->waiting == 0)
+    return;
+  serve_critical (board, group);
+  serve_top_tier (board, group);
+}
--- a/core/scheduler_targets.c
+++ b/core/scheduler_targets.c
@@ -26,12 +26,12 @@
 }
 
 static gboolean
-prefill_has_room (const DpTargetState *target)
+prefill_has_room (const DpTargetState *target, double ahead)
 {
   if (target->prefill_speed <= 0)
     return TRUE;
-  double ahead = target->prefill_ahead / target->prefill_speed;
-  return ahead * (double)DP_USEC_PER_SEC < (double)DP_PREFILL_AHEAD_USEC;
+  double usec = ahead / target->prefill_speed * (double)DP_USEC_PER_SEC;
+  return usec < (double)DP_PREFILL_AHEAD_USEC;
 }
 
 static void
@@ -56,15 +56,26 @@
 }
 
 gboolean
-dp_target_has_room (const DpTargetState *target, const DpGrant *grant)
+dp_target_has_room_without (const DpTargetState *target,
+                            const DpGrant *grant,
+                            const DpTargetFreed *freed)
 {
-  if (!target->reachable || target->grants->len >= target->window)
+  guint running = target->grants->len - freed->count;
+  if (!target->reachable || running >= target->window)
     return FALSE;
-  if (target->grants->len == 0)
+  if (running == 0)
     return TRUE;
-  if (target->kv_tokens > 0 && (double)target->tokens + grant->cost > target->kv_tokens)
+  double tokens = target->tokens - freed->tokens + grant->cost;
+  if (target->kv_tokens > 0 && tokens > target->kv_tokens)
     return FALSE;
-  return prefill_has_room (target);
+  return prefill_has_room (target, target->prefill_ahead - freed->prefill);
+}
+
+gboolean
+dp_target_has_room (const DpTargetState *target, const DpGrant *grant)
+{
+  DpTargetFreed nothing = { 0 };
+  return dp_target_has_room_without (target, grant, &nothing);
 }
 
 void
@@ -73,7 +84,7 @@
   grant->target = target->self;
   grant->prefill_tokens = grant->started ? 0 : grant->prompt_tokens;
   g_ptr_array_add (target->grants, grant);
-  target->tokens += (guint64)grant->cost;
+  target->tokens += grant->cost;
   target->prefill_ahead += grant->prefill_tokens;
 }
 
@@ -82,7 +93,7 @@
 {
   if (!g_ptr_array_remove_fast (target->grants, grant))
     return;
-  target->tokens -= (guint64)grant->cost;
+  target->tokens -= grant->cost;
   dp_target_first_token (target, grant);
 }
 
