--- /dev/null
+++ b/ctl/check.c
@@ -0,0 +1,54 @@
+#include "ctl/commands.h"
+
+#include "manifest/manifest.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Prints what the manifest holds, as a sign of what was checked. */
+static void
+print_summary (const char *file, const DpManifest *manifest)
+{
+  printf ("%s: revision %" G_GUINT64_FORMAT ", digest %016" G_GINT64_MODIFIER
+          "x, %u data centres, %u workspaces, %u tiers, %u targets: no findings\n",
+          file, manifest->revision, manifest->digest, manifest->data_centres->len,
+          manifest->workspaces->len, manifest->tiers->len, manifest->targets->len);
+}
+
+static void
+check_file (const char *file, DpFindings *findings)
+{
+  char *text = NULL;
+  gsize length = 0;
+  GError *error = NULL;
+  if (!g_file_get_contents (file, &text, &length, &error))
+    {
+      dp_findings_add (findings, file, 0, NULL, "%s", error->message);
+      g_error_free (error);
+      return;
+    }
+  DpManifest *manifest = dp_manifest_parse (file, text, length, findings);
+  if (manifest != NULL)
+    print_summary (file, manifest);
+  dp_manifest_unref (manifest);
+  g_free (text);
+}
+
+int
+dp_ctl_check (int argc, char **argv)
+{
+  if (argc == 0)
+    {
+      fputs ("dogwoodplankctl: check needs at least one FILE\n", stderr);
+      return DP_EXIT_USAGE;
+    }
+  DpFindings *findings = dp_findings_new ();
+  for (int i = 0; i < argc; i++)
+    check_file (argv[i], findings);
+  char *text = dp_findings_format (findings);
+  fputs (text, stdout);
+  g_free (text);
+  int status = dp_findings_count (findings) > 0 ? DP_EXIT_FINDINGS : EXIT_SUCCESS;
+  dp_findings_unref (findings);
+  return status;
+}
--- a/manifest/manifest.h
+++ b/manifest/manifest.h
@@ -11,7 +11,7 @@
 
 #include <glib.h>
 
-#define DP_MANIFEST_BYTES_MAX (1024 * 1024)
+#define DP_MANIFEST_BYTES_MAX ((gsize)1024 * 1024)
 #define DP_MANIFEST_DEPTH_MAX 16
 #define DP_TIERS_MAX 8
 /* A pool's targets in one data centre are split into groups of at most this many. */
