standins: engine, plain service and platform with fault switches

Small programs on evhttp that speak docs/INTERFACES.md. The engine's answer is a function of the request alone, so a caller can check that it got its own whole answer; the service counts effects per Idempotency-Key and per body; the platform counts calls by kind and path.

Seen while building: evbuffer_copyout() fails on a bufferevent's output, whose front is frozen, so a cut answer first lost its buffered tail; it is unfrozen for the copy. docs/INTERFACES.md now says which text the prefix blocks cover.

--- /dev/null
+++ b/standins/service.c
@@ -0,0 +1,348 @@
+/* standin-service: a plain service whose POSTs have an effect each time they run.
+ * Speaks docs/INTERFACES.md, "Plain service".
+ *
+ * The answer to a POST repeats the body's hash and the number of the effect. GET /effects tells
+ * how often each Idempotency-Key and each body had its effect; that is what tests believe. */
+#include "common/id.h"
+#include "common/log.h"
+#include "standins/fault.h"
+#include "standins/http.h"
+
+#include <argp.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BODY_MAX ((gsize)4 * 1024 * 1024)
+
+const char *argp_program_version = "standin-service " DP_VERSION;
+
+typedef struct ServiceFaults
+{
+  gint64 delay_before_ms; /* before the effect */
+  gint64 delay_after_ms;  /* between the effect and the answer */
+  gint64 cut_before;      /* 1: closes before the effect */
+  gint64 cut_after;       /* 1: closes after the effect */
+  gint64 silent_after;    /* 1: never answers after the effect */
+  gint64 error_after;     /* status of the answer after the effect */
+  gint64 error_before;    /* status of the answer without an effect */
+  gint64 refuse;          /* 1: connections are refused */
+} ServiceFaults;
+
+typedef struct Service
+{
+  struct event_base *base;
+  StandinServer *server;
+  ServiceFaults faults;
+  FaultTable fault_table;
+  GHashTable *by_key;  /* Idempotency-Key -> count */
+  GHashTable *by_body; /* hash of the body as text -> count */
+  guint64 effects;
+  guint64 requests;
+  guint running;
+} Service;
+
+typedef struct Call
+{
+  struct evhttp_request *req; /* NULL once the peer has gone */
+  struct event *timer;
+  char *key; /* may be NULL */
+  char *body_hash;
+  char *attempt; /* may be NULL */
+  gboolean faulty;
+  gboolean has_effect;
+  guint64 effect; /* its number */
+} Call;
+
+static Service service;
+
+static const FaultSwitch fault_switches[] = {
+  { "delay_before_ms", .number = &service.faults.delay_before_ms },
+  { "delay_after_ms", .number = &service.faults.delay_after_ms },
+  { "cut_before", .number = &service.faults.cut_before },
+  { "cut_after", .number = &service.faults.cut_after },
+  { "silent_after", .number = &service.faults.silent_after },
+  { "error_after", .number = &service.faults.error_after },
+  { "error_before", .number = &service.faults.error_before },
+  { "refuse", .number = &service.faults.refuse },
+};
+
+static void
+call_free (Call *call)
+{
+  service.running -= 1;
+  if (call->timer != NULL)
+    event_free (call->timer);
+  g_free (call->key);
+  g_free (call->body_hash);
+  g_free (call->attempt);
+  g_free (call);
+}
+
+static void
+count_one (GHashTable *counts, const char *key)
+{
+  guint count = GPOINTER_TO_UINT (g_hash_table_lookup (counts, key));
+  g_hash_table_replace (counts, g_strdup (key), GUINT_TO_POINTER (count + 1));
+}
+
+static void
+apply_effect (Call *call)
+{
+  service.effects += 1;
+  call->effect = service.effects;
+  call->has_effect = TRUE;
+  count_one (service.by_body, call->body_hash);
+  if (call->key != NULL)
+    count_one (service.by_key, call->key);
+  dp_log (DP_LOG_INFO, "effect", "key", call->key, "body", call->body_hash, "attempt",
+          call->attempt, NULL);
+}
+
+static void
+cut_call (Call *call)
+{
+  if (call->req != NULL)
+    standin_cut (call->req, "", 0);
+  call_free (call);
+}
+
+static void
+answer_call (Call *call, int status)
+{
+  if (call->req != NULL)
+    {
+      if (call->attempt != NULL)
+        evhttp_add_header (evhttp_request_get_output_headers (call->req), "X-Attempt-Id",
+                           call->attempt);
+      char *text = g_strdup_printf ("{\"effect\":%" G_GUINT64_FORMAT ",\"echo\":\"%s\"}",
+                                    call->effect, call->body_hash);
+      standin_unwatch (call->req);
+      standin_reply (call->req, status, "application/json", text);
+      g_free (text);
+    }
+  call_free (call);
+}
+
+static void
+wait_for (Call *call, gint64 msec, event_callback_fn next)
+{
+  const struct timeval delay = { msec / 1000, (msec % 1000) * 1000 };
+  if (call->timer != NULL)
+    event_free (call->timer);
+  call->timer = event_new (service.base, -1, 0, next, call);
+  event_add (call->timer, &delay);
+}
+
+static void
+after_effect (evutil_socket_t fd, short events, void *data)
+{
+  Call *call = data;
+  const ServiceFaults *faults = &service.faults;
+  if (call->faulty && faults->cut_after == 1)
+    cut_call (call);
+  else if (call->faulty && faults->silent_after == 1)
+    return;
+  else if (call->faulty && faults->error_after != FAULT_OFF)
+    answer_call (call, (int)faults->error_after);
+  else
+    answer_call (call, 200);
+}
+
+static void
+before_effect (evutil_socket_t fd, short events, void *data)
+{
+  Call *call = data;
+  const ServiceFaults *faults = &service.faults;
+  if (call->faulty && faults->cut_before == 1)
+    {
+      cut_call (call);
+      return;
+    }
+  if (call->faulty && faults->error_before != FAULT_OFF)
+    {
+      answer_call (call, (int)faults->error_before);
+      return;
+    }
+  apply_effect (call);
+  if (call->faulty && faults->delay_after_ms > 0)
+    wait_for (call, faults->delay_after_ms, after_effect);
+  else
+    after_effect (-1, 0, call);
+}
+
+/* The work goes on without its caller, as in a service that has begun a transaction. */
+static void
+on_peer_gone (struct evhttp_connection *connection, void *data)
+{
+  Call *call = data;
+  evhttp_connection_set_closecb (connection, NULL, NULL);
+  standin_forget (call->req);
+  call->req = NULL;
+}
+
+static void
+begin_call (struct evhttp_request *req)
+{
+  Call *call = g_new0 (Call, 1);
+  gsize length;
+  char *body = standin_body (req, &length);
+  service.requests += 1;
+  service.running += 1;
+  call->req = req;
+  call->key = g_strdup (standin_header (req, "Idempotency-Key"));
+  call->attempt = g_strdup (standin_header (req, "X-Attempt-Id"));
+  call->body_hash
+    = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", dp_hash_bytes (body, length, 0));
+  call->faulty = fault_take (&service.fault_table);
+  g_free (body);
+  standin_watch_close (req, on_peer_gone, call);
+  if (call->faulty && service.faults.delay_before_ms > 0)
+    wait_for (call, service.faults.delay_before_ms, before_effect);
+  else
+    before_effect (-1, 0, call);
+}
+
+static void
+append_counts (GString *out, const char *name, GHashTable *counts)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  gboolean first = TRUE;
+  g_string_append_printf (out, ",\"%s\":{", name);
+  g_hash_table_iter_init (&iter, counts);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      char *escaped = g_strescape (key, NULL);
+      g_string_append_printf (out, "%s\"%s\":%u", first ? "" : ",", escaped,
+                              GPOINTER_TO_UINT (value));
+      g_free (escaped);
+      first = FALSE;
+    }
+  g_string_append_c (out, '}');
+}
+
+static void
+reply_effects (struct evhttp_request *req)
+{
+  GString *out = g_string_new (NULL);
+  g_string_append_printf (
+    out, "{\"effects\":%" G_GUINT64_FORMAT ",\"requests\":%" G_GUINT64_FORMAT ",\"running\":%u",
+    service.effects, service.requests, service.running);
+  append_counts (out, "by_key", service.by_key);
+  append_counts (out, "by_body", service.by_body);
+  g_string_append (out, "}\n");
+  standin_reply (req, 200, "application/json", out->str);
+  g_string_free (out, TRUE);
+}
+
+static void
+handle_control (struct evhttp_request *req, gpointer data)
+{
+  const char *path = standin_path (req);
+  if (strcmp (path, "/fault") == 0)
+    {
+      fault_handle (&service.fault_table, req);
+      standin_server_refuse (service.server, service.faults.refuse == 1);
+    }
+  else if (strcmp (path, "/effects") == 0)
+    reply_effects (req);
+  else
+    standin_reply (req, 404, NULL, "");
+}
+
+static void
+reply_load (struct evhttp_request *req)
+{
+  char *text = g_strdup_printf ("{\"boot\":1,\"running\":%u,\"waiting\":0}", service.running);
+  standin_reply (req, 200, "application/json", text);
+  g_free (text);
+}
+
+static void
+handle (struct evhttp_request *req, gpointer data)
+{
+  const char *path = standin_path (req);
+  if (strcmp (path, "/fault") == 0 || strcmp (path, "/effects") == 0)
+    handle_control (req, data);
+  else if (strcmp (path, "/load") == 0)
+    reply_load (req);
+  else if (evhttp_request_get_command (req) == EVHTTP_REQ_GET)
+    standin_reply (req, 200, "application/json", "{\"effect\":0}");
+  else
+    begin_call (req);
+}
+
+typedef struct Settings
+{
+  char *address;
+  guint16 port;
+  guint16 control_port;
+} Settings;
+
+static const struct argp_option options[] = {
+  { "listen", 'l', "IP:PORT", 0, "where callers connect" },
+  { "control-port", 'c', "PORT", 0, "further port for /fault and /effects" },
+  { "fault", 'f', "NAME=VALUE", 0, "set a fault switch" },
+  { 0 },
+};
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  Settings *settings = state->input;
+  switch (key)
+    {
+    case 'l':
+      if (!standin_parse_address (arg, &settings->address, &settings->port))
+        argp_error (state, "not IP:PORT: %s", arg);
+      return 0;
+    case 'c':
+      settings->control_port = (guint16)g_ascii_strtoull (arg, NULL, 10);
+      return 0;
+    case 'f':
+      if (!fault_set (&service.fault_table, arg))
+        argp_error (state, "no such fault: %s", arg);
+      return 0;
+    case ARGP_KEY_END:
+      if (settings->address == NULL)
+        argp_error (state, "--listen is missing");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp parser
+    = { options, parse_option, NULL, "A stand-in plain service that counts its effects." };
+  Settings settings = { 0 };
+  signal (SIGPIPE, SIG_IGN);
+  dp_log_init ("standin-service", DP_LOG_INFO);
+  service.fault_table
+    = (FaultTable){ .switches = fault_switches, .count = G_N_ELEMENTS (fault_switches) };
+  fault_clear (&service.fault_table);
+  argp_parse (&parser, argc, argv, 0, NULL, &settings);
+
+  service.base = event_base_new ();
+  service.by_key = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  service.by_body = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  service.server = standin_server_new (&(StandinServerOptions){
+    .base = service.base,
+    .address = settings.address,
+    .port = settings.port,
+    .control_port = settings.control_port,
+    .body_max = BODY_MAX,
+    .handle = handle,
+    .control = handle_control,
+  });
+  if (service.server == NULL)
+    return EXIT_FAILURE;
+  standin_server_refuse (service.server, service.faults.refuse == 1);
+  standin_run (service.base);
+  g_free (settings.address);
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/test_standins.c
@@ -0,0 +1,188 @@
+/* The stand-ins' own logic, which other tests rely on: engine model, echo, object store. */
+#include "standins/echo.h"
+#include "standins/engine_model.h"
+#include "standins/platform_store.h"
+
+#include "common/prefix.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct Delivery
+{
+  EngineModel *model;
+  guint tokens;
+} Delivery;
+
+static gboolean
+count_token (EngineRun *run, guint index)
+{
+  Delivery *delivery = run->owner;
+  delivery->tokens += 1;
+  ck_assert_uint_eq (index + 1, run->tokens);
+  return TRUE;
+}
+
+typedef struct ModelCase
+{
+  guint prompt_tokens;
+  guint runs; /* at once */
+  guint slots;
+  DpUsec time;
+  guint expected_tokens; /* of all runs together */
+} ModelCase;
+
+/* Prefill 1,000 tokens/s, 100 tokens/s a stream, 200 tokens/s in all. */
+static const ModelCase model_cases[] = {
+  { 500, 1, 8, 499 * DP_USEC_PER_MSEC, 0 }, /* still in prefill */
+  { 500, 1, 8, 510 * DP_USEC_PER_MSEC, 2 }, /* first token at once, then 100 a second */
+  { 10, 4, 8, DP_USEC_PER_SEC, 198 },       /* four share it; the last starts 40 ms late */
+  { 10, 4, 1, DP_USEC_PER_SEC, 100 },       /* one slot: the rest wait */
+};
+
+START_TEST (engine_shares_its_rates)
+{
+  const ModelCase *c = &model_cases[_i];
+  EngineModel *model = engine_model_new (&(EngineModelOptions){
+    .prefill_rate = 1000,
+    .decode_rate = 200,
+    .stream_rate = 100,
+    .slots = c->slots,
+    .token = count_token,
+  });
+  Delivery delivery = { .model = model };
+  EngineRun runs[8] = { 0 };
+  for (guint i = 0; i < c->runs; i++)
+    {
+      runs[i].prompt_tokens = c->prompt_tokens;
+      runs[i].tokens_to = 1000;
+      runs[i].owner = &delivery;
+      engine_model_add (model, &runs[i], 0);
+    }
+  for (DpUsec now = 0; now <= c->time; now += DP_USEC_PER_MSEC)
+    engine_model_advance (model, now);
+  ck_assert_uint_ge (delivery.tokens + 2, c->expected_tokens);
+  ck_assert_uint_le (delivery.tokens, c->expected_tokens + 2);
+  for (guint i = 0; i < c->runs; i++)
+    engine_model_remove (model, &runs[i]);
+  engine_model_free (model);
+}
+END_TEST
+
+START_TEST (engine_counts_cached_and_wasted_prefill)
+{
+  const guint64 blocks[3] = { 11, 22, 33 };
+  EngineModel *model = engine_model_new (
+    &(EngineModelOptions){ .slots = 4, .cache_blocks = 2, .token = count_token });
+  Delivery delivery = { .model = model };
+  EngineRun first = {
+    .prompt_tokens = 200, .blocks = blocks, .block_count = 2, .tokens_to = 1, .owner = &delivery
+  };
+  engine_model_add (model, &first, 0);
+  engine_model_remove (model, &first);
+  EngineRun again = first;
+  again.prefilled = 0;
+  engine_model_add (model, &again, 1);
+  ck_assert_uint_eq (again.cached_tokens, 128);
+  engine_model_remove (model, &again);
+  ck_assert_uint_eq (engine_model_stats (model)->prefill_computed, 200 + 200 - 128);
+  ck_assert_uint_eq (engine_model_stats (model)->prefill_wasted_unfinished, 0);
+
+  /* A third block evicts the oldest; both changes are told. */
+  guint64 event = engine_model_next_event (model);
+  EngineRun third = { .prompt_tokens = 64,
+                      .blocks = &blocks[2],
+                      .block_count = 1,
+                      .tokens_to = 5,
+                      .owner = &delivery };
+  engine_model_add (model, &third, 2);
+  ck_assert (!engine_model_event (model, event)->stored);
+  ck_assert_uint_eq (engine_model_event (model, event)->hash, 11);
+  ck_assert (engine_model_event (model, event + 1)->stored);
+  ck_assert_uint_eq (engine_model_event (model, event + 1)->hash, 33);
+  engine_model_free (model);
+}
+END_TEST
+
+START_TEST (engine_counts_prefill_of_cancelled_runs)
+{
+  EngineModel *model = engine_model_new (
+    &(EngineModelOptions){ .prefill_rate = 1000, .slots = 4, .token = count_token });
+  EngineRun run = { .prompt_tokens = 500, .tokens_to = 5 };
+  engine_model_add (model, &run, 0);
+  engine_model_advance (model, 100 * DP_USEC_PER_MSEC);
+  engine_model_remove (model, &run);
+  ck_assert_uint_eq (engine_model_stats (model)->prefill_wasted_before_first, 100);
+  ck_assert_uint_eq (engine_model_running (model), 0);
+  engine_model_free (model);
+}
+END_TEST
+
+START_TEST (echo_depends_on_the_request_alone)
+{
+  struct json_object *request = json_tokener_parse (
+    "{\"max_tokens\":3,\"messages\":[{\"role\":\"system\",\"content\":\"rules\"},"
+    "{\"role\":\"user\",\"content\":\"hello\"}]}");
+  const char *message = echo_last_user_message (request);
+  ck_assert_str_eq (message, "hello");
+  ck_assert_uint_eq (echo_token_count (request, message), 3);
+  GString *prompt = echo_prompt_text (request);
+  ck_assert_str_eq (prompt->str, "rules\nhello\n");
+  GString *whole = g_string_new (NULL);
+  GString *parts = g_string_new (NULL);
+  echo_append (whole, message, 0, 3);
+  echo_append (parts, message, 0, 1);
+  echo_append (parts, message, 1, 3);
+  ck_assert_str_eq (whole->str, parts->str);
+  ck_assert (g_str_has_prefix (whole->str, "echo:"));
+  ck_assert (g_str_has_suffix (whole->str, " w1 w2"));
+  g_string_free (whole, TRUE);
+  g_string_free (parts, TRUE);
+  g_string_free (prompt, TRUE);
+  json_object_put (request);
+}
+END_TEST
+
+START_TEST (store_writes_only_at_the_expected_version)
+{
+  Store *store = store_new ();
+  GBytes *value = g_bytes_new_static ("a", 1);
+  guint64 first = 0;
+  guint64 second = 0;
+  ck_assert_int_eq (store_put (store, "p/a", 0, value, &first), STORE_DONE);
+  ck_assert_int_eq (store_put (store, "p/a", 0, value, &second), STORE_MISMATCH);
+  ck_assert_int_eq (store_put (store, "p/a", first, value, &second), STORE_DONE);
+  ck_assert_uint_gt (second, first);
+  ck_assert_int_eq (store_put (store, "p/a", first, value, &second), STORE_MISMATCH);
+  ck_assert_int_eq (store_remove (store, "p/a", first), STORE_MISMATCH);
+  ck_assert_int_eq (store_remove (store, "p/a", second), STORE_DONE);
+  ck_assert_int_eq (store_remove (store, "p/a", second), STORE_ABSENT);
+  guint64 third = 0;
+  ck_assert_int_eq (store_put (store, "p/a", 0, value, &third), STORE_DONE);
+  ck_assert_uint_gt (third, second);
+  GList *paths = store_list (store, "p/");
+  ck_assert_uint_eq (g_list_length (paths), 1);
+  g_list_free (paths);
+  g_bytes_unref (value);
+  store_free (store);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("standins");
+  TCase *tcase = tcase_create ("standins");
+  tcase_add_loop_test (tcase, engine_shares_its_rates, 0, G_N_ELEMENTS (model_cases));
+  tcase_add_test (tcase, engine_counts_cached_and_wasted_prefill);
+  tcase_add_test (tcase, engine_counts_prefill_of_cancelled_runs);
+  tcase_add_test (tcase, echo_depends_on_the_request_alone);
+  tcase_add_test (tcase, store_writes_only_at_the_expected_version);
+  suite_add_tcase (suite, tcase);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
