standins: load client that checks each answer

standin-load runs N callers with a seeded mix of streamed and whole chats and bookings. A complete answer is right or wrong, never taken on trust: its text has to be this request's echo, and a cut stream a true beginning of it. At the end bookings are compared with the effects that the service counted (ran twice, confirmed but not run, not_run but ran, not_run said after it ran); a table of cases shows that each check can fail.

--- a/standins/service.c
+++ b/standins/service.c
@@ -35,8 +35,9 @@
   StandinServer *server;
   ServiceFaults faults;
   FaultTable fault_table;
-  GHashTable *by_key;  /* Idempotency-Key -> count */
-  GHashTable *by_body; /* hash of the body as text -> count */
+  GHashTable *by_key;   /* Idempotency-Key -> count */
+  GHashTable *by_body;  /* hash of the body as text -> count */
+  GHashTable *first_at; /* Idempotency-Key -> Unix time of its first effect, as text */
   guint64 effects;
   guint64 requests;
   guint running;
@@ -86,6 +87,15 @@
   g_hash_table_replace (counts, g_strdup (key), GUINT_TO_POINTER (count + 1));
 }
 
+static void
+note_time (const char *key)
+{
+  if (g_hash_table_contains (service.first_at, key))
+    return;
+  char *now = g_strdup_printf ("%" G_GINT64_FORMAT, g_get_real_time ());
+  g_hash_table_insert (service.first_at, g_strdup (key), now);
+}
+
 static void
 apply_effect (Call *call)
 {
@@ -94,7 +104,10 @@
   call->has_effect = TRUE;
   count_one (service.by_body, call->body_hash);
   if (call->key != NULL)
-    count_one (service.by_key, call->key);
+    {
+      count_one (service.by_key, call->key);
+      note_time (call->key);
+    }
   dp_log (DP_LOG_INFO, "effect", "key", call->key, "body", call->body_hash, "attempt",
           call->attempt, NULL);
 }
@@ -223,6 +236,25 @@
   g_string_append_c (out, '}');
 }
 
+static void
+append_times (GString *out)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  gboolean first = TRUE;
+  g_string_append (out, ",\"first_at\":{");
+  g_hash_table_iter_init (&iter, service.first_at);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      char *escaped = g_strescape (key, NULL);
+      g_string_append_printf (out, "%s\"%s\":%s", first ? "" : ",", escaped, (char *)value);
+      g_free (escaped);
+      first = FALSE;
+    }
+  g_string_append_c (out, '}');
+}
+
 static void
 reply_effects (struct evhttp_request *req)
 {
@@ -232,6 +264,7 @@
     service.effects, service.requests, service.running);
   append_counts (out, "by_key", service.by_key);
   append_counts (out, "by_body", service.by_body);
+  append_times (out);
   g_string_append (out, "}\n");
   standin_reply (req, 200, "application/json", out->str);
   g_string_free (out, TRUE);
@@ -329,6 +362,7 @@
 
   service.base = event_base_new ();
   service.by_key = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  service.first_at = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   service.by_body = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   service.server = standin_server_new (&(StandinServerOptions){
     .base = service.base,
--- a/tests/test_standins.c
+++ b/tests/test_standins.c
@@ -1,6 +1,7 @@
 /* The stand-ins' own logic, which other tests rely on: engine model, echo, object store. */
 #include "standins/echo.h"
 #include "standins/engine_model.h"
+#include "standins/load_report.h"
 #include "standins/platform_store.h"
 
 #include "common/prefix.h"
@@ -169,6 +170,47 @@
 }
 END_TEST
 
+/* What a caller heard of one key, and what the service did. */
+typedef struct EffectCase
+{
+  LoadVerdict verdict;
+  const char *outcome;
+  gint64 sent_at;
+  const char *effects; /* body of GET /effects */
+  guint violations;
+} EffectCase;
+
+static const EffectCase effect_cases[] = {
+  { LOAD_RIGHT, "", 5, "{\"by_key\":{\"k\":1},\"first_at\":{\"k\":6}}", 0 },
+  { LOAD_RIGHT, "", 5, "{\"by_key\":{\"k\":2},\"first_at\":{\"k\":6}}", 1 },
+  { LOAD_RIGHT, "", 5, "{\"by_key\":{}}", 1 },
+  { LOAD_PROBLEM, "not_run", 5, "{\"by_key\":{}}", 0 },
+  { LOAD_PROBLEM, "not_run", 5, "{\"by_key\":{\"k\":1},\"first_at\":{\"k\":6}}", 1 },
+  { LOAD_PROBLEM, "unknown", 5, "{\"by_key\":{}}", 0 },
+  { LOAD_PROBLEM, "unknown", 5, "{\"by_key\":{\"k\":1},\"first_at\":{\"k\":6}}", 0 },
+  { LOAD_PROBLEM, "unknown", 5, "{\"by_key\":{\"k\":2},\"first_at\":{\"k\":6}}", 1 },
+  { LOAD_BROKEN, "", 5, "{\"by_key\":{\"k\":1},\"first_at\":{\"k\":6}}", 0 },
+};
+
+START_TEST (effects_are_checked_against_answers)
+{
+  static const char *const tiers[] = { "t" };
+  const EffectCase *c = &effect_cases[_i];
+  LoadReport *report = load_report_new (tiers, 1);
+  LoadRequest request = { .kind = LOAD_BOOKING, .idempotency_key = (char *)"k" };
+  LoadResult result = { .verdict = c->verdict, .sent_at = c->sent_at };
+  g_strlcpy (result.outcome, c->outcome, sizeof result.outcome);
+  load_report_add (report, &request, &result);
+  GPtrArray *effects = g_ptr_array_new ();
+  g_ptr_array_add (effects, (gpointer)c->effects);
+  GString *out = g_string_new (NULL);
+  ck_assert_uint_eq (load_report_check_effects (report, effects, out), c->violations);
+  g_string_free (out, TRUE);
+  g_ptr_array_unref (effects);
+  load_report_free (report);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -179,6 +221,8 @@
   tcase_add_test (tcase, engine_counts_prefill_of_cancelled_runs);
   tcase_add_test (tcase, echo_depends_on_the_request_alone);
   tcase_add_test (tcase, store_writes_only_at_the_expected_version);
+  tcase_add_loop_test (tcase, effects_are_checked_against_answers, 0,
+                       G_N_ELEMENTS (effect_cases));
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
