entry: process between callers, targets and the bus: the whole path

Cause: the entry's decisions need a process around them.

A call that ends with 'nothing sent' takes its connection's callbacks off first: a connection made in the same turn of the loop would still have sent the request. An answer counts as given when it has left the process, so a stopping entry waits for it.

--- /dev/null
+++ b/entry/attempt.c
@@ -0,0 +1,418 @@
+#include "entry/attempt.h"
+
+#include "common/log.h"
+#include "net/http_call.h"
+#include "net/sse.h"
+
+#include <string.h>
+
+#define EVENT_BYTES_MAX ((gsize)256 * 1024)
+#define HEADERS_MAX 8
+#define OK_STATUS 200
+#define EVENT_STREAM "text/event-stream"
+
+struct DpAttempts
+{
+  DpAttemptsOptions options;
+  GHashTable *by_id; /* DpId -> Attempt */
+};
+
+typedef struct Attempt
+{
+  /* constant */
+  DpAttempts *attempts;
+  DpId id;
+  char id_text[DP_ID_STRING_SIZE];
+  DpPoolKind kind;
+  /* the answer */
+  DpHttpCall *call; /* NULL once it has ended */
+  DpSse *sse;       /* an engine's stream; NULL: bytes are passed on as they come */
+  DpChatUsage usage;
+  guint tokens;
+  /* freed by the one who clears `busy` */
+  gboolean busy;
+  gboolean removed;
+} Attempt;
+
+static guint
+id_hash (gconstpointer key)
+{
+  const DpId *id = key;
+  return (guint)(id->high ^ id->low);
+}
+
+static gboolean
+id_equal (gconstpointer a, gconstpointer b)
+{
+  return dp_id_equal (*(const DpId *)a, *(const DpId *)b);
+}
+
+static void
+free_attempt (Attempt *attempt)
+{
+  if (attempt->call != NULL)
+    dp_http_call_cancel (attempt->call);
+  dp_sse_free (attempt->sse);
+  g_free (attempt);
+}
+
+/* Called when the attempt leaves the set: it may be in the midst of its own callback. */
+static void
+remove_attempt (gpointer data)
+{
+  Attempt *attempt = data;
+  attempt->removed = TRUE;
+  if (!attempt->busy)
+    free_attempt (attempt);
+}
+
+static void
+send_event (Attempt *attempt, DpEntryEvent *event, const DpChatEvent *chat)
+{
+  attempt->attempts->options.handler (attempt->attempts->options.user, event, chat);
+}
+
+static void
+count (DpAttempts *attempts, const char *name)
+{
+  dp_counters_add (attempts->options.counters, name, NULL, NULL, 1);
+}
+
+/* Takes the attempt out of the set, then tells the core that it failed. */
+static void
+fail_attempt (Attempt *attempt, DpReason reason, gboolean nothing_sent)
+{
+  DpAttempts *attempts = attempt->attempts;
+  DpEntryEvent event
+    = { .type = DP_ENTRY_EVENT_TARGET_FAILED,
+        .failed = { .attempt = attempt->id, .reason = reason, .nothing_sent = nothing_sent } };
+  g_hash_table_remove (attempts->by_id, &event.failed.attempt);
+  attempts->options.handler (attempts->options.user, &event, NULL);
+}
+
+/* Runs around each callback of the call: the actions that follow an event may remove the
+ * attempt. */
+static void
+enter (Attempt *attempt)
+{
+  attempt->busy = TRUE;
+}
+
+static void
+leave (Attempt *attempt)
+{
+  attempt->busy = FALSE;
+  if (attempt->removed)
+    free_attempt (attempt);
+}
+
+/* --- callbacks of the call --- */
+
+/* Engines must echo the attempt's id; a service may, but then it must be the right one. */
+static gboolean
+has_right_id (const Attempt *attempt, const char *echoed)
+{
+  if (echoed == NULL)
+    return attempt->kind == DP_POOL_SERVICE;
+  return strcmp (echoed, attempt->id_text) == 0;
+}
+
+static void
+take_head (Attempt *attempt, DpHttpCall *call, int status)
+{
+  if (!has_right_id (attempt, dp_http_call_header (call, "X-Attempt-Id")))
+    {
+      count (attempt->attempts, "dogwoodplank_crossed_replies_total");
+      dp_log (DP_LOG_WARNING, "crossed_reply", "attempt", attempt->id_text, "echoed",
+              dp_http_call_header (call, "X-Attempt-Id"), NULL);
+      fail_attempt (attempt, DP_REASON_TARGET_ERROR, FALSE);
+      return;
+    }
+  const char *type = dp_http_call_header (call, "Content-Type");
+  if (attempt->kind == DP_POOL_ENGINES && status == OK_STATUS)
+    {
+      if (type == NULL || !g_str_has_prefix (type, EVENT_STREAM))
+        {
+          fail_attempt (attempt, DP_REASON_TARGET_ERROR, FALSE);
+          return;
+        }
+      attempt->sse = dp_sse_new (EVENT_BYTES_MAX);
+    }
+  DpEntryEvent event
+    = { .type = DP_ENTRY_EVENT_TARGET_HEAD,
+        .head = { .attempt = attempt->id, .status = status, .content_type = type } };
+  send_event (attempt, &event, NULL);
+}
+
+static void
+on_head (gpointer user, DpHttpCall *call, int status)
+{
+  Attempt *attempt = user;
+  enter (attempt);
+  take_head (attempt, call, status);
+  leave (attempt);
+}
+
+static void
+send_chunk (Attempt *attempt, const void *data, gsize length, const DpChatEvent *chat)
+{
+  DpEntryEvent event = { .type = DP_ENTRY_EVENT_TARGET_CHUNK,
+                         .chunk = { .attempt = attempt->id,
+                                    .data = data,
+                                    .length = length,
+                                    .tokens = chat != NULL ? chat->tokens : 0,
+                                    .terminal = chat != NULL && chat->done } };
+  send_event (attempt, &event, chat);
+}
+
+static void
+take_stream_event (gpointer user, const char *data, gsize length)
+{
+  Attempt *attempt = user;
+  DpChatEvent chat;
+  if (attempt->removed)
+    return;
+  if (!dp_chat_event_parse (data, length, &chat))
+    {
+      count (attempt->attempts, "dogwoodplank_malformed_events_total");
+      fail_attempt (attempt, DP_REASON_TARGET_BROKE, FALSE);
+      return;
+    }
+  if (chat.has_usage)
+    attempt->usage = chat.usage;
+  attempt->tokens += chat.tokens;
+  send_chunk (attempt, data, length, &chat);
+  dp_chat_event_clear (&chat);
+}
+
+static void
+on_data (gpointer user, const void *data, gsize length)
+{
+  Attempt *attempt = user;
+  enter (attempt);
+  if (attempt->sse == NULL)
+    send_chunk (attempt, data, length, NULL);
+  else if (!dp_sse_push (attempt->sse, data, length, take_stream_event, attempt)
+           && !attempt->removed)
+    {
+      count (attempt->attempts, "dogwoodplank_malformed_events_total");
+      fail_attempt (attempt, DP_REASON_TARGET_BROKE, FALSE);
+    }
+  leave (attempt);
+}
+
+static void
+end_attempt (Attempt *attempt, gboolean framing_complete)
+{
+  DpAttempts *attempts = attempt->attempts;
+  /* A rest that is no whole event means that the stream was cut. */
+  if (attempt->sse != NULL && !dp_sse_is_empty (attempt->sse))
+    framing_complete = FALSE;
+  DpEntryEvent event = { .type = DP_ENTRY_EVENT_TARGET_END,
+                         .end = { .attempt = attempt->id,
+                                  .framing_complete = framing_complete,
+                                  .prompt_tokens = attempt->usage.prompt_tokens,
+                                  .cached_tokens = attempt->usage.cached_tokens,
+                                  .output_tokens = attempt->tokens } };
+  g_hash_table_remove (attempts->by_id, &event.end.attempt);
+  attempts->options.handler (attempts->options.user, &event, NULL);
+}
+
+static void
+on_end (gpointer user, DpHttpEnd end, gboolean nothing_sent)
+{
+  Attempt *attempt = user;
+  attempt->call = NULL;
+  enter (attempt);
+  switch (end)
+    {
+    case DP_HTTP_COMPLETE:
+      end_attempt (attempt, TRUE);
+      break;
+    case DP_HTTP_INCOMPLETE:
+      end_attempt (attempt, FALSE);
+      break;
+    case DP_HTTP_CONNECT_FAILED:
+      fail_attempt (attempt, DP_REASON_CONNECT_FAILED, nothing_sent);
+      break;
+    case DP_HTTP_SILENT:
+      fail_attempt (attempt, DP_REASON_TARGET_SILENT, nothing_sent);
+      break;
+    case DP_HTTP_BROKEN:
+      fail_attempt (attempt, DP_REASON_TARGET_BROKE, nothing_sent);
+      break;
+    }
+  leave (attempt);
+}
+
+static const DpHttpCallbacks callbacks = { on_head, on_data, on_end };
+
+/* --- starting --- */
+
+typedef struct Headers
+{
+  DpHttpHeader rows[HEADERS_MAX];
+  guint count;
+} Headers;
+
+static void
+add_header (Headers *headers, const char *name, const char *value)
+{
+  if (value != NULL && headers->count < HEADERS_MAX)
+    headers->rows[headers->count++] = (DpHttpHeader){ name, value };
+}
+
+static enum evhttp_cmd_type
+find_method (const char *method)
+{
+  static const struct
+  {
+    const char *name;
+    enum evhttp_cmd_type type;
+  } methods[] = {
+    { "GET", EVHTTP_REQ_GET },       { "POST", EVHTTP_REQ_POST },
+    { "HEAD", EVHTTP_REQ_HEAD },     { "PUT", EVHTTP_REQ_PUT },
+    { "DELETE", EVHTTP_REQ_DELETE }, { "OPTIONS", EVHTTP_REQ_OPTIONS },
+    { "PATCH", EVHTTP_REQ_PATCH },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (methods); i++)
+    if (strcmp (methods[i].name, method) == 0)
+      return methods[i].type;
+  return EVHTTP_REQ_POST;
+}
+
+static DpHttpCallOptions
+make_options (const DpAttempts *attempts, const DpDispatch *dispatch, Attempt *attempt)
+{
+  /* What comes after the deadline is of no use; the core cancels first. */
+  DpUsec patience = dispatch->remaining + DP_USEC_PER_SEC;
+  return (DpHttpCallOptions){ .base = attempts->options.base,
+                              .address = dispatch->address,
+                              .port = dispatch->port,
+                              .connect_timeout = attempts->options.connect_timeout,
+                              .first_byte_timeout
+                              = MIN (attempts->options.first_byte_timeout, patience),
+                              .idle_timeout = MIN (attempts->options.idle_timeout, patience),
+                              .callbacks = &callbacks,
+                              .user = attempt };
+}
+
+static DpHttpCall *
+call_engine (Attempt *attempt,
+             DpHttpCallOptions options,
+             const DpDispatch *dispatch,
+             const DpEntryCaller *caller)
+{
+  char resume[16];
+  g_snprintf (resume, sizeof resume, "%u", dispatch->sent_tokens);
+  gboolean resumes = dispatch->sent_tokens > 0;
+  Headers headers = { .count = 0 };
+  add_header (&headers, "Content-Type", "application/json");
+  add_header (&headers, "Accept", EVENT_STREAM);
+  add_header (&headers, "X-Attempt-Id", attempt->id_text);
+  add_header (&headers, "X-Request-Id", caller->request->id);
+  add_header (&headers, "X-Resume-Tokens", resumes ? resume : NULL);
+  char *body
+    = dp_chat_request_format (caller->request->chat, resumes ? caller->text->str : NULL);
+  options.method = EVHTTP_REQ_POST;
+  options.path = "/v1/chat/completions";
+  options.headers = headers.rows;
+  options.header_count = headers.count;
+  options.body = body;
+  options.body_length = strlen (body);
+  DpHttpCall *call = dp_http_call_start (&options);
+  g_free (body);
+  return call;
+}
+
+static DpHttpCall *
+call_service (Attempt *attempt, DpHttpCallOptions options, const DpEntryCaller *caller)
+{
+  const DpEntryRequest *request = caller->request;
+  Headers headers = { .count = 0 };
+  add_header (&headers, "Content-Type", request->content_type);
+  add_header (&headers, "X-Attempt-Id", attempt->id_text);
+  add_header (&headers, "X-Request-Id", request->id);
+  add_header (&headers, "Idempotency-Key", request->idempotency_key);
+  options.method = find_method (request->method);
+  options.path = dp_entry_request_service_target (request);
+  options.headers = headers.rows;
+  options.header_count = headers.count;
+  options.body = g_bytes_get_data (request->body, &options.body_length);
+  return dp_http_call_start (&options);
+}
+
+void
+dp_attempts_start (DpAttempts *attempts, const DpDispatch *dispatch, DpEntryCaller *caller)
+{
+  Attempt *attempt = g_new0 (Attempt, 1);
+  attempt->attempts = attempts;
+  attempt->id = dispatch->attempt;
+  attempt->kind = dispatch->kind;
+  dp_id_format (attempt->id, attempt->id_text);
+  DpHttpCallOptions options = make_options (attempts, dispatch, attempt);
+  if (dispatch->kind == DP_POOL_ENGINES)
+    attempt->call = call_engine (attempt, options, dispatch, caller);
+  else
+    attempt->call = call_service (attempt, options, caller);
+  g_hash_table_replace (attempts->by_id, &attempt->id, attempt);
+}
+
+typedef struct Refusal
+{
+  DpAttempts *attempts;
+  DpId attempt;
+} Refusal;
+
+static void
+on_refusal (evutil_socket_t fd, short what, void *user)
+{
+  Refusal *refusal = user;
+  DpAttempts *attempts = refusal->attempts;
+  DpEntryEvent event = { .type = DP_ENTRY_EVENT_TARGET_FAILED,
+                         .failed = { .attempt = refusal->attempt,
+                                     .reason = DP_REASON_CALLER_GONE,
+                                     .nothing_sent = TRUE } };
+  g_free (refusal);
+  attempts->options.handler (attempts->options.user, &event, NULL);
+}
+
+void
+dp_attempts_refuse (DpAttempts *attempts, DpId attempt)
+{
+  Refusal *refusal = g_new (Refusal, 1);
+  *refusal = (Refusal){ attempts, attempt };
+  event_base_once (attempts->options.base, -1, EV_TIMEOUT, on_refusal, refusal, NULL);
+}
+
+void
+dp_attempts_cancel (DpAttempts *attempts, DpId attempt)
+{
+  g_hash_table_remove (attempts->by_id, &attempt);
+}
+
+DpAttempts *
+dp_attempts_new (const DpAttemptsOptions *options)
+{
+  DpAttempts *attempts = g_new0 (DpAttempts, 1);
+  attempts->options = *options;
+  dp_counters_ref (options->counters);
+  attempts->by_id = g_hash_table_new_full (id_hash, id_equal, NULL, remove_attempt);
+  return attempts;
+}
+
+void
+dp_attempts_free (DpAttempts *attempts)
+{
+  if (attempts == NULL)
+    return;
+  g_hash_table_unref (attempts->by_id);
+  dp_counters_unref (attempts->options.counters);
+  g_free (attempts);
+}
+
+guint
+dp_attempts_count (const DpAttempts *attempts)
+{
+  return g_hash_table_size (attempts->by_id);
+}
--- /dev/null
+++ b/entry/shell.c
@@ -0,0 +1,394 @@
+#include "entry/shell.h"
+
+#include "common/log.h"
+#include "core/entry.h"
+#include "entry/attempt.h"
+#include "entry/caller.h"
+#include "entry/store.h"
+
+/* Bytes of an answer that wait for a caller that reads slowly. */
+#define UNREAD_BYTES_MAX ((gsize)1024 * 1024)
+
+typedef struct Shell
+{
+  const DpEntrySettings *settings;
+  DpProcess *process;
+  DpEntryBoard *board;
+  DpHttpServer *server;
+  DpAttempts *attempts;
+  DpClaimStore *store;
+  GHashTable *callers; /* DpCaller -> DpEntryCaller */
+  DpCaller last_caller;
+  GArray *actions;         /* DpEntryAction, reused */
+  const DpChatEvent *chat; /* of the event that is being handled; may be NULL */
+  const void *chat_data;   /* its bytes */
+} Shell;
+
+/* What `gone` needs of a caller. */
+typedef struct GoneCaller
+{
+  Shell *shell;
+  DpCaller number;
+} GoneCaller;
+
+static void handle (Shell *shell, DpEntryEvent *event);
+
+static DpEntryCaller *
+find_caller (Shell *shell, DpCaller number)
+{
+  return g_hash_table_lookup (shell->callers, &number);
+}
+
+static void
+end_caller (Shell *shell, DpEntryCaller *caller, const char *how, const char *reason)
+{
+  dp_entry_caller_log (caller, dp_process_manifest (shell->process), how, reason,
+                       dp_process_now ());
+  DpCaller number = caller->number;
+  g_hash_table_remove (shell->callers, &number);
+}
+
+/* --- actions --- */
+
+/* The core hears of it as of a caller that left. */
+static void
+drop_caller_later (Shell *shell, DpEntryCaller *caller)
+{
+  dp_counters_add (dp_process_counters (shell->process), "dogwoodplank_answers_too_large_total",
+                   NULL, NULL, 1);
+  dp_http_exchange_drop (caller->exchange);
+}
+
+static void
+forward (Shell *shell, const DpForward *forward)
+{
+  DpEntryCaller *caller = find_caller (shell, forward->caller);
+  if (caller == NULL)
+    return;
+  const DpChatEvent *chat = forward->data == shell->chat_data ? shell->chat : NULL;
+  if (!dp_entry_caller_forward (caller, forward->data, forward->length, chat,
+                                dp_process_now ()))
+    drop_caller_later (shell, caller);
+}
+
+static void
+give_problem (Shell *shell, const DpProblem *problem)
+{
+  DpEntryCaller *caller = find_caller (shell, problem->caller);
+  if (caller == NULL)
+    return;
+  dp_entry_caller_problem (caller, problem);
+  end_caller (shell, caller, "refused", dp_reason_name (problem->reason));
+}
+
+static void
+dispatch (Shell *shell, const DpDispatch *dispatch)
+{
+  DpEntryCaller *caller = find_caller (shell, dispatch->caller);
+  if (caller != NULL)
+    {
+      dp_attempts_start (shell->attempts, dispatch, caller);
+      return;
+    }
+  /* The body left with the caller. */
+  dp_attempts_refuse (shell->attempts, dispatch->attempt);
+}
+
+static void
+carry_out (Shell *shell, DpEntryAction *action)
+{
+  DpEntryCaller *caller;
+  switch (action->type)
+    {
+    case DP_ENTRY_ACTION_SEND:
+      dp_process_send (shell->process, action->to, &action->message);
+      break;
+    case DP_ENTRY_ACTION_DISPATCH:
+      dispatch (shell, &action->dispatch);
+      break;
+    case DP_ENTRY_ACTION_CANCEL:
+      dp_attempts_cancel (shell->attempts, action->cancel);
+      break;
+    case DP_ENTRY_ACTION_HEAD:
+      caller = find_caller (shell, action->head.caller);
+      if (caller != NULL)
+        dp_entry_caller_head (caller, &action->head);
+      break;
+    case DP_ENTRY_ACTION_FORWARD:
+      forward (shell, &action->forward);
+      break;
+    case DP_ENTRY_ACTION_END:
+      caller = find_caller (shell, action->end);
+      if (caller == NULL)
+        break;
+      dp_entry_caller_end (caller, dp_process_wall ());
+      end_caller (shell, caller, "complete", NULL);
+      break;
+    case DP_ENTRY_ACTION_PROBLEM:
+      give_problem (shell, &action->problem);
+      break;
+    case DP_ENTRY_ACTION_REPLAY:
+      caller = find_caller (shell, action->replay.caller);
+      if (caller == NULL)
+        break;
+      dp_entry_caller_replay (caller, &action->replay);
+      end_caller (shell, caller, "replayed", NULL);
+      break;
+    case DP_ENTRY_ACTION_BREAK:
+      caller = find_caller (shell, action->break_off);
+      if (caller == NULL)
+        break;
+      dp_entry_caller_break_off (caller);
+      end_caller (shell, caller, "broken_off", NULL);
+      break;
+    case DP_ENTRY_ACTION_CLAIM_READ:
+      dp_claim_store_read (shell->store, action->claim_read);
+      break;
+    case DP_ENTRY_ACTION_CLAIM_WRITE:
+      dp_claim_store_write (shell->store, &action->claim_write);
+      break;
+    }
+}
+
+/* A stopping entry may go when nothing is open and all answers are written. */
+static void
+quit_if_done (Shell *shell)
+{
+  if (dp_process_is_stopping (shell->process) && dp_entry_open_requests (shell->board) == 0
+      && dp_http_server_is_idle (shell->server))
+    dp_process_quit (shell->process);
+}
+
+/* None of the actions leads to another event before the loop's next turn. */
+static void
+handle (Shell *shell, DpEntryEvent *event)
+{
+  event->now = dp_process_now ();
+  event->wall = dp_process_wall ();
+  dp_entry_handle (shell->board, event, shell->actions);
+  for (guint i = 0; i < shell->actions->len; i++)
+    carry_out (shell, &g_array_index (shell->actions, DpEntryAction, i));
+  g_array_set_size (shell->actions, 0);
+}
+
+/* --- events --- */
+
+static void
+on_caller_gone (gpointer user)
+{
+  GoneCaller *gone = user;
+  Shell *shell = gone->shell;
+  DpEntryCaller *caller = find_caller (shell, gone->number);
+  if (caller == NULL)
+    return;
+  DpEntryEvent event = { .type = DP_ENTRY_EVENT_CALLER_GONE, .caller_gone = gone->number };
+  caller->exchange = NULL;
+  end_caller (shell, caller, "caller_gone", NULL);
+  handle (shell, &event);
+}
+
+static void
+refuse_unreadable (Shell *shell, DpEntryCaller *caller)
+{
+  const DpProblem problem = { .caller = caller->number,
+                              .status = dp_reason_status (DP_REASON_BAD_REQUEST),
+                              .reason = DP_REASON_BAD_REQUEST,
+                              .outcome = DP_OUTCOME_NOT_RUN,
+                              .detail = caller->request->problem };
+  dp_counters_add (dp_process_counters (shell->process), "dogwoodplank_refusals_total",
+                   "reason", dp_reason_name (DP_REASON_BAD_REQUEST), 1);
+  give_problem (shell, &problem);
+}
+
+static void
+on_exchange (gpointer user, DpHttpExchange *exchange)
+{
+  Shell *shell = user;
+  DpEntryCaller *caller
+    = dp_entry_caller_new (++shell->last_caller, exchange, dp_process_now ());
+  g_hash_table_insert (shell->callers, &caller->number, caller);
+  GoneCaller *gone = g_new (GoneCaller, 1);
+  *gone = (GoneCaller){ shell, caller->number };
+  dp_http_exchange_set_gone (exchange, on_caller_gone, gone, g_free);
+  if (caller->request->problem != NULL)
+    {
+      refuse_unreadable (shell, caller);
+      return;
+    }
+  DpEntryEvent event = { .type = DP_ENTRY_EVENT_REQUEST };
+  event.request = dp_entry_request_event (caller->request, caller->number);
+  handle (shell, &event);
+}
+
+static void
+on_attempt_event (gpointer user, DpEntryEvent *event, const DpChatEvent *chat)
+{
+  Shell *shell = user;
+  shell->chat = chat;
+  shell->chat_data = chat != NULL ? event->chunk.data : NULL;
+  handle (shell, event);
+  shell->chat = NULL;
+  shell->chat_data = NULL;
+}
+
+static void
+on_claim_reply (gpointer user, const DpClaimReply *reply)
+{
+  handle (user, &(DpEntryEvent){ .type = DP_ENTRY_EVENT_CLAIM_REPLY, .claim = *reply });
+}
+
+static void
+on_manifest (gpointer user, DpManifest *manifest)
+{
+  handle (user, &(DpEntryEvent){ .type = DP_ENTRY_EVENT_MANIFEST, .manifest = manifest });
+}
+
+static void
+on_view (gpointer user, DpView *view)
+{
+  handle (user, &(DpEntryEvent){ .type = DP_ENTRY_EVENT_VIEW, .view = view });
+}
+
+static void
+on_message (gpointer user, DpPeer from, const DpMessage *message)
+{
+  handle (user,
+          &(DpEntryEvent){ .type = DP_ENTRY_EVENT_MESSAGE, .from = from, .message = message });
+}
+
+static void
+on_tick (gpointer user)
+{
+  Shell *shell = user;
+  handle (shell, &(DpEntryEvent){ .type = DP_ENTRY_EVENT_TICK });
+  DpCounters *counters = dp_process_counters (shell->process);
+  dp_counters_set (counters, "dogwoodplank_open_requests", NULL, NULL,
+                   dp_entry_open_requests (shell->board));
+  dp_counters_set (counters, "dogwoodplank_open_attempts", NULL, NULL,
+                   dp_attempts_count (shell->attempts));
+  quit_if_done (shell);
+}
+
+static void
+on_status (gpointer user, struct json_object *status)
+{
+  const Shell *shell = user;
+  json_object_object_add (status, "open_requests",
+                          json_object_new_uint64 (dp_entry_open_requests (shell->board)));
+  json_object_object_add (status, "open_attempts",
+                          json_object_new_uint64 (dp_attempts_count (shell->attempts)));
+}
+
+static void
+on_stop (gpointer user)
+{
+  Shell *shell = user;
+  dp_http_server_stop_accepting (shell->server);
+  handle (shell, &(DpEntryEvent){ .type = DP_ENTRY_EVENT_STOP });
+}
+
+static const DpProcessCallbacks callbacks = { .manifest = on_manifest,
+                                              .view = on_view,
+                                              .message = on_message,
+                                              .tick = on_tick,
+                                              .status = on_status,
+                                              .stop = on_stop };
+
+/* --- start and end --- */
+
+static void
+start_board (Shell *shell)
+{
+  const DpEntrySettings *settings = shell->settings;
+  const DpEntryOptions options = { .vm = dp_name (settings->process.name),
+                                   .data_centre = dp_name (settings->process.data_centre),
+                                   .incarnation = dp_process_incarnation (shell->process),
+                                   .seed = dp_process_random (),
+                                   .requests_max = settings->requests_max,
+                                   .counters = dp_process_counters (shell->process) };
+  shell->board = dp_entry_board_new (&options);
+  shell->actions = dp_entry_actions_new ();
+}
+
+static void
+start_targets (Shell *shell)
+{
+  const DpEntrySettings *settings = shell->settings;
+  const DpAttemptsOptions options
+    = { .base = dp_process_base (shell->process),
+        .connect_timeout = settings->connect_timeout_ms * DP_USEC_PER_MSEC,
+        .first_byte_timeout = settings->first_byte_timeout_ms * DP_USEC_PER_MSEC,
+        .idle_timeout = settings->idle_timeout_ms * DP_USEC_PER_MSEC,
+        .counters = dp_process_counters (shell->process),
+        .handler = on_attempt_event,
+        .user = shell };
+  shell->attempts = dp_attempts_new (&options);
+  const DpClaimStoreOptions store_options
+    = { .base = dp_process_base (shell->process), .callback = on_claim_reply, .user = shell };
+  shell->store = dp_claim_store_new (&store_options);
+}
+
+static void
+start_server (Shell *shell, DpFindings *findings)
+{
+  const DpEntrySettings *settings = shell->settings;
+  const DpHttpServerOptions options
+    = { .base = dp_process_base (shell->process),
+        .address = settings->process.address,
+        .port = settings->caller_port,
+        .name = "callers",
+        .head_max = settings->header_bytes_max,
+        .body_max = settings->body_bytes_max,
+        .read_timeout = settings->read_timeout_ms * DP_USEC_PER_MSEC,
+        .write_timeout = settings->write_timeout_ms * DP_USEC_PER_MSEC,
+        .unread_max = UNREAD_BYTES_MAX,
+        .exchanges_max = settings->requests_max,
+        .counters = dp_process_counters (shell->process),
+        .handler = on_exchange,
+        .user = shell };
+  shell->server = dp_http_server_new (&options);
+  if (shell->server == NULL)
+    dp_findings_add (findings, NULL, 0, NULL, "callers' listener: can't bind %s:%u",
+                     settings->process.address, settings->caller_port);
+}
+
+static void
+free_caller (gpointer data)
+{
+  dp_entry_caller_free (data);
+}
+
+static void
+clear (Shell *shell)
+{
+  dp_http_server_free (shell->server);
+  dp_attempts_free (shell->attempts);
+  dp_claim_store_free (shell->store);
+  g_hash_table_unref (shell->callers);
+  dp_entry_board_unref (shell->board);
+  g_array_unref (shell->actions);
+}
+
+gboolean
+dp_entry_run (const DpEntrySettings *settings, DpFindings *findings)
+{
+  Shell shell = { .settings = settings };
+  const DpProcessOptions options = { .program = "dogwoodplank-entry",
+                                     .role = DP_ROLE_ENTRY,
+                                     .settings = &settings->process,
+                                     .callbacks = &callbacks,
+                                     .user = &shell };
+  shell.process = dp_process_new (&options, findings);
+  if (shell.process == NULL)
+    return FALSE;
+  shell.callers = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_caller);
+  start_board (&shell);
+  start_targets (&shell);
+  start_server (&shell, findings);
+  gboolean ok = shell.server != NULL && dp_process_load_static (shell.process, findings);
+  if (ok)
+    dp_process_run (shell.process);
+  clear (&shell);
+  dp_process_free (shell.process);
+  return ok;
+}
--- /dev/null
+++ b/entry/shell.h
@@ -0,0 +1,25 @@
+/* Network side of an entry: callers, targets, the bus and the platform as events; the core's
+ * actions as bytes on their way. */
+#pragma once
+
+#include "net/process.h"
+
+typedef struct DpEntrySettings
+{
+  DpProcessSettings process;
+  guint16 caller_port;
+  guint requests_max;
+  guint header_bytes_max;
+  guint body_bytes_max;
+  guint read_timeout_ms;
+  guint write_timeout_ms;
+  guint connect_timeout_ms;
+  guint first_byte_timeout_ms;
+  guint idle_timeout_ms;
+} DpEntrySettings;
+
+extern const DpSetting dp_entry_settings[];
+extern const guint dp_entry_setting_count;
+
+/* Runs until it is stopped. FALSE: it could not start; findings say why. */
+gboolean dp_entry_run (const DpEntrySettings *settings, DpFindings *findings);
--- /dev/null
+++ b/entry/store.h
@@ -0,0 +1,26 @@
+/* Claim buckets in the platform: reads and conditional writes, each answered exactly once. */
+#pragma once
+
+#include "core/entry.h"
+
+#include <event2/event.h>
+
+typedef struct DpClaimStore DpClaimStore;
+
+/* `reply` is valid during the call only. */
+typedef void (*DpClaimStoreCallback) (gpointer user, const DpClaimReply *reply);
+
+typedef struct DpClaimStoreOptions
+{
+  struct event_base *base;
+  DpClaimStoreCallback callback;
+  gpointer user;
+} DpClaimStoreOptions;
+
+DpClaimStore *dp_claim_store_new (const DpClaimStoreOptions *options);
+/* Open calls end without their callbacks. */
+void dp_claim_store_free (DpClaimStore *store);
+
+/* Answers come by the callback, never from within these calls. */
+void dp_claim_store_read (DpClaimStore *store, DpBucketId bucket);
+void dp_claim_store_write (DpClaimStore *store, const DpClaimWrite *write);
--- a/net/http_call.c
+++ b/net/http_call.c
@@ -59,6 +59,10 @@
 {
   call->finished = TRUE;
   event_del (call->timer);
+  /* Without this, a connection that is made right now would still send the request. */
+  if (call->connection != NULL)
+    bufferevent_setcb (evhttp_connection_get_bufferevent (call->connection), NULL, NULL, NULL,
+                       NULL);
   event_active (call->closer, EV_TIMEOUT, 0);
 }
 
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -24,7 +24,8 @@
   struct evhttp *http;
   struct evhttp_bound_socket *bound; /* NULL once it stopped accepting */
   GHashTable *exchanges;             /* open ones */
-  GHashTable *closing;               /* struct event *: connections about to be closed */
+  GHashTable *writing;               /* exchanges whose answer is on its way out */
+  GHashTable *closing;               /* Closing: connections about to be closed */
 };
 
 struct DpHttpExchange
@@ -34,6 +35,7 @@
   gsize body_length;
   DpHttpGone gone;
   gpointer user;
+  GDestroyNotify destroy;
   struct event *doom; /* closes the connection; set once the caller was too slow */
 };
 
@@ -65,12 +67,15 @@
   return connection != NULL ? evhttp_connection_get_bufferevent (connection) : NULL;
 }
 
+/* For the tables of exchanges: the request stays evhttp's. */
 static void
-free_exchange (DpHttpExchange *exchange)
+free_exchange (gpointer data)
 {
-  g_hash_table_remove (exchange->server->exchanges, exchange);
+  DpHttpExchange *exchange = data;
   if (exchange->doom != NULL)
     event_free (exchange->doom);
+  if (exchange->destroy != NULL)
+    exchange->destroy (exchange->user);
   g_free (exchange);
 }
 
@@ -84,12 +89,12 @@
   DpHttpExchange *exchange = user;
   if (evhttp_request_get_connection (exchange->request) == NULL)
     evhttp_request_free (exchange->request);
+  exchange->request = NULL;
   count (exchange->server, "dogwoodplank_http_callers_gone_total");
-  DpHttpGone gone = exchange->gone;
-  gpointer data = exchange->user;
+  g_hash_table_steal (exchange->server->exchanges, exchange);
+  if (exchange->gone != NULL)
+    exchange->gone (exchange->user);
   free_exchange (exchange);
-  if (gone != NULL)
-    gone (data);
 }
 
 /* Reads on while the request is answered, only to learn of the caller's leaving: evhttp stops
@@ -125,12 +130,38 @@
   bufferevent_set_timeouts (bev, &read_timeout, &write_timeout);
 }
 
-/* Frees the exchange; evhttp keeps the request until the answer is written. */
 static void
+on_written (struct evhttp_request *request, void *user)
+{
+  DpHttpExchange *exchange = user;
+  struct evhttp_connection *connection = evhttp_request_get_connection (request);
+  if (connection != NULL)
+    evhttp_connection_set_closecb (connection, NULL, NULL);
+  g_hash_table_remove (exchange->server->writing, exchange);
+}
+
+static void
+on_closed_while_writing (struct evhttp_connection *connection, void *user)
+{
+  DpHttpExchange *exchange = user;
+  count (exchange->server, "dogwoodplank_http_callers_gone_total");
+  g_hash_table_remove (exchange->server->writing, exchange);
+}
+
+/* Ends the exchange for its user; it is kept until its answer has gone out. Returns the
+ * request, or NULL if its connection is no more. */
+static struct evhttp_request *
 release_exchange (DpHttpExchange *exchange)
 {
+  DpHttpServer *server = exchange->server;
+  struct evhttp_request *request = exchange->request;
+  struct evhttp_connection *connection = evhttp_request_get_connection (request);
   unwatch_caller (exchange);
-  free_exchange (exchange);
+  g_hash_table_steal (server->exchanges, exchange);
+  g_hash_table_add (server->writing, exchange);
+  evhttp_request_set_on_complete_cb (request, on_written, exchange);
+  evhttp_connection_set_closecb (connection, on_closed_while_writing, exchange);
+  return request;
 }
 
 static void
@@ -171,7 +202,8 @@
   closing->connection = evhttp_request_get_connection (exchange->request);
   closing->event = event_new (server->options.base, -1, 0, on_close_event, closing);
   g_hash_table_add (server->closing, closing);
-  release_exchange (exchange);
+  unwatch_caller (exchange);
+  g_hash_table_remove (server->exchanges, exchange);
   if (closing->connection != NULL)
     evhttp_connection_set_closecb (closing->connection, on_closing_closed, closing);
   event_active (closing->event, EV_TIMEOUT, 0);
@@ -238,7 +270,8 @@
   server->options = *options;
   server->name = g_strdup (options->name);
   dp_counters_ref (options->counters);
-  server->exchanges = g_hash_table_new (NULL, NULL);
+  server->exchanges = g_hash_table_new_full (NULL, NULL, free_exchange, NULL);
+  server->writing = g_hash_table_new_full (NULL, NULL, free_exchange, NULL);
   server->closing = g_hash_table_new_full (NULL, NULL, free_closing, NULL);
   server->http = evhttp_new (options->base);
   evhttp_set_max_headers_size (server->http, (ev_ssize_t)options->head_max);
@@ -254,16 +287,21 @@
   return NULL;
 }
 
+/* Takes evhttp's callbacks off the connections of these exchanges. */
 static void
-forget_exchange (gpointer key, gpointer value, gpointer user)
+silence_exchanges (GHashTable *exchanges)
 {
-  DpHttpExchange *exchange = key;
-  struct evhttp_connection *connection = evhttp_request_get_connection (exchange->request);
-  if (connection != NULL)
-    evhttp_connection_set_closecb (connection, NULL, NULL);
-  if (exchange->doom != NULL)
-    event_free (exchange->doom);
-  g_free (exchange);
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, exchanges);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const DpHttpExchange *exchange = key;
+      struct evhttp_connection *connection = evhttp_request_get_connection (exchange->request);
+      if (connection != NULL)
+        evhttp_connection_set_closecb (connection, NULL, NULL);
+      evhttp_request_set_on_complete_cb (exchange->request, NULL, NULL);
+    }
 }
 
 void
@@ -271,8 +309,10 @@
 {
   if (server == NULL)
     return;
-  g_hash_table_foreach (server->exchanges, forget_exchange, NULL);
+  silence_exchanges (server->exchanges);
+  silence_exchanges (server->writing);
   g_hash_table_unref (server->exchanges);
+  g_hash_table_unref (server->writing);
   g_hash_table_unref (server->closing);
   evhttp_free (server->http);
   dp_counters_unref (server->options.counters);
@@ -294,6 +334,13 @@
   return g_hash_table_size (server->exchanges);
 }
 
+gboolean
+dp_http_server_is_idle (const DpHttpServer *server)
+{
+  return g_hash_table_size (server->exchanges) == 0 && g_hash_table_size (server->writing) == 0
+         && g_hash_table_size (server->closing) == 0;
+}
+
 const char *
 dp_http_exchange_method (const DpHttpExchange *exchange)
 {
@@ -346,10 +393,14 @@
 }
 
 void
-dp_http_exchange_set_gone (DpHttpExchange *exchange, DpHttpGone gone, gpointer user)
+dp_http_exchange_set_gone (DpHttpExchange *exchange,
+                           DpHttpGone gone,
+                           gpointer user,
+                           GDestroyNotify destroy)
 {
   exchange->gone = gone;
   exchange->user = user;
+  exchange->destroy = destroy;
 }
 
 void
@@ -409,6 +460,14 @@
   if (unread <= exchange->server->options.unread_max)
     return;
   count (exchange->server, "dogwoodplank_http_callers_slow_total");
+  dp_http_exchange_drop (exchange);
+}
+
+void
+dp_http_exchange_drop (DpHttpExchange *exchange)
+{
+  if (exchange->doom != NULL)
+    return;
   exchange->doom = event_new (exchange->server->options.base, -1, 0, on_doom, exchange);
   event_active (exchange->doom, EV_TIMEOUT, 0);
 }
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -47,6 +47,9 @@
 
 guint dp_http_server_open_exchanges (const DpHttpServer *server);
 
+/* TRUE if no exchange is open and all answers have been handed to the kernel. */
+gboolean dp_http_server_is_idle (const DpHttpServer *server);
+
 /* --- request --- */
 
 /* "GET", or "" for a method that is not known. */
@@ -59,8 +62,12 @@
 /* TRUE if the caller can tell a streamed answer's end from a cut (HTTP/1.1 or later). */
 gboolean dp_http_exchange_can_stream (const DpHttpExchange *exchange);
 
-/* Called when the caller has closed its connection before the answer was done. */
-void dp_http_exchange_set_gone (DpHttpExchange *exchange, DpHttpGone gone, gpointer user);
+/* Called when the caller has closed its connection before the answer was done. `destroy`, if
+ * not NULL, frees `user` when the exchange ends, however it ends. */
+void dp_http_exchange_set_gone (DpHttpExchange *exchange,
+                                DpHttpGone gone,
+                                gpointer user,
+                                GDestroyNotify destroy);
 
 /* --- answer --- */
 
@@ -80,3 +87,7 @@
 
 /* Closes the connection. Ends the exchange. */
 void dp_http_exchange_break_off (DpHttpExchange *exchange);
+
+/* Closes the connection in the loop's next turn, which then runs `gone`; what is written until
+ * then is lost. */
+void dp_http_exchange_drop (DpHttpExchange *exchange);
--- a/net/process.c
+++ b/net/process.c
@@ -55,6 +55,14 @@
   return g_get_real_time ();
 }
 
+guint64
+dp_process_random (void)
+{
+  guint64 number;
+  evutil_secure_rng_get_bytes (&number, sizeof number);
+  return number;
+}
+
 static gboolean
 is_static (const DpProcess *process)
 {
@@ -277,7 +285,7 @@
   struct json_object *status = json_object_new_object ();
   add_text (status, "program", process->program);
   add_text (status, "version", DP_VERSION);
-  add_text (status, "vm", process->settings->vm);
+  add_text (status, "vm", process->settings->name);
   add_text (status, "data_centre", process->settings->data_centre);
   add_number (status, "incarnation", process->incarnation);
   add_number (status, "uptime_ms",
@@ -434,7 +442,7 @@
   DpProcess *process = g_new0 (DpProcess, 1);
   process->program = options->program;
   process->settings = options->settings;
-  process->self = (DpPeer){ dp_name (options->settings->vm), options->role };
+  process->self = (DpPeer){ dp_name (options->settings->name), options->role };
   process->callbacks = options->callbacks;
   process->user = options->user;
   process->incarnation = (guint64)dp_process_wall ();
--- a/net/process.h
+++ b/net/process.h
@@ -18,7 +18,7 @@
 
 typedef struct DpProcessSettings
 {
-  char *vm;
+  char *name;
   char *address;
   char *data_centre;
   guint16 entry_bus_port;
@@ -53,7 +53,7 @@
 
 /* Rows of an option table for the DpProcessSettings at `field` of Type. */
 #define DP_PROCESS_SETTINGS(Type, field, default_operator_port)                                \
-  DP_TEXT_SETTING ("name", Type, field.vm, "NAME", "name of this VM", TRUE),                   \
+  DP_TEXT_SETTING ("name", Type, field.name, "NAME", "name of this VM", TRUE),                 \
     DP_TEXT_SETTING ("address", Type, field.address, "IP", "IP number of this VM", TRUE),      \
     DP_TEXT_SETTING ("data_centre", Type, field.data_centre, "NAME", "data centre of this VM", \
                      TRUE),                                                                    \
@@ -118,6 +118,9 @@
 
 void dp_process_send (DpProcess *process, DpPeer to, const DpMessage *message);
 
+/* Unpredictable; for seeds. */
+guint64 dp_process_random (void);
+
 /* Clocks for events. */
 DpUsec dp_process_now (void);
 DpUsec dp_process_wall (void);
--- a/scheduler/load_poll.h
+++ b/scheduler/load_poll.h
@@ -27,7 +27,7 @@
 void dp_load_poller_free (DpLoadPoller *poller);
 
 /* The answer, or the lack of one, comes by the callback, never from within this call. */
-void dp_load_poller_start (DpLoadPoller *poller, const DpPoll *poll);
+void dp_load_poller_start (DpLoadPoller *poller, const DpPoll *target);
 
 /* Reads the body of an answer. Cache events are appended to `events`, to which the report
  * points. FALSE: it isn't a load report. */
--- a/scheduler/shell.c
+++ b/scheduler/shell.c
@@ -112,7 +112,8 @@
 {
   Shell *shell = user;
   guint grace = shell->settings->stop_grace_ms;
-  const struct timeval tv = { .tv_sec = grace / 1000, .tv_usec = (grace % 1000) * 1000 };
+  const struct timeval tv
+    = { .tv_sec = grace / 1000, .tv_usec = (suseconds_t)(grace % 1000) * 1000 };
   event_add (shell->stop_timer, &tv);
 }
 
@@ -127,10 +128,10 @@
 {
   const DpSchedulerSettings *settings = shell->settings;
   DpProcess *process = shell->process;
-  const DpSchedulerOptions options = { .vm = dp_name (settings->process.vm),
+  const DpSchedulerOptions options = { .vm = dp_name (settings->process.name),
                                        .data_centre = dp_name (settings->process.data_centre),
                                        .incarnation = dp_process_incarnation (process),
-                                       .seed = dp_process_incarnation (process),
+                                       .seed = dp_process_random (),
                                        .queue_max = settings->queue_max,
                                        .counters = dp_process_counters (process) };
   shell->board = dp_scheduler_board_new (&options);
--- a/tests/test_net_http.c
+++ b/tests/test_net_http.c
@@ -441,7 +441,7 @@
   const char *body = dp_http_exchange_body (exchange, &length);
   g_free (fixture->body);
   fixture->body = g_strndup (body, length);
-  dp_http_exchange_set_gone (exchange, on_gone, fixture);
+  dp_http_exchange_set_gone (exchange, on_gone, fixture, NULL);
   event_base_loopbreak (fixture->base);
 }
 
