core: learn targets' speeds, set stragglers and failing targets aside

Speeds are sums of expected and measured seconds that fade, so that a long observation weighs more than a short one. A straggler is below half of its class's median and below 60% of its own past, or 4 times overdue with a first token; at most 34% of a group at once; what has not started there is taken back; probes of the lowest tier, two good ones bring it back. A target that refuses connections, or breaks off twice in a row, or misses two polls is probed after a backoff of 1 to 30 s. Windows and estimates follow the measured speed.

--- a/core/scheduler.c
+++ b/core/scheduler.c
@@ -68,6 +68,7 @@
         continue;
       dp_owners_tick (board, group);
       dp_targets_poll (board, group);
+      dp_health_tick (board, group);
       dp_grants_expire (board, group);
       dp_grants_fill (board, group);
       dp_preempt_run (board, group);
--- a/core/scheduler_board.h
+++ b/core/scheduler_board.h
@@ -96,6 +96,20 @@
   guint next_target;          /* round robin */
 } DpGroupState;
 
+/* Seconds that work should have taken by the stated speed, and took; both fade. */
+typedef struct DpSpeed
+{
+  double expected;
+  double measured;
+} DpSpeed;
+
+typedef enum DpHealth
+{
+  DP_HEALTH_GOOD,
+  DP_HEALTH_SLOW,    /* a straggler: probes only */
+  DP_HEALTH_FAILING, /* unreachable or breaking off: probes only, after a backoff */
+} DpHealth;
+
 typedef struct DpTargetState
 {
   DpHandle self;
@@ -109,17 +123,31 @@
   double decode_speed;  /* tokens a second, all requests together */
   double stream_speed;  /* tokens a second, one request alone */
   guint kv_tokens;
-  double service_time; /* of a plain service's call, in seconds, learned */
-  GArray *models;      /* DpName */
+  GArray *models; /* DpName */
   /* in service */
   GPtrArray *grants;    /* DpGrant */
   double tokens;        /* estimated, of all grants */
   double prefill_ahead; /* uncached prompt tokens of grants without a first token */
+  /* measured */
+  DpSpeed prefill;
+  DpSpeed decode;
+  double past;         /* its usual speed, relative to the stated one */
+  double service_time; /* of a plain service's call, in seconds */
+  /* health */
+  DpHealth health;
+  DpUsec aside_since;
+  DpUsec probe_at; /* no probe before */
+  DpUsec last_probe;
+  DpUsec last_success;
+  DpUsec backoff;
+  guint good_probes;
+  guint failures; /* in a row */
+  guint polls_missed;
   /* last report */
-  gboolean reachable;
   DpUsec next_poll;
   guint64 boot;
-  guint reported_load;    /* running and waiting */
+  guint excess;           /* requests that are not by our grants, by the last report */
+  guint excess_before;    /* and by the one before */
   guint64 cache_sequence; /* of the next event */
 } DpTargetState;
 
@@ -163,6 +191,8 @@
   /* while it runs */
   DpHandle target;
   DpUsec granted_at;
+  guint batch;           /* requests on the target, with this one, when it was given */
+  double expected_first; /* seconds to the first token by the stated speed */
   double prefill_tokens; /* uncached part of the prompt */
   gboolean started;      /* first token seen */
 };
@@ -246,9 +276,37 @@
 /* Time that a new request would wait, by its tier and its workspace's share. */
 DpUsec dp_estimate_wait (DpSchedulerBoard *board, DpGroupState *group, const DpGrant *grant);
 
+/* Decode seconds by the stated speed. */
+double dp_estimate_nominal_decode (const DpTargetState *target, double tokens, guint batch);
+/* Prefill seconds by the stated speed, with what is ahead of it. */
+double dp_estimate_nominal_prefill (const DpTargetState *target, double tokens);
+
+/* scheduler_health.c: measured speed, stragglers, failures */
+/* Measured speed relative to the stated one. */
+double dp_speed_ratio (const DpSpeed *speed);
+void dp_health_reset_speed (DpTargetState *target);
+void dp_health_done (DpSchedulerBoard *board,
+                     DpGroupState *group,
+                     DpTargetState *target,
+                     const DpGrant *grant,
+                     const DpGrantDone *done);
+void dp_health_polled (DpSchedulerBoard *board, DpTargetState *target, gboolean reachable);
+void dp_health_restarted (DpTargetState *target);
+void dp_health_tick (DpSchedulerBoard *board, DpGroupState *group);
+/* TRUE while a failing target is not even probed. */
+gboolean dp_health_is_down (const DpSchedulerBoard *board, const DpTargetState *target);
+/* TRUE if the grant may be sent to a target that is set aside. */
+gboolean dp_health_may_probe (const DpSchedulerBoard *board,
+                              const DpTargetState *target,
+                              const DpGrant *grant);
+
 /* scheduler_targets.c: window, load, choice of a target */
 gboolean dp_target_is_able (const DpTargetState *target, const DpGrant *grant);
-gboolean dp_target_has_room (const DpTargetState *target, const DpGrant *grant);
+/* Requests at once, by the measured speed. */
+guint dp_target_window (const DpTargetState *target);
+gboolean dp_target_has_room (const DpSchedulerBoard *board,
+                             const DpTargetState *target,
+                             const DpGrant *grant);
 /* What a target would no longer hold. */
 typedef struct DpTargetFreed
 {
--- a/core/scheduler_config.c
+++ b/core/scheduler_config.c
@@ -28,7 +28,7 @@
   target->name = name;
   target->models = g_array_new (FALSE, FALSE, sizeof (DpName));
   target->grants = g_ptr_array_new ();
-  target->reachable = TRUE;
+  dp_health_reset_speed (target);
   g_hash_table_insert (board->target_by_name, &target->name, target);
   return target;
 }
--- a/core/scheduler_estimate.c
+++ b/core/scheduler_estimate.c
@@ -47,14 +47,13 @@
 static double
 prefill_seconds (const DpTargetState *target, double tokens)
 {
-  return tokens / stated_speed (target->prefill_speed);
+  return tokens / stated_speed (target->prefill_speed) / dp_speed_ratio (&target->prefill);
 }
 
 static double
 decode_seconds (const DpTargetState *target, double tokens, guint batch)
 {
-  double shared = stated_speed (target->decode_speed) / MAX (batch, 1);
-  return tokens / MIN (stated_speed (target->stream_speed), shared);
+  return dp_estimate_nominal_decode (target, tokens, batch) / dp_speed_ratio (&target->decode);
 }
 
 static DpUsec
@@ -88,6 +87,19 @@
   length->deviation += LENGTH_GAIN * (fabs (error) - length->deviation);
 }
 
+double
+dp_estimate_nominal_decode (const DpTargetState *target, double tokens, guint batch)
+{
+  double shared = stated_speed (target->decode_speed) / MAX (batch, 1);
+  return tokens / MIN (stated_speed (target->stream_speed), shared);
+}
+
+double
+dp_estimate_nominal_prefill (const DpTargetState *target, double tokens)
+{
+  return (target->prefill_ahead + tokens) / stated_speed (target->prefill_speed);
+}
+
 DpUsec
 dp_estimate_service (const DpTargetState *target, const DpGrant *grant)
 {
@@ -108,7 +120,8 @@
 dp_estimate_work (const DpTargetState *target, const DpGrant *grant)
 {
   double prefill = prefill_seconds (target, grant->prompt_tokens);
-  double decode = grant->output_tokens / stated_speed (target->decode_speed);
+  double decode = grant->output_tokens / stated_speed (target->decode_speed)
+                  / dp_speed_ratio (&target->decode);
   return prefill + decode + target->service_time / MAX (target->window, 1);
 }
 
--- a/core/scheduler_grants.c
+++ b/core/scheduler_grants.c
@@ -50,6 +50,8 @@
 {
   grant->state = DP_GRANT_RUNNING;
   grant->granted_at = board->now;
+  if (target->health != DP_HEALTH_GOOD)
+    target->last_probe = board->now;
   dp_target_add (target, grant);
   group->running[grant->tier] += 1;
   send_given (board, group, grant);
@@ -121,7 +123,7 @@
   for (guint i = 0; i < group->targets->len; i++)
     {
       const DpTargetState *target = dp_group_target (board, group, i);
-      if (!dp_target_is_able (target, grant))
+      if (!dp_target_is_able (target, grant) || dp_health_is_down (board, target))
         continue;
       *fastest = MIN (*fastest, dp_estimate_idle (target, grant));
       rate += 1 / MAX (dp_estimate_work (target, grant), 1e-6);
@@ -238,22 +240,26 @@
 }
 
 static void
-fill_target (DpSchedulerBoard *board, DpGroupState *group, DpTargetState *target)
+fill_from_tier (DpSchedulerBoard *board, DpGroupState *group, DpTargetState *target, guint tier)
 {
-  for (guint tier = 0; tier < board->tier_count; tier++)
+  while (group->tiers[tier].waiting > 0)
     {
-      for (;;)
-        {
-          if (group->tiers[tier].waiting == 0)
-            break;
-          DpGrant *grant = dp_queue_first_servable (board, group, tier, target);
-          if (grant == NULL)
-            break;
-          dp_grants_give_waiting (board, group, grant, target);
-        }
+      DpGrant *grant = dp_queue_first_servable (board, group, tier, target);
+      if (grant == NULL)
+        return;
+      dp_grants_give_waiting (board, group, grant, target);
     }
 }
 
+/* A target takes from the most urgent tier down; one that is set aside, from the lowest up. */
+static void
+fill_target (DpSchedulerBoard *board, DpGroupState *group, DpTargetState *target)
+{
+  gboolean good = target->health == DP_HEALTH_GOOD;
+  for (guint i = 0; i < board->tier_count; i++)
+    fill_from_tier (board, group, target, good ? i : board->tier_count - 1 - i);
+}
+
 guint
 dp_grants_hash_id (gconstpointer id)
 {
@@ -360,8 +366,12 @@
     target = dp_table_get (board->targets, grant->target);
   if (done->reason == DP_REASON_NONE && done->output_tokens > 0)
     dp_estimate_learn_length (board, grant, done->output_tokens);
+  DpGrant over = *grant;
   dp_grants_forget (board, grant);
-  if (target != NULL && group->settled)
+  if (target == NULL)
+    return;
+  dp_health_done (board, group, target, &over, done);
+  if (group->settled)
     fill_target (board, group, target);
 }
 
--- /dev/null
+++ b/core/scheduler_health.c
@@ -0,0 +1,326 @@
+/* Health of targets: measured speed, stragglers, failures, probes.
+ *
+ * A target that has become slow against its own past and its class (targets with the same
+ * stated speeds), that is overdue with a first token, or that fails, is set aside: it gets one
+ * request at a time, of the lowest tier that can afford it, until it has been measured well
+ * again. */
+#include "core/scheduler_board.h"
+
+/* Weight of what was measured before, at each observation. */
+#define SPEED_DECAY 0.9
+/* Observations weigh by their seconds; the stated speed counts as this many. */
+#define SPEED_PRIOR_SECONDS 0.5
+#define PAST_GAIN 0.02
+#define SERVICE_TIME_GAIN 0.1
+/* Below these shares of its class and of its own past a target is a straggler. */
+#define SLOW_OF_CLASS 0.5
+#define SLOW_OF_PAST 0.6
+/* A probe at this share of the reference is a good one. */
+#define GOOD_OF_REFERENCE 0.7
+#define CLASS_MIN 3
+/* A first token is overdue after this many times the expected time, and this on top. */
+#define OVERDUE_FACTOR 4
+#define OVERDUE_USEC (500 * DP_USEC_PER_MSEC)
+/* At most this share of a group's targets is set aside for slowness at once. */
+#define ASIDE_PERCENT_MAX 34
+#define GOOD_PROBES_SLOW 2
+#define GOOD_PROBES_FAILING 1
+/* Failures in a row until a target is set aside. */
+#define FAILURES_MAX 2
+#define POLLS_MISSED_MAX 2
+#define BACKOFF_MIN_USEC (1 * DP_USEC_PER_SEC)
+#define BACKOFF_MAX_USEC (30 * DP_USEC_PER_SEC)
+/* A target set aside for this long without a probe takes one of any tier. */
+#define PROBE_PATIENCE_USEC (5 * DP_USEC_PER_SEC)
+
+static double
+seconds_of (DpUsec usec)
+{
+  return (double)usec / (double)DP_USEC_PER_SEC;
+}
+
+static void
+observe (DpSpeed *speed, double expected, double measured)
+{
+  speed->expected = speed->expected * SPEED_DECAY + expected;
+  speed->measured = speed->measured * SPEED_DECAY + measured;
+}
+
+static double
+overall_ratio (const DpTargetState *target)
+{
+  double expected = target->prefill.expected + target->decode.expected;
+  return expected / (target->prefill.measured + target->decode.measured);
+}
+
+static gboolean
+same_class (const DpTargetState *a, const DpTargetState *b)
+{
+  return a->prefill_speed == b->prefill_speed && a->decode_speed == b->decode_speed
+         && a->stream_speed == b->stream_speed;
+}
+
+static int
+compare_doubles (gconstpointer a, gconstpointer b)
+{
+  double left = *(const double *)a;
+  double right = *(const double *)b;
+  return left < right ? -1 : left > right;
+}
+
+/* Median speed of the target's class; 0 if the class is too small to tell. */
+static double
+class_median (DpSchedulerBoard *board, const DpGroupState *group, const DpTargetState *target)
+{
+  double ratios[DP_GROUP_TARGETS_MAX];
+  guint count = 0;
+  for (guint i = 0; i < group->targets->len && count < DP_GROUP_TARGETS_MAX; i++)
+    {
+      const DpTargetState *other = dp_group_target (board, group, i);
+      if (other->present && same_class (target, other))
+        ratios[count++] = overall_ratio (other);
+    }
+  if (count < CLASS_MIN)
+    return 0;
+  qsort (ratios, count, sizeof ratios[0], compare_doubles);
+  return ratios[count / 2];
+}
+
+static gboolean
+is_slow (DpSchedulerBoard *board, const DpGroupState *group, const DpTargetState *target)
+{
+  double ratio = overall_ratio (target);
+  if (ratio >= SLOW_OF_PAST * target->past)
+    return FALSE;
+  double median = class_median (board, group, target);
+  return median == 0 || ratio < SLOW_OF_CLASS * median;
+}
+
+static gboolean
+may_set_aside (DpSchedulerBoard *board, const DpGroupState *group)
+{
+  guint aside = 0;
+  for (guint i = 0; i < group->targets->len; i++)
+    aside += dp_group_target (board, group, i)->health != DP_HEALTH_GOOD;
+  guint limit = group->targets->len * ASIDE_PERCENT_MAX / 100;
+  if (group->targets->len > 1)
+    limit = MAX (limit, 1);
+  return aside < limit;
+}
+
+/* Requests that have no first token there can still be served in time elsewhere. */
+static void
+take_back_unstarted (DpSchedulerBoard *board, DpTargetState *target)
+{
+  for (guint i = target->grants->len; i > 0; i--)
+    {
+      DpGrant *grant = g_ptr_array_index (target->grants, i - 1);
+      if (!grant->started && grant->repeatable)
+        dp_grants_revoke (board, grant, DP_REASON_PREEMPTED);
+    }
+}
+
+static void
+set_aside (DpSchedulerBoard *board, DpTargetState *target, DpHealth health)
+{
+  target->health = health;
+  target->good_probes = 0;
+  target->aside_since = board->now;
+  dp_scheduler_count (board, "dogwoodplank_targets_set_aside_total", "cause",
+                      health == DP_HEALTH_SLOW ? "slow" : "failing");
+}
+
+static void
+set_failing (DpSchedulerBoard *board, DpTargetState *target)
+{
+  if (target->health != DP_HEALTH_FAILING)
+    set_aside (board, target, DP_HEALTH_FAILING);
+  target->backoff = CLAMP (target->backoff * 2, BACKOFF_MIN_USEC, BACKOFF_MAX_USEC);
+  target->probe_at = board->now + target->backoff;
+  target->good_probes = 0;
+}
+
+static void
+set_slow (DpSchedulerBoard *board, DpGroupState *group, DpTargetState *target)
+{
+  if (target->health != DP_HEALTH_GOOD || !may_set_aside (board, group))
+    return;
+  set_aside (board, target, DP_HEALTH_SLOW);
+  target->probe_at = board->now;
+  take_back_unstarted (board, target);
+}
+
+static void
+set_good (DpSchedulerBoard *board, DpTargetState *target)
+{
+  target->health = DP_HEALTH_GOOD;
+  target->backoff = 0;
+  target->failures = 0;
+  dp_health_reset_speed (target);
+  dp_scheduler_count (board, "dogwoodplank_targets_taken_back_total", NULL, NULL);
+}
+
+static void
+judge_probe (DpSchedulerBoard *board, DpTargetState *target, double ratio)
+{
+  guint needed = GOOD_PROBES_FAILING;
+  if (target->health == DP_HEALTH_SLOW)
+    {
+      needed = GOOD_PROBES_SLOW;
+      if (ratio < GOOD_OF_REFERENCE * target->past)
+        {
+          target->good_probes = 0;
+          return;
+        }
+    }
+  target->good_probes += 1;
+  if (target->good_probes >= needed)
+    set_good (board, target);
+}
+
+static void
+learn_success (DpSchedulerBoard *board,
+               DpGroupState *group,
+               DpTargetState *target,
+               const DpGrant *grant,
+               const DpGrantDone *done)
+{
+  double prefill_measured = seconds_of (done->first_token_after);
+  double decode_measured = seconds_of (done->duration - done->first_token_after);
+  guint batch = (grant->batch + target->grants->len + 1) / 2;
+  double decode_expected
+    = dp_estimate_nominal_decode (target, done->output_tokens, MAX (batch, 1));
+  target->failures = 0;
+  target->last_success = board->now;
+  if (target->prefill_speed <= 0 || done->first_token_after <= 0)
+    {
+      double error = seconds_of (done->duration) - target->service_time;
+      if (target->prefill_speed <= 0)
+        target->service_time += SERVICE_TIME_GAIN * error;
+      if (target->health != DP_HEALTH_GOOD)
+        judge_probe (board, target, 1);
+      return;
+    }
+  observe (&target->prefill, grant->expected_first, prefill_measured);
+  observe (&target->decode, decode_expected, decode_measured);
+  double ratio = (grant->expected_first + decode_expected)
+                 / MAX (prefill_measured + decode_measured, 1e-6);
+  if (target->health != DP_HEALTH_GOOD)
+    {
+      judge_probe (board, target, ratio);
+      return;
+    }
+  if (is_slow (board, group, target))
+    set_slow (board, group, target);
+  else
+    target->past += PAST_GAIN * (overall_ratio (target) - target->past);
+}
+
+double
+dp_speed_ratio (const DpSpeed *speed)
+{
+  return speed->expected / speed->measured;
+}
+
+void
+dp_health_reset_speed (DpTargetState *target)
+{
+  target->prefill = (DpSpeed){ SPEED_PRIOR_SECONDS, SPEED_PRIOR_SECONDS };
+  target->decode = (DpSpeed){ SPEED_PRIOR_SECONDS, SPEED_PRIOR_SECONDS };
+  target->past = 1;
+}
+
+void
+dp_health_done (DpSchedulerBoard *board,
+                DpGroupState *group,
+                DpTargetState *target,
+                const DpGrant *grant,
+                const DpGrantDone *done)
+{
+  switch (done->reason)
+    {
+    case DP_REASON_NONE:
+      learn_success (board, group, target, grant, done);
+      break;
+    case DP_REASON_CONNECT_FAILED:
+      set_failing (board, target);
+      break;
+    case DP_REASON_TARGET_BROKE:
+    case DP_REASON_TARGET_SILENT:
+    case DP_REASON_TARGET_ERROR:
+    case DP_REASON_ANSWER_INCOMPLETE:
+      target->failures += 1;
+      if (target->failures >= FAILURES_MAX)
+        set_failing (board, target);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+dp_health_polled (DpSchedulerBoard *board, DpTargetState *target, gboolean reachable)
+{
+  if (reachable)
+    {
+      if (target->polls_missed >= POLLS_MISSED_MAX && target->health == DP_HEALTH_FAILING)
+        target->probe_at = MIN (target->probe_at, board->now);
+      target->polls_missed = 0;
+      return;
+    }
+  target->polls_missed += 1;
+  if (target->polls_missed < POLLS_MISSED_MAX)
+    return;
+  if (board->now - target->last_success < DP_POLL_USEC && target->last_success != 0)
+    return;
+  if (target->health != DP_HEALTH_FAILING || board->now >= target->probe_at)
+    set_failing (board, target);
+}
+
+void
+dp_health_restarted (DpTargetState *target)
+{
+  dp_health_reset_speed (target);
+  target->failures = 0;
+}
+
+void
+dp_health_tick (DpSchedulerBoard *board, DpGroupState *group)
+{
+  for (guint i = 0; i < group->targets->len; i++)
+    {
+      DpTargetState *target = dp_group_target (board, group, i);
+      if (target->health != DP_HEALTH_GOOD || target->prefill_speed <= 0)
+        continue;
+      for (guint k = 0; k < target->grants->len; k++)
+        {
+          const DpGrant *grant = g_ptr_array_index (target->grants, k);
+          DpUsec expected = (DpUsec)(grant->expected_first * (double)DP_USEC_PER_SEC
+                                     / dp_speed_ratio (&target->prefill));
+          if (grant->started || grant->expected_first <= 0
+              || board->now - grant->granted_at < OVERDUE_FACTOR * expected + OVERDUE_USEC)
+            continue;
+          set_slow (board, group, target);
+          break;
+        }
+    }
+}
+
+gboolean
+dp_health_is_down (const DpSchedulerBoard *board, const DpTargetState *target)
+{
+  return target->health == DP_HEALTH_FAILING && board->now < target->probe_at;
+}
+
+gboolean
+dp_health_may_probe (const DpSchedulerBoard *board,
+                     const DpTargetState *target,
+                     const DpGrant *grant)
+{
+  if (target->grants->len > 0 || board->now < target->probe_at || !grant->repeatable)
+    return FALSE;
+  if (grant->tier + 1 >= board->tier_count)
+    return TRUE;
+  DpUsec since = MAX (target->aside_since, target->last_probe);
+  return board->now - since >= PROBE_PATIENCE_USEC;
+}
--- a/core/scheduler_owners.c
+++ b/core/scheduler_owners.c
@@ -258,7 +258,8 @@
   for (guint i = 0; i < group->targets->len; i++)
     {
       const DpTargetState *target = dp_group_target (board, group, i);
-      if (target->present && target->reachable && target->window > target->grants->len)
-        advert->free_slots += target->window - target->grants->len;
+      guint window = dp_target_window (target);
+      if (target->present && target->health == DP_HEALTH_GOOD && window > target->grants->len)
+        advert->free_slots += window - target->grants->len;
     }
 }
--- a/core/scheduler_preempt.c
+++ b/core/scheduler_preempt.c
@@ -135,7 +135,7 @@
     {
       DpTargetState *target = dp_group_target (board, group, i);
       Plan plan;
-      if (!dp_target_is_able (target, grant) || !target->reachable
+      if (!dp_target_is_able (target, grant) || target->health != DP_HEALTH_GOOD
           || board->now + dp_estimate_idle (target, grant) > grant->deadline)
         continue;
       if (plan_target (board, target, grant, critical, &plan) && better_plan (&plan, &best))
--- a/core/scheduler_queue.c
+++ b/core/scheduler_queue.c
@@ -214,7 +214,7 @@
        link = link->next, seen++)
     {
       DpGrant *grant = link->data;
-      if (!dp_target_is_able (target, grant) || !dp_target_has_room (target, grant))
+      if (!dp_target_is_able (target, grant) || !dp_target_has_room (board, target, grant))
         continue;
       if (board->now + dp_estimate_service (target, grant) <= grant->deadline)
         return grant;
--- a/core/scheduler_targets.c
+++ b/core/scheduler_targets.c
@@ -55,13 +55,22 @@
          && !is_excluded (grant, target->name);
 }
 
+guint
+dp_target_window (const DpTargetState *target)
+{
+  double ratio = MIN (dp_speed_ratio (&target->decode), 1);
+  guint window = (guint)(target->window * ratio + 0.5);
+  return MAX (window, 1);
+}
+
 gboolean
 dp_target_has_room_without (const DpTargetState *target,
                             const DpGrant *grant,
                             const DpTargetFreed *freed)
 {
   guint running = target->grants->len - freed->count;
-  if (!target->reachable || running >= target->window)
+  guint others = MIN (target->excess, target->excess_before);
+  if (target->health != DP_HEALTH_GOOD || running + others >= dp_target_window (target))
     return FALSE;
   if (running == 0)
     return TRUE;
@@ -72,9 +81,13 @@
 }
 
 gboolean
-dp_target_has_room (const DpTargetState *target, const DpGrant *grant)
+dp_target_has_room (const DpSchedulerBoard *board,
+                    const DpTargetState *target,
+                    const DpGrant *grant)
 {
   DpTargetFreed nothing = { 0 };
+  if (target->health != DP_HEALTH_GOOD)
+    return dp_health_may_probe (board, target, grant);
   return dp_target_has_room_without (target, grant, &nothing);
 }
 
@@ -83,7 +96,9 @@
 {
   grant->target = target->self;
   grant->prefill_tokens = grant->started ? 0 : grant->prompt_tokens;
+  grant->expected_first = dp_estimate_nominal_prefill (target, grant->prefill_tokens);
   g_ptr_array_add (target->grants, grant);
+  grant->batch = target->grants->len;
   target->tokens += grant->cost;
   target->prefill_ahead += grant->prefill_tokens;
 }
@@ -112,7 +127,7 @@
   for (guint i = 0; i < group->targets->len; i++)
     {
       DpTargetState *target = dp_group_target (board, group, i);
-      if (!dp_target_is_able (target, grant) || !dp_target_has_room (target, grant))
+      if (!dp_target_is_able (target, grant) || !dp_target_has_room (board, target, grant))
         continue;
       DpUsec service = dp_estimate_service (target, grant);
       if (board->now + service > grant->deadline)
@@ -132,11 +147,15 @@
   DpTargetState *target = dp_scheduler_find_target (board, load->target);
   if (target == NULL)
     return;
-  target->reachable = load->reachable;
+  dp_health_polled (board, target, load->reachable);
   if (!load->reachable)
     return;
+  if (target->boot != 0 && target->boot != load->boot)
+    dp_health_restarted (target);
   target->boot = load->boot;
-  target->reported_load = load->running + load->waiting;
+  guint reported = load->running + load->waiting;
+  target->excess_before = target->excess;
+  target->excess = reported > target->grants->len ? reported - target->grants->len : 0;
   target->cache_sequence = load->cache_sequence + load->cache_event_count;
 }
 
--- /dev/null
+++ b/tests/test_scheduler_health.c
@@ -0,0 +1,302 @@
+/* Stragglers, failing and restarted targets, measured speeds, learned lengths. */
+#include "tests/scheduler_fixture.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+static const FixtureEngine class_of_four[] = {
+  { "e0", 8, 1000, 400, 50, 100000, { "m" } },
+  { "e1", 8, 1000, 400, 50, 100000, { "m" } },
+  { "e2", 8, 1000, 400, 50, 100000, { "m" } },
+  { "e3", 8, 1000, 400, 50, 100000, { "m" } },
+};
+static const char *const names[] = { "e0", "e1", "e2", "e3" };
+
+static void
+open_settled (Fixture *f, const FixtureEngine *engines, guint count)
+{
+  fixture_open (f, &(FixtureOptions){ .engines = engines, .engine_count = count });
+  fixture_run (f, 1 * DP_USEC_PER_SEC);
+}
+
+static guint
+engine_of (const Fixture *f, guint id)
+{
+  DpName target = fixture_target (f, id);
+  for (guint i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      if (target == dp_name (names[i]))
+        return i;
+    }
+  return G_N_ELEMENTS (names);
+}
+
+/* Times of one request of 100 prompt and 50 output tokens, by the stated speed. */
+#define FIRST_USEC (100 * DP_USEC_PER_MSEC)
+#define REST_USEC (1000 * DP_USEC_PER_MSEC)
+
+/* Two requests of `tier` an engine, served `slowness` times too slowly by e0. */
+static void
+serve_round (Fixture *f, guint *id, guint tier, guint slowness, guint sent[4])
+{
+  guint first = *id;
+  for (guint i = 0; i < 8; i++)
+    fixture_ask (f, (FixtureAsk){ .id = (*id)++, .tier = tier, .output = 50 });
+  fixture_run (f, FIRST_USEC * slowness);
+  for (guint k = first; k < *id; k++)
+    fixture_progress (f, k);
+  for (guint step = 1; step <= slowness; step++)
+    {
+      fixture_run (f, REST_USEC);
+      for (guint k = first; k < *id; k++)
+        {
+          guint engine = engine_of (f, k);
+          guint factor = engine == 0 ? slowness : 1;
+          if (engine >= 4 || factor != step)
+            continue;
+          sent[engine] += 1;
+          fixture_done (f, k,
+                        (DpGrantDone){ .prompt_tokens = 100,
+                                       .output_tokens = 50,
+                                       .first_token_after = FIRST_USEC * factor,
+                                       .duration = (FIRST_USEC + REST_USEC) * factor });
+        }
+    }
+}
+
+static guint64
+set_aside_for_slowness (const Fixture *f)
+{
+  return dp_counters_get (f->counters, "dogwoodplank_targets_set_aside_total", "cause", "slow");
+}
+
+START_TEST (a_straggler_is_set_aside_probed_and_taken_back)
+{
+  Fixture f;
+  open_settled (&f, class_of_four, 4);
+  guint id = 1;
+  guint sent[4] = { 0 };
+  for (guint i = 0; i < 5; i++)
+    serve_round (&f, &id, 0, 1, sent);
+  ck_assert_uint_ge (sent[0], 3);
+  for (guint i = 0; i < 3 && set_aside_for_slowness (&f) == 0; i++)
+    serve_round (&f, &id, 0, 5, sent);
+  ck_assert_uint_eq (set_aside_for_slowness (&f), 1);
+  /* only the lowest tier probes it, one at a time */
+  guint before = sent[0];
+  serve_round (&f, &id, 0, 1, sent);
+  ck_assert_uint_eq (sent[0], before);
+  fixture_clear (&f);
+  for (guint i = 0; i < 40; i++)
+    fixture_ask (&f, (FixtureAsk){ .id = 1000 + i, .tier = 3, .output = 50 });
+  guint probes = 0;
+  for (guint i = 0; i < 40; i++)
+    probes += engine_of (&f, 1000 + i) == 0;
+  ck_assert_uint_eq (probes, 1);
+  /* two good probes */
+  for (guint i = 0; i < 2; i++)
+    {
+      guint probe = 1000;
+      while (engine_of (&f, probe) != 0)
+        probe++;
+      ck_assert_uint_lt (probe, 1040);
+      fixture_clear (&f);
+      fixture_done (&f, probe,
+                    (DpGrantDone){ .prompt_tokens = 100,
+                                   .output_tokens = 50,
+                                   .first_token_after = FIRST_USEC,
+                                   .duration = FIRST_USEC + REST_USEC });
+    }
+  ck_assert_uint_eq (
+    dp_counters_get (f.counters, "dogwoodplank_targets_taken_back_total", NULL, NULL), 1);
+  fixture_close (&f);
+}
+END_TEST
+
+START_TEST (a_silent_target_loses_what_has_not_started)
+{
+  Fixture f;
+  open_settled (&f, class_of_four, 4);
+  fixture_ask (&f, (FixtureAsk){ .id = 1, .tier = 0 });
+  fixture_ask (&f, (FixtureAsk){ .id = 2, .tier = 0 });
+  fixture_progress (&f, 2);
+  fixture_run (&f, 800 * DP_USEC_PER_MSEC);
+  ck_assert_ptr_null (fixture_last (&f, DP_MESSAGE_GRANT_REVOKED, 1));
+  fixture_run (&f, 200 * DP_USEC_PER_MSEC);
+  ck_assert_ptr_nonnull (fixture_last (&f, DP_MESSAGE_GRANT_REVOKED, 1));
+  ck_assert_ptr_null (fixture_last (&f, DP_MESSAGE_GRANT_REVOKED, 2));
+  guint silent = engine_of (&f, 1);
+  fixture_clear (&f);
+  fixture_ask (&f, (FixtureAsk){ .id = 1, .tier = 0 });
+  ck_assert_uint_lt (engine_of (&f, 1), 4);
+  ck_assert_uint_ne (engine_of (&f, 1), silent);
+  fixture_close (&f);
+}
+END_TEST
+
+START_TEST (only_a_share_of_a_group_is_set_aside_for_slowness)
+{
+  Fixture f;
+  open_settled (&f, class_of_four, 4);
+  for (guint i = 0; i < 16; i++)
+    fixture_ask (&f, (FixtureAsk){ .id = 1 + i, .tier = 0, .prompt = 10 });
+  fixture_run (&f, 5 * DP_USEC_PER_SEC);
+  ck_assert_uint_eq (set_aside_for_slowness (&f), 1);
+  fixture_close (&f);
+}
+END_TEST
+
+typedef struct FailureCase
+{
+  DpReason reasons[3];
+  gboolean set_aside;
+} FailureCase;
+
+static const FailureCase failure_cases[] = {
+  { { DP_REASON_CONNECT_FAILED }, TRUE },
+  { { DP_REASON_TARGET_BROKE }, FALSE },
+  { { DP_REASON_TARGET_BROKE, DP_REASON_TARGET_SILENT }, TRUE },
+  { { DP_REASON_TARGET_BROKE, DP_REASON_NONE, DP_REASON_TARGET_BROKE }, FALSE },
+  { { DP_REASON_CALLER_GONE, DP_REASON_CALLER_GONE, DP_REASON_CALLER_GONE }, FALSE },
+};
+
+START_TEST (a_failing_target_is_left_alone_with_backoff)
+{
+  const FailureCase *c = &failure_cases[_i];
+  Fixture f;
+  open_settled (&f, class_of_four, 2);
+  guint rounds = _i >= 3 ? 3 : _i == 2 ? 2 : 1;
+  for (guint i = 0; i < rounds; i++)
+    {
+      fixture_clear (&f);
+      fixture_ask (&f, (FixtureAsk){ .id = 1, .tier = 3, .excluded = "e1" });
+      ck_assert_uint_eq (engine_of (&f, 1), 0);
+      fixture_done (&f, 1,
+                    (DpGrantDone){ .reason = c->reasons[i],
+                                   .output_tokens = 100,
+                                   .first_token_after = FIRST_USEC,
+                                   .duration = FIRST_USEC + 2 * REST_USEC });
+    }
+  fixture_clear (&f);
+  fixture_ask (&f, (FixtureAsk){ .id = 2, .tier = 3, .excluded = "e1" });
+  if (!c->set_aside)
+    {
+      ck_assert_uint_eq (engine_of (&f, 2), 0);
+      fixture_close (&f);
+      return;
+    }
+  const DpMessage *refused = fixture_last (&f, DP_MESSAGE_GRANT_REFUSED, 2);
+  ck_assert_int_eq (refused->grant_refused.reason, DP_REASON_NO_TARGET);
+  fixture_run (&f, 1100 * DP_USEC_PER_MSEC);
+  fixture_ask (&f, (FixtureAsk){ .id = 3, .tier = 3, .excluded = "e1" });
+  ck_assert_uint_eq (engine_of (&f, 3), 0);
+  fixture_close (&f);
+}
+END_TEST
+
+START_TEST (an_unreachable_target_is_left_alone_until_it_answers)
+{
+  Fixture f;
+  open_settled (&f, class_of_four, 2);
+  DpName e0 = dp_name ("e0");
+  fixture_load (&f, (DpLoadReport){ .target = e0 });
+  fixture_load (&f, (DpLoadReport){ .target = e0 });
+  fixture_ask (&f, (FixtureAsk){ .id = 1, .tier = 0, .excluded = "e1" });
+  ck_assert_ptr_nonnull (fixture_last (&f, DP_MESSAGE_GRANT_REFUSED, 1));
+  fixture_load (&f, (DpLoadReport){ .target = e0, .reachable = TRUE, .boot = 1 });
+  fixture_ask (&f, (FixtureAsk){ .id = 2, .tier = 3, .excluded = "e1" });
+  ck_assert_uint_eq (engine_of (&f, 2), 0);
+  fixture_close (&f);
+}
+END_TEST
+
+START_TEST (lengths_are_learned_per_workspace_and_model)
+{
+  Fixture f;
+  open_settled (&f, class_of_four, 1);
+  /* 100 output tokens by the manifest: 2.1 s; w0's answers turn out ten times as long */
+  for (guint i = 0; i < 20; i++)
+    {
+      fixture_ask (&f, (FixtureAsk){ .id = 1 + i, .workspace = "w0", .output = 5000 });
+      fixture_done (&f, 1 + i, (DpGrantDone){ .output_tokens = 1000 });
+    }
+  FixtureAsk ask = { .id = 100, .workspace = "w0", .output = 5000 };
+  ask.remaining = 10 * DP_USEC_PER_SEC;
+  fixture_ask (&f, ask);
+  ck_assert_ptr_nonnull (fixture_last (&f, DP_MESSAGE_GRANT_REFUSED, 100));
+  ask.id = 101;
+  ask.workspace = "w1";
+  fixture_ask (&f, ask);
+  ck_assert_uint_eq (engine_of (&f, 101), 0);
+  ask.id = 102;
+  ask.workspace = "w0";
+  ask.output = 50;
+  fixture_ask (&f, ask);
+  ck_assert_uint_eq (engine_of (&f, 102), 0);
+  fixture_close (&f);
+}
+END_TEST
+
+START_TEST (the_window_follows_the_measured_speed)
+{
+  Fixture f;
+  open_settled (&f, class_of_four, 1);
+  for (guint i = 0; i < 20; i++)
+    {
+      fixture_ask (&f, (FixtureAsk){ .id = 1 + i, .output = 50 });
+      fixture_done (&f, 1 + i,
+                    (DpGrantDone){ .output_tokens = 50,
+                                   .first_token_after = FIRST_USEC * 2,
+                                   .duration = (FIRST_USEC + REST_USEC) * 2 });
+    }
+  for (guint i = 0; i < 10; i++)
+    {
+      fixture_ask (&f, (FixtureAsk){ .id = 100 + i, .output = 50 });
+      fixture_progress (&f, 100 + i);
+    }
+  guint given = 0;
+  for (guint i = 0; i < 10; i++)
+    given += engine_of (&f, 100 + i) == 0;
+  ck_assert_uint_eq (given, 4);
+  fixture_close (&f);
+}
+END_TEST
+
+START_TEST (work_of_others_takes_room)
+{
+  Fixture f;
+  open_settled (&f, class_of_four, 1);
+  DpLoadReport load = { .target = dp_name ("e0"), .reachable = TRUE, .running = 6 };
+  fixture_load (&f, load);
+  fixture_load (&f, load);
+  for (guint i = 0; i < 10; i++)
+    {
+      fixture_ask (&f, (FixtureAsk){ .id = 1 + i });
+      fixture_progress (&f, 1 + i);
+    }
+  ck_assert_uint_eq (fixture_count (&f, DP_MESSAGE_GRANT_GIVEN), 2);
+  fixture_close (&f);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("scheduler_health");
+  TCase *tcase = tcase_create ("scheduler_health");
+  tcase_add_test (tcase, a_straggler_is_set_aside_probed_and_taken_back);
+  tcase_add_test (tcase, a_silent_target_loses_what_has_not_started);
+  tcase_add_test (tcase, only_a_share_of_a_group_is_set_aside_for_slowness);
+  tcase_add_loop_test (tcase, a_failing_target_is_left_alone_with_backoff, 0,
+                       G_N_ELEMENTS (failure_cases));
+  tcase_add_test (tcase, an_unreachable_target_is_left_alone_until_it_answers);
+  tcase_add_test (tcase, lengths_are_learned_per_workspace_and_model);
+  tcase_add_test (tcase, the_window_follows_the_measured_speed);
+  tcase_add_test (tcase, work_of_others_takes_room);
+  suite_add_tcase (suite, tcase);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
