core: route by cached prompt prefixes

A group keeps, for each 64-token block, the set of its targets that have it as one 64-bit mask, so one walk over at most 32 blocks finds the cached length on all targets. The record holds what was sent, last used first, and follows cache events (repeated ones are skipped, a gap halves what the record counts for until a target's own count confirms it), restarts and abandoned prompts. Of a workspace's waiting requests the one with most cached goes first until the oldest has waited 500 ms.

--- a/core/scheduler_board.h
+++ b/core/scheduler_board.h
@@ -6,9 +6,13 @@
  */
 #pragma once
 
+#include "common/prefix.h"
 #include "common/table.h"
 #include "core/scheduler.h"
 
+#include <stdlib.h>
+#include <string.h>
+
 /* Ticks come at least this often. */
 #define DP_SCHEDULER_TICK_USEC (50 * DP_USEC_PER_MSEC)
 /* Without an event for this long the process was paused: what it held may be void. */
@@ -29,6 +33,9 @@
 /* Requests of one flow that are looked at for one that a target can serve. */
 #define DP_QUEUE_SCAN_MAX 8
 
+/* A request is passed by for later ones with a cached prefix until it has waited this long. */
+#define DP_PREFIX_PATIENCE_USEC (500 * DP_USEC_PER_MSEC)
+
 /* --- queue --- */
 
 typedef struct DpGrant DpGrant;
@@ -93,6 +100,7 @@
   guint waiting;
   guint running[DP_TIERS_MAX];
   GSequence *by_latest_start; /* DpGrant that wait, by latest_start */
+  GHashTable *blocks;         /* prefix blocks -> targets that have them cached */
   guint next_target;          /* round robin */
 } DpGroupState;
 
@@ -149,6 +157,11 @@
   guint excess;           /* requests that are not by our grants, by the last report */
   guint excess_before;    /* and by the one before */
   guint64 cache_sequence; /* of the next event */
+  /* prefix cache */
+  guint place;              /* in its group */
+  GHashTable *cached;       /* blocks */
+  GQueue cached_by_use;     /* the same, last used first */
+  gboolean cache_uncertain; /* events were lost, or the record proved wrong */
 } DpTargetState;
 
 typedef enum DpGrantState
@@ -193,6 +206,7 @@
   DpUsec granted_at;
   guint batch;           /* requests on the target, with this one, when it was given */
   double expected_first; /* seconds to the first token by the stated speed */
+  double cached_tokens;  /* of the prompt, by the record when it was given */
   double prefill_tokens; /* uncached part of the prompt */
   gboolean started;      /* first token seen */
 };
@@ -261,16 +275,42 @@
 /* Lowest tier that waits and is below `tier`, or -1. */
 int dp_queue_lowest_below (const DpGroupState *group, guint tier);
 
+/* scheduler_prefix.c: prompt prefixes cached on targets */
+/* Cached leading blocks of one prompt, by the target's place in its group. */
+typedef struct DpPrefixMatch
+{
+  guint8 blocks[DP_GROUP_TARGETS_MAX];
+} DpPrefixMatch;
+
+void dp_prefix_init_target (DpTargetState *target);
+void dp_prefix_forget (DpGroupState *group, DpTargetState *target);
+void dp_prefix_match (const DpGroupState *group, const DpGrant *grant, DpPrefixMatch *match);
+/* Prompt tokens that the target need not compute. */
+double dp_prefix_cached (const DpTargetState *target,
+                         const DpGrant *grant,
+                         const DpPrefixMatch *match);
+double dp_prefix_cached_on (const DpTargetState *target, const DpGrant *grant);
+/* The prompt is computed there. */
+void dp_prefix_sent (DpGroupState *group, DpTargetState *target, const DpGrant *grant);
+/* The grant ended before its prompt was computed. */
+void dp_prefix_not_computed (DpGroupState *group, DpTargetState *target, const DpGrant *grant);
+/* The target has counted so many cached tokens for the grant. */
+void dp_prefix_counted (DpGroupState *group,
+                        DpTargetState *target,
+                        const DpGrant *grant,
+                        guint counted);
+void dp_prefix_events (DpGroupState *group, DpTargetState *target, const DpLoadReport *load);
+
 /* scheduler_estimate.c: cost and finish time */
 void dp_estimate_ask (DpSchedulerBoard *board, DpGrant *grant, const DpGrantAsk *ask);
 void
 dp_estimate_learn_length (DpSchedulerBoard *board, const DpGrant *grant, guint output_tokens);
 /* Time from now until the target would have finished the request, if it were sent now. */
-DpUsec dp_estimate_service (const DpTargetState *target, const DpGrant *grant);
+DpUsec dp_estimate_service (const DpTargetState *target, const DpGrant *grant, double cached);
 /* The same on the target alone. */
-DpUsec dp_estimate_idle (const DpTargetState *target, const DpGrant *grant);
+DpUsec dp_estimate_idle (const DpTargetState *target, const DpGrant *grant, double cached);
 /* Seconds of the target alone that the request takes from its throughput. */
-double dp_estimate_work (const DpTargetState *target, const DpGrant *grant);
+double dp_estimate_work (const DpTargetState *target, const DpGrant *grant, double cached);
 /* Time until the group has served what waits at `tier` and above. */
 DpUsec dp_estimate_drain (const DpGroupState *group, guint tier);
 /* Time that a new request would wait, by its tier and its workspace's share. */
@@ -318,8 +358,8 @@
 gboolean dp_target_has_room_without (const DpTargetState *target,
                                      const DpGrant *grant,
                                      const DpTargetFreed *freed);
-void dp_target_add (DpTargetState *target, DpGrant *grant);
-void dp_target_remove (DpTargetState *target, DpGrant *grant);
+void dp_target_add (DpGroupState *group, DpTargetState *target, DpGrant *grant);
+void dp_target_remove (DpGroupState *group, DpTargetState *target, DpGrant *grant);
 void dp_target_first_token (DpTargetState *target, DpGrant *grant);
 /* The target with room that finishes the request first, or NULL. */
 DpTargetState *
--- a/core/scheduler_config.c
+++ b/core/scheduler_config.c
@@ -12,6 +12,7 @@
   group->name = name;
   group->targets = g_array_new (FALSE, FALSE, sizeof (DpHandle));
   group->reported = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  group->blocks = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   dp_queue_init (group);
   g_hash_table_insert (board->group_by_name, &group->name, group);
   return group;
@@ -29,6 +30,7 @@
   target->models = g_array_new (FALSE, FALSE, sizeof (DpName));
   target->grants = g_ptr_array_new ();
   dp_health_reset_speed (target);
+  dp_prefix_init_target (target);
   g_hash_table_insert (board->target_by_name, &target->name, target);
   return target;
 }
@@ -53,9 +55,44 @@
       DpName name = DP_MANIFEST_ROW (board->manifest, models, DpModel, model)->name;
       g_array_append_val (target->models, name);
     }
+  target->place = group->targets->len;
   g_array_append_val (group->targets, target->self);
 }
 
+/* TRUE if the group's targets and their places stay as they are. */
+static gboolean
+same_targets (DpSchedulerBoard *board, const DpGroupState *group, const DpGroup *row)
+{
+  if (group->targets->len != row->targets->len)
+    return FALSE;
+  for (guint i = 0; i < row->targets->len; i++)
+    {
+      guint index = g_array_index (row->targets, guint, i);
+      const DpTarget *target = DP_MANIFEST_ROW (board->manifest, targets, DpTarget, index);
+      if (dp_group_target (board, group, i)->name != target->name)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* The prefix record counts targets by their place: a group whose places change loses it. */
+static void
+forget_changed_places (DpSchedulerBoard *board)
+{
+  for (DpHandle at = dp_table_next (board->groups, 0); at != 0;
+       at = dp_table_next (board->groups, at))
+    {
+      DpGroupState *group = dp_table_get (board->groups, at);
+      int index = dp_manifest_find (board->manifest, DP_MANIFEST_GROUP, group->name);
+      if (index >= 0
+          && same_targets (board, group,
+                           DP_MANIFEST_ROW (board->manifest, groups, DpGroup, index)))
+        continue;
+      for (guint i = 0; i < group->targets->len; i++)
+        dp_prefix_forget (group, dp_group_target (board, group, i));
+    }
+}
+
 static void
 configure_group (DpSchedulerBoard *board, const DpGroup *row)
 {
@@ -129,6 +166,7 @@
 {
   DpGroupState *group = row;
   dp_queue_clear (group);
+  g_hash_table_unref (group->blocks);
   g_hash_table_unref (group->reported);
   g_array_unref (group->targets);
 }
@@ -139,6 +177,7 @@
   DpTargetState *target = row;
   g_array_unref (target->models);
   g_ptr_array_unref (target->grants);
+  g_hash_table_unref (target->cached);
 }
 
 DpGroupState *
@@ -166,6 +205,7 @@
   board->manifest = dp_manifest_ref (manifest);
   dp_manifest_unref (previous);
   board->tier_count = MIN (manifest->tiers->len, DP_TIERS_MAX);
+  forget_changed_places (board);
   mark_all_absent (board);
   for (guint i = 0; i < manifest->groups->len; i++)
     configure_group (board, DP_MANIFEST_ROW (manifest, groups, DpGroup, i));
--- a/core/scheduler_estimate.c
+++ b/core/scheduler_estimate.c
@@ -101,25 +101,26 @@
 }
 
 DpUsec
-dp_estimate_service (const DpTargetState *target, const DpGrant *grant)
+dp_estimate_service (const DpTargetState *target, const DpGrant *grant, double cached)
 {
-  double prefill = prefill_seconds (target, target->prefill_ahead + grant->prompt_tokens);
+  double uncached = grant->prompt_tokens - cached;
+  double prefill = prefill_seconds (target, target->prefill_ahead + uncached);
   double decode = decode_seconds (target, grant->output_tokens, target->grants->len + 1);
   return from_seconds (prefill + decode + target->service_time);
 }
 
 DpUsec
-dp_estimate_idle (const DpTargetState *target, const DpGrant *grant)
+dp_estimate_idle (const DpTargetState *target, const DpGrant *grant, double cached)
 {
-  double prefill = prefill_seconds (target, grant->prompt_tokens);
+  double prefill = prefill_seconds (target, grant->prompt_tokens - cached);
   double decode = decode_seconds (target, grant->output_tokens, 1);
   return from_seconds (prefill + decode + target->service_time);
 }
 
 double
-dp_estimate_work (const DpTargetState *target, const DpGrant *grant)
+dp_estimate_work (const DpTargetState *target, const DpGrant *grant, double cached)
 {
-  double prefill = prefill_seconds (target, grant->prompt_tokens);
+  double prefill = prefill_seconds (target, grant->prompt_tokens - cached);
   double decode = grant->output_tokens / stated_speed (target->decode_speed)
                   / dp_speed_ratio (&target->decode);
   return prefill + decode + target->service_time / MAX (target->window, 1);
--- a/core/scheduler_grants.c
+++ b/core/scheduler_grants.c
@@ -52,7 +52,7 @@
   grant->granted_at = board->now;
   if (target->health != DP_HEALTH_GOOD)
     target->last_probe = board->now;
-  dp_target_add (target, grant);
+  dp_target_add (group, target, grant);
   group->running[grant->tier] += 1;
   send_given (board, group, grant);
   dp_scheduler_count (board, "dogwoodplank_grants_given_total", NULL, NULL);
@@ -120,13 +120,16 @@
 {
   double rate = 0;
   *fastest = G_MAXINT64;
+  DpPrefixMatch match;
+  dp_prefix_match (group, grant, &match);
   for (guint i = 0; i < group->targets->len; i++)
     {
       const DpTargetState *target = dp_group_target (board, group, i);
       if (!dp_target_is_able (target, grant) || dp_health_is_down (board, target))
         continue;
-      *fastest = MIN (*fastest, dp_estimate_idle (target, grant));
-      rate += 1 / MAX (dp_estimate_work (target, grant), 1e-6);
+      double cached = dp_prefix_cached (target, grant, &match);
+      *fastest = MIN (*fastest, dp_estimate_idle (target, grant, cached));
+      rate += 1 / MAX (dp_estimate_work (target, grant, cached), 1e-6);
     }
   if (rate <= 0)
     return FALSE;
@@ -298,7 +301,7 @@
     }
   else
     {
-      dp_target_remove (dp_table_get (board->targets, grant->target), grant);
+      dp_target_remove (group, dp_table_get (board->targets, grant->target), grant);
       group->running[grant->tier] -= 1;
     }
   drop_grant (board, grant);
@@ -366,6 +369,10 @@
     target = dp_table_get (board->targets, grant->target);
   if (done->reason == DP_REASON_NONE && done->output_tokens > 0)
     dp_estimate_learn_length (board, grant, done->output_tokens);
+  if (target != NULL && done->reason == DP_REASON_NONE && done->prompt_tokens > 0)
+    dp_prefix_counted (group, target, grant, done->cached_tokens);
+  if (done->reason == DP_REASON_NONE)
+    grant->started = TRUE;
   DpGrant over = *grant;
   dp_grants_forget (board, grant);
   if (target == NULL)
@@ -412,6 +419,6 @@
   grant->granted_at = board->now;
   grant->started = held->started;
   grant->prompt_tokens = held->started ? 0 : held->tokens;
-  dp_target_add (target, grant);
+  dp_target_add (group, target, grant);
   group->running[grant->tier] += 1;
 }
--- a/core/scheduler_preempt.c
+++ b/core/scheduler_preempt.c
@@ -135,8 +135,9 @@
     {
       DpTargetState *target = dp_group_target (board, group, i);
       Plan plan;
+      double cached = dp_prefix_cached_on (target, grant);
       if (!dp_target_is_able (target, grant) || target->health != DP_HEALTH_GOOD
-          || board->now + dp_estimate_idle (target, grant) > grant->deadline)
+          || board->now + dp_estimate_idle (target, grant, cached) > grant->deadline)
         continue;
       if (plan_target (board, target, grant, critical, &plan) && better_plan (&plan, &best))
         best = plan;
--- a/core/scheduler_queue.c
+++ b/core/scheduler_queue.c
@@ -205,21 +205,40 @@
   place_flows_of (queue, grant->workspace);
 }
 
-/* The first of the flow's oldest requests that the target can serve now. */
+static gboolean
+is_servable (const DpSchedulerBoard *board,
+             const DpTargetState *target,
+             const DpGrant *grant,
+             double cached)
+{
+  return dp_target_is_able (target, grant) && dp_target_has_room (board, target, grant)
+         && board->now + dp_estimate_service (target, grant, cached) <= grant->deadline;
+}
+
+/* Of the flow's oldest requests that the target can serve now, the one of which it has most
+ * cached, or the first once that has waited for long. */
 static DpGrant *
 first_in_flow (const DpSchedulerBoard *board, const DpFlow *flow, const DpTargetState *target)
 {
+  DpGrant *best = NULL;
+  double best_cached = 0;
   guint seen = 0;
   for (GList *link = flow->grants.head; link != NULL && seen < DP_QUEUE_SCAN_MAX;
        link = link->next, seen++)
     {
       DpGrant *grant = link->data;
-      if (!dp_target_is_able (target, grant) || !dp_target_has_room (board, target, grant))
+      double cached = dp_prefix_cached_on (target, grant);
+      if (!is_servable (board, target, grant, cached))
         continue;
-      if (board->now + dp_estimate_service (target, grant) <= grant->deadline)
-        return grant;
+      if (best == NULL || cached > best_cached)
+        {
+          best = grant;
+          best_cached = cached;
+        }
+      if (board->now - grant->arrived > DP_PREFIX_PATIENCE_USEC)
+        break;
     }
-  return NULL;
+  return best;
 }
 
 static DpGrant *
--- a/core/scheduler_targets.c
+++ b/core/scheduler_targets.c
@@ -92,10 +92,12 @@
 }
 
 void
-dp_target_add (DpTargetState *target, DpGrant *grant)
+dp_target_add (DpGroupState *group, DpTargetState *target, DpGrant *grant)
 {
   grant->target = target->self;
-  grant->prefill_tokens = grant->started ? 0 : grant->prompt_tokens;
+  grant->cached_tokens = dp_prefix_cached_on (target, grant);
+  grant->prefill_tokens = grant->started ? 0 : grant->prompt_tokens - grant->cached_tokens;
+  dp_prefix_sent (group, target, grant);
   grant->expected_first = dp_estimate_nominal_prefill (target, grant->prefill_tokens);
   g_ptr_array_add (target->grants, grant);
   grant->batch = target->grants->len;
@@ -104,10 +106,12 @@
 }
 
 void
-dp_target_remove (DpTargetState *target, DpGrant *grant)
+dp_target_remove (DpGroupState *group, DpTargetState *target, DpGrant *grant)
 {
   if (!g_ptr_array_remove_fast (target->grants, grant))
     return;
+  if (!grant->started)
+    dp_prefix_not_computed (group, target, grant);
   target->tokens -= grant->cost;
   dp_target_first_token (target, grant);
 }
@@ -124,12 +128,15 @@
 {
   DpTargetState *best = NULL;
   DpUsec best_service = 0;
+  DpPrefixMatch match;
+  dp_prefix_match (group, grant, &match);
   for (guint i = 0; i < group->targets->len; i++)
     {
       DpTargetState *target = dp_group_target (board, group, i);
       if (!dp_target_is_able (target, grant) || !dp_target_has_room (board, target, grant))
         continue;
-      DpUsec service = dp_estimate_service (target, grant);
+      double cached = dp_prefix_cached (target, grant, &match);
+      DpUsec service = dp_estimate_service (target, grant, cached);
       if (board->now + service > grant->deadline)
         continue;
       if (best == NULL || service < best_service)
@@ -150,13 +157,18 @@
   dp_health_polled (board, target, load->reachable);
   if (!load->reachable)
     return;
+  DpGroupState *group = dp_table_get (board->groups, target->group);
   if (target->boot != 0 && target->boot != load->boot)
-    dp_health_restarted (target);
+    {
+      dp_health_restarted (target);
+      dp_prefix_forget (group, target);
+      target->cache_sequence = 0;
+    }
   target->boot = load->boot;
   guint reported = load->running + load->waiting;
   target->excess_before = target->excess;
   target->excess = reported > target->grants->len ? reported - target->grants->len : 0;
-  target->cache_sequence = load->cache_sequence + load->cache_event_count;
+  dp_prefix_events (group, target, load);
 }
 
 void
