tests: ownership, reports, pauses and adverts of the scheduler

Seen red with one rule at a time switched off: pause check, learning period, lapse of entries, hand-over of the queue, adoption of reported grants.

--- /dev/null
+++ b/tests/test_scheduler_owners.c
@@ -0,0 +1,184 @@
+/* Ownership: reports, death of entries and owners, pauses, restarts, changed views. */
+#include "tests/scheduler_fixture.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+static const FixtureEngine narrow[] = { { "e0", 1, 1000, 100, 50, 10000, { "m" } } };
+
+static void
+open_settled (Fixture *f)
+{
+  fixture_open (f, &(FixtureOptions){ .engines = narrow, .engine_count = 1 });
+  fixture_run (f, 1 * DP_USEC_PER_SEC);
+}
+
+static DpHeld
+held_row (guint id, const char *target, guint tokens, gboolean started)
+{
+  return (DpHeld){ .attempt = fixture_id (id),
+                   .target = dp_name (target),
+                   .tier = dp_name ("dawn"),
+                   .workspace = dp_name ("w0"),
+                   .model = dp_name ("m"),
+                   .tokens = tokens,
+                   .started = started };
+}
+
+START_TEST (a_dead_entrys_grants_lapse_after_three_seconds)
+{
+  Fixture f;
+  open_settled (&f);
+  fixture_ask (&f, (FixtureAsk){ .id = 1, .entry = 1 });
+  fixture_ask (&f, (FixtureAsk){ .id = 2, .entry = 2 });
+  fixture_progress (&f, 1);
+  f.silent[1] = TRUE;
+  fixture_run (&f, 2900 * DP_USEC_PER_MSEC);
+  ck_assert_uint_eq (fixture_target (&f, 2), 0);
+  fixture_run (&f, 200 * DP_USEC_PER_MSEC);
+  ck_assert_uint_eq (fixture_target (&f, 2), dp_name ("e0"));
+  fixture_close (&f);
+}
+END_TEST
+
+START_TEST (what_a_report_no_longer_names_is_over)
+{
+  Fixture f;
+  open_settled (&f);
+  fixture_ask (&f, (FixtureAsk){ .id = 1, .entry = 1 });
+  fixture_progress (&f, 1);
+  fixture_ask (&f, (FixtureAsk){ .id = 2, .entry = 2 });
+  /* a report that crossed the grant on its way does not end it */
+  fixture_held (&f, 1, NULL, 0);
+  ck_assert_uint_eq (fixture_target (&f, 2), 0);
+  fixture_run (&f, 1100 * DP_USEC_PER_MSEC);
+  fixture_held (&f, 1, NULL, 0);
+  ck_assert_uint_eq (fixture_target (&f, 2), dp_name ("e0"));
+  fixture_close (&f);
+}
+END_TEST
+
+START_TEST (a_new_owner_learns_running_grants_before_it_fills)
+{
+  Fixture f;
+  fixture_open (&f, &(FixtureOptions){ .engines = narrow, .engine_count = 1 });
+  DpHeld running = held_row (1, "e0", 200, TRUE);
+  fixture_ask (&f, (FixtureAsk){ .id = 2, .entry = 2 });
+  fixture_run (&f, 300 * DP_USEC_PER_MSEC);
+  fixture_held (&f, 1, &running, 1);
+  fixture_run (&f, 1 * DP_USEC_PER_SEC);
+  ck_assert_uint_eq (fixture_target (&f, 2), 0);
+  fixture_done (&f, 1, (DpGrantDone){ .target = dp_name ("e0") });
+  ck_assert_uint_eq (fixture_target (&f, 2), dp_name ("e0"));
+  fixture_close (&f);
+}
+END_TEST
+
+START_TEST (a_paused_owner_forgets_what_it_held_before_it_gives)
+{
+  Fixture f;
+  open_settled (&f);
+  fixture_ask (&f, (FixtureAsk){ .id = 1, .entry = 1 });
+  fixture_ask (&f, (FixtureAsk){ .id = 2, .entry = 1 });
+  fixture_clear (&f);
+  f.now += 20 * DP_USEC_PER_SEC;
+  /* the messages of the time before come first */
+  fixture_done (&f, 1, (DpGrantDone){ .target = dp_name ("e0") });
+  fixture_run (&f, 100 * DP_USEC_PER_MSEC);
+  ck_assert_uint_eq (fixture_target (&f, 2), 0);
+  ck_assert_uint_eq (
+    dp_counters_get (f.counters, "dogwoodplank_scheduler_pauses_total", NULL, NULL), 1);
+  /* its entry still waits here: it is told to ask the owner again */
+  DpHeld waiting = held_row (2, NULL, 200, FALSE);
+  fixture_held (&f, 1, &waiting, 1);
+  const DpMessage *revoked = fixture_last (&f, DP_MESSAGE_GRANT_REVOKED, 2);
+  ck_assert_int_eq (revoked->grant_revoked.reason, DP_REASON_NO_OWNER);
+  fixture_close (&f);
+}
+END_TEST
+
+START_TEST (an_owner_that_lost_its_group_sends_the_queue_away)
+{
+  Fixture f;
+  open_settled (&f);
+  fixture_ask (&f, (FixtureAsk){ .id = 1 });
+  fixture_ask (&f, (FixtureAsk){ .id = 2 });
+  fixture_view (&f, (DpVmState[FIXTURE_VMS]){ DP_VM_LEAVING, DP_VM_LIVE, DP_VM_LIVE });
+  ck_assert_ptr_null (fixture_last (&f, DP_MESSAGE_GRANT_REVOKED, 1));
+  const DpMessage *revoked = fixture_last (&f, DP_MESSAGE_GRANT_REVOKED, 2);
+  ck_assert_int_eq (revoked->grant_revoked.reason, DP_REASON_NO_OWNER);
+  fixture_close (&f);
+}
+END_TEST
+
+START_TEST (a_vm_that_is_not_first_serves_who_asks_it)
+{
+  Fixture f;
+  fixture_open (&f,
+                &(FixtureOptions){ .engines = narrow, .engine_count = 1, .other_owner = TRUE });
+  fixture_run (&f, 5 * DP_USEC_PER_SEC);
+  fixture_ask (&f, (FixtureAsk){ .id = 1 });
+  ck_assert_uint_eq (fixture_target (&f, 1), 0);
+  fixture_run (&f, 800 * DP_USEC_PER_MSEC);
+  ck_assert_uint_eq (fixture_target (&f, 1), dp_name ("e0"));
+  fixture_close (&f);
+}
+END_TEST
+
+START_TEST (the_new_owner_after_a_change_of_view_learns_first)
+{
+  Fixture f;
+  fixture_open (&f,
+                &(FixtureOptions){ .engines = narrow, .engine_count = 1, .other_owner = TRUE });
+  fixture_run (&f, 5 * DP_USEC_PER_SEC);
+  fixture_view (&f, (DpVmState[FIXTURE_VMS]){ DP_VM_LIVE, DP_VM_DEAD, DP_VM_DEAD });
+  fixture_ask (&f, (FixtureAsk){ .id = 1 });
+  fixture_run (&f, 600 * DP_USEC_PER_MSEC);
+  ck_assert_uint_eq (fixture_target (&f, 1), 0);
+  fixture_run (&f, 200 * DP_USEC_PER_MSEC);
+  ck_assert_uint_eq (fixture_target (&f, 1), dp_name ("e0"));
+  fixture_close (&f);
+}
+END_TEST
+
+START_TEST (the_advert_tells_what_is_served_and_waits)
+{
+  Fixture f;
+  open_settled (&f);
+  fixture_ask (&f, (FixtureAsk){ .id = 1, .tier = 0 });
+  fixture_ask (&f, (FixtureAsk){ .id = 2, .tier = 2 });
+  fixture_clear (&f);
+  fixture_held (&f, 2, NULL, 0);
+  ck_assert_uint_eq (fixture_count (&f, DP_MESSAGE_ADVERT), 1);
+  const DpAdvert *advert
+    = &g_array_index (f.actions, DpSchedulerAction, f.actions->len - 1).message.advert;
+  ck_assert_uint_eq (advert->group, f.group);
+  ck_assert_uint_eq (advert->free_slots, 0);
+  ck_assert_uint_eq (advert->tier_count, FIXTURE_TIERS);
+  ck_assert_uint_eq (advert->running[0], 1);
+  ck_assert_uint_eq (advert->waiting[2], 1);
+  ck_assert_int_gt (advert->wait, 0);
+  fixture_close (&f);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("scheduler_owners");
+  TCase *tcase = tcase_create ("scheduler_owners");
+  tcase_add_test (tcase, a_dead_entrys_grants_lapse_after_three_seconds);
+  tcase_add_test (tcase, what_a_report_no_longer_names_is_over);
+  tcase_add_test (tcase, a_new_owner_learns_running_grants_before_it_fills);
+  tcase_add_test (tcase, a_paused_owner_forgets_what_it_held_before_it_gives);
+  tcase_add_test (tcase, an_owner_that_lost_its_group_sends_the_queue_away);
+  tcase_add_test (tcase, a_vm_that_is_not_first_serves_who_asks_it);
+  tcase_add_test (tcase, the_new_owner_after_a_change_of_view_learns_first);
+  tcase_add_test (tcase, the_advert_tells_what_is_served_and_waits);
+  suite_add_tcase (suite, tcase);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
