--- a/core/scheduler_board.h
+++ b/core/scheduler_board.h
@@ -6,9 +6,13 @@
  */
 #pragma once
 
+#include "common/prefix.h"
 #include "common/table.h"
 #include "core/scheduler.h"
 
+#include <stdlib.h>
+#include <string.h>
+
 /* Ticks come at least this often. */
 #define DP_SCHEDULER_TICK_USEC (50 * DP_USEC_PER_MSEC)
 /* Without an event for this long the process was paused: what it held may be void. */
@@ -29,6 +33,9 @@
 /* Requests of one flow that are looked at for one that a target can serve. */
 #define DP_QUEUE_SCAN_MAX 8
 
+/* A request is passed by for later ones with a cached prefix until it has waited this long. */
+#define DP_PREFIX_PATIENCE_USEC (500 * DP_USEC_PER_MSEC)
+
 /* --- queue --- */
 
 typedef struct DpGrant DpGrant;
@@ -93,9 +100,24 @@
   guint waiting;
   guint running[DP_TIERS_MAX];
   GSequence *by_latest_start; /* DpGrant that wait, by latest_start */
+  GHashTable *blocks;         /* prefix blocks -> targets that have them cached */
   guint next_target;          /* round robin */
 } DpGroupState;
 
+/* Seconds that work should have taken by the stated speed, and took; both fade. */
+typedef struct DpSpeed
+{
+  double expected;
+  double measured;
+} DpSpeed;
+
+typedef enum DpHealth
+{
+  DP_HEALTH_GOOD,
+  DP_HEALTH_SLOW,    /* a straggler: probes only */
+  DP_HEALTH_FAILING, /* unreachable or breaking off: probes only, after a backoff */
+} DpHealth;
+
 typedef struct DpTargetState
 {
   DpHandle self;
@@ -109,18 +131,37 @@
   double decode_speed;  /* tokens a second, all requests together */
   double stream_speed;  /* tokens a second, one request alone */
   guint kv_tokens;
-  double service_time; /* of a plain service's call, in seconds, learned */
-  GArray *models;      /* DpName */
+  GArray *models; /* DpName */
   /* in service */
   GPtrArray *grants;    /* DpGrant */
   double tokens;        /* estimated, of all grants */
   double prefill_ahead; /* uncached prompt tokens of grants without a first token */
+  /* measured */
+  DpSpeed prefill;
+  DpSpeed decode;
+  double past;         /* its usual speed, relative to the stated one */
+  double service_time; /* of a plain service's call, in seconds */
+  /* health */
+  DpHealth health;
+  DpUsec aside_since;
+  DpUsec probe_at; /* no probe before */
+  DpUsec last_probe;
+  DpUsec last_success;
+  DpUsec backoff;
+  guint good_probes;
+  guint failures; /* in a row */
+  guint polls_missed;
   /* last report */
-  gboolean reachable;
   DpUsec next_poll;
   guint64 boot;
-  guint reported_load;    /* running and waiting */
+  guint excess;           /* requests that are not by our grants, by the last report */
+  guint excess_before;    /* and by the one before */
   guint64 cache_sequence; /* of the next event */
+  /* prefix cache */
+  guint place;              /* in its group */
+  GHashTable *cached;       /* blocks */
+  GQueue cached_by_use;     /* the same, last used first */
+  gboolean cache_uncertain; /* events were lost, or the record proved wrong */
 } DpTargetState;
 
 typedef enum DpGrantState
@@ -163,6 +204,9 @@
   /* while it runs */
   DpHandle target;
   DpUsec granted_at;
+  guint batch;           /* requests on the target, with this one, when it was given */
+  double expected_first; /* seconds to the first token by the stated speed */
+  double cached_tokens;  /* of the prompt, by the record when it was given */
   double prefill_tokens; /* uncached part of the prompt */
   gboolean started;      /* first token seen */
 };
@@ -231,24 +275,78 @@
 /* Lowest tier that waits and is below `tier`, or -1. */
 int dp_queue_lowest_below (const DpGroupState *group, guint tier);
 
+/* scheduler_prefix.c: prompt prefixes cached on targets */
+/* Cached leading blocks of one prompt, by the target's place in its group. */
+typedef struct DpPrefixMatch
+{
+  guint8 blocks[DP_GROUP_TARGETS_MAX];
+} DpPrefixMatch;
+
+void dp_prefix_init_target (DpTargetState *target);
+void dp_prefix_forget (DpGroupState *group, DpTargetState *target);
+void dp_prefix_match (const DpGroupState *group, const DpGrant *grant, DpPrefixMatch *match);
+/* Prompt tokens that the target need not compute. */
+double dp_prefix_cached (const DpTargetState *target,
+                         const DpGrant *grant,
+                         const DpPrefixMatch *match);
+double dp_prefix_cached_on (const DpTargetState *target, const DpGrant *grant);
+/* The prompt is computed there. */
+void dp_prefix_sent (DpGroupState *group, DpTargetState *target, const DpGrant *grant);
+/* The grant ended before its prompt was computed. */
+void dp_prefix_not_computed (DpGroupState *group, DpTargetState *target, const DpGrant *grant);
+/* The target has counted so many cached tokens for the grant. */
+void dp_prefix_counted (DpGroupState *group,
+                        DpTargetState *target,
+                        const DpGrant *grant,
+                        guint counted);
+void dp_prefix_events (DpGroupState *group, DpTargetState *target, const DpLoadReport *load);
+
 /* scheduler_estimate.c: cost and finish time */
 void dp_estimate_ask (DpSchedulerBoard *board, DpGrant *grant, const DpGrantAsk *ask);
 void
 dp_estimate_learn_length (DpSchedulerBoard *board, const DpGrant *grant, guint output_tokens);
 /* Time from now until the target would have finished the request, if it were sent now. */
-DpUsec dp_estimate_service (const DpTargetState *target, const DpGrant *grant);
+DpUsec dp_estimate_service (const DpTargetState *target, const DpGrant *grant, double cached);
 /* The same on the target alone. */
-DpUsec dp_estimate_idle (const DpTargetState *target, const DpGrant *grant);
+DpUsec dp_estimate_idle (const DpTargetState *target, const DpGrant *grant, double cached);
 /* Seconds of the target alone that the request takes from its throughput. */
-double dp_estimate_work (const DpTargetState *target, const DpGrant *grant);
+double dp_estimate_work (const DpTargetState *target, const DpGrant *grant, double cached);
 /* Time until the group has served what waits at `tier` and above. */
 DpUsec dp_estimate_drain (const DpGroupState *group, guint tier);
 /* Time that a new request would wait, by its tier and its workspace's share. */
 DpUsec dp_estimate_wait (DpSchedulerBoard *board, DpGroupState *group, const DpGrant *grant);
 
+/* Decode seconds by the stated speed. */
+double dp_estimate_nominal_decode (const DpTargetState *target, double tokens, guint batch);
+/* Prefill seconds by the stated speed, with what is ahead of it. */
+double dp_estimate_nominal_prefill (const DpTargetState *target, double tokens);
+
+/* scheduler_health.c: measured speed, stragglers, failures */
+/* Measured speed relative to the stated one. */
+double dp_speed_ratio (const DpSpeed *speed);
+void dp_health_reset_speed (DpTargetState *target);
+void dp_health_done (DpSchedulerBoard *board,
+                     DpGroupState *group,
+                     DpTargetState *target,
+                     const DpGrant *grant,
+                     const DpGrantDone *done);
+void dp_health_polled (DpSchedulerBoard *board, DpTargetState *target, gboolean reachable);
+void dp_health_restarted (DpTargetState *target);
+void dp_health_tick (DpSchedulerBoard *board, DpGroupState *group);
+/* TRUE while a failing target is not even probed. */
+gboolean dp_health_is_down (const DpSchedulerBoard *board, const DpTargetState *target);
+/* TRUE if the grant may be sent to a target that is set aside. */
+gboolean dp_health_may_probe (const DpSchedulerBoard *board,
+                              const DpTargetState *target,
+                              const DpGrant *grant);
+
 /* scheduler_targets.c: window, load, choice of a target */
 gboolean dp_target_is_able (const DpTargetState *target, const DpGrant *grant);
-gboolean dp_target_has_room (const DpTargetState *target, const DpGrant *grant);
+/* Requests at once, by the measured speed. */
+guint dp_target_window (const DpTargetState *target);
+gboolean dp_target_has_room (const DpSchedulerBoard *board,
+                             const DpTargetState *target,
+                             const DpGrant *grant);
 /* What a target would no longer hold. */
 typedef struct DpTargetFreed
 {
@@ -260,8 +358,8 @@
 gboolean dp_target_has_room_without (const DpTargetState *target,
                                      const DpGrant *grant,
                                      const DpTargetFreed *freed);
-void dp_target_add (DpTargetState *target, DpGrant *grant);
-void dp_target_remove (DpTargetState *target, DpGrant *grant);
+void dp_target_add (DpGroupState *group, DpTargetState *target, DpGrant *grant);
+void dp_target_remove (DpGroupState *group, DpTargetState *target, DpGrant *grant);
 void dp_target_first_token (DpTargetState *target, DpGrant *grant);
 /* The target with room that finishes the request first, or NULL. */
 DpTargetState *
--- a/core/scheduler_estimate.c
+++ b/core/scheduler_estimate.c
@@ -47,14 +47,13 @@
 static double
 prefill_seconds (const DpTargetState *target, double tokens)
 {
-  return tokens / stated_speed (target->prefill_speed);
+  return tokens / stated_speed (target->prefill_speed) / dp_speed_ratio (&target->prefill);
 }
 
 static double
 decode_seconds (const DpTargetState *target, double tokens, guint batch)
 {
-  double shared = stated_speed (target->decode_speed) / MAX (batch, 1);
-  return tokens / MIN (stated_speed (target->stream_speed), shared);
+  return dp_estimate_nominal_decode (target, tokens, batch) / dp_speed_ratio (&target->decode);
 }
 
 static DpUsec
@@ -88,27 +87,42 @@
   length->deviation += LENGTH_GAIN * (fabs (error) - length->deviation);
 }
 
+double
+dp_estimate_nominal_decode (const DpTargetState *target, double tokens, guint batch)
+{
+  double shared = stated_speed (target->decode_speed) / MAX (batch, 1);
+  return tokens / MIN (stated_speed (target->stream_speed), shared);
+}
+
+double
+dp_estimate_nominal_prefill (const DpTargetState *target, double tokens)
+{
+  return (target->prefill_ahead + tokens) / stated_speed (target->prefill_speed);
+}
+
 DpUsec
-dp_estimate_service (const DpTargetState *target, const DpGrant *grant)
+dp_estimate_service (const DpTargetState *target, const DpGrant *grant, double cached)
 {
-  double prefill = prefill_seconds (target, target->prefill_ahead + grant->prompt_tokens);
+  double uncached = grant->prompt_tokens - cached;
+  double prefill = prefill_seconds (target, target->prefill_ahead + uncached);
   double decode = decode_seconds (target, grant->output_tokens, target->grants->len + 1);
   return from_seconds (prefill + decode + target->service_time);
 }
 
 DpUsec
-dp_estimate_idle (const DpTargetState *target, const DpGrant *grant)
+dp_estimate_idle (const DpTargetState *target, const DpGrant *grant, double cached)
 {
-  double prefill = prefill_seconds (target, grant->prompt_tokens);
+  double prefill = prefill_seconds (target, grant->prompt_tokens - cached);
   double decode = decode_seconds (target, grant->output_tokens, 1);
   return from_seconds (prefill + decode + target->service_time);
 }
 
 double
-dp_estimate_work (const DpTargetState *target, const DpGrant *grant)
+dp_estimate_work (const DpTargetState *target, const DpGrant *grant, double cached)
 {
-  double prefill = prefill_seconds (target, grant->prompt_tokens);
-  double decode = grant->output_tokens / stated_speed (target->decode_speed);
+  double prefill = prefill_seconds (target, grant->prompt_tokens - cached);
+  double decode = grant->output_tokens / stated_speed (target->decode_speed)
+                  / dp_speed_ratio (&target->decode);
   return prefill + decode + target->service_time / MAX (target->window, 1);
 }
 
