--- a/core/message.h
+++ b/core/message.h
@@ -209,6 +209,7 @@
   gboolean leaving;
   guint64 manifest_revision; /* in force; 0: none */
   guint64 view_version;
+  guint open_requests; /* entry only: a VM that leaves stops once there are none */
 } DpHello;
 
 typedef struct DpManifestText
