entry: claims in the platform, open requests in HELLO

Cause: calls that may not be repeated were refused, since no store was wired. Buckets are objects claims/SLOT/INDEX by the platform's client and the claims' codec.

--- a/entry/settings.c
+++ b/entry/settings.c
@@ -15,6 +15,20 @@
   NUMBER (connect_timeout_ms, "MS", "to a target (1000)", 10, 60000, 1000),
   NUMBER (first_byte_timeout_ms, "MS", "of a target's answer (30000)", 10, 3600000, 30000),
   NUMBER (idle_timeout_ms, "MS", "between bytes of an answer (5000)", 10, 600000, 5000),
+  DP_TEXT_SETTING (
+    "platform_address",
+    DpEntrySettings,
+    platform_address,
+    "IP",
+    "of the platform's object API; without it calls that may not be repeated are refused",
+    FALSE),
+  DP_PORT_SETTING ("platform_port",
+                   DpEntrySettings,
+                   platform_port,
+                   "of the platform's object API (7070)",
+                   7070),
+  NUMBER (platform_calls_per_second, "N", "budget of calls to the platform (50)", 1, 10000, 50),
+  NUMBER (platform_timeout_ms, "MS", "of a call to the platform (2000)", 10, 60000, 2000),
 };
 
 const guint dp_entry_setting_count = G_N_ELEMENTS (dp_entry_settings);
--- a/entry/shell.h
+++ b/entry/shell.h
@@ -16,6 +16,10 @@
   guint connect_timeout_ms;
   guint first_byte_timeout_ms;
   guint idle_timeout_ms;
+  char *platform_address; /* NULL: claims are refused */
+  guint16 platform_port;
+  guint platform_calls_per_second;
+  guint platform_timeout_ms;
 } DpEntrySettings;
 
 extern const DpSetting dp_entry_settings[];
--- a/entry/store.c
+++ b/entry/store.c
@@ -1,30 +1,166 @@
 #include "entry/store.h"
 
+#include "common/log.h"
+#include "platform/claim_codec.h"
+#include "platform/client.h"
+
+#define IN_FLIGHT_MAX 32
+#define QUEUE_MAX 1000
+#define BACKOFF_MIN (100 * DP_USEC_PER_MSEC)
+#define BACKOFF_MAX (5 * DP_USEC_PER_SEC)
+/* Calls at once after a quiet time, as a share of the calls a second. */
+#define BURST_SECONDS 2
+
 struct DpClaimStore
 {
   DpClaimStoreOptions options;
-  struct event *timer;
-  GArray *replies; /* DpClaimReply, to be given in the loop's next turn */
+  DpPlatformClient *client; /* NULL: there is no platform */
+  GHashTable *calls;        /* Call: open ones */
 };
 
+/* One open call. */
+typedef struct Call
+{
+  DpClaimStore *store;
+  DpBucketId bucket;
+  gboolean is_write;
+  struct event *refusal; /* without a client: answers in the loop's next turn */
+} Call;
+
+static void
+free_call (gpointer data)
+{
+  Call *call = data;
+  if (call->refusal != NULL)
+    event_free (call->refusal);
+  g_free (call);
+}
+
+static Call *
+add_call (DpClaimStore *store, DpBucketId bucket, gboolean is_write)
+{
+  Call *call = g_new0 (Call, 1);
+  call->store = store;
+  call->bucket = bucket;
+  call->is_write = is_write;
+  g_hash_table_add (store->calls, call);
+  return call;
+}
+
+/* Gives the answer and frees the call. */
+static void
+answer (Call *call, DpClaimReply *reply)
+{
+  DpClaimStore *store = call->store;
+  reply->bucket = call->bucket;
+  reply->is_write = call->is_write;
+  g_hash_table_remove (store->calls, call);
+  store->options.callback (store->options.user, reply);
+}
+
+static void
+on_refusal (evutil_socket_t fd, short what, void *user)
+{
+  answer (user, &(DpClaimReply){ .result = DP_STORE_UNAVAILABLE });
+}
+
 static void
-on_timer (evutil_socket_t fd, short what, void *user)
+refuse_later (Call *call)
 {
-  DpClaimStore *store = user;
-  GArray *replies = store->replies;
-  store->replies = g_array_new (FALSE, FALSE, sizeof (DpClaimReply));
-  for (guint i = 0; i < replies->len; i++)
-    store->options.callback (store->options.user, &g_array_index (replies, DpClaimReply, i));
-  g_array_unref (replies);
+  call->refusal = event_new (call->store->options.base, -1, 0, on_refusal, call);
+  event_active (call->refusal, EV_TIMEOUT, 0);
 }
 
 static void
-reply_unavailable (DpClaimStore *store, DpBucketId bucket, gboolean is_write)
+read_records (const DpPlatformReply *from, DpClaimReply *reply)
 {
+  gsize length;
+  const void *data = g_bytes_get_data (from->value, &length);
+  GError *error = NULL;
+  reply->records = dp_claim_bucket_decode (data, length, &error);
+  if (reply->records != NULL)
+    return;
+  reply->result = DP_STORE_BROKEN;
+  dp_log (DP_LOG_ERROR, "claim_bucket_broken", "message", error->message, NULL);
+  g_error_free (error);
+}
+
+static DpStoreResult
+store_result (const Call *call, DpPlatformResult result)
+{
+  switch (result)
+    {
+    case DP_PLATFORM_OK:
+      return DP_STORE_OK;
+    case DP_PLATFORM_NOT_FOUND:
+      /* A write to an object that is no more: the expected version is gone. */
+      return call->is_write ? DP_STORE_CONFLICT : DP_STORE_ABSENT;
+    case DP_PLATFORM_CONFLICT:
+      return DP_STORE_CONFLICT;
+    case DP_PLATFORM_UNAVAILABLE:
+      return DP_STORE_UNAVAILABLE;
+    case DP_PLATFORM_BROKEN:
+      /* Of a write: certainly not done. */
+      return call->is_write ? DP_STORE_UNAVAILABLE : DP_STORE_BROKEN;
+    case DP_PLATFORM_LOST:
+    case DP_PLATFORM_UNCHANGED:
+    case DP_PLATFORM_RESULT_COUNT:
+      break;
+    }
+  return DP_STORE_LOST;
+}
+
+static void
+on_platform_reply (const DpPlatformReply *from, gpointer data)
+{
+  Call *call = data;
   DpClaimReply reply
-    = { .bucket = bucket, .is_write = is_write, .result = DP_STORE_UNAVAILABLE };
-  g_array_append_val (store->replies, reply);
-  event_active (store->timer, EV_TIMEOUT, 0);
+    = { .result = store_result (call, from->result), .version = from->version };
+  if (reply.result == DP_STORE_OK && !call->is_write)
+    read_records (from, &reply);
+  answer (call, &reply);
+  if (reply.records != NULL)
+    g_array_unref (reply.records);
+}
+
+static void
+start_call (Call *call, const void *value, gsize length, guint64 version)
+{
+  DpClaimStore *store = call->store;
+  if (store->client == NULL)
+    {
+      refuse_later (call);
+      return;
+    }
+  char path[64];
+  g_snprintf (path, sizeof path, "claims/%u/%u", call->bucket.slot, call->bucket.index);
+  const DpPlatformCall platform_call
+    = { .type = call->is_write ? DP_PLATFORM_WRITE : DP_PLATFORM_READ,
+        .path = path,
+        .version = version,
+        .value = value,
+        .length = length };
+  dp_platform_client_call (store->client, &platform_call, on_platform_reply, call);
+}
+
+static DpPlatformClient *
+make_client (const DpClaimStoreOptions *options)
+{
+  guint64 seed;
+  evutil_secure_rng_get_bytes (&seed, sizeof seed);
+  const DpPlatformOptions platform = { .base = options->base,
+                                       .address = options->address,
+                                       .port = options->port,
+                                       .calls_per_second = options->calls_per_second,
+                                       .burst = options->calls_per_second * BURST_SECONDS,
+                                       .in_flight_max = IN_FLIGHT_MAX,
+                                       .queue_max = QUEUE_MAX,
+                                       .timeout = options->timeout,
+                                       .backoff_min = BACKOFF_MIN,
+                                       .backoff_max = BACKOFF_MAX,
+                                       .seed = seed,
+                                       .counters = options->counters };
+  return dp_platform_client_new (&platform);
 }
 
 DpClaimStore *
@@ -32,8 +168,9 @@
 {
   DpClaimStore *store = g_new0 (DpClaimStore, 1);
   store->options = *options;
-  store->timer = evtimer_new (options->base, on_timer, store);
-  store->replies = g_array_new (FALSE, FALSE, sizeof (DpClaimReply));
+  store->calls = g_hash_table_new_full (NULL, NULL, free_call, NULL);
+  if (options->address != NULL)
+    store->client = make_client (options);
   return store;
 }
 
@@ -42,19 +179,24 @@
 {
   if (store == NULL)
     return;
-  event_free (store->timer);
-  g_array_unref (store->replies);
+  if (store->client != NULL)
+    dp_platform_client_unref (store->client);
+  g_hash_table_unref (store->calls);
   g_free (store);
 }
 
 void
 dp_claim_store_read (DpClaimStore *store, DpBucketId bucket)
 {
-  reply_unavailable (store, bucket, FALSE);
+  start_call (add_call (store, bucket, FALSE), NULL, 0, 0);
 }
 
 void
 dp_claim_store_write (DpClaimStore *store, const DpClaimWrite *write)
 {
-  reply_unavailable (store, write->bucket, TRUE);
+  GBytes *value = dp_claim_bucket_encode (write->records);
+  gsize length;
+  const void *data = g_bytes_get_data (value, &length);
+  start_call (add_call (store, write->bucket, TRUE), data, length, write->expected_version);
+  g_bytes_unref (value);
 }
--- a/entry/store.h
+++ b/entry/store.h
@@ -1,6 +1,11 @@
-/* Claim buckets in the platform: reads and conditional writes, each answered exactly once. */
+/* Claim buckets in the platform: reads and conditional writes, each answered exactly once.
+ *
+ * Bucket (slot, index) is the object "claims/SLOT/INDEX". Without a platform address every
+ * call is answered UNAVAILABLE.
+ */
 #pragma once
 
+#include "common/counters.h"
 #include "core/entry.h"
 
 #include <event2/event.h>
@@ -13,6 +18,11 @@
 typedef struct DpClaimStoreOptions
 {
   struct event_base *base;
+  const char *address; /* IP number of the platform, or NULL */
+  guint16 port;
+  guint calls_per_second;
+  DpUsec timeout;       /* of a call */
+  DpCounters *counters; /* a reference is taken */
   DpClaimStoreCallback callback;
   gpointer user;
 } DpClaimStoreOptions;
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -171,6 +171,7 @@
   FLAG (3, DpMessage, hello.leaving),
   UINT64 (4, DpMessage, hello.manifest_revision),
   UINT64 (5, DpMessage, hello.view_version),
+  UINT (6, DpMessage, hello.open_requests, G_MAXUINT),
 };
 
 static const DpField manifest_fields[] = {
@@ -180,8 +181,13 @@
 };
 
 static const DpField vm_fields[] = {
-  UINT64 (1, DpVm, name),  UINT64 (2, DpVm, data_centre),     TEXT (3, DpVm, text),
-  TEXT (4, DpVm, address), UINT (5, DpVm, state, DP_VM_DEAD), UINT64 (6, DpVm, incarnation),
+  UINT64 (1, DpVm, name),
+  UINT64 (2, DpVm, data_centre),
+  TEXT (3, DpVm, text),
+  TEXT (4, DpVm, address),
+  UINT (5, DpVm, state, DP_VM_DEAD),
+  UINT64 (6, DpVm, incarnation),
+  UINT64 (7, DpVm, announcement),
 };
 static const DpFieldTable vm_table = TABLE (DpVm, vm_fields);
 
--- a/net/process.c
+++ b/net/process.c
@@ -334,6 +334,8 @@
   message.hello.leaving = process->stopping;
   message.hello.manifest_revision = process->manifest != NULL ? process->manifest->revision : 0;
   message.hello.view_version = process->view != NULL ? process->view->version : 0;
+  if (process->callbacks->open_requests != NULL)
+    message.hello.open_requests = process->callbacks->open_requests (process->user);
   dp_bus_send (process->bus, (DpPeer){ process->self.vm, DP_ROLE_AGENT }, &message);
 }
 
--- a/net/process.h
+++ b/net/process.h
@@ -83,6 +83,8 @@
   void (*view) (gpointer user, DpView *view);
   void (*message) (gpointer user, DpPeer from, const DpMessage *message);
   void (*tick) (gpointer user);
+  /* Open requests, for the agent; may be NULL. */
+  guint (*open_requests) (gpointer user);
   /* Adds members to /status. */
   void (*status) (gpointer user, struct json_object *status);
   /* SIGTERM, once: finish what is open, then call dp_process_quit(). */
