--- a/core/message.h
+++ b/core/message.h
@@ -104,7 +104,9 @@
   DpUsec retry_after; /* from the queue's drain estimate */
 } DpGrantRefused;
 
-/* The grant, or the place in the queue, is taken back. */
+/* The grant, or the place in the queue, is taken back. With NO_OWNER the ask does not wait here
+ * (any more), for example since another VM owns the group now: the entry asks the owner of its
+ * newest view again, under the same attempt. */
 typedef struct DpGrantRevoked
 {
   DpId attempt;
@@ -209,6 +211,7 @@
   gboolean leaving;
   guint64 manifest_revision; /* in force; 0: none */
   guint64 view_version;
+  guint open_requests; /* entry only: a VM that leaves stops once there are none */
 } DpHello;
 
 typedef struct DpManifestText
--- /dev/null
+++ b/standins/load.c
@@ -0,0 +1,399 @@
+/* standin-load: concurrent callers that check each answer.
+ *
+ * Exit code 0 only if something was answered, every complete answer was the right one, nothing
+ * hung, and the service's effects agree with what callers were told. */
+#include "common/log.h"
+#include "standins/load_exchange.h"
+#include "standins/load_report.h"
+#include "standins/load_settings.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* After the end of the run, this long is waited for answers under way. */
+#define DRAIN_SECONDS 20
+#define EFFECTS_TIMEOUT_SECONDS 5
+
+typedef struct Load
+{
+  struct event_base *base;
+  GRand *random;
+  LoadReport *report;
+  guint issued;
+  guint open; /* exchanges under way */
+  guint idle; /* callers that have ended */
+  gboolean stopping;
+  char *shared_text;
+} Load;
+
+/* One caller: asks, waits, thinks, asks again. A twin repeats a booking once at another entry.
+ */
+typedef struct Caller
+{
+  struct evhttp_connection *connection;
+  guint entry;
+  LoadRequest request;
+  struct event *next;
+  guint tries_left;
+  gboolean failed; /* the connection is of no more use */
+  gboolean is_twin;
+} Caller;
+
+static Load load;
+static const LoadSettings *settings;
+
+static void caller_step (Caller *caller);
+
+/* --- requests --- */
+
+/* A UUID of version 7: its time comes first. */
+static char *
+make_idempotency_key (void)
+{
+  guint64 msec = (guint64)g_get_real_time () / DP_USEC_PER_MSEC;
+  guint32 a = g_rand_int (load.random);
+  guint32 b = g_rand_int (load.random);
+  guint32 c = g_rand_int (load.random);
+  return g_strdup_printf ("%08x-%04x-7%03x-%04x-%04x%08x", (guint32)(msec >> 16),
+                          (guint32)(msec & 0xffff), a & 0xfff, 0x8000 | ((a >> 16) & 0x3fff),
+                          b & 0xffff, c);
+}
+
+static guint
+random_between (guint low, guint high)
+{
+  return high > low ? (guint)g_rand_int_range (load.random, (gint32)low, (gint32)high + 1)
+                    : low;
+}
+
+static char *
+make_message (void)
+{
+  guint length = random_between (settings->prompt_min, settings->prompt_max);
+  GString *text = g_string_new (NULL);
+  g_string_printf (text, "question %u of caller run %u:", load.issued, settings->seed);
+  while (text->len < length)
+    g_string_append_printf (text, " %x", g_rand_int (load.random));
+  return g_string_free (text, FALSE);
+}
+
+static void
+fill_chat (LoadRequest *request)
+{
+  request->message = make_message ();
+  request->tokens = random_between (settings->tokens_min, settings->tokens_max);
+  request->path = g_strdup ("/v1/chat/completions");
+  request->body = g_strdup_printf (
+    "{\"model\":\"%s\",\"stream\":%s,\"max_tokens\":%u,\"messages\":["
+    "{\"role\":\"system\",\"content\":\"%s\"},{\"role\":\"user\",\"content\":\"%s\"}]}",
+    settings->model, request->kind == LOAD_CHAT_STREAM ? "true" : "false", request->tokens,
+    load.shared_text, request->message);
+}
+
+static void
+fill_booking (LoadRequest *request)
+{
+  request->idempotency_key = make_idempotency_key ();
+  request->path = g_strdup (settings->booking_path);
+  request->body = g_strdup_printf ("{\"section\":\"verge-%u\",\"run\":%u,\"number\":%u}",
+                                   random_between (1, 500), settings->seed, load.issued);
+}
+
+static LoadKind
+choose_kind (void)
+{
+  guint percent = random_between (0, 99);
+  if (settings->direct || percent < settings->stream_percent)
+    return LOAD_CHAT_STREAM;
+  if (percent < settings->stream_percent + settings->booking_percent)
+    return LOAD_BOOKING;
+  return LOAD_CHAT_WHOLE;
+}
+
+static void
+fill_request (LoadRequest *request)
+{
+  load.issued += 1;
+  request->kind = choose_kind ();
+  request->id = g_strdup_printf ("load-%u-%u", settings->seed, load.issued);
+  request->timeout_msec = settings->timeout_msec;
+  if (settings->key_count > 0)
+    {
+      const LoadAccessKey *key = &settings->keys[random_between (0, settings->key_count - 1)];
+      request->key = g_strdup (key->key);
+      request->tier = key->tier;
+    }
+  if (request->kind == LOAD_BOOKING)
+    fill_booking (request);
+  else
+    fill_chat (request);
+}
+
+static void
+copy_request (LoadRequest *to, const LoadRequest *from)
+{
+  *to = *from;
+  to->key = g_strdup (from->key);
+  to->idempotency_key = g_strdup (from->idempotency_key);
+  to->path = g_strdup (from->path);
+  to->body = g_strdup (from->body);
+  to->message = g_strdup (from->message);
+  to->id = g_strdup_printf ("%s-twin", from->id);
+}
+
+/* --- callers --- */
+
+static void
+open_connection (Caller *caller)
+{
+  const LoadAddress *entry = &settings->entries[caller->entry];
+  caller->connection = evhttp_connection_base_new (load.base, NULL, entry->ip, entry->port);
+  /* Long enough for the deadline to pass and its answer to come. */
+  int seconds = (int)(settings->timeout_msec / 1000) + DRAIN_SECONDS;
+  evhttp_connection_set_timeout (caller->connection, seconds);
+}
+
+static void
+on_next (evutil_socket_t fd, short events, void *data)
+{
+  caller_step (data);
+}
+
+static Caller *
+caller_new (guint entry)
+{
+  Caller *caller = g_new0 (Caller, 1);
+  caller->entry = entry;
+  caller->next = event_new (load.base, -1, 0, on_next, caller);
+  return caller;
+}
+
+static void
+caller_free (Caller *caller)
+{
+  if (caller->connection != NULL)
+    evhttp_connection_free (caller->connection);
+  event_free (caller->next);
+  load_request_clear (&caller->request);
+  g_free (caller);
+}
+
+static void
+schedule (Caller *caller, guint msec)
+{
+  const struct timeval delay = { msec / 1000, (suseconds_t)(msec % 1000) * 1000 };
+  event_add (caller->next, &delay);
+}
+
+static void
+stop_if_done (void)
+{
+  if (load.open == 0 && load.idle == settings->callers)
+    event_base_loopbreak (load.base);
+}
+
+static guint
+pause_before_next (const Caller *caller, const LoadResult *result)
+{
+  if (result->verdict == LOAD_RIGHT)
+    return settings->think_msec;
+  guint pause = MAX (settings->think_msec, 10);
+  if (settings->quick_retry == 0 && result->retry_after > 0)
+    pause = MAX (pause, result->retry_after * 1000);
+  return pause;
+}
+
+static void
+on_result (const LoadResult *result, gpointer data)
+{
+  Caller *caller = data;
+  load.open -= 1;
+  load_report_add (load.report, &caller->request, result);
+  if (result->verdict == LOAD_WRONG)
+    dp_log (DP_LOG_ERROR, "wrong_answer", "request", caller->request.id, "reason",
+            result->reason, NULL);
+  caller->failed = result->verdict != LOAD_RIGHT || settings->keep_alive == 0;
+  if (result->verdict == LOAD_RIGHT)
+    caller->tries_left = 0;
+  schedule (caller, pause_before_next (caller, result));
+}
+
+static void
+ask (Caller *caller)
+{
+  if (caller->failed)
+    {
+      g_clear_pointer (&caller->connection, evhttp_connection_free);
+      caller->entry = (caller->entry + 1) % settings->entry_count;
+      caller->failed = FALSE;
+    }
+  if (caller->connection == NULL)
+    open_connection (caller);
+  load.open += 1;
+  load_exchange_start (&(LoadExchangeOptions){
+    .connection = caller->connection,
+    .request = &caller->request,
+    .done = on_result,
+    .data = caller,
+  });
+}
+
+static void
+start_twin (const Caller *caller)
+{
+  Caller *twin = caller_new ((caller->entry + 1) % settings->entry_count);
+  twin->is_twin = TRUE;
+  copy_request (&twin->request, &caller->request);
+  ask (twin);
+}
+
+static void
+begin_request (Caller *caller)
+{
+  load_request_clear (&caller->request);
+  fill_request (&caller->request);
+  caller->tries_left = settings->retries;
+  if (caller->request.kind == LOAD_BOOKING
+      && random_between (0, 99) < settings->duplicate_percent)
+    start_twin (caller);
+  ask (caller);
+}
+
+static void
+caller_step (Caller *caller)
+{
+  if (caller->is_twin)
+    caller_free (caller);
+  else if (caller->tries_left > 0 && !load.stopping)
+    {
+      caller->tries_left -= 1;
+      ask (caller);
+      return;
+    }
+  else if (load.stopping || load.issued >= settings->requests)
+    {
+      load.idle += 1;
+      caller_free (caller);
+    }
+  else
+    {
+      begin_request (caller);
+      return;
+    }
+  stop_if_done ();
+}
+
+static void
+on_drained (evutil_socket_t fd, short events, void *data)
+{
+  event_base_loopbreak (load.base);
+}
+
+static void
+on_time (evutil_socket_t fd, short events, void *data)
+{
+  const struct timeval drain = { DRAIN_SECONDS + settings->timeout_msec / 1000, 0 };
+  load.stopping = TRUE;
+  event_base_once (load.base, -1, EV_TIMEOUT, on_drained, NULL, &drain);
+}
+
+static void
+on_signal (evutil_socket_t number, short events, void *data)
+{
+  load.stopping = TRUE;
+}
+
+static void
+run_callers (void)
+{
+  for (guint i = 0; i < settings->callers; i++)
+    {
+      Caller *caller = caller_new (i % settings->entry_count);
+      schedule (caller, settings->ramp_msec * i / settings->callers);
+    }
+  const struct timeval end = { settings->seconds, 0 };
+  event_base_once (load.base, -1, EV_TIMEOUT, on_time, NULL, &end);
+  struct event *term = evsignal_new (load.base, SIGTERM, on_signal, NULL);
+  event_add (term, NULL);
+  event_base_dispatch (load.base);
+  event_free (term);
+}
+
+/* --- effects --- */
+
+static void
+on_effects (struct evhttp_request *req, void *data)
+{
+  GPtrArray *bodies = data;
+  if (req != NULL && evhttp_request_get_response_code (req) == 200)
+    g_ptr_array_add (bodies, standin_body (req, NULL));
+  event_base_loopbreak (load.base);
+}
+
+static void
+fetch_effects (const LoadAddress *service, GPtrArray *bodies)
+{
+  struct evhttp_connection *connection
+    = evhttp_connection_base_new (load.base, NULL, service->ip, service->port);
+  evhttp_connection_set_timeout (connection, EFFECTS_TIMEOUT_SECONDS);
+  struct evhttp_request *req = evhttp_request_new (on_effects, bodies);
+  evhttp_make_request (connection, req, EVHTTP_REQ_GET, "/effects");
+  event_base_dispatch (load.base);
+  evhttp_connection_free (connection);
+}
+
+/* Number of violations; a service that can't be asked is one. */
+static guint
+check_effects (GString *out)
+{
+  GPtrArray *bodies = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < settings->service_count; i++)
+    fetch_effects (&settings->services[i], bodies);
+  guint violations = settings->service_count - bodies->len;
+  if (settings->service_count > 0)
+    violations += load_report_check_effects (load.report, bodies, out);
+  g_ptr_array_unref (bodies);
+  return violations;
+}
+
+/* Text that is the same in each prompt, such as a menu. */
+static char *
+make_shared_text (void)
+{
+  GString *text = g_string_new (NULL);
+  for (guint i = 0; text->len < settings->shared_prefix; i++)
+    g_string_append_printf (text, "dish %u, ", i);
+  return g_string_free (text, FALSE);
+}
+
+static gboolean
+print_report (void)
+{
+  GString *out = g_string_new (NULL);
+  guint violations = check_effects (out);
+  load_report_format (load.report, out);
+  guint stuck = load.open;
+  g_string_append_printf (out, "stuck=%u\n", stuck);
+  g_print ("%s", out->str);
+  g_string_free (out, TRUE);
+  return violations == 0 && stuck == 0 && load_report_count (load.report, LOAD_WRONG) == 0
+         && load_report_count (load.report, LOAD_RIGHT) > 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  signal (SIGPIPE, SIG_IGN);
+  dp_log_init ("standin-load", DP_LOG_INFO);
+  settings = load_settings_parse (argc, argv);
+
+  load.base = event_base_new ();
+  load.random = g_rand_new_with_seed (settings->seed);
+  load.shared_text = make_shared_text ();
+  load.report = load_report_new (settings->tiers, settings->tier_count);
+  run_callers ();
+  gboolean good = print_report ();
+  load_report_free (load.report);
+  return good ? EXIT_SUCCESS : EXIT_FAILURE;
+}
