tests: fault matrix over the entry's decisions; entry: restart services' answers from 0

Red first: with a connection that breaks or goes silent in the middle of a repeatable service call, the second attempt was asked to go on after the tokens of the first, so the caller was given '5-1;5-2;5-3;' as a whole answer (80 of 744 cells). Cause: tokens were counted for services as for engines, and only engines resume. Now counted for engines only; green.

Other red cells were faults of the harness, mended there: a dying VM's callers, bytes repeated within one open connection, bytes after a loss on the same connection.

--- a/common/id.c
+++ b/common/id.c
@@ -45,6 +45,19 @@
   return id.high == 0 && id.low == 0;
 }
 
+guint
+dp_id_hash (gconstpointer id)
+{
+  const DpId *value = id;
+  return (guint)(value->high ^ value->low);
+}
+
+gboolean
+dp_id_same (gconstpointer a, gconstpointer b)
+{
+  return dp_id_equal (*(const DpId *)a, *(const DpId *)b);
+}
+
 void
 dp_id_format (DpId id, char out[DP_ID_STRING_SIZE])
 {
--- a/common/id.h
+++ b/common/id.h
@@ -41,6 +41,10 @@
 gboolean dp_id_equal (DpId a, DpId b);
 gboolean dp_id_is_none (DpId id);
 
+/* For GHashTable keys that point to a DpId. */
+guint dp_id_hash (gconstpointer id);
+gboolean dp_id_same (gconstpointer a, gconstpointer b);
+
 /* Writes 32 lowercase hexadecimal digits and a NUL. */
 void dp_id_format (DpId id, char out[DP_ID_STRING_SIZE]);
 
--- a/core/entry.c
+++ b/core/entry.c
@@ -6,19 +6,6 @@
 /* A process that saw no event for this long was paused: ticks come far more often. */
 #define PAUSE_BOUND DP_USEC_PER_SEC
 
-static guint
-id_hash (gconstpointer key)
-{
-  const DpId *id = key;
-  return (guint)(id->high ^ id->low);
-}
-
-static gboolean
-id_equal (gconstpointer a, gconstpointer b)
-{
-  return dp_id_equal (*(const DpId *)a, *(const DpId *)b);
-}
-
 static guint
 bucket_hash (gconstpointer key)
 {
@@ -73,8 +60,8 @@
   DpTableOptions claims = { .row_size = sizeof (Claim), .clear_row = claim_clear };
   board->claims = dp_table_new (&claims);
   board->callers = new_name_table ();
-  board->attempts = g_hash_table_new_full (id_hash, id_equal, g_free, g_free);
-  board->claim_index = g_hash_table_new_full (id_hash, id_equal, g_free, g_free);
+  board->attempts = g_hash_table_new_full (dp_id_hash, dp_id_same, g_free, g_free);
+  board->claim_index = g_hash_table_new_full (dp_id_hash, dp_id_same, g_free, g_free);
   board->buckets = g_hash_table_new_full (bucket_hash, bucket_equal, NULL, entry_bucket_free);
   board->groups = new_name_table ();
   board->vms = new_name_table ();
--- a/core/entry_attempts.c
+++ b/core/entry_attempts.c
@@ -240,7 +240,9 @@
 static void
 note_tokens (DpEntryBoard *board, Request *request, guint tokens)
 {
-  request->ask.sent_tokens += tokens;
+  /* Only engines resume; a service's answer starts again from its beginning. */
+  if (is_engine (request))
+    request->ask.sent_tokens += tokens;
   if (tokens == 0 || request->first_token_after > 0)
     return;
   request->first_token_after = MAX (board->now - request->dispatched_at, 1);
--- /dev/null
+++ b/tests/fault_matrix.c
@@ -0,0 +1,212 @@
+/* Every fault at every step of a request's way, and seeded pairs of faults.
+ *
+ * Environment: MATRIX_SEED (first seed), MATRIX_SEEDS (runs of each cell), MATRIX_PAIRS (number
+ * of pairs), MATRIX_TRACE=1 (prints the trace of each failing cell). */
+#include "tests/matrix_faults.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define FIRST_SEED 5
+#define SEEDS 1
+#define PAIRS 400
+/* Requests are sent from here on; outcomes are asked for when all faults are over. */
+#define START DP_USEC_PER_SEC
+#define QUERY_AT (32 * DP_USEC_PER_SEC)
+#define RUN_UNTIL (42 * DP_USEC_PER_SEC)
+
+/* Where faults strike: steps of bookings and of streamed answers on VM 0. */
+typedef struct Column
+{
+  const char *name;
+  RequestKind kind;
+  Step step;
+} Column;
+
+static const Column columns[] = {
+  { "booking: arrival", KIND_BOOKING, STEP_ARRIVAL },
+  { "booking: record read", KIND_BOOKING, STEP_CLAIM_READ },
+  { "booking: record read, reply", KIND_BOOKING, STEP_CLAIM_READ_REPLY },
+  { "booking: claim written", KIND_BOOKING, STEP_CLAIM_WRITE },
+  { "booking: claim stored", KIND_BOOKING, STEP_CLAIM_STORED },
+  { "booking: claim confirmed", KIND_BOOKING, STEP_CLAIM_WRITE_REPLY },
+  { "booking: grant asked", KIND_BOOKING, STEP_ASK },
+  { "booking: grant given", KIND_BOOKING, STEP_GIVEN },
+  { "booking: dispatch", KIND_BOOKING, STEP_DISPATCH },
+  { "booking: effect", KIND_BOOKING, STEP_EFFECT },
+  { "booking: head", KIND_BOOKING, STEP_HEAD },
+  { "booking: body", KIND_BOOKING, STEP_CHUNK },
+  { "booking: end", KIND_BOOKING, STEP_END },
+  { "booking: outcome written", KIND_BOOKING, STEP_RECORD_WRITE },
+  { "booking: outcome stored", KIND_BOOKING, STEP_RECORD_STORED },
+  { "booking: outcome confirmed", KIND_BOOKING, STEP_RECORD_REPLY },
+  { "chat: arrival", KIND_CHAT, STEP_ARRIVAL },
+  { "chat: grant asked", KIND_CHAT, STEP_ASK },
+  { "chat: grant given", KIND_CHAT, STEP_GIVEN },
+  { "chat: dispatch", KIND_CHAT, STEP_DISPATCH },
+  { "chat: effect", KIND_CHAT, STEP_EFFECT },
+  { "chat: head", KIND_CHAT, STEP_HEAD },
+  { "chat: token", KIND_CHAT, STEP_CHUNK },
+  { "chat: end", KIND_CHAT, STEP_END },
+};
+
+static guint
+setting (const char *name, guint fallback)
+{
+  const char *text = g_getenv (name);
+  return text != NULL ? (guint)g_ascii_strtoull (text, NULL, 10) : fallback;
+}
+
+/* A request that comes some random time after `at`. */
+static void
+add_near (World *world, RequestKind kind, guint operation, guint vm, DpUsec at, gint32 spread)
+{
+  caller_add (world, kind, operation, vm, at + g_rand_int_range (world->rand, 0, spread));
+}
+
+static void
+add_callers (World *world)
+{
+  caller_add (world, KIND_BOOKING, MATRIX_BOOKING, 0, START);
+  caller_add (world, KIND_CHAT, MATRIX_CHAT, 0, START);
+  /* The same key elsewhere: in this process, this data centre, the other one, and later. */
+  add_near (world, KIND_BOOKING, MATRIX_BOOKING, 0, START, 20000);
+  add_near (world, KIND_BOOKING, MATRIX_BOOKING, 1, START, 5000);
+  add_near (world, KIND_BOOKING, MATRIX_BOOKING, 3, START, 30000);
+  add_near (world, KIND_BOOKING, MATRIX_BOOKING, 4, START + 2 * DP_USEC_PER_SEC, 3000000);
+  /* The same key with another body. */
+  Caller *other
+    = caller_add (world, KIND_BOOKING, MATRIX_BOOKING, 2, START + 6 * DP_USEC_PER_SEC);
+  other->body = MATRIX_OTHER_BODY;
+  add_near (world, KIND_BOOKING, MATRIX_LONE_BOOKING, 0, START, 8000);
+  add_near (world, KIND_CHAT, MATRIX_LONE_CHAT, 1, START, 8000);
+  add_near (world, KIND_VERGES, MATRIX_VERGES, 0, START, 8000);
+  caller_add (world, KIND_OUTCOME, MATRIX_BOOKING, 4, QUERY_AT);
+  caller_add (world, KIND_OUTCOME, MATRIX_LONE_BOOKING, 5, QUERY_AT);
+}
+
+static void
+plan (World *world, const FaultRow *row, const Column *column, guint vm)
+{
+  PlannedFault *fault = &world->faults[world->fault_count++];
+  fault->apply = row->apply;
+  fault->kind = column->kind;
+  fault->step = column->step;
+  fault->vm = vm;
+}
+
+static World *
+new_world (guint32 seed)
+{
+  World *world = world_new (seed);
+  if (g_getenv ("MATRIX_TRACE") != NULL)
+    world->trace = g_string_new (NULL);
+  add_callers (world);
+  return world;
+}
+
+/* Runs the world; reports what is wrong. Returns the number of bad cells: 0 or 1. */
+static guint
+run_cell (World *world, const char *name, guint32 seed)
+{
+  world_run_until (world, RUN_UNTIL);
+  char *problems = matrix_check (world);
+  guint bad = problems != NULL ? 1 : 0;
+  if (problems != NULL)
+    printf ("cell: %s (seed %u)\n%s%s", name, seed, problems,
+            world->trace != NULL ? world->trace->str : "");
+  /* Each test runs in a process of its own that ends without flushing. */
+  fflush (stdout);
+  g_free (problems);
+  return bad;
+}
+
+START_TEST (without_faults_everybody_is_answered)
+{
+  guint32 seed = setting ("MATRIX_SEED", FIRST_SEED) + (guint)_i;
+  World *world = new_world (seed);
+  ck_assert_uint_eq (run_cell (world, "no fault", seed), 0);
+  for (guint i = 0; i < world->callers->len; i++)
+    {
+      const Caller *caller = g_ptr_array_index (world->callers, i);
+      gboolean conflicts = caller->body == MATRIX_OTHER_BODY;
+      if (conflicts)
+        ck_assert_int_eq (caller->reason, DP_REASON_KEY_CONFLICT);
+      else
+        ck_assert (caller->final == FINAL_END || caller->final == FINAL_REPLAY);
+    }
+  world_free (world);
+}
+END_TEST
+
+START_TEST (every_fault_at_every_step)
+{
+  const FaultRow *row = &fault_rows[_i];
+  guint seeds = setting ("MATRIX_SEEDS", SEEDS);
+  guint32 first = setting ("MATRIX_SEED", FIRST_SEED);
+  guint bad = 0;
+  for (guint c = 0; c < G_N_ELEMENTS (columns); c++)
+    for (guint32 seed = first; seed < first + seeds; seed++)
+      {
+        World *world = new_world (seed);
+        plan (world, row, &columns[c], 0);
+        char *name = g_strdup_printf ("%s at %s", row->name, columns[c].name);
+        bad += run_cell (world, name, seed);
+        ck_assert_msg (world->faults[0].fired, "%s: the step was not reached", name);
+        g_free (name);
+        world_free (world);
+      }
+  ck_assert_msg (bad == 0, "%u bad cells of '%s'", bad, row->name);
+}
+END_TEST
+
+START_TEST (pairs_of_faults)
+{
+  guint pairs = setting ("MATRIX_PAIRS", PAIRS) / 8;
+  guint32 first = setting ("MATRIX_SEED", FIRST_SEED) + 1000 + (guint)_i * pairs;
+  guint bad = 0;
+  for (guint32 seed = first; seed < first + pairs; seed++)
+    {
+      GRand *rand = g_rand_new_with_seed (seed);
+      World *world = new_world (seed);
+      char *names[2];
+      for (guint i = 0; i < 2; i++)
+        {
+          const FaultRow *row
+            = &fault_rows[g_rand_int_range (rand, 0, (gint32)fault_row_count)];
+          const Column *column = &columns[g_rand_int_range (rand, 0, G_N_ELEMENTS (columns))];
+          guint vm = i == 0 ? 0 : (guint)g_rand_int_range (rand, 0, 2);
+          plan (world, row, column, vm);
+          names[i] = g_strdup_printf ("%s at %s on vm %u", row->name, column->name, vm);
+        }
+      char *name = g_strdup_printf ("%s; %s", names[0], names[1]);
+      bad += run_cell (world, name, seed);
+      g_free (name);
+      g_free (names[0]);
+      g_free (names[1]);
+      world_free (world);
+      g_rand_free (rand);
+    }
+  ck_assert_msg (bad == 0, "%u bad pairs from seed %u", bad, first);
+}
+END_TEST
+
+int
+main (void)
+{
+  printf ("seeds: cells from %u, %u of each; %u pairs\n", setting ("MATRIX_SEED", FIRST_SEED),
+          setting ("MATRIX_SEEDS", SEEDS), setting ("MATRIX_PAIRS", PAIRS));
+  Suite *suite = suite_create ("fault_matrix");
+  TCase *tcase = tcase_create ("fault_matrix");
+  tcase_set_timeout (tcase, 200);
+  tcase_add_loop_test (tcase, without_faults_everybody_is_answered, 0, 20);
+  tcase_add_loop_test (tcase, every_fault_at_every_step, 0, (int)fault_row_count);
+  tcase_add_loop_test (tcase, pairs_of_faults, 0, 8);
+  suite_add_tcase (suite, tcase);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/matrix_faults.h
@@ -0,0 +1,13 @@
+/* The faults of the matrix, each as a function that strikes one VM. */
+#pragma once
+
+#include "tests/matrix.h"
+
+typedef struct FaultRow
+{
+  const char *name;
+  void (*apply) (World *world, guint vm);
+} FaultRow;
+
+extern const FaultRow fault_rows[];
+extern const guint fault_row_count;
--- /dev/null
+++ b/tests/matrix_targets.c
@@ -0,0 +1,513 @@
+/* Targets that count effects, the shell's connections to them, and a minimal owner. */
+#include "tests/matrix.h"
+
+#include <string.h>
+
+#define CONNECT_TIMEOUT DP_USEC_PER_SEC
+#define SILENCE_TIMEOUT (3 * DP_USEC_PER_SEC)
+#define WORK_TIME (3 * DP_USEC_PER_MSEC)
+#define TOKEN_TIME (4 * DP_USEC_PER_MSEC)
+#define CRASH_TIME (2 * DP_USEC_PER_SEC)
+#define QUEUE_TIME (300 * DP_USEC_PER_MSEC)
+
+/* One attempt at one target. Lives until the world ends: replies may come late. */
+typedef struct Connection
+{
+  guint vm;
+  guint generation;
+  DpId attempt;
+  guint target;
+  DpCaller caller;
+  RequestKind kind;
+  guint operation;
+  guint64 body;
+  guint next_token;
+  gboolean closed;  /* by the shell: nothing is delivered any more */
+  gboolean broken;  /* by the target */
+  gboolean stalled; /* something was lost on the way to the shell */
+} Connection;
+
+static gboolean
+reaches_vm (const World *world, const Connection *connection)
+{
+  const WorldVm *vm = &world->vms[connection->vm];
+  gboolean crosses
+    = connection->vm / FIXTURE_VMS != connection->target / (world->target_count / 2);
+  return world->now >= vm->cut_in_until && !(crosses && world->now < world->centre_cut_until);
+}
+
+static gboolean
+reaches_target (const World *world, const Connection *connection)
+{
+  const WorldVm *vm = &world->vms[connection->vm];
+  gboolean crosses
+    = connection->vm / FIXTURE_VMS != connection->target / (world->target_count / 2);
+  return world->now >= vm->cut_out_until && !(crosses && world->now < world->centre_cut_until);
+}
+
+static Connection *
+find_connection (const World *world, DpId attempt)
+{
+  for (guint i = 0; i < world->connections->len; i++)
+    {
+      Connection *connection = g_ptr_array_index (world->connections, i);
+      if (dp_id_equal (connection->attempt, attempt))
+        return connection;
+    }
+  return NULL;
+}
+
+/* What the shell tells the core of one connection. */
+typedef struct Report
+{
+  Connection *connection;
+  DpEntryEvent event;
+  char *text;
+  gboolean late; /* a copy that comes when the shell has closed the connection */
+} Report;
+
+static void
+deliver_report (World *world, gpointer data)
+{
+  Report *report = data;
+  const Connection *connection = report->connection;
+  /* One connection's bytes are never repeated while it is open. */
+  if (report->late && !connection->closed)
+    {
+      g_free (report->text);
+      g_free (report);
+      return;
+    }
+  world_deliver (world, connection->vm, connection->generation, report->event, report->text);
+  g_free (report);
+}
+
+static void
+deliver (
+  World *world, Connection *connection, DpEntryEvent event, const char *text, DpUsec delay)
+{
+  Report *report = g_new0 (Report, 1);
+  report->connection = connection;
+  report->event = event;
+  report->text = g_strdup (text);
+  if (event.type == DP_ENTRY_EVENT_TARGET_CHUNK)
+    {
+      report->event.chunk.data = report->text;
+      report->event.chunk.length = strlen (report->text);
+    }
+  report->late = delay > 0;
+  if (report->late)
+    world_at (world, world->now + delay, deliver_report, report);
+  else
+    deliver_report (world, report);
+}
+
+static void
+fail (World *world, Connection *connection, DpReason reason, gboolean nothing_sent)
+{
+  if (connection->closed)
+    return;
+  DpEntryEvent event = { .type = DP_ENTRY_EVENT_TARGET_FAILED };
+  event.failed.attempt = connection->attempt;
+  event.failed.reason = reason;
+  event.failed.nothing_sent = nothing_sent;
+  connection->closed = TRUE;
+  deliver (world, connection, event, NULL, 0);
+}
+
+static void
+check_silence (World *world, gpointer data)
+{
+  Connection *connection = data;
+  fail (world, connection, DP_REASON_TARGET_SILENT, FALSE);
+}
+
+/* Delivers now and, if the world says so, again later, when the connection is closed. After a
+ * loss nothing more comes of a connection: its bytes arrive in order or not at all. */
+static void
+tell (World *world, Connection *connection, DpEntryEvent event, const char *text)
+{
+  if (connection->closed || connection->stalled)
+    return;
+  if (!reaches_vm (world, connection))
+    {
+      connection->stalled = TRUE;
+      world_at (world, world->now + SILENCE_TIMEOUT, check_silence, connection);
+      return;
+    }
+  deliver (world, connection, event, text, 0);
+  if (!world->duplicates)
+    return;
+  deliver (world, connection, event, text, 30 * DP_USEC_PER_MSEC);
+  deliver (world, connection, event, text, 2500 * DP_USEC_PER_MSEC);
+}
+
+static void
+crash_target (World *world, guint target)
+{
+  world_log (world, "target %u crashes", target);
+  world->targets[target].down_until = world->now + CRASH_TIME;
+  for (guint i = 0; i < world->connections->len; i++)
+    {
+      Connection *connection = g_ptr_array_index (world->connections, i);
+      if (connection->target != target || connection->broken)
+        continue;
+      connection->broken = TRUE;
+      if (reaches_vm (world, connection))
+        fail (world, connection, DP_REASON_TARGET_BROKE, FALSE);
+    }
+}
+
+static void
+end_answer (World *world, Connection *connection, gboolean framing_complete)
+{
+  if (!world_step (world, connection->vm, connection->kind, STEP_END))
+    return;
+  DpEntryEvent event = { .type = DP_ENTRY_EVENT_TARGET_END };
+  event.end.attempt = connection->attempt;
+  event.end.framing_complete = framing_complete;
+  tell (world, connection, event, NULL);
+  connection->closed = connection->closed || !connection->stalled;
+}
+
+static void
+tell_chunk (
+  World *world, Connection *connection, const char *text, guint tokens, gboolean terminal)
+{
+  DpEntryEvent event = { .type = DP_ENTRY_EVENT_TARGET_CHUNK };
+  event.chunk.attempt = connection->attempt;
+  event.chunk.tokens = tokens;
+  event.chunk.terminal = terminal;
+  tell (world, connection, event, text);
+}
+
+/* Strikes in the middle of an answer. TRUE: the answer is over. */
+static gboolean
+answer_is_cut (World *world, Connection *connection)
+{
+  WorldTarget *target = &world->targets[connection->target];
+  AnswerFault fault = target->answer_fault;
+  if (fault != ANSWER_WHOLE)
+    world_log (world, "target %u: answer fault %d", connection->target, fault);
+  target->answer_fault = ANSWER_WHOLE;
+  switch (fault)
+    {
+    case ANSWER_WHOLE:
+      return FALSE;
+    case ANSWER_BROKEN:
+      fail (world, connection, DP_REASON_TARGET_BROKE, FALSE);
+      break;
+    case ANSWER_NO_FRAMING:
+      end_answer (world, connection, FALSE);
+      break;
+    case ANSWER_NO_TERMINAL:
+      end_answer (world, connection, connection->kind == KIND_CHAT);
+      break;
+    case ANSWER_SILENT:
+      world_at (world, world->now + SILENCE_TIMEOUT, check_silence, connection);
+      break;
+    }
+  connection->broken = TRUE;
+  return TRUE;
+}
+
+static void
+answer_next (World *world, gpointer data)
+{
+  Connection *connection = data;
+  const WorldVm *vm = &world->vms[connection->vm];
+  if (connection->broken || vm->generation != connection->generation || world->closing)
+    return;
+  if (connection->next_token > 0 && answer_is_cut (world, connection))
+    return;
+  if (!world_step (world, connection->vm, connection->kind, STEP_CHUNK) || connection->broken)
+    return;
+  if (connection->next_token < ANSWER_TOKENS)
+    {
+      char *text = g_strdup_printf ("%" G_GUINT64_FORMAT "-%u;", connection->body,
+                                    connection->next_token++);
+      tell_chunk (world, connection, text, 1, FALSE);
+      g_free (text);
+      world_at (world, world->now + TOKEN_TIME, answer_next, connection);
+      return;
+    }
+  if (connection->kind == KIND_CHAT)
+    tell_chunk (world, connection, "[END]", 0, TRUE);
+  end_answer (world, connection, TRUE);
+}
+
+static void
+answer_head (World *world, gpointer data)
+{
+  Connection *connection = data;
+  const WorldVm *vm = &world->vms[connection->vm];
+  if (connection->broken || vm->generation != connection->generation || world->closing)
+    return;
+  if (!world_step (world, connection->vm, connection->kind, STEP_HEAD) || connection->broken)
+    return;
+  DpEntryEvent event = { .type = DP_ENTRY_EVENT_TARGET_HEAD };
+  event.head.attempt = connection->attempt;
+  event.head.status = 200;
+  event.head.content_type = "text/plain";
+  tell (world, connection, event, NULL);
+  world_at (world, world->now + TOKEN_TIME, answer_next, connection);
+}
+
+/* The whole request has arrived: from here on it has run. */
+static void
+arrive (World *world, gpointer data)
+{
+  Connection *connection = data;
+  if (world->closing || !reaches_target (world, connection))
+    {
+      world_at (world, world->now + SILENCE_TIMEOUT, check_silence, connection);
+      return;
+    }
+  if (world->now < world->targets[connection->target].down_until)
+    {
+      fail (world, connection, DP_REASON_TARGET_BROKE, FALSE);
+      return;
+    }
+  Effect effect = { .caller = connection->caller, .kind = connection->kind };
+  effect.operation = connection->operation;
+  effect.body = connection->body;
+  effect.at = world->now;
+  g_array_append_val (world->effects, effect);
+  world_log (world, "target %u runs operation %u of caller %" G_GUINT64_FORMAT,
+             connection->target, connection->operation, connection->caller);
+  if (connection->body == world->poison)
+    {
+      crash_target (world, connection->target);
+      return;
+    }
+  if (!world_step (world, connection->vm, connection->kind, STEP_EFFECT) || connection->broken)
+    return;
+  world_at (world, world->now + WORK_TIME, answer_head, connection);
+}
+
+static void
+connect_timeout (World *world, gpointer data)
+{
+  fail (world, data, DP_REASON_CONNECT_FAILED, TRUE);
+}
+
+static void
+open_connection (World *world, gpointer data)
+{
+  Connection *connection = data;
+  WorldTarget *target = &world->targets[connection->target];
+  const WorldVm *vm = &world->vms[connection->vm];
+  if (connection->closed || vm->generation != connection->generation)
+    return;
+  if (!reaches_target (world, connection) || !reaches_vm (world, connection))
+    {
+      world_at (world, world->now + CONNECT_TIMEOUT, connect_timeout, connection);
+      return;
+    }
+  if (target->refuses || world->now < target->down_until)
+    {
+      target->refuses = FALSE;
+      fail (world, connection, DP_REASON_CONNECT_FAILED, TRUE);
+      return;
+    }
+  world_at (world, world->now + world_delay (world), arrive, connection);
+}
+
+static guint
+target_index (const World *world, DpName name)
+{
+  for (guint i = 0; i < world->target_count; i++)
+    if (world->targets[i].name == name)
+      return i;
+  g_assert_not_reached ();
+}
+
+void
+target_dispatch (World *world, guint vm, const DpDispatch *dispatch)
+{
+  const Caller *caller = caller_find (world, dispatch->caller);
+  if (!world_step (world, vm, caller->kind, STEP_DISPATCH))
+    return;
+  Connection *connection = g_new0 (Connection, 1);
+  connection->vm = vm;
+  connection->generation = world->vms[vm].generation;
+  connection->attempt = dispatch->attempt;
+  connection->target = target_index (world, dispatch->target);
+  connection->caller = dispatch->caller;
+  connection->kind = caller->kind;
+  connection->operation = caller->operation;
+  connection->body = caller->body;
+  connection->next_token = dispatch->sent_tokens;
+  g_ptr_array_add (world->connections, connection);
+  world_log (world, "vm %u sends caller %" G_GUINT64_FORMAT " to target %u", vm,
+             dispatch->caller, connection->target);
+  world_at (world, world_ready_at (world, vm) + world_delay (world), open_connection,
+            connection);
+}
+
+void
+target_cancel (World *world, DpId attempt)
+{
+  Connection *connection = find_connection (world, attempt);
+  if (connection == NULL)
+    return;
+  connection->closed = TRUE;
+}
+
+void
+target_vm_died (World *world, guint vm)
+{
+  for (guint i = 0; i < world->connections->len; i++)
+    {
+      Connection *connection = g_ptr_array_index (world->connections, i);
+      if (connection->vm == vm)
+        connection->closed = TRUE;
+    }
+}
+
+/* --- the owner --- */
+
+static gboolean
+is_excluded (const DpGrantAsk *ask, DpName target)
+{
+  for (guint i = 0; i < ask->excluded_count; i++)
+    if (ask->excluded[i] == target)
+      return TRUE;
+  return FALSE;
+}
+
+/* A target of the group that is not excluded, or 0. */
+static DpName
+pick_target (World *world, const DpGrantAsk *ask)
+{
+  int index = dp_manifest_find (world->manifest, DP_MANIFEST_GROUP, ask->group);
+  const DpGroup *group = DP_MANIFEST_ROW (world->manifest, groups, DpGroup, index);
+  guint first = (guint)g_rand_int_range (world->rand, 0, (gint32)group->targets->len);
+  for (guint i = 0; i < group->targets->len; i++)
+    {
+      guint target = g_array_index (group->targets, guint, (first + i) % group->targets->len);
+      DpName name = DP_MANIFEST_ROW (world->manifest, targets, DpTarget, target)->name;
+      if (!is_excluded (ask, name))
+        return name;
+    }
+  return 0;
+}
+
+typedef struct Answer
+{
+  guint vm;
+  guint generation;
+  DpPeer to;
+  DpMessage message;
+} Answer;
+
+static void
+post_answer (World *world, gpointer data)
+{
+  Answer *answer = data;
+  if (world->vms[answer->vm].alive && world->vms[answer->vm].generation == answer->generation)
+    world_post (world, answer->vm, answer->to, &answer->message);
+  g_free (answer);
+}
+
+static void
+answer_ask (World *world, guint vm, guint to, const DpMessage *message, DpUsec delay)
+{
+  Answer *answer = g_new0 (Answer, 1);
+  answer->vm = vm;
+  answer->generation = world->vms[vm].generation;
+  answer->to.vm = fixture_vm (to);
+  answer->to.role = DP_ROLE_ENTRY;
+  answer->message = *message;
+  world_at (world, world->now + delay, post_answer, answer);
+}
+
+static void
+refuse (World *world, guint vm, guint from, const DpGrantAsk *ask, DpReason reason)
+{
+  DpMessage message = { .type = DP_MESSAGE_GRANT_REFUSED };
+  message.grant_refused.attempt = ask->attempt;
+  message.grant_refused.group = ask->group;
+  message.grant_refused.reason = reason;
+  message.grant_refused.retry_after = 700 * DP_USEC_PER_MSEC;
+  answer_ask (world, vm, from, &message, 0);
+}
+
+static void
+queue (World *world, guint vm, guint from, const DpGrantAsk *ask)
+{
+  DpMessage message = { .type = DP_MESSAGE_GRANT_QUEUED };
+  message.grant_queued.attempt = ask->attempt;
+  message.grant_queued.group = ask->group;
+  answer_ask (world, vm, from, &message, 0);
+}
+
+static void
+revoke_later (World *world, guint vm, guint from, const DpGrantAsk *ask)
+{
+  DpMessage message = { .type = DP_MESSAGE_GRANT_REVOKED };
+  message.grant_revoked.attempt = ask->attempt;
+  message.grant_revoked.group = ask->group;
+  message.grant_revoked.reason = DP_REASON_PREEMPTED;
+  answer_ask (world, vm, from, &message, 9 * DP_USEC_PER_MSEC);
+}
+
+static void
+give (World *world, guint vm, guint from, const DpGrantAsk *ask, DpUsec delay)
+{
+  WorldVm *owner = &world->vms[vm];
+  DpName *granted = g_hash_table_lookup (owner->granted, &ask->attempt);
+  DpName target = granted != NULL ? *granted : pick_target (world, ask);
+  if (target == 0)
+    {
+      refuse (world, vm, from, ask, DP_REASON_NO_TARGET);
+      return;
+    }
+  if (granted == NULL)
+    g_hash_table_insert (owner->granted, g_memdup2 (&ask->attempt, sizeof (DpId)),
+                         g_memdup2 (&target, sizeof target));
+  DpMessage message = { .type = DP_MESSAGE_GRANT_GIVEN };
+  message.grant_given.attempt = ask->attempt;
+  message.grant_given.group = ask->group;
+  message.grant_given.target = target;
+  answer_ask (world, vm, from, &message, delay);
+}
+
+static void
+on_ask (World *world, guint vm, guint from, const DpGrantAsk *ask)
+{
+  WorldVm *owner = &world->vms[vm];
+  OwnerMode mode = world->now < owner->owner_mode_until ? owner->owner_mode : OWNER_GIVES;
+  switch (mode)
+    {
+    case OWNER_GIVES:
+      give (world, vm, from, ask, 0);
+      break;
+    case OWNER_REFUSES:
+      refuse (world, vm, from, ask, DP_REASON_QUEUE_FULL);
+      break;
+    case OWNER_QUEUES:
+      queue (world, vm, from, ask);
+      give (world, vm, from, ask, QUEUE_TIME);
+      break;
+    case OWNER_REVOKES:
+      give (world, vm, from, ask, 0);
+      revoke_later (world, vm, from, ask);
+      break;
+    case OWNER_SILENT:
+      break;
+    }
+}
+
+void
+owner_handle (World *world, guint vm, guint from, const DpMessage *message)
+{
+  if (message->type == DP_MESSAGE_GRANT_ASK)
+    on_ask (world, vm, from, &message->grant_ask);
+  if (message->type != DP_MESSAGE_GRANT_HELD)
+    return;
+  DpMessage advert = { .type = DP_MESSAGE_ADVERT };
+  advert.advert.group = message->grant_held.group;
+  advert.advert.free_slots = 1;
+  answer_ask (world, vm, from, &advert, 0);
+}
