--- a/standins/http.c
+++ b/standins/http.c
@@ -5,6 +5,7 @@
 #include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
 #include <string.h>
@@ -23,6 +24,32 @@
   struct evhttp_bound_socket *socket; /* NULL while connections are refused */
 };
 
+/* Tokens are small writes: without this each waits for the peer's delayed acknowledgement. */
+static void
+disable_nagle (struct evhttp_request *req)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (req);
+  int fd = bufferevent_getfd (evhttp_connection_get_bufferevent (connection));
+  int on = 1;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+static void
+on_request (struct evhttp_request *req, void *data)
+{
+  StandinServer *server = data;
+  disable_nagle (req);
+  server->options.handle (req, server->options.data);
+}
+
+static void
+on_control (struct evhttp_request *req, void *data)
+{
+  StandinServer *server = data;
+  disable_nagle (req);
+  server->options.control (req, server->options.data);
+}
+
 static struct evhttp *
 new_http (const StandinServerOptions *options,
           void (*handle) (struct evhttp_request *, gpointer),
@@ -58,12 +85,12 @@
 {
   StandinServer *server = g_new0 (StandinServer, 1);
   server->options = *options;
-  server->http = new_http (options, options->handle, options->data);
+  server->http = new_http (options, on_request, server);
   server->socket = bind_http (server->http, options->address, options->port);
   gboolean bound = server->socket != NULL;
   if (bound && options->control_port != 0)
     {
-      server->control = new_http (options, options->control, options->data);
+      server->control = new_http (options, on_control, server);
       bound = bind_http (server->control, options->address, options->control_port) != NULL;
     }
   if (!bound)
--- /dev/null
+++ b/tests/process.c
@@ -0,0 +1,236 @@
+#include "tests/process.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/syscall.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+/* Time between two looks at something that can't tell of its change. */
+#define LOOK_AGAIN_MSEC 5
+#define EXCHANGE_TIMEOUT_MSEC 5000
+
+struct Process
+{
+  pid_t pid;
+  int descriptor; /* becomes readable at the process's end */
+  gboolean ended;
+  int status;
+};
+
+static void
+redirect (const char *path, int descriptor, int flags)
+{
+  int file = open (path != NULL ? path : "/dev/null", flags | O_CLOEXEC, 0600);
+  if (file < 0 || dup2 (file, descriptor) < 0)
+    _exit (126);
+}
+
+Process *
+process_start (const ProcessOptions *options)
+{
+  pid_t pid = fork ();
+  ck_assert_int_ge (pid, 0);
+  if (pid == 0)
+    {
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
+      redirect (options->log_path, STDERR_FILENO, O_WRONLY | O_CREAT | O_APPEND);
+      redirect (options->out_path, STDOUT_FILENO, O_WRONLY | O_CREAT | O_TRUNC);
+      execv (options->argv[0], (char *const *)options->argv);
+      _exit (127);
+    }
+  Process *process = g_new0 (Process, 1);
+  process->pid = pid;
+  process->descriptor = (int)syscall (SYS_pidfd_open, pid, 0);
+  ck_assert_int_ge (process->descriptor, 0);
+  return process;
+}
+
+static void
+reap (Process *process, int options)
+{
+  if (!process->ended && waitpid (process->pid, &process->status, options) == process->pid)
+    process->ended = TRUE;
+}
+
+void
+process_free (Process *process)
+{
+  if (process == NULL)
+    return;
+  if (!process->ended)
+    {
+      kill (process->pid, SIGKILL);
+      reap (process, 0);
+    }
+  close (process->descriptor);
+  g_free (process);
+}
+
+void
+process_signal (Process *process, int number)
+{
+  if (!process->ended)
+    kill (process->pid, number);
+}
+
+gboolean
+process_is_running (Process *process)
+{
+  reap (process, WNOHANG);
+  return !process->ended;
+}
+
+gboolean
+process_wait (Process *process, DpUsec timeout, int *status)
+{
+  struct pollfd waiting = { .fd = process->descriptor, .events = POLLIN };
+  if (!process->ended && poll (&waiting, 1, (int)(timeout / DP_USEC_PER_MSEC)) > 0)
+    reap (process, 0);
+  if (status != NULL)
+    *status = process->status;
+  return process->ended;
+}
+
+gboolean
+process_stop (Process *process, DpUsec timeout)
+{
+  int status;
+  process_signal (process, SIGTERM);
+  if (process_wait (process, timeout, &status))
+    return WIFEXITED (status) && WEXITSTATUS (status) == 0;
+  process_signal (process, SIGKILL);
+  reap (process, 0);
+  return FALSE;
+}
+
+static int
+connect_to (const char *address, guint16 port)
+{
+  struct sockaddr_in peer = { .sin_family = AF_INET, .sin_port = htons (port) };
+  const struct timeval timeout = { EXCHANGE_TIMEOUT_MSEC / 1000, 0 };
+  inet_pton (AF_INET, address, &peer.sin_addr);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  setsockopt (fd, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof timeout);
+  if (connect (fd, (struct sockaddr *)&peer, sizeof peer) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+static void
+look_again_later (void)
+{
+  poll (NULL, 0, LOOK_AGAIN_MSEC);
+}
+
+gboolean
+wait_for_port (const char *address, guint16 port, DpUsec timeout)
+{
+  DpUsec end = g_get_monotonic_time () + timeout;
+  for (;;)
+    {
+      int fd = connect_to (address, port);
+      if (fd >= 0)
+        {
+          close (fd);
+          return TRUE;
+        }
+      if (g_get_monotonic_time () >= end)
+        return FALSE;
+      look_again_later ();
+    }
+}
+
+static GString *
+read_all (int fd)
+{
+  GString *answer = g_string_new (NULL);
+  char buffer[16384];
+  ssize_t got;
+  while ((got = recv (fd, buffer, sizeof buffer, 0)) > 0)
+    g_string_append_len (answer, buffer, got);
+  return answer;
+}
+
+char *
+http_exchange (const char *method,
+               const char *address,
+               guint16 port,
+               const char *path,
+               const char *headers,
+               const char *body,
+               int *status)
+{
+  int fd = connect_to (address, port);
+  if (fd < 0)
+    return NULL;
+  GString *request = g_string_new (NULL);
+  g_string_printf (request,
+                   "%s %s HTTP/1.1\r\nHost: test\r\nConnection: close\r\n%s"
+                   "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n%s",
+                   method, path, headers != NULL ? headers : "",
+                   body != NULL ? strlen (body) : 0, body != NULL ? body : "");
+  ssize_t sent = send (fd, request->str, request->len, MSG_NOSIGNAL);
+  gboolean sent_all = sent == (ssize_t)request->len;
+  g_string_free (request, TRUE);
+  GString *answer = read_all (fd);
+  close (fd);
+  const char *end_of_head = strstr (answer->str, "\r\n\r\n");
+  char *text = NULL;
+  if (sent_all && end_of_head != NULL)
+    {
+      if (status != NULL)
+        *status = (int)g_ascii_strtoll (answer->str + strlen ("HTTP/1.1 "), NULL, 10);
+      text = g_strdup (end_of_head + strlen ("\r\n\r\n"));
+    }
+  g_string_free (answer, TRUE);
+  return text;
+}
+
+gint64
+number_in (const char *text, const char *name)
+{
+  const char *at = text;
+  gsize length = strlen (name);
+  while (at != NULL && (at = strstr (at, name)) != NULL)
+    {
+      const char *behind = at + length;
+      gboolean starts = at == text || strchr ("\"\n", at[-1]) != NULL;
+      if (starts && (g_str_has_prefix (behind, "\":") || behind[0] == ' '))
+        return g_ascii_strtoll (behind + (behind[0] == ' ' ? 1 : 2), NULL, 10);
+      at = behind;
+    }
+  return -1;
+}
+
+gboolean
+wait_for_number (const char *address,
+                 guint16 port,
+                 const char *path,
+                 const char *name,
+                 gint64 wanted,
+                 DpUsec timeout)
+{
+  DpUsec end = g_get_monotonic_time () + timeout;
+  for (;;)
+    {
+      char *text = http_exchange ("GET", address, port, path, NULL, NULL, NULL);
+      gint64 number = text != NULL ? number_in (text, name) : -1;
+      g_free (text);
+      if (number >= wanted)
+        return TRUE;
+      if (g_get_monotonic_time () >= end)
+        return FALSE;
+      look_again_later ();
+    }
+}
--- /dev/null
+++ b/tests/test_system.c
@@ -0,0 +1,336 @@
+/* The whole system as real processes, under faults.
+ *
+ * The checker is the load client: it knows only what callers were answered and what the service
+ * counted. Its exit code is 0 if each complete answer was the right one, nothing hung, no
+ * booking ran twice, and "not_run" was true.
+ *
+ * Usage: test_system BUILD-FOLDER */
+#include "tests/system.h"
+
+#include <check.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#define ALL_VMS 7
+#define OTHER_VMS 6 /* all but VM 0 */
+#define STOP_TIMEOUT (30 * DP_USEC_PER_SEC)
+#define TEST_TIMEOUT_SECONDS 150
+
+static const char *build_folder;
+
+/* The checker's verdict, and the counts that each case states. */
+static void
+check_load (const LoadSummary *summary)
+{
+  ck_assert_msg (summary->exit_code == 0, "the checker found:\n%s", summary->text);
+}
+
+static void
+check_undisturbed (const LoadSummary *summary)
+{
+  check_load (summary);
+  ck_assert_msg (summary->broken == 0 && summary->problem == 0, "not all were served:\n%s",
+                 summary->text);
+}
+
+/* --- without faults --- */
+
+START_TEST (every_caller_gets_its_own_answer)
+{
+  static const char *const flags[] = { "--callers=40", "--requests=400", "--seconds=40", NULL };
+  System *system = system_start (build_folder);
+  LoadSummary summary = system_finish_load (system_start_load (system, ALL_VMS, flags));
+  check_undisturbed (&summary);
+  ck_assert_int_eq (summary.right, 400);
+  g_free (summary.text);
+  system_stop (system);
+}
+END_TEST
+
+START_TEST (simultaneous_duplicates_run_once)
+{
+  static const char *const flags[] = { "--callers=20",
+                                       "--requests=100",
+                                       "--booking-percent=100",
+                                       "--stream-percent=0",
+                                       "--duplicate-percent=100",
+                                       "--seconds=40",
+                                       NULL };
+  System *system = system_start (build_folder);
+  LoadSummary summary = system_finish_load (system_start_load (system, ALL_VMS, flags));
+  check_load (&summary);
+  g_free (summary.text);
+  system_stop (system);
+}
+END_TEST
+
+/* --- processes --- */
+
+static const char *const long_streams[]
+  = { "--callers=30",    "--requests=300",  "--stream-percent=90",
+      "--tokens-min=40", "--tokens-max=80", "--retries=5",
+      "--quick-retry=1", "--seconds=40",    NULL };
+
+typedef enum ProcessFault
+{
+  KILL_ENTRY,
+  KILL_SCHEDULER,
+  KILL_BOTH_OF_A_VM,
+  PAUSE_SCHEDULER,
+  PAUSE_ENTRY,
+  KILL_ENGINE,
+} ProcessFault;
+
+typedef struct ProcessCase
+{
+  const char *name;
+  ProcessFault fault;
+  guint vm;           /* or index of the engine */
+  gboolean may_break; /* callers of the killed process see a cut */
+} ProcessCase;
+
+static const ProcessCase process_cases[] = {
+  { "entry killed", KILL_ENTRY, 0, TRUE },
+  { "scheduler 0 killed", KILL_SCHEDULER, 0, FALSE },
+  { "scheduler 1 killed", KILL_SCHEDULER, 1, FALSE },
+  { "VM killed", KILL_BOTH_OF_A_VM, 2, TRUE },
+  { "scheduler 0 paused", PAUSE_SCHEDULER, 0, FALSE },
+  { "scheduler 1 paused", PAUSE_SCHEDULER, 1, FALSE },
+  { "entry paused", PAUSE_ENTRY, 0, TRUE },
+  { "engine killed", KILL_ENGINE, 0, FALSE },
+};
+
+static void
+inflict (System *system, const ProcessCase *c)
+{
+  switch (c->fault)
+    {
+    case KILL_ENTRY:
+      system_kill (&system->entries[c->vm]);
+      return;
+    case KILL_SCHEDULER:
+      system_kill (&system->schedulers[c->vm]);
+      return;
+    case KILL_BOTH_OF_A_VM:
+      system_kill (&system->entries[c->vm]);
+      system_kill (&system->schedulers[c->vm]);
+      return;
+    case PAUSE_SCHEDULER:
+      process_signal (system->schedulers[c->vm], SIGSTOP);
+      return;
+    case PAUSE_ENTRY:
+      process_signal (system->entries[c->vm], SIGSTOP);
+      return;
+    case KILL_ENGINE:
+      system_kill (&system->engines[c->vm]);
+      system_start_engine (system, c->vm);
+      return;
+    }
+}
+
+static void
+relieve (System *system, const ProcessCase *c)
+{
+  if (c->fault == PAUSE_SCHEDULER)
+    process_signal (system->schedulers[c->vm], SIGCONT);
+  if (c->fault == PAUSE_ENTRY)
+    process_signal (system->entries[c->vm], SIGCONT);
+}
+
+START_TEST (process_faults_spoil_no_answer)
+{
+  const ProcessCase *c = &process_cases[_i];
+  System *system = system_start (build_folder);
+  Load *load = system_start_load (system, ALL_VMS, long_streams);
+  system_wait_engines (system, "running", 8);
+  inflict (system, c);
+  /* The rest of the system goes on serving meanwhile. */
+  gint64 finished = system_engine_sum (system, "finished");
+  system_wait_engines (system, "finished", finished + 40);
+  relieve (system, c);
+  LoadSummary summary = system_finish_load (load);
+  ck_assert_msg (summary.exit_code == 0, "%s: the checker found:\n%s", c->name, summary.text);
+  if (!c->may_break)
+    ck_assert_msg (summary.broken == 0, "%s: answers were cut:\n%s", c->name, summary.text);
+  g_free (summary.text);
+  system_stop (system);
+}
+END_TEST
+
+START_TEST (planned_stop_cuts_nothing_off)
+{
+  static const char *const flags[]
+    = { "--callers=40",    "--requests=40",    "--stream-percent=70", "--booking-percent=0",
+        "--tokens-min=60", "--tokens-max=100", "--seconds=30",        NULL };
+  System *system = system_start (build_folder);
+  Load *load = system_start_load (system, 1, flags);
+  system_wait_engines (system, "requests", 40);
+  process_signal (system->entries[0], SIGTERM);
+  LoadSummary summary = system_finish_load (load);
+  check_undisturbed (&summary);
+  ck_assert_int_eq (summary.right, 40);
+  int status;
+  ck_assert_msg (process_wait (system->entries[0], STOP_TIMEOUT, &status),
+                 "the entry didn't stop");
+  ck_assert (WIFEXITED (status) && WEXITSTATUS (status) == 0);
+  g_free (summary.text);
+  system_stop (system);
+}
+END_TEST
+
+/* --- targets --- */
+
+typedef struct TargetCase
+{
+  const char *fault;
+  gboolean may_break; /* the caller may see a cut or a refusal */
+} TargetCase;
+
+/* The fast engine answers so; the slow one is sound. */
+static const TargetCase target_cases[] = {
+  { "{\"cut\":\"headers\"}", FALSE },
+  { "{\"cut\":\"mid_chunk\",\"cut_at_token\":0}", FALSE },
+  { "{\"cut\":\"mid_chunk\",\"cut_at_token\":5}", TRUE },
+  { "{\"cut\":\"before_end\"}", TRUE },
+  { "{\"cut\":\"no_done\"}", TRUE },
+  { "{\"cut\":\"no_last_chunk\"}", TRUE },
+  { "{\"framing\":\"short_length\"}", TRUE },
+  { "{\"framing\":\"long_length\"}", TRUE },
+  { "{\"framing\":\"close_delimited\"}", TRUE },
+  { "{\"crossed\":1}", FALSE },
+  { "{\"error_status\":500}", FALSE },
+  { "{\"silent_at_token\":3,\"times\":5}", TRUE },
+  { "{\"refuse\":1}", FALSE },
+};
+
+START_TEST (target_faults_spoil_no_answer)
+{
+  static const char *const flags[] = { "--callers=10",
+                                       "--requests=60",
+                                       "--stream-percent=60",
+                                       "--booking-percent=0",
+                                       "--tokens-min=10",
+                                       "--tokens-max=20",
+                                       "--retries=3",
+                                       "--quick-retry=1",
+                                       "--timeout=8000",
+                                       "--seconds=20",
+                                       NULL };
+  const TargetCase *c = &target_cases[_i];
+  System *system = system_start (build_folder);
+  system_set_fault (system_engine_address (system, 0), c->fault);
+  LoadSummary summary = system_finish_load (system_start_load (system, ALL_VMS, flags));
+  ck_assert_msg (summary.exit_code == 0, "%s: the checker found:\n%s", c->fault, summary.text);
+  if (!c->may_break)
+    ck_assert_msg (summary.broken == 0, "%s: answers were cut:\n%s", c->fault, summary.text);
+  g_free (summary.text);
+  system_stop (system);
+}
+END_TEST
+
+START_TEST (a_caller_that_leaves_frees_the_engine)
+{
+  static const char *const flags[]
+    = { "--callers=10",      "--requests=10",     "--stream-percent=100", "--booking-percent=0",
+        "--tokens-min=2000", "--tokens-max=2000", "--seconds=60",         NULL };
+  System *system = system_start (build_folder);
+  Load *load = system_start_load (system, ALL_VMS, flags);
+  system_wait_engines (system, "running", 10);
+  system_kill (&load->process);
+  /* DELETE or a closed connection: either frees it. */
+  for (guint i = 0; i < SYSTEM_ENGINES; i++)
+    ck_assert (wait_for_number (system_engine_address (system, i), SYSTEM_CONTROL_PORT,
+                                "/stats", "requests", 0, STOP_TIMEOUT));
+  DpUsec end = g_get_monotonic_time () + STOP_TIMEOUT;
+  while (system_engine_sum (system, "running") > 0 && g_get_monotonic_time () < end)
+    continue;
+  ck_assert_int_eq (system_engine_sum (system, "running"), 0);
+  ck_assert_int_eq (system_engine_sum (system, "finished"), 0);
+  g_free (load->out_path);
+  g_free (load);
+  system_stop (system);
+}
+END_TEST
+
+/* --- bookings --- */
+
+typedef struct BookingCase
+{
+  const char *platform_fault; /* NULL: none */
+  const char *service_fault;  /* NULL: none */
+} BookingCase;
+
+static const BookingCase booking_cases[] = {
+  { "{\"unavailable\":1}", NULL },      { "{\"refuse\":1}", NULL },
+  { "{\"silent\":1}", NULL },           { "{\"lose_percent\":40}", NULL },
+  { "{\"late_write_ms\":200}", NULL },  { "{\"slow_ms\":300}", NULL },
+  { "{\"stale_percent\":30}", NULL },   { NULL, "{\"cut_before\":1}" },
+  { NULL, "{\"cut_after\":1}" },        { NULL, "{\"error_after\":500}" },
+  { NULL, "{\"error_before\":500}" },   { NULL, "{\"silent_after\":1}" },
+  { NULL, "{\"delay_after_ms\":400}" }, { "{\"lose_percent\":30}", "{\"cut_after\":1}" },
+};
+
+/* The fault holds while the first bookings are tried and is then lifted. */
+START_TEST (bookings_run_at_most_once)
+{
+  static const char *const flags[] = { "--callers=12",           "--requests=60",
+                                       "--stream-percent=0",     "--booking-percent=100",
+                                       "--duplicate-percent=30", "--retries=4",
+                                       "--quick-retry=1",        "--timeout=3000",
+                                       "--seconds=15",           NULL };
+  static const char *const sound_flags[]
+    = { "--callers=12", "--requests=30", "--stream-percent=0", "--booking-percent=100",
+        "--retries=4",  "--seed=2",      "--seconds=15",       NULL };
+  const BookingCase *c = &booking_cases[_i];
+  System *system = system_start (build_folder);
+  const char *name = c->platform_fault != NULL ? c->platform_fault : c->service_fault;
+  if (c->platform_fault != NULL)
+    system_set_fault (system_platform_address (system), c->platform_fault);
+  if (c->service_fault != NULL)
+    system_set_fault (system_service_address (system), c->service_fault);
+  LoadSummary summary = system_finish_load (system_start_load (system, ALL_VMS, flags));
+  ck_assert_msg (strstr (summary.text, "violations=0") != NULL && summary.wrong == 0
+                   && summary.stuck == 0,
+                 "%s: the checker found:\n%s", name, summary.text);
+  g_free (summary.text);
+  system_set_fault (system_platform_address (system), "{}");
+  system_set_fault (system_service_address (system), "{}");
+  summary = system_finish_load (system_start_load (system, ALL_VMS, sound_flags));
+  ck_assert_msg (summary.exit_code == 0 && summary.right == 30,
+                 "after %s: the checker found:\n%s", name, summary.text);
+  g_free (summary.text);
+  system_stop (system);
+}
+END_TEST
+
+static Suite *
+make_suite (void)
+{
+  Suite *suite = suite_create ("system");
+  TCase *tcase = tcase_create ("system");
+  tcase_set_timeout (tcase, TEST_TIMEOUT_SECONDS);
+  tcase_add_test (tcase, every_caller_gets_its_own_answer);
+  tcase_add_test (tcase, simultaneous_duplicates_run_once);
+  tcase_add_loop_test (tcase, process_faults_spoil_no_answer, 0, G_N_ELEMENTS (process_cases));
+  tcase_add_test (tcase, planned_stop_cuts_nothing_off);
+  tcase_add_loop_test (tcase, target_faults_spoil_no_answer, 0, G_N_ELEMENTS (target_cases));
+  tcase_add_test (tcase, a_caller_that_leaves_frees_the_engine);
+  tcase_add_loop_test (tcase, bookings_run_at_most_once, 0, G_N_ELEMENTS (booking_cases));
+  suite_add_tcase (suite, tcase);
+  return suite;
+}
+
+int
+main (int argc, char **argv)
+{
+  if (argc != 2)
+    return EXIT_FAILURE;
+  build_folder = argv[1];
+  SRunner *runner = srunner_create (make_suite ());
+  srunner_run_all (runner, CK_ENV);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
