core: round robin and two choices as baselines

Each entry alone: no queue, no tiers, no windows; two choices take the lower of stale reported load plus what was sent since.

--- a/core/scheduler.c
+++ b/core/scheduler.c
@@ -68,6 +68,8 @@
         continue;
       dp_owners_tick (board, group);
       dp_targets_poll (board, group);
+      if (board->options.policy != DP_POLICY_TIER_QUEUE)
+        continue;
       dp_health_tick (board, group);
       dp_grants_expire (board, group);
       dp_grants_fill (board, group);
--- a/core/scheduler_board.h
+++ b/core/scheduler_board.h
@@ -154,9 +154,11 @@
   /* last report */
   DpUsec next_poll;
   guint64 boot;
-  guint excess;           /* requests that are not by our grants, by the last report */
-  guint excess_before;    /* and by the one before */
-  guint64 cache_sequence; /* of the next event */
+  guint reported_load;     /* running and waiting */
+  guint sent_since_report; /* baselines only */
+  guint excess;            /* requests that are not by our grants, by the last report */
+  guint excess_before;     /* and by the one before */
+  guint64 cache_sequence;  /* of the next event */
   /* prefix cache */
   guint place;              /* in its group */
   GHashTable *cached;       /* blocks */
@@ -396,6 +398,10 @@
 /* The cheapest victim of the lowest tier that runs below `tier`, or NULL. */
 DpGrant *dp_preempt_lowest_running (DpSchedulerBoard *board, DpGroupState *group, guint tier);
 
+/* scheduler_baseline.c: policies to measure against */
+DpTargetState *
+dp_baseline_choose (DpSchedulerBoard *board, DpGroupState *group, const DpGrant *grant);
+
 /* scheduler_owners.c: ownership, entries' reports, adverts */
 void dp_owners_apply_view (DpSchedulerBoard *board, DpView *view);
 void dp_owners_activate (DpSchedulerBoard *board, DpGroupState *group);
--- a/core/scheduler_grants.c
+++ b/core/scheduler_grants.c
@@ -213,6 +213,23 @@
   return FALSE;
 }
 
+/* Baselines send at once or refuse. */
+static void
+place_ask_alone (DpSchedulerBoard *board,
+                 DpGroupState *group,
+                 DpGrant *grant,
+                 const DpGrantAsk *ask)
+{
+  DpTargetState *target = dp_baseline_choose (board, group, grant);
+  if (target != NULL)
+    {
+      give (board, group, grant, target);
+      return;
+    }
+  refuse (board, grant->entry, ask, DP_REASON_NO_TARGET, RETRY_AFTER_MIN_USEC);
+  drop_grant (board, grant);
+}
+
 static void
 place_ask (DpSchedulerBoard *board, DpGroupState *group, DpGrant *grant, const DpGrantAsk *ask)
 {
@@ -334,7 +351,9 @@
   dp_owners_entry (board, entry)->last_seen = board->now;
   dp_owners_activate (board, group);
   DpGrant *known = dp_grants_find (board, ask->attempt);
-  if (known == NULL)
+  if (known == NULL && board->options.policy != DP_POLICY_TIER_QUEUE)
+    place_ask_alone (board, group, add_ask (board, group, entry, ask), ask);
+  else if (known == NULL)
     place_ask (board, group, add_ask (board, group, entry, ask), ask);
   else if (known->state == DP_GRANT_RUNNING)
     send_given (board, group, known);
--- a/core/scheduler_health.c
+++ b/core/scheduler_health.c
@@ -143,7 +143,8 @@
 static void
 set_slow (DpSchedulerBoard *board, DpGroupState *group, DpTargetState *target)
 {
-  if (target->health != DP_HEALTH_GOOD || !may_set_aside (board, group))
+  if (target->health != DP_HEALTH_GOOD || !may_set_aside (board, group)
+      || board->options.policy != DP_POLICY_TIER_QUEUE)
     return;
   set_aside (board, target, DP_HEALTH_SLOW);
   target->probe_at = board->now;
--- a/core/scheduler_owners.c
+++ b/core/scheduler_owners.c
@@ -150,7 +150,9 @@
     {
       DpGroupState *group = dp_table_get (board->groups, at);
       gboolean was_first = group->is_first;
-      group->is_first = group->present && first_owner (board, group) == board->options.vm;
+      gboolean first = board->options.policy != DP_POLICY_TIER_QUEUE
+                       || first_owner (board, group) == board->options.vm;
+      group->is_first = group->present && first;
       if (group->is_first)
         dp_owners_activate (board, group);
       else if (was_first)
--- a/core/scheduler_targets.c
+++ b/core/scheduler_targets.c
@@ -166,6 +166,8 @@
     }
   target->boot = load->boot;
   guint reported = load->running + load->waiting;
+  target->reported_load = reported;
+  target->sent_since_report = 0;
   target->excess_before = target->excess;
   target->excess = reported > target->grants->len ? reported - target->grants->len : 0;
   dp_prefix_events (group, target, load);
