--- a/core/view.h
+++ b/core/view.h
@@ -24,7 +24,7 @@
   char text[64];    /* name */
   char address[46]; /* IP number */
   DpVmState state;
-  guint64 incarnation; /* rises with each start of the VM's entry; 0: not known yet */
+  guint64 incarnation;  /* rises with each start of the VM's entry; 0: not known yet */
   guint64 announcement; /* rises with each announcement of the VM's own agent; orders news */
 } DpVm;
 
