--- /dev/null
+++ b/agent/shell.c
@@ -0,0 +1,327 @@
+#include "agent/shell.h"
+
+#include "common/log.h"
+#include "core/agent.h"
+#include "platform/client.h"
+
+/* More calls at once than the core ever has open. */
+#define PLATFORM_IN_FLIGHT DP_AGENT_CALL_COUNT
+#define PLATFORM_QUEUE (2 * DP_AGENT_CALL_COUNT)
+#define PLATFORM_BACKOFF_MIN (200 * DP_USEC_PER_MSEC)
+#define PLATFORM_BACKOFF_MAX (2 * DP_USEC_PER_SEC)
+
+typedef struct Shell Shell;
+
+/* Whom a platform reply belongs to. */
+typedef struct CallSlot
+{
+  Shell *shell;
+  DpAgentCall call;
+} CallSlot;
+
+struct Shell
+{
+  const DpAgentSettings *settings;
+  DpProcess *process;
+  DpAgentBoard *board;
+  DpPlatformClient *platform;
+  CallSlot slots[DP_AGENT_CALL_COUNT];
+  guint64 peers_version; /* of the view that the bus uses */
+};
+
+const DpSetting dp_agent_settings[] = {
+  DP_PROCESS_COMMON_SETTINGS (DpAgentSettings, process, 7083),
+  {
+    .name = "peer",
+    .type = DP_SETTING_TEXTS,
+    .offset = G_STRUCT_OFFSET (DpAgentSettings, process.vms),
+    .argument = "NAME=IP=DC",
+    .help = "a VM to ask while the platform is away; repeatable",
+  },
+  DP_TEXT_SETTING ("platform_address",
+                   DpAgentSettings,
+                   platform_address,
+                   "IP",
+                   "IP number of the platform",
+                   TRUE),
+  DP_PORT_SETTING (
+    "platform_port", DpAgentSettings, platform_port, "port of the platform (80)", 80),
+  DP_NUMBER_SETTING ("platform_calls_per_second",
+                     DpAgentSettings,
+                     platform_calls_per_second,
+                     "N",
+                     "budget of calls to the platform (10)",
+                     1,
+                     1000,
+                     10),
+  DP_NUMBER_SETTING ("platform_timeout_ms",
+                     DpAgentSettings,
+                     platform_timeout_ms,
+                     "MS",
+                     "a call without an answer for so long has failed (1500)",
+                     10,
+                     60000,
+                     1500),
+};
+
+const guint dp_agent_setting_count = G_N_ELEMENTS (dp_agent_settings);
+
+static void handle (Shell *shell, DpAgentEvent *event);
+
+/* --- the platform --- */
+
+static DpAgentResult
+to_agent_result (DpPlatformResult result)
+{
+  switch (result)
+    {
+    case DP_PLATFORM_OK:
+      return DP_AGENT_OK;
+    case DP_PLATFORM_UNCHANGED:
+      return DP_AGENT_UNCHANGED;
+    case DP_PLATFORM_NOT_FOUND:
+      return DP_AGENT_NOT_FOUND;
+    case DP_PLATFORM_CONFLICT:
+      return DP_AGENT_CONFLICT;
+    case DP_PLATFORM_UNAVAILABLE:
+      return DP_AGENT_UNAVAILABLE;
+    case DP_PLATFORM_LOST:
+      return DP_AGENT_LOST;
+    default:
+      return DP_AGENT_BROKEN;
+    }
+}
+
+static DpPlatformCallType
+to_platform_type (DpAgentCallType type)
+{
+  switch (type)
+    {
+    case DP_AGENT_WATCH:
+      return DP_PLATFORM_WATCH;
+    case DP_AGENT_WRITE:
+      return DP_PLATFORM_WRITE;
+    default:
+      return DP_PLATFORM_READ;
+    }
+}
+
+static void
+on_platform_reply (const DpPlatformReply *reply, gpointer data)
+{
+  const CallSlot *slot = data;
+  DpAgentEvent event = { .type = DP_AGENT_EVENT_PLATFORM };
+  event.reply.call = slot->call;
+  event.reply.result = to_agent_result (reply->result);
+  event.reply.version = reply->version;
+  event.reply.value = reply->value;
+  handle (slot->shell, &event);
+}
+
+static void
+call_platform (Shell *shell, const DpAgentPlatformCall *action)
+{
+  DpPlatformCall call = { .type = to_platform_type (action->type),
+                          .path = action->path,
+                          .version = action->version,
+                          .watch_time = action->watch_time };
+  if (action->value != NULL)
+    call.value = g_bytes_get_data (action->value, &call.length);
+  dp_platform_client_call (shell->platform, &call, on_platform_reply,
+                           &shell->slots[action->call]);
+}
+
+/* --- actions --- */
+
+static void
+write_log (const DpAgentLog *log)
+{
+  char revision[24];
+  char digest[24];
+  char other[24];
+  g_snprintf (revision, sizeof revision, "%" G_GUINT64_FORMAT, log->revision);
+  g_snprintf (digest, sizeof digest, "%016" G_GINT64_MODIFIER "x", log->digest);
+  g_snprintf (other, sizeof other, "%016" G_GINT64_MODIFIER "x", log->other_digest);
+  dp_log (log->warning ? DP_LOG_WARNING : DP_LOG_NOTICE, log->event, "revision",
+          log->revision != 0 ? revision : NULL, "digest", log->revision != 0 ? digest : NULL,
+          "other_digest", log->other_digest != 0 ? other : NULL, "detail", log->detail, NULL);
+}
+
+static void
+carry_out (Shell *shell, const DpAgentAction *action)
+{
+  switch (action->type)
+    {
+    case DP_AGENT_ACTION_SEND:
+      dp_process_send (shell->process, action->to, &action->message);
+      break;
+    case DP_AGENT_ACTION_PLATFORM:
+      call_platform (shell, &action->platform);
+      break;
+    case DP_AGENT_ACTION_LOG:
+      write_log (&action->log);
+      break;
+    case DP_AGENT_ACTION_EXIT:
+      dp_process_quit (shell->process);
+      break;
+    }
+}
+
+/* Peers must be known to the bus before a message to them is sent. */
+static void
+update_peers (Shell *shell)
+{
+  DpView *view = dp_agent_probe_view (shell->board);
+  if (view->version == shell->peers_version)
+    return;
+  shell->peers_version = view->version;
+  dp_process_set_peers (shell->process, view);
+  dp_counters_set (dp_process_counters (shell->process), "dogwoodplank_view_version", NULL,
+                   NULL, view->version);
+}
+
+static void
+show_state (Shell *shell)
+{
+  DpCounters *counters = dp_process_counters (shell->process);
+  const DpManifest *manifest = dp_agent_manifest (shell->board);
+  dp_counters_set (counters, "dogwoodplank_manifest_revision", NULL, NULL,
+                   manifest != NULL ? manifest->revision : 0);
+  dp_counters_set (counters, "dogwoodplank_agent_watches_platform", NULL, NULL,
+                   dp_agent_is_watcher (shell->board) ? 1 : 0);
+}
+
+static void
+handle (Shell *shell, DpAgentEvent *event)
+{
+  event->now = dp_process_now ();
+  GArray *actions = dp_agent_actions_new ();
+  dp_agent_handle (shell->board, event, actions);
+  update_peers (shell);
+  for (guint i = 0; i < actions->len; i++)
+    carry_out (shell, &g_array_index (actions, DpAgentAction, i));
+  g_array_unref (actions);
+}
+
+/* --- events --- */
+
+static void
+on_message (gpointer user, DpPeer from, const DpMessage *message)
+{
+  DpAgentEvent event = { .type = DP_AGENT_EVENT_MESSAGE };
+  event.from = from;
+  event.message = message;
+  handle (user, &event);
+}
+
+static void
+on_tick (gpointer user)
+{
+  handle (user, &(DpAgentEvent){ .type = DP_AGENT_EVENT_TICK });
+  show_state (user);
+}
+
+static void
+on_stop (gpointer user)
+{
+  handle (user, &(DpAgentEvent){ .type = DP_AGENT_EVENT_STOP });
+}
+
+static void
+on_status (gpointer user, struct json_object *status)
+{
+  const Shell *shell = user;
+  const DpManifest *manifest = dp_agent_manifest (shell->board);
+  json_object_object_add (status, "manifest_revision",
+                          json_object_new_uint64 (manifest != NULL ? manifest->revision : 0));
+  char *text = dp_agent_format_status (shell->board);
+  json_object_object_add (status, "agent", json_tokener_parse (text));
+  g_free (text);
+}
+
+static const DpProcessCallbacks callbacks = {
+  .message = on_message,
+  .tick = on_tick,
+  .status = on_status,
+  .stop = on_stop,
+};
+
+/* --- start and end --- */
+
+static GArray *
+parse_peers (const DpAgentSettings *settings, DpFindings *findings)
+{
+  GArray *peers = g_array_new (FALSE, TRUE, sizeof (DpVm));
+  for (guint i = 0; i < settings->process.vms->len; i++)
+    {
+      DpVm peer;
+      if (dp_process_parse_vm (g_ptr_array_index (settings->process.vms, i), &peer, findings))
+        g_array_append_val (peers, peer);
+    }
+  return peers;
+}
+
+static void
+start_board (Shell *shell, const GArray *peers)
+{
+  const DpProcessSettings *settings = &shell->settings->process;
+  DpAgentOptions options = { .start = dp_process_incarnation (shell->process),
+                             .seed = dp_process_random (),
+                             .peers = (const DpVm *)(const void *)peers->data,
+                             .peer_count = peers->len,
+                             .counters = dp_process_counters (shell->process) };
+  options.self.name = dp_name (settings->name);
+  options.self.data_centre = dp_name (settings->data_centre);
+  g_strlcpy (options.self.text, settings->name, sizeof options.self.text);
+  g_strlcpy (options.self.address, settings->address, sizeof options.self.address);
+  g_strlcpy (options.data_centre, settings->data_centre, sizeof options.data_centre);
+  shell->board = dp_agent_board_new (&options);
+}
+
+static void
+start_platform (Shell *shell)
+{
+  const DpAgentSettings *settings = shell->settings;
+  shell->platform = dp_platform_client_new (&(DpPlatformOptions){
+    .base = dp_process_base (shell->process),
+    .address = settings->platform_address,
+    .port = settings->platform_port,
+    .calls_per_second = settings->platform_calls_per_second,
+    .burst = settings->platform_calls_per_second,
+    .in_flight_max = PLATFORM_IN_FLIGHT,
+    .queue_max = PLATFORM_QUEUE,
+    .timeout = settings->platform_timeout_ms * DP_USEC_PER_MSEC,
+    .backoff_min = PLATFORM_BACKOFF_MIN,
+    .backoff_max = PLATFORM_BACKOFF_MAX,
+    .seed = dp_process_random (),
+    .counters = dp_process_counters (shell->process),
+  });
+  for (guint call = 0; call < DP_AGENT_CALL_COUNT; call++)
+    shell->slots[call] = (CallSlot){ .shell = shell, .call = call };
+}
+
+gboolean
+dp_agent_run (const DpAgentSettings *settings, DpFindings *findings)
+{
+  Shell shell = { .settings = settings };
+  GArray *peers = parse_peers (settings, findings);
+  const DpProcessOptions options = { .program = "dogwoodplank-agent",
+                                     .role = DP_ROLE_AGENT,
+                                     .settings = &settings->process,
+                                     .callbacks = &callbacks,
+                                     .user = &shell };
+  if (dp_findings_count (findings) == 0)
+    shell.process = dp_process_new (&options, findings);
+  gboolean ok = shell.process != NULL;
+  if (ok)
+    {
+      start_board (&shell, peers);
+      start_platform (&shell);
+      dp_process_run (shell.process);
+      dp_platform_client_unref (shell.platform);
+      dp_agent_board_unref (shell.board);
+    }
+  dp_process_free (shell.process);
+  g_array_unref (peers);
+  return ok;
+}
--- a/entry/shell.c
+++ b/entry/shell.c
@@ -269,13 +269,6 @@
   quit_if_done (shell);
 }
 
-static guint
-on_open_requests (gpointer user)
-{
-  const Shell *shell = user;
-  return dp_entry_open_requests (shell->board);
-}
-
 static void
 on_status (gpointer user, struct json_object *status)
 {
@@ -286,6 +279,13 @@
                           json_object_new_uint64 (dp_attempts_count (shell->attempts)));
 }
 
+static guint
+on_open_requests (gpointer user)
+{
+  const Shell *shell = user;
+  return dp_entry_open_requests (shell->board);
+}
+
 static void
 on_stop (gpointer user)
 {
@@ -298,8 +298,8 @@
                                               .view = on_view,
                                               .message = on_message,
                                               .tick = on_tick,
-                                              .open_requests = on_open_requests,
                                               .status = on_status,
+                                              .open_requests = on_open_requests,
                                               .stop = on_stop };
 
 /* --- start and end --- */
@@ -331,22 +331,9 @@
         .handler = on_attempt_event,
         .user = shell };
   shell->attempts = dp_attempts_new (&options);
-}
-
-static void
-start_store (Shell *shell)
-{
-  const DpEntrySettings *settings = shell->settings;
-  const DpClaimStoreOptions options
-    = { .base = dp_process_base (shell->process),
-        .address = settings->platform_address,
-        .port = settings->platform_port,
-        .calls_per_second = settings->platform_calls_per_second,
-        .timeout = settings->platform_timeout_ms * DP_USEC_PER_MSEC,
-        .counters = dp_process_counters (shell->process),
-        .callback = on_claim_reply,
-        .user = shell };
-  shell->store = dp_claim_store_new (&options);
+  const DpClaimStoreOptions store_options
+    = { .base = dp_process_base (shell->process), .callback = on_claim_reply, .user = shell };
+  shell->store = dp_claim_store_new (&store_options);
 }
 
 static void
@@ -405,7 +392,6 @@
   shell.callers = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_caller);
   start_board (&shell);
   start_targets (&shell);
-  start_store (&shell);
   start_server (&shell, findings);
   gboolean ok = shell.server != NULL && dp_process_load_static (shell.process, findings);
   if (ok)
--- a/net/process.c
+++ b/net/process.c
@@ -168,6 +168,11 @@
 {
   DpProcess *process = user;
   gboolean of_agent = from.vm == process->self.vm && from.role == DP_ROLE_AGENT;
+  if (process->self.role == DP_ROLE_AGENT)
+    {
+      process->callbacks->message (process->user, from, message);
+      return;
+    }
   switch (message->type)
     {
     case DP_MESSAGE_MANIFEST:
@@ -184,9 +189,8 @@
     }
 }
 
-/* Parses "NAME=IP=DATACENTRE". */
-static gboolean
-parse_vm (const char *text, DpVm *vm, DpFindings *findings)
+gboolean
+dp_process_parse_vm (const char *text, DpVm *vm, DpFindings *findings)
 {
   char **parts = g_strsplit (text, "=", 3);
   struct in6_addr scratch;
@@ -214,7 +218,7 @@
   for (guint i = 0; i < rows->len; i++)
     {
       DpVm vm;
-      if (parse_vm (g_ptr_array_index (rows, i), &vm, findings))
+      if (dp_process_parse_vm (g_ptr_array_index (rows, i), &vm, findings))
         g_array_append_val (vms, vm);
     }
   if (dp_findings_count (findings) == 0)
@@ -326,7 +330,7 @@
 static void
 send_hello (DpProcess *process)
 {
-  if (is_static (process))
+  if (is_static (process) || process->self.role == DP_ROLE_AGENT)
     return;
   DpMessage message = { .type = DP_MESSAGE_HELLO };
   message.hello.role = process->self.role;
@@ -532,6 +536,12 @@
   return process->manifest;
 }
 
+void
+dp_process_set_peers (DpProcess *process, DpView *view)
+{
+  dp_bus_set_view (process->bus, view);
+}
+
 void
 dp_process_send (DpProcess *process, DpPeer to, const DpMessage *message)
 {
--- a/net/process.h
+++ b/net/process.h
@@ -1,4 +1,4 @@
-/* What entry and scheduler have in common: loop, bus, the manifest and view in force, ticks,
+/* What the programs have in common: loop, bus, the manifest and view in force, ticks,
  * the operators' listener, signals.
  *
  * Manifest and view come from the VM's agent, which gets a HELLO each second; or, for a static
@@ -28,7 +28,7 @@
   guint log_level;
   /* static set-up */
   char *manifest;
-  GPtrArray *vms; /* "NAME=IP=DATACENTRE" */
+  GPtrArray *vms; /* "NAME=IP=DATACENTRE"; of an agent: peers to ask */
 } DpProcessSettings;
 
 #define DP_PORT_SETTING(member, Type, field, text, port)                                       \
@@ -51,8 +51,8 @@
     .default_number = number                                                                   \
   }
 
-/* Rows of an option table for the DpProcessSettings at `field` of Type. */
-#define DP_PROCESS_SETTINGS(Type, field, default_operator_port)                                \
+/* Rows of an option table for the DpProcessSettings at `field` of Type: of all programs. */
+#define DP_PROCESS_COMMON_SETTINGS(Type, field, default_operator_port)                         \
   DP_TEXT_SETTING ("name", Type, field.name, "NAME", "name of this VM", TRUE),                 \
     DP_TEXT_SETTING ("address", Type, field.address, "IP", "IP number of this VM", TRUE),      \
     DP_TEXT_SETTING ("data_centre", Type, field.data_centre, "NAME", "data centre of this VM", \
@@ -66,7 +66,11 @@
     DP_PORT_SETTING ("operator_port", Type, field.operator_port,                               \
                      "port of /metrics and /status", default_operator_port),                   \
     DP_NUMBER_SETTING ("log_level", Type, field.log_level, "N",                                \
-                       "least severe syslog level that is logged (6)", 3, 7, 6),               \
+                       "least severe syslog level that is logged (6)", 3, 7, 6)
+
+/* Further rows of those that follow an agent. */
+#define DP_PROCESS_SETTINGS(Type, field, default_operator_port)                                \
+  DP_PROCESS_COMMON_SETTINGS (Type, field, default_operator_port),                             \
     DP_TEXT_SETTING ("manifest", Type, field.manifest, "FILE",                                 \
                      "use this manifest instead of the agent's", FALSE),                       \
   {                                                                                            \
@@ -83,10 +87,10 @@
   void (*view) (gpointer user, DpView *view);
   void (*message) (gpointer user, DpPeer from, const DpMessage *message);
   void (*tick) (gpointer user);
-  /* Open requests, for the agent; may be NULL. */
-  guint (*open_requests) (gpointer user);
   /* Adds members to /status. */
   void (*status) (gpointer user, struct json_object *status);
+  /* Requests that must end before this VM may go; NULL: there are none of its own. */
+  guint (*open_requests) (gpointer user);
   /* SIGTERM, once: finish what is open, then call dp_process_quit(). */
   void (*stop) (gpointer user);
 } DpProcessCallbacks;
@@ -118,6 +122,12 @@
 /* In force; NULL if there is none yet. */
 DpManifest *dp_process_manifest (const DpProcess *process);
 
+/* Parses "NAME=IP=DATACENTRE"; FALSE with a finding. */
+gboolean dp_process_parse_vm (const char *text, DpVm *vm, DpFindings *findings);
+
+/* Agents only: reaches peers at the addresses of this view from now on. */
+void dp_process_set_peers (DpProcess *process, DpView *view);
+
 void dp_process_send (DpProcess *process, DpPeer to, const DpMessage *message);
 
 /* Unpredictable; for seeds. */
