--- a/agent/shell.c
+++ b/agent/shell.c
@@ -45,7 +45,7 @@
                    "IP number of the platform",
                    TRUE),
   DP_PORT_SETTING (
-    "platform_port", DpAgentSettings, platform_port, "port of the platform (80)", 80),
+    "platform_port", DpAgentSettings, platform_port, "port of the platform (7070)", 7070),
   DP_NUMBER_SETTING ("platform_calls_per_second",
                      DpAgentSettings,
                      platform_calls_per_second,
