entry: tests of texts at the doors; strict JSON bodies

Cause: json-c's strict mode takes NaN, repeated keys and keys in single quotes; the engine might read such a body in another way than the entry did. Bodies go through the manifest's scan too, which now also reports keys in single quotes. Seen red first: NaN and single quotes were accepted.

Tests: entry_shell, scheduler_shell.

--- a/entry/chat.c
+++ b/entry/chat.c
@@ -1,5 +1,6 @@
 #include "entry/chat.h"
 
+#include "manifest/json_scan.h"
 #include "net/sse.h"
 
 #include <string.h>
@@ -23,6 +24,24 @@
   return root;
 }
 
+static void
+note_problem (const char *path, guint line, const char *problem, gpointer data)
+{
+  *(gboolean *)data = TRUE;
+}
+
+/* For what json-c lets pass: repeated keys, NaN, control characters, single quotes. The engine
+ * might read such a text in another way. */
+static gboolean
+is_strict_json (const char *text, gsize length)
+{
+  gboolean has_problem = FALSE;
+  const DpJsonScanOptions options
+    = { .text = text, .length = length, .on_problem = note_problem, .data = &has_problem };
+  dp_json_scan (&options);
+  return !has_problem;
+}
+
 /* The member if it has that type, else NULL. */
 static struct json_object *
 get_member (struct json_object *object, const char *name, enum json_type type)
@@ -111,7 +130,8 @@
   DpChatRequest *request = g_new0 (DpChatRequest, 1);
   request->root = parse_json (text, length, REQUEST_DEPTH_MAX);
   *problem = NULL;
-  if (request->root == NULL || !json_object_is_type (request->root, json_type_object))
+  if (request->root == NULL || !json_object_is_type (request->root, json_type_object)
+      || !is_strict_json (text, length))
     *problem = "the body is not a JSON object";
   else if (!read_options (request))
     *problem = "\"stream\" must be true or false";
--- a/manifest/json_scan.c
+++ b/manifest/json_scan.c
@@ -132,6 +132,9 @@
         advance (scanner);
       skip_space (scanner);
     }
+  /* json-c takes keys in single quotes also where it is told to be strict. */
+  if (peek (scanner) != '}')
+    report_problem (scanner, "has a key that is not in double quotes");
   advance (scanner);
   g_hash_table_unref (keys);
 }
