net: send answers to callers at once; tests: loopback addresses of their own

The first token reached callers 40 ms late: the head and the first event are separate small writes, and without TCP_NODELAY the second waits for the caller's delayed acknowledgement. Ruled out: the engine (0.3 ms direct) and the entry (3 to 8 ms by its log). Tests on fixed ports collided with another run on the same machine (net_http, seen red once): each test process now has loopback addresses of its own.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -5,7 +5,10 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /* evhttp answers larger bodies itself, with a page of its own. */
 #define BODY_SLACK 2
@@ -226,11 +229,23 @@
   evbuffer_free (body);
 }
 
+/* An answer's head and its first event are separate small writes: without this the second waits
+ * for the caller's delayed acknowledgement. */
+static void
+send_at_once (struct evhttp_request *request)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (request);
+  int fd = bufferevent_getfd (evhttp_connection_get_bufferevent (connection));
+  int on = 1;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
 static void
 on_request (struct evhttp_request *request, void *user)
 {
   DpHttpServer *server = user;
   count (server, "dogwoodplank_http_requests_total");
+  send_at_once (request);
   struct evbuffer *input = evhttp_request_get_input_buffer (request);
   if (evbuffer_get_length (input) > server->options.body_max)
     {
--- a/tests/test_entry_shell.c
+++ b/tests/test_entry_shell.c
@@ -1,6 +1,7 @@
 /* Texts that the entry reads and writes: chat bodies, stream events, whole answers. */
 #include "entry/chat.h"
 #include "entry/request.h"
+#include "tests/loopback.h"
 
 #include <arpa/inet.h>
 #include <check.h>
@@ -9,7 +10,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#define ADDRESS "127.0.1.61"
+#define ADDRESS test_loopback (61)
 #define PORT 17280
 #define PATIENCE_SECONDS 20
 
--- a/tests/test_net_bus.c
+++ b/tests/test_net_bus.c
@@ -1,6 +1,7 @@
 /* Processes that talk over ZeroMQ on loopback addresses. */
 #include "net/bus.h"
 #include "net/codec.h"
+#include "tests/loopback.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -9,6 +10,8 @@
 #define PORT_ENTRY 17091
 #define PORT_SCHEDULER 17092
 #define PORT_AGENT 17093
+#define ADDRESS_A test_loopback (11)
+#define ADDRESS_B test_loopback (12)
 /* An event that has not come by then never will. */
 #define PATIENCE_SECONDS 20
 
@@ -69,8 +72,10 @@
 static DpView *
 make_view (guint count)
 {
-  DpVm vms[2] = { { .name = dp_name ("a"), .text = "a", .address = "127.0.1.11" },
-                  { .name = dp_name ("b"), .text = "b", .address = "127.0.1.12" } };
+  DpVm vms[2]
+    = { { .name = dp_name ("a"), .text = "a" }, { .name = dp_name ("b"), .text = "b" } };
+  g_strlcpy (vms[0].address, ADDRESS_A, sizeof vms[0].address);
+  g_strlcpy (vms[1].address, ADDRESS_B, sizeof vms[1].address);
   return dp_view_new (1, vms, count);
 }
 
@@ -114,10 +119,10 @@
 START_TEST (messages_arrive_in_order_from_the_first_on)
 {
   struct event_base *base = event_base_new ();
-  Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
-  Node b = make_node (base, "b", DP_ROLE_SCHEDULER, "127.0.1.12");
-  ck_assert (start_node (&a, "127.0.1.11", NULL));
-  ck_assert (start_node (&b, "127.0.1.12", NULL));
+  Node a = make_node (base, "a", DP_ROLE_ENTRY, ADDRESS_A);
+  Node b = make_node (base, "b", DP_ROLE_SCHEDULER, ADDRESS_B);
+  ck_assert (start_node (&a, ADDRESS_A, NULL));
+  ck_assert (start_node (&b, ADDRESS_B, NULL));
   DpView *view = make_view (2);
   dp_bus_set_view (a.bus, view);
   /* The first goes out before the link is up. */
@@ -142,10 +147,10 @@
 START_TEST (own_vm_is_reached_without_a_view)
 {
   struct event_base *base = event_base_new ();
-  Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
-  Node agent = make_node (base, "a", DP_ROLE_AGENT, "127.0.1.11");
-  ck_assert (start_node (&a, "127.0.1.11", NULL));
-  ck_assert (start_node (&agent, "127.0.1.11", NULL));
+  Node a = make_node (base, "a", DP_ROLE_ENTRY, ADDRESS_A);
+  Node agent = make_node (base, "a", DP_ROLE_AGENT, ADDRESS_A);
+  ck_assert (start_node (&a, ADDRESS_A, NULL));
+  ck_assert (start_node (&agent, ADDRESS_A, NULL));
   agent.expected = 1;
   send_revision (&a, agent.self, 1);
   run (base);
@@ -159,14 +164,14 @@
 START_TEST (a_peer_that_starts_late_is_reached)
 {
   struct event_base *base = event_base_new ();
-  Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
-  Node b = make_node (base, "b", DP_ROLE_SCHEDULER, "127.0.1.12");
-  ck_assert (start_node (&a, "127.0.1.11", NULL));
+  Node a = make_node (base, "a", DP_ROLE_ENTRY, ADDRESS_A);
+  Node b = make_node (base, "b", DP_ROLE_SCHEDULER, ADDRESS_B);
+  ck_assert (start_node (&a, ADDRESS_A, NULL));
   DpView *view = make_view (2);
   dp_bus_set_view (a.bus, view);
   send_revision (&a, b.self, 1);
   event_base_loop (base, EVLOOP_NONBLOCK);
-  ck_assert (start_node (&b, "127.0.1.12", NULL));
+  ck_assert (start_node (&b, ADDRESS_B, NULL));
   b.expected = 1;
   run (base);
   ck_assert_uint_eq (b.received, 1);
@@ -180,8 +185,8 @@
 START_TEST (unknown_and_removed_peers_are_counted)
 {
   struct event_base *base = event_base_new ();
-  Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
-  ck_assert (start_node (&a, "127.0.1.11", NULL));
+  Node a = make_node (base, "a", DP_ROLE_ENTRY, ADDRESS_A);
+  ck_assert (start_node (&a, ADDRESS_A, NULL));
   DpPeer b = { dp_name ("b"), DP_ROLE_SCHEDULER };
   send_revision (&a, b, 1);
   ck_assert_uint_eq (dropped (&a, "no_peer"), 1);
@@ -205,8 +210,8 @@
 START_TEST (a_silent_peer_costs_bounded_memory)
 {
   struct event_base *base = event_base_new ();
-  Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
-  ck_assert (start_node (&a, "127.0.1.11", NULL));
+  Node a = make_node (base, "a", DP_ROLE_ENTRY, ADDRESS_A);
+  ck_assert (start_node (&a, ADDRESS_A, NULL));
   DpView *view = make_view (2);
   dp_bus_set_view (a.bus, view);
   for (guint i = 0; i < 2000; i++)
@@ -221,11 +226,11 @@
 START_TEST (an_address_in_use_is_an_error)
 {
   struct event_base *base = event_base_new ();
-  Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
-  Node other = make_node (base, "c", DP_ROLE_ENTRY, "127.0.1.11");
-  ck_assert (start_node (&a, "127.0.1.11", NULL));
+  Node a = make_node (base, "a", DP_ROLE_ENTRY, ADDRESS_A);
+  Node other = make_node (base, "c", DP_ROLE_ENTRY, ADDRESS_A);
+  ck_assert (start_node (&a, ADDRESS_A, NULL));
   GError *error = NULL;
-  ck_assert (!start_node (&other, "127.0.1.11", &error));
+  ck_assert (!start_node (&other, ADDRESS_A, &error));
   ck_assert (g_error_matches (error, DP_BUS_ERROR, DP_BUS_ERROR_BIND));
   g_error_free (error);
   clear_node (&a);
@@ -238,13 +243,15 @@
 START_TEST (bad_frames_are_counted_and_dropped)
 {
   struct event_base *base = event_base_new ();
-  Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
-  Node b = make_node (base, "b", DP_ROLE_SCHEDULER, "127.0.1.12");
-  ck_assert (start_node (&a, "127.0.1.11", NULL));
-  ck_assert (start_node (&b, "127.0.1.12", NULL));
+  Node a = make_node (base, "a", DP_ROLE_ENTRY, ADDRESS_A);
+  Node b = make_node (base, "b", DP_ROLE_SCHEDULER, ADDRESS_B);
+  ck_assert (start_node (&a, ADDRESS_A, NULL));
+  ck_assert (start_node (&b, ADDRESS_B, NULL));
   void *context = zmq_ctx_new ();
   void *stranger = zmq_socket (context, ZMQ_DEALER);
-  ck_assert_int_eq (zmq_connect (stranger, "tcp://127.0.1.12:17092"), 0);
+  char *endpoint = g_strdup_printf ("tcp://%s:%d", ADDRESS_B, PORT_SCHEDULER);
+  ck_assert_int_eq (zmq_connect (stranger, endpoint), 0);
+  g_free (endpoint);
   zmq_send (stranger, "garbage", 7, 0);
   zmq_send (stranger, "two", 3, ZMQ_SNDMORE);
   zmq_send (stranger, "parts", 5, 0);
--- a/tests/test_net_http.c
+++ b/tests/test_net_http.c
@@ -2,6 +2,7 @@
 #include "net/http_call.h"
 #include "net/http_server.h"
 #include "net/sse.h"
+#include "tests/loopback.h"
 
 #include <arpa/inet.h>
 #include <check.h>
@@ -14,7 +15,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define ADDRESS "127.0.1.21"
+#define ADDRESS test_loopback (21)
 #define PATIENCE_SECONDS 20
 #define KIB ((gsize)1024)
 
