net: bound open connections and the time of a request's arrival

Cause: a caller that sends a byte now and then held its connection for ever, and connections without a request were not counted at all, since evhttp tells neither.

Failed tries, taken back: (1) a reference on evhttp's bufferevent, to see later that it was given up: its events stay registered on a descriptor that is closed and used again (epoll warnings in the test); (2) a filter bufferevent, which tells when it is freed: evhttp then closes before the answer has left the process (8 tests red).

Also: test ports are chosen free, as side-by-side runs of two work trees collided; a test for the connect limit and the connection falling into one turn of the loop. That one did not turn red when the callbacks were left on (libevent runs sockets before timers), so it guards the order only.

--- a/entry/settings.c
+++ b/entry/settings.c
@@ -7,9 +7,12 @@
   DP_PROCESS_SETTINGS (DpEntrySettings, process, 7081),
   DP_PORT_SETTING ("caller_port", DpEntrySettings, caller_port, "port of callers (7080)", 7080),
   NUMBER (requests_max, "N", "requests open at once (4000)", 1, 100000, 4000),
+  NUMBER (connections_max, "N", "connections of callers (8000)", 2, 200000, 8000),
   NUMBER (header_bytes_max, "N", "request line and headers (16384)", 1024, 1048576, 16384),
   NUMBER (body_bytes_max, "N", "body of a request (1048576)", 1024, 67108864, 1048576),
   NUMBER (read_timeout_ms, "MS", "for a caller's next bytes (10000)", 100, 600000, 10000),
+  NUMBER (
+    request_read_timeout_ms, "MS", "for a request as a whole (30000)", 100, 3600000, 30000),
   NUMBER (
     write_timeout_ms, "MS", "for a caller that does not read (10000)", 100, 600000, 10000),
   NUMBER (connect_timeout_ms, "MS", "to a target (1000)", 10, 60000, 1000),
--- a/entry/shell.c
+++ b/entry/shell.c
@@ -364,6 +364,8 @@
         .write_timeout = settings->write_timeout_ms * DP_USEC_PER_MSEC,
         .unread_max = UNREAD_BYTES_MAX,
         .exchanges_max = settings->requests_max,
+        .connections_max = settings->connections_max,
+        .request_timeout = settings->request_read_timeout_ms * DP_USEC_PER_MSEC,
         .counters = dp_process_counters (shell->process),
         .handler = on_exchange,
         .user = shell };
--- a/entry/shell.h
+++ b/entry/shell.h
@@ -9,9 +9,11 @@
   DpProcessSettings process;
   guint16 caller_port;
   guint requests_max;
+  guint connections_max;
   guint header_bytes_max;
   guint body_bytes_max;
   guint read_timeout_ms;
+  guint request_read_timeout_ms;
   guint write_timeout_ms;
   guint connect_timeout_ms;
   guint first_byte_timeout_ms;
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -24,14 +24,16 @@
   struct event_base *base;
   const char *address;
   guint16 port;
-  const char *name;     /* label of its counters: "callers", "operators" */
-  gsize head_max;       /* bytes of request line and headers */
-  gsize body_max;       /* bytes; larger bodies are refused */
-  DpUsec read_timeout;  /* for the next bytes of a request, and idle connections */
-  DpUsec write_timeout; /* for a caller that does not read */
-  gsize unread_max;     /* bytes of an answer that wait for a caller that reads slowly */
-  guint exchanges_max;  /* open at once; more are refused with 503 */
-  DpCounters *counters; /* a reference is taken */
+  const char *name;       /* label of its counters: "callers", "operators" */
+  gsize head_max;         /* bytes of request line and headers */
+  gsize body_max;         /* bytes; larger bodies are refused */
+  DpUsec read_timeout;    /* for the next bytes of a request, and idle connections */
+  DpUsec write_timeout;   /* for a caller that does not read */
+  gsize unread_max;       /* bytes of an answer that wait for a caller that reads slowly */
+  guint exchanges_max;    /* open at once; more are refused with 503 */
+  guint connections_max;  /* open at once; further ones wait to be accepted */
+  DpUsec request_timeout; /* for a request as a whole, from the end of the one before */
+  DpCounters *counters;   /* a reference is taken */
   DpHttpHandler handler;
   gpointer user;
 } DpHttpServerOptions;
--- a/net/process.c
+++ b/net/process.c
@@ -17,6 +17,8 @@
 #define OPERATOR_READ_TIMEOUT (5 * DP_USEC_PER_SEC)
 #define OPERATOR_UNREAD_BYTES_MAX ((gsize)4 * 1024 * 1024)
 #define OPERATOR_EXCHANGES_MAX 32
+#define OPERATOR_CONNECTIONS_MAX 64
+#define OPERATOR_REQUEST_TIMEOUT (10 * DP_USEC_PER_SEC)
 
 struct DpProcess
 {
@@ -429,6 +431,8 @@
                                         .write_timeout = OPERATOR_READ_TIMEOUT,
                                         .unread_max = OPERATOR_UNREAD_BYTES_MAX,
                                         .exchanges_max = OPERATOR_EXCHANGES_MAX,
+                                        .connections_max = OPERATOR_CONNECTIONS_MAX,
+                                        .request_timeout = OPERATOR_REQUEST_TIMEOUT,
                                         .counters = process->counters,
                                         .handler = on_operator_request,
                                         .user = process };
--- /dev/null
+++ b/tests/free_port.c
@@ -0,0 +1,20 @@
+#include "tests/free_port.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+guint16
+free_port (const char *address)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  ck_assert_int_ge (fd, 0);
+  struct sockaddr_in name = { .sin_family = AF_INET };
+  ck_assert_int_eq (inet_pton (AF_INET, address, &name.sin_addr), 1);
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&name, sizeof name), 0);
+  socklen_t length = sizeof name;
+  ck_assert_int_eq (getsockname (fd, (struct sockaddr *)&name, &length), 0);
+  close (fd);
+  return ntohs (name.sin_port);
+}
--- a/tests/test_entry_shell.c
+++ b/tests/test_entry_shell.c
@@ -1,6 +1,7 @@
 /* Texts that the entry reads and writes: chat bodies, stream events, whole answers. */
 #include "entry/chat.h"
 #include "entry/request.h"
+#include "tests/free_port.h"
 
 #include <arpa/inet.h>
 #include <check.h>
@@ -10,7 +11,6 @@
 #include <sys/socket.h>
 
 #define ADDRESS "127.0.1.61"
-#define PORT 17280
 #define PATIENCE_SECONDS 20
 
 /* --- chat bodies --- */
@@ -260,10 +260,11 @@
 receive_request (const char *text)
 {
   Received received = { .base = event_base_new () };
+  guint16 port = free_port (ADDRESS);
   DpCounters *counters = dp_counters_new ();
   const DpHttpServerOptions options = { .base = received.base,
                                         .address = ADDRESS,
-                                        .port = PORT,
+                                        .port = port,
                                         .name = "callers",
                                         .head_max = 16384,
                                         .body_max = 65536,
@@ -271,13 +272,15 @@
                                         .write_timeout = DP_USEC_PER_SEC,
                                         .unread_max = 65536,
                                         .exchanges_max = 2,
+                                        .connections_max = 4,
+                                        .request_timeout = DP_USEC_PER_SEC,
                                         .counters = counters,
                                         .handler = on_exchange,
                                         .user = &received };
   DpHttpServer *server = dp_http_server_new (&options);
   ck_assert_ptr_nonnull (server);
   struct bufferevent *bev = bufferevent_socket_new (received.base, -1, BEV_OPT_CLOSE_ON_FREE);
-  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (PORT) };
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (port) };
   ck_assert_int_eq (inet_pton (AF_INET, ADDRESS, &address.sin_addr), 1);
   bufferevent_socket_connect (bev, (struct sockaddr *)&address, sizeof address);
   bufferevent_write (bev, text, strlen (text));
--- a/tests/test_net_bus.c
+++ b/tests/test_net_bus.c
@@ -1,17 +1,25 @@
 /* Processes that talk over ZeroMQ on loopback addresses. */
 #include "net/bus.h"
 #include "net/codec.h"
+#include "tests/free_port.h"
 
 #include <check.h>
 #include <stdlib.h>
 #include <zmq.h>
 
-#define PORT_ENTRY 17091
-#define PORT_SCHEDULER 17092
-#define PORT_AGENT 17093
 /* An event that has not come by then never will. */
 #define PATIENCE_SECONDS 20
 
+/* By role; chosen for each test. */
+static guint16 ports[DP_ROLE_COUNT];
+
+static void
+choose_ports (void)
+{
+  for (guint i = 0; i < DP_ROLE_COUNT; i++)
+    ports[i] = free_port ("127.0.1.12");
+}
+
 typedef struct Node
 {
   struct event_base *base;
@@ -50,7 +58,7 @@
   DpBusOptions options = { .base = node->base,
                            .self = node->self,
                            .address = address,
-                           .ports = { PORT_ENTRY, PORT_SCHEDULER, PORT_AGENT },
+                           .ports = { ports[0], ports[1], ports[2] },
                            .counters = node->counters,
                            .receive = on_message,
                            .user = node };
@@ -218,6 +226,32 @@
 }
 END_TEST
 
+START_TEST (messages_to_an_unreachable_peer_expire)
+{
+  struct event_base *base = event_base_new ();
+  Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
+  ck_assert (start_node (&a, "127.0.1.11", NULL));
+  DpView *view = make_view (2);
+  dp_bus_set_view (a.bus, view);
+  send_revision (&a, (DpPeer){ dp_name ("b"), DP_ROLE_SCHEDULER }, 1);
+  gint64 end = g_get_monotonic_time () + (gint64)PATIENCE_SECONDS * G_USEC_PER_SEC;
+  while (dropped (&a, "unreachable") == 0 && g_get_monotonic_time () < end)
+    event_base_loop (base, EVLOOP_ONCE);
+  ck_assert_uint_eq (dropped (&a, "unreachable"), 1);
+  /* A peer that starts now gets only what is sent from now on. */
+  Node b = make_node (base, "b", DP_ROLE_SCHEDULER, "127.0.1.12");
+  ck_assert (start_node (&b, "127.0.1.12", NULL));
+  b.expected = 1;
+  send_revision (&a, b.self, 2);
+  run (base);
+  ck_assert_uint_eq (g_array_index (b.revisions, guint64, 0), 2);
+  dp_view_unref (view);
+  clear_node (&a);
+  clear_node (&b);
+  event_base_free (base);
+}
+END_TEST
+
 START_TEST (an_address_in_use_is_an_error)
 {
   struct event_base *base = event_base_new ();
@@ -244,7 +278,9 @@
   ck_assert (start_node (&b, "127.0.1.12", NULL));
   void *context = zmq_ctx_new ();
   void *stranger = zmq_socket (context, ZMQ_DEALER);
-  ck_assert_int_eq (zmq_connect (stranger, "tcp://127.0.1.12:17092"), 0);
+  char endpoint[64];
+  g_snprintf (endpoint, sizeof endpoint, "tcp://127.0.1.12:%u", ports[DP_ROLE_SCHEDULER]);
+  ck_assert_int_eq (zmq_connect (stranger, endpoint), 0);
   zmq_send (stranger, "garbage", 7, 0);
   zmq_send (stranger, "two", 3, ZMQ_SNDMORE);
   zmq_send (stranger, "parts", 5, 0);
@@ -282,11 +318,13 @@
   Suite *suite = suite_create ("net_bus");
   TCase *tcase = tcase_create ("bus");
   tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, choose_ports, NULL);
   tcase_add_test (tcase, messages_arrive_in_order_from_the_first_on);
   tcase_add_test (tcase, own_vm_is_reached_without_a_view);
   tcase_add_test (tcase, a_peer_that_starts_late_is_reached);
   tcase_add_test (tcase, unknown_and_removed_peers_are_counted);
   tcase_add_test (tcase, a_silent_peer_costs_bounded_memory);
+  tcase_add_test (tcase, messages_to_an_unreachable_peer_expire);
   tcase_add_test (tcase, an_address_in_use_is_an_error);
   tcase_add_test (tcase, bad_frames_are_counted_and_dropped);
   suite_add_tcase (suite, tcase);
--- a/tests/test_net_http.c
+++ b/tests/test_net_http.c
@@ -2,6 +2,7 @@
 #include "net/http_call.h"
 #include "net/http_server.h"
 #include "net/sse.h"
+#include "tests/free_port.h"
 
 #include <arpa/inet.h>
 #include <check.h>
@@ -120,6 +121,7 @@
   const char *answer;
   gsize answer_length;
   gboolean stay_open; /* after the answer */
+  guint requests;     /* of which a byte has come */
 } Peer;
 
 typedef struct Answer
@@ -152,7 +154,8 @@
 static void
 on_peer_read (struct bufferevent *bev, void *user)
 {
-  const Peer *peer = user;
+  Peer *peer = user;
+  peer->requests++;
   struct evbuffer *input = bufferevent_get_input (bev);
   struct evbuffer_ptr end = evbuffer_search (input, "\r\n\r\n", 4, NULL);
   if (end.pos < 0)
@@ -371,6 +374,37 @@
 }
 END_TEST
 
+/* The connect limit and the connection itself are due in the same turn of the loop: whichever
+ * wins, "nothing sent" must be true. */
+START_TEST (nothing_sent_is_never_said_of_a_request_that_went_out)
+{
+  struct event_base *base = event_base_new ();
+  Peer peer = { .answer = LENGTH_4 "abcd", .answer_length = strlen (LENGTH_4 "abcd") };
+  start_peer (&peer, base);
+  Answer answer = { .base = base, .body = g_string_new (NULL) };
+  DpHttpCallOptions options = { .base = base,
+                                .address = ADDRESS,
+                                .port = peer.port,
+                                .method = EVHTTP_REQ_GET,
+                                .path = "/",
+                                .connect_timeout = 1,
+                                .callbacks = &answer_callbacks,
+                                .user = &answer };
+  dp_http_call_start (&options);
+  DpUsec start = g_get_monotonic_time ();
+  while (g_get_monotonic_time () < start + 2 * DP_USEC_PER_MSEC)
+    ; /* until both are due */
+  run (base);
+  settle (base);
+  ck_assert (answer.ended);
+  ck_assert_msg (!answer.nothing_sent || peer.requests == 0, "end %d", answer.end);
+  evconnlistener_free (peer.listener);
+  settle (base);
+  event_base_free (base);
+  g_string_free (answer.body, TRUE);
+}
+END_TEST
+
 static void
 stop_loop (evutil_socket_t fd, short what, void *user)
 {
@@ -398,7 +432,7 @@
 
 /* --- exchanges, seen by a raw caller --- */
 
-#define SERVER_PORT 17180
+static guint16 server_port; /* of the test's fixture */
 
 typedef struct Caller
 {
@@ -451,9 +485,10 @@
   Fixture *fixture = g_new0 (Fixture, 1);
   fixture->base = event_base_new ();
   fixture->counters = dp_counters_new ();
+  server_port = free_port (ADDRESS);
   DpHttpServerOptions options = { .base = fixture->base,
                                   .address = ADDRESS,
-                                  .port = SERVER_PORT,
+                                  .port = server_port,
                                   .name = "callers",
                                   .head_max = 16 * KIB,
                                   .body_max = 4 * KIB,
@@ -461,6 +496,8 @@
                                   .write_timeout = 10 * DP_USEC_PER_SEC,
                                   .unread_max = 64 * KIB,
                                   .exchanges_max = 2,
+                                  .connections_max = 4,
+                                  .request_timeout = 600 * DP_USEC_PER_MSEC,
                                   .counters = fixture->counters,
                                   .handler = on_exchange,
                                   .user = fixture };
@@ -509,7 +546,7 @@
   caller->received = g_string_new (NULL);
   caller->bev = bufferevent_socket_new (base, -1, BEV_OPT_CLOSE_ON_FREE);
   bufferevent_setcb (caller->bev, on_caller_read, NULL, on_caller_event, caller);
-  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (SERVER_PORT) };
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (server_port) };
   ck_assert_int_eq (inet_pton (AF_INET, ADDRESS, &address.sin_addr), 1);
   bufferevent_socket_connect (caller->bev, (struct sockaddr *)&address, sizeof address);
   bufferevent_enable (caller->bev, EV_READ | EV_WRITE);
@@ -738,6 +775,53 @@
 }
 END_TEST
 
+START_TEST (connections_beyond_the_limit_wait_until_one_is_free)
+{
+  Fixture *fixture = make_fixture ();
+  Caller *silent[3];
+  for (guint i = 0; i < G_N_ELEMENTS (silent); i++)
+    silent[i] = make_caller (fixture->base, "");
+  Caller *fourth = make_caller (fixture->base, GET_KEPT);
+  run (fixture->base);
+  ck_assert_uint_eq (fixture->requests, 1);
+  Caller *fifth = make_caller (fixture->base, GET_KEPT);
+  settle (fixture->base);
+  ck_assert_uint_eq (fixture->requests, 1);
+  /* The silent ones are closed by their read timeout, which makes room. */
+  while (fixture->requests == 1)
+    run (fixture->base);
+  ck_assert (silent[0]->closed);
+  for (guint i = 0; i < G_N_ELEMENTS (silent); i++)
+    free_caller (silent[i]);
+  free_caller (fourth);
+  free_caller (fifth);
+  free_fixture (fixture);
+}
+END_TEST
+
+static void
+send_one_byte (evutil_socket_t fd, short what, void *user)
+{
+  Caller *caller = user;
+  bufferevent_write (caller->bev, "x", 1);
+}
+
+START_TEST (a_request_that_trickles_in_is_cut_off)
+{
+  Fixture *fixture = make_fixture ();
+  Caller *caller = make_caller (fixture->base, "GET /");
+  struct event *timer = event_new (fixture->base, -1, EV_PERSIST, send_one_byte, caller);
+  const struct timeval interval = { .tv_usec = 50000 }; /* well within the read timeout */
+  event_add (timer, &interval);
+  run (fixture->base);
+  ck_assert (caller->closed);
+  ck_assert_uint_eq (fixture->requests, 0);
+  event_free (timer);
+  free_caller (caller);
+  free_fixture (fixture);
+}
+END_TEST
+
 START_TEST (a_stopping_server_finishes_what_it_has)
 {
   Fixture *fixture = make_fixture ();
@@ -772,6 +856,7 @@
   tcase_add_test (tcase, headers_can_be_read);
   tcase_add_test (tcase, a_refused_connection_sent_nothing);
   tcase_add_test (tcase, a_bad_address_ends_as_a_failed_connection);
+  tcase_add_test (tcase, nothing_sent_is_never_said_of_a_request_that_went_out);
   tcase_add_test (tcase, a_cancelled_call_is_not_heard_again);
   tcase_add_test (tcase, a_whole_streamed_answer_has_its_final_chunk);
   tcase_add_loop_test (tcase, a_broken_answer_has_no_final_chunk, 0, 2);
@@ -783,6 +868,8 @@
   tcase_add_loop_test (tcase, bad_input_gets_an_answer_or_a_closed_connection, 0,
                        G_N_ELEMENTS (door_cases));
   tcase_add_test (tcase, exchanges_beyond_the_limit_are_refused);
+  tcase_add_test (tcase, connections_beyond_the_limit_wait_until_one_is_free);
+  tcase_add_test (tcase, a_request_that_trickles_in_is_cut_off);
   tcase_add_test (tcase, a_stopping_server_finishes_what_it_has);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
