--- a/tests/fault_matrix.c
+++ b/tests/fault_matrix.c
@@ -81,6 +81,9 @@
   other->body = MATRIX_OTHER_BODY;
   add_near (world, KIND_BOOKING, MATRIX_LONE_BOOKING, 0, START, 8000);
   add_near (world, KIND_CHAT, MATRIX_LONE_CHAT, 1, START, 8000);
+  /* The caller sends it again, to other entries of the data centre. */
+  caller_add (world, KIND_CHAT, MATRIX_CHAT, 1, START + 5 * DP_USEC_PER_SEC);
+  caller_add (world, KIND_CHAT, MATRIX_CHAT, 2, START + 9 * DP_USEC_PER_SEC);
   add_near (world, KIND_VERGES, MATRIX_VERGES, 0, START, 8000);
   caller_add (world, KIND_OUTCOME, MATRIX_BOOKING, 4, QUERY_AT);
   caller_add (world, KIND_OUTCOME, MATRIX_LONE_BOOKING, 5, QUERY_AT);
--- a/tests/matrix.h
+++ b/tests/matrix.h
@@ -181,11 +181,13 @@
   GHashTable *kinds;  /* DpId of an attempt -> RequestKind + 1 */
   PlannedFault faults[2];
   guint fault_count;
-  DpUsec centre_cut_until; /* between data centres; the second also from the platform */
-  gboolean duplicates;     /* replies and messages come again, late */
-  guint64 poison;          /* body under which targets die; 0: none */
-  GString *trace;          /* NULL: none is kept */
-  gboolean closing;        /* the world ends: nothing new is started */
+  DpUsec centre_cut_until;       /* between data centres; the second also from the platform */
+  gboolean duplicates;           /* replies and messages come again, late */
+  guint64 poison;                /* body under which targets die; 0: none */
+  guint deaths[FIXTURE_CENTRES]; /* of targets under it, by the data centre of the entry */
+  guint repeats;                 /* requests sent to a target that had failed them before */
+  GString *trace;                /* NULL: none is kept */
+  gboolean closing;              /* the world ends: nothing new is started */
   /* store */
   GHashTable *objects;     /* slot and index -> StoredObject */
   GPtrArray *kept_records; /* GArray: content of replies on their way */
--- a/tests/matrix_check.c
+++ b/tests/matrix_check.c
@@ -126,6 +126,19 @@
     add_problem (problems, caller, "was answered, but its booking did not run exactly once");
 }
 
+/* A target that has failed a request does not get it again, and a request under which two
+ * targets died is refused in the whole data centre, as far as its entries reach each other. */
+static void
+check_targets (const World *world, GString *problems)
+{
+  if (world->repeats > 0)
+    add_problem (problems, NULL, "%u requests went to a target that had failed them",
+                 world->repeats);
+  for (guint i = 0; i < FIXTURE_CENTRES; i++)
+    if (world->fault_count == 1 && world->deaths[i] > 2)
+      add_problem (problems, NULL, "%u targets died under one request", world->deaths[i]);
+}
+
 char *
 matrix_check (const World *world)
 {
@@ -139,6 +152,7 @@
       check_final (caller, problems);
       check_after_done (world, caller, problems);
     }
+  check_targets (world, problems);
   gboolean clean = problems->len == 0;
   return g_string_free (problems, clean);
 }
--- a/tests/matrix_faults.c
+++ b/tests/matrix_faults.c
@@ -260,6 +260,13 @@
   world->duplicates = TRUE;
 }
 
+static void
+fault_broken_and_late (World *world, guint vm)
+{
+  set_answer_fault (world, ANSWER_BROKEN);
+  world->duplicates = TRUE;
+}
+
 static void
 fault_poison_booking (World *world, guint vm)
 {
@@ -307,6 +314,7 @@
   { "queued", fault_queued },
   { "grants revoked", fault_revoked },
   { "crossed, repeated and late replies", fault_duplicates },
+  { "broken connection, its replies come late", fault_broken_and_late },
   { "poison booking", fault_poison_booking },
   { "poison chat", fault_poison_chat },
   { "callers leave", fault_callers_leave },
--- a/tests/matrix_targets.c
+++ b/tests/matrix_targets.c
@@ -24,6 +24,7 @@
   guint next_token;
   gboolean closed;  /* by the shell: nothing is delivered any more */
   gboolean broken;  /* by the target */
+  gboolean failed;  /* the shell has reported a failure */
   gboolean stalled; /* something was lost on the way to the shell */
 } Connection;
 
@@ -112,6 +113,7 @@
   event.failed.reason = reason;
   event.failed.nothing_sent = nothing_sent;
   connection->closed = TRUE;
+  connection->failed = TRUE;
   deliver (world, connection, event, NULL, 0);
 }
 
@@ -138,8 +140,8 @@
   deliver (world, connection, event, text, 0);
   if (!world->duplicates)
     return;
-  deliver (world, connection, event, text, 30 * DP_USEC_PER_MSEC);
-  deliver (world, connection, event, text, 2500 * DP_USEC_PER_MSEC);
+  deliver (world, connection, event, text, g_rand_int_range (world->rand, 1000, 40000));
+  deliver (world, connection, event, text, 2600 * DP_USEC_PER_MSEC);
 }
 
 static void
@@ -277,6 +279,7 @@
              connection->target, connection->operation, connection->caller);
   if (connection->body == world->poison)
     {
+      world->deaths[connection->vm / FIXTURE_VMS] += 1;
       crash_target (world, connection->target);
       return;
     }
@@ -322,6 +325,18 @@
   g_assert_not_reached ();
 }
 
+static void
+count_repeat (World *world, const Connection *connection)
+{
+  for (guint i = 0; i < world->connections->len; i++)
+    {
+      const Connection *other = g_ptr_array_index (world->connections, i);
+      if (other->failed && other->caller == connection->caller
+          && other->target == connection->target)
+        world->repeats += 1;
+    }
+}
+
 void
 target_dispatch (World *world, guint vm, const DpDispatch *dispatch)
 {
@@ -338,6 +353,7 @@
   connection->operation = caller->operation;
   connection->body = caller->body;
   connection->next_token = dispatch->sent_tokens;
+  count_repeat (world, connection);
   g_ptr_array_add (world->connections, connection);
   world_log (world, "vm %u sends caller %" G_GUINT64_FORMAT " to target %u", vm,
              dispatch->caller, connection->target);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -303,6 +303,164 @@
 }
 END_TEST
 
+static DpRequestIn
+booking_request (const char *key)
+{
+  DpRequestIn in = {
+    .caller = CALLER,
+    .key_sha256 = FIXTURE_KEY,
+    .method = "POST",
+    .path = "/services/rota/bookings",
+    .idempotency_key = key,
+    .body_hash = 77,
+  };
+  return in;
+}
+
+/* Answers the outstanding read with "no such object" and the write with "stored". */
+static void
+confirm_claim (Bench *bench)
+{
+  DpEntryEvent reply = { .type = DP_ENTRY_EVENT_CLAIM_REPLY };
+  reply.claim.bucket = find_action (bench, DP_ENTRY_ACTION_CLAIM_READ)->claim_read;
+  reply.claim.result = DP_STORE_ABSENT;
+  feed (bench, reply);
+  ck_assert_ptr_nonnull (find_action (bench, DP_ENTRY_ACTION_CLAIM_WRITE));
+  reply.claim.is_write = TRUE;
+  reply.claim.result = DP_STORE_OK;
+  reply.claim.version = 1;
+  feed (bench, reply);
+}
+
+START_TEST (after_a_pause_a_claim_is_read_again_before_it_is_used)
+{
+  Bench bench;
+  bench_init (&bench);
+  char *key = fixture_uuid (FIXTURE_WALL, 1);
+  feed_request (&bench, booking_request (key));
+  confirm_claim (&bench);
+  DpEntryAction ask = *find_message (&bench, DP_MESSAGE_GRANT_ASK);
+  /* The grant lies in the socket's buffer while the process is paused. */
+  bench.now += 3 * DP_USEC_PER_SEC;
+  DpMessage message = { .type = DP_MESSAGE_GRANT_GIVEN };
+  message.grant_given.attempt = ask.message.grant_ask.attempt;
+  message.grant_given.group = ask.message.grant_ask.group;
+  message.grant_given.target = 1;
+  DpEntryEvent event = { .type = DP_ENTRY_EVENT_MESSAGE, .from = ask.to };
+  event.message = &message;
+  feed (&bench, event);
+  ck_assert_ptr_null (find_action (&bench, DP_ENTRY_ACTION_DISPATCH));
+  ck_assert_ptr_nonnull (find_action (&bench, DP_ENTRY_ACTION_CLAIM_READ));
+  g_free (key);
+  bench_clear (&bench);
+}
+END_TEST
+
+START_TEST (after_a_pause_a_claim_given_up_by_others_is_not_sent)
+{
+  Bench bench;
+  bench_init (&bench);
+  char *key = fixture_uuid (FIXTURE_WALL, 1);
+  feed_request (&bench, booking_request (key));
+  DpEntryEvent reply = { .type = DP_ENTRY_EVENT_CLAIM_REPLY };
+  reply.claim.bucket = find_action (&bench, DP_ENTRY_ACTION_CLAIM_READ)->claim_read;
+  reply.claim.result = DP_STORE_ABSENT;
+  feed (&bench, reply);
+  const GArray *written
+    = find_action (&bench, DP_ENTRY_ACTION_CLAIM_WRITE)->claim_write.records;
+  DpClaimRecord marked = g_array_index (written, DpClaimRecord, 0);
+  marked.state = DP_CLAIM_UNKNOWN;
+  reply.claim.is_write = TRUE;
+  reply.claim.result = DP_STORE_OK;
+  reply.claim.version = 1;
+  feed (&bench, reply);
+  bench.now += 3 * DP_USEC_PER_SEC;
+  feed (&bench, (DpEntryEvent){ .type = DP_ENTRY_EVENT_TICK });
+  reply.claim.is_write = FALSE;
+  reply.claim.version = 2;
+  reply.claim.records = g_array_new (FALSE, FALSE, sizeof (DpClaimRecord));
+  g_array_append_val (reply.claim.records, marked);
+  feed (&bench, reply);
+  const DpEntryAction *answer = find_action (&bench, DP_ENTRY_ACTION_PROBLEM);
+  ck_assert_int_eq (answer->problem.reason, DP_REASON_RESUMED_AFTER_PAUSE);
+  ck_assert_int_eq (answer->problem.outcome, DP_OUTCOME_UNKNOWN);
+  ck_assert_ptr_null (find_message (&bench, DP_MESSAGE_GRANT_ASK));
+  g_array_unref (reply.claim.records);
+  g_free (key);
+  bench_clear (&bench);
+}
+END_TEST
+
+START_TEST (a_caller_that_goes_away_cancels_its_work)
+{
+  Bench bench;
+  bench_init (&bench);
+  feed_request (&bench, chat_request ());
+  DpDispatch dispatch = grant (&bench);
+  feed (&bench, (DpEntryEvent){ .type = DP_ENTRY_EVENT_CALLER_GONE, .caller_gone = CALLER });
+  const DpEntryAction *cancel = find_action (&bench, DP_ENTRY_ACTION_CANCEL);
+  ck_assert_ptr_nonnull (cancel);
+  ck_assert (dp_id_equal (cancel->cancel, dispatch.attempt));
+  ck_assert_int_eq (find_message (&bench, DP_MESSAGE_GRANT_DONE)->message.grant_done.reason,
+                    DP_REASON_CALLER_GONE);
+  ck_assert_uint_eq (
+    dp_counters_get (bench.counters, "dogwoodplank_wasted_prompt_tokens_total", NULL, NULL),
+    20);
+  ck_assert_uint_eq (dp_entry_open_requests (bench.board), 0);
+  bench_clear (&bench);
+}
+END_TEST
+
+START_TEST (retries_spend_a_budget)
+{
+  Bench bench;
+  bench_init (&bench);
+  guint retries = 0;
+  /* Each request's first attempt fails; those that may try again do so once. */
+  for (guint i = 0; i < 30; i++)
+    {
+      DpRequestIn in = chat_request ();
+      in.body_hash = i;
+      feed_request (&bench, in);
+      DpTargetFailed failed = { .attempt = grant (&bench).attempt };
+      failed.reason = DP_REASON_CONNECT_FAILED;
+      failed.nothing_sent = TRUE;
+      feed (&bench, (DpEntryEvent){ .type = DP_ENTRY_EVENT_TARGET_FAILED, .failed = failed });
+      const DpEntryAction *answer = find_action (&bench, DP_ENTRY_ACTION_PROBLEM);
+      retries += answer == NULL ? 1 : 0;
+      if (answer == NULL)
+        feed (&bench,
+              (DpEntryEvent){ .type = DP_ENTRY_EVENT_CALLER_GONE, .caller_gone = CALLER });
+      else
+        ck_assert_int_eq (answer->problem.outcome, DP_OUTCOME_NOT_RUN);
+    }
+  ck_assert_uint_eq (retries, 10);
+  bench_clear (&bench);
+}
+END_TEST
+
+START_TEST (a_stopping_entry_refuses_new_requests_and_finishes_open_ones)
+{
+  Bench bench;
+  bench_init (&bench);
+  feed_request (&bench, chat_request ());
+  DpDispatch dispatch = grant (&bench);
+  feed (&bench, (DpEntryEvent){ .type = DP_ENTRY_EVENT_STOP });
+  DpRequestIn in = chat_request ();
+  in.caller = CALLER + 1;
+  feed_request (&bench, in);
+  const DpEntryAction *answer = find_action (&bench, DP_ENTRY_ACTION_PROBLEM);
+  ck_assert_int_eq (answer->problem.reason, DP_REASON_STOPPING);
+  ck_assert_int_eq (answer->problem.outcome, DP_OUTCOME_NOT_RUN);
+  feed_head (&bench, dispatch.attempt, 200);
+  feed_chunk (&bench, dispatch.attempt, "data: [DONE]\n\n", TRUE);
+  feed_end (&bench, dispatch.attempt, TRUE);
+  ck_assert_ptr_nonnull (find_action (&bench, DP_ENTRY_ACTION_END));
+  ck_assert_uint_eq (dp_entry_open_requests (bench.board), 0);
+  bench_clear (&bench);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -313,6 +471,11 @@
                        G_N_ELEMENTS (cuts));
   tcase_add_loop_test (tcase, refusals_at_the_door, 0, G_N_ELEMENTS (refusals));
   tcase_add_test (tcase, a_grant_for_a_superseded_attempt_is_handed_back);
+  tcase_add_test (tcase, after_a_pause_a_claim_is_read_again_before_it_is_used);
+  tcase_add_test (tcase, after_a_pause_a_claim_given_up_by_others_is_not_sent);
+  tcase_add_test (tcase, a_caller_that_goes_away_cancels_its_work);
+  tcase_add_test (tcase, retries_spend_a_budget);
+  tcase_add_test (tcase, a_stopping_entry_refuses_new_requests_and_finishes_open_ones);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
