--- a/core/scheduler_owners.c
+++ b/core/scheduler_owners.c
@@ -150,7 +150,9 @@
     {
       DpGroupState *group = dp_table_get (board->groups, at);
       gboolean was_first = group->is_first;
-      group->is_first = group->present && first_owner (board, group) == board->options.vm;
+      gboolean first = board->options.policy != DP_POLICY_TIER_QUEUE
+                       || first_owner (board, group) == board->options.vm;
+      group->is_first = group->present && first;
       if (group->is_first)
         dp_owners_activate (board, group);
       else if (was_first)
@@ -258,7 +260,8 @@
   for (guint i = 0; i < group->targets->len; i++)
     {
       const DpTargetState *target = dp_group_target (board, group, i);
-      if (target->present && target->reachable && target->window > target->grants->len)
-        advert->free_slots += target->window - target->grants->len;
+      guint window = dp_target_window (target);
+      if (target->present && target->health == DP_HEALTH_GOOD && window > target->grants->len)
+        advert->free_slots += window - target->grants->len;
     }
 }
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,6 +6,7 @@
 
 build=build-lint
 [ -d "$build" ] || meson setup "$build" >/dev/null
+ninja -C "$build" build.ninja >/dev/null
 mapfile -t files < <(git ls-files -co --exclude-standard -- '*.c' '*.h')
 mapfile -t sources < <(git ls-files -co --exclude-standard -- '*.c')
 
