scripts: demo over agents: manifest, VM list and claims by the platform

The small system no longer uses static manifests and views: the platform holds the proposed manifest and the VM list, three agents accept and spread them, entries claim bookings.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -120,7 +120,7 @@
   echo "vm-$vm scheduler:"
   curl -s "http://$net.$vm:7082/metrics" | grep -v '^#' | grep -v ' 0$' || true
 done
-echo "platform: $(curl -s "http://$net.41:8200/stats")"
+echo "platform: $(curl -s "http://$net.41:7070/stats")"
 echo "engine fast: $(curl -s "http://$net.21:8000/stats")"
 echo "engine slow: $(curl -s "http://$net.22:8000/stats")"
 
--- a/scripts/small_system.sh
+++ b/scripts/small_system.sh
@@ -110,43 +110,57 @@
   start service "$bin/standins/standin-service" --listen "$net.31:8100"
 }
 
-start_platform() {
-  start platform "$bin/standins/standin-platform" --listen "$net.41:8200" --rate 2000 \
-    --object "manifest/proposed=$work/manifest.json"
+write_vms() {
+  cat >"$work/vms.json" <<JSON
+{"vms":[
+  {"name":"vm-1","address":"$net.1","data_centre":"dc-a","state":"live"},
+  {"name":"vm-2","address":"$net.2","data_centre":"dc-b","state":"live"},
+  {"name":"vm-3","address":"$net.3","data_centre":"dc-a","state":"live"}
+]}
+JSON
 }
 
-vm_flags() {
-  echo "--vm vm-1=$net.1=dc-a --vm vm-2=$net.2=dc-b --vm vm-3=$net.3=dc-a"
+start_platform() {
+  start platform "$bin/standins/standin-platform" --listen "$net.41:7070" --rate 2000 \
+    --object "manifest/proposed=$work/manifest.json" --object "vms=$work/vms.json"
 }
 
 data_centre_of() { # VM-NUMBER
   [ "$1" = 2 ] && echo dc-b || echo dc-a
 }
 
-# Entry and scheduler of one VM.
+# Agent, scheduler and entry of one VM.
 start_vm() { # VM-NUMBER
-  local common=(--name "vm-$1" --address "$net.$1" --data-centre "$(data_centre_of "$1")"
-    --manifest "$work/manifest.json")
-  # shellcheck disable=SC2046
-  start "scheduler-$1" "$bin/scheduler/dogwoodplank-scheduler" "${common[@]}" $(vm_flags)
-  # shellcheck disable=SC2046
-  start "entry-$1" "$bin/entry/dogwoodplank-entry" "${common[@]}" $(vm_flags)
+  local common=(--name "vm-$1" --address "$net.$1" --data-centre "$(data_centre_of "$1")")
+  start "agent-$1" "$bin/agent/dogwoodplank-agent" "${common[@]}" --platform-address "$net.41"
+  start "scheduler-$1" "$bin/scheduler/dogwoodplank-scheduler" "${common[@]}"
+  start "entry-$1" "$bin/entry/dogwoodplank-entry" "${common[@]}" --platform-address "$net.41"
+}
+
+# Has this process a manifest and a view of all three VMs?
+is_ready() { # IP OPERATOR-PORT
+  local status
+  status=$(curl -sf -m 1 "http://$1:$2/status")
+  grep -Eq '"manifest_revision": ?[1-9]' <<<"$status" &&
+    [ "$(grep -o '"state": *"live"' <<<"$status" | wc -l)" = 3 ]
 }
 
 start_system() {
   write_manifest
+  write_vms
   start_platform
   start_targets
-  wait_until 20 answers "http://$net.41:8200/stats"
+  wait_until 20 answers "http://$net.41:7070/stats"
   wait_until 20 answers "http://$net.21:8000/load"
   wait_until 20 answers "http://$net.22:8000/load"
   wait_until 20 answers "http://$net.31:8100/load"
-  local vm
+  local vm port
   for vm in 1 2 3; do
     start_vm "$vm"
   done
   for vm in 1 2 3; do
-    wait_until 30 answers "http://$net.$vm:7081/status"
-    wait_until 30 answers "http://$net.$vm:7082/status"
+    for port in 7081 7082; do
+      wait_until 30 is_ready "$net.$vm" "$port"
+    done
   done
 }
--- a/tests/system.c
+++ b/tests/system.c
@@ -133,6 +133,24 @@
   g_string_free (text, TRUE);
 }
 
+/* The platform's list of VMs. */
+static void
+write_vms (const System *system)
+{
+  GString *text = g_string_new ("{\"vms\":[");
+  for (guint vm = 0; vm < SYSTEM_VMS; vm++)
+    g_string_append_printf (text,
+                            "%s{\"name\":\"vm-%u\",\"address\":\"%s\","
+                            "\"data_centre\":\"%s\",\"state\":\"live\"}",
+                            vm > 0 ? "," : "", vm, system_vm_address (system, vm),
+                            vm == 1 ? "dc-b" : "dc-a");
+  g_string_append (text, "]}");
+  char *path = g_strdup_printf ("%s/vms", system->folder);
+  ck_assert (g_file_set_contents (path, text->str, (gssize)text->len, NULL));
+  g_free (path);
+  g_string_free (text, TRUE);
+}
+
 /* --- processes --- */
 
 void
@@ -151,44 +169,47 @@
   ck_assert (wait_for_port (address, SYSTEM_CONTROL_PORT, START_TIMEOUT));
 }
 
-static void
-append_vms (GString *line, const System *system)
-{
-  for (guint i = 0; i < SYSTEM_VMS; i++)
-    g_string_append_printf (line, " --vm vm-%u=%s=%s", i, system_vm_address (system, i),
-                            i == 1 ? "dc-b" : "dc-a");
-}
-
 static Process *
 start_vm_program (System *system, const char *program, guint vm)
 {
-  GString *line = g_string_new (NULL);
   char name[32];
   g_snprintf (name, sizeof name, "%s%u", program, vm);
-  g_string_printf (line,
-                   "%s/%s/dogwoodplank-%s --name vm-%u --address %s --data-centre %s"
-                   " --manifest %s",
-                   system->build, program, program, vm, system_vm_address (system, vm),
-                   vm == 1 ? "dc-b" : "dc-a", system->manifest);
-  append_vms (line, system);
-  Process *process = start_line (system, name, line->str);
-  g_string_free (line, TRUE);
+  char *platform = g_strdup_printf (" --platform-address %s --platform-port %u",
+                                    system_platform_address (system), SYSTEM_TARGET_PORT);
+  gboolean uses_platform = strcmp (program, "scheduler") != 0;
+  Process *process = start_format (
+    system, name, "%s/%s/dogwoodplank-%s --name vm-%u --address %s --data-centre %s%s",
+    system->build, program, program, vm, system_vm_address (system, vm),
+    vm == 1 ? "dc-b" : "dc-a", uses_platform ? platform : "");
+  g_free (platform);
   return process;
 }
 
+/* Waits until the process has the manifest; its view of the VMs comes along with it. */
+static void
+wait_until_ready (System *system, guint vm, guint16 port)
+{
+  ck_assert_msg (wait_for_number (system_vm_address (system, vm), port, "/status",
+                                  "manifest_revision", 1, START_TIMEOUT),
+                 "VM %u has no manifest at port %u", vm, port);
+}
+
 void
 system_start_entry (System *system, guint vm)
 {
   system->entries[vm] = start_vm_program (system, "entry", vm);
-  ck_assert (wait_for_port (system_vm_address (system, vm), SYSTEM_ENTRY_PORT, START_TIMEOUT));
 }
 
 void
 system_start_scheduler (System *system, guint vm)
 {
   system->schedulers[vm] = start_vm_program (system, "scheduler", vm);
-  ck_assert (wait_for_port (system_vm_address (system, vm), SYSTEM_SCHEDULER_OPERATOR_PORT,
-                            START_TIMEOUT));
+}
+
+void
+system_start_agent (System *system, guint vm)
+{
+  system->agents[vm] = start_vm_program (system, "agent", vm);
 }
 
 void
@@ -216,6 +237,7 @@
   system->folder = g_dir_make_tmp ("dogwoodplank-XXXXXX", NULL);
   choose_net (system);
   write_manifest (system);
+  write_vms (system);
   system->platform = start_format (system, "platform",
                                    "%s/standins/standin-platform --listen %s:%u"
                                    " --control-port %u --rate 2000",
@@ -232,9 +254,15 @@
     system_start_engine (system, i);
   for (guint vm = 0; vm < SYSTEM_VMS; vm++)
     {
+      system_start_agent (system, vm);
       system_start_scheduler (system, vm);
       system_start_entry (system, vm);
     }
+  for (guint vm = 0; vm < SYSTEM_VMS; vm++)
+    {
+      wait_until_ready (system, vm, SYSTEM_ENTRY_OPERATOR_PORT);
+      wait_until_ready (system, vm, SYSTEM_SCHEDULER_OPERATOR_PORT);
+    }
   return system;
 }
 
@@ -261,6 +289,7 @@
     {
       process_free (system->entries[i]);
       process_free (system->schedulers[i]);
+      process_free (system->agents[i]);
     }
   for (guint i = 0; i < SYSTEM_ENGINES; i++)
     process_free (system->engines[i]);
--- a/tests/system.h
+++ b/tests/system.h
@@ -1,5 +1,5 @@
 /* A small system of real processes for tests: platform, two unlike engines, one plain service,
- * three VMs with an entry and a scheduler each, on loopback addresses of its own.
+ * three VMs with an agent, a scheduler and an entry each, on loopback addresses of its own.
  *
  * All processes die with the test's process, also when an assertion fails.
  */
@@ -27,6 +27,7 @@
   Process *engines[SYSTEM_ENGINES];
   Process *entries[SYSTEM_VMS];
   Process *schedulers[SYSTEM_VMS];
+  Process *agents[SYSTEM_VMS];
 } System;
 
 /* Starts all processes and waits until each entry serves. Fails the test otherwise. */
@@ -37,6 +38,7 @@
 void system_start_engine (System *system, guint index);
 void system_start_entry (System *system, guint vm);
 void system_start_scheduler (System *system, guint vm);
+void system_start_agent (System *system, guint vm);
 
 /* Kills without warning, by process id. */
 void system_kill (Process **process);
