--- a/tests/system.c
+++ b/tests/system.c
@@ -240,9 +240,10 @@
   write_vms (system);
   system->platform = start_format (system, "platform",
                                    "%s/standins/standin-platform --listen %s:%u"
-                                   " --control-port %u --rate 2000",
+                                   " --control-port %u --rate 2000"
+                                   " --object manifest/proposed=%s --object vms=%s/vms",
                                    build, system_platform_address (system), SYSTEM_TARGET_PORT,
-                                   SYSTEM_CONTROL_PORT);
+                                   SYSTEM_CONTROL_PORT, system->manifest, system->folder);
   system->service = start_format (
     system, "service", "%s/standins/standin-service --listen %s:%u --control-port %u", build,
     system_service_address (system), SYSTEM_TARGET_PORT, SYSTEM_CONTROL_PORT);
