entry: count a target's death in its answer towards the quarantine

A cut framing now counts like a broken connection. An answer that only lacks its end event does not.

--- a/core/entry_attempts.c
+++ b/core/entry_attempts.c
@@ -316,6 +316,9 @@
     return;
   if (!is_complete (request, end))
     {
+      /* A target that dies in its answer cuts the framing short. */
+      if (!end->framing_complete)
+        entry_quarantine_add (board, request->body_hash);
       attempt_failed (board, request, DP_REASON_ANSWER_INCOMPLETE, FALSE);
       return;
     }
--- a/tests/fault_matrix.c
+++ b/tests/fault_matrix.c
@@ -143,6 +143,24 @@
 }
 END_TEST
 
+/* Faults that pass leave no booking undone or in doubt. */
+static guint
+check_done (const World *world, const char *name)
+{
+  guint bad = 0;
+  for (guint i = 0; i < world->callers->len; i++)
+    {
+      const Caller *caller = g_ptr_array_index (world->callers, i);
+      if (caller->kind != KIND_OUTCOME || caller->final == FINAL_REPLAY)
+        continue;
+      bad = 1;
+      printf ("cell: %s\noperation %u: the booking was lost: %s\n", name, caller->operation,
+              dp_reason_name (caller->reason));
+      fflush (stdout);
+    }
+  return bad;
+}
+
 START_TEST (every_fault_at_every_step)
 {
   const FaultRow *row = &fault_rows[_i];
@@ -156,6 +174,7 @@
         plan (world, row, &columns[c], 0);
         char *name = g_strdup_printf ("%s at %s", row->name, columns[c].name);
         bad += run_cell (world, name, seed);
+        bad += row->passes ? check_done (world, name) : 0;
         ck_assert_msg (world->faults[0].fired, "%s: the step was not reached", name);
         g_free (name);
         world_free (world);
--- a/tests/matrix.h
+++ b/tests/matrix.h
@@ -184,6 +184,7 @@
   DpUsec centre_cut_until;       /* between data centres; the second also from the platform */
   gboolean duplicates;           /* replies and messages come again, late */
   guint64 poison;                /* body under which targets die; 0: none */
+  gboolean poison_is_slow;       /* they die after their first token */
   guint deaths[FIXTURE_CENTRES]; /* of targets under it, by the data centre of the entry */
   guint repeats;                 /* requests sent to a target that had failed them before */
   GString *trace;                /* NULL: none is kept */
--- a/tests/matrix_faults.c
+++ b/tests/matrix_faults.c
@@ -279,6 +279,13 @@
   world->poison = MATRIX_CHAT;
 }
 
+static void
+fault_poison_stream (World *world, guint vm)
+{
+  world->poison = MATRIX_CHAT;
+  world->poison_is_slow = TRUE;
+}
+
 static void
 fault_callers_leave (World *world, guint vm)
 {
@@ -289,34 +296,35 @@
   { "process kill", fault_kill },
   { "process kill that the VM list misses", fault_kill_unseen },
   { "process kill and restart", fault_restart },
-  { "freeze of 2.5 s", fault_freeze_short },
+  { "freeze of 2.5 s", fault_freeze_short, TRUE },
   { "freeze of 18 s, given up by the others", fault_freeze_long },
   { "cut of a VM", fault_cut },
   { "one-way cut: nothing leaves", fault_cut_out },
   { "one-way cut: nothing arrives", fault_cut_in },
-  { "cut between data centres", fault_cut_centres },
+  { "cut between data centres", fault_cut_centres, TRUE },
   { "silent connection", fault_silent },
   { "broken connection", fault_broken },
   { "answer without the framing's end", fault_no_framing },
   { "answer without its end event", fault_no_terminal },
-  { "connection refused", fault_refused },
-  { "lost platform answer, stored", fault_lost_stored },
-  { "lost platform answer, stored later", fault_lost_later },
-  { "lost platform answer, never stored", fault_lost_never },
+  { "connection refused", fault_refused, TRUE },
+  { "lost platform answer, stored", fault_lost_stored, TRUE },
+  { "lost platform answer, stored later", fault_lost_later, TRUE },
+  { "lost platform answer, never stored", fault_lost_never, TRUE },
   { "platform outage, refusing", fault_outage },
   { "platform outage, silent", fault_outage_silent },
   { "slow platform", fault_slow },
-  { "VM list wrongly says dead", fault_false_death },
-  { "ownership changes and changes back", fault_owners_change },
-  { "owners are silent", fault_owners_silent },
-  { "owners die", fault_owners_die },
+  { "VM list wrongly says dead", fault_false_death, TRUE },
+  { "ownership changes and changes back", fault_owners_change, TRUE },
+  { "owners are silent", fault_owners_silent, TRUE },
+  { "owners die", fault_owners_die, TRUE },
   { "full queue", fault_full },
-  { "queued", fault_queued },
-  { "grants revoked", fault_revoked },
-  { "crossed, repeated and late replies", fault_duplicates },
+  { "queued", fault_queued, TRUE },
+  { "grants revoked", fault_revoked, TRUE },
+  { "crossed, repeated and late replies", fault_duplicates, TRUE },
   { "broken connection, its replies come late", fault_broken_and_late },
   { "poison booking", fault_poison_booking },
-  { "poison chat", fault_poison_chat },
+  { "poison chat", fault_poison_chat, TRUE },
+  { "poison chat, deadly after its first token", fault_poison_stream, TRUE },
   { "callers leave", fault_callers_leave },
 };
 
--- a/tests/matrix_faults.h
+++ b/tests/matrix_faults.h
@@ -7,6 +7,7 @@
 {
   const char *name;
   void (*apply) (World *world, guint vm);
+  gboolean passes; /* bookings are done in the end, and everybody can learn it */
 } FaultRow;
 
 extern const FaultRow fault_rows[];
--- a/tests/matrix_targets.c
+++ b/tests/matrix_targets.c
@@ -144,6 +144,24 @@
   deliver (world, connection, event, text, 2600 * DP_USEC_PER_MSEC);
 }
 
+static void
+break_off (World *world, Connection *connection)
+{
+  if (connection->next_token == 0)
+    {
+      fail (world, connection, DP_REASON_TARGET_BROKE, FALSE);
+      return;
+    }
+  /* A chunked answer that is cut short ends without the framing's end. */
+  if (connection->closed)
+    return;
+  DpEntryEvent event = { .type = DP_ENTRY_EVENT_TARGET_END };
+  event.end.attempt = connection->attempt;
+  connection->closed = TRUE;
+  connection->failed = TRUE;
+  deliver (world, connection, event, NULL, 0);
+}
+
 static void
 crash_target (World *world, guint target)
 {
@@ -156,10 +174,18 @@
         continue;
       connection->broken = TRUE;
       if (reaches_vm (world, connection))
-        fail (world, connection, DP_REASON_TARGET_BROKE, FALSE);
+        break_off (world, connection);
     }
 }
 
+/* The target dies under the request. */
+static void
+die_of (World *world, const Connection *connection)
+{
+  world->deaths[connection->vm / FIXTURE_VMS] += 1;
+  crash_target (world, connection->target);
+}
+
 static void
 end_answer (World *world, Connection *connection, gboolean framing_complete)
 {
@@ -220,6 +246,11 @@
   const WorldVm *vm = &world->vms[connection->vm];
   if (connection->broken || vm->generation != connection->generation || world->closing)
     return;
+  if (connection->next_token > 0 && connection->body == world->poison)
+    {
+      die_of (world, connection);
+      return;
+    }
   if (connection->next_token > 0 && answer_is_cut (world, connection))
     return;
   if (!world_step (world, connection->vm, connection->kind, STEP_CHUNK) || connection->broken)
@@ -277,10 +308,9 @@
   g_array_append_val (world->effects, effect);
   world_log (world, "target %u runs operation %u of caller %" G_GUINT64_FORMAT,
              connection->target, connection->operation, connection->caller);
-  if (connection->body == world->poison)
+  if (connection->body == world->poison && !world->poison_is_slow)
     {
-      world->deaths[connection->vm / FIXTURE_VMS] += 1;
-      crash_target (world, connection->target);
+      die_of (world, connection);
       return;
     }
   if (!world_step (world, connection->vm, connection->kind, STEP_EFFECT) || connection->broken)
