entry: pace the writes of claims to a share of the platform's rate

Cause: each claim and each outcome was written as soon as its bucket had no write on its way, so grouping came only with load, and writers of the same bucket conflicted. The share shrinks with the number of entries (at least 2 writes/s each), so beyond about a hundred entries claims need routing to one writer for each bucket; not built.

--- a/core/entry_board.h
+++ b/core/entry_board.h
@@ -124,14 +124,18 @@
 {
   DpBucketId id;
   BucketOperation operation;
-  gboolean stale;    /* this process was paused while the operation was outstanding */
-  gboolean known;    /* version and records are those of a read or a confirmed write */
+  gboolean stale; /* this process was paused while the operation was outstanding */
+  gboolean known; /* version and records are those of a read or a confirmed write */
+  DpUsec known_at;
   guint64 version;   /* 0: no such object */
   GArray *records;   /* DpClaimRecord */
   GArray *writing;   /* DpClaimRecord: content of the outstanding write */
   guint failures;    /* operations failed in a row */
   DpUsec not_before; /* next operation */
   DpUsec used_at;
+  DpUsec contended_until; /* others write it too: read directly before each write */
+  gboolean write_due;     /* its write has been paid for and follows the read on its way */
+  DpUsec claims_since;    /* a claim waits to be written since then; 0: none */
 } Bucket;
 
 /* --- groups, owners, quarantine, budgets --- */
@@ -183,7 +187,10 @@
   GHashTable *budgets;     /* workspace -> double: retries that may be made */
 
   /* the platform's store */
-  gboolean store_due;    /* some bucket may have an operation to start */
+  gboolean store_due;     /* some bucket may have an operation to start */
+  double tokens;          /* writes that may be started now */
+  double tokens_reserved; /* of them, for claims only */
+  DpUsec tokens_at;
   guint store_failures;  /* in a row, over all buckets */
   DpUsec store_retry_at; /* requests that need the store are refused until then */
 
@@ -259,6 +266,12 @@
 void entry_buckets_tick (DpEntryBoard *board);
 void entry_bucket_free (gpointer data);
 
+/* --- entry_pace.c: pace of writes to the platform --- */
+
+/* TRUE if a write may be started now; urgent ones carry claims that a caller waits for. */
+gboolean entry_pace_allows (DpEntryBoard *board, gboolean urgent);
+void entry_pace_spend (DpEntryBoard *board);
+
 /* --- entry_holders.c: asking other processes about their claims --- */
 
 void entry_holders_ask (DpEntryBoard *board, Claim *claim);
--- a/core/entry_buckets.c
+++ b/core/entry_buckets.c
@@ -12,6 +12,10 @@
 #define BACKOFF_DOUBLINGS_MAX 6
 /* Failures in a row after which the platform counts as unreachable. */
 #define UNREACHABLE_FAILURES 2
+/* How long a bucket counts as contended after a conflict, and how old its content may be for a
+ * write then. */
+#define CONTENDED_TIME (2 * DP_USEC_PER_SEC)
+#define FRESH_TIME (2 * DP_USEC_PER_MSEC)
 /* Buckets are forgotten when nothing of them was used for this long. */
 #define IDLE_TIME (10 * DP_USEC_PER_SEC)
 
@@ -196,9 +200,11 @@
   entry_add_action (board, DP_ENTRY_ACTION_CLAIM_READ)->claim_read = bucket->id;
 }
 
-static void
+/* FALSE: the content allows none of the changes wanted. */
+static gboolean
 start_write (DpEntryBoard *board, Bucket *bucket)
 {
+  bucket->write_due = FALSE;
   GArray *records = copy_records (bucket->records);
   guint changes = 0;
   for (DpHandle h = dp_table_next (board->claims, 0); h != 0;
@@ -213,7 +219,7 @@
   if (changes == 0)
     {
       g_array_unref (records);
-      return;
+      return FALSE;
     }
   trim_records (records);
   bucket->operation = BUCKET_WRITING;
@@ -226,34 +232,51 @@
   entry_count (board, "dogwoodplank_claim_writes_total", NULL, NULL);
   dp_counters_add (board->options.counters, "dogwoodplank_claim_changes_total", NULL, NULL,
                    changes);
+  return TRUE;
 }
 
-/* What the bucket's claims need: nothing, a read or a write. */
-static BucketOperation
-next_operation (DpEntryBoard *board, const Bucket *bucket)
+/* What the bucket's claims need. */
+typedef struct Needs
 {
-  gboolean has_claims = FALSE;
-  gboolean has_writes = FALSE;
+  gboolean read;
+  gboolean write;
+  gboolean urgent; /* a caller waits for a claim to be written */
+} Needs;
+
+static Needs
+find_needs (DpEntryBoard *board, const Bucket *bucket)
+{
+  Needs needs = { 0 };
   for (DpHandle h = dp_table_next (board->claims, 0); h != 0;
        h = dp_table_next (board->claims, h))
     {
       const Claim *claim = dp_table_get (board->claims, h);
       if (!is_in (claim, bucket))
         continue;
-      has_claims = TRUE;
-      has_writes = has_writes || wants_write (claim);
+      needs.read = needs.read || !bucket->known;
+      needs.write = needs.write || wants_write (claim);
+      needs.urgent = needs.urgent || claim->phase == CLAIM_WANTED;
     }
-  if (has_claims && !bucket->known)
-    return BUCKET_READING;
-  return has_writes ? BUCKET_WRITING : BUCKET_IDLE;
+  return needs;
 }
 
-void
-entry_buckets_run (DpEntryBoard *board)
+/* Notes since when claims wait for the bucket's next write. */
+static void
+note_wait (DpEntryBoard *board, Bucket *bucket, gboolean urgent)
 {
-  if (!board->store_due)
-    return;
-  board->store_due = FALSE;
+  if (!urgent)
+    bucket->claims_since = 0;
+  else if (bucket->claims_since == 0)
+    bucket->claims_since = board->now;
+}
+
+/* Starts the reads that are due, and the writes that were paid for. Returns the bucket whose
+ * write is due most, or NULL: claims before final states, the longest wait first. */
+static Bucket *
+find_write (DpEntryBoard *board, gboolean *urgent)
+{
+  Bucket *best = NULL;
+  *urgent = FALSE;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, board->buckets);
@@ -262,17 +285,47 @@
       Bucket *bucket = value;
       if (bucket->operation != BUCKET_IDLE || board->now < bucket->not_before)
         continue;
-      switch (next_operation (board, bucket))
-        {
-        case BUCKET_READING:
-          start_read (board, bucket);
-          break;
-        case BUCKET_WRITING:
-          start_write (board, bucket);
-          break;
-        case BUCKET_IDLE:
-          break;
-        }
+      Needs needs = find_needs (board, bucket);
+      note_wait (board, bucket, needs.urgent);
+      if (needs.read)
+        start_read (board, bucket);
+      else if (bucket->write_due)
+        start_write (board, bucket);
+      if (bucket->operation != BUCKET_IDLE || !needs.write || (*urgent && !needs.urgent))
+        continue;
+      if (best != NULL && needs.urgent == *urgent && bucket->claims_since >= best->claims_since)
+        continue;
+      best = bucket;
+      *urgent = needs.urgent;
+    }
+  return best;
+}
+
+/* A write of old content to a bucket that others write too would only conflict. */
+static gboolean
+is_fresh (const DpEntryBoard *board, const Bucket *bucket)
+{
+  return board->now >= bucket->contended_until || board->now - bucket->known_at <= FRESH_TIME;
+}
+
+void
+entry_buckets_run (DpEntryBoard *board)
+{
+  if (!board->store_due)
+    return;
+  board->store_due = FALSE;
+  gboolean urgent;
+  for (Bucket *bucket = find_write (board, &urgent); bucket != NULL;
+       bucket = find_write (board, &urgent))
+    {
+      if (!entry_pace_allows (board, urgent))
+        return; /* the next tick tries again */
+      entry_pace_spend (board);
+      bucket->write_due = TRUE;
+      if (!is_fresh (board, bucket))
+        start_read (board, bucket);
+      else if (!start_write (board, bucket))
+        return;
     }
 }
 
@@ -319,6 +372,7 @@
   bucket->records = records;
   bucket->version = version;
   bucket->known = TRUE;
+  bucket->known_at = board->now;
   entry_claims_on_records (board, bucket);
 }
 
@@ -342,6 +396,10 @@
   if (result == DP_STORE_CONFLICT)
     {
       note_success (board, bucket);
+      bucket->contended_until = board->now + CONTENDED_TIME;
+      /* Tried again at once, on account: waiting would only make the content older. */
+      bucket->write_due = TRUE;
+      entry_pace_spend (board);
       return;
     }
   note_failure (board, bucket);
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -18,10 +18,10 @@
 core_sources() {
   printf '%s\n' common/*.c core/*.c manifest/manifest.c | grep -v -e common/log.c -e core/agent -e core/orders -e core/scheduler
 }
-matrix_sources() {
-  printf '%s\n' tests/fault_matrix.c tests/matrix_*.c tests/entry_fixture.c
+world_sources() {
+  printf '%s\n' tests/matrix_*.c tests/entry_fixture.c
 }
-export -f core_sources matrix_sources
+export -f core_sources world_sources
 
 compile() {
   local object=${1%.c}.o
@@ -33,8 +33,11 @@
 
 # One base build; a mutation compiles again only what it changes.
 mkdir "$scratch/base"
-{ core_sources; matrix_sources; echo tests/test_entry.c; } |
-  xargs -P 4 -I{} bash -c 'set -eu; compile {} "$scratch/base"'
+{
+  core_sources
+  world_sources
+  printf '%s\n' tests/fault_matrix.c tests/test_entry.c tests/test_claim_pace.c
+} | xargs -P 4 -I{} bash -c 'set -eu; compile {} "$scratch/base"'
 
 run_mutation() {
   local name=$1 spec="$top/tests/mutations/$1.mutation" tree="$scratch/$1"
@@ -51,7 +54,8 @@
   done
   local sources objects=()
   case $test in
-    fault_matrix) sources=$(core_sources; matrix_sources) ;;
+    fault_matrix) sources=$(core_sources; world_sources; echo tests/fault_matrix.c) ;;
+    claim_pace) sources=$(core_sources; world_sources; echo tests/test_claim_pace.c) ;;
     entry) sources=$(core_sources; echo tests/test_entry.c; echo tests/entry_fixture.c) ;;
     *) echo "$name: unknown test $test"; return 2 ;;
   esac
--- a/tests/matrix.h
+++ b/tests/matrix.h
@@ -197,6 +197,7 @@
   DpUsec outage_until;
   gboolean outage_loses; /* no answer, in place of a refusal */
   DpUsec slow_until;
+  DpUsec store_delay; /* added one way */
 };
 
 /* --- matrix_world.c: time, processes, links --- */
--- a/tests/matrix_store.c
+++ b/tests/matrix_store.c
@@ -215,7 +215,8 @@
   if (operation->is_write && operation->result == DP_STORE_OK
       && operation->generation == world->vms[operation->vm].generation)
     world_step (world, operation->vm, KIND_BOOKING, operation->step + 1);
-  world_at (world, world->now + world_delay (world), receive_reply, operation);
+  world_at (world, world->now + world_delay (world) + world->store_delay, receive_reply,
+            operation);
 }
 
 static void
@@ -225,7 +226,8 @@
   operation->generation = world->vms[operation->vm].generation;
   DpUsec slow = world->now < world->slow_until ? SLOW_DELAY : 0;
   DpUsec sent_at = world_ready_at (world, operation->vm);
-  world_at (world, sent_at + world_delay (world) + slow, arrive, operation);
+  world_at (world, sent_at + world_delay (world) + world->store_delay + slow, arrive,
+            operation);
   world_at (world, sent_at + STORE_TIMEOUT, time_out, operation);
 }
 
