--- a/core/scheduler_board.h
+++ b/core/scheduler_board.h
@@ -36,6 +36,14 @@
 /* A request is passed by for later ones with a cached prefix until it has waited this long. */
 #define DP_PREFIX_PATIENCE_USEC (500 * DP_USEC_PER_MSEC)
 
+/* A new owner's estimate of the wait does not refuse anything for this long: it does not know
+ * yet what the targets have cached. */
+#define DP_OWNER_TRUST_USEC (5 * DP_USEC_PER_SEC)
+/* A request waits at most this long for a target that has its prefix cached. */
+#define DP_PREFIX_WAIT_MAX_USEC (1 * DP_USEC_PER_SEC)
+/* Prompt tokens that a group's first preemptions may throw away. */
+#define DP_WASTE_BUDGET_START 2000
+
 /* --- queue --- */
 
 typedef struct DpGrant DpGrant;
@@ -101,6 +109,7 @@
   guint running[DP_TIERS_MAX];
   GSequence *by_latest_start; /* DpGrant that wait, by latest_start */
   GHashTable *blocks;         /* prefix blocks -> targets that have them cached */
+  double waste_budget;        /* prompt tokens that preemption for a wait may throw away */
   guint next_target;          /* round robin */
 } DpGroupState;
 
@@ -186,9 +195,12 @@
   DpName workspace;
   DpName model;
   guint prompt_tokens;
-  double output_tokens; /* expected */
-  double cost;          /* tokens, for fair shares and windows */
+  double output_mean;   /* expected */
+  double output_tokens; /* planned with, for deadlines */
+  double cost;          /* tokens, for fair shares */
+  double kv_tokens;     /* planned with, for the target's memory */
   double work;          /* seconds that the whole group needs for it */
+  double best_cached;   /* prompt tokens cached on the best target, when it came */
   DpUsec deadline;
   gboolean repeatable;
   guint excluded_count;
@@ -222,10 +234,11 @@
   GHashTable *report;  /* attempts of the report that is coming in: DpId -> NULL */
 } DpEntryState;
 
-/* Length of answers of one workspace and model. */
+/* Length of answers of one workspace, model and tier. */
 typedef struct DpLength
 {
   guint64 key;
+  guint count;
   double mean;
   double deviation;
 } DpLength;
@@ -246,7 +259,7 @@
   GHashTable *target_by_name;
   GHashTable *grant_by_attempt;
   GHashTable *entries; /* DpName -> DpEntryState */
-  GHashTable *lengths; /* pair (workspace, model) -> DpLength */
+  GHashTable *lengths; /* of (workspace, model, tier) -> DpLength */
   guint64 random;      /* state of the generator, from the seed */
   GArray *actions;     /* of the event in hand */
 };
@@ -292,6 +305,11 @@
                          const DpGrant *grant,
                          const DpPrefixMatch *match);
 double dp_prefix_cached_on (const DpTargetState *target, const DpGrant *grant);
+/* TRUE if the grant should rather wait a little for a target that has more of it cached. */
+gboolean dp_prefix_should_wait (const DpSchedulerBoard *board,
+                                const DpTargetState *target,
+                                const DpGrant *grant,
+                                double cached);
 /* The prompt is computed there. */
 void dp_prefix_sent (DpGroupState *group, DpTargetState *target, const DpGrant *grant);
 /* The grant ended before its prompt was computed. */
@@ -394,6 +412,8 @@
                       const DpHeld *held);
 
 /* scheduler_preempt.c: running requests that give way */
+/* The group has sent work to a target: a share of it may be thrown away. */
+void dp_preempt_earn (DpGroupState *group, double prompt_tokens);
 void dp_preempt_run (DpSchedulerBoard *board, DpGroupState *group);
 /* The cheapest victim of the lowest tier that runs below `tier`, or NULL. */
 DpGrant *dp_preempt_lowest_running (DpSchedulerBoard *board, DpGroupState *group, guint tier);
--- a/core/scheduler_config.c
+++ b/core/scheduler_config.c
@@ -13,6 +13,7 @@
   group->targets = g_array_new (FALSE, FALSE, sizeof (DpHandle));
   group->reported = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   group->blocks = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  group->waste_budget = DP_WASTE_BUDGET_START;
   dp_queue_init (group);
   g_hash_table_insert (board->group_by_name, &group->name, group);
   return group;
--- a/core/scheduler_estimate.c
+++ b/core/scheduler_estimate.c
@@ -5,8 +5,14 @@
 
 /* Share of a new observation in a learned length. */
 #define LENGTH_GAIN 0.1
-/* Deviations above the mean that an answer's length is planned with. */
-#define LENGTH_DEVIATIONS 1.0
+/* Deviations above the mean that an answer's length is planned with, if time allows. What the
+ * top tier loses by a late answer is small beside what it loses by a refusal. */
+#define LENGTH_DEVIATIONS_TOP 1.0
+#define LENGTH_DEVIATIONS 3.0
+/* Answers of a workspace after which its own length is used. */
+#define LENGTH_COUNT_MIN 3
+/* Deviation, relative to the length, after one answer. */
+#define FIRST_DEVIATION 0.5
 /* Speeds of a target that states none (plain services). */
 #define SPEED_UNSTATED 1e9
 
@@ -19,23 +25,16 @@
   return DP_MANIFEST_ROW (board->manifest, models, DpModel, index)->output_tokens;
 }
 
-static DpLength *
-find_length (const DpSchedulerBoard *board, DpName workspace, DpName model)
+static guint64
+length_key (DpName workspace, DpName model, DpName tier)
 {
-  guint64 key = dp_name_pair (workspace, model);
-  return g_hash_table_lookup (board->lengths, &key);
+  return dp_name_pair (dp_name_pair (workspace, model), tier);
 }
 
-static double
-planned_length (const DpSchedulerBoard *board, const DpGrantAsk *ask)
+static DpLength *
+find_length (const DpSchedulerBoard *board, guint64 key)
 {
-  const DpLength *length = find_length (board, ask->workspace, ask->model);
-  double tokens = expected_length (board, ask->model);
-  if (length != NULL)
-    tokens = length->mean + LENGTH_DEVIATIONS * length->deviation;
-  if (ask->output_tokens > 0)
-    tokens = MIN (tokens, ask->output_tokens);
-  return MAX (tokens - ask->sent_tokens, 1);
+  return g_hash_table_lookup (board->lengths, &key);
 }
 
 static double
@@ -62,31 +61,67 @@
   return (DpUsec)(seconds * (double)DP_USEC_PER_SEC);
 }
 
+/* Sets the usual length of the answer and the one that is planned with. A workspace without a
+ * history is expected to be as the manifest says, and planned with as others of its tier. */
+static void
+expect_length (const DpSchedulerBoard *board,
+               const DpGrantAsk *ask,
+               guint tier,
+               double *mean,
+               double *planned)
+{
+  const DpLength *own = find_length (board, length_key (ask->workspace, ask->model, ask->tier));
+  const DpLength *others = find_length (board, length_key (0, ask->model, ask->tier));
+  double deviations = tier == 0 ? LENGTH_DEVIATIONS_TOP : LENGTH_DEVIATIONS;
+  gboolean known = own != NULL && own->count >= LENGTH_COUNT_MIN;
+  const DpLength *best = known ? own : others;
+  *mean = known ? own->mean : expected_length (board, ask->model);
+  if (best != NULL)
+    *planned = best->mean + deviations * best->deviation;
+  else
+    *planned = ask->output_tokens > 0 && tier > 0 ? ask->output_tokens : *mean;
+}
+
 void
 dp_estimate_ask (DpSchedulerBoard *board, DpGrant *grant, const DpGrantAsk *ask)
 {
+  double most = ask->output_tokens > 0 ? ask->output_tokens : G_MAXUINT;
+  double mean;
+  double planned;
+  expect_length (board, ask, grant->tier, &mean, &planned);
   grant->prompt_tokens = ask->prompt_tokens + ask->sent_tokens;
-  grant->output_tokens = planned_length (board, ask);
-  grant->cost = grant->prompt_tokens + grant->output_tokens;
+  grant->output_mean = MAX (MIN (mean, most) - ask->sent_tokens, 1);
+  grant->output_tokens = MAX (MIN (planned, most) - ask->sent_tokens, 1);
+  grant->cost = grant->prompt_tokens + grant->output_mean;
+  grant->kv_tokens = grant->prompt_tokens + grant->output_tokens;
 }
 
-void
-dp_estimate_learn_length (DpSchedulerBoard *board, const DpGrant *grant, guint output_tokens)
+static void
+learn_length (DpSchedulerBoard *board, guint64 key, guint output_tokens)
 {
-  DpLength *length = find_length (board, grant->workspace, grant->model);
+  DpLength *length = find_length (board, key);
   if (length == NULL)
     {
       length = g_new0 (DpLength, 1);
-      length->key = dp_name_pair (grant->workspace, grant->model);
+      length->key = key;
       length->mean = output_tokens;
+      length->deviation = output_tokens * FIRST_DEVIATION;
       g_hash_table_insert (board->lengths, &length->key, length);
-      return;
     }
   double error = output_tokens - length->mean;
+  length->count += 1;
   length->mean += LENGTH_GAIN * error;
   length->deviation += LENGTH_GAIN * (fabs (error) - length->deviation);
 }
 
+void
+dp_estimate_learn_length (DpSchedulerBoard *board, const DpGrant *grant, guint output_tokens)
+{
+  learn_length (board, length_key (grant->workspace, grant->model, grant->tier_name),
+                output_tokens);
+  learn_length (board, length_key (0, grant->model, grant->tier_name), output_tokens);
+}
+
 double
 dp_estimate_nominal_decode (const DpTargetState *target, double tokens, guint batch)
 {
@@ -121,7 +156,7 @@
 dp_estimate_work (const DpTargetState *target, const DpGrant *grant, double cached)
 {
   double prefill = prefill_seconds (target, grant->prompt_tokens - cached);
-  double decode = grant->output_tokens / stated_speed (target->decode_speed)
+  double decode = grant->output_mean / stated_speed (target->decode_speed)
                   / dp_speed_ratio (&target->decode);
   return prefill + decode + target->service_time / MAX (target->window, 1);
 }
--- a/core/scheduler_grants.c
+++ b/core/scheduler_grants.c
@@ -54,6 +54,7 @@
     target->last_probe = board->now;
   dp_target_add (group, target, grant);
   group->running[grant->tier] += 1;
+  dp_preempt_earn (group, grant->prefill_tokens);
   send_given (board, group, grant);
   dp_scheduler_count (board, "dogwoodplank_grants_given_total", NULL, NULL);
 }
@@ -110,16 +111,13 @@
   return grant;
 }
 
-/* Fills in what the grant needs of the group as a whole: the time of the fastest able target
- * and the whole group's work. Returns FALSE if no target is able. */
-static gboolean
-measure_against_group (DpSchedulerBoard *board,
-                       DpGroupState *group,
-                       DpGrant *grant,
-                       DpUsec *fastest)
+/* Time of the fastest able target; the whole group's work goes into the grant. G_MAXINT64 if no
+ * target is able. */
+static DpUsec
+fastest_service (DpSchedulerBoard *board, DpGroupState *group, DpGrant *grant)
 {
   double rate = 0;
-  *fastest = G_MAXINT64;
+  DpUsec fastest = G_MAXINT64;
   DpPrefixMatch match;
   dp_prefix_match (group, grant, &match);
   for (guint i = 0; i < group->targets->len; i++)
@@ -128,13 +126,29 @@
       if (!dp_target_is_able (target, grant) || dp_health_is_down (board, target))
         continue;
       double cached = dp_prefix_cached (target, grant, &match);
-      *fastest = MIN (*fastest, dp_estimate_idle (target, grant, cached));
+      fastest = MIN (fastest, dp_estimate_idle (target, grant, cached));
+      if (target->health == DP_HEALTH_GOOD)
+        grant->best_cached = MAX (grant->best_cached, cached);
       rate += 1 / MAX (dp_estimate_work (target, grant, cached), 1e-6);
     }
-  if (rate <= 0)
+  grant->work = rate > 0 ? 1 / rate : 0;
+  return fastest;
+}
+
+/* Fills in the grant's latest start. An answer longer than usual is planned for, unless only
+ * the usual length is possible in time. FALSE: no target is able. */
+static gboolean
+measure_against_group (DpSchedulerBoard *board, DpGroupState *group, DpGrant *grant)
+{
+  DpUsec fastest = fastest_service (board, group, grant);
+  if (fastest != G_MAXINT64 && board->now + fastest > grant->deadline)
+    {
+      grant->output_tokens = grant->output_mean;
+      fastest = fastest_service (board, group, grant);
+    }
+  if (fastest == G_MAXINT64)
     return FALSE;
-  grant->work = 1 / rate;
-  grant->latest_start = grant->deadline - *fastest;
+  grant->latest_start = grant->deadline - fastest;
   return TRUE;
 }
 
@@ -192,7 +206,8 @@
       && !lower)
     return DP_REASON_QUEUE_FULL;
   DpUsec wait = dp_estimate_wait (board, group, grant);
-  if (!lower && board->now + wait > grant->latest_start)
+  gboolean trusted = board->now - group->active_since > DP_OWNER_TRUST_USEC;
+  if (trusted && !lower && board->now + wait > grant->latest_start)
     return DP_REASON_DEADLINE_UNREACHABLE;
   return DP_REASON_NONE;
 }
@@ -233,9 +248,8 @@
 static void
 place_ask (DpSchedulerBoard *board, DpGroupState *group, DpGrant *grant, const DpGrantAsk *ask)
 {
-  DpUsec fastest;
   DpReason reason = DP_REASON_NO_TARGET;
-  if (measure_against_group (board, group, grant, &fastest))
+  if (measure_against_group (board, group, grant))
     {
       DpTargetState *target = NULL;
       if (group->settled && !same_lane_waits (group, grant))
@@ -435,6 +449,7 @@
   grant->workspace = held->workspace;
   grant->model = held->model;
   grant->cost = held->tokens;
+  grant->kv_tokens = held->tokens;
   grant->granted_at = board->now;
   grant->started = held->started;
   grant->prompt_tokens = held->started ? 0 : held->tokens;
--- a/core/scheduler_health.c
+++ b/core/scheduler_health.c
@@ -20,7 +20,7 @@
 #define CLASS_MIN 3
 /* A first token is overdue after this many times the expected time, and this on top. */
 #define OVERDUE_FACTOR 4
-#define OVERDUE_USEC (500 * DP_USEC_PER_MSEC)
+#define OVERDUE_USEC (1 * DP_USEC_PER_SEC)
 /* At most this share of a group's targets is set aside for slowness at once. */
 #define ASIDE_PERCENT_MAX 34
 #define GOOD_PROBES_SLOW 2
--- a/core/scheduler_preempt.c
+++ b/core/scheduler_preempt.c
@@ -7,8 +7,14 @@
 
 /* Top-tier requests wait this long before they preempt. */
 #define TOP_TIER_WAIT_USEC (100 * DP_USEC_PER_MSEC)
-/* Before its latest start a request of any tier preempts. */
+/* This long before its latest start a request is sent behind other prompts of the target, ...
+ */
+#define URGENT_USEC (1500 * DP_USEC_PER_MSEC)
+/* ... and this long before, it preempts. */
 #define CRITICAL_USEC (300 * DP_USEC_PER_MSEC)
+/* Preemption for a wait may throw away this share of the prompt tokens sent. */
+#define WASTE_SHARE 0.005
+#define WASTE_BUDGET_MAX 8000
 /* Victims for one request. */
 #define VICTIMS_MAX 8
 /* Waiting requests looked at in one run. */
@@ -91,7 +97,7 @@
   DpTargetFreed freed = { .count = plan->count };
   for (guint i = 0; i < plan->count; i++)
     {
-      freed.tokens += plan->victims[i]->cost;
+      freed.tokens += plan->victims[i]->kv_tokens;
       freed.prefill += plan->victims[i]->prefill_tokens;
     }
   return dp_target_has_room_without (target, grant, &freed);
@@ -137,13 +143,15 @@
       Plan plan;
       double cached = dp_prefix_cached_on (target, grant);
       if (!dp_target_is_able (target, grant) || target->health != DP_HEALTH_GOOD
-          || board->now + dp_estimate_idle (target, grant, cached) > grant->deadline)
+          || board->now + dp_estimate_idle (target, grant, cached) > grant->deadline
+          || (!critical && dp_prefix_should_wait (board, target, grant, cached)))
         continue;
       if (plan_target (board, target, grant, critical, &plan) && better_plan (&plan, &best))
         best = plan;
     }
-  if (best.target == NULL)
+  if (best.target == NULL || (!critical && best.waste > group->waste_budget))
     return FALSE;
+  group->waste_budget = MAX (group->waste_budget - best.waste, 0);
   for (guint i = 0; i < best.count; i++)
     dp_grants_revoke (board, best.victims[i], DP_REASON_PREEMPTED);
   dp_grants_give_waiting (board, group, grant, best.target);
@@ -216,6 +224,13 @@
   return best;
 }
 
+void
+dp_preempt_earn (DpGroupState *group, double prompt_tokens)
+{
+  group->waste_budget
+    = MIN (group->waste_budget + WASTE_SHARE * prompt_tokens, WASTE_BUDGET_MAX);
+}
+
 void
 dp_preempt_run (DpSchedulerBoard *board, DpGroupState *group)
 {
--- a/core/scheduler_prefix.c
+++ b/core/scheduler_prefix.c
@@ -7,6 +7,10 @@
 
 /* Blocks remembered of a target that does not state its cache's size. */
 #define BLOCKS_DEFAULT 4096
+/* Fewer cached tokens are not waited for. */
+#define SAVED_TOKENS_MIN 128
+/* A request spends at most this part of its slack on waiting for a cached prefix. */
+#define SLACK_DIVISOR 4
 
 G_STATIC_ASSERT (DP_GROUP_TARGETS_MAX <= 64);
 
@@ -162,6 +166,22 @@
   return cached_tokens (target, grant, blocks);
 }
 
+/* The wait is worth at most the prefill time that it saves, and a part of the time left. */
+gboolean
+dp_prefix_should_wait (const DpSchedulerBoard *board,
+                       const DpTargetState *target,
+                       const DpGrant *grant,
+                       double cached)
+{
+  double saved = grant->best_cached - cached;
+  if (saved < SAVED_TOKENS_MIN || target->prefill_speed <= 0)
+    return FALSE;
+  DpUsec patience = (DpUsec)(saved / target->prefill_speed * (double)DP_USEC_PER_SEC);
+  patience = MIN (patience, DP_PREFIX_WAIT_MAX_USEC);
+  patience = MIN (patience, (grant->latest_start - grant->arrived) / SLACK_DIVISOR);
+  return board->now - grant->arrived < patience;
+}
+
 void
 dp_prefix_sent (DpGroupState *group, DpTargetState *target, const DpGrant *grant)
 {
--- a/core/scheduler_queue.c
+++ b/core/scheduler_queue.c
@@ -212,6 +212,7 @@
              double cached)
 {
   return dp_target_is_able (target, grant) && dp_target_has_room (board, target, grant)
+         && !dp_prefix_should_wait (board, target, grant, cached)
          && board->now + dp_estimate_service (target, grant, cached) <= grant->deadline;
 }
 
--- a/core/scheduler_targets.c
+++ b/core/scheduler_targets.c
@@ -74,7 +74,7 @@
     return FALSE;
   if (running == 0)
     return TRUE;
-  double tokens = target->tokens - freed->tokens + grant->cost;
+  double tokens = target->tokens - freed->tokens + grant->kv_tokens;
   if (target->kv_tokens > 0 && tokens > target->kv_tokens)
     return FALSE;
   return prefill_has_room (target, target->prefill_ahead - freed->prefill);
@@ -101,7 +101,7 @@
   grant->expected_first = dp_estimate_nominal_prefill (target, grant->prefill_tokens);
   g_ptr_array_add (target->grants, grant);
   grant->batch = target->grants->len;
-  target->tokens += grant->cost;
+  target->tokens += grant->kv_tokens;
   target->prefill_ahead += grant->prefill_tokens;
 }
 
@@ -112,7 +112,7 @@
     return;
   if (!grant->started)
     dp_prefix_not_computed (group, target, grant);
-  target->tokens -= grant->cost;
+  target->tokens -= grant->kv_tokens;
   dp_target_first_token (target, grant);
 }
 
@@ -137,7 +137,8 @@
         continue;
       double cached = dp_prefix_cached (target, grant, &match);
       DpUsec service = dp_estimate_service (target, grant, cached);
-      if (board->now + service > grant->deadline)
+      if (board->now + service > grant->deadline
+          || dp_prefix_should_wait (board, target, grant, cached))
         continue;
       if (best == NULL || service < best_service)
         {
