core: plan answers that nothing is known of by their bound, explore them one at a time

Now the caller's bound is planned for while nothing is known, one request of a tier at a time explores; a request that only an answer of the usual length would finish in time takes no started victim.

--- a/core/scheduler_board.h
+++ b/core/scheduler_board.h
@@ -196,12 +196,15 @@
   DpName model;
   guint prompt_tokens;
   double output_mean;   /* expected */
+  double output_least;  /* planned with when there is no time for more */
+  double output_stated; /* by the manifest, while no length is known */
   double output_tokens; /* planned with, for deadlines */
   double cost;          /* tokens, for fair shares */
   double kv_tokens;     /* planned with, for the target's memory */
   double work;          /* seconds that the whole group needs for it */
   double best_cached;   /* prompt tokens cached on the best target, when it came */
   DpUsec deadline;
+  gboolean is_doubtful; /* only an answer of less than the planned length would be in time */
   gboolean repeatable;
   guint excluded_count;
   DpName excluded[DP_EXCLUDED_MAX];
--- a/core/scheduler_estimate.c
+++ b/core/scheduler_estimate.c
@@ -61,37 +61,53 @@
   return (DpUsec)(seconds * (double)DP_USEC_PER_SEC);
 }
 
-/* Sets the usual length of the answer and the one that is planned with. A workspace without a
- * history is expected to be as the manifest says, and planned with as others of its tier. */
+/* Sets the least length to plan with and the one that is planned with if time allows.
+ *
+ * The top tier is given the benefit of the doubt: its least length is the usual one, and
+ * without a history of the workspace what the manifest says. */
 static void
-expect_length (const DpSchedulerBoard *board,
-               const DpGrantAsk *ask,
-               guint tier,
-               double *mean,
-               double *planned)
+expect_length (const DpSchedulerBoard *board, const DpGrantAsk *ask, DpGrant *grant)
 {
   const DpLength *own = find_length (board, length_key (ask->workspace, ask->model, ask->tier));
   const DpLength *others = find_length (board, length_key (0, ask->model, ask->tier));
-  double deviations = tier == 0 ? LENGTH_DEVIATIONS_TOP : LENGTH_DEVIATIONS;
   gboolean known = own != NULL && own->count >= LENGTH_COUNT_MIN;
+  gboolean top = grant->tier == 0;
   const DpLength *best = known ? own : others;
-  *mean = known ? own->mean : expected_length (board, ask->model);
-  if (best != NULL)
-    *planned = best->mean + deviations * best->deviation;
-  else
-    *planned = ask->output_tokens > 0 && tier > 0 ? ask->output_tokens : *mean;
+  double stated = expected_length (board, ask->model);
+  grant->output_stated = stated;
+  if (best == NULL)
+    {
+      double bound = ask->output_tokens > 0 && !top ? ask->output_tokens : stated;
+      grant->output_mean = stated;
+      grant->output_least = MAX (bound, stated);
+      grant->output_tokens = MAX (bound, stated);
+      return;
+    }
+  grant->output_mean = known || !top ? best->mean : stated;
+  grant->output_least = grant->output_mean + (top ? 0 : best->deviation);
+  grant->output_stated = grant->output_least;
+  grant->output_tokens
+    = best->mean + (top ? LENGTH_DEVIATIONS_TOP : LENGTH_DEVIATIONS) * best->deviation;
+}
+
+/* What is left of an answer of that length. */
+static double
+remaining_length (const DpGrantAsk *ask, double length)
+{
+  if (ask->output_tokens > 0)
+    length = MIN (length, ask->output_tokens);
+  return MAX (length - ask->sent_tokens, 1);
 }
 
 void
 dp_estimate_ask (DpSchedulerBoard *board, DpGrant *grant, const DpGrantAsk *ask)
 {
-  double most = ask->output_tokens > 0 ? ask->output_tokens : G_MAXUINT;
-  double mean;
-  double planned;
-  expect_length (board, ask, grant->tier, &mean, &planned);
+  expect_length (board, ask, grant);
+  grant->output_mean = remaining_length (ask, grant->output_mean);
+  grant->output_least = remaining_length (ask, grant->output_least);
+  grant->output_stated = remaining_length (ask, grant->output_stated);
+  grant->output_tokens = remaining_length (ask, grant->output_tokens);
   grant->prompt_tokens = ask->prompt_tokens + ask->sent_tokens;
-  grant->output_mean = MAX (MIN (mean, most) - ask->sent_tokens, 1);
-  grant->output_tokens = MAX (MIN (planned, most) - ask->sent_tokens, 1);
   grant->cost = grant->prompt_tokens + grant->output_mean;
   grant->kv_tokens = grant->prompt_tokens + grant->output_tokens;
 }
--- a/core/scheduler_grants.c
+++ b/core/scheduler_grants.c
@@ -135,15 +135,29 @@
   return fastest;
 }
 
+static gboolean
+misses_deadline (const DpSchedulerBoard *board, const DpGrant *grant, DpUsec service)
+{
+  return service != G_MAXINT64 && board->now + service > grant->deadline;
+}
+
 /* Fills in the grant's latest start. An answer longer than usual is planned for, unless only
- * the usual length is possible in time. FALSE: no target is able. */
+ * the usual length is possible in time; of a tier that nothing runs of, and nothing may be
+ * known of, the length that the manifest states is tried. FALSE: no target is able. */
 static gboolean
 measure_against_group (DpSchedulerBoard *board, DpGroupState *group, DpGrant *grant)
 {
   DpUsec fastest = fastest_service (board, group, grant);
-  if (fastest != G_MAXINT64 && board->now + fastest > grant->deadline)
+  if (misses_deadline (board, grant, fastest))
+    {
+      grant->is_doubtful = grant->tier > 0;
+      grant->output_tokens = grant->output_least;
+      fastest = fastest_service (board, group, grant);
+    }
+  guint others = group->running[grant->tier] + group->tiers[grant->tier].waiting;
+  if (misses_deadline (board, grant, fastest) && others == 0)
     {
-      grant->output_tokens = grant->output_mean;
+      grant->output_tokens = MIN (grant->output_stated, grant->output_least);
       fastest = fastest_service (board, group, grant);
     }
   if (fastest == G_MAXINT64)
--- a/core/scheduler_preempt.c
+++ b/core/scheduler_preempt.c
@@ -201,7 +201,7 @@
       if (grant->latest_start - board->now > CRITICAL_USEC)
         return;
       if (runs_below (group, grant->tier))
-        preempt_for (board, group, grant, TRUE);
+        preempt_for (board, group, grant, !grant->is_doubtful);
     }
 }
 
