--- a/core/scheduler_board.h
+++ b/core/scheduler_board.h
@@ -367,6 +367,8 @@
 gboolean dp_target_is_able (const DpTargetState *target, const DpGrant *grant);
 /* Requests at once, by the measured speed. */
 guint dp_target_window (const DpTargetState *target);
+/* TRUE if it has room for no request whatever. */
+gboolean dp_target_is_full (const DpTargetState *target);
 gboolean dp_target_has_room (const DpSchedulerBoard *board,
                              const DpTargetState *target,
                              const DpGrant *grant);
@@ -418,6 +420,8 @@
 /* The group has sent work to a target: a share of it may be thrown away. */
 void dp_preempt_earn (DpGroupState *group, double prompt_tokens);
 void dp_preempt_run (DpSchedulerBoard *board, DpGroupState *group);
+/* For one request that waits. */
+void dp_preempt_run_for (DpSchedulerBoard *board, DpGroupState *group, DpGrant *grant);
 /* The cheapest victim of the lowest tier that runs below `tier`, or NULL. */
 DpGrant *dp_preempt_lowest_running (DpSchedulerBoard *board, DpGroupState *group, guint tier);
 
--- a/core/scheduler_estimate.c
+++ b/core/scheduler_estimate.c
@@ -7,7 +7,7 @@
 #define LENGTH_GAIN 0.1
 /* Deviations above the mean that an answer's length is planned with, if time allows. What the
  * top tier loses by a late answer is small beside what it loses by a refusal. */
-#define LENGTH_DEVIATIONS_TOP 1.0
+#define LENGTH_DEVIATIONS_TOP 2.0
 #define LENGTH_DEVIATIONS 3.0
 /* Answers of a workspace after which its own length is used. */
 #define LENGTH_COUNT_MIN 3
--- a/core/scheduler_grants.c
+++ b/core/scheduler_grants.c
@@ -284,13 +284,14 @@
   dp_queue_push (board, group, grant);
   send_queued (board, group, grant);
   dp_grants_fill (board, group);
-  dp_preempt_run (board, group);
+  if (grant->state == DP_GRANT_WAITING)
+    dp_preempt_run_for (board, group, grant);
 }
 
 static void
 fill_from_tier (DpSchedulerBoard *board, DpGroupState *group, DpTargetState *target, guint tier)
 {
-  while (group->tiers[tier].waiting > 0)
+  while (group->tiers[tier].waiting > 0 && !dp_target_is_full (target))
     {
       DpGrant *grant = dp_queue_first_servable (board, group, tier, target);
       if (grant == NULL)
@@ -304,6 +305,8 @@
 fill_target (DpSchedulerBoard *board, DpGroupState *group, DpTargetState *target)
 {
   gboolean good = target->health == DP_HEALTH_GOOD;
+  if (dp_target_is_full (target))
+    return;
   for (guint i = 0; i < board->tier_count; i++)
     fill_from_tier (board, group, target, good ? i : board->tier_count - 1 - i);
 }
--- a/core/scheduler_preempt.c
+++ b/core/scheduler_preempt.c
@@ -186,6 +186,15 @@
     }
 }
 
+void
+dp_preempt_run_for (DpSchedulerBoard *board, DpGroupState *group, DpGrant *grant)
+{
+  if (!group->settled || grant->latest_start - board->now > CRITICAL_USEC)
+    return;
+  if (runs_below (group, grant->tier))
+    preempt_for (board, group, grant, !grant->is_doubtful);
+}
+
 /* Requests that are about to miss their deadlines. */
 static void
 serve_critical (DpSchedulerBoard *board, DpGroupState *group)
@@ -200,8 +209,7 @@
       seen++;
       if (grant->latest_start - board->now > CRITICAL_USEC)
         return;
-      if (runs_below (group, grant->tier))
-        preempt_for (board, group, grant, !grant->is_doubtful);
+      dp_preempt_run_for (board, group, grant);
     }
 }
 
--- a/core/scheduler_queue.c
+++ b/core/scheduler_queue.c
@@ -205,14 +205,20 @@
   place_flows_of (queue, grant->workspace);
 }
 
+/* The cheap part first: most targets have no room. */
 static gboolean
-is_servable (const DpSchedulerBoard *board,
-             const DpTargetState *target,
-             const DpGrant *grant,
-             double cached)
+has_place (const DpSchedulerBoard *board, const DpTargetState *target, const DpGrant *grant)
 {
-  return dp_target_is_able (target, grant) && dp_target_has_room (board, target, grant)
-         && !dp_prefix_should_wait (board, target, grant, cached)
+  return dp_target_has_room (board, target, grant) && dp_target_is_able (target, grant);
+}
+
+static gboolean
+is_timely (const DpSchedulerBoard *board,
+           const DpTargetState *target,
+           const DpGrant *grant,
+           double cached)
+{
+  return !dp_prefix_should_wait (board, target, grant, cached)
          && board->now + dp_estimate_service (target, grant, cached) <= grant->deadline;
 }
 
@@ -228,8 +234,10 @@
        link = link->next, seen++)
     {
       DpGrant *grant = link->data;
+      if (!has_place (board, target, grant))
+        continue;
       double cached = dp_prefix_cached_on (target, grant);
-      if (!is_servable (board, target, grant, cached))
+      if (!is_timely (board, target, grant, cached))
         continue;
       if (best == NULL || cached > best_cached)
         {
--- a/core/scheduler_targets.c
+++ b/core/scheduler_targets.c
@@ -80,6 +80,17 @@
   return prefill_has_room (target, target->prefill_ahead - freed->prefill);
 }
 
+gboolean
+dp_target_is_full (const DpTargetState *target)
+{
+  guint others = MIN (target->excess, target->excess_before);
+  if (target->health != DP_HEALTH_GOOD)
+    return target->grants->len > 0;
+  if (target->grants->len + others >= dp_target_window (target))
+    return TRUE;
+  return target->grants->len > 0 && !prefill_has_room (target, target->prefill_ahead);
+}
+
 gboolean
 dp_target_has_room (const DpSchedulerBoard *board,
                     const DpTargetState *target,
@@ -133,7 +144,8 @@
   for (guint i = 0; i < group->targets->len; i++)
     {
       DpTargetState *target = dp_group_target (board, group, i);
-      if (!dp_target_is_able (target, grant) || !dp_target_has_room (board, target, grant))
+      if (dp_target_is_full (target) || !dp_target_is_able (target, grant)
+          || !dp_target_has_room (board, target, grant))
         continue;
       double cached = dp_prefix_cached (target, grant, &match);
       DpUsec service = dp_estimate_service (target, grant, cached);
