--- a/replay/cluster_engines.c
+++ b/replay/cluster_engines.c
@@ -85,6 +85,17 @@
   sim_engine_refresh (sim, engine);
 }
 
+static void
+note_load (Sim *sim, guint engine)
+{
+  guint running;
+  guint waiting;
+  dp_engine_model_load (sim->engines[engine].model, &running, &waiting);
+  guint window = g_array_index (sim->trace->engines, DpTraceEngine, engine).window;
+  double load = (double)(running + waiting) / MAX (window, 1);
+  sim->result->most_over_window = MAX (sim->result->most_over_window, load);
+}
+
 void
 sim_engine_add (Sim *sim, const SimEvent *event)
 {
@@ -100,6 +111,7 @@
   advance (sim, engine);
   sim->result->prefill_repeated += repeated_tokens (sim, engine, event->work);
   dp_engine_model_add (sim->engines[engine].model, sim_seconds (sim), event->work);
+  note_load (sim, engine);
   sim_engine_refresh (sim, engine);
 }
 
--- a/replay/engine.c
+++ b/replay/engine.c
@@ -98,6 +98,7 @@
   guint64 *oldest = g_queue_pop_tail (&model->cache_by_use);
   add_cache_event (model, DP_CACHE_REMOVED, *oldest);
   g_hash_table_remove (model->cache, oldest);
+  g_free (oldest);
 }
 
 static void
--- a/replay/replay.c
+++ b/replay/replay.c
@@ -337,6 +337,7 @@
       sim_schedule (&sim, (DpUsec)(fault->at * (double)DP_USEC_PER_SEC), SIM_FAULT, i);
     }
   run_loop (&sim, (DpUsec)((end + END_GRACE_SECONDS) * (double)DP_USEC_PER_SEC));
+  result->unanswered = sim.open;
   account_prefill (&sim);
   sim_clear (&sim);
 }
--- a/replay/replay.h
+++ b/replay/replay.h
@@ -36,6 +36,8 @@
   double prefill_lost;     /* of the wasted: attempts of a VM that died */
   double prefill_repeated; /* prefix blocks that another engine had cached */
   guint refusals[DP_REASON_COUNT];
+  guint unanswered;        /* requests without a final answer at the end */
+  double most_over_window; /* requests at an engine relative to its window, at most */
   guint
     shed_inversions; /* refusals of a request while its group served or queued a lower tier */
   guint64 events;
