--- /dev/null
+++ b/net/http_server.c
@@ -0,0 +1,624 @@
+#include "net/http_server.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+
+/* evhttp answers larger bodies itself, with a page of its own. */
+#define BODY_SLACK 2
+/* Bytes taken from a caller beyond the request that is being answered. */
+#define READ_AHEAD_BYTES 16384
+#define ALL_METHODS                                                                            \
+  (EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE     \
+   | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH)
+
+/* How often connections are looked through. */
+#define SWEEP_INTERVAL DP_USEC_PER_SEC
+
+/* One accepted connection. evhttp does not tell when it frees one; the socket's inode tells
+ * whether the descriptor is still the same socket. */
+typedef struct Connection
+{
+  int fd;
+  ino_t inode;
+  DpUsec since;  /* accepted, or done with the last request */
+  gboolean busy; /* a request is being answered */
+} Connection;
+
+struct DpHttpServer
+{
+  /* constant */
+  DpHttpServerOptions options;
+  char *name;
+  /* for the life of the server */
+  struct evhttp *http;
+  struct evhttp_bound_socket *bound; /* NULL once it stopped accepting */
+  GHashTable *exchanges;             /* open ones */
+  GHashTable *writing;               /* exchanges whose answer is on its way out */
+  GHashTable *connections;           /* descriptor -> Connection */
+  GPtrArray *accepted; /* struct bufferevent: without a row in `connections` yet */
+  struct event *accepted_event;
+  struct event *sweep;
+  GHashTable *closing; /* Closing: connections about to be closed */
+};
+
+struct DpHttpExchange
+{
+  DpHttpServer *server;
+  struct evhttp_request *request;
+  gsize body_length;
+  DpHttpGone gone;
+  gpointer user;
+  GDestroyNotify destroy;
+  struct event *doom; /* closes the connection; set once the caller was too slow */
+};
+
+/* A connection that is closed by the next turn of the loop. */
+typedef struct Closing
+{
+  DpHttpServer *server;
+  struct evhttp_connection *connection; /* NULL once evhttp has freed it */
+  struct event *event;
+} Closing;
+
+static struct timeval
+to_timeval (DpUsec span)
+{
+  return (struct timeval){ .tv_sec = span / DP_USEC_PER_SEC,
+                           .tv_usec = span % DP_USEC_PER_SEC };
+}
+
+static void
+count (DpHttpServer *server, const char *name)
+{
+  dp_counters_add (server->options.counters, name, "listener", server->name, 1);
+}
+
+/* --- accepted connections --- */
+
+static ino_t
+socket_inode (int fd)
+{
+  struct stat info;
+  return fstat (fd, &info) == 0 ? info.st_ino : 0;
+}
+
+static void
+enable_listener (DpHttpServer *server)
+{
+  if (server->bound == NULL)
+    return;
+  struct evconnlistener *listener = evhttp_bound_socket_get_listener (server->bound);
+  guint open = g_hash_table_size (server->connections) + server->accepted->len;
+  if (open < server->options.connections_max)
+    evconnlistener_enable (listener);
+  else
+    evconnlistener_disable (listener);
+}
+
+/* evhttp gives the socket to the bufferevent right after this. */
+static struct bufferevent *
+on_accept (struct event_base *base, void *user)
+{
+  DpHttpServer *server = user;
+  struct bufferevent *bev = bufferevent_socket_new (base, -1, 0);
+  g_ptr_array_add (server->accepted, bev);
+  event_active (server->accepted_event, EV_TIMEOUT, 0);
+  enable_listener (server);
+  return bev;
+}
+
+/* Runs before the next poll for input, so that none of the connections can be gone yet. */
+static void
+on_accepted (evutil_socket_t fd, short what, void *user)
+{
+  DpHttpServer *server = user;
+  for (guint i = 0; i < server->accepted->len; i++)
+    {
+      Connection *connection = g_new0 (Connection, 1);
+      connection->fd = bufferevent_getfd (g_ptr_array_index (server->accepted, i));
+      connection->inode = socket_inode (connection->fd);
+      connection->since = g_get_monotonic_time ();
+      g_hash_table_replace (server->connections, &connection->fd, connection);
+    }
+  g_ptr_array_set_size (server->accepted, 0);
+}
+
+/* Forgets closed connections, and ends those whose request takes too long to come. */
+static void
+on_sweep (evutil_socket_t fd, short what, void *user)
+{
+  DpHttpServer *server = user;
+  DpUsec oldest = g_get_monotonic_time () - server->options.request_timeout;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, server->connections);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Connection *connection = value;
+      if (socket_inode (connection->fd) != connection->inode)
+        g_hash_table_iter_remove (&iter);
+      else if (!connection->busy && connection->since < oldest)
+        shutdown (connection->fd, SHUT_RDWR);
+    }
+  dp_counters_set (server->options.counters, "dogwoodplank_http_connections", "listener",
+                   server->name, g_hash_table_size (server->connections));
+  enable_listener (server);
+}
+
+static void
+set_busy (DpHttpServer *server, struct evhttp_connection *connection, gboolean busy)
+{
+  int fd = bufferevent_getfd (evhttp_connection_get_bufferevent (connection));
+  Connection *row = g_hash_table_lookup (server->connections, &fd);
+  if (row == NULL)
+    return;
+  row->busy = busy;
+  row->since = g_get_monotonic_time ();
+}
+
+static struct bufferevent *
+exchange_bufferevent (const DpHttpExchange *exchange)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (exchange->request);
+  return connection != NULL ? evhttp_connection_get_bufferevent (connection) : NULL;
+}
+
+/* For the tables of exchanges: the request stays evhttp's. */
+static void
+free_exchange (gpointer data)
+{
+  DpHttpExchange *exchange = data;
+  if (exchange->doom != NULL)
+    event_free (exchange->doom);
+  if (exchange->destroy != NULL)
+    exchange->destroy (exchange->user);
+  g_free (exchange);
+}
+
+/* --- connections that close under an exchange --- */
+
+/* evhttp detaches a request that is still being answered from its dead connection; it then
+ * belongs to us. */
+static void
+on_connection_closed (struct evhttp_connection *connection, void *user)
+{
+  DpHttpExchange *exchange = user;
+  if (evhttp_request_get_connection (exchange->request) == NULL)
+    evhttp_request_free (exchange->request);
+  exchange->request = NULL;
+  count (exchange->server, "dogwoodplank_http_callers_gone_total");
+  g_hash_table_steal (exchange->server->exchanges, exchange);
+  if (exchange->gone != NULL)
+    exchange->gone (exchange->user);
+  free_exchange (exchange);
+}
+
+/* Reads on while the request is answered, only to learn of the caller's leaving: evhttp stops
+ * the process on input that it does not expect, so its read callback is taken off. */
+static void
+watch_caller (DpHttpExchange *exchange)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (exchange->request);
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
+  bufferevent_data_cb on_write;
+  bufferevent_event_cb on_event;
+  void *arg;
+  bufferevent_getcb (bev, NULL, &on_write, &on_event, &arg);
+  bufferevent_setcb (bev, NULL, on_write, on_event, arg);
+  bufferevent_setwatermark (bev, EV_READ, 0, READ_AHEAD_BYTES);
+  struct timeval write_timeout = to_timeval (exchange->server->options.write_timeout);
+  bufferevent_set_timeouts (bev, NULL, &write_timeout);
+  bufferevent_enable (bev, EV_READ);
+  set_busy (exchange->server, connection, TRUE);
+  evhttp_connection_set_closecb (connection, on_connection_closed, exchange);
+}
+
+static void
+unwatch_caller (DpHttpExchange *exchange)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (exchange->request);
+  if (connection == NULL)
+    return;
+  evhttp_connection_set_closecb (connection, NULL, NULL);
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
+  bufferevent_setwatermark (bev, EV_READ, 0, 0);
+  struct timeval read_timeout = to_timeval (exchange->server->options.read_timeout);
+  struct timeval write_timeout = to_timeval (exchange->server->options.write_timeout);
+  bufferevent_set_timeouts (bev, &read_timeout, &write_timeout);
+}
+
+static void
+on_written (struct evhttp_request *request, void *user)
+{
+  DpHttpExchange *exchange = user;
+  struct evhttp_connection *connection = evhttp_request_get_connection (request);
+  if (connection != NULL)
+    {
+      evhttp_connection_set_closecb (connection, NULL, NULL);
+      set_busy (exchange->server, connection, FALSE);
+    }
+  g_hash_table_remove (exchange->server->writing, exchange);
+}
+
+static void
+on_closed_while_writing (struct evhttp_connection *connection, void *user)
+{
+  DpHttpExchange *exchange = user;
+  count (exchange->server, "dogwoodplank_http_callers_gone_total");
+  g_hash_table_remove (exchange->server->writing, exchange);
+}
+
+/* Ends the exchange for its user; it is kept until its answer has gone out. Returns the
+ * request, or NULL if its connection is no more. */
+static struct evhttp_request *
+release_exchange (DpHttpExchange *exchange)
+{
+  DpHttpServer *server = exchange->server;
+  struct evhttp_request *request = exchange->request;
+  struct evhttp_connection *connection = evhttp_request_get_connection (request);
+  unwatch_caller (exchange);
+  g_hash_table_steal (server->exchanges, exchange);
+  g_hash_table_add (server->writing, exchange);
+  evhttp_request_set_on_complete_cb (request, on_written, exchange);
+  evhttp_connection_set_closecb (connection, on_closed_while_writing, exchange);
+  return request;
+}
+
+static void
+free_closing (gpointer data)
+{
+  Closing *closing = data;
+  if (closing->connection != NULL)
+    evhttp_connection_set_closecb (closing->connection, NULL, NULL);
+  event_free (closing->event);
+  g_free (closing);
+}
+
+static void
+on_close_event (evutil_socket_t fd, short what, void *user)
+{
+  Closing *closing = user;
+  struct evhttp_connection *connection = closing->connection;
+  g_hash_table_remove (closing->server->closing, closing);
+  if (connection != NULL)
+    evhttp_connection_free (connection);
+}
+
+static void
+on_closing_closed (struct evhttp_connection *connection, void *user)
+{
+  Closing *closing = user;
+  closing->connection = NULL;
+}
+
+/* Ends the exchange without a final chunk. A connection can't be freed from evhttp's callbacks,
+ * from which this may be called, so the loop does it next. */
+static void
+close_later (DpHttpExchange *exchange)
+{
+  DpHttpServer *server = exchange->server;
+  Closing *closing = g_new0 (Closing, 1);
+  closing->server = server;
+  closing->connection = evhttp_request_get_connection (exchange->request);
+  closing->event = event_new (server->options.base, -1, 0, on_close_event, closing);
+  g_hash_table_add (server->closing, closing);
+  unwatch_caller (exchange);
+  g_hash_table_remove (server->exchanges, exchange);
+  if (closing->connection != NULL)
+    evhttp_connection_set_closecb (closing->connection, on_closing_closed, closing);
+  event_active (closing->event, EV_TIMEOUT, 0);
+}
+
+/* --- requests --- */
+
+/* For requests that the handler never sees. */
+static void
+refuse (struct evhttp_request *request, int status, const char *title)
+{
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+  evhttp_add_header (headers, "Content-Type", "application/problem+json");
+  evhttp_add_header (headers, "Connection", "close");
+  struct evbuffer *body = evbuffer_new ();
+  evbuffer_add_printf (
+    body, "{\"type\":\"about:blank\",\"title\":\"%s\",\"status\":%d,\"outcome\":\"not_run\"}\n",
+    title, status);
+  evhttp_send_reply (request, status, title, body);
+  evbuffer_free (body);
+}
+
+/* An answer's head and its first event are separate small writes: without this the second waits
+ * for the caller's delayed acknowledgement. */
+static void
+send_at_once (struct evhttp_request *request)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (request);
+  int fd = bufferevent_getfd (evhttp_connection_get_bufferevent (connection));
+  int on = 1;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+static void
+on_request (struct evhttp_request *request, void *user)
+{
+  DpHttpServer *server = user;
+  count (server, "dogwoodplank_http_requests_total");
+  send_at_once (request);
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  if (evbuffer_get_length (input) > server->options.body_max)
+    {
+      count (server, "dogwoodplank_http_bodies_too_large_total");
+      refuse (request, 413, "body too large");
+      return;
+    }
+  if (g_hash_table_size (server->exchanges) >= server->options.exchanges_max)
+    {
+      count (server, "dogwoodplank_http_exchanges_refused_total");
+      evhttp_add_header (evhttp_request_get_output_headers (request), "Retry-After", "1");
+      refuse (request, 503, "too many open requests");
+      return;
+    }
+  DpHttpExchange *exchange = g_new0 (DpHttpExchange, 1);
+  exchange->server = server;
+  exchange->request = request;
+  exchange->body_length = evbuffer_get_length (input);
+  evbuffer_add (input, "", 1);
+  g_hash_table_add (server->exchanges, exchange);
+  watch_caller (exchange);
+  server->options.handler (server->options.user, exchange);
+}
+
+static gboolean
+bind_listener (DpHttpServer *server)
+{
+  server->bound = evhttp_bind_socket_with_handle (server->http, server->options.address,
+                                                  server->options.port);
+  return server->bound != NULL;
+}
+
+DpHttpServer *
+dp_http_server_new (const DpHttpServerOptions *options)
+{
+  DpHttpServer *server = g_new0 (DpHttpServer, 1);
+  server->options = *options;
+  server->name = g_strdup (options->name);
+  dp_counters_ref (options->counters);
+  server->exchanges = g_hash_table_new_full (NULL, NULL, free_exchange, NULL);
+  server->writing = g_hash_table_new_full (NULL, NULL, free_exchange, NULL);
+  server->closing = g_hash_table_new_full (NULL, NULL, free_closing, NULL);
+  server->connections = g_hash_table_new_full (g_int_hash, g_int_equal, NULL, g_free);
+  server->accepted = g_ptr_array_new ();
+  server->accepted_event = event_new (options->base, -1, 0, on_accepted, server);
+  server->http = evhttp_new (options->base);
+  evhttp_set_max_headers_size (server->http, (ev_ssize_t)options->head_max);
+  evhttp_set_max_body_size (server->http, (ev_ssize_t)(options->body_max * BODY_SLACK));
+  evhttp_set_allowed_methods (server->http, ALL_METHODS);
+  evhttp_set_default_content_type (server->http, NULL);
+  struct timeval timeout = to_timeval (options->read_timeout);
+  evhttp_set_timeout_tv (server->http, &timeout);
+  evhttp_set_gencb (server->http, on_request, server);
+  evhttp_set_bevcb (server->http, on_accept, server);
+  server->sweep = event_new (options->base, -1, EV_PERSIST, on_sweep, server);
+  const struct timeval interval = to_timeval (SWEEP_INTERVAL);
+  event_add (server->sweep, &interval);
+  if (bind_listener (server))
+    return server;
+  dp_http_server_free (server);
+  return NULL;
+}
+
+/* Takes evhttp's callbacks off the connections of these exchanges. */
+static void
+silence_exchanges (GHashTable *exchanges)
+{
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, exchanges);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const DpHttpExchange *exchange = key;
+      struct evhttp_connection *connection = evhttp_request_get_connection (exchange->request);
+      if (connection != NULL)
+        evhttp_connection_set_closecb (connection, NULL, NULL);
+      evhttp_request_set_on_complete_cb (exchange->request, NULL, NULL);
+    }
+}
+
+void
+dp_http_server_free (DpHttpServer *server)
+{
+  if (server == NULL)
+    return;
+  silence_exchanges (server->exchanges);
+  silence_exchanges (server->writing);
+  g_hash_table_unref (server->exchanges);
+  g_hash_table_unref (server->writing);
+  g_hash_table_unref (server->closing);
+  evhttp_free (server->http);
+  event_free (server->sweep);
+  event_free (server->accepted_event);
+  g_ptr_array_unref (server->accepted);
+  g_hash_table_unref (server->connections);
+  dp_counters_unref (server->options.counters);
+  g_free (server->name);
+  g_free (server);
+}
+
+void
+dp_http_server_stop_accepting (DpHttpServer *server)
+{
+  if (server->bound != NULL)
+    evhttp_del_accept_socket (server->http, server->bound);
+  server->bound = NULL;
+}
+
+guint
+dp_http_server_open_exchanges (const DpHttpServer *server)
+{
+  return g_hash_table_size (server->exchanges);
+}
+
+gboolean
+dp_http_server_is_idle (const DpHttpServer *server)
+{
+  return g_hash_table_size (server->exchanges) == 0 && g_hash_table_size (server->writing) == 0
+         && g_hash_table_size (server->closing) == 0;
+}
+
+const char *
+dp_http_exchange_method (const DpHttpExchange *exchange)
+{
+  switch (evhttp_request_get_command (exchange->request))
+    {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    case EVHTTP_REQ_OPTIONS:
+      return "OPTIONS";
+    case EVHTTP_REQ_PATCH:
+      return "PATCH";
+    default:
+      return "";
+    }
+}
+
+const char *
+dp_http_exchange_target (const DpHttpExchange *exchange)
+{
+  return evhttp_request_get_uri (exchange->request);
+}
+
+const char *
+dp_http_exchange_header (const DpHttpExchange *exchange, const char *name)
+{
+  return evhttp_find_header (evhttp_request_get_input_headers (exchange->request), name);
+}
+
+const char *
+dp_http_exchange_body (const DpHttpExchange *exchange, gsize *length)
+{
+  *length = exchange->body_length;
+  struct evbuffer *input = evhttp_request_get_input_buffer (exchange->request);
+  return (const char *)evbuffer_pullup (input, -1);
+}
+
+gboolean
+dp_http_exchange_can_stream (const DpHttpExchange *exchange)
+{
+  const struct evhttp_request *request = exchange->request;
+  return request->major > 1 || (request->major == 1 && request->minor >= 1);
+}
+
+void
+dp_http_exchange_set_gone (DpHttpExchange *exchange,
+                           DpHttpGone gone,
+                           gpointer user,
+                           GDestroyNotify destroy)
+{
+  exchange->gone = gone;
+  exchange->user = user;
+  exchange->destroy = destroy;
+}
+
+void
+dp_http_exchange_add_header (DpHttpExchange *exchange, const char *name, const char *value)
+{
+  evhttp_add_header (evhttp_request_get_output_headers (exchange->request), name, value);
+}
+
+/* A server that stops, closes each connection after its answer. */
+static void
+add_connection_header (DpHttpExchange *exchange)
+{
+  if (exchange->server->bound == NULL)
+    dp_http_exchange_add_header (exchange, "Connection", "close");
+}
+
+void
+dp_http_exchange_reply (DpHttpExchange *exchange, int status, const void *body, gsize length)
+{
+  struct evhttp_request *request = exchange->request;
+  add_connection_header (exchange);
+  release_exchange (exchange);
+  struct evbuffer *buffer = evbuffer_new ();
+  evbuffer_add (buffer, body, length);
+  evhttp_send_reply (request, status, NULL, buffer);
+  evbuffer_free (buffer);
+}
+
+void
+dp_http_exchange_start (DpHttpExchange *exchange, int status)
+{
+  add_connection_header (exchange);
+  evhttp_send_reply_start (exchange->request, status, NULL);
+}
+
+/* Closes the connection, which runs on_connection_closed(). */
+static void
+on_doom (evutil_socket_t fd, short what, void *user)
+{
+  DpHttpExchange *exchange = user;
+  struct evhttp_connection *connection = evhttp_request_get_connection (exchange->request);
+  if (connection != NULL)
+    evhttp_connection_free (connection);
+}
+
+void
+dp_http_exchange_write (DpHttpExchange *exchange, const void *data, gsize length)
+{
+  if (exchange->doom != NULL)
+    return;
+  struct evbuffer *buffer = evbuffer_new ();
+  evbuffer_add (buffer, data, length);
+  evhttp_send_reply_chunk (exchange->request, buffer);
+  evbuffer_free (buffer);
+  struct bufferevent *bev = exchange_bufferevent (exchange);
+  gsize unread = bev != NULL ? evbuffer_get_length (bufferevent_get_output (bev)) : 0;
+  if (unread <= exchange->server->options.unread_max)
+    return;
+  count (exchange->server, "dogwoodplank_http_callers_slow_total");
+  dp_http_exchange_drop (exchange);
+}
+
+void
+dp_http_exchange_drop (DpHttpExchange *exchange)
+{
+  if (exchange->doom != NULL)
+    return;
+  exchange->doom = event_new (exchange->server->options.base, -1, 0, on_doom, exchange);
+  event_active (exchange->doom, EV_TIMEOUT, 0);
+}
+
+void
+dp_http_exchange_finish (DpHttpExchange *exchange)
+{
+  struct evhttp_request *request = exchange->request;
+  if (exchange->doom != NULL)
+    {
+      close_later (exchange);
+      return;
+    }
+  release_exchange (exchange);
+  evhttp_send_reply_end (request);
+}
+
+void
+dp_http_exchange_break_off (DpHttpExchange *exchange)
+{
+  close_later (exchange);
+}
