net: CURVE on the bus, with a check of who may connect

Cause: anybody who reached the bus's port could send grants. All processes share one key pair; further public keys may be allowed for a change of keys. The ZAP question is answered on the loop; handshakes that fail before it are heard from the socket's monitor. Both are counted.

Tests: net_bus (allowed, further, strange key, strange system, no encryption).

--- a/net/bus.c
+++ b/net/bus.c
@@ -57,7 +57,10 @@
   DpCounters *counters;
   DpBusReceive receive;
   gpointer user;
+  gboolean has_keys;
+  DpBusKeys keys; /* texts owned by the bus */
   /* for the life of the bus */
+  DpBusAuth *auth; /* NULL without keys */
   void *context;
   void *router;
   struct event *router_event;
@@ -217,6 +220,8 @@
   set_int (socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MSEC);
   set_int (socket, ZMQ_RECONNECT_IVL, RECONNECT_FIRST_MSEC);
   set_int (socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_LAST_MSEC);
+  if (bus->has_keys)
+    dp_bus_keys_set_client (&bus->keys, socket);
   guint8 identity[IDENTITY_BYTES];
   make_identity (bus->self, identity);
   zmq_setsockopt (socket, ZMQ_ROUTING_ID, identity, sizeof identity);
@@ -418,6 +423,9 @@
   set_int (bus->router, ZMQ_BACKLOG, BACKLOG_CONNECTIONS);
   /* A restarted peer takes its identity over from its old connection, which may hang. */
   set_int (bus->router, ZMQ_ROUTER_HANDOVER, 1);
+  if (bus->has_keys)
+    bus->auth
+      = dp_bus_auth_new (bus->base, bus->context, bus->router, &bus->keys, bus->counters);
   char endpoint[80];
   make_endpoint (endpoint, sizeof endpoint, bus->address, bus->ports[bus->self.role]);
   if (zmq_bind (bus->router, endpoint) == 0)
@@ -439,9 +447,31 @@
   event_add (bus->tick, &second);
 }
 
+static void
+copy_keys (DpBus *bus, const DpBusKeys *keys)
+{
+  bus->has_keys = TRUE;
+  bus->keys.public_key = g_strdup (keys->public_key);
+  bus->keys.secret_key = g_strdup (keys->secret_key);
+  bus->keys.allowed = g_strdup (keys->allowed);
+}
+
+static void
+clear_keys (DpBusKeys *keys)
+{
+  g_free ((char *)keys->public_key);
+  g_free ((char *)keys->secret_key);
+  g_free ((char *)keys->allowed);
+}
+
 DpBus *
 dp_bus_new (const DpBusOptions *options, GError **error)
 {
+  if (options->keys != NULL && !dp_bus_keys_check (options->keys))
+    {
+      g_set_error (error, DP_BUS_ERROR, DP_BUS_ERROR_KEYS, "the CURVE keys are malformed");
+      return NULL;
+    }
   DpBus *bus = g_new0 (DpBus, 1);
   bus->base = options->base;
   bus->self = options->self;
@@ -451,6 +481,8 @@
   bus->receive = options->receive;
   bus->user = options->user;
   bus->links = g_hash_table_new_full (peer_hash, peer_equal, NULL, free_link);
+  if (options->keys != NULL)
+    copy_keys (bus, options->keys);
   bus->context = zmq_ctx_new ();
   if (!bind_router (bus, error))
     {
@@ -469,11 +501,13 @@
   g_hash_table_unref (bus->links);
   g_clear_pointer (&bus->router_event, event_free);
   g_clear_pointer (&bus->tick, event_free);
+  dp_bus_auth_free (bus->auth);
   if (bus->router != NULL)
     zmq_close (bus->router);
   zmq_ctx_term (bus->context);
   dp_view_unref (bus->view);
   dp_counters_unref (bus->counters);
+  clear_keys (&bus->keys);
   g_free (bus->address);
   g_free (bus);
 }
--- a/net/bus.h
+++ b/net/bus.h
@@ -15,6 +15,7 @@
 #include "common/counters.h"
 #include "core/message.h"
 #include "core/view.h"
+#include "net/bus_auth.h"
 
 #include <event2/event.h>
 #include <glib.h>
@@ -27,6 +28,7 @@
 {
   DP_BUS_ERROR_BIND,
   DP_BUS_ERROR_SOCKET,
+  DP_BUS_ERROR_KEYS,
 } DpBusError;
 
 GQuark dp_bus_error_quark (void);
@@ -41,6 +43,7 @@
   const char *address;          /* IP number to bind; also used for peers on this VM */
   guint16 ports[DP_ROLE_COUNT]; /* by role, the same on all VMs */
   DpCounters *counters;         /* a reference is taken */
+  const DpBusKeys *keys;        /* NULL: without CURVE */
   DpBusReceive receive;
   gpointer user;
 } DpBusOptions;
--- a/net/process.c
+++ b/net/process.c
@@ -404,6 +404,10 @@
 start_bus (DpProcess *process, DpFindings *findings)
 {
   const DpProcessSettings *settings = process->settings;
+  const DpBusKeys keys = { .public_key = settings->curve_public_key,
+                           .secret_key = settings->curve_secret_key,
+                           .allowed = settings->curve_allowed_keys };
+  gboolean has_keys = keys.public_key != NULL || keys.secret_key != NULL;
   const DpBusOptions options = { .base = process->base,
                                  .self = process->self,
                                  .address = settings->address,
@@ -411,6 +415,7 @@
                                             [DP_ROLE_SCHEDULER] = settings->scheduler_bus_port,
                                             [DP_ROLE_AGENT] = settings->agent_bus_port },
                                  .counters = process->counters,
+                                 .keys = has_keys ? &keys : NULL,
                                  .receive = on_message,
                                  .user = process };
   GError *error = NULL;
--- a/net/process.h
+++ b/net/process.h
@@ -26,6 +26,10 @@
   guint16 agent_bus_port;
   guint16 operator_port;
   guint log_level;
+  /* CURVE; all NULL: without */
+  char *curve_public_key;
+  char *curve_secret_key;
+  char *curve_allowed_keys;
   /* static set-up */
   char *manifest;
   GPtrArray *vms; /* "NAME=IP=DATACENTRE"; of an agent: peers to ask */
@@ -71,6 +75,12 @@
 /* Further rows of those that follow an agent. */
 #define DP_PROCESS_SETTINGS(Type, field, default_operator_port)                                \
   DP_PROCESS_COMMON_SETTINGS (Type, field, default_operator_port),                             \
+    DP_TEXT_SETTING ("curve_public_key", Type, field.curve_public_key, "Z85",                  \
+                     "key pair of all processes; without it the bus is not encrypted", FALSE), \
+    DP_TEXT_SETTING ("curve_secret_key", Type, field.curve_secret_key, "Z85",                  \
+                     "belongs in the settings file", FALSE),                                   \
+    DP_TEXT_SETTING ("curve_allowed_keys", Type, field.curve_allowed_keys, "KEYS",             \
+                     "further public keys that may connect", FALSE),                           \
     DP_TEXT_SETTING ("manifest", Type, field.manifest, "FILE",                                 \
                      "use this manifest instead of the agent's", FALSE),                       \
   {                                                                                            \
--- a/tests/test_net_bus.c
+++ b/tests/test_net_bus.c
@@ -5,6 +5,7 @@
 
 #include <check.h>
 #include <stdlib.h>
+#include <string.h>
 #include <zmq.h>
 
 /* An event that has not come by then never will. */
@@ -29,7 +30,8 @@
   guint expected; /* messages; the loop ends with the last */
   guint received;
   DpPeer from;
-  GArray *revisions; /* guint64, in the order of their arrival */
+  GArray *revisions;     /* guint64, in the order of their arrival */
+  const DpBusKeys *keys; /* NULL: without CURVE */
 } Node;
 
 static void
@@ -60,6 +62,7 @@
                            .address = address,
                            .ports = { ports[0], ports[1], ports[2] },
                            .counters = node->counters,
+                           .keys = node->keys,
                            .receive = on_message,
                            .user = node };
   node->bus = dp_bus_new (&options, error);
@@ -312,6 +315,155 @@
 }
 END_TEST
 
+/* --- CURVE --- */
+
+typedef struct KeyPair
+{
+  char public_key[DP_BUS_KEY_CHARS + 1];
+  char secret_key[DP_BUS_KEY_CHARS + 1];
+} KeyPair;
+
+static KeyPair
+make_pair (void)
+{
+  KeyPair pair;
+  ck_assert_int_eq (zmq_curve_keypair (pair.public_key, pair.secret_key), 0);
+  return pair;
+}
+
+static guint64
+refused (const Node *node, const char *reason)
+{
+  return dp_counters_get (node->counters, "dogwoodplank_bus_peers_refused_total", "reason",
+                          reason);
+}
+
+typedef struct CurveCase
+{
+  const char *name;
+  gboolean encrypted;    /* the peer uses CURVE */
+  gboolean same_keys;    /* the peer has the system's key pair */
+  gboolean allowed;      /* the peer's own key is among the further keys */
+  gboolean knows_server; /* the peer has the server's public key */
+  const char *refused;   /* NULL: its message arrives */
+} CurveCase;
+
+static const CurveCase curve_cases[] = {
+  { "the system's key", TRUE, TRUE, FALSE, TRUE, NULL },
+  { "a further key", TRUE, FALSE, TRUE, TRUE, NULL },
+  { "a strange key", TRUE, FALSE, FALSE, TRUE, "key" },
+  { "a strange system", TRUE, FALSE, FALSE, FALSE, "handshake" },
+  { "no encryption", FALSE, FALSE, FALSE, FALSE, "handshake" },
+};
+
+/* A DEALER in the name of entry "a", set up by hand. */
+static void *
+make_peer (void *context, const CurveCase *c, const KeyPair *system, const KeyPair *own)
+{
+  void *peer = zmq_socket (context, ZMQ_DEALER);
+  int linger = 0;
+  zmq_setsockopt (peer, ZMQ_LINGER, &linger, sizeof linger);
+  guint8 identity[10] = { 'P' };
+  guint64 vm = GUINT64_TO_BE (dp_name ("a"));
+  memcpy (&identity[1], &vm, sizeof vm);
+  zmq_setsockopt (peer, ZMQ_ROUTING_ID, identity, sizeof identity);
+  if (c->encrypted)
+    {
+      const KeyPair *pair = c->same_keys ? system : own;
+      const char *server = c->knows_server ? system->public_key : own->public_key;
+      zmq_setsockopt (peer, ZMQ_CURVE_SERVERKEY, server, DP_BUS_KEY_CHARS);
+      zmq_setsockopt (peer, ZMQ_CURVE_PUBLICKEY, pair->public_key, DP_BUS_KEY_CHARS);
+      zmq_setsockopt (peer, ZMQ_CURVE_SECRETKEY, pair->secret_key, DP_BUS_KEY_CHARS);
+    }
+  char endpoint[64];
+  g_snprintf (endpoint, sizeof endpoint, "tcp://127.0.1.12:%u", ports[DP_ROLE_SCHEDULER]);
+  ck_assert_int_eq (zmq_connect (peer, endpoint), 0);
+  DpMessage message = { .type = DP_MESSAGE_MANIFEST_ASK };
+  GByteArray *frame = dp_codec_encode ((DpPeer){ dp_name ("a"), DP_ROLE_ENTRY }, &message);
+  zmq_send (peer, frame->data, frame->len, ZMQ_DONTWAIT);
+  g_byte_array_unref (frame);
+  return peer;
+}
+
+START_TEST (only_allowed_keys_connect)
+{
+  const CurveCase *c = &curve_cases[_i];
+  const KeyPair system = make_pair ();
+  const KeyPair own = make_pair ();
+  const DpBusKeys keys = { .public_key = system.public_key,
+                           .secret_key = system.secret_key,
+                           .allowed = c->allowed ? own.public_key : NULL };
+  struct event_base *base = event_base_new ();
+  Node b = make_node (base, "b", DP_ROLE_SCHEDULER, "127.0.1.12");
+  b.keys = &keys;
+  ck_assert (start_node (&b, "127.0.1.12", NULL));
+  void *context = zmq_ctx_new ();
+  void *peer = make_peer (context, c, &system, &own);
+  gint64 end = g_get_monotonic_time () + (gint64)PATIENCE_SECONDS * G_USEC_PER_SEC;
+  while (b.received == 0 && (c->refused == NULL || refused (&b, c->refused) == 0)
+         && g_get_monotonic_time () < end)
+    event_base_loop (base, EVLOOP_ONCE);
+  ck_assert_msg (b.received == (c->refused == NULL ? 1 : 0), "%s", c->name);
+  if (c->refused != NULL)
+    ck_assert_msg (refused (&b, c->refused) > 0, "%s", c->name);
+  zmq_close (peer);
+  zmq_ctx_term (context);
+  clear_node (&b);
+  event_base_free (base);
+}
+END_TEST
+
+START_TEST (processes_with_the_systems_key_talk)
+{
+  const KeyPair system = make_pair ();
+  const DpBusKeys keys = { .public_key = system.public_key, .secret_key = system.secret_key };
+  struct event_base *base = event_base_new ();
+  Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
+  Node b = make_node (base, "b", DP_ROLE_SCHEDULER, "127.0.1.12");
+  a.keys = &keys;
+  b.keys = &keys;
+  ck_assert (start_node (&a, "127.0.1.11", NULL));
+  ck_assert (start_node (&b, "127.0.1.12", NULL));
+  DpView *view = make_view (2);
+  dp_bus_set_view (a.bus, view);
+  b.expected = 300;
+  for (guint64 i = 0; i < b.expected; i++)
+    send_revision (&a, b.self, i);
+  run (base);
+  ck_assert_uint_eq (b.received, 300);
+  dp_view_unref (view);
+  clear_node (&a);
+  clear_node (&b);
+  event_base_free (base);
+}
+END_TEST
+
+START_TEST (malformed_keys_are_an_error)
+{
+  const KeyPair pair = make_pair ();
+  const KeyPair other = make_pair ();
+  const DpBusKeys cases[] = {
+    { .public_key = "short", .secret_key = pair.secret_key },
+    { .public_key = pair.public_key },
+    { .secret_key = pair.secret_key },
+    { .public_key = pair.public_key, .secret_key = other.secret_key },
+    { .public_key = pair.public_key, .secret_key = pair.secret_key, .allowed = "x" },
+  };
+  struct event_base *base = event_base_new ();
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
+      a.keys = &cases[i];
+      GError *error = NULL;
+      ck_assert (!start_node (&a, "127.0.1.11", &error));
+      ck_assert (g_error_matches (error, DP_BUS_ERROR, DP_BUS_ERROR_KEYS));
+      g_error_free (error);
+      clear_node (&a);
+    }
+  event_base_free (base);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -327,6 +479,9 @@
   tcase_add_test (tcase, messages_to_an_unreachable_peer_expire);
   tcase_add_test (tcase, an_address_in_use_is_an_error);
   tcase_add_test (tcase, bad_frames_are_counted_and_dropped);
+  tcase_add_loop_test (tcase, only_allowed_keys_connect, 0, G_N_ELEMENTS (curve_cases));
+  tcase_add_test (tcase, processes_with_the_systems_key_talk);
+  tcase_add_test (tcase, malformed_keys_are_an_error);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
