--- a/agent/shell.c
+++ b/agent/shell.c
@@ -1,12 +1,14 @@
 #include "agent/shell.h"
 
+#include "agent/orders.h"
 #include "common/log.h"
 #include "core/agent.h"
 #include "platform/client.h"
 
 /* More calls at once than the core ever has open. */
-#define PLATFORM_IN_FLIGHT DP_AGENT_CALL_COUNT
-#define PLATFORM_QUEUE (2 * DP_AGENT_CALL_COUNT)
+#define LEASE_CALLS 1
+#define PLATFORM_IN_FLIGHT (DP_AGENT_CALL_COUNT + LEASE_CALLS)
+#define PLATFORM_QUEUE (2 * PLATFORM_IN_FLIGHT)
 #define PLATFORM_BACKOFF_MIN (200 * DP_USEC_PER_MSEC)
 #define PLATFORM_BACKOFF_MAX (2 * DP_USEC_PER_SEC)
 
@@ -25,6 +27,7 @@
   DpProcess *process;
   DpAgentBoard *board;
   DpPlatformClient *platform;
+  DpOrdersShell *orders;
   CallSlot slots[DP_AGENT_CALL_COUNT];
   guint64 peers_version; /* of the view that the bus uses */
 };
@@ -217,8 +220,11 @@
 static void
 on_tick (gpointer user)
 {
-  handle (user, &(DpAgentEvent){ .type = DP_AGENT_EVENT_TICK });
-  show_state (user);
+  Shell *shell = user;
+  handle (shell, &(DpAgentEvent){ .type = DP_AGENT_EVENT_TICK });
+  dp_orders_shell_tick (shell->orders, dp_agent_manifest (shell->board),
+                        dp_agent_view (shell->board));
+  show_state (shell);
 }
 
 static void
@@ -300,6 +306,22 @@
     shell->slots[call] = (CallSlot){ .shell = shell, .call = call };
 }
 
+static void
+start_orders (Shell *shell)
+{
+  const DpProcessSettings *settings = &shell->settings->process;
+  shell->orders = dp_orders_shell_new (&(DpOrdersShellOptions){
+    .base = dp_process_base (shell->process),
+    .platform = shell->platform,
+    .data_centre = settings->data_centre,
+    .board = { .vm = dp_name (settings->name),
+               .data_centre = dp_name (settings->data_centre),
+               .incarnation = dp_process_incarnation (shell->process),
+               .seed = dp_process_random (),
+               .counters = dp_process_counters (shell->process) },
+  });
+}
+
 gboolean
 dp_agent_run (const DpAgentSettings *settings, DpFindings *findings)
 {
@@ -317,7 +339,9 @@
     {
       start_board (&shell, peers);
       start_platform (&shell);
+      start_orders (&shell);
       dp_process_run (shell.process);
+      dp_orders_shell_free (shell.orders);
       dp_platform_client_unref (shell.platform);
       dp_agent_board_unref (shell.board);
     }
