core: calls that may not be repeated may probe a failing target

Cause: only repeatable calls probed, so a service with no repeatable calls stayed set aside for ever after two failures (seen with real processes: 15 s and 150 requests after the fault was lifted still no_target). Ruled out: the backoff (it had run out). Now such a call probes where nothing else has for 5 s. The new test was red before.

--- a/core/scheduler_health.c
+++ b/core/scheduler_health.c
@@ -30,7 +30,7 @@
 #define POLLS_MISSED_MAX 2
 #define BACKOFF_MIN_USEC (1 * DP_USEC_PER_SEC)
 #define BACKOFF_MAX_USEC (30 * DP_USEC_PER_SEC)
-/* A target set aside for this long without a probe takes one of any tier. */
+/* A target set aside for this long without a probe takes one of any tier and kind. */
 #define PROBE_PATIENCE_USEC (5 * DP_USEC_PER_SEC)
 
 static double
@@ -318,9 +318,11 @@
                      const DpTargetState *target,
                      const DpGrant *grant)
 {
-  if (target->grants->len > 0 || board->now < target->probe_at || !grant->repeatable)
+  if (target->grants->len > 0 || board->now < target->probe_at)
     return FALSE;
-  if (grant->tier + 1 >= board->tier_count)
+  /* A probe that fails costs most where it can't be repeated: such a call probes only where
+   * nothing else has come for a while. */
+  if (grant->repeatable && grant->tier + 1 >= board->tier_count)
     return TRUE;
   DpUsec since = MAX (target->aside_since, target->last_probe);
   return board->now - since >= PROBE_PATIENCE_USEC;
--- a/tests/test_scheduler_health.c
+++ b/tests/test_scheduler_health.c
@@ -194,6 +194,25 @@
 }
 END_TEST
 
+/* Calls that may not be repeated must probe too, where a pool gets no others. */
+START_TEST (a_failing_target_is_probed_by_what_may_not_be_repeated)
+{
+  static const FixtureEngine only[] = { { "e0", 8, 1000, 400, 50, 100000, { "m" } } };
+  Fixture f;
+  open_settled (&f, only, 1);
+  for (guint id = 1; id <= 2; id++)
+    {
+      fixture_ask (&f, (FixtureAsk){ .id = id, .not_repeatable = TRUE });
+      ck_assert_uint_eq (fixture_target (&f, id), dp_name ("e0"));
+      fixture_done (&f, id, (DpGrantDone){ .reason = DP_REASON_TARGET_BROKE });
+    }
+  fixture_run (&f, 10 * DP_USEC_PER_SEC);
+  fixture_ask (&f, (FixtureAsk){ .id = 3, .not_repeatable = TRUE });
+  ck_assert_uint_eq (fixture_target (&f, 3), dp_name ("e0"));
+  fixture_close (&f);
+}
+END_TEST
+
 START_TEST (an_unreachable_target_is_left_alone_until_it_answers)
 {
   Fixture f;
@@ -289,6 +308,7 @@
   tcase_add_test (tcase, only_a_share_of_a_group_is_set_aside_for_slowness);
   tcase_add_loop_test (tcase, a_failing_target_is_left_alone_with_backoff, 0,
                        G_N_ELEMENTS (failure_cases));
+  tcase_add_test (tcase, a_failing_target_is_probed_by_what_may_not_be_repeated);
   tcase_add_test (tcase, an_unreachable_target_is_left_alone_until_it_answers);
   tcase_add_test (tcase, lengths_are_learned_per_workspace_and_model);
   tcase_add_test (tcase, the_window_follows_the_measured_speed);
