net: accepted connections in a file of their own; refusals name their reason

Bodies over the limit and requests over the limit of open ones are answered with the reason's name, as all other refusals.

--- /dev/null
+++ b/net/http_connections.c
@@ -0,0 +1,142 @@
+#include "net/http_connections.h"
+
+#include <event2/bufferevent.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+
+/* How often connections are looked through. */
+#define SWEEP_SECONDS 1
+
+/* One accepted connection. evhttp does not tell when it frees one; the socket's inode tells
+ * whether the descriptor is still the same socket. */
+typedef struct Connection
+{
+  int fd;
+  ino_t inode;
+  DpUsec since;  /* accepted, or done with the last request */
+  gboolean busy; /* a request is being answered */
+} Connection;
+
+struct DpHttpConnections
+{
+  DpHttpConnectionsOptions options;
+  struct evconnlistener *listener; /* NULL: none */
+  GHashTable *rows;                /* descriptor -> Connection */
+  GPtrArray *accepted;             /* struct bufferevent: without a row yet */
+  struct event *accepted_event;
+  struct event *sweep;
+};
+
+static ino_t
+socket_inode (int fd)
+{
+  struct stat info;
+  return fstat (fd, &info) == 0 ? info.st_ino : 0;
+}
+
+static void
+enable_listener (DpHttpConnections *connections)
+{
+  if (connections->listener == NULL)
+    return;
+  guint open = g_hash_table_size (connections->rows) + connections->accepted->len;
+  if (open < connections->options.max)
+    evconnlistener_enable (connections->listener);
+  else
+    evconnlistener_disable (connections->listener);
+}
+
+/* evhttp gives the socket to the bufferevent right after this. */
+static struct bufferevent *
+on_accept (struct event_base *base, void *user)
+{
+  DpHttpConnections *connections = user;
+  struct bufferevent *bev = bufferevent_socket_new (base, -1, 0);
+  g_ptr_array_add (connections->accepted, bev);
+  event_active (connections->accepted_event, EV_TIMEOUT, 0);
+  enable_listener (connections);
+  return bev;
+}
+
+/* Runs before the next poll for input, so that none of the connections can be gone yet. */
+static void
+on_accepted (evutil_socket_t fd, short what, void *user)
+{
+  DpHttpConnections *connections = user;
+  for (guint i = 0; i < connections->accepted->len; i++)
+    {
+      Connection *connection = g_new0 (Connection, 1);
+      connection->fd = bufferevent_getfd (g_ptr_array_index (connections->accepted, i));
+      connection->inode = socket_inode (connection->fd);
+      connection->since = g_get_monotonic_time ();
+      g_hash_table_replace (connections->rows, &connection->fd, connection);
+    }
+  g_ptr_array_set_size (connections->accepted, 0);
+}
+
+/* Forgets closed connections, and ends those whose request takes too long to come. */
+static void
+on_sweep (evutil_socket_t fd, short what, void *user)
+{
+  DpHttpConnections *connections = user;
+  DpUsec oldest = g_get_monotonic_time () - connections->options.request_timeout;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, connections->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Connection *connection = value;
+      if (socket_inode (connection->fd) != connection->inode)
+        g_hash_table_iter_remove (&iter);
+      else if (!connection->busy && connection->since < oldest)
+        shutdown (connection->fd, SHUT_RDWR);
+    }
+  dp_counters_set (connections->options.counters, "dogwoodplank_http_connections", "listener",
+                   connections->options.name, g_hash_table_size (connections->rows));
+  enable_listener (connections);
+}
+
+void
+dp_http_connections_set_busy (DpHttpConnections *connections,
+                              struct evhttp_connection *connection,
+                              gboolean busy)
+{
+  int fd = bufferevent_getfd (evhttp_connection_get_bufferevent (connection));
+  Connection *row = g_hash_table_lookup (connections->rows, &fd);
+  if (row == NULL)
+    return;
+  row->busy = busy;
+  row->since = g_get_monotonic_time ();
+}
+
+DpHttpConnections *
+dp_http_connections_new (const DpHttpConnectionsOptions *options)
+{
+  DpHttpConnections *connections = g_new0 (DpHttpConnections, 1);
+  connections->options = *options;
+  connections->rows = g_hash_table_new_full (g_int_hash, g_int_equal, NULL, g_free);
+  connections->accepted = g_ptr_array_new ();
+  connections->accepted_event = event_new (options->base, -1, 0, on_accepted, connections);
+  connections->sweep = event_new (options->base, -1, EV_PERSIST, on_sweep, connections);
+  const struct timeval interval = { .tv_sec = SWEEP_SECONDS };
+  event_add (connections->sweep, &interval);
+  evhttp_set_bevcb (options->http, on_accept, connections);
+  return connections;
+}
+
+void
+dp_http_connections_free (DpHttpConnections *connections)
+{
+  event_free (connections->sweep);
+  event_free (connections->accepted_event);
+  g_ptr_array_unref (connections->accepted);
+  g_hash_table_unref (connections->rows);
+  g_free (connections);
+}
+
+void
+dp_http_connections_set_listener (DpHttpConnections *connections,
+                                  struct evconnlistener *listener)
+{
+  connections->listener = listener;
+}
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -1,16 +1,17 @@
 #include "net/http_server.h"
 
+#include "core/reason.h"
+#include "net/http_connections.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
-#include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <sys/stat.h>
 
 /* evhttp answers larger bodies itself, with a page of its own. */
 #define BODY_SLACK 2
@@ -20,19 +21,6 @@
   (EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE     \
    | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH)
 
-/* How often connections are looked through. */
-#define SWEEP_INTERVAL DP_USEC_PER_SEC
-
-/* One accepted connection. evhttp does not tell when it frees one; the socket's inode tells
- * whether the descriptor is still the same socket. */
-typedef struct Connection
-{
-  int fd;
-  ino_t inode;
-  DpUsec since;  /* accepted, or done with the last request */
-  gboolean busy; /* a request is being answered */
-} Connection;
-
 struct DpHttpServer
 {
   /* constant */
@@ -43,10 +31,7 @@
   struct evhttp_bound_socket *bound; /* NULL once it stopped accepting */
   GHashTable *exchanges;             /* open ones */
   GHashTable *writing;               /* exchanges whose answer is on its way out */
-  GHashTable *connections;           /* descriptor -> Connection */
-  GPtrArray *accepted; /* struct bufferevent: without a row in `connections` yet */
-  struct event *accepted_event;
-  struct event *sweep;
+  DpHttpConnections *connections;
   GHashTable *closing; /* Closing: connections about to be closed */
 };
 
@@ -82,89 +67,6 @@
   dp_counters_add (server->options.counters, name, "listener", server->name, 1);
 }
 
-/* --- accepted connections --- */
-
-static ino_t
-socket_inode (int fd)
-{
-  struct stat info;
-  return fstat (fd, &info) == 0 ? info.st_ino : 0;
-}
-
-static void
-enable_listener (DpHttpServer *server)
-{
-  if (server->bound == NULL)
-    return;
-  struct evconnlistener *listener = evhttp_bound_socket_get_listener (server->bound);
-  guint open = g_hash_table_size (server->connections) + server->accepted->len;
-  if (open < server->options.connections_max)
-    evconnlistener_enable (listener);
-  else
-    evconnlistener_disable (listener);
-}
-
-/* evhttp gives the socket to the bufferevent right after this. */
-static struct bufferevent *
-on_accept (struct event_base *base, void *user)
-{
-  DpHttpServer *server = user;
-  struct bufferevent *bev = bufferevent_socket_new (base, -1, 0);
-  g_ptr_array_add (server->accepted, bev);
-  event_active (server->accepted_event, EV_TIMEOUT, 0);
-  enable_listener (server);
-  return bev;
-}
-
-/* Runs before the next poll for input, so that none of the connections can be gone yet. */
-static void
-on_accepted (evutil_socket_t fd, short what, void *user)
-{
-  DpHttpServer *server = user;
-  for (guint i = 0; i < server->accepted->len; i++)
-    {
-      Connection *connection = g_new0 (Connection, 1);
-      connection->fd = bufferevent_getfd (g_ptr_array_index (server->accepted, i));
-      connection->inode = socket_inode (connection->fd);
-      connection->since = g_get_monotonic_time ();
-      g_hash_table_replace (server->connections, &connection->fd, connection);
-    }
-  g_ptr_array_set_size (server->accepted, 0);
-}
-
-/* Forgets closed connections, and ends those whose request takes too long to come. */
-static void
-on_sweep (evutil_socket_t fd, short what, void *user)
-{
-  DpHttpServer *server = user;
-  DpUsec oldest = g_get_monotonic_time () - server->options.request_timeout;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, server->connections);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const Connection *connection = value;
-      if (socket_inode (connection->fd) != connection->inode)
-        g_hash_table_iter_remove (&iter);
-      else if (!connection->busy && connection->since < oldest)
-        shutdown (connection->fd, SHUT_RDWR);
-    }
-  dp_counters_set (server->options.counters, "dogwoodplank_http_connections", "listener",
-                   server->name, g_hash_table_size (server->connections));
-  enable_listener (server);
-}
-
-static void
-set_busy (DpHttpServer *server, struct evhttp_connection *connection, gboolean busy)
-{
-  int fd = bufferevent_getfd (evhttp_connection_get_bufferevent (connection));
-  Connection *row = g_hash_table_lookup (server->connections, &fd);
-  if (row == NULL)
-    return;
-  row->busy = busy;
-  row->since = g_get_monotonic_time ();
-}
-
 static struct bufferevent *
 exchange_bufferevent (const DpHttpExchange *exchange)
 {
@@ -218,7 +120,7 @@
   struct timeval write_timeout = to_timeval (exchange->server->options.write_timeout);
   bufferevent_set_timeouts (bev, NULL, &write_timeout);
   bufferevent_enable (bev, EV_READ);
-  set_busy (exchange->server, connection, TRUE);
+  dp_http_connections_set_busy (exchange->server->connections, connection, TRUE);
   evhttp_connection_set_closecb (connection, on_connection_closed, exchange);
 }
 
@@ -244,7 +146,7 @@
   if (connection != NULL)
     {
       evhttp_connection_set_closecb (connection, NULL, NULL);
-      set_busy (exchange->server, connection, FALSE);
+      dp_http_connections_set_busy (exchange->server->connections, connection, FALSE);
     }
   g_hash_table_remove (exchange->server->writing, exchange);
 }
@@ -322,16 +224,20 @@
 
 /* For requests that the handler never sees. */
 static void
-refuse (struct evhttp_request *request, int status, const char *title)
+refuse (struct evhttp_request *request, DpReason reason)
 {
   struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
   evhttp_add_header (headers, "Content-Type", "application/problem+json");
   evhttp_add_header (headers, "Connection", "close");
   struct evbuffer *body = evbuffer_new ();
+  const char *name = dp_reason_name (reason);
+  int status = dp_reason_status (reason);
   evbuffer_add_printf (
-    body, "{\"type\":\"about:blank\",\"title\":\"%s\",\"status\":%d,\"outcome\":\"not_run\"}\n",
-    title, status);
-  evhttp_send_reply (request, status, title, body);
+    body,
+    "{\"type\":\"urn:dogwoodplank:problem:%s\",\"title\":\"%s\","
+    "\"status\":%d,\"reason\":\"%s\",\"outcome\":\"not_run\",\"sent\":false}\n",
+    name, name, status, name);
+  evhttp_send_reply (request, status, NULL, body);
   evbuffer_free (body);
 }
 
@@ -356,14 +262,14 @@
   if (evbuffer_get_length (input) > server->options.body_max)
     {
       count (server, "dogwoodplank_http_bodies_too_large_total");
-      refuse (request, 413, "body too large");
+      refuse (request, DP_REASON_BODY_TOO_LARGE);
       return;
     }
   if (g_hash_table_size (server->exchanges) >= server->options.exchanges_max)
     {
       count (server, "dogwoodplank_http_exchanges_refused_total");
       evhttp_add_header (evhttp_request_get_output_headers (request), "Retry-After", "1");
-      refuse (request, 503, "too many open requests");
+      refuse (request, DP_REASON_OVERLOADED_ENTRY);
       return;
     }
   DpHttpExchange *exchange = g_new0 (DpHttpExchange, 1);
@@ -381,7 +287,23 @@
 {
   server->bound = evhttp_bind_socket_with_handle (server->http, server->options.address,
                                                   server->options.port);
-  return server->bound != NULL;
+  if (server->bound == NULL)
+    return FALSE;
+  dp_http_connections_set_listener (server->connections,
+                                    evhttp_bound_socket_get_listener (server->bound));
+  return TRUE;
+}
+
+static void
+make_connections (DpHttpServer *server)
+{
+  const DpHttpConnectionsOptions options = { .base = server->options.base,
+                                             .http = server->http,
+                                             .name = server->name,
+                                             .max = server->options.connections_max,
+                                             .request_timeout = server->options.request_timeout,
+                                             .counters = server->options.counters };
+  server->connections = dp_http_connections_new (&options);
 }
 
 DpHttpServer *
@@ -394,9 +316,6 @@
   server->exchanges = g_hash_table_new_full (NULL, NULL, free_exchange, NULL);
   server->writing = g_hash_table_new_full (NULL, NULL, free_exchange, NULL);
   server->closing = g_hash_table_new_full (NULL, NULL, free_closing, NULL);
-  server->connections = g_hash_table_new_full (g_int_hash, g_int_equal, NULL, g_free);
-  server->accepted = g_ptr_array_new ();
-  server->accepted_event = event_new (options->base, -1, 0, on_accepted, server);
   server->http = evhttp_new (options->base);
   evhttp_set_max_headers_size (server->http, (ev_ssize_t)options->head_max);
   evhttp_set_max_body_size (server->http, (ev_ssize_t)(options->body_max * BODY_SLACK));
@@ -405,10 +324,7 @@
   struct timeval timeout = to_timeval (options->read_timeout);
   evhttp_set_timeout_tv (server->http, &timeout);
   evhttp_set_gencb (server->http, on_request, server);
-  evhttp_set_bevcb (server->http, on_accept, server);
-  server->sweep = event_new (options->base, -1, EV_PERSIST, on_sweep, server);
-  const struct timeval interval = to_timeval (SWEEP_INTERVAL);
-  event_add (server->sweep, &interval);
+  make_connections (server);
   if (bind_listener (server))
     return server;
   dp_http_server_free (server);
@@ -443,10 +359,7 @@
   g_hash_table_unref (server->writing);
   g_hash_table_unref (server->closing);
   evhttp_free (server->http);
-  event_free (server->sweep);
-  event_free (server->accepted_event);
-  g_ptr_array_unref (server->accepted);
-  g_hash_table_unref (server->connections);
+  dp_http_connections_free (server->connections);
   dp_counters_unref (server->options.counters);
   g_free (server->name);
   g_free (server);
@@ -455,6 +368,7 @@
 void
 dp_http_server_stop_accepting (DpHttpServer *server)
 {
+  dp_http_connections_set_listener (server->connections, NULL);
   if (server->bound != NULL)
     evhttp_del_accept_socket (server->http, server->bound);
   server->bound = NULL;
