net: reconnect without backoff

Cause: after two seconds of trying, libzmq's backoff had grown past the second for which messages wait for their link, so the first messages to a restarted scheduler were dropped. Seen: net_bus red once in 4 runs on a busy machine (messages_to_an_unreachable_peer_expire). Retried each 100 ms; links without messages are closed after 10 s, so few are tried.

--- a/net/bus.c
+++ b/net/bus.c
@@ -13,8 +13,9 @@
 #define HEARTBEAT_INTERVAL_MSEC 1000
 #define HEARTBEAT_TIMEOUT_MSEC 3000
 #define CONNECT_TIMEOUT_MSEC 1000
-#define RECONNECT_FIRST_MSEC 100
-#define RECONNECT_LAST_MSEC 2000
+/* Without backoff, so that a peer that has restarted gets what waits for it; only links with
+ * messages are tried, see LINK_IDLE_MAX. */
+#define RECONNECT_MSEC 100
 /* Unacknowledged data on a connection before TCP gives it up. */
 #define TCP_TIMEOUT_MSEC 3000
 /* Messages that wait here until their link is up. */
@@ -218,8 +219,7 @@
   set_common_options (socket);
   set_int (socket, ZMQ_IMMEDIATE, 1);
   set_int (socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MSEC);
-  set_int (socket, ZMQ_RECONNECT_IVL, RECONNECT_FIRST_MSEC);
-  set_int (socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_LAST_MSEC);
+  set_int (socket, ZMQ_RECONNECT_IVL, RECONNECT_MSEC);
   if (bus->has_keys)
     dp_bus_keys_set_client (&bus->keys, socket);
   guint8 identity[IDENTITY_BYTES];
