--- a/tests/fault_matrix.c
+++ b/tests/fault_matrix.c
@@ -7,6 +7,7 @@
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define FIRST_SEED 5
 #define SEEDS 1
@@ -14,6 +15,10 @@
 /* Requests are sent from here on; outcomes are asked for when all faults are over. */
 #define START DP_USEC_PER_SEC
 #define QUERY_AT (32 * DP_USEC_PER_SEC)
+/* A run of many requests while faults strike one after the other. */
+#define STORM_REQUESTS 10000
+#define STORM_UNTIL (21 * DP_USEC_PER_SEC)
+#define STORM_PAUSE (900 * DP_USEC_PER_MSEC)
 #define RUN_UNTIL (42 * DP_USEC_PER_SEC)
 
 /* Where faults strike: steps of bookings and of streamed answers on VM 0. */
@@ -214,6 +219,64 @@
 }
 END_TEST
 
+/* What goes wrong, again and again, while many requests are open. */
+static void
+strike (World *world, gpointer data)
+{
+  static const char *const names[]
+    = { "process kill and restart", "freeze of 2.5 s",   "broken connection",
+        "silent connection",        "owners are silent", "lost platform answer, stored" };
+  if (world->closing || world->now > STORM_UNTIL)
+    return;
+  const char *name = names[g_rand_int_range (world->rand, 0, G_N_ELEMENTS (names))];
+  guint vm = (guint)g_rand_int_range (world->rand, 0, WORLD_VMS);
+  for (guint i = 0; i < fault_row_count; i++)
+    if (strcmp (fault_rows[i].name, name) == 0)
+      fault_rows[i].apply (world, vm);
+  world_at (world, world->now + STORM_PAUSE, strike, NULL);
+}
+
+static guint
+count_whole (const World *world)
+{
+  guint count = 0;
+  for (guint i = 0; i < world->callers->len; i++)
+    {
+      const Caller *caller = g_ptr_array_index (world->callers, i);
+      count += caller->final == FINAL_END || caller->final == FINAL_REPLAY ? 1 : 0;
+    }
+  return count;
+}
+
+START_TEST (ten_thousand_mixed_requests_under_faults)
+{
+  guint32 seed = setting ("MATRIX_SEED", FIRST_SEED);
+  World *world = world_new (seed);
+  world->duplicates = TRUE;
+  for (guint i = 0; i < STORM_REQUESTS; i++)
+    {
+      static const RequestKind kinds[] = { KIND_CHAT, KIND_VERGES, KIND_BOOKING };
+      RequestKind kind = kinds[g_rand_int_range (world->rand, 0, G_N_ELEMENTS (kinds))];
+      guint vm = (guint)g_rand_int_range (world->rand, 0, WORLD_VMS);
+      DpUsec at = START + g_rand_int_range (world->rand, 0, (gint32)(STORM_UNTIL - START));
+      caller_add (world, kind, i + 1, vm, at);
+      gboolean twice = g_rand_int_range (world->rand, 0, 10) == 0;
+      if (twice)
+        add_near (world, kind, i + 1, (vm + 1) % WORLD_VMS, at, 50000);
+    }
+  world_at (world, START, strike, NULL);
+  world_run_until (world, STORM_UNTIL + RUN_UNTIL);
+  ck_assert_uint_ge (world->callers->len, STORM_REQUESTS);
+  char *problems = matrix_check (world);
+  ck_assert_msg (problems == NULL, "seed %u: %s", seed, problems);
+  printf ("mixed requests: %u sent, %u answered whole\n", world->callers->len,
+          count_whole (world));
+  fflush (stdout);
+  ck_assert_uint_gt (count_whole (world), STORM_REQUESTS / 2);
+  world_free (world);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -225,6 +288,7 @@
   tcase_add_loop_test (tcase, without_faults_everybody_is_answered, 0, 20);
   tcase_add_loop_test (tcase, every_fault_at_every_step, 0, (int)fault_row_count);
   tcase_add_loop_test (tcase, pairs_of_faults, 0, 8);
+  tcase_add_test (tcase, ten_thousand_mixed_requests_under_faults);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
