core: agents probe more often, spread suspicions wider, greet new VMs only

All rows were sent to each VM by each peer that it met: 1,720 B/s a VM at 200 VMs in the first minutes.

A status asked for before the first tick crashed the agent (seen when 15 agents were started and polled at once; red in a_new_board_has_a_status): the view is now built with the board.

--- a/core/agent.c
+++ b/core/agent.c
@@ -113,7 +113,7 @@
 static void
 publish (DpAgentBoard *board, guint64 old_revision)
 {
-  guint64 old_version = board->view != NULL ? board->view->version : 0;
+  guint64 old_version = board->view->version;
   dp_agent_members_publish (board);
   gboolean view_changed = board->view->version != old_version;
   gboolean manifest_changed
@@ -241,22 +241,14 @@
     dp_agent_call_delay (board, call, delay);
 }
 
-static void
-start (DpAgentBoard *board)
-{
-  dp_agent_members_start (board);
-  dp_agent_members_publish (board);
-  delay_first_calls (board);
-}
-
 void
 dp_agent_handle (DpAgentBoard *board, const DpAgentEvent *event, GArray *actions)
 {
   board->actions = actions;
   board->now = event->now;
   guint64 old_revision = board->manifest != NULL ? board->manifest->revision : 0;
-  if (board->view == NULL)
-    start (board);
+  if (board->last_tick == 0)
+    delay_first_calls (board);
   switch (event->type)
     {
     case DP_AGENT_EVENT_TICK:
@@ -295,6 +287,8 @@
   board->members = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   board->order = g_ptr_array_new ();
   board->members_changed = TRUE;
+  dp_agent_members_start (board);
+  dp_agent_members_publish (board);
   return board;
 }
 
--- a/core/agent_board.h
+++ b/core/agent_board.h
@@ -37,7 +37,6 @@
   guint misses; /* probes in a row without an answer */
   gboolean probe_now;
   guint news_left;    /* probes that still carry this row */
-  guint64 greeted;    /* announcement of the VM that got all rows from here */
   guint64 introduced; /* announcement of this VM that the other has answered to */
 } DpMember;
 
--- a/core/agent_members.c
+++ b/core/agent_members.c
@@ -10,7 +10,7 @@
 
 #include <string.h>
 
-#define PROBE_INTERVAL (500 * DP_USEC_PER_MSEC)
+#define PROBE_INTERVAL (250 * DP_USEC_PER_MSEC)
 #define FAR_PROBE_INTERVAL DP_USEC_PER_SEC
 #define ACK_TIMEOUT (300 * DP_USEC_PER_MSEC)
 #define SUSPECT_MISSES 2
@@ -21,13 +21,15 @@
 /* Up to so many VMs, everybody probes everybody; above, only within the data centre. */
 #define SMALL_FLEET 32
 #define NEWS_ROWS_MAX 8
-#define SPREAD_PEERS 4
+#define SPREAD_PEERS 8
 /* Of other data centres, in a large fleet. */
-#define FAR_SPREAD_PEERS 3
+#define FAR_SPREAD_PEERS 5
 /* Probes out of turn in one tick, so that many VMs met at once make no burst. */
 #define TICK_PROBES_MAX 8
 /* VMs of each other data centre that are told of a change of this VM. */
 #define FAR_ANNOUNCED 2
+/* A VM that has just started, as the number of its probe shows, is told all rows. */
+#define GREETED_SEQUENCES 8
 /* Rows of other data centres sent to a VM that is new here. */
 #define FAR_GREETED_MAX 64
 
@@ -51,7 +53,7 @@
 static guint
 news_repeats (const DpAgentBoard *board)
 {
-  return 3 * g_bit_storage (board->order->len + 2);
+  return 2 * g_bit_storage (board->order->len) + 4;
 }
 
 static void
@@ -290,11 +292,10 @@
   g_array_append_val (ack.probe.news, board->self);
   if (member->introduced == board->self.announcement)
     g_array_set_size (ack.probe.news, 0);
-  if (member->greeted != member->vm.announcement)
+  if (probe->sequence <= GREETED_SEQUENCES)
     append_all_rows (board, ack.probe.news);
   else
     append_fresh_news (board, ack.probe.news);
-  member->greeted = member->vm.announcement;
   dp_agent_send (board, from, &ack);
   /* It reaches us; whether we reach it is another matter. */
   if (member->reach == DP_REACH_SUSPECT || member->reach == DP_REACH_DEAD)
@@ -448,8 +449,8 @@
 void
 dp_agent_members_spread (DpAgentBoard *board)
 {
-  spread_to (board, TRUE, SPREAD_PEERS);
   spread_to (board, FALSE, FAR_SPREAD_PEERS);
+  spread_to (board, TRUE, SPREAD_PEERS);
 }
 
 /* --- the platform's list --- */
--- a/tests/test_agent_members.c
+++ b/tests/test_agent_members.c
@@ -3,6 +3,7 @@
 
 #include <check.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* The users' bound for a VM that leaves, fails or freezes. */
 #define SEEN_BOUND (3 * DP_USEC_PER_SEC)
@@ -263,6 +264,17 @@
 }
 END_TEST
 
+/* Operators may ask before the first tick. */
+START_TEST (a_new_board_has_a_status)
+{
+  Bench *bench = bench_new (CENTRES, 14, 1);
+  char *status = dp_agent_format_status (bench->vms[3].board);
+  ck_assert_ptr_nonnull (strstr (status, "\"watches_platform\":true"));
+  g_free (status);
+  bench_free (bench);
+}
+END_TEST
+
 /* Rows that a peer should never send. */
 typedef struct BadRowCase
 {
@@ -310,6 +322,7 @@
   tcase_add_loop_test (tcase, a_cut_between_two_concerns_only_these, 0, 2 * SEEDS);
   tcase_add_loop_test (tcase, a_cut_data_centre_comes_back, 0, SEEDS);
   tcase_add_loop_test (tcase, the_list_may_lag, 0, SEEDS);
+  tcase_add_test (tcase, a_new_board_has_a_status);
   tcase_add_loop_test (tcase, improper_rows_are_refused, 0, G_N_ELEMENTS (bad_rows));
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
