entry: the head goes out with the first token; poison counts falls of targets, not breaks

Cause of refusals that came as cuts: the head was given at the engine's head, so a failure before the first token could only break the connection off. Now it is answered by a problem with outcome and Retry-After. Cause of wrong quarantines (367 of 600 requests, one engine cutting all answers): breaks were counted by body alone. Now several breaks of one target within 2 s are one fall, and a whole answer clears the count.

--- a/core/entry_attempts.c
+++ b/core/entry_attempts.c
@@ -115,10 +115,16 @@
   out->stream = request->stream && is_engine (request);
 }
 
+/* The head goes out with the first piece of the body: until then a failed attempt can still be
+ * answered by a refusal. */
 static void
-forward (DpEntryBoard *board, const Request *request, const void *data, gsize length)
+forward (DpEntryBoard *board, Request *request, const void *data, gsize length)
 {
-  if (request->caller_gone || length == 0)
+  if (length == 0)
+    return;
+  if (!request->head_given)
+    give_head (board, request);
+  if (request->caller_gone)
     return;
   DpForward *out = &entry_add_action (board, DP_ENTRY_ACTION_FORWARD)->forward;
   out->caller = request->caller;
@@ -233,7 +239,8 @@
   request->status = head->status;
   g_strlcpy (request->content_type, head->content_type != NULL ? head->content_type : "",
              sizeof request->content_type);
-  if (!resumed)
+  /* An answer that is collected starts again. */
+  if (request->head_given && !resumed)
     give_head (board, request);
 }
 
@@ -318,12 +325,15 @@
     {
       /* A target that dies in its answer cuts the framing short. */
       if (!end->framing_complete)
-        entry_quarantine_add (board, request->body_hash);
+        entry_quarantine_add (board, request->body_hash, request->target);
       attempt_failed (board, request, DP_REASON_ANSWER_INCOMPLETE, FALSE);
       return;
     }
   forward_tail (board, request);
+  if (!request->head_given)
+    give_head (board, request);
   request->ever_sent = TRUE;
+  entry_quarantine_clear (board, request->body_hash);
   report_done (board, request, DP_REASON_NONE, end);
   entry_budget_served (board, request);
   entry_answer_complete (board, request);
@@ -336,7 +346,7 @@
   if (request == NULL)
     return;
   if (failed->reason == DP_REASON_TARGET_BROKE && !failed->nothing_sent)
-    entry_quarantine_add (board, request->body_hash);
+    entry_quarantine_add (board, request->body_hash, request->target);
   attempt_failed (board, request, failed->reason, failed->nothing_sent);
 }
 
--- a/core/entry_board.h
+++ b/core/entry_board.h
@@ -156,6 +156,8 @@
 typedef struct Quarantine
 {
   guint failures;
+  DpName target; /* of the last failure that counted */
+  DpUsec counted_at;
   DpUsec until;
 } Quarantine;
 
@@ -356,7 +358,10 @@
 
 gboolean entry_quarantine_holds (DpEntryBoard *board, guint64 body_hash);
 /* A target has died under the request. */
-void entry_quarantine_add (DpEntryBoard *board, guint64 body_hash);
+/* A target went down under the request. */
+void entry_quarantine_add (DpEntryBoard *board, guint64 body_hash, DpName target);
+/* A target answered the request whole. */
+void entry_quarantine_clear (DpEntryBoard *board, guint64 body_hash);
 void entry_quarantine_on_message (DpEntryBoard *board, const DpQuarantine *message);
 void entry_quarantine_tick (DpEntryBoard *board);
 
--- a/core/entry_quarantine.c
+++ b/core/entry_quarantine.c
@@ -5,6 +5,8 @@
 
 #define DEATHS_MAX 2
 #define QUARANTINE_TIME (600 * DP_USEC_PER_SEC)
+/* One target that breaks off several answers at once has gone down once. */
+#define SAME_TARGET_INTERVAL (2 * DP_USEC_PER_SEC)
 
 gboolean
 entry_quarantine_holds (DpEntryBoard *board, guint64 body_hash)
@@ -31,7 +33,8 @@
   DpMessage message = { .type = DP_MESSAGE_QUARANTINE };
   message.quarantine.fingerprint = body_hash;
   message.quarantine.failures = row->failures;
-  message.quarantine.remaining = row->until - board->now;
+  message.quarantine.remaining = MAX (row->until - board->now, 0);
+  message.quarantine.target = row->target;
   for (guint i = 0; i < board->view->vms->len; i++)
     {
       const DpVm *vm = &g_array_index (board->view->vms, DpVm, i);
@@ -44,20 +47,46 @@
 }
 
 void
-entry_quarantine_add (DpEntryBoard *board, guint64 body_hash)
+entry_quarantine_add (DpEntryBoard *board, guint64 body_hash, DpName target)
 {
   Quarantine *row = find_row (board, body_hash);
-  row->failures += 1;
+  gboolean is_same_fall = row->failures > 0 && row->target == target
+                          && board->now - row->counted_at < SAME_TARGET_INTERVAL;
   row->until = board->now + QUARANTINE_TIME;
+  if (is_same_fall)
+    return;
+  row->failures += 1;
+  row->target = target;
+  row->counted_at = board->now;
   if (row->failures == DEATHS_MAX)
     entry_count (board, "dogwoodplank_quarantined_total", NULL, NULL);
   tell_others (board, body_hash, row);
 }
 
+/* What has been answered whole is no reason for the failures before it: the targets were. */
+void
+entry_quarantine_clear (DpEntryBoard *board, guint64 body_hash)
+{
+  if (!g_hash_table_remove (board->quarantine, &body_hash))
+    return;
+  Quarantine cleared = { .failures = 0 };
+  tell_others (board, body_hash, &cleared);
+}
+
 void
 entry_quarantine_on_message (DpEntryBoard *board, const DpQuarantine *message)
 {
+  if (message->failures == 0)
+    {
+      g_hash_table_remove (board->quarantine, &message->fingerprint);
+      return;
+    }
   Quarantine *row = find_row (board, message->fingerprint);
+  if (message->failures > row->failures)
+    {
+      row->target = message->target;
+      row->counted_at = board->now;
+    }
   row->failures = MAX (row->failures, message->failures);
   DpUsec remaining = CLAMP (message->remaining, 0, QUARANTINE_TIME);
   row->until = MAX (row->until, board->now + remaining);
--- a/core/message.h
+++ b/core/message.h
@@ -195,12 +195,14 @@
   DpHolderState state;
 } DpHolderAnswer;
 
-/* A request with this fingerprint has brought down two targets. */
+/* Targets have gone down under a request with this fingerprint; or, with 0 failures, one has
+ * answered it whole. */
 typedef struct DpQuarantine
 {
   guint64 fingerprint;
   guint failures;
   DpUsec remaining;
+  DpName target; /* of the last failure */
 } DpQuarantine;
 
 /* Heartbeat of an entry or scheduler to its VM's agent. */
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -163,6 +163,7 @@
   UINT64 (1, DpMessage, quarantine.fingerprint),
   UINT (2, DpMessage, quarantine.failures, G_MAXUINT),
   USEC (3, DpMessage, quarantine.remaining),
+  UINT64 (4, DpMessage, quarantine.target),
 };
 
 static const DpField hello_fields[] = {
