--- /dev/null
+++ b/tests/raw_peer.h
@@ -0,0 +1,19 @@
+/* A peer that answers each request with given bytes, then closes or stays open. */
+#pragma once
+
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <glib.h>
+
+typedef struct RawPeer
+{
+  struct evconnlistener *listener;
+  guint16 port;
+  const char *answer;
+  gsize answer_length;
+  gboolean stay_open; /* after the answer */
+  guint requests;     /* of which a byte has come */
+} RawPeer;
+
+/* Listens on a free port; fills in listener and port. */
+void raw_peer_start (RawPeer *peer, struct event_base *base, const char *address);
--- a/tests/test_net_http.c
+++ b/tests/test_net_http.c
@@ -3,6 +3,7 @@
 #include "net/http_server.h"
 #include "net/sse.h"
 #include "tests/free_port.h"
+#include "tests/raw_peer.h"
 
 #include <arpa/inet.h>
 #include <check.h>
@@ -114,16 +115,6 @@
 
 /* --- calls against a peer that sends raw bytes --- */
 
-typedef struct Peer
-{
-  struct evconnlistener *listener;
-  guint16 port;
-  const char *answer;
-  gsize answer_length;
-  gboolean stay_open; /* after the answer */
-  guint requests;     /* of which a byte has come */
-} Peer;
-
 typedef struct Answer
 {
   struct event_base *base;
@@ -135,68 +126,6 @@
   char attempt[64];
 } Answer;
 
-static void
-on_peer_written (struct bufferevent *bev, void *user)
-{
-  const Peer *peer = user;
-  if (!peer->stay_open)
-    bufferevent_free (bev);
-}
-
-static void
-on_peer_event (struct bufferevent *bev, short what, void *user)
-{
-  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
-    bufferevent_free (bev);
-}
-
-/* Answers once the request's headers are in. */
-static void
-on_peer_read (struct bufferevent *bev, void *user)
-{
-  Peer *peer = user;
-  peer->requests++;
-  struct evbuffer *input = bufferevent_get_input (bev);
-  struct evbuffer_ptr end = evbuffer_search (input, "\r\n\r\n", 4, NULL);
-  if (end.pos < 0)
-    return;
-  evbuffer_drain (input, evbuffer_get_length (input));
-  if (peer->answer_length == 0 && !peer->stay_open)
-    {
-      bufferevent_free (bev);
-      return;
-    }
-  bufferevent_setcb (bev, NULL, on_peer_written, on_peer_event, user);
-  bufferevent_write (bev, peer->answer, peer->answer_length);
-}
-
-static void
-on_peer_accept (struct evconnlistener *listener,
-                evutil_socket_t fd,
-                struct sockaddr *address,
-                int length,
-                void *user)
-{
-  struct event_base *base = evconnlistener_get_base (listener);
-  struct bufferevent *bev = bufferevent_socket_new (base, fd, BEV_OPT_CLOSE_ON_FREE);
-  bufferevent_setcb (bev, on_peer_read, NULL, on_peer_event, user);
-  bufferevent_enable (bev, EV_READ | EV_WRITE);
-}
-
-static void
-start_peer (Peer *peer, struct event_base *base)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  ck_assert_int_eq (inet_pton (AF_INET, ADDRESS, &address.sin_addr), 1);
-  peer->listener = evconnlistener_new_bind (base, on_peer_accept, peer,
-                                            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
-                                            (struct sockaddr *)&address, sizeof address);
-  ck_assert_ptr_nonnull (peer->listener);
-  socklen_t length = sizeof address;
-  getsockname (evconnlistener_get_fd (peer->listener), (struct sockaddr *)&address, &length);
-  peer->port = ntohs (address.sin_port);
-}
-
 static void
 on_answer_head (gpointer user, DpHttpCall *call, int status)
 {
@@ -298,9 +227,9 @@
 {
   const CutCase *c = &cut_cases[_i];
   struct event_base *base = event_base_new ();
-  Peer peer
+  RawPeer peer
     = { .answer = c->answer, .answer_length = strlen (c->answer), .stay_open = c->stay_open };
-  start_peer (&peer, base);
+  raw_peer_start (&peer, base, ADDRESS);
   Answer answer = { .base = base, .body = g_string_new (NULL) };
   start_call (&answer, peer.port);
   ck_assert (!answer.ended);
@@ -320,8 +249,9 @@
 START_TEST (headers_can_be_read)
 {
   struct event_base *base = event_base_new ();
-  Peer peer = { .answer = CHUNKED "0\r\n\r\n", .answer_length = strlen (CHUNKED "0\r\n\r\n") };
-  start_peer (&peer, base);
+  RawPeer peer
+    = { .answer = CHUNKED "0\r\n\r\n", .answer_length = strlen (CHUNKED "0\r\n\r\n") };
+  raw_peer_start (&peer, base, ADDRESS);
   Answer answer = { .base = base, .body = g_string_new (NULL) };
   start_call (&answer, peer.port);
   run (base);
@@ -337,8 +267,8 @@
 START_TEST (a_refused_connection_sent_nothing)
 {
   struct event_base *base = event_base_new ();
-  Peer peer = { .answer = "" };
-  start_peer (&peer, base);
+  RawPeer peer = { .answer = "" };
+  raw_peer_start (&peer, base, ADDRESS);
   evconnlistener_free (peer.listener);
   Answer answer = { .base = base, .body = g_string_new (NULL) };
   start_call (&answer, peer.port);
@@ -379,8 +309,8 @@
 START_TEST (nothing_sent_is_never_said_of_a_request_that_went_out)
 {
   struct event_base *base = event_base_new ();
-  Peer peer = { .answer = LENGTH_4 "abcd", .answer_length = strlen (LENGTH_4 "abcd") };
-  start_peer (&peer, base);
+  RawPeer peer = { .answer = LENGTH_4 "abcd", .answer_length = strlen (LENGTH_4 "abcd") };
+  raw_peer_start (&peer, base, ADDRESS);
   Answer answer = { .base = base, .body = g_string_new (NULL) };
   DpHttpCallOptions options = { .base = base,
                                 .address = ADDRESS,
@@ -414,8 +344,8 @@
 START_TEST (a_cancelled_call_is_not_heard_again)
 {
   struct event_base *base = event_base_new ();
-  Peer peer = { .answer = LENGTH_4 "abcd", .answer_length = strlen (LENGTH_4 "abcd") };
-  start_peer (&peer, base);
+  RawPeer peer = { .answer = LENGTH_4 "abcd", .answer_length = strlen (LENGTH_4 "abcd") };
+  raw_peer_start (&peer, base, ADDRESS);
   Answer answer = { .base = base, .body = g_string_new (NULL) };
   dp_http_call_cancel (start_call (&answer, peer.port));
   const struct timeval span = { .tv_usec = 50000 };
