--- a/core/scheduler_health.c
+++ b/core/scheduler_health.c
@@ -20,7 +20,7 @@
 #define CLASS_MIN 3
 /* A first token is overdue after this many times the expected time, and this on top. */
 #define OVERDUE_FACTOR 4
-#define OVERDUE_USEC (500 * DP_USEC_PER_MSEC)
+#define OVERDUE_USEC (1 * DP_USEC_PER_SEC)
 /* At most this share of a group's targets is set aside for slowness at once. */
 #define ASIDE_PERCENT_MAX 34
 #define GOOD_PROBES_SLOW 2
@@ -143,7 +143,8 @@
 static void
 set_slow (DpSchedulerBoard *board, DpGroupState *group, DpTargetState *target)
 {
-  if (target->health != DP_HEALTH_GOOD || !may_set_aside (board, group))
+  if (target->health != DP_HEALTH_GOOD || !may_set_aside (board, group)
+      || board->options.policy != DP_POLICY_TIER_QUEUE)
     return;
   set_aside (board, target, DP_HEALTH_SLOW);
   target->probe_at = board->now;
--- a/net/process.c
+++ b/net/process.c
@@ -17,6 +17,8 @@
 #define OPERATOR_READ_TIMEOUT (5 * DP_USEC_PER_SEC)
 #define OPERATOR_UNREAD_BYTES_MAX ((gsize)4 * 1024 * 1024)
 #define OPERATOR_EXCHANGES_MAX 32
+#define OPERATOR_CONNECTIONS_MAX 64
+#define OPERATOR_REQUEST_TIMEOUT (10 * DP_USEC_PER_SEC)
 
 struct DpProcess
 {
@@ -402,6 +404,10 @@
 start_bus (DpProcess *process, DpFindings *findings)
 {
   const DpProcessSettings *settings = process->settings;
+  const DpBusKeys keys = { .public_key = settings->curve_public_key,
+                           .secret_key = settings->curve_secret_key,
+                           .allowed = settings->curve_allowed_keys };
+  gboolean has_keys = keys.public_key != NULL || keys.secret_key != NULL;
   const DpBusOptions options = { .base = process->base,
                                  .self = process->self,
                                  .address = settings->address,
@@ -409,6 +415,7 @@
                                             [DP_ROLE_SCHEDULER] = settings->scheduler_bus_port,
                                             [DP_ROLE_AGENT] = settings->agent_bus_port },
                                  .counters = process->counters,
+                                 .keys = has_keys ? &keys : NULL,
                                  .receive = on_message,
                                  .user = process };
   GError *error = NULL;
@@ -433,6 +440,8 @@
                                         .write_timeout = OPERATOR_READ_TIMEOUT,
                                         .unread_max = OPERATOR_UNREAD_BYTES_MAX,
                                         .exchanges_max = OPERATOR_EXCHANGES_MAX,
+                                        .connections_max = OPERATOR_CONNECTIONS_MAX,
+                                        .request_timeout = OPERATOR_REQUEST_TIMEOUT,
                                         .counters = process->counters,
                                         .handler = on_operator_request,
                                         .user = process };
