--- a/core/scheduler.c
+++ b/core/scheduler.c
@@ -73,6 +73,7 @@
       dp_health_tick (board, group);
       dp_grants_expire (board, group);
       dp_grants_fill (board, group);
+      dp_health_release_stranded (board, group);
       dp_preempt_run (board, group);
     }
 }
--- a/core/scheduler_board.h
+++ b/core/scheduler_board.h
@@ -356,6 +356,8 @@
 void dp_health_polled (DpSchedulerBoard *board, DpTargetState *target, gboolean reachable);
 void dp_health_restarted (DpTargetState *target);
 void dp_health_tick (DpSchedulerBoard *board, DpGroupState *group);
+/* Sends away what waits for targets that all fail: other groups may serve it. */
+void dp_health_release_stranded (DpSchedulerBoard *board, DpGroupState *group);
 /* TRUE while a failing target is not even probed. */
 gboolean dp_health_is_down (const DpSchedulerBoard *board, const DpTargetState *target);
 /* TRUE if the grant may be sent to a target that is set aside. */
--- a/core/scheduler_health.c
+++ b/core/scheduler_health.c
@@ -307,6 +307,44 @@
     }
 }
 
+static gboolean
+any_fails (DpSchedulerBoard *board, const DpGroupState *group)
+{
+  for (guint i = 0; i < group->targets->len; i++)
+    {
+      if (dp_group_target (board, group, i)->health == DP_HEALTH_FAILING)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static gboolean
+is_stranded (DpSchedulerBoard *board, const DpGroupState *group, const DpGrant *grant)
+{
+  for (guint i = 0; i < group->targets->len; i++)
+    {
+      const DpTargetState *target = dp_group_target (board, group, i);
+      if (target->health != DP_HEALTH_FAILING && dp_target_is_able (target, grant))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+void
+dp_health_release_stranded (DpSchedulerBoard *board, DpGroupState *group)
+{
+  if (group->waiting == 0 || !any_fails (board, group))
+    return;
+  GSequenceIter *at = g_sequence_get_begin_iter (group->by_latest_start);
+  while (!g_sequence_iter_is_end (at))
+    {
+      DpGrant *grant = g_sequence_get (at);
+      at = g_sequence_iter_next (at);
+      if (is_stranded (board, group, grant))
+        dp_grants_revoke (board, grant, DP_REASON_NO_TARGET);
+    }
+}
+
 gboolean
 dp_health_is_down (const DpSchedulerBoard *board, const DpTargetState *target)
 {
--- a/tests/test_scheduler_health.c
+++ b/tests/test_scheduler_health.c
@@ -194,6 +194,28 @@
 }
 END_TEST
 
+/* Those that wait are told at once, so that they can go to another group. */
+START_TEST (what_waits_for_failing_targets_only_is_sent_away)
+{
+  static const FixtureEngine only[] = { { "e0", 2, 1000, 400, 50, 100000, { "m" } } };
+  Fixture f;
+  open_settled (&f, only, 1);
+  for (guint id = 1; id <= 4; id++)
+    fixture_ask (&f, (FixtureAsk){ .id = id, .tier = 3 });
+  ck_assert_uint_eq (fixture_target (&f, 4), 0);
+  fixture_done (&f, 1, (DpGrantDone){ .reason = DP_REASON_CONNECT_FAILED });
+  fixture_run (&f, 200 * DP_USEC_PER_MSEC);
+  for (guint id = 3; id <= 4; id++)
+    {
+      const DpMessage *revoked = fixture_last (&f, DP_MESSAGE_GRANT_REVOKED, id);
+      ck_assert_ptr_nonnull (revoked);
+      ck_assert_int_eq (revoked->grant_revoked.reason, DP_REASON_NO_TARGET);
+    }
+  ck_assert_ptr_null (fixture_last (&f, DP_MESSAGE_GRANT_REVOKED, 2));
+  fixture_close (&f);
+}
+END_TEST
+
 /* Calls that may not be repeated must probe too, where a pool gets no others. */
 START_TEST (a_failing_target_is_probed_by_what_may_not_be_repeated)
 {
@@ -308,6 +330,7 @@
   tcase_add_test (tcase, only_a_share_of_a_group_is_set_aside_for_slowness);
   tcase_add_loop_test (tcase, a_failing_target_is_left_alone_with_backoff, 0,
                        G_N_ELEMENTS (failure_cases));
+  tcase_add_test (tcase, what_waits_for_failing_targets_only_is_sent_away);
   tcase_add_test (tcase, a_failing_target_is_probed_by_what_may_not_be_repeated);
   tcase_add_test (tcase, an_unreachable_target_is_left_alone_until_it_answers);
   tcase_add_test (tcase, lengths_are_learned_per_workspace_and_model);
