--- a/core/entry_grants.c
+++ b/core/entry_grants.c
@@ -203,7 +203,11 @@
   Request *request = entry_request_by_attempt (board, revoked->attempt);
   if (!is_current (request, from, revoked->group))
     return;
-  if (request->phase == PHASE_ASKING || request->phase == PHASE_QUEUED)
+  gboolean waits = request->phase == PHASE_ASKING || request->phase == PHASE_QUEUED;
+  /* not a refusal: the group has another owner now */
+  if (waits && revoked->reason == DP_REASON_NO_OWNER)
+    entry_grants_begin (board, request);
+  else if (waits)
     entry_grants_refused (board, request, revoked->reason, revoked->retry_after);
   else if (request->phase == PHASE_SENT && request->repeatable)
     entry_attempts_preempted (board, request);
--- a/replay/cluster.h
+++ b/replay/cluster.h
@@ -46,6 +46,7 @@
   DpName name;
   DpName data_centre;
   gboolean dead;
+  gboolean leaving;
   DpUsec paused_until;
   DpEntryBoard *entry;
   DpSchedulerBoard *scheduler;
--- a/replay/cluster_build.c
+++ b/replay/cluster_build.c
@@ -111,6 +111,14 @@
   return manifest;
 }
 
+static DpVmState
+state_of (const SimVm *vm)
+{
+  if (vm->dead)
+    return DP_VM_DEAD;
+  return vm->leaving ? DP_VM_LEAVING : DP_VM_LIVE;
+}
+
 static DpView *
 build_view (const Sim *sim, guint reader)
 {
@@ -123,7 +131,7 @@
       rows[count].name = sim->vms[i].name;
       rows[count].data_centre = sim->vms[i].data_centre;
       rows[count].incarnation = 1;
-      rows[count].state = sim->vms[i].dead ? DP_VM_DEAD : DP_VM_LIVE;
+      rows[count].state = state_of (&sim->vms[i]);
       count++;
     }
   DpView *view = dp_view_new ((guint64)sim->now + 1, rows, count);
--- a/replay/replay.c
+++ b/replay/replay.c
@@ -24,7 +24,7 @@
   for (guint i = 0; i < count; i++)
     {
       guint vm = (wanted + i) % count;
-      if (!sim->vms[vm].dead)
+      if (!sim->vms[vm].dead && !sim->vms[vm].leaving)
         return vm;
     }
   return wanted;
@@ -91,6 +91,12 @@
   sim_entry_event (sim, vm, &event);
 }
 
+static gboolean
+is_first_choice (const SimVm *vm)
+{
+  return !vm->dead && !vm->leaving;
+}
+
 static guint
 busiest_owner (const Sim *sim)
 {
@@ -114,7 +120,8 @@
           DpName centre
             = DP_MANIFEST_ROW (sim->manifest, data_centres, DpDataCentre, group->data_centre)
                 ->name;
-          count += owner == vm && centre == sim->vms[vm].data_centre && !sim->vms[vm].dead;
+          count += owner == vm && centre == sim->vms[vm].data_centre
+                   && is_first_choice (&sim->vms[vm]);
         }
       if (count > best_count)
         {
@@ -169,6 +176,13 @@
       if (subject < sim->trace->vms->len)
         kill_vm (sim, subject);
       break;
+    case DP_TRACE_LEAVE:
+      if (subject < sim->trace->vms->len)
+        {
+          sim->vms[subject].leaving = TRUE;
+          sim_schedule (sim, sim->now + DEATH_KNOWN_USEC, SIM_VIEW, 0);
+        }
+      break;
     case DP_TRACE_PAUSE:
       if (subject < sim->trace->vms->len)
         sim->vms[subject].paused_until
--- a/replay/trace.c
+++ b/replay/trace.c
@@ -12,7 +12,7 @@
   return g_array_new (FALSE, TRUE, (guint)size);
 }
 
-static const char *const fault_names[] = { "slow", "kill", "pause" };
+static const char *const fault_names[] = { "slow", "kill", "pause", "leave" };
 
 static double
 number (json_object *row, const char *name)
--- a/replay/trace.h
+++ b/replay/trace.h
@@ -43,6 +43,7 @@
   DP_TRACE_SLOW,  /* the engine becomes `factor` times slower; 1: as it was */
   DP_TRACE_KILL,  /* the VM dies: its entry and its scheduler */
   DP_TRACE_PAUSE, /* the VM's processes stop for `seconds` */
+  DP_TRACE_LEAVE, /* the VM finishes what it has and gets nothing new */
 } DpTraceFaultType;
 
 typedef struct DpTraceFault
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -92,10 +92,8 @@
 } FaultCase;
 
 static const FaultCase fault_cases[] = {
-  { DP_TRACE_PAUSE, 0.8 },
-  { DP_TRACE_PAUSE, 5 },
-  { DP_TRACE_PAUSE, 15 },
-  { DP_TRACE_KILL, 0 },
+  { DP_TRACE_PAUSE, 0.8 }, { DP_TRACE_PAUSE, 5 }, { DP_TRACE_PAUSE, 15 },
+  { DP_TRACE_KILL, 0 },    { DP_TRACE_LEAVE, 0 },
 };
 
 /* Every request gets its final answer, and engines are never given more than twice their
@@ -110,6 +108,33 @@
   DpReplayResult result;
   dp_replay_run (trace, DP_REPLAY_PRODUCT, &result);
   ck_assert_uint_eq (result.unanswered, 0);
+  ck_assert_uint_eq (result.refusals[DP_REASON_NO_OWNER], 0);
+  ck_assert_msg (result.most_over_window <= 2.0, "%.2f windows", result.most_over_window);
+  dp_trace_unref (trace);
+}
+END_TEST
+
+/* All VMs and engines in one data centre: one group, so nobody else can be asked. */
+static void
+join_data_centres (DpTrace *trace)
+{
+  for (guint i = 0; i < trace->vms->len; i++)
+    g_strlcpy (g_array_index (trace->vms, DpTraceVm, i).data_centre, "one", 32);
+  for (guint i = 0; i < trace->engines->len; i++)
+    g_strlcpy (g_array_index (trace->engines, DpTraceEngine, i).data_centre, "one", 32);
+}
+
+START_TEST (a_queue_follows_its_group_to_the_next_owner)
+{
+  DpTrace *trace = generate (names[0], 9, 15);
+  join_data_centres (trace);
+  DpTraceFault fault = { .at = 6, .type = DP_TRACE_LEAVE, .subject = DP_TRACE_BUSIEST_OWNER };
+  g_array_set_size (trace->faults, 0);
+  g_array_append_val (trace->faults, fault);
+  DpReplayResult result;
+  dp_replay_run (trace, DP_REPLAY_PRODUCT, &result);
+  ck_assert_uint_eq (result.unanswered, 0);
+  ck_assert_uint_eq (result.refusals[DP_REASON_NO_OWNER], 0);
   ck_assert_msg (result.most_over_window <= 2.0, "%.2f windows", result.most_over_window);
   dp_trace_unref (trace);
 }
@@ -127,6 +152,7 @@
   tcase_add_test (tcase, lines_that_are_no_trace_are_found);
   tcase_add_loop_test (tcase, faults_of_owners_overcommit_at_most_twice, 0,
                        G_N_ELEMENTS (fault_cases));
+  tcase_add_test (tcase, a_queue_follows_its_group_to_the_next_owner);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
