core: limits of workspaces, exact over all entries of a group

requests_in_flight counts what waits and runs at the group's owner, requests_per_second is an allowance of at most one second's worth; what the owner takes back is not counted again. Until now no code read the two settings. Tests seen red with the check switched off. Left: a workspace that uses several groups has its limits in each of them.

--- a/core/scheduler_board.h
+++ b/core/scheduler_board.h
@@ -88,6 +88,15 @@
 
 /* --- groups, targets, grants, entries --- */
 
+/* What a workspace uses of its limits in one group. */
+typedef struct DpUse
+{
+  DpName workspace;
+  guint in_flight;  /* waiting and running */
+  double allowance; /* requests that may come at once */
+  DpUsec refilled_at;
+} DpUse;
+
 typedef struct DpGroupState
 {
   DpHandle self;
@@ -108,6 +117,7 @@
   guint waiting;
   guint running[DP_TIERS_MAX];
   GSequence *by_latest_start; /* DpGrant that wait, by latest_start */
+  GHashTable *uses;           /* DpName -> DpUse */
   GHashTable *blocks;         /* prefix blocks -> targets that have them cached */
   double waste_budget;        /* prompt tokens that preemption for a wait may throw away */
   guint next_target;          /* round robin */
@@ -293,6 +303,21 @@
 /* Lowest tier that waits and is below `tier`, or -1. */
 int dp_queue_lowest_below (const DpGroupState *group, guint tier);
 
+/* scheduler_limits.c: limits of workspaces */
+void dp_limits_init (DpGroupState *group);
+/* NONE if another request of the workspace may come; else sets when to come again (0: unknown).
+ */
+DpReason dp_limits_check (DpSchedulerBoard *board,
+                          DpGroupState *group,
+                          DpName name,
+                          DpUsec *retry_after);
+/* A request waits or runs. */
+void dp_limits_add (DpSchedulerBoard *board, DpGroupState *group, DpName workspace);
+void dp_limits_remove (DpSchedulerBoard *board, DpGroupState *group, DpName workspace);
+/* A request counts against the rate; it no longer does, since it was taken back. */
+void dp_limits_charge (DpSchedulerBoard *board, DpGroupState *group, DpName workspace);
+void dp_limits_refund (DpSchedulerBoard *board, DpGroupState *group, DpName workspace);
+
 /* scheduler_prefix.c: prompt prefixes cached on targets */
 /* Cached leading blocks of one prompt, by the target's place in its group. */
 typedef struct DpPrefixMatch
--- a/core/scheduler_config.c
+++ b/core/scheduler_config.c
@@ -14,6 +14,7 @@
   group->reported = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   group->blocks = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   group->waste_budget = DP_WASTE_BUDGET_START;
+  dp_limits_init (group);
   dp_queue_init (group);
   g_hash_table_insert (board->group_by_name, &group->name, group);
   return group;
@@ -168,6 +169,7 @@
   DpGroupState *group = row;
   dp_queue_clear (group);
   g_hash_table_unref (group->blocks);
+  g_hash_table_unref (group->uses);
   g_hash_table_unref (group->reported);
   g_array_unref (group->targets);
 }
--- a/core/scheduler_grants.c
+++ b/core/scheduler_grants.c
@@ -78,6 +78,7 @@
 static void
 drop_grant (DpSchedulerBoard *board, DpGrant *grant)
 {
+  dp_limits_remove (board, dp_table_get (board->groups, grant->group), grant->workspace);
   g_queue_unlink (&dp_owners_entry (board, grant->entry)->grants, &grant->entry_link);
   g_hash_table_remove (board->grant_by_attempt, &grant->attempt);
   dp_table_remove (board->grants, grant->self);
@@ -98,6 +99,7 @@
   grant->tier_name = ask->tier;
   grant->tier = tier_index (board, ask->tier);
   grant->workspace = ask->workspace;
+  dp_limits_add (board, group, ask->workspace);
   grant->model = ask->model;
   grant->deadline = board->now + ask->remaining;
   grant->repeatable = ask->repeatable;
@@ -367,9 +369,46 @@
                         .retry_after = retry_after (group, grant->tier) };
   dp_scheduler_count (board, "dogwoodplank_grants_revoked_total", "reason",
                       dp_reason_name (reason));
+  /* it will be asked for again, which is no new request */
+  dp_limits_refund (board, group, grant->workspace);
   dp_grants_forget (board, grant);
 }
 
+/* TRUE if a limit of the workspace forbids the ask, which has then been refused. */
+static gboolean
+refuse_by_limit (DpSchedulerBoard *board,
+                 DpGroupState *group,
+                 DpName entry,
+                 const DpGrantAsk *ask)
+{
+  DpUsec wait = 0;
+  DpReason reason = dp_limits_check (board, group, ask->workspace, &wait);
+  if (reason == DP_REASON_NONE)
+    {
+      dp_limits_charge (board, group, ask->workspace);
+      return FALSE;
+    }
+  if (wait == 0)
+    wait = retry_after (group, tier_index (board, ask->tier));
+  refuse (board, entry, ask, reason, MAX (wait, RETRY_AFTER_MIN_USEC));
+  return TRUE;
+}
+
+static void
+place_new_ask (DpSchedulerBoard *board,
+               DpGroupState *group,
+               DpName entry,
+               const DpGrantAsk *ask)
+{
+  if (refuse_by_limit (board, group, entry, ask))
+    return;
+  DpGrant *grant = add_ask (board, group, entry, ask);
+  if (board->options.policy == DP_POLICY_TIER_QUEUE)
+    place_ask (board, group, grant, ask);
+  else
+    place_ask_alone (board, group, grant, ask);
+}
+
 void
 dp_grants_ask (DpSchedulerBoard *board, DpName entry, const DpGrantAsk *ask)
 {
@@ -382,10 +421,8 @@
   dp_owners_entry (board, entry)->last_seen = board->now;
   dp_owners_activate (board, group);
   DpGrant *known = dp_grants_find (board, ask->attempt);
-  if (known == NULL && board->options.policy != DP_POLICY_TIER_QUEUE)
-    place_ask_alone (board, group, add_ask (board, group, entry, ask), ask);
-  else if (known == NULL)
-    place_ask (board, group, add_ask (board, group, entry, ask), ask);
+  if (known == NULL)
+    place_new_ask (board, group, entry, ask);
   else if (known->state == DP_GRANT_RUNNING)
     send_given (board, group, known);
   else
@@ -464,6 +501,7 @@
   grant->tier_name = held->tier;
   grant->tier = tier_index (board, held->tier);
   grant->workspace = held->workspace;
+  dp_limits_add (board, group, held->workspace);
   grant->model = held->model;
   grant->cost = held->tokens;
   grant->kv_tokens = held->tokens;
--- a/tests/scheduler_fixture.c
+++ b/tests/scheduler_fixture.c
@@ -31,6 +31,10 @@
                                 .retry_percent = 10 };
       g_array_append_val (manifest->workspaces, workspace);
     }
+  DpWorkspace few = { g_strdup ("few"), dp_name ("few"), 1, 0, 2, 10 };
+  DpWorkspace slow = { g_strdup ("slow"), dp_name ("slow"), 1, 2, 0, 10 };
+  g_array_append_val (manifest->workspaces, few);
+  g_array_append_val (manifest->workspaces, slow);
 }
 
 static guint
--- a/tests/test_scheduler_owners.c
+++ b/tests/test_scheduler_owners.c
@@ -162,6 +162,45 @@
 }
 END_TEST
 
+START_TEST (requests_in_flight_are_limited_over_all_entries)
+{
+  Fixture f;
+  open_settled (&f);
+  for (guint i = 0; i < 3; i++)
+    fixture_ask (&f, (FixtureAsk){ .id = 1 + i, .workspace = "few", .entry = i });
+  ck_assert_uint_eq (fixture_target (&f, 1), dp_name ("e0"));
+  ck_assert_ptr_nonnull (fixture_last (&f, DP_MESSAGE_GRANT_QUEUED, 2));
+  const DpMessage *refused = fixture_last (&f, DP_MESSAGE_GRANT_REFUSED, 3);
+  ck_assert_int_eq (refused->grant_refused.reason, DP_REASON_TOO_MANY_IN_FLIGHT);
+  ck_assert_int_gt (refused->grant_refused.retry_after, 0);
+  fixture_done (&f, 1, (DpGrantDone){ 0 });
+  fixture_ask (&f, (FixtureAsk){ .id = 4, .workspace = "few", .entry = 2 });
+  ck_assert_ptr_nonnull (fixture_last (&f, DP_MESSAGE_GRANT_QUEUED, 4));
+  fixture_close (&f);
+}
+END_TEST
+
+START_TEST (requests_a_second_are_limited_over_all_entries)
+{
+  Fixture f;
+  open_settled (&f);
+  for (guint i = 0; i < 3; i++)
+    fixture_ask (&f, (FixtureAsk){ .id = 1 + i, .workspace = "slow", .entry = i });
+  const DpMessage *refused = fixture_last (&f, DP_MESSAGE_GRANT_REFUSED, 3);
+  ck_assert_int_eq (refused->grant_refused.reason, DP_REASON_RATE_LIMITED);
+  ck_assert_int_eq (refused->grant_refused.retry_after, 500 * DP_USEC_PER_MSEC);
+  /* a repeated ask is no new request */
+  fixture_ask (&f, (FixtureAsk){ .id = 2, .workspace = "slow", .entry = 1 });
+  ck_assert_uint_eq (fixture_count (&f, DP_MESSAGE_GRANT_REFUSED), 1);
+  fixture_run (&f, 500 * DP_USEC_PER_MSEC);
+  fixture_ask (&f, (FixtureAsk){ .id = 4, .workspace = "slow", .entry = 2 });
+  fixture_ask (&f, (FixtureAsk){ .id = 5, .workspace = "slow", .entry = 0 });
+  ck_assert_ptr_null (fixture_last (&f, DP_MESSAGE_GRANT_REFUSED, 4));
+  ck_assert_ptr_nonnull (fixture_last (&f, DP_MESSAGE_GRANT_REFUSED, 5));
+  fixture_close (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -175,6 +214,8 @@
   tcase_add_test (tcase, a_vm_that_is_not_first_serves_who_asks_it);
   tcase_add_test (tcase, the_new_owner_after_a_change_of_view_learns_first);
   tcase_add_test (tcase, the_advert_tells_what_is_served_and_waits);
+  tcase_add_test (tcase, requests_in_flight_are_limited_over_all_entries);
+  tcase_add_test (tcase, requests_a_second_are_limited_over_all_entries);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
