entry: bound the keys of a bucket; name a failed outcome by its cause

Red first (a_full_bucket_takes_no_further_keys): nothing kept a bucket below the platform's 1 MiB, and beyond it final states could not have been written either. A bucket now takes 5000 keys and a slot of key time is 30 s, so 1333 claims a second fit. A record in state unknown says holder_gone only if its holder is gone, else outcome_unknown.

--- a/core/entry_board.h
+++ b/core/entry_board.h
@@ -255,6 +255,8 @@
 
 Bucket *entry_bucket (DpEntryBoard *board, DpBucketId id);
 const DpClaimRecord *entry_bucket_find (const Bucket *bucket, DpId key);
+/* TRUE if the bucket takes no further keys. */
+gboolean entry_bucket_is_full (DpEntryBoard *board, DpBucketId id);
 /* Makes the bucket be read before its records are used again. */
 void entry_bucket_reread (DpEntryBoard *board, DpBucketId id);
 /* While the platform is known not to answer: when a caller may come again; else 0. */
--- a/core/entry_buckets.c
+++ b/core/entry_buckets.c
@@ -6,6 +6,9 @@
 #define BUCKET_BYTES_MAX ((gsize)896 * 1024)
 /* Estimated bytes of one record without its body. */
 #define RECORD_BYTES 160
+/* Keys in one bucket: with all bodies left out they stay below BUCKET_BYTES_MAX, so that final
+ * states can always be written. */
+#define BUCKET_RECORDS_MAX 5000
 /* Pause after a failed operation, doubled with each further one. */
 #define BACKOFF_MIN (100 * DP_USEC_PER_MSEC)
 #define BACKOFF_MAX (5 * DP_USEC_PER_SEC)
@@ -87,6 +90,12 @@
   return find_record (bucket->records, key);
 }
 
+gboolean
+entry_bucket_is_full (DpEntryBoard *board, DpBucketId id)
+{
+  return entry_bucket (board, id)->records->len >= BUCKET_RECORDS_MAX;
+}
+
 void
 entry_bucket_reread (DpEntryBoard *board, DpBucketId id)
 {
--- a/core/entry_claims.c
+++ b/core/entry_claims.c
@@ -101,7 +101,10 @@
       entry_answer_replay (board, request, record);
       return TRUE;
     case DP_CLAIM_UNKNOWN:
-      entry_answer_outcome (board, request, DP_REASON_HOLDER_GONE, DP_OUTCOME_UNKNOWN, 0,
+      entry_answer_outcome (board, request,
+                            entry_holder_is_gone (board, record) ? DP_REASON_HOLDER_GONE
+                                                                 : DP_REASON_OUTCOME_UNKNOWN,
+                            DP_OUTCOME_UNKNOWN, 0,
                             "an earlier request under this key may have run");
       return TRUE;
     case DP_CLAIM_RELEASED:
@@ -223,6 +226,8 @@
     return;
   if (claim->waiters->len == 0)
     drop_claim (board, claim);
+  else if (found == NULL && entry_bucket_is_full (board, claim->bucket))
+    entry_claims_give_up (board, claim, DP_REASON_OVERLOADED_ENTRY);
   else if (found == NULL || found->state == DP_CLAIM_RELEASED)
     want_claim (board, claim);
   else if (is_own (board, found) || entry_holder_is_gone (board, found))
--- a/core/idempotency_key.h
+++ b/core/idempotency_key.h
@@ -8,7 +8,7 @@
 #include "core/entry.h"
 
 /* Length of a time slot. */
-#define DP_CLAIM_SLOT_USEC (60 * DP_USEC_PER_SEC)
+#define DP_CLAIM_SLOT_USEC (30 * DP_USEC_PER_SEC)
 /* Buckets that share the keys of one slot. */
 #define DP_CLAIM_BUCKETS_PER_SLOT 8
 /* A key may be this much ahead of this VM's clock. */
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -391,6 +391,31 @@
 }
 END_TEST
 
+START_TEST (a_full_bucket_takes_no_further_keys)
+{
+  Bench bench;
+  bench_init (&bench);
+  char *key = fixture_uuid (FIXTURE_WALL, 1);
+  feed_request (&bench, booking_request (key));
+  DpEntryEvent reply = { .type = DP_ENTRY_EVENT_CLAIM_REPLY };
+  reply.claim.bucket = find_action (&bench, DP_ENTRY_ACTION_CLAIM_READ)->claim_read;
+  reply.claim.result = DP_STORE_OK;
+  reply.claim.version = 1;
+  reply.claim.records = g_array_new (FALSE, TRUE, sizeof (DpClaimRecord));
+  g_array_set_size (reply.claim.records, 5000);
+  feed (&bench, reply);
+  const DpEntryAction *answer = find_action (&bench, DP_ENTRY_ACTION_PROBLEM);
+  ck_assert_ptr_nonnull (answer);
+  ck_assert_int_eq (answer->problem.reason, DP_REASON_OVERLOADED_ENTRY);
+  ck_assert_int_eq (answer->problem.outcome, DP_OUTCOME_UNKNOWN);
+  ck_assert (!answer->problem.sent);
+  ck_assert_ptr_null (find_action (&bench, DP_ENTRY_ACTION_CLAIM_WRITE));
+  g_array_unref (reply.claim.records);
+  g_free (key);
+  bench_clear (&bench);
+}
+END_TEST
+
 START_TEST (a_caller_that_goes_away_cancels_its_work)
 {
   Bench bench;
@@ -473,6 +498,7 @@
   tcase_add_test (tcase, a_grant_for_a_superseded_attempt_is_handed_back);
   tcase_add_test (tcase, after_a_pause_a_claim_is_read_again_before_it_is_used);
   tcase_add_test (tcase, after_a_pause_a_claim_given_up_by_others_is_not_sent);
+  tcase_add_test (tcase, a_full_bucket_takes_no_further_keys);
   tcase_add_test (tcase, a_caller_that_goes_away_cancels_its_work);
   tcase_add_test (tcase, retries_spend_a_budget);
   tcase_add_test (tcase, a_stopping_entry_refuses_new_requests_and_finishes_open_ones);
