ctl: status of VMs and of data centres, replay; agents write status objects

The VM that is first in rank writes its data centre's status object every 5 s by conditional update: revision in force, findings, conflicts, and each VM's state and revision. After any answer but a plain success, and after a pause, it reads the version anew before it writes. Goodput by tier, wasted prefill and refusals are not in it yet: entries and schedulers don't report them to their agent; `dogwoodplankctl status IP...` shows them from each program's counters.

--- a/core/agent.c
+++ b/core/agent.c
@@ -175,11 +175,13 @@
       dp_agent_count (board, "dogwoodplank_pauses_total", NULL, NULL);
       dp_agent_members_resumed (board);
       dp_agent_manifest_resumed (board);
+      dp_agent_status_resumed (board);
     }
   board->last_tick = board->now;
   dp_agent_members_tick (board);
   dp_agent_members_publish (board); /* who watches depends on the view */
   dp_agent_manifest_tick (board);
+  dp_agent_status_tick (board);
   exit_when_done (board);
 }
 
@@ -228,6 +230,7 @@
 {
   dp_agent_call_done (board, reply);
   dp_agent_manifest_reply (board, reply);
+  dp_agent_status_reply (board, reply);
 }
 
 /* Platform calls wait a little, so that VMs that start together don't call together. */
--- a/core/agent_board.h
+++ b/core/agent_board.h
@@ -36,8 +36,9 @@
   DpUsec probe_sent;
   guint misses; /* probes in a row without an answer */
   gboolean probe_now;
-  guint news_left;    /* probes that still carry this row */
-  guint64 introduced; /* announcement of this VM that the other has answered to */
+  guint news_left;           /* probes that still carry this row */
+  guint64 manifest_revision; /* in force there, as its probes say */
+  guint64 introduced;        /* announcement of this VM that the other has answered to */
 } DpMember;
 
 /* State of one kind of call to the platform. */
@@ -125,6 +126,7 @@
 
   /* status */
   DpUsec next_status;
+  gboolean status_known; /* the version below is that of the platform */
   guint64 status_version;
 
   DpCallState calls[DP_AGENT_CALL_COUNT];
@@ -186,6 +188,13 @@
 void dp_agent_manifest_resumed (DpAgentBoard *board);
 void dp_agent_manifest_clear (DpAgentBoard *board);
 
+/* --- agent_status.c --- */
+
+/* Writes the data centre's status object now and then, if this VM is first in rank. */
+void dp_agent_status_tick (DpAgentBoard *board);
+void dp_agent_status_reply (DpAgentBoard *board, const DpAgentReply *reply);
+void dp_agent_status_resumed (DpAgentBoard *board);
+
 /* --- agent_calls.c --- */
 
 /* TRUE if that call may be started now. */
--- a/core/agent_members.c
+++ b/core/agent_members.c
@@ -274,6 +274,7 @@
   DpVm row = member->vm;
   row.announcement = probe->incarnation;
   row.state = probe->leaving ? DP_VM_LEAVING : DP_VM_LIVE;
+  member->manifest_revision = probe->manifest_revision;
   merge_announcement (board, member, &row);
 }
 
--- a/ctl/check.c
+++ b/ctl/check.c
@@ -37,13 +37,13 @@
 int
 dp_ctl_check (int argc, char **argv)
 {
-  if (argc == 0)
+  if (argc < 2)
     {
       fputs ("dogwoodplankctl: check needs at least one FILE\n", stderr);
       return DP_EXIT_USAGE;
     }
   DpFindings *findings = dp_findings_new ();
-  for (int i = 0; i < argc; i++)
+  for (int i = 1; i < argc; i++)
     check_file (argv[i], findings);
   char *text = dp_findings_format (findings);
   fputs (text, stdout);
--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -1,5 +1,5 @@
-/* The commands of dogwoodplankctl. Each gets the arguments behind its own name and returns the
- * program's exit status. */
+/* The commands of dogwoodplankctl. Each gets its own name and the arguments behind it, as
+ * main() would, and returns the program's exit status. */
 #pragma once
 
 #define DP_EXIT_FINDINGS 1
@@ -7,3 +7,7 @@
 
 /* check FILE...: prints all findings of all files to standard output. */
 int dp_ctl_check (int argc, char **argv);
+
+/* status IP... | --platform IP[:PORT]: prints what the programs or the platform's objects tell.
+ */
+int dp_ctl_status (int argc, char **argv);
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -1,5 +1,6 @@
 /* dogwoodplankctl: for people and the build pipeline; reads, never changes anything. */
 #include "ctl/commands.h"
+#include "replay/replay.h"
 
 #include <argp.h>
 #include <glib.h>
@@ -11,18 +12,23 @@
 static const char doc[]
   = "Checks manifests and shows what the system reports.\v"
     "Commands:\n"
-    "  check FILE...   checks manifests; prints every finding with file, line and member\n"
+    "  check FILE...      checks manifests; prints every finding with file, line and member\n"
+    "  status [IP...]     shows what programs on VMs, or the platform, report\n"
+    "  replay [TRACE...]  replays recorded traces on the shipping decisions\n"
+    "\nCOMMAND --help tells more.\n"
     "\nExit status: 0 if all is well, 1 on findings, 64 on wrong usage.";
 
 typedef struct Command
 {
   const char *name;
-  /* Runs with the arguments behind the command's name; returns the exit status. */
+  /* Runs with the command's name and the arguments behind it; returns the exit status. */
   int (*run) (int argc, char **argv);
 } Command;
 
 static const Command commands[] = {
   { "check", dp_ctl_check },
+  { "status", dp_ctl_status },
+  { "replay", dp_replay_main },
 };
 
 typedef struct Arguments
@@ -51,8 +57,8 @@
       arguments->command = find_command (argument);
       if (arguments->command == NULL)
         argp_error (state, "no such command: %s", argument);
-      arguments->rest = &state->argv[state->next];
-      arguments->rest_count = state->argc - state->next;
+      arguments->rest = &state->argv[state->next - 1];
+      arguments->rest_count = state->argc - state->next + 1;
       state->next = state->argc;
       return 0;
     case ARGP_KEY_NO_ARGS:
--- a/tests/agent_bench.c
+++ b/tests/agent_bench.c
@@ -501,6 +501,8 @@
     .peer_count = with_peers ? bench->vm_count : 0,
     .counters = vm->counters,
   };
+  g_snprintf (options.data_centre, sizeof options.data_centre, "c%u",
+              index % bench->centre_count);
   vm->board = dp_agent_board_new (&options);
   DpUsec phase = (index % 10) * BENCH_STEP;
   vm->next_tick = bench->now + phase;
--- a/tests/test_agent_manifest.c
+++ b/tests/test_agent_manifest.c
@@ -428,6 +428,36 @@
 }
 END_TEST
 
+/* Each data centre's status tells every VM's state and revision, by one writer at a time. */
+START_TEST (each_data_centre_has_its_status)
+{
+  Bench *bench = settled_bench ((guint64)_i + 1);
+  guint gone = find_watcher (bench, 2);
+  bench_kill (bench, gone);
+  bench_propose (bench, 2, "second");
+  bench_run (bench, 2 * SETTLE);
+  for (guint centre = 0; centre < CENTRES; centre++)
+    {
+      char *path = g_strdup_printf ("status/c%u", centre);
+      gsize length;
+      const char *data = g_bytes_get_data (bench_get (bench, path), &length);
+      char *text = g_strndup (data, length);
+      ck_assert_ptr_nonnull (strstr (text, "\"manifest\":{\"revision\":2,"));
+      for (guint i = centre; i < VMS; i += CENTRES)
+        {
+          char *row = g_strdup_printf ("\"%s\":{\"state\":\"%s\",\"manifest_revision\":%u}",
+                                       bench->vms[i].row.text, i == gone ? "dead" : "live",
+                                       i == gone ? 1 : 2);
+          ck_assert_msg (strstr (text, row) != NULL, "no %s in %s", row, text);
+          g_free (row);
+        }
+      g_free (text);
+      g_free (path);
+    }
+  bench_free (bench);
+}
+END_TEST
+
 /* The platform is away for an hour; a proposal made in the meantime counts from its return. */
 START_TEST (an_outage_of_an_hour_ends_without_a_burst)
 {
@@ -463,6 +493,7 @@
   tcase_add_test (tcase, an_older_proposal_is_reported_and_ignored);
   tcase_add_test (tcase, an_accepted_object_set_back_is_not_followed);
   tcase_add_loop_test (tcase, a_resumed_watcher_sets_nothing_back, 0, 30);
+  tcase_add_loop_test (tcase, each_data_centre_has_its_status, 0, SEEDS);
   tcase_add_loop_test (tcase, an_outage_of_an_hour_ends_without_a_burst, 0, SEEDS);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
