--- a/core/entry_board.h
+++ b/core/entry_board.h
@@ -156,6 +156,8 @@
 typedef struct Quarantine
 {
   guint failures;
+  DpName target; /* of the last failure that counted */
+  DpUsec counted_at;
   DpUsec until;
 } Quarantine;
 
@@ -255,6 +257,8 @@
 
 Bucket *entry_bucket (DpEntryBoard *board, DpBucketId id);
 const DpClaimRecord *entry_bucket_find (const Bucket *bucket, DpId key);
+/* TRUE if the bucket takes no further keys. */
+gboolean entry_bucket_is_full (DpEntryBoard *board, DpBucketId id);
 /* Makes the bucket be read before its records are used again. */
 void entry_bucket_reread (DpEntryBoard *board, DpBucketId id);
 /* While the platform is known not to answer: when a caller may come again; else 0. */
@@ -356,7 +360,10 @@
 
 gboolean entry_quarantine_holds (DpEntryBoard *board, guint64 body_hash);
 /* A target has died under the request. */
-void entry_quarantine_add (DpEntryBoard *board, guint64 body_hash);
+/* A target went down under the request. */
+void entry_quarantine_add (DpEntryBoard *board, guint64 body_hash, DpName target);
+/* A target answered the request whole. */
+void entry_quarantine_clear (DpEntryBoard *board, guint64 body_hash);
 void entry_quarantine_on_message (DpEntryBoard *board, const DpQuarantine *message);
 void entry_quarantine_tick (DpEntryBoard *board);
 
