core: targets that answer polls are probed sooner; Retry-After of no_target says when

Cause of bookings refused long after a service was well again: each failed probe doubled the backoff up to 30 s, and a call that may not be repeated waited 5 s more.

--- a/core/scheduler_board.h
+++ b/core/scheduler_board.h
@@ -369,6 +369,9 @@
 /* Sends away what waits for targets that all fail: other groups may serve it. */
 void dp_health_release_stranded (DpSchedulerBoard *board, DpGroupState *group);
 /* TRUE while a failing target is not even probed. */
+/* Time until a target that fails now may take the request; 0: at once, or there is none. */
+DpUsec
+dp_health_back_after (DpSchedulerBoard *board, const DpGroupState *group, const DpGrant *grant);
 gboolean dp_health_is_down (const DpSchedulerBoard *board, const DpTargetState *target);
 /* TRUE if the grant may be sent to a target that is set aside. */
 gboolean dp_health_may_probe (const DpSchedulerBoard *board,
--- a/core/scheduler_grants.c
+++ b/core/scheduler_grants.c
@@ -9,6 +9,19 @@
   return MAX (dp_estimate_drain (group, tier), RETRY_AFTER_MIN_USEC);
 }
 
+/* When what is refused for that reason may find a target. */
+static DpUsec
+come_again_after (DpSchedulerBoard *board,
+                  const DpGroupState *group,
+                  const DpGrant *grant,
+                  DpReason reason)
+{
+  DpUsec drained = retry_after (group, grant->tier);
+  if (reason != DP_REASON_NO_TARGET)
+    return drained;
+  return MAX (drained, dp_health_back_after (board, group, grant));
+}
+
 static void
 refuse (
   DpSchedulerBoard *board, DpName entry, const DpGrantAsk *ask, DpReason reason, DpUsec wait)
@@ -277,7 +290,7 @@
     }
   if (reason != DP_REASON_NONE)
     {
-      refuse (board, grant->entry, ask, reason, retry_after (group, grant->tier));
+      refuse (board, grant->entry, ask, reason, come_again_after (board, group, grant, reason));
       drop_grant (board, grant);
       return;
     }
@@ -364,7 +377,7 @@
     = (DpGrantRevoked){ .attempt = grant->attempt,
                         .group = group->name,
                         .reason = reason,
-                        .retry_after = retry_after (group, grant->tier) };
+                        .retry_after = come_again_after (board, group, grant, reason) };
   dp_scheduler_count (board, "dogwoodplank_grants_revoked_total", "reason",
                       dp_reason_name (reason));
   dp_grants_forget (board, grant);
--- a/core/scheduler_health.c
+++ b/core/scheduler_health.c
@@ -30,8 +30,12 @@
 #define POLLS_MISSED_MAX 2
 #define BACKOFF_MIN_USEC (1 * DP_USEC_PER_SEC)
 #define BACKOFF_MAX_USEC (30 * DP_USEC_PER_SEC)
+/* Of a target that answers polls: a probe costs little there, and it may be well again. */
+#define BACKOFF_REACHABLE_MAX_USEC (4 * DP_USEC_PER_SEC)
 /* A target set aside for this long without a probe takes one of any tier and kind. */
 #define PROBE_PATIENCE_USEC (5 * DP_USEC_PER_SEC)
+/* The same for one that fails, from the end of its backoff. */
+#define FAILING_PATIENCE_USEC (500 * DP_USEC_PER_MSEC)
 
 static double
 seconds_of (DpUsec usec)
@@ -135,7 +139,8 @@
 {
   if (target->health != DP_HEALTH_FAILING)
     set_aside (board, target, DP_HEALTH_FAILING);
-  target->backoff = CLAMP (target->backoff * 2, BACKOFF_MIN_USEC, BACKOFF_MAX_USEC);
+  DpUsec longest = target->polls_missed == 0 ? BACKOFF_REACHABLE_MAX_USEC : BACKOFF_MAX_USEC;
+  target->backoff = CLAMP (target->backoff * 2, BACKOFF_MIN_USEC, longest);
   target->probe_at = board->now + target->backoff;
   target->good_probes = 0;
 }
@@ -351,6 +356,19 @@
   return target->health == DP_HEALTH_FAILING && board->now < target->probe_at;
 }
 
+DpUsec
+dp_health_back_after (DpSchedulerBoard *board, const DpGroupState *group, const DpGrant *grant)
+{
+  DpUsec soonest = G_MAXINT64;
+  for (guint i = 0; i < group->targets->len; i++)
+    {
+      const DpTargetState *target = dp_group_target (board, group, i);
+      if (dp_target_is_able (target, grant) && target->health == DP_HEALTH_FAILING)
+        soonest = MIN (soonest, target->probe_at + FAILING_PATIENCE_USEC - board->now);
+    }
+  return soonest == G_MAXINT64 ? 0 : MAX (soonest, 0);
+}
+
 gboolean
 dp_health_may_probe (const DpSchedulerBoard *board,
                      const DpTargetState *target,
@@ -362,6 +380,8 @@
    * nothing else has come for a while. */
   if (grant->repeatable && grant->tier + 1 >= board->tier_count)
     return TRUE;
+  if (target->health == DP_HEALTH_FAILING)
+    return board->now - target->probe_at >= FAILING_PATIENCE_USEC;
   DpUsec since = MAX (target->aside_since, target->last_probe);
   return board->now - since >= PROBE_PATIENCE_USEC;
 }
--- a/tests/test_scheduler_health.c
+++ b/tests/test_scheduler_health.c
@@ -228,9 +228,15 @@
       ck_assert_uint_eq (fixture_target (&f, id), dp_name ("e0"));
       fixture_done (&f, id, (DpGrantDone){ .reason = DP_REASON_TARGET_BROKE });
     }
-  fixture_run (&f, 10 * DP_USEC_PER_SEC);
-  fixture_ask (&f, (FixtureAsk){ .id = 3, .not_repeatable = TRUE });
-  ck_assert_uint_eq (fixture_target (&f, 3), dp_name ("e0"));
+  /* Probes that fail make the next one later, but not by more than the callers' patience. */
+  guint id = 3;
+  for (guint probe = 0; probe < 8; probe++, id++)
+    {
+      fixture_run (&f, 10 * DP_USEC_PER_SEC);
+      fixture_ask (&f, (FixtureAsk){ .id = id, .not_repeatable = TRUE });
+      ck_assert_uint_eq (fixture_target (&f, id), dp_name ("e0"));
+      fixture_done (&f, id, (DpGrantDone){ .reason = DP_REASON_TARGET_BROKE });
+    }
   fixture_close (&f);
 }
 END_TEST
