--- a/standins/load.c
+++ b/standins/load.c
@@ -265,22 +265,19 @@
 static void
 caller_step (Caller *caller)
 {
-  if (caller->is_twin)
-    caller_free (caller);
-  else if (caller->tries_left > 0 && !load.stopping)
+  gboolean ends = caller->is_twin || load.stopping;
+  if (!ends && caller->tries_left > 0)
     {
       caller->tries_left -= 1;
       ask (caller);
-      return;
     }
-  else if (load.stopping || load.issued >= settings->requests)
-    caller_free (caller);
+  else if (!ends && load.issued < settings->requests)
+    begin_request (caller);
   else
     {
-      begin_request (caller);
-      return;
+      caller_free (caller);
+      stop_if_done ();
     }
-  stop_if_done ();
 }
 
 static void
--- a/tests/test_system.c
+++ b/tests/test_system.c
@@ -4,7 +4,7 @@
  * counted. Its exit code is 0 if each complete answer was the right one, nothing hung, no
  * booking ran twice, and "not_run" was true.
  *
- * Usage: test_system BUILD-FOLDER path|processes|targets|bookings|service */
+ * Usage: test_system BUILD-FOLDER PART, see `parts` */
 #include "tests/system.h"
 
 #include <check.h>
@@ -197,23 +197,34 @@
   "{\"times\":8,\"crossed\":1}",
   "{\"times\":8,\"error_status\":500}",
   "{\"times\":8,\"silent_at_token\":3}",
-  "{\"refuse\":1}",
 };
 
-START_TEST (spoiled_answers_are_repaired)
+static void
+check_repair (const char *fault)
 {
   static const char *const flags[]
     = { "--callers=10",        "--requests=60",   "--stream-percent=60",
         "--booking-percent=0", "--tokens-min=10", "--tokens-max=20",
         "--timeout=15000",     "--seconds=20",    NULL };
   System *system = system_start (build_folder);
-  system_set_fault (system_engine_address (system, 0), target_cases[_i]);
+  system_set_fault (system_engine_address (system, 0), fault);
   LoadSummary summary = system_finish_load (system_start_load (system, ALL_VMS, flags));
   ck_assert_msg (summary.exit_code == 0 && summary.right == 60, "%s: not all were served:\n%s",
-                 target_cases[_i], summary.text);
+                 fault, summary.text);
   g_free (summary.text);
   system_stop (system);
 }
+
+START_TEST (spoiled_answers_are_repaired)
+{
+  check_repair (target_cases[_i]);
+}
+END_TEST
+
+START_TEST (an_engine_that_refuses_holds_nobody_up)
+{
+  check_repair ("{\"refuse\":1}");
+}
 END_TEST
 
 /* An engine that spoils all answers looks free, and must not attract all requests. */
@@ -355,6 +366,12 @@
   tcase_add_test (tcase, a_broken_engine_is_put_aside);
 }
 
+static void
+add_refusal_tests (TCase *tcase)
+{
+  tcase_add_test (tcase, an_engine_that_refuses_holds_nobody_up);
+}
+
 static void
 add_booking_tests (TCase *tcase)
 {
@@ -377,9 +394,9 @@
 } Part;
 
 static const Part parts[] = {
-  { "path", add_path_tests },       { "processes", add_process_tests },
-  { "targets", add_target_tests },  { "bookings", add_booking_tests },
-  { "service", add_service_tests },
+  { "path", add_path_tests },        { "processes", add_process_tests },
+  { "targets", add_target_tests },   { "engine_refuses", add_refusal_tests },
+  { "bookings", add_booking_tests }, { "service", add_service_tests },
 };
 
 static Suite *
