--- a/core/scheduler_health.c
+++ b/core/scheduler_health.c
@@ -30,7 +30,7 @@
 #define POLLS_MISSED_MAX 2
 #define BACKOFF_MIN_USEC (1 * DP_USEC_PER_SEC)
 #define BACKOFF_MAX_USEC (30 * DP_USEC_PER_SEC)
-/* A target set aside for this long without a probe takes one of any tier. */
+/* A target set aside for this long without a probe takes one of any tier and kind. */
 #define PROBE_PATIENCE_USEC (5 * DP_USEC_PER_SEC)
 
 static double
@@ -307,6 +307,44 @@
     }
 }
 
+static gboolean
+any_fails (DpSchedulerBoard *board, const DpGroupState *group)
+{
+  for (guint i = 0; i < group->targets->len; i++)
+    {
+      if (dp_group_target (board, group, i)->health == DP_HEALTH_FAILING)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static gboolean
+is_stranded (DpSchedulerBoard *board, const DpGroupState *group, const DpGrant *grant)
+{
+  for (guint i = 0; i < group->targets->len; i++)
+    {
+      const DpTargetState *target = dp_group_target (board, group, i);
+      if (target->health != DP_HEALTH_FAILING && dp_target_is_able (target, grant))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+void
+dp_health_release_stranded (DpSchedulerBoard *board, DpGroupState *group)
+{
+  if (group->waiting == 0 || !any_fails (board, group))
+    return;
+  GSequenceIter *at = g_sequence_get_begin_iter (group->by_latest_start);
+  while (!g_sequence_iter_is_end (at))
+    {
+      DpGrant *grant = g_sequence_get (at);
+      at = g_sequence_iter_next (at);
+      if (is_stranded (board, group, grant))
+        dp_grants_revoke (board, grant, DP_REASON_NO_TARGET);
+    }
+}
+
 gboolean
 dp_health_is_down (const DpSchedulerBoard *board, const DpTargetState *target)
 {
@@ -318,9 +356,11 @@
                      const DpTargetState *target,
                      const DpGrant *grant)
 {
-  if (target->grants->len > 0 || board->now < target->probe_at || !grant->repeatable)
+  if (target->grants->len > 0 || board->now < target->probe_at)
     return FALSE;
-  if (grant->tier + 1 >= board->tier_count)
+  /* A probe that fails costs most where it can't be repeated: such a call probes only where
+   * nothing else has come for a while. */
+  if (grant->repeatable && grant->tier + 1 >= board->tier_count)
     return TRUE;
   DpUsec since = MAX (target->aside_since, target->last_probe);
   return board->now - since >= PROBE_PATIENCE_USEC;
--- a/standins/load.c
+++ b/standins/load.c
@@ -265,19 +265,20 @@
 static void
 caller_step (Caller *caller)
 {
-  gboolean ends = caller->is_twin || load.stopping;
-  if (!ends && caller->tries_left > 0)
+  gboolean may_ask = !caller->is_twin && !load.stopping;
+  if (may_ask && caller->tries_left > 0)
     {
       caller->tries_left -= 1;
       ask (caller);
+      return;
     }
-  else if (!ends && load.issued < settings->requests)
-    begin_request (caller);
-  else
+  if (may_ask && load.issued < settings->requests)
     {
-      caller_free (caller);
-      stop_if_done ();
+      begin_request (caller);
+      return;
     }
+  caller_free (caller);
+  stop_if_done ();
 }
 
 static void
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -100,7 +100,7 @@
       message.holder_answer = (DpHolderAnswer){ id, id, DP_HOLDER_RELEASED };
       break;
     case DP_MESSAGE_QUARANTINE:
-      message.quarantine = (DpQuarantine){ 1, 2, 3 };
+      message.quarantine = (DpQuarantine){ 1, 2, 3, 4 };
       break;
     case DP_MESSAGE_HELLO:
       message.hello = (DpHello){ DP_ROLE_SCHEDULER, 1, TRUE, 2, 3, 4 };
@@ -117,6 +117,12 @@
     case DP_MESSAGE_MANIFEST_ASK:
       message.manifest_ask.revision = 1;
       break;
+    case DP_MESSAGE_LIMIT_ASK:
+      message.limit_ask = (DpLimitAsk){ 1, 2, 3, 4 };
+      break;
+    case DP_MESSAGE_LIMIT_GIVEN:
+      message.limit_given = (DpLimitGiven){ 1, 2, 3, DP_REASON_RATE_LIMITED, 4 };
+      break;
     case DP_MESSAGE_COUNT:
       break;
     }
