tests: a silent connection between processes is replaced

Cause: the promise was built in (heartbeats on links in use) but not shown. Seen red with heartbeats off.

--- a/tests/test_net_bus.c
+++ b/tests/test_net_bus.c
@@ -2,6 +2,7 @@
 #include "net/bus.h"
 #include "net/codec.h"
 #include "tests/free_port.h"
+#include "tests/raw_relay.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -272,6 +273,42 @@
 }
 END_TEST
 
+/* Something between the two loses track of the connection: new ones work. */
+START_TEST (a_silent_connection_is_replaced)
+{
+  struct event_base *base = event_base_new ();
+  Node a = make_node (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
+  Node b = make_node (base, "b", DP_ROLE_SCHEDULER, "127.0.1.12");
+  ck_assert (start_node (&a, "127.0.1.11", NULL));
+  ck_assert (start_node (&b, "127.0.1.12", NULL));
+  RawRelay relay
+    = { .base = base, .target_address = "127.0.1.12", .port = ports[DP_ROLE_SCHEDULER] };
+  raw_relay_start (&relay, "127.0.1.13");
+  DpVm row = { .name = dp_name ("b"), .text = "b", .address = "127.0.1.13" };
+  DpView *view = dp_view_new (1, &row, 1);
+  dp_bus_set_view (a.bus, view);
+  b.expected = 1;
+  send_revision (&a, b.self, 1);
+  run (base);
+  raw_relay_silence (&relay);
+  Repeat repeat = { &a, b.self };
+  struct event *timer = event_new (base, -1, EV_PERSIST, send_second_revision, &repeat);
+  const struct timeval interval = { .tv_usec = 50000 };
+  event_add (timer, &interval);
+  b.expected = 2;
+  gint64 start = g_get_monotonic_time ();
+  run (base);
+  ck_assert_int_lt (g_get_monotonic_time () - start, 10 * (gint64)G_USEC_PER_SEC);
+  ck_assert_uint_ge (relay.accepted, 2);
+  event_free (timer);
+  dp_view_unref (view);
+  clear_node (&a);
+  clear_node (&b);
+  raw_relay_clear (&relay);
+  event_base_free (base);
+}
+END_TEST
+
 START_TEST (an_address_in_use_is_an_error)
 {
   struct event_base *base = event_base_new ();
@@ -494,6 +531,7 @@
   tcase_add_test (tcase, unknown_and_removed_peers_are_counted);
   tcase_add_test (tcase, a_silent_peer_costs_bounded_memory);
   tcase_add_test (tcase, messages_to_an_unreachable_peer_expire);
+  tcase_add_test (tcase, a_silent_connection_is_replaced);
   tcase_add_test (tcase, an_address_in_use_is_an_error);
   tcase_add_test (tcase, bad_frames_are_counted_and_dropped);
   tcase_add_loop_test (tcase, only_allowed_keys_connect, 0, G_N_ELEMENTS (curve_cases));
