--- a/core/scheduler_board.h
+++ b/core/scheduler_board.h
@@ -86,16 +86,15 @@
   GQueue newest;         /* DpGrant by arrival, linked by DpGrant.arrival_link */
 } DpTierQueue;
 
-/* --- groups, targets, grants, entries --- */
+/* --- scheduler_limits.c: limits of workspaces over all entries --- */
 
-/* What a workspace uses of its limits in one group. */
-typedef struct DpUse
-{
-  DpName workspace;
-  guint in_flight;  /* waiting and running */
-  double allowance; /* requests that may come at once */
-  DpUsec refilled_at;
-} DpUse;
+GHashTable *dp_limits_new (void);
+void dp_limits_ask (DpSchedulerBoard *board, DpName entry, const DpLimitAsk *ask);
+void dp_limits_tick (DpSchedulerBoard *board);
+/* After a pause others have given leave meanwhile: no burst is allowed at first. */
+void dp_limits_forget (DpSchedulerBoard *board);
+
+/* --- groups, targets, grants, entries --- */
 
 typedef struct DpGroupState
 {
@@ -117,7 +116,6 @@
   guint waiting;
   guint running[DP_TIERS_MAX];
   GSequence *by_latest_start; /* DpGrant that wait, by latest_start */
-  GHashTable *uses;           /* DpName -> DpUse */
   GHashTable *blocks;         /* prefix blocks -> targets that have them cached */
   double waste_budget;        /* prompt tokens that preemption for a wait may throw away */
   guint next_target;          /* round robin */
@@ -273,8 +271,10 @@
   GHashTable *grant_by_attempt;
   GHashTable *entries; /* DpName -> DpEntryState */
   GHashTable *lengths; /* of (workspace, model, tier) -> DpLength */
-  guint64 random;      /* state of the generator, from the seed */
-  GArray *actions;     /* of the event in hand */
+  GHashTable *limits;  /* workspace -> row of scheduler_limits.c */
+  DpUsec limits_since;
+  guint64 random;  /* state of the generator, from the seed */
+  GArray *actions; /* of the event in hand */
 };
 
 /* scheduler_config.c: rows from the manifest */
@@ -303,21 +303,6 @@
 /* Lowest tier that waits and is below `tier`, or -1. */
 int dp_queue_lowest_below (const DpGroupState *group, guint tier);
 
-/* scheduler_limits.c: limits of workspaces */
-void dp_limits_init (DpGroupState *group);
-/* NONE if another request of the workspace may come; else sets when to come again (0: unknown).
- */
-DpReason dp_limits_check (DpSchedulerBoard *board,
-                          DpGroupState *group,
-                          DpName name,
-                          DpUsec *retry_after);
-/* A request waits or runs. */
-void dp_limits_add (DpSchedulerBoard *board, DpGroupState *group, DpName workspace);
-void dp_limits_remove (DpSchedulerBoard *board, DpGroupState *group, DpName workspace);
-/* A request counts against the rate; it no longer does, since it was taken back. */
-void dp_limits_charge (DpSchedulerBoard *board, DpGroupState *group, DpName workspace);
-void dp_limits_refund (DpSchedulerBoard *board, DpGroupState *group, DpName workspace);
-
 /* scheduler_prefix.c: prompt prefixes cached on targets */
 /* Cached leading blocks of one prompt, by the target's place in its group. */
 typedef struct DpPrefixMatch
@@ -384,6 +369,9 @@
 /* Sends away what waits for targets that all fail: other groups may serve it. */
 void dp_health_release_stranded (DpSchedulerBoard *board, DpGroupState *group);
 /* TRUE while a failing target is not even probed. */
+/* Time until a target that fails now may take the request; 0: at once, or there is none. */
+DpUsec
+dp_health_back_after (DpSchedulerBoard *board, const DpGroupState *group, const DpGrant *grant);
 gboolean dp_health_is_down (const DpSchedulerBoard *board, const DpTargetState *target);
 /* TRUE if the grant may be sent to a target that is set aside. */
 gboolean dp_health_may_probe (const DpSchedulerBoard *board,
--- a/core/scheduler_limits.c
+++ b/core/scheduler_limits.c
@@ -1,99 +1,194 @@
-/* Limits of workspaces from the manifest: requests in flight and requests a second.
+/* Limits of workspaces over all entries together: the owner's count and rate.
  *
- * A group's owner sees all entries' requests for the group, so the limits are exact over all
- * entries within a group. What waits counts as in flight. */
+ * Soft state. Entries report twice a second what they hold, so that a new owner knows what is
+ * open within a heartbeat. Until then a limit can be passed by as much again, and so it can
+ * while two VMs are asked: for some seconds after an owner was silent, or during a partition.
+ */
 #include "core/scheduler_board.h"
 
-/* Seconds of its rate that a workspace may save up. */
-#define BURST_SECONDS 1.0
+/* An entry that was not heard for this long holds nothing any more. */
+#define HOLDER_LAPSE (3 * DP_USEC_PER_SEC)
 
-static const DpWorkspace *
-find_workspace (const DpSchedulerBoard *board, DpName name)
+/* What one entry holds of a workspace's limit. */
+typedef struct Holder
 {
-  int index = dp_manifest_find (board->manifest, DP_MANIFEST_WORKSPACE, name);
-  return index >= 0 ? DP_MANIFEST_ROW (board->manifest, workspaces, DpWorkspace, index) : NULL;
+  guint held;
+  guint64 sequence; /* of its last ask */
+  guint given;      /* in answer to that */
+  DpUsec heard_at;
+} Holder;
+
+typedef struct LimitRow
+{
+  double tokens; /* requests that may start now */
+  DpUsec tokens_at;
+  GHashTable *holders; /* VM -> Holder */
+} LimitRow;
+
+static void
+row_free (gpointer data)
+{
+  LimitRow *row = data;
+  g_hash_table_unref (row->holders);
+  g_free (row);
+}
+
+GHashTable *
+dp_limits_new (void)
+{
+  return g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, row_free);
+}
+
+static LimitRow *
+obtain_row (DpSchedulerBoard *board, const DpWorkspace *workspace)
+{
+  LimitRow *row = g_hash_table_lookup (board->limits, &workspace->name);
+  if (row != NULL)
+    return row;
+  row = g_new0 (LimitRow, 1);
+  double known = (double)(board->now - board->limits_since) / (double)DP_USEC_PER_SEC;
+  row->tokens = workspace->requests_per_second * CLAMP (known, 0, 1);
+  row->tokens_at = board->now;
+  row->holders = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  g_hash_table_insert (board->limits, g_memdup2 (&workspace->name, sizeof workspace->name),
+                       row);
+  return row;
+}
+
+void
+dp_limits_forget (DpSchedulerBoard *board)
+{
+  g_hash_table_remove_all (board->limits);
+  board->limits_since = board->now;
 }
 
-static double
-burst (const DpWorkspace *workspace)
+static Holder *
+obtain_holder (LimitRow *row, DpName entry)
 {
-  return MAX (workspace->requests_per_second * BURST_SECONDS, 1);
+  Holder *holder = g_hash_table_lookup (row->holders, &entry);
+  if (holder != NULL)
+    return holder;
+  holder = g_new0 (Holder, 1);
+  g_hash_table_insert (row->holders, g_memdup2 (&entry, sizeof entry), holder);
+  return holder;
 }
 
-static DpUse *
-obtain_use (DpSchedulerBoard *board, DpGroupState *group, DpName name)
+static guint
+total_held (const LimitRow *row)
 {
-  DpUse *use = g_hash_table_lookup (group->uses, &name);
-  if (use != NULL)
-    return use;
-  const DpWorkspace *workspace = find_workspace (board, name);
-  use = g_new0 (DpUse, 1);
-  use->workspace = name;
-  use->refilled_at = board->now;
-  use->allowance = workspace != NULL ? burst (workspace) : 0;
-  g_hash_table_insert (group->uses, &use->workspace, use);
-  return use;
+  guint total = 0;
+  GHashTableIter iter;
+  gpointer holder;
+  g_hash_table_iter_init (&iter, row->holders);
+  while (g_hash_table_iter_next (&iter, NULL, &holder))
+    total += ((const Holder *)holder)->held;
+  return total;
 }
 
 static void
-refill (const DpSchedulerBoard *board, const DpWorkspace *workspace, DpUse *use)
+refill (LimitRow *row, const DpWorkspace *workspace, DpUsec now)
 {
-  double seconds = (double)(board->now - use->refilled_at) / (double)DP_USEC_PER_SEC;
-  use->allowance
-    = MIN (use->allowance + seconds * workspace->requests_per_second, burst (workspace));
-  use->refilled_at = board->now;
+  double rate = workspace->requests_per_second;
+  double elapsed = (double)(now - row->tokens_at) / (double)DP_USEC_PER_SEC;
+  row->tokens = MIN (row->tokens + elapsed * rate, rate);
+  row->tokens_at = now;
 }
 
-void
-dp_limits_init (DpGroupState *group)
+static void
+answer (DpSchedulerBoard *board, DpName entry, const DpLimitGiven *given)
 {
-  group->uses = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  DpSchedulerAction *action = dp_scheduler_send (board, entry, DP_MESSAGE_LIMIT_GIVEN);
+  action->message.limit_given = *given;
 }
 
-DpReason
-dp_limits_check (DpSchedulerBoard *board, DpGroupState *group, DpName name, DpUsec *retry_after)
+/* Time until the first of those refused for the rate may start. */
+static DpUsec
+next_token (const LimitRow *row, const DpWorkspace *workspace)
 {
-  const DpWorkspace *workspace = find_workspace (board, name);
-  if (workspace == NULL)
-    return DP_REASON_NONE;
-  DpUse *use = obtain_use (board, group, name);
-  if (workspace->requests_in_flight > 0 && use->in_flight >= workspace->requests_in_flight)
-    {
-      *retry_after = 0;
-      return DP_REASON_TOO_MANY_IN_FLIGHT;
-    }
-  if (workspace->requests_per_second == 0)
-    return DP_REASON_NONE;
-  refill (board, workspace, use);
-  if (use->allowance >= 1)
-    return DP_REASON_NONE;
-  double seconds = (1 - use->allowance) / workspace->requests_per_second;
-  *retry_after = (DpUsec)(seconds * (double)DP_USEC_PER_SEC);
-  return DP_REASON_RATE_LIMITED;
+  double missing = MAX (1 - row->tokens, 0);
+  return (DpUsec)(missing / workspace->requests_per_second * (double)DP_USEC_PER_SEC) + 1;
 }
 
-void
-dp_limits_add (DpSchedulerBoard *board, DpGroupState *group, DpName workspace)
+static void
+give (DpSchedulerBoard *board,
+      const DpWorkspace *workspace,
+      LimitRow *row,
+      const DpLimitAsk *ask,
+      DpLimitGiven *given)
 {
-  obtain_use (board, group, workspace)->in_flight += 1;
+  refill (row, workspace, board->now);
+  guint held = total_held (row);
+  guint room = ask->want;
+  if (workspace->requests_in_flight > 0)
+    room = workspace->requests_in_flight > held ? workspace->requests_in_flight - held : 0;
+  guint by_rate = ask->want;
+  if (workspace->requests_per_second > 0)
+    by_rate = (guint)MAX (row->tokens, 0);
+  given->given = MIN (ask->want, MIN (room, by_rate));
+  row->tokens -= given->given;
+  if (given->given == ask->want)
+    return;
+  if (room < by_rate)
+    {
+      given->reason = DP_REASON_TOO_MANY_IN_FLIGHT;
+      return;
+    }
+  given->reason = DP_REASON_RATE_LIMITED;
+  given->retry_after = next_token (row, workspace);
 }
 
 void
-dp_limits_charge (DpSchedulerBoard *board, DpGroupState *group, DpName workspace)
+dp_limits_ask (DpSchedulerBoard *board, DpName entry, const DpLimitAsk *ask)
 {
-  obtain_use (board, group, workspace)->allowance -= 1;
+  DpLimitGiven given = { .workspace = ask->workspace, .sequence = ask->sequence };
+  int index = board->manifest != NULL
+                ? dp_manifest_find (board->manifest, DP_MANIFEST_WORKSPACE, ask->workspace)
+                : -1;
+  if (index < 0)
+    {
+      /* The entry's manifest is newer; no limit is known here. */
+      given.given = ask->want;
+      if (ask->want > 0)
+        answer (board, entry, &given);
+      return;
+    }
+  const DpWorkspace *workspace
+    = DP_MANIFEST_ROW (board->manifest, workspaces, DpWorkspace, (guint)index);
+  LimitRow *row = obtain_row (board, workspace);
+  Holder *holder = obtain_holder (row, entry);
+  gboolean is_repeat = ask->sequence == holder->sequence;
+  holder->heard_at = board->now;
+  holder->held = ask->held;
+  if (ask->want == 0)
+    return;
+  if (is_repeat)
+    given.given = MIN (holder->given, ask->want);
+  else
+    give (board, workspace, row, ask, &given);
+  holder->sequence = ask->sequence;
+  holder->given = given.given;
+  holder->held += given.given;
+  answer (board, entry, &given);
 }
 
-void
-dp_limits_refund (DpSchedulerBoard *board, DpGroupState *group, DpName workspace)
+static gboolean
+is_lapsed (gpointer key, gpointer value, gpointer user)
 {
-  obtain_use (board, group, workspace)->allowance += 1;
+  const DpSchedulerBoard *board = user;
+  return board->now - ((const Holder *)value)->heard_at > HOLDER_LAPSE;
 }
 
 void
-dp_limits_remove (DpSchedulerBoard *board, DpGroupState *group, DpName workspace)
+dp_limits_tick (DpSchedulerBoard *board)
 {
-  DpUse *use = obtain_use (board, group, workspace);
-  if (use->in_flight > 0)
-    use->in_flight -= 1;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, board->limits);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      LimitRow *row = value;
+      g_hash_table_foreach_remove (row->holders, is_lapsed, board);
+      if (g_hash_table_size (row->holders) == 0 && board->now - row->tokens_at > HOLDER_LAPSE)
+        g_hash_table_iter_remove (&iter);
+    }
 }
