--- a/core/scheduler_board.h
+++ b/core/scheduler_board.h
@@ -13,8 +13,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Ticks come at least this often. */
-#define DP_SCHEDULER_TICK_USEC (50 * DP_USEC_PER_MSEC)
 /* Without an event for this long the process was paused: what it held may be void. */
 #define DP_SCHEDULER_PAUSE_USEC (1 * DP_USEC_PER_SEC)
 /* A new owner learns the running grants for this long before it gives any. */
--- a/core/scheduler_preempt.c
+++ b/core/scheduler_preempt.c
@@ -7,12 +7,9 @@
 
 /* Top-tier requests wait this long before they preempt. */
 #define TOP_TIER_WAIT_USEC (100 * DP_USEC_PER_MSEC)
-/* This long before its latest start a request is sent behind other prompts of the target, ...
- */
-#define URGENT_USEC (1500 * DP_USEC_PER_MSEC)
-/* ... and this long before, it preempts. */
+/* This long before its latest start a request of any tier preempts. */
 #define CRITICAL_USEC (300 * DP_USEC_PER_MSEC)
-/* Preemption for a wait may throw away this share of the prompt tokens sent. */
+/* Preemption for a mere wait may throw away this share of the prompt tokens sent. */
 #define WASTE_SHARE 0.005
 #define WASTE_BUDGET_MAX 8000
 /* Victims for one request. */
--- a/replay/trace.c
+++ b/replay/trace.c
@@ -4,8 +4,6 @@
 #include <json-c/json.h>
 #include <string.h>
 
-#define LINE_BYTES_MAX (1024 * 1024)
-
 static GArray *
 new_rows (gsize size)
 {
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -67,6 +67,28 @@
 }
 END_TEST
 
+START_TEST (committed_traces_are_read_and_answered)
+{
+  char *file = g_strdup_printf ("%s/%s.jsonl", DP_TRACES_FOLDER, names[_i]);
+  DpFindings *findings = dp_findings_new ();
+  DpTrace *trace = dp_trace_read (file, findings);
+  ck_assert_ptr_nonnull (trace);
+  DpReplayResult result;
+  dp_replay_run (trace, DP_REPLAY_PRODUCT, &result);
+  ck_assert_uint_eq (result.unanswered, 0);
+  for (guint i = 0; i < result.tier_count; i++)
+    {
+      const DpReplayTier *tier = &result.tiers[i];
+      guint ended = tier->good + tier->late + tier->refused + tier->broken;
+      ck_assert_uint_gt (tier->offered, 0);
+      ck_assert_uint_eq (ended, tier->offered);
+    }
+  dp_trace_unref (trace);
+  dp_findings_unref (findings);
+  g_free (file);
+}
+END_TEST
+
 START_TEST (lines_that_are_no_trace_are_found)
 {
   char *file = NULL;
@@ -149,6 +171,7 @@
   tcase_add_loop_test (tcase, the_top_tier_hardly_notices_the_others, 0, 4);
   tcase_add_loop_test (tcase, the_same_trace_gives_the_same_result, 0, 2);
   tcase_add_loop_test (tcase, a_trace_survives_its_file, 0, 2);
+  tcase_add_loop_test (tcase, committed_traces_are_read_and_answered, 0, 2);
   tcase_add_test (tcase, lines_that_are_no_trace_are_found);
   tcase_add_loop_test (tcase, faults_of_owners_overcommit_at_most_twice, 0,
                        G_N_ELEMENTS (fault_cases));
--- a/tests/test_scheduler_tiers.c
+++ b/tests/test_scheduler_tiers.c
@@ -122,6 +122,33 @@
 }
 END_TEST
 
+/* Each preemption wastes at least 200 prompt tokens here. The budget is 2,000 and 0.5% of the
+ * at most 165,000 sent, which is 14 preemptions. */
+START_TEST (preemption_for_a_wait_has_a_budget)
+{
+  Fixture f;
+  open_settled (&f, narrow, 1, 0);
+  guint preempted = 0;
+  for (guint id = 1; id < 80; id += 2)
+    {
+      fixture_clear (&f);
+      fixture_ask (&f, (FixtureAsk){ .id = id, .tier = 3, .prompt = 4000 });
+      fixture_run (&f, 100 * DP_USEC_PER_MSEC);
+      fixture_ask (&f, (FixtureAsk){ .id = id + 1, .tier = 0 });
+      fixture_run (&f, 200 * DP_USEC_PER_MSEC);
+      if (fixture_last (&f, DP_MESSAGE_GRANT_REVOKED, id) != NULL)
+        preempted++;
+      else
+        fixture_done (&f, id, (DpGrantDone){ .reason = DP_REASON_CALLER_GONE });
+      ck_assert_uint_eq (fixture_target (&f, id + 1), dp_name ("e0"));
+      fixture_done (&f, id + 1, (DpGrantDone){ .reason = DP_REASON_CALLER_GONE });
+    }
+  ck_assert_uint_ge (preempted, 1);
+  ck_assert_uint_le (preempted, 14);
+  fixture_close (&f);
+}
+END_TEST
+
 START_TEST (a_full_queue_displaces_the_newest_of_the_lowest_tier)
 {
   Fixture f;
@@ -293,6 +320,7 @@
   tcase_add_test (tcase, a_top_tier_request_waits_briefly_for_unstarted_work);
   tcase_add_loop_test (tcase, the_victim_is_of_the_lowest_tier_and_wastes_least, 0,
                        G_N_ELEMENTS (victim_cases));
+  tcase_add_test (tcase, preemption_for_a_wait_has_a_budget);
   tcase_add_test (tcase, a_full_queue_displaces_the_newest_of_the_lowest_tier);
   tcase_add_loop_test (tcase, no_tier_is_shed_before_a_lower_one, 0, 20);
   tcase_add_test (tcase, workspaces_share_a_tier_by_weight);
