core: agents ask once for a text they can't read, and log what VMs do

An accepted text with findings here (a newer release may have accepted it) was read from the platform each second by every VM: 848 to 883 calls in 60 s where 488 are allowed (red). Its digest is now remembered.

Logs: vm_suspect, vm_dead, vm_reached, vm_leaving. core/agent_view.c takes the views out of agent_members.c.

--- a/core/agent.c
+++ b/core/agent.c
@@ -114,7 +114,7 @@
 publish (DpAgentBoard *board, guint64 old_revision)
 {
   guint64 old_version = board->view->version;
-  dp_agent_members_publish (board);
+  dp_agent_view_publish (board);
   gboolean view_changed = board->view->version != old_version;
   gboolean manifest_changed
     = board->manifest != NULL && board->manifest->revision != old_revision;
@@ -179,7 +179,7 @@
     }
   board->last_tick = board->now;
   dp_agent_members_tick (board);
-  dp_agent_members_publish (board); /* who watches depends on the view */
+  dp_agent_view_publish (board); /* who watches depends on the view */
   dp_agent_manifest_tick (board);
   dp_agent_status_tick (board);
   exit_when_done (board);
@@ -291,7 +291,7 @@
   board->order = g_ptr_array_new ();
   board->members_changed = TRUE;
   dp_agent_members_start (board);
-  dp_agent_members_publish (board);
+  dp_agent_view_publish (board);
   return board;
 }
 
--- a/core/agent_board.h
+++ b/core/agent_board.h
@@ -114,6 +114,7 @@
   guint64 writing_digest;
   guint64 vms_version;
   DpUsec next_poll;
+  guint64 unreadable_digest; /* of a text that has findings here; 0: none */
   /* asking a peer for a manifest */
   DpUsec ask_until;
   /* manifests sent to peers */
@@ -164,11 +165,13 @@
 /* Probes a few random peers right away, so that they learn of a new manifest. */
 void dp_agent_members_spread (DpAgentBoard *board);
 
+/* --- agent_view.c --- */
+
 /* State of the member as published. */
 DpVmState dp_agent_member_state (const DpMember *member);
 
 /* Rebuilds both views if something changed. */
-void dp_agent_members_publish (DpAgentBoard *board);
+void dp_agent_view_publish (DpAgentBoard *board);
 
 /* --- agent_list.c --- */
 
--- a/core/agent_manifest.c
+++ b/core/agent_manifest.c
@@ -103,6 +103,14 @@
   return manifest;
 }
 
+static guint64
+digest_of (GBytes *text)
+{
+  gsize length;
+  const char *data = g_bytes_get_data (text, &length);
+  return dp_manifest_digest (data, length);
+}
+
 /* --- in force --- */
 
 static guint64
@@ -165,13 +173,19 @@
       refuse (board, "older", revision, digest);
       return;
     }
+  if (digest_of (text) != digest)
+    {
+      refuse (board, "digest", revision, digest);
+      return;
+    }
   DpManifest *manifest = parse_manifest (text, NULL);
-  if (manifest != NULL && manifest->revision == revision && manifest->digest == digest)
+  if (manifest != NULL && manifest->revision == revision)
     {
       put_in_force (board, manifest, text);
       return;
     }
-  refuse (board, manifest == NULL ? "findings" : "digest", revision, digest);
+  refuse (board, manifest == NULL ? "findings" : "revision", revision, digest);
+  board->unreadable_digest = digest;
   dp_manifest_unref (manifest);
 }
 
@@ -183,7 +197,7 @@
   guint64 mine = revision_in_force (board);
   if (revision == mine && mine != 0 && digest != board->manifest->digest)
     report_conflict (board, revision, digest, board->manifest->digest);
-  if (revision <= mine || board->now < board->ask_until)
+  if (revision <= mine || digest == board->unreadable_digest || board->now < board->ask_until)
     return;
   board->ask_until = board->now + ASK_TIMEOUT;
   DpMessage message = { .type = DP_MESSAGE_MANIFEST_ASK };
@@ -309,7 +323,8 @@
 static void
 fetch_accepted (DpAgentBoard *board)
 {
-  if (board->accepted_revision <= revision_in_force (board))
+  if (board->accepted_revision <= revision_in_force (board)
+      || board->accepted_digest == board->unreadable_digest)
     return;
   const DpManifest *proposed = board->proposed.manifest;
   if (proposed != NULL && proposed->revision == board->accepted_revision
--- a/core/agent_members.c
+++ b/core/agent_members.c
@@ -33,16 +33,6 @@
 /* Rows of other data centres sent to a VM that is new here. */
 #define FAR_GREETED_MAX 64
 
-DpVmState
-dp_agent_member_state (const DpMember *member)
-{
-  if (member->reach == DP_REACH_DEAD)
-    return DP_VM_DEAD;
-  if (member->vm.state == DP_VM_LEAVING)
-    return DP_VM_LEAVING;
-  return member->reach == DP_REACH_SUSPECT ? DP_VM_SUSPECT : DP_VM_LIVE;
-}
-
 static gboolean
 is_near (const DpAgentBoard *board, const DpMember *member)
 {
@@ -106,6 +96,31 @@
   board->members_changed = TRUE;
 }
 
+static void
+log_member (DpAgentBoard *board, const char *event, const DpMember *member, gboolean warning)
+{
+  dp_agent_log (board, event, warning)->detail = g_strdup (member->vm.text);
+}
+
+static void
+log_reach (DpAgentBoard *board, const DpMember *member)
+{
+  switch (member->reach)
+    {
+    case DP_REACH_UNKNOWN:
+      break;
+    case DP_REACH_OK:
+      log_member (board, "vm_reached", member, FALSE);
+      break;
+    case DP_REACH_SUSPECT:
+      log_member (board, "vm_suspect", member, TRUE);
+      break;
+    case DP_REACH_DEAD:
+      log_member (board, "vm_dead", member, TRUE);
+      break;
+    }
+}
+
 static void
 set_reach (DpAgentBoard *board, DpMember *member, DpReach reach)
 {
@@ -114,6 +129,7 @@
   member->reach = reach;
   member->reach_since = board->now;
   board->members_changed = TRUE;
+  log_reach (board, member);
 }
 
 /* --- news --- */
@@ -156,8 +172,10 @@
     member->vm.state = DP_VM_LEAVING;
   set_news (board, member);
   board->members_changed = TRUE;
-  if (member->vm.state == DP_VM_LEAVING && !was_leaving)
-    dp_agent_members_spread (board);
+  if (member->vm.state != DP_VM_LEAVING || was_leaving)
+    return;
+  log_member (board, "vm_leaving", member, FALSE);
+  dp_agent_members_spread (board);
 }
 
 static void
@@ -476,6 +494,7 @@
   member->probe_now = TRUE;
   set_news (board, member);
   board->members_changed = TRUE;
+  log_member (board, "vm_leaving", member, FALSE);
   dp_agent_members_spread (board);
 }
 
@@ -542,46 +561,3 @@
         add_member (board, peer);
     }
 }
-
-/* --- views --- */
-
-static void
-replace_view (DpView **place, guint64 version, const GArray *rows)
-{
-  dp_view_unref (*place);
-  *place = dp_view_new (version, (const DpVm *)(const void *)rows->data, rows->len);
-}
-
-static GArray *
-collect_rows (const DpAgentBoard *board)
-{
-  GArray *rows = g_array_new (FALSE, TRUE, sizeof (DpVm));
-  g_array_append_val (rows, board->self);
-  for (guint i = 0; i < board->order->len; i++)
-    {
-      const DpMember *member = g_ptr_array_index (board->order, i);
-      DpVm row = member->vm;
-      row.state = dp_agent_member_state (member);
-      g_array_append_val (rows, row);
-    }
-  return rows;
-}
-
-void
-dp_agent_members_publish (DpAgentBoard *board)
-{
-  if (!board->members_changed)
-    return;
-  board->members_changed = FALSE;
-  board->view_version++;
-  GArray *rows = collect_rows (board);
-  replace_view (&board->view, board->view_version, rows);
-  for (guint i = 0; i < rows->len; i++)
-    {
-      DpVm *row = &g_array_index (rows, DpVm, i);
-      if (row->state == DP_VM_DEAD)
-        row->state = DP_VM_SUSPECT;
-    }
-  replace_view (&board->probe_view, board->view_version, rows);
-  g_array_unref (rows);
-}
--- a/manifest/manifest.h
+++ b/manifest/manifest.h
@@ -152,6 +152,9 @@
 DpManifest *
 dp_manifest_parse (const char *file, const char *text, gsize length, DpFindings *findings);
 
+/* Hash of a manifest's text; every release computes the same. */
+guint64 dp_manifest_digest (const char *text, gsize length);
+
 DpManifest *dp_manifest_ref (DpManifest *manifest);
 void dp_manifest_unref (DpManifest *manifest);
 
--- a/manifest/parse.c
+++ b/manifest/parse.c
@@ -274,6 +274,12 @@
   g_hash_table_unref (parser->addresses);
 }
 
+guint64
+dp_manifest_digest (const char *text, gsize length)
+{
+  return dp_hash_bytes (text, length, DIGEST_SEED);
+}
+
 DpManifest *
 dp_manifest_parse (const char *file, const char *text, gsize length, DpFindings *findings)
 {
@@ -291,7 +297,7 @@
       dp_manifest_unref (parser.manifest);
       return NULL;
     }
-  parser.manifest->digest = dp_hash_bytes (text, length, DIGEST_SEED);
+  parser.manifest->digest = dp_manifest_digest (text, length);
   dp_manifest_finish (parser.manifest);
   return parser.manifest;
 }
