--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -110,6 +110,8 @@
 load_pid=$!
 peak=$idle
 open=0
+started=$(date +%s%N)
+entry_before=$(cpu_ticks entry-1)
 while kill -0 "$load_pid" 2>/dev/null; do
   now=$(resident_kib entry-1)
   [ "$now" -le "$peak" ] || peak=$now
@@ -118,12 +120,15 @@
   sleep 0.2
 done
 wait "$load_pid" || { cat "$work/path"; exit 1; }
+entry_ticks=$(($(cpu_ticks entry-1) - entry_before))
+elapsed=$(($(date +%s%N) - started))
 for name in first_ms_p50 first_ms_p95 first_ms_p99; do
   a=$(value "$name" <"$work/direct")
   b=$(value "$name" <"$work/path")
   echo "| $streams streams open: first token, ${name#first_ms_}, ms | $a | $b | $(difference "$b" "$a") |"
 done
 echo "| streams open at once at the engine | | $open | |"
+echo "| entry's processor time with $streams streams of $stream_fast tokens/s, % of a core | | $(awk -v t="$entry_ticks" -v hz="$ticks_per_second" -v ns="$elapsed" 'BEGIN {printf "%.0f", 100 * t / hz / (ns / 1e9)}') | |"
 echo "| entry's resident memory, idle, MiB | | $(awk -v k="$idle" 'BEGIN {printf "%.1f", k / 1024}') | |"
 echo "| entry's resident memory, peak with $streams streams, MiB | | $(awk -v k="$peak" 'BEGIN {printf "%.1f", k / 1024}') | |"
 for name in scheduler-1 scheduler-2 scheduler-3; do
