net: CURVE keys for agents too; ctl: keypair

Cause: the settings' table had been split between agents and the rest, and the keys had landed in the rest's half: with CURVE an entry could not talk to its agent. Z85 may hold // and /*, so a settings case has them within a string.

--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -11,3 +11,6 @@
 /* status IP... | --platform IP[:PORT]: prints what the programs or the platform's objects tell.
  */
 int dp_ctl_status (int argc, char **argv);
+
+/* keypair: prints a new key pair for the settings of all processes. */
+int dp_ctl_keypair (int argc, char **argv);
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -14,6 +14,7 @@
     "Commands:\n"
     "  check FILE...      checks manifests; prints every finding with file, line and member\n"
     "  status [IP...]     shows what programs on VMs, or the platform, report\n"
+    "  keypair            makes keys for the traffic between processes\n"
     "  replay [TRACE...]  replays recorded traces on the shipping decisions\n"
     "\nCOMMAND --help tells more.\n"
     "\nExit status: 0 if all is well, 1 on findings, 64 on wrong usage.";
@@ -28,6 +29,7 @@
 static const Command commands[] = {
   { "check", dp_ctl_check },
   { "status", dp_ctl_status },
+  { "keypair", dp_ctl_keypair },
   { "replay", dp_replay_main },
 };
 
--- a/net/bus_auth.c
+++ b/net/bus_auth.c
@@ -71,6 +71,12 @@
   return ok;
 }
 
+void
+dp_bus_keys_make (char public_key[DP_BUS_KEY_CHARS + 1], char secret_key[DP_BUS_KEY_CHARS + 1])
+{
+  zmq_curve_keypair (public_key, secret_key);
+}
+
 static void
 set_text (void *socket, int option, const char *text)
 {
--- a/net/bus_auth.h
+++ b/net/bus_auth.h
@@ -24,6 +24,10 @@
 /* FALSE if a key is malformed or public and secret key don't belong together. */
 gboolean dp_bus_keys_check (const DpBusKeys *keys);
 
+/* Makes a new key pair. */
+void dp_bus_keys_make (char public_key[DP_BUS_KEY_CHARS + 1],
+                       char secret_key[DP_BUS_KEY_CHARS + 1]);
+
 /* Sets a DEALER's keys, before it connects. */
 void dp_bus_keys_set_client (const DpBusKeys *keys, void *socket);
 
--- a/net/process.h
+++ b/net/process.h
@@ -70,17 +70,17 @@
     DP_PORT_SETTING ("operator_port", Type, field.operator_port,                               \
                      "port of /metrics and /status", default_operator_port),                   \
     DP_NUMBER_SETTING ("log_level", Type, field.log_level, "N",                                \
-                       "least severe syslog level that is logged (6)", 3, 7, 6)
-
-/* Further rows of those that follow an agent. */
-#define DP_PROCESS_SETTINGS(Type, field, default_operator_port)                                \
-  DP_PROCESS_COMMON_SETTINGS (Type, field, default_operator_port),                             \
+                       "least severe syslog level that is logged (6)", 3, 7, 6),               \
     DP_TEXT_SETTING ("curve_public_key", Type, field.curve_public_key, "Z85",                  \
                      "key pair of all processes; without it the bus is not encrypted", FALSE), \
     DP_TEXT_SETTING ("curve_secret_key", Type, field.curve_secret_key, "Z85",                  \
                      "belongs in the settings file", FALSE),                                   \
     DP_TEXT_SETTING ("curve_allowed_keys", Type, field.curve_allowed_keys, "KEYS",             \
-                     "further public keys that may connect", FALSE),                           \
+                     "further public keys that may connect", FALSE)
+
+/* Further rows of those that follow an agent. */
+#define DP_PROCESS_SETTINGS(Type, field, default_operator_port)                                \
+  DP_PROCESS_COMMON_SETTINGS (Type, field, default_operator_port),                             \
     DP_TEXT_SETTING ("manifest", Type, field.manifest, "FILE",                                 \
                      "use this manifest instead of the agent's", FALSE),                       \
   {                                                                                            \
--- a/tests/test_net_bus.c
+++ b/tests/test_net_bus.c
@@ -380,8 +380,8 @@
 static KeyPair
 make_pair (void)
 {
-  KeyPair pair;
-  ck_assert_int_eq (zmq_curve_keypair (pair.public_key, pair.secret_key), 0);
+  KeyPair pair = { 0 };
+  dp_bus_keys_make (pair.public_key, pair.secret_key);
   return pair;
 }
 
--- a/tests/test_scheduler_shell.c
+++ b/tests/test_scheduler_shell.c
@@ -111,6 +111,7 @@
   { "{ /* c */ \"name\": \"f\", \"the_count\": 7 } // end\n", { NULL }, 0, "f", 7, 80, 0 },
   { "{\"name\":\"f\",\"the_count\":7}", { "--the-count=9" }, 0, "f", 9, 80, 0 },
   { NULL, { "--name=a", "--row=x", "--row=y", "--port", "81" }, 0, "a", 5, 81, 2 },
+  { "{\"name\":\"a//b/*c\"}", { NULL }, 0, "a//b/*c", 5, 80, 0 },
   { NULL, { NULL }, 1, NULL, 0, 0, 0 },
   { NULL, { "--name=a", "--the-count=11", "--port=x" }, 2, NULL, 0, 0, 0 },
   { NULL, { "--name=a", "--the-count=-1" }, 1, NULL, 0, 0, 0 },
