--- a/core/agent_board.h
+++ b/core/agent_board.h
@@ -1,7 +1,8 @@
 /* The agent's blackboard; private to the core/agent*.c files.
  *
- * Controllers run in a fixed order: dp_agent_members_* (who is there), dp_agent_manifest_*
- * (what is in force), dp_agent_calls_* (calls to the platform), then publication in agent.c.
+ * At each tick the controllers run in a fixed order: members (who is there), view (what is
+ * published of it), manifest (what is in force), status (what the platform is told); then
+ * agent.c tells this VM's entry and scheduler what has changed.
  */
 #pragma once
 
