--- a/tests/test_system.c
+++ b/tests/test_system.c
@@ -77,6 +77,7 @@
 {
   KILL_ENTRY,
   KILL_SCHEDULER,
+  KILL_AGENT,
   KILL_BOTH_OF_A_VM,
   PAUSE_SCHEDULER,
   PAUSE_ENTRY,
@@ -95,6 +96,7 @@
   { "entry killed", KILL_ENTRY, 0, TRUE },
   { "scheduler 0 killed", KILL_SCHEDULER, 0, FALSE },
   { "scheduler 1 killed", KILL_SCHEDULER, 1, FALSE },
+  { "agent killed", KILL_AGENT, 0, FALSE },
   { "VM killed", KILL_BOTH_OF_A_VM, 2, TRUE },
   { "scheduler 0 paused", PAUSE_SCHEDULER, 0, FALSE },
   { "scheduler 1 paused", PAUSE_SCHEDULER, 1, FALSE },
@@ -113,6 +115,9 @@
     case KILL_SCHEDULER:
       system_kill (&system->schedulers[c->vm]);
       return;
+    case KILL_AGENT:
+      system_kill (&system->agents[c->vm]);
+      return;
     case KILL_BOTH_OF_A_VM:
       system_kill (&system->entries[c->vm]);
       system_kill (&system->schedulers[c->vm]);
@@ -180,8 +185,65 @@
 }
 END_TEST
 
+/* Serving goes on while the platform is away; only bookings need it. */
+START_TEST (chats_are_served_without_the_platform)
+{
+  static const char *const flags[]
+    = { "--callers=20", "--requests=200", "--booking-percent=0", "--seconds=40", NULL };
+  static const char *const faults[] = { "{\"refuse\":1}", "{\"silent\":1}" };
+  System *system = system_start (build_folder);
+  system_set_fault (system_platform_address (system), faults[_i]);
+  LoadSummary summary = system_finish_load (system_start_load (system, ALL_VMS, flags));
+  check_undisturbed (&summary);
+  ck_assert_int_eq (summary.right, 200);
+  g_free (summary.text);
+  system_stop (system);
+}
+END_TEST
+
 /* --- targets --- */
 
+/* Status of a chat that holds the poison word, sent to a VM. */
+static int
+send_poison (const System *system, guint vm)
+{
+  static const char body[] = "{\"model\":\"m\",\"max_tokens\":5,\"messages\":"
+                             "[{\"role\":\"user\",\"content\":\"wolfsbane\"}]}";
+  int status = 0;
+  char *answer = http_exchange (
+    "POST", system_vm_address (system, vm), SYSTEM_ENTRY_PORT, "/v1/chat/completions",
+    "Authorization: Bearer key-now\r\nContent-Type: application/json\r\n", body, &status);
+  g_free (answer);
+  return status;
+}
+
+/* Its caller sends it again and again, also to another VM of the data centre. */
+START_TEST (a_poisonous_request_kills_two_engines_at_most)
+{
+  System *system = system_start (build_folder);
+  guint killed = 0;
+  int status = 0;
+  for (guint i = 0; i < SYSTEM_ENGINES; i++)
+    system_set_fault (system_engine_address (system, i), "{\"poison\":\"wolfsbane\"}");
+  for (guint i = 0; i < 8; i++)
+    {
+      status = send_poison (system, i % 2 == 0 ? 0 : 2);
+      for (guint e = 0; e < SYSTEM_ENGINES; e++)
+        {
+          if (process_is_running (system->engines[e]))
+            continue;
+          killed += 1;
+          g_clear_pointer (&system->engines[e], process_free);
+          system_start_engine (system, e);
+          system_set_fault (system_engine_address (system, e), "{\"poison\":\"wolfsbane\"}");
+        }
+    }
+  ck_assert_int_eq (status, 422);
+  ck_assert_uint_le (killed, 2);
+  system_stop (system);
+}
+END_TEST
+
 /* The fast engine spoils that many answers; the slow one is sound. Each entry may retry ten
  * requests at any time, so that all of them are served in the end. */
 static const char *const target_cases[] = {
@@ -350,6 +412,8 @@
 {
   tcase_add_test (tcase, every_caller_gets_its_own_answer);
   tcase_add_test (tcase, planned_stop_cuts_nothing_off);
+  tcase_add_loop_test (tcase, chats_are_served_without_the_platform, 0, 2);
+  tcase_add_test (tcase, a_poisonous_request_kills_two_engines_at_most);
   tcase_add_test (tcase, a_caller_that_leaves_frees_the_engine);
 }
 
