agent: buckets of expired claims are deleted

Nothing deleted them, so the platform's objects only grew. One VM, the first in rendezvous order, walks the time slots and deletes what is older than the longest retention and 7 days more, each by its listed version.

--- a/agent/shell.c
+++ b/agent/shell.c
@@ -1,13 +1,15 @@
 #include "agent/shell.h"
 
 #include "agent/orders.h"
+#include "agent/sweep.h"
 #include "common/log.h"
 #include "core/agent.h"
 #include "platform/client.h"
 
 /* More calls at once than the core ever has open. */
 #define LEASE_CALLS 1
-#define PLATFORM_IN_FLIGHT (DP_AGENT_CALL_COUNT + LEASE_CALLS)
+#define SWEEP_CALLS 1
+#define PLATFORM_IN_FLIGHT (DP_AGENT_CALL_COUNT + LEASE_CALLS + SWEEP_CALLS)
 #define PLATFORM_QUEUE (2 * PLATFORM_IN_FLIGHT)
 #define PLATFORM_BACKOFF_MIN (200 * DP_USEC_PER_MSEC)
 #define PLATFORM_BACKOFF_MAX (2 * DP_USEC_PER_SEC)
@@ -28,6 +30,7 @@
   DpAgentBoard *board;
   DpPlatformClient *platform;
   DpOrdersShell *orders;
+  DpSweep *sweep;
   CallSlot slots[DP_AGENT_CALL_COUNT];
   guint64 peers_version; /* of the view that the bus uses */
 };
@@ -224,6 +227,8 @@
   handle (shell, &(DpAgentEvent){ .type = DP_AGENT_EVENT_TICK });
   dp_orders_shell_tick (shell->orders, dp_agent_manifest (shell->board),
                         dp_agent_view (shell->board));
+  dp_sweep_tick (shell->sweep, dp_agent_view (shell->board), dp_process_now (),
+                 dp_process_wall ());
   show_state (shell);
 }
 
@@ -340,7 +345,10 @@
       start_board (&shell, peers);
       start_platform (&shell);
       start_orders (&shell);
+      shell.sweep = dp_sweep_new (shell.platform, dp_name (settings->process.name),
+                                  dp_process_counters (shell.process));
       dp_process_run (shell.process);
+      dp_sweep_free (shell.sweep);
       dp_orders_shell_free (shell.orders);
       dp_platform_client_unref (shell.platform);
       dp_agent_board_unref (shell.board);
