--- a/net/process.c
+++ b/net/process.c
@@ -451,6 +451,18 @@
                      settings->address, settings->operator_port);
 }
 
+/* Changes to a descriptor's events are gathered until the loop waits again, which saves a
+ * system call for most of them. No descriptor here is a duplicate of another. */
+static struct event_base *
+make_base (void)
+{
+  struct event_config *config = event_config_new ();
+  event_config_set_flag (config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+  struct event_base *base = event_base_new_with_config (config);
+  event_config_free (config);
+  return base;
+}
+
 DpProcess *
 dp_process_new (const DpProcessOptions *options, DpFindings *findings)
 {
@@ -463,7 +475,7 @@
   process->incarnation = (guint64)dp_process_wall ();
   process->started = dp_process_now ();
   event_set_log_callback (on_library_log);
-  process->base = event_base_new ();
+  process->base = make_base ();
   process->counters = dp_counters_new ();
   add_events (process);
   start_bus (process, findings);
