--- a/core/sweep.h
+++ b/core/sweep.h
@@ -8,7 +8,7 @@
 
 #include "core/idempotency_key.h"
 
-#define DP_SWEEP_MARGIN (7 * 86400 * DP_USEC_PER_SEC)
+#define DP_SWEEP_MARGIN (604800 * DP_USEC_PER_SEC)
 
 /* The newest time slot whose buckets may be deleted at that Unix time. */
 guint32 dp_sweep_newest_slot (DpUsec wall);
