tests: changes of the manifest on real processes

Six cases with three VMs and the stand-in platform: in force within 8 s, a removed key refused without cutting streams off, older, conflicting and faulty texts kept out, two operators, a VM started while the platform is away. The last was red at first: its agent had no peers in its settings, without which a new VM can ask nobody; the test's agents now name them, as operators must.

--- a/tests/system.c
+++ b/tests/system.c
@@ -77,6 +77,12 @@
   return process;
 }
 
+static const char *
+centre_of (guint vm)
+{
+  return vm == 1 ? "dc-b" : "dc-a";
+}
+
 /* --- manifest --- */
 
 static void
@@ -143,7 +149,7 @@
                             "%s{\"name\":\"vm-%u\",\"address\":\"%s\","
                             "\"data_centre\":\"%s\",\"state\":\"live\"}",
                             vm > 0 ? "," : "", vm, system_vm_address (system, vm),
-                            vm == 1 ? "dc-b" : "dc-a");
+                            centre_of (vm));
   g_string_append (text, "]}");
   char *path = g_strdup_printf ("%s/vms", system->folder);
   ck_assert (g_file_set_contents (path, text->str, (gssize)text->len, NULL));
@@ -170,7 +176,7 @@
 }
 
 static Process *
-start_vm_program (System *system, const char *program, guint vm)
+start_vm_program (System *system, const char *program, guint vm, const char *flags)
 {
   char name[32];
   g_snprintf (name, sizeof name, "%s%u", program, vm);
@@ -178,9 +184,9 @@
                                     system_platform_address (system), SYSTEM_TARGET_PORT);
   gboolean uses_platform = strcmp (program, "scheduler") != 0;
   Process *process = start_format (
-    system, name, "%s/%s/dogwoodplank-%s --name vm-%u --address %s --data-centre %s%s",
-    system->build, program, program, vm, system_vm_address (system, vm),
-    vm == 1 ? "dc-b" : "dc-a", uses_platform ? platform : "");
+    system, name, "%s/%s/dogwoodplank-%s --name vm-%u --address %s --data-centre %s%s%s",
+    system->build, program, program, vm, system_vm_address (system, vm), centre_of (vm),
+    uses_platform ? platform : "", flags);
   g_free (platform);
   return process;
 }
@@ -197,19 +203,26 @@
 void
 system_start_entry (System *system, guint vm)
 {
-  system->entries[vm] = start_vm_program (system, "entry", vm);
+  system->entries[vm] = start_vm_program (system, "entry", vm, "");
 }
 
 void
 system_start_scheduler (System *system, guint vm)
 {
-  system->schedulers[vm] = start_vm_program (system, "scheduler", vm);
+  system->schedulers[vm] = start_vm_program (system, "scheduler", vm, "");
 }
 
+/* An agent's settings name the other VMs, to be asked while the platform is away. */
 void
 system_start_agent (System *system, guint vm)
 {
-  system->agents[vm] = start_vm_program (system, "agent", vm);
+  GString *peers = g_string_new (NULL);
+  for (guint other = 0; other < SYSTEM_VMS; other++)
+    if (other != vm)
+      g_string_append_printf (peers, " --peer vm-%u=%s=%s", other,
+                              system_vm_address (system, other), centre_of (other));
+  system->agents[vm] = start_vm_program (system, "agent", vm, peers->str);
+  g_string_free (peers, TRUE);
 }
 
 void
