manifest: a retention longer than keys are accepted is a finding

The manifest took up to 720 hours, while entries refuse every key after 168: outcomes would not have been kept as long as promised. The case was red before.

--- a/core/idempotency_key.h
+++ b/core/idempotency_key.h
@@ -17,7 +17,7 @@
 #define DP_KEY_RETENTION_DEFAULT (86400 * DP_USEC_PER_SEC)
 /* No key is accepted after this, whatever a manifest says: buckets older than it plus
  * DP_KEY_AHEAD_MAX may be deleted, also while a manifest raises a pool's retention. */
-#define DP_KEY_RETENTION_MAX (604800 * DP_USEC_PER_SEC)
+#define DP_KEY_RETENTION_MAX ((DpUsec)DP_KEY_RETENTION_HOURS_MAX * 3600 * DP_USEC_PER_SEC)
 
 /* Parses a UUID of version 7; `created` receives its Unix time. FALSE on anything else. */
 gboolean dp_idempotency_key_parse (const char *text, DpUsec *created);
--- a/manifest/manifest.h
+++ b/manifest/manifest.h
@@ -14,6 +14,8 @@
 #define DP_MANIFEST_BYTES_MAX ((gsize)1024 * 1024)
 #define DP_MANIFEST_DEPTH_MAX 16
 #define DP_TIERS_MAX 8
+/* Longest time for which outcomes of non-repeatable calls may be kept. */
+#define DP_KEY_RETENTION_HOURS_MAX 168
 /* A pool's targets in one data centre are split into groups of at most this many. */
 #define DP_GROUP_TARGETS_MAX 64
 
--- a/manifest/parse_targets.c
+++ b/manifest/parse_targets.c
@@ -10,7 +10,6 @@
 #define WINDOW_MAX 100000
 #define SPEED_MAX 100000000
 #define KV_TOKENS_MAX 1000000000
-#define RETENTION_HOURS_MAX ((gint64)30 * 24)
 #define USEC_PER_HOUR (3600 * DP_USEC_PER_SEC)
 
 static const char *const methods[] = { "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE" };
@@ -75,7 +74,7 @@
 static const DpJsonField service_fields[] = {
   { "name", DP_JSON_STRING, offsetof (ServiceText, name), TRUE, 1, NAME_LENGTH_MAX },
   { "key_retention_hours", DP_JSON_UINT, offsetof (ServiceText, key_retention_hours), FALSE, 1,
-    RETENTION_HOURS_MAX, 24 },
+    DP_KEY_RETENTION_HOURS_MAX, 24 },
   { "calls", DP_JSON_ARRAY, offsetof (ServiceText, calls), TRUE, 1 },
   { "targets", DP_JSON_ARRAY, offsetof (ServiceText, targets), TRUE, 1 },
 };
--- a/tests/test_manifest.c
+++ b/tests/test_manifest.c
@@ -128,6 +128,9 @@
   { { .pools = "[{\"name\":\"s\"}]" },
     "m.json:9: engines[0].pool: refers to \"p\", which does not exist\n"
     "m.json:10: services[0].name: the name is used already\n" },
+  { { .services = "[{\"name\":\"s\",\"key_retention_hours\":169," SERVICE_CALLS
+                  "," SERVICE_TARGETS "}]" },
+    "m.json:10: services[0].key_retention_hours: must be from 1 to 168\n" },
   { { .services = "[{\"name\":\"s\",\"calls\":[{\"method\":\"post\",\"path\":\"b*c\","
                   "\"repeatable\":1}]," SERVICE_TARGETS "}]" },
     "m.json:10: services[0].calls[0].repeatable: must be true or false\n"
