--- a/agent/main.c
+++ b/agent/main.c
@@ -1,37 +1,23 @@
 #include "agent/shell.h"
-#include "common/log.h"
+#include "net/program.h"
 
-#include <stdio.h>
-#include <stdlib.h>
-
-#define PROGRAM "dogwoodplank-agent"
+static gboolean
+run (const void *settings, DpFindings *findings)
+{
+  return dp_agent_run (settings, findings);
+}
 
 int
 main (int argc, char **argv)
 {
-  const DpSettingsOptions options = {
-    .program = PROGRAM,
+  const DpProgram program = {
+    .name = "dogwoodplank-agent",
     .doc = "Keeps the manifest and the view of VMs in force on this VM.",
     .settings = dp_agent_settings,
     .setting_count = dp_agent_setting_count,
-    .argc = argc,
-    .argv = argv,
+    .settings_size = sizeof (DpAgentSettings),
+    .process_offset = G_STRUCT_OFFSET (DpAgentSettings, process),
+    .run = run,
   };
-  DpAgentSettings settings = { 0 };
-  DpFindings *findings = dp_findings_new ();
-  gboolean ok = dp_settings_load (&options, &settings, findings);
-  if (ok)
-    {
-      dp_log_init (PROGRAM, (DpLogLevel)settings.process.log_level);
-      ok = dp_agent_run (&settings, findings);
-    }
-  if (!ok)
-    {
-      char *text = dp_findings_format (findings);
-      fputs (text, stderr);
-      g_free (text);
-    }
-  dp_settings_clear (dp_agent_settings, dp_agent_setting_count, &settings);
-  dp_findings_unref (findings);
-  return ok ? EXIT_SUCCESS : EXIT_FAILURE;
+  return dp_program_main (&program, argc, argv);
 }
--- /dev/null
+++ b/net/program.c
@@ -0,0 +1,42 @@
+#include "net/program.h"
+
+#include "common/log.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+static void
+print_findings (const DpFindings *findings)
+{
+  char *text = dp_findings_format (findings);
+  fputs (text, stderr);
+  g_free (text);
+}
+
+int
+dp_program_main (const DpProgram *program, int argc, char **argv)
+{
+  const DpSettingsOptions options = {
+    .program = program->name,
+    .doc = program->doc,
+    .settings = program->settings,
+    .setting_count = program->setting_count,
+    .argc = argc,
+    .argv = argv,
+  };
+  char *settings = g_malloc0 (program->settings_size);
+  DpFindings *findings = dp_findings_new ();
+  gboolean ok = dp_settings_load (&options, settings, findings);
+  if (ok)
+    {
+      const DpProcessSettings *process = (const void *)(settings + program->process_offset);
+      dp_log_init (program->name, (DpLogLevel)process->log_level);
+      ok = program->run (settings, findings);
+    }
+  if (!ok)
+    print_findings (findings);
+  dp_settings_clear (program->settings, program->setting_count, settings);
+  g_free (settings);
+  dp_findings_unref (findings);
+  return ok ? EXIT_SUCCESS : EXIT_FAILURE;
+}
