--- a/core/orders.c
+++ b/core/orders.c
@@ -92,8 +92,5 @@
     case DP_ORDERS_EVENT_TICK:
       on_tick (board, event->now, actions);
       break;
-    case DP_ORDERS_EVENT_STOP:
-      board->stopping = TRUE;
-      break;
     }
 }
--- a/core/orders.h
+++ b/core/orders.h
@@ -51,7 +51,6 @@
   DP_ORDERS_EVENT_TARGET_STATE,
   DP_ORDERS_EVENT_ORDER_REPLY,
   DP_ORDERS_EVENT_TICK,
-  DP_ORDERS_EVENT_STOP,
 } DpOrdersEventType;
 
 typedef struct DpLeaseReply
--- a/core/orders_engines.c
+++ b/core/orders_engines.c
@@ -404,7 +404,7 @@
 void
 dp_orders_engines_on_tick (DpOrdersBoard *board, DpUsec now, GArray *actions)
 {
-  if (board->manifest == NULL || board->stopping || !dp_orders_holds_lease (board, now))
+  if (board->manifest == NULL || !dp_orders_holds_lease (board, now))
     return;
   for (guint i = 0; i < board->engines->len; i++)
     {
--- a/core/orders_lease.c
+++ b/core/orders_lease.c
@@ -25,7 +25,7 @@
 static gboolean
 is_candidate (const DpOrdersBoard *board)
 {
-  if (board->view == NULL || board->stopping)
+  if (board->view == NULL)
     return FALSE;
   const DpVm *first;
   DpName key = dp_name_pair (dp_name (LEASE_RENDEZVOUS_KEY), board->options.data_centre);
--- a/core/orders_private.h
+++ b/core/orders_private.h
@@ -68,7 +68,6 @@
   GArray *engines; /* EngineRow */
   guint64 jitter_draws;
   DpUsec last_tick;
-  gboolean stopping;
   /* weight store: token bucket of the data centre */
   gint64 load_tokens; /* thousandths of a load */
   DpUsec tokens_at;
