--- a/tests/test_system.c
+++ b/tests/test_system.c
@@ -407,9 +407,27 @@
 }
 END_TEST
 
+START_TEST (a_hangup_changes_nothing)
+{
+  static const char *const flags[] = { "--callers=4", "--requests=20", "--seconds=40", NULL };
+  System *system = system_start (build_folder);
+  process_signal (system->entries[0], SIGHUP);
+  process_signal (system->schedulers[0], SIGHUP);
+  process_signal (system->agents[0], SIGHUP);
+  LoadSummary summary = system_finish_load (system_start_load (system, 1, flags));
+  check_undisturbed (&summary);
+  ck_assert (process_is_running (system->entries[0]));
+  ck_assert (process_is_running (system->schedulers[0]));
+  ck_assert (process_is_running (system->agents[0]));
+  g_free (summary.text);
+  system_stop (system);
+}
+END_TEST
+
 static void
 add_path_tests (TCase *tcase)
 {
+  tcase_add_test (tcase, a_hangup_changes_nothing);
   tcase_add_test (tcase, every_caller_gets_its_own_answer);
   tcase_add_test (tcase, planned_stop_cuts_nothing_off);
   tcase_add_loop_test (tcase, chats_are_served_without_the_platform, 0, 2);
