net: an overloaded listener says unknown of a keyed request, not not_run

Found on reading the whole change: the listener refuses requests beyond its limit before the core sees them, and said not_run of all. A booking sent again under its key to such an entry was told "not run" although the first one may have run. Now a request with an Idempotency-Key gets unknown, as from the core (refusal_outcome in core/entry_admit.c); a body that is too large could never have run and stays not_run. The new assertion was red before.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -226,6 +226,16 @@
 
 /* --- requests --- */
 
+/* What may be said of a request that nobody has looked at: an earlier one under its key may
+ * have run, unless the refusal lies in the request itself. */
+static DpOutcome
+refusal_outcome (struct evhttp_request *request, DpReason reason)
+{
+  const struct evkeyvalq *headers = evhttp_request_get_input_headers (request);
+  gboolean is_keyed = evhttp_find_header (headers, "Idempotency-Key") != NULL;
+  return is_keyed && dp_reason_may_retry (reason) ? DP_OUTCOME_UNKNOWN : DP_OUTCOME_NOT_RUN;
+}
+
 /* For requests that the handler never sees. */
 static void
 refuse (struct evhttp_request *request, DpReason reason)
@@ -236,11 +246,11 @@
   struct evbuffer *body = evbuffer_new ();
   const char *name = dp_reason_name (reason);
   int status = dp_reason_status (reason);
-  evbuffer_add_printf (
-    body,
-    "{\"type\":\"urn:dogwoodplank:problem:%s\",\"title\":\"%s\","
-    "\"status\":%d,\"reason\":\"%s\",\"outcome\":\"not_run\",\"sent\":false}\n",
-    name, name, status, name);
+  evbuffer_add_printf (body,
+                       "{\"type\":\"urn:dogwoodplank:problem:%s\",\"title\":\"%s\","
+                       "\"status\":%d,\"reason\":\"%s\",\"outcome\":\"%s\",\"sent\":false}\n",
+                       name, name, status, name,
+                       dp_outcome_name (refusal_outcome (request, reason)));
   evhttp_send_reply (request, status, NULL, body);
   evbuffer_free (body);
 }
--- a/tests/test_net_http.c
+++ b/tests/test_net_http.c
@@ -494,6 +494,7 @@
 
 #define GET_ONE "GET /one HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 #define GET_KEPT "GET /one HTTP/1.1\r\nHost: x\r\n\r\n"
+#define GET_KEYED "GET /kept HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\n\r\n"
 
 START_TEST (a_whole_streamed_answer_has_its_final_chunk)
 {
@@ -713,6 +714,13 @@
   ck_assert (third->closed);
   ck_assert_ptr_nonnull (strstr (third->received->str, " 503 "));
   ck_assert_ptr_nonnull (strstr (third->received->str, "Retry-After: 1\r\n"));
+  ck_assert_ptr_nonnull (strstr (third->received->str, "\"outcome\":\"not_run\""));
+  /* An earlier request under its key may have run. */
+  Caller *keyed = make_caller (fixture->base, GET_KEYED);
+  run (fixture->base);
+  ck_assert_ptr_nonnull (strstr (keyed->received->str, " 503 "));
+  ck_assert_ptr_nonnull (strstr (keyed->received->str, "\"outcome\":\"unknown\""));
+  free_caller (keyed);
   free_caller (first);
   free_caller (second);
   free_caller (third);
