--- /dev/null
+++ b/core/directory.c
@@ -0,0 +1,193 @@
+#include "core/directory.h"
+
+#include <string.h>
+
+/* Lifetimes that were seen draining are remembered, so that no late answer revives one. */
+#define DRAINED_MAX 4096
+
+struct DpDirectory
+{
+  DpTable *rows;
+  GHashTable *by_name; /* DpName -> DpHandle */
+  GHashTable *drained; /* DpName -> guint64: start of the newest lifetime that was draining */
+  guint64 version;
+};
+
+DpDirectory *
+dp_directory_new (void)
+{
+  DpDirectory *directory = g_new0 (DpDirectory, 1);
+  DpTableOptions rows = { .row_size = sizeof (DpDirectoryRow) };
+  directory->rows = dp_table_new (&rows);
+  directory->by_name = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  directory->drained = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  return directory;
+}
+
+void
+dp_directory_free (DpDirectory *directory)
+{
+  if (directory == NULL)
+    return;
+  dp_table_unref (directory->rows);
+  g_hash_table_unref (directory->by_name);
+  g_hash_table_unref (directory->drained);
+  g_free (directory);
+}
+
+static DpDirectoryRow *
+find (const DpDirectory *directory, DpName name)
+{
+  DpHandle *handle = g_hash_table_lookup (directory->by_name, &name);
+  return handle != NULL ? dp_table_get (directory->rows, *handle) : NULL;
+}
+
+static void
+remember_drain (DpDirectory *directory, DpName name, guint64 started)
+{
+  if (g_hash_table_size (directory->drained) >= DRAINED_MAX)
+    g_hash_table_remove_all (directory->drained);
+  g_hash_table_insert (directory->drained, g_memdup2 (&name, sizeof name),
+                       g_memdup2 (&started, sizeof started));
+}
+
+/* TRUE if a lifetime at least as new as the record's has been seen draining. */
+static gboolean
+was_drained (const DpDirectory *directory, DpName name, guint64 started)
+{
+  const guint64 *newest = g_hash_table_lookup (directory->drained, &name);
+  return newest != NULL && started <= *newest;
+}
+
+static DpDirectoryRow *
+add_row (DpDirectory *directory, DpName name)
+{
+  void *place;
+  DpHandle handle = dp_table_add (directory->rows, &place);
+  DpDirectoryRow *row = place;
+  row->self = handle;
+  row->name = name;
+  g_hash_table_insert (directory->by_name, g_memdup2 (&name, sizeof name),
+                       g_memdup2 (&handle, sizeof handle));
+  return row;
+}
+
+static void
+drop_row (DpDirectory *directory, DpDirectoryRow *row)
+{
+  DpHandle handle = row->self;
+  g_hash_table_remove (directory->by_name, &row->name);
+  dp_table_remove (directory->rows, handle);
+  directory->version++;
+}
+
+gboolean
+dp_directory_put (DpDirectory *directory, const DpTargetRecord *record)
+{
+  DpName name = dp_name (record->id);
+  DpDirectoryRow *row = find (directory, name);
+  if (row != NULL && record->started < row->record.started)
+    return FALSE;
+  DpTargetRecord taken = *record;
+  if (was_drained (directory, name, record->started))
+    taken.is_draining = TRUE;
+  else if (record->is_draining)
+    remember_drain (directory, name, record->started);
+  if (row != NULL && row->is_listed && memcmp (&row->record, &taken, sizeof taken) == 0)
+    return FALSE;
+  if (row == NULL)
+    row = add_row (directory, name);
+  row->record = taken;
+  row->pool = dp_name (taken.pool);
+  row->data_centre = dp_name (taken.data_centre);
+  row->is_listed = TRUE;
+  row->lapsed_since = 0;
+  directory->version++;
+  return TRUE;
+}
+
+void
+dp_directory_remove (DpDirectory *directory, DpName name, gboolean may_live, DpUsec now)
+{
+  DpDirectoryRow *row = find (directory, name);
+  if (row == NULL)
+    return;
+  if (!may_live || row->record.is_draining)
+    {
+      drop_row (directory, row);
+      return;
+    }
+  if (!row->is_listed)
+    return;
+  row->is_listed = FALSE;
+  row->lapsed_since = now;
+  directory->version++;
+}
+
+void
+dp_directory_replace (DpDirectory *directory,
+                      const DpTargetRecord *records,
+                      guint count,
+                      gboolean may_live,
+                      DpUsec now)
+{
+  GHashTable *listed = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  for (guint i = 0; i < count; i++)
+    {
+      DpName name = dp_name (records[i].id);
+      g_hash_table_add (listed, g_memdup2 (&name, sizeof name));
+      dp_directory_put (directory, &records[i]);
+    }
+  for (DpHandle at = dp_table_next (directory->rows, 0); at != 0;
+       at = dp_table_next (directory->rows, at))
+    {
+      const DpDirectoryRow *row = dp_table_get (directory->rows, at);
+      if (!g_hash_table_contains (listed, &row->name))
+        dp_directory_remove (directory, row->name, may_live, now);
+    }
+  g_hash_table_unref (listed);
+}
+
+void
+dp_directory_expire (DpDirectory *directory, DpUsec before)
+{
+  for (DpHandle at = dp_table_next (directory->rows, 0); at != 0;
+       at = dp_table_next (directory->rows, at))
+    {
+      DpDirectoryRow *row = dp_table_get (directory->rows, at);
+      if (!row->is_listed && row->lapsed_since < before)
+        drop_row (directory, row);
+    }
+}
+
+const DpDirectoryRow *
+dp_directory_find (const DpDirectory *directory, DpName name)
+{
+  return find (directory, name);
+}
+
+gboolean
+dp_directory_may_use (const DpDirectory *directory, DpName name)
+{
+  const DpDirectoryRow *row = find (directory, name);
+  return row != NULL && !row->record.is_draining;
+}
+
+const DpDirectoryRow *
+dp_directory_next (const DpDirectory *directory, DpHandle *at)
+{
+  *at = dp_table_next (directory->rows, *at);
+  return *at != 0 ? dp_table_get (directory->rows, *at) : NULL;
+}
+
+guint
+dp_directory_count (const DpDirectory *directory)
+{
+  return dp_table_count (directory->rows);
+}
+
+guint64
+dp_directory_version (const DpDirectory *directory)
+{
+  return directory->version;
+}
--- /dev/null
+++ b/core/dispatcher.c
@@ -0,0 +1,620 @@
+#include "core/dispatcher_board.h"
+
+#include <string.h>
+
+/* An entry that was not heard for so long is gone, with all its requests: three reports. */
+#define ENTRY_LAPSE (2500 * DP_USEC_PER_MSEC)
+/* Entries with waiting requests hear of it this often: half of what they take for silence. */
+#define ADVERT_INTERVAL (40 * DP_USEC_PER_MSEC)
+/* A grant may be missing from a report that was on its way when it was given. */
+#define HELD_GRACE (1 * DP_USEC_PER_SEC)
+#define SESSIONS_MAX 20000
+/* Share of one answer in the learned time that a tier keeps a slot. */
+#define HOLD_GAIN 0.02
+/* Until it is learned. */
+#define HOLD_START_MS 250.0
+#define RETRY_AFTER_MIN (50 * DP_USEC_PER_MSEC)
+/* Refused callers come back spread over this part of the wait more, so that they don't come
+ * back at one moment. */
+#define RETRY_SPREAD 0.5
+
+static void
+send_clear (gpointer data)
+{
+  DpDispatchSend *send = data;
+  dp_message_clear (&send->message);
+}
+
+GArray *
+dp_dispatch_sends_new (void)
+{
+  GArray *sends = g_array_new (FALSE, TRUE, sizeof (DpDispatchSend));
+  g_array_set_clear_func (sends, send_clear);
+  return sends;
+}
+
+DpDispatcher *
+dp_dispatcher_new (const DpDispatcherOptions *options)
+{
+  DpDispatcher *dispatcher = g_new0 (DpDispatcher, 1);
+  dispatcher->options = *options;
+  dispatcher->options.counters = dp_counters_ref (options->counters);
+  dispatcher->random = options->seed;
+  DpTableOptions backends
+    = { .row_size = sizeof (DpBackend), .clear_row = dp_dispatch_backend_clear };
+  dispatcher->backends = dp_table_new (&backends);
+  DpTableOptions places = { .row_size = sizeof (DpPlace) };
+  dispatcher->places = dp_table_new (&places);
+  dispatcher->backend_by_name
+    = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  dispatcher->place_by_attempt = g_hash_table_new (dp_id_hash, dp_id_same);
+  dispatcher->entries = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  dispatcher->sessions = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  dispatcher->waiting = g_ptr_array_new ();
+  dp_pace_model_init (&dispatcher->pace);
+  for (guint i = 0; i < DP_TIERS_MAX; i++)
+    dispatcher->hold_ms[i] = HOLD_START_MS;
+  return dispatcher;
+}
+
+void
+dp_dispatcher_free (DpDispatcher *dispatcher)
+{
+  if (dispatcher == NULL)
+    return;
+  dp_table_unref (dispatcher->backends);
+  dp_table_unref (dispatcher->places);
+  g_hash_table_unref (dispatcher->backend_by_name);
+  g_hash_table_unref (dispatcher->place_by_attempt);
+  g_hash_table_unref (dispatcher->entries);
+  g_hash_table_unref (dispatcher->sessions);
+  g_ptr_array_unref (dispatcher->waiting);
+  dp_counters_unref (dispatcher->options.counters);
+  g_free (dispatcher);
+}
+
+DpMessage *
+dp_dispatch_send (DpDispatcher *dispatcher, DpName to, DpMessageType type)
+{
+  g_array_set_size (dispatcher->sends, dispatcher->sends->len + 1);
+  DpDispatchSend *send
+    = &g_array_index (dispatcher->sends, DpDispatchSend, dispatcher->sends->len - 1);
+  send->to = to;
+  send->message.type = type;
+  return &send->message;
+}
+
+static void
+count (DpDispatcher *dispatcher, const char *name, DpReason reason)
+{
+  dp_counters_add (dispatcher->options.counters, name, "reason", dp_reason_name (reason), 1);
+}
+
+static DpEntrySeen *
+entry_seen (DpDispatcher *dispatcher, DpName vm)
+{
+  DpEntrySeen *entry = g_hash_table_lookup (dispatcher->entries, &vm);
+  if (entry != NULL)
+    return entry;
+  entry = g_new0 (DpEntrySeen, 1);
+  entry->vm = vm;
+  g_hash_table_insert (dispatcher->entries, &entry->vm, entry);
+  return entry;
+}
+
+static DpPlace *
+find_place (const DpDispatcher *dispatcher, DpId attempt)
+{
+  return g_hash_table_lookup (dispatcher->place_by_attempt, &attempt);
+}
+
+static DpPlace *
+add_place (DpDispatcher *dispatcher, DpName entry, DpId attempt)
+{
+  void *row;
+  DpHandle handle = dp_table_add (dispatcher->places, &row);
+  DpPlace *place = row;
+  place->self = handle;
+  place->entry = entry;
+  place->ask.attempt = attempt;
+  place->arrived = dispatcher->now;
+  g_hash_table_insert (dispatcher->place_by_attempt, &place->ask.attempt, place);
+  return place;
+}
+
+/* --- waiting and running --- */
+
+static void
+enqueue (DpDispatcher *dispatcher, DpPlace *place)
+{
+  place->state = DP_PLACE_WAITING;
+  place->waiting_index = dispatcher->waiting->len;
+  g_ptr_array_add (dispatcher->waiting, place);
+  dispatcher->tier_waiting[place->ask.urgency]++;
+  entry_seen (dispatcher, place->entry)->waiting++;
+}
+
+static void
+dequeue (DpDispatcher *dispatcher, DpPlace *place)
+{
+  guint index = place->waiting_index;
+  g_ptr_array_remove_index_fast (dispatcher->waiting, index);
+  if (index < dispatcher->waiting->len)
+    ((DpPlace *)g_ptr_array_index (dispatcher->waiting, index))->waiting_index = index;
+  dispatcher->tier_waiting[place->ask.urgency]--;
+  entry_seen (dispatcher, place->entry)->waiting--;
+}
+
+static void
+hold (DpDispatcher *dispatcher, DpPlace *place, DpBackend *backend)
+{
+  place->state = DP_PLACE_RUNNING;
+  place->backend = backend->self;
+  place->given_at = dispatcher->now;
+  g_ptr_array_add (backend->held, place);
+  dispatcher->running++;
+}
+
+static void
+release (DpDispatcher *dispatcher, DpPlace *place)
+{
+  DpBackend *backend = dp_table_get (dispatcher->backends, place->backend);
+  if (backend != NULL)
+    g_ptr_array_remove_fast (backend->held, place);
+  dispatcher->running--;
+}
+
+static void
+forget_place (DpDispatcher *dispatcher, DpPlace *place)
+{
+  if (place->state == DP_PLACE_WAITING)
+    dequeue (dispatcher, place);
+  else
+    release (dispatcher, place);
+  g_hash_table_remove (dispatcher->place_by_attempt, &place->ask.attempt);
+  dp_table_remove (dispatcher->places, place->self);
+}
+
+static void
+remember_session (DpDispatcher *dispatcher, const DpPlace *place, DpName backend)
+{
+  if (place->ask.session == 0)
+    return;
+  if (g_hash_table_size (dispatcher->sessions) >= SESSIONS_MAX)
+    g_hash_table_remove_all (dispatcher->sessions);
+  DpSessionPlace last = { .backend = backend, .at = dispatcher->now };
+  g_hash_table_insert (dispatcher->sessions,
+                       g_memdup2 (&place->ask.session, sizeof place->ask.session),
+                       g_memdup2 (&last, sizeof last));
+}
+
+static void
+send_given (DpDispatcher *dispatcher, const DpPlace *place, const DpBackend *backend)
+{
+  DpMessage *message = dp_dispatch_send (dispatcher, place->entry, DP_MESSAGE_GRANT_GIVEN);
+  message->grant_given = (DpGrantGiven){ .attempt = place->ask.attempt,
+                                         .group = dispatcher->options.pool,
+                                         .target = backend->name };
+}
+
+static void
+give (DpDispatcher *dispatcher, DpPlace *place, DpBackend *backend)
+{
+  dequeue (dispatcher, place);
+  hold (dispatcher, place, backend);
+  place->first_expected
+    = dp_pace_first_event (&dispatcher->pace, place->ask.prompt_tokens, backend->pace);
+  remember_session (dispatcher, place, backend->name);
+  send_given (dispatcher, place, backend);
+  if (backend->is_suspect)
+    backend->probe_at = dispatcher->now + backend->probe_pause;
+  dp_counters_add (dispatcher->options.counters, "dogwoodplank_grants_given_total", NULL, NULL,
+                   1);
+}
+
+/* Gives what waits to targets with room. */
+static void
+fill (DpDispatcher *dispatcher)
+{
+  while (dispatcher->waiting->len > 0)
+    {
+      DpBackend *backend = dp_dispatch_choose (dispatcher, NULL);
+      if (backend == NULL)
+        return;
+      DpPlace *place = dp_dispatch_next (dispatcher, backend);
+      if (place == NULL)
+        place = g_ptr_array_index (dispatcher->waiting, 0);
+      /* Another target may be better for this very request. */
+      DpBackend *better = dp_dispatch_choose (dispatcher, place);
+      if (better == NULL)
+        return;
+      give (dispatcher, place, better);
+    }
+}
+
+static DpUsec
+come_back_after (DpDispatcher *dispatcher, const DpPlace *place)
+{
+  DpUsec wait = dp_dispatch_estimate_wait (dispatcher, place->ask.urgency);
+  dispatcher->random = dp_hash_bytes (&dispatcher->random, sizeof dispatcher->random, 1);
+  double spread = (double)(dispatcher->random % 1000) / 1000 * RETRY_SPREAD;
+  return MAX ((DpUsec)((double)wait * (1 + spread)), RETRY_AFTER_MIN);
+}
+
+static void
+refuse (DpDispatcher *dispatcher, DpPlace *place, DpReason reason)
+{
+  DpMessage *message = dp_dispatch_send (dispatcher, place->entry, DP_MESSAGE_GRANT_REFUSED);
+  message->grant_refused
+    = (DpGrantRefused){ .attempt = place->ask.attempt,
+                        .group = dispatcher->options.pool,
+                        .reason = reason,
+                        .retry_after = come_back_after (dispatcher, place) };
+  count (dispatcher, "dogwoodplank_grants_refused_total", reason);
+  forget_place (dispatcher, place);
+}
+
+void
+dp_dispatch_revoke (DpDispatcher *dispatcher, DpPlace *place, DpReason reason)
+{
+  DpMessage *message = dp_dispatch_send (dispatcher, place->entry, DP_MESSAGE_GRANT_REVOKED);
+  message->grant_revoked = (DpGrantRevoked){ .attempt = place->ask.attempt,
+                                             .group = dispatcher->options.pool,
+                                             .reason = reason };
+  count (dispatcher, "dogwoodplank_grants_revoked_total", reason);
+  forget_place (dispatcher, place);
+}
+
+/* --- messages --- */
+
+static void
+on_ask (DpDispatcher *dispatcher, DpName from, const DpGrantAsk *ask)
+{
+  DpPlace *known = find_place (dispatcher, ask->attempt);
+  if (known != NULL && known->state == DP_PLACE_RUNNING)
+    {
+      const DpBackend *backend = dp_table_get (dispatcher->backends, known->backend);
+      if (backend != NULL)
+        send_given (dispatcher, known, backend);
+      return;
+    }
+  if (known != NULL)
+    return;
+  DpPlace *place = add_place (dispatcher, from, ask->attempt);
+  place->ask = *ask;
+  place->ask.urgency = MIN (ask->urgency, DP_TIERS_MAX - 1);
+  place->goal_at = dispatcher->now + ask->goal_left;
+  place->deadline = dispatcher->now + ask->remaining;
+  enqueue (dispatcher, place);
+  fill (dispatcher);
+  if (find_place (dispatcher, ask->attempt)->state != DP_PLACE_WAITING)
+    return;
+  DpReason reason = dp_dispatch_check_wait (dispatcher, place);
+  if (reason != DP_REASON_NONE)
+    refuse (dispatcher, place, reason);
+}
+
+static void
+on_progress (DpDispatcher *dispatcher, const DpGrantProgress *progress)
+{
+  DpPlace *place = find_place (dispatcher, progress->attempt);
+  if (place == NULL || place->state != DP_PLACE_RUNNING || place->started)
+    return;
+  place->started = TRUE;
+  DpBackend *backend = dp_table_get (dispatcher->backends, place->backend);
+  if (backend == NULL)
+    return;
+  backend->is_suspect = FALSE;
+}
+
+static void
+learn (DpDispatcher *dispatcher,
+       const DpPlace *place,
+       DpBackend *backend,
+       const DpGrantDone *done)
+{
+  if (done->first_token_after > 0 && !place->was_adopted)
+    backend->pace = dp_pace_learn (&dispatcher->pace, place->ask.prompt_tokens, backend->pace,
+                                   done->first_token_after);
+  if (done->reason != DP_REASON_NONE || place->was_adopted)
+    return;
+  double *hold_ms = &dispatcher->hold_ms[place->ask.urgency];
+  double measured = (double)done->duration / (double)DP_USEC_PER_MSEC;
+  *hold_ms += HOLD_GAIN * (measured - *hold_ms);
+}
+
+/* TRUE if the end says something about the target. */
+static gboolean
+is_targets_fault (DpReason reason)
+{
+  switch (reason)
+    {
+    case DP_REASON_CONNECT_FAILED:
+    case DP_REASON_TARGET_BROKE:
+    case DP_REASON_TARGET_SILENT:
+    case DP_REASON_TARGET_ERROR:
+    case DP_REASON_ANSWER_INCOMPLETE:
+    case DP_REASON_NO_TARGET:
+      return TRUE;
+    default:
+      return FALSE;
+    }
+}
+
+static void
+on_done (DpDispatcher *dispatcher, const DpGrantDone *done)
+{
+  DpPlace *place = find_place (dispatcher, done->attempt);
+  DpBackend *backend = NULL;
+  if (place != NULL && place->state == DP_PLACE_RUNNING)
+    backend = dp_table_get (dispatcher->backends, place->backend);
+  /* A grant that was taken back has no place any more, but its end still tells something. */
+  if (backend == NULL && done->target != 0)
+    backend = dp_dispatch_backend (dispatcher, done->target);
+  if (backend != NULL && done->reason == DP_REASON_NONE)
+    dp_dispatch_note_good (dispatcher, backend);
+  else if (backend != NULL && is_targets_fault (done->reason))
+    dp_dispatch_note_failed (dispatcher, backend, done->reason);
+  if (place == NULL)
+    return;
+  if (backend != NULL && place->state == DP_PLACE_RUNNING)
+    learn (dispatcher, place, backend, done);
+  forget_place (dispatcher, place);
+  fill (dispatcher);
+}
+
+static void
+adopt (DpDispatcher *dispatcher, DpName from, const DpHeld *held)
+{
+  DpBackend *backend = dp_dispatch_backend (dispatcher, held->target);
+  if (backend == NULL)
+    return;
+  DpPlace *place = add_place (dispatcher, from, held->attempt);
+  place->was_adopted = TRUE;
+  place->started = held->started;
+  hold (dispatcher, place, backend);
+}
+
+/* A waiting request that is not known here asks again. */
+static void
+ask_again (DpDispatcher *dispatcher, DpName from, const DpHeld *held)
+{
+  DpMessage *message = dp_dispatch_send (dispatcher, from, DP_MESSAGE_GRANT_REVOKED);
+  message->grant_revoked = (DpGrantRevoked){ .attempt = held->attempt,
+                                             .group = dispatcher->options.pool,
+                                             .reason = DP_REASON_NO_OWNER };
+}
+
+static gboolean
+is_reported (const DpGrantHeld *report, DpId attempt)
+{
+  for (guint i = 0; i < MIN (report->count, DP_HELD_MAX); i++)
+    if (dp_id_equal (report->held[i].attempt, attempt))
+      return TRUE;
+  return FALSE;
+}
+
+/* What a report that is whole does not name is over. */
+static void
+drop_unreported (DpDispatcher *dispatcher, DpName from, const DpGrantHeld *report)
+{
+  for (DpHandle at = dp_table_next (dispatcher->places, 0); at != 0;
+       at = dp_table_next (dispatcher->places, at))
+    {
+      DpPlace *place = dp_table_get (dispatcher->places, at);
+      DpUsec since = MAX (place->arrived, place->given_at);
+      if (place->entry == from && dispatcher->now - since > HELD_GRACE
+          && !is_reported (report, place->ask.attempt))
+        forget_place (dispatcher, place);
+    }
+}
+
+static void
+on_held (DpDispatcher *dispatcher, DpName from, const DpGrantHeld *report)
+{
+  for (guint i = 0; i < MIN (report->count, DP_HELD_MAX); i++)
+    {
+      const DpHeld *held = &report->held[i];
+      if (find_place (dispatcher, held->attempt) != NULL)
+        continue;
+      if (held->target != 0)
+        adopt (dispatcher, from, held);
+      else
+        ask_again (dispatcher, from, held);
+    }
+  if (report->part == 0 && report->last)
+    drop_unreported (dispatcher, from, report);
+  fill (dispatcher);
+}
+
+static void
+begin (DpDispatcher *dispatcher, DpUsec now, GArray *sends)
+{
+  dispatcher->now = now;
+  dispatcher->sends = sends;
+}
+
+void
+dp_dispatcher_receive (DpDispatcher *dispatcher,
+                       DpName from,
+                       const DpMessage *message,
+                       DpUsec now,
+                       GArray *sends)
+{
+  begin (dispatcher, now, sends);
+  entry_seen (dispatcher, from)->heard_at = now;
+  switch (message->type)
+    {
+    case DP_MESSAGE_GRANT_ASK:
+      on_ask (dispatcher, from, &message->grant_ask);
+      break;
+    case DP_MESSAGE_GRANT_PROGRESS:
+      on_progress (dispatcher, &message->grant_progress);
+      break;
+    case DP_MESSAGE_GRANT_DONE:
+      on_done (dispatcher, &message->grant_done);
+      break;
+    case DP_MESSAGE_GRANT_HELD:
+      on_held (dispatcher, from, &message->grant_held);
+      break;
+    default:
+      break;
+    }
+}
+
+/* --- targets --- */
+
+static void
+add_backend (DpDispatcher *dispatcher, const DpDirectoryRow *row)
+{
+  void *place;
+  DpHandle handle = dp_table_add (dispatcher->backends, &place);
+  DpBackend *backend = place;
+  backend->self = handle;
+  backend->name = row->name;
+  backend->held = g_ptr_array_new ();
+  backend->pace = 1;
+  g_hash_table_insert (dispatcher->backend_by_name, g_memdup2 (&row->name, sizeof row->name),
+                       g_memdup2 (&handle, sizeof handle));
+}
+
+/* Requests at a target that is gone end by their entries' word. */
+static void
+drop_backend (DpDispatcher *dispatcher, DpBackend *backend)
+{
+  DpHandle handle = backend->self;
+  g_hash_table_remove (dispatcher->backend_by_name, &backend->name);
+  dp_table_remove (dispatcher->backends, handle);
+}
+
+static void
+drop_missing (DpDispatcher *dispatcher, const DpDirectory *directory)
+{
+  for (DpHandle at = dp_table_next (dispatcher->backends, 0); at != 0;
+       at = dp_table_next (dispatcher->backends, at))
+    {
+      DpBackend *backend = dp_table_get (dispatcher->backends, at);
+      const DpDirectoryRow *row = dp_directory_find (directory, backend->name);
+      if (row == NULL || row->pool != dispatcher->options.pool)
+        drop_backend (dispatcher, backend);
+    }
+}
+
+void
+dp_dispatcher_set_targets (DpDispatcher *dispatcher,
+                           const DpDirectory *directory,
+                           DpUsec now,
+                           GArray *sends)
+{
+  begin (dispatcher, now, sends);
+  drop_missing (dispatcher, directory);
+  DpHandle at = 0;
+  const DpDirectoryRow *row;
+  while ((row = dp_directory_next (directory, &at)) != NULL)
+    {
+      if (row->pool != dispatcher->options.pool)
+        continue;
+      if (dp_dispatch_backend (dispatcher, row->name) == NULL)
+        add_backend (dispatcher, row);
+      DpBackend *backend = dp_dispatch_backend (dispatcher, row->name);
+      backend->slots = MAX (row->record.slots, 1);
+      backend->is_draining = row->record.is_draining;
+    }
+  fill (dispatcher);
+}
+
+/* --- time --- */
+
+static void
+refuse_pointless (DpDispatcher *dispatcher)
+{
+  for (guint i = dispatcher->waiting->len; i > 0; i--)
+    {
+      DpPlace *place = g_ptr_array_index (dispatcher->waiting, i - 1);
+      DpReason reason = dp_dispatch_check_wait (dispatcher, place);
+      if (reason != DP_REASON_NONE)
+        refuse (dispatcher, place, reason);
+    }
+}
+
+/* Tells entries with waiting requests that the owner is there. */
+static void
+send_adverts (DpDispatcher *dispatcher)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, dispatcher->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      DpEntrySeen *entry = value;
+      if (entry->waiting == 0 || dispatcher->now - entry->advert_at < ADVERT_INTERVAL)
+        continue;
+      entry->advert_at = dispatcher->now;
+      DpMessage *message = dp_dispatch_send (dispatcher, entry->vm, DP_MESSAGE_ADVERT);
+      message->advert.group = dispatcher->options.pool;
+      message->advert.wait = dp_dispatch_estimate_wait (dispatcher, DP_TIERS_MAX - 1);
+    }
+}
+
+static void
+lapse_entry (DpDispatcher *dispatcher, DpName vm)
+{
+  for (DpHandle at = dp_table_next (dispatcher->places, 0); at != 0;
+       at = dp_table_next (dispatcher->places, at))
+    {
+      DpPlace *place = dp_table_get (dispatcher->places, at);
+      if (place->entry == vm)
+        forget_place (dispatcher, place);
+    }
+}
+
+static void
+lapse_entries (DpDispatcher *dispatcher)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, dispatcher->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DpEntrySeen *entry = value;
+      if (dispatcher->now - entry->heard_at < ENTRY_LAPSE)
+        continue;
+      lapse_entry (dispatcher, entry->vm);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+void
+dp_dispatcher_tick (DpDispatcher *dispatcher, DpUsec now, GArray *sends)
+{
+  begin (dispatcher, now, sends);
+  lapse_entries (dispatcher);
+  dp_dispatch_check_silence (dispatcher);
+  fill (dispatcher);
+  refuse_pointless (dispatcher);
+  send_adverts (dispatcher);
+}
+
+void
+dp_dispatcher_forget (DpDispatcher *dispatcher)
+{
+  for (DpHandle at = dp_table_next (dispatcher->places, 0); at != 0;
+       at = dp_table_next (dispatcher->places, at))
+    forget_place (dispatcher, dp_table_get (dispatcher->places, at));
+  g_hash_table_remove_all (dispatcher->entries);
+}
+
+DpDispatcherStatus
+dp_dispatcher_status (const DpDispatcher *dispatcher)
+{
+  DpDispatcherStatus status = { .targets = dp_table_count (dispatcher->backends),
+                                .waiting = dispatcher->waiting->len,
+                                .running = dispatcher->running };
+  for (DpHandle at = dp_table_next (dispatcher->backends, 0); at != 0;
+       at = dp_table_next (dispatcher->backends, at))
+    {
+      const DpBackend *backend = dp_table_get (dispatcher->backends, at);
+      status.suspects += backend->is_suspect;
+    }
+  return status;
+}
--- a/core/message.h
+++ b/core/message.h
@@ -24,6 +24,8 @@
   DP_ROLE_ENTRY,
   DP_ROLE_SCHEDULER,
   DP_ROLE_AGENT,
+  DP_ROLE_NODE, /* hosts the other roles' work in one process */
+  DP_ROLE_COUNT,
 } DpRole;
 
 /* A process of the system. */
@@ -83,6 +85,10 @@
   guint64 prefix[DP_PREFIX_BLOCKS_MAX]; /* chained block hashes, longest prefix last */
   guint excluded_count;
   DpName excluded[DP_EXCLUDED_MAX];
+  /* asks of a pool's dispatcher only */
+  guint urgency;    /* index of the tier, 0 the most urgent */
+  DpUsec goal_left; /* until the first byte would be late; 0: it is */
+  guint64 session;  /* hash of the prompt's last part; 0: none */
 } DpGrantAsk;
 
 typedef struct DpGrantGiven
--- /dev/null
+++ b/core/owners.c
@@ -0,0 +1,225 @@
+#include "core/owners.h"
+
+#include <math.h>
+
+/* A candidate that was not heard for so long is probed. */
+#define PROBE_INTERVAL (400 * DP_USEC_PER_MSEC)
+/* A probe without an answer for so long makes its VM silent: more than a full send queue of a
+ * slow VM, and well under the time that callers wait. */
+#define PROBE_TIMEOUT (250 * DP_USEC_PER_MSEC)
+/* Weight of a VM that states none. */
+#define WEIGHT_DEFAULT 100
+
+typedef struct Peer
+{
+  DpUsec heard_at;
+  DpUsec probed_at; /* 0: no probe is out */
+  gboolean is_silent;
+  gboolean is_leaving;
+} Peer;
+
+struct DpOwners
+{
+  DpName self;
+  DpView *view;
+  GHashTable *peers;    /* DpName -> Peer */
+  GHashTable *rankings; /* DpName of a key -> GArray of DpName, the owner first */
+};
+
+DpOwners *
+dp_owners_new (DpName self)
+{
+  DpOwners *owners = g_new0 (DpOwners, 1);
+  owners->self = self;
+  owners->peers = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  owners->rankings = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
+                                            (GDestroyNotify)g_array_unref);
+  return owners;
+}
+
+void
+dp_owners_free (DpOwners *owners)
+{
+  if (owners == NULL)
+    return;
+  dp_view_unref (owners->view);
+  g_hash_table_unref (owners->peers);
+  g_hash_table_unref (owners->rankings);
+  g_free (owners);
+}
+
+void
+dp_owners_set_view (DpOwners *owners, DpView *view)
+{
+  dp_view_unref (owners->view);
+  owners->view = dp_view_ref (view);
+  g_hash_table_remove_all (owners->rankings);
+}
+
+static Peer *
+find_peer (const DpOwners *owners, DpName vm)
+{
+  return g_hash_table_lookup (owners->peers, &vm);
+}
+
+static Peer *
+obtain_peer (DpOwners *owners, DpName vm)
+{
+  Peer *peer = find_peer (owners, vm);
+  if (peer != NULL)
+    return peer;
+  peer = g_new0 (Peer, 1);
+  g_hash_table_insert (owners->peers, g_memdup2 (&vm, sizeof vm), peer);
+  return peer;
+}
+
+typedef struct Ranked
+{
+  DpName vm;
+  double score;
+} Ranked;
+
+static gint
+compare_ranked (gconstpointer a, gconstpointer b)
+{
+  const Ranked *left = a;
+  const Ranked *right = b;
+  return (left->score < right->score) - (left->score > right->score);
+}
+
+/* Weighted rendezvous: a VM of twice the weight owns twice as many keys. */
+static double
+score (DpName key, const DpVm *vm)
+{
+  guint64 hash = dp_rendezvous_weight (key, vm->name);
+  double uniform = ((double)(hash >> 11) + 0.5) / (double)(G_GUINT64_CONSTANT (1) << 53);
+  double weight = vm->weight > 0 ? vm->weight : WEIGHT_DEFAULT;
+  return -weight / log (uniform);
+}
+
+static GArray *
+rank (const DpOwners *owners, DpName key)
+{
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (Ranked));
+  for (guint i = 0; owners->view != NULL && i < owners->view->vms->len; i++)
+    {
+      const DpVm *vm = &g_array_index (owners->view->vms, DpVm, i);
+      Ranked row = { .vm = vm->name, .score = score (key, vm) };
+      g_array_append_val (rows, row);
+    }
+  g_array_sort (rows, compare_ranked);
+  GArray *names = g_array_new (FALSE, FALSE, sizeof (DpName));
+  for (guint i = 0; i < rows->len; i++)
+    g_array_append_val (names, g_array_index (rows, Ranked, i).vm);
+  g_array_unref (rows);
+  return names;
+}
+
+static const GArray *
+ranking (DpOwners *owners, DpName key)
+{
+  GArray *names = g_hash_table_lookup (owners->rankings, &key);
+  if (names == NULL)
+    {
+      names = rank (owners, key);
+      g_hash_table_insert (owners->rankings, g_memdup2 (&key, sizeof key), names);
+    }
+  return names;
+}
+
+/* Candidates count as living until they prove silent; VMs further down only if they have been
+ * heard. */
+DpName
+dp_owners_choose (DpOwners *owners, DpName key, DpUsec now)
+{
+  const GArray *names = ranking (owners, key);
+  for (guint i = 0; i < names->len; i++)
+    {
+      DpName vm = g_array_index (names, DpName, i);
+      if (vm == owners->self)
+        return vm;
+      const Peer *peer = find_peer (owners, vm);
+      gboolean is_known = peer != NULL && peer->heard_at != 0;
+      if (peer != NULL && (peer->is_leaving || peer->is_silent))
+        continue;
+      if (is_known || i < DP_OWNER_CANDIDATES)
+        return vm;
+    }
+  return owners->self;
+}
+
+void
+dp_owners_heard (DpOwners *owners, DpName vm, gboolean leaving, DpUsec now)
+{
+  Peer *peer = obtain_peer (owners, vm);
+  peer->heard_at = now;
+  peer->probed_at = 0;
+  peer->is_silent = FALSE;
+  peer->is_leaving = leaving;
+}
+
+void
+dp_owners_silent (DpOwners *owners, DpName vm, DpUsec now)
+{
+  if (vm != owners->self)
+    obtain_peer (owners, vm)->is_silent = TRUE;
+}
+
+gboolean
+dp_owners_is_silent (const DpOwners *owners, DpName vm)
+{
+  const Peer *peer = find_peer (owners, vm);
+  return peer != NULL && peer->is_silent;
+}
+
+DpUsec
+dp_owners_heard_at (const DpOwners *owners, DpName vm)
+{
+  const Peer *peer = find_peer (owners, vm);
+  return peer != NULL ? peer->heard_at : 0;
+}
+
+void
+dp_owners_forget (DpOwners *owners)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, owners->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Peer *peer = value;
+      peer->heard_at = 0;
+      peer->probed_at = 0;
+    }
+}
+
+static gboolean
+is_due (Peer *peer, DpUsec now)
+{
+  if (peer->probed_at != 0 && now - peer->probed_at < PROBE_TIMEOUT)
+    return FALSE;
+  if (peer->probed_at != 0)
+    peer->is_silent = TRUE;
+  return peer->probed_at != 0 || peer->heard_at == 0 || now - peer->heard_at >= PROBE_INTERVAL;
+}
+
+void
+dp_owners_due_probes (DpOwners *owners, DpName key, DpUsec now, GArray *out)
+{
+  const GArray *names = ranking (owners, key);
+  guint living = 0;
+  for (guint i = 0; i < names->len && living < DP_OWNER_CANDIDATES; i++)
+    {
+      DpName vm = g_array_index (names, DpName, i);
+      if (vm == owners->self)
+        return;
+      Peer *peer = obtain_peer (owners, vm);
+      if (is_due (peer, now))
+        {
+          peer->probed_at = now;
+          g_array_append_val (out, vm);
+        }
+      if (!peer->is_silent)
+        living++;
+    }
+}
--- /dev/null
+++ b/core/owners.h
@@ -0,0 +1,39 @@
+/* Which VM owns a key (a pool, a workspace's limit), by what this process has heard itself.
+ *
+ * Owners are chosen by weighted rendezvous over the members, so that VMs which hear each other
+ * agree without a word. A VM that did not answer in time is passed over until it answers a probe.
+ * Two VMs that disagree for a while cost efficiency, never safety.
+ */
+#pragma once
+
+#include "core/view.h"
+
+#include <glib.h>
+
+/* VMs in the order of ownership that are kept probed, so that a successor is known to live. */
+#define DP_OWNER_CANDIDATES 4
+
+typedef struct DpOwners DpOwners;
+
+DpOwners *dp_owners_new (DpName self);
+void dp_owners_free (DpOwners *owners);
+
+/* Takes over the members; what is known of those that stay is kept. */
+void dp_owners_set_view (DpOwners *owners, DpView *view);
+
+/* Owner of the key; this VM itself if no other is known to live. */
+DpName dp_owners_choose (DpOwners *owners, DpName key, DpUsec now);
+
+/* A message came from the VM. */
+void dp_owners_heard (DpOwners *owners, DpName vm, gboolean leaving, DpUsec now);
+/* It did not answer in time. */
+void dp_owners_silent (DpOwners *owners, DpName vm, DpUsec now);
+gboolean dp_owners_is_silent (const DpOwners *owners, DpName vm);
+/* When the VM was last heard; 0: never. */
+DpUsec dp_owners_heard_at (const DpOwners *owners, DpName vm);
+
+/* After a pause of this process: nothing that was heard before counts. */
+void dp_owners_forget (DpOwners *owners);
+
+/* Appends the VMs (DpName) that should be probed now for the key. */
+void dp_owners_due_probes (DpOwners *owners, DpName key, DpUsec now, GArray *out);
--- /dev/null
+++ b/core/quota.c
@@ -0,0 +1,214 @@
+#include "core/quota.h"
+
+/* Use is reported and credit asked for this often. */
+#define ASK_INTERVAL (200 * DP_USEC_PER_MSEC)
+/* Credit that is asked for: what was used in as many intervals. */
+#define ASK_AHEAD 2.0
+/* A keeper that did not answer for so long is replaced by an equal share. */
+#define KEEPER_SILENCE (600 * DP_USEC_PER_MSEC)
+/* Debt that may be run up on a keeper's word that there is enough, in seconds of the limit. */
+#define DEBT_SECONDS 0.1
+#define RETRY_AFTER_MIN (100 * DP_USEC_PER_MSEC)
+#define RETRY_AFTER_MAX (2 * DP_USEC_PER_SEC)
+/* A keeper that has just begun does not know what was used before: it starts with this part of
+ * the burst. */
+#define START_PART 0.5
+#define WANT_MAX 1e9
+
+typedef struct Use
+{
+  DpName workspace;
+  double credit;    /* negative: debt */
+  double used;      /* since the last ask */
+  double recent;    /* use in an interval, fading */
+  gboolean is_short; /* the keeper gave less than was asked for */
+  guint64 sequence;
+  guint64 answered; /* of the newest ask with an answer */
+  DpUsec asked_at;      /* 0: never */
+  DpUsec waiting_since; /* of the oldest ask without an answer; 0: none */
+  DpUsec share_at;      /* the equal share was added until then */
+} Use;
+
+struct DpQuotaUser
+{
+  GHashTable *uses; /* DpName -> Use */
+};
+
+typedef struct Bucket
+{
+  double level;
+  DpUsec at;
+} Bucket;
+
+struct DpQuotaKeeper
+{
+  GHashTable *buckets; /* DpName -> Bucket */
+};
+
+DpQuotaUser *
+dp_quota_user_new (void)
+{
+  DpQuotaUser *user = g_new0 (DpQuotaUser, 1);
+  user->uses = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  return user;
+}
+
+void
+dp_quota_user_free (DpQuotaUser *user)
+{
+  if (user == NULL)
+    return;
+  g_hash_table_unref (user->uses);
+  g_free (user);
+}
+
+static Use *
+obtain_use (DpQuotaUser *user, DpName workspace, DpUsec now)
+{
+  Use *use = g_hash_table_lookup (user->uses, &workspace);
+  if (use != NULL)
+    return use;
+  use = g_new0 (Use, 1);
+  use->workspace = workspace;
+  use->share_at = now;
+  g_hash_table_insert (user->uses, &use->workspace, use);
+  return use;
+}
+
+/* Without a keeper: an equal share of rate and burst. */
+static void
+add_equal_share (Use *use, const DpQuotaLimit *limit, guint vms, DpUsec now)
+{
+  double share = limit->per_second / MAX (vms, 1);
+  double seconds = (double)(now - use->share_at) / (double)DP_USEC_PER_SEC;
+  use->share_at = now;
+  use->credit = MIN (use->credit + share * seconds, limit->burst / MAX (vms, 1));
+}
+
+static DpUsec
+come_back_after (const Use *use, const DpQuotaLimit *limit, double cost)
+{
+  double rate = MAX (use->recent * (double)DP_USEC_PER_SEC / (double)ASK_INTERVAL,
+                     limit->per_second / 100);
+  double seconds = MAX (cost - use->credit, 0) / MAX (rate, 1e-9);
+  return CLAMP ((DpUsec)(seconds * (double)DP_USEC_PER_SEC), RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+}
+
+gboolean
+dp_quota_user_admit (DpQuotaUser *user,
+                     const DpQuotaLimit *limit,
+                     double cost,
+                     guint vms,
+                     DpUsec now,
+                     DpUsec *retry_after)
+{
+  if (limit->per_second <= 0)
+    return TRUE;
+  Use *use = obtain_use (user, limit->workspace, now);
+  gboolean is_silent = use->waiting_since != 0 && now - use->waiting_since > KEEPER_SILENCE;
+  if (is_silent)
+    add_equal_share (use, limit, vms, now);
+  else
+    use->share_at = now;
+  double floor = use->is_short || is_silent ? 0 : -limit->per_second * DEBT_SECONDS;
+  use->used += cost;
+  if (use->credit - cost < floor)
+    {
+      *retry_after = come_back_after (use, limit, cost);
+      return FALSE;
+    }
+  use->credit -= cost;
+  return TRUE;
+}
+
+void
+dp_quota_user_give_back (DpQuotaUser *user, DpName workspace, double cost)
+{
+  Use *use = g_hash_table_lookup (user->uses, &workspace);
+  if (use != NULL)
+    use->credit += cost;
+}
+
+void
+dp_quota_user_due_asks (DpQuotaUser *user, DpUsec now, GArray *out)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, user->uses);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Use *use = value;
+      if (use->asked_at != 0 && now - use->asked_at < ASK_INTERVAL)
+        continue;
+      use->recent = (use->recent + use->used) / 2;
+      double want = MAX (use->used, use->recent) * ASK_AHEAD - use->credit;
+      use->used = 0;
+      if (want <= 0)
+        continue;
+      use->asked_at = now;
+      if (use->waiting_since == 0)
+        use->waiting_since = now;
+      DpLimitAsk ask = { .workspace = use->workspace,
+                         .sequence = ++use->sequence,
+                         .want = (guint)MIN (want, WANT_MAX) };
+      g_array_append_val (out, ask);
+    }
+}
+
+void
+dp_quota_user_given (DpQuotaUser *user, const DpLimitGiven *given)
+{
+  Use *use = g_hash_table_lookup (user->uses, &given->workspace);
+  if (use == NULL || given->sequence <= use->answered)
+    return;
+  use->credit += given->given;
+  use->answered = given->sequence;
+  use->waiting_since = 0;
+  use->is_short = given->reason != DP_REASON_NONE;
+}
+
+DpQuotaKeeper *
+dp_quota_keeper_new (void)
+{
+  DpQuotaKeeper *keeper = g_new0 (DpQuotaKeeper, 1);
+  keeper->buckets = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  return keeper;
+}
+
+void
+dp_quota_keeper_free (DpQuotaKeeper *keeper)
+{
+  if (keeper == NULL)
+    return;
+  g_hash_table_unref (keeper->buckets);
+  g_free (keeper);
+}
+
+DpLimitGiven
+dp_quota_keeper_ask (DpQuotaKeeper *keeper,
+                     const DpQuotaLimit *limit,
+                     const DpLimitAsk *ask,
+                     double reach,
+                     DpUsec now)
+{
+  Bucket *bucket = g_hash_table_lookup (keeper->buckets, &ask->workspace);
+  if (bucket == NULL)
+    {
+      bucket = g_new0 (Bucket, 1);
+      bucket->level = limit->burst * reach * START_PART;
+      bucket->at = now;
+      g_hash_table_insert (keeper->buckets, g_memdup2 (&ask->workspace, sizeof (DpName)),
+                           bucket);
+    }
+  double seconds = (double)(now - bucket->at) / (double)DP_USEC_PER_SEC;
+  bucket->at = now;
+  bucket->level
+    = MIN (bucket->level + limit->per_second * reach * seconds, limit->burst * reach);
+  double given = CLAMP (ask->want, 0, MAX (bucket->level, 0));
+  bucket->level -= given;
+  return (DpLimitGiven){ .workspace = ask->workspace,
+                         .sequence = ask->sequence,
+                         .given = (guint)given,
+                         .reason
+                         = given + 1 < ask->want ? DP_REASON_RATE_LIMITED : DP_REASON_NONE };
+}
--- /dev/null
+++ b/core/quota.h
@@ -0,0 +1,54 @@
+/* Rate limits of workspaces over all VMs.
+ *
+ * Each limit has one VM that keeps its bucket (see core/owners.h); the other VMs ask it for credit
+ * ahead of their use. An entry spends its credit, and goes into debt while the keeper has said
+ * that there is enough, so that no request waits for an answer. Without a keeper's answer a VM
+ * uses an equal share of the limit.
+ */
+#pragma once
+
+#include "common/id.h"
+#include "core/message.h"
+
+#include <glib.h>
+
+typedef struct DpQuotaLimit
+{
+  DpName workspace;
+  double per_second; /* 0: none */
+  double burst;
+} DpQuotaLimit;
+
+/* --- at the VM that takes requests --- */
+
+typedef struct DpQuotaUser DpQuotaUser;
+
+DpQuotaUser *dp_quota_user_new (void);
+void dp_quota_user_free (DpQuotaUser *user);
+
+/* Charges `cost`. FALSE: the workspace is over its limit; `retry_after` says when to come back.
+ * `vms` share the limit while no keeper answers. */
+gboolean dp_quota_user_admit (DpQuotaUser *user,
+                              const DpQuotaLimit *limit,
+                              double cost,
+                              guint vms,
+                              DpUsec now,
+                              DpUsec *retry_after);
+/* Gives back what a request was charged that ran nowhere. */
+void dp_quota_user_give_back (DpQuotaUser *user, DpName workspace, double cost);
+/* Appends the asks (DpLimitAsk) that are due. */
+void dp_quota_user_due_asks (DpQuotaUser *user, DpUsec now, GArray *out);
+void dp_quota_user_given (DpQuotaUser *user, const DpLimitGiven *given);
+
+/* --- at the VM that keeps a limit --- */
+
+typedef struct DpQuotaKeeper DpQuotaKeeper;
+
+DpQuotaKeeper *dp_quota_keeper_new (void);
+void dp_quota_keeper_free (DpQuotaKeeper *keeper);
+/* `reach` is the part of all VMs that can ask here, 0 to 1: the rest has a keeper of its own. */
+DpLimitGiven dp_quota_keeper_ask (DpQuotaKeeper *keeper,
+                                  const DpQuotaLimit *limit,
+                                  const DpLimitAsk *ask,
+                                  double reach,
+                                  DpUsec now);
--- a/manifest/manifest.c
+++ b/manifest/manifest.c
@@ -1,5 +1,7 @@
 #include "manifest/manifest.h"
 
+#include "manifest/routes.h"
+
 #include <string.h>
 
 static void
@@ -70,6 +72,16 @@
   g_clear_pointer (&group->targets, g_array_unref);
 }
 
+static void
+route_clear (gpointer data)
+{
+  DpRoute *route = data;
+  g_free (route->text);
+  g_free (route->host);
+  g_free (route->path_prefix);
+  g_clear_pointer (&route->shares, g_array_unref);
+}
+
 static GArray *
 new_rows (gsize row_size, GDestroyNotify clear)
 {
@@ -96,6 +108,7 @@
   manifest->models = new_rows (sizeof (DpModel), model_clear);
   manifest->pools = new_rows (sizeof (DpPool), pool_clear);
   manifest->targets = new_rows (sizeof (DpTarget), target_clear);
+  manifest->routes = new_rows (sizeof (DpRoute), route_clear);
   manifest->groups = new_rows (sizeof (DpGroup), group_clear);
   return manifest;
 }
@@ -119,7 +132,9 @@
   g_array_unref (manifest->models);
   g_array_unref (manifest->pools);
   g_array_unref (manifest->targets);
+  g_array_unref (manifest->routes);
   g_array_unref (manifest->groups);
+  g_clear_pointer (&manifest->host_index, g_hash_table_unref);
   g_clear_pointer (&manifest->index, g_hash_table_unref);
   g_clear_pointer (&manifest->key_index, g_hash_table_unref);
   g_free (manifest);
@@ -190,6 +205,7 @@
   INDEX_ROWS (manifest, pools, DpPool, DP_MANIFEST_POOL);
   INDEX_ROWS (manifest, targets, DpTarget, DP_MANIFEST_TARGET);
   INDEX_ROWS (manifest, groups, DpGroup, DP_MANIFEST_GROUP);
+  dp_manifest_index_routes (manifest);
   for (guint i = 0; i < manifest->keys->len; i++)
     g_hash_table_insert (manifest->key_index,
                          DP_MANIFEST_ROW (manifest, keys, DpAccessKey, i)->sha256,
--- a/manifest/manifest.h
+++ b/manifest/manifest.h
@@ -41,6 +41,12 @@
   guint requests_per_second; /* over all entries together; 0: no limit */
   guint requests_in_flight;  /* over all entries together; 0: no limit */
   guint retry_percent;       /* retries allowed, as a share of requests served */
+  /* Rate limit over all entries together, in requests or in tokens; 0: no limit */
+  double rate_per_second;
+  double rate_burst;
+  gboolean rate_counts_tokens;
+  guint plain_tokens; /* what a request without token counts is charged */
+  int tier;           /* goes before the route's; -1: the route's */
 } DpWorkspace;
 
 /* An access key. Only the hash of the key is known here. */
@@ -110,6 +116,47 @@
   GArray *targets; /* guint: indices into targets */
 } DpGroup;
 
+/* What may be done again with a request of a route. */
+typedef enum DpRouteKind
+{
+  DP_ROUTE_SAFE,   /* any number of times */
+  DP_ROUTE_UNSAFE, /* at most once */
+  DP_ROUTE_STREAM, /* server-sent events; at most once unless resumable */
+} DpRouteKind;
+
+/* One pool of a route that is split over several. */
+typedef struct DpRouteShare
+{
+  guint pool;
+  guint weight;
+} DpRouteShare;
+
+/* Requests of one host below one path prefix. */
+typedef struct DpRoute
+{
+  char *text;
+  DpName name;
+  char *host;
+  char *path_prefix; /* begins and ends with '/' */
+  DpRouteKind kind;
+  gboolean resumable; /* streams: may go on at another target after the last whole event */
+  gboolean is_public; /* needs no access key */
+  guint tier;
+  guint attempts_max;      /* targets that one request may be sent to */
+  DpUsec timeout;          /* for the whole answer */
+  DpUsec first_byte_goal;  /* an answer that begins later is late */
+  DpUsec pause_goal;       /* streams: longest pause between events of an answer on time */
+  GArray *shares;          /* DpRouteShare, at least one */
+} DpRoute;
+
+/* Bounds on what callers send; 0: none stated. */
+typedef struct DpCallerLimits
+{
+  guint head_bytes;
+  guint body_bytes;
+  DpUsec idle_timeout; /* of kept connections */
+} DpCallerLimits;
+
 /* Kinds of named rows. */
 typedef enum DpManifestKind
 {
@@ -133,12 +180,15 @@
   GArray *keys;         /* DpAccessKey */
   GArray *models;       /* DpModel */
   GArray *pools;        /* DpPool */
-  GArray *targets;      /* DpTarget */
+  GArray *targets;      /* DpTarget; none where targets register themselves */
+  GArray *routes;       /* DpRoute */
+  DpCallerLimits caller_limits;
   /* derived by dp_manifest_finish() */
   guint group_targets_max; /* 0: DP_GROUP_TARGETS_MAX */
   GArray *groups;          /* DpGroup */
   GHashTable *index;       /* kind and name -> index + 1 */
   GHashTable *key_index;   /* SHA-256 -> index + 1 */
+  GHashTable *host_index;  /* host in lower case -> GPtrArray of DpRoute, longest prefix first */
 } DpManifest;
 
 /* An empty manifest, for the parser and for tests that build one row by row: fill the arrays,
@@ -170,5 +220,19 @@
 /* Index of the access key with that SHA-256 (64 lowercase hexadecimal digits), or -1. */
 int dp_manifest_find_key (const DpManifest *manifest, const char *sha256);
 
+/* The route of that host (in any case, without a port) with the longest prefix that begins
+ * `path`, or NULL. */
+const DpRoute *
+dp_manifest_find_route (const DpManifest *manifest, const char *host, const char *path);
+
+/* TRUE if the route's requests may run more than once. */
+gboolean dp_route_is_repeatable (const DpRoute *route);
+
+/* Index of the pool for a request, by weight; `draw` is a random number. */
+guint dp_route_choose_pool (const DpRoute *route, guint64 draw);
+
+/* An empty array of DpRouteShare. */
+GArray *dp_route_shares_new (void);
+
 /* The call of the service pool that matches, or NULL. */
 const DpCall *dp_pool_find_call (const DpPool *pool, const char *method, const char *path);
--- a/net/bus.h
+++ b/net/bus.h
@@ -20,8 +20,6 @@
 #include <event2/event.h>
 #include <glib.h>
 
-#define DP_ROLE_COUNT 3
-
 #define DP_BUS_ERROR (dp_bus_error_quark ())
 
 typedef enum DpBusError
--- a/net/codec.c
+++ b/net/codec.c
@@ -356,7 +356,7 @@
   if (!get_uint64 (&elements[FRAME_VERSION], G_MAXUINT64, &version)
       || !get_uint64 (&elements[FRAME_TYPE], G_MAXUINT64, &type)
       || !get_uint64 (&elements[FRAME_VM], G_MAXUINT64, &vm)
-      || !get_uint64 (&elements[FRAME_ROLE], DP_ROLE_AGENT, &role))
+      || !get_uint64 (&elements[FRAME_ROLE], DP_ROLE_COUNT - 1, &role))
     return fail (error, DP_CODEC_ERROR_MALFORMED, "wrong type in the envelope", 0);
   if (version != DP_CODEC_VERSION)
     return fail (error, DP_CODEC_ERROR_VERSION, "unknown version", 0);
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -72,6 +72,9 @@
         grant_ask.excluded_count,
         DP_EXCLUDED_MAX,
         NULL),
+  UINT (13, DpMessage, grant_ask.urgency, DP_TIERS_MAX - 1),
+  USEC (14, DpMessage, grant_ask.goal_left),
+  UINT64 (15, DpMessage, grant_ask.session),
 };
 
 static const DpField grant_progress_fields[] = {
@@ -167,7 +170,7 @@
 };
 
 static const DpField hello_fields[] = {
-  UINT (1, DpMessage, hello.role, DP_ROLE_AGENT),
+  UINT (1, DpMessage, hello.role, DP_ROLE_COUNT - 1),
   UINT64 (2, DpMessage, hello.incarnation),
   FLAG (3, DpMessage, hello.leaving),
   UINT64 (4, DpMessage, hello.manifest_revision),
@@ -191,6 +194,7 @@
   UINT (5, DpVm, state, DP_VM_DEAD),
   UINT64 (6, DpVm, incarnation),
   UINT64 (7, DpVm, announcement),
+  UINT (8, DpVm, weight, G_MAXUINT),
 };
 static const DpFieldTable vm_table = TABLE (DpVm, vm_fields);
 
--- a/net/http_call.c
+++ b/net/http_call.c
@@ -181,7 +181,7 @@
   char host[64];
   g_snprintf (host, sizeof host, is_ipv6 ? "[%s]:%u" : "%s:%u", options->address,
               options->port);
-  evhttp_add_header (headers, "Host", host);
+  evhttp_add_header (headers, "Host", options->host != NULL ? options->host : host);
   evhttp_add_header (headers, "Connection", "close");
   for (guint i = 0; i < options->header_count; i++)
     evhttp_add_header (headers, options->headers[i].name, options->headers[i].value);
@@ -263,3 +263,13 @@
     return NULL;
   return evhttp_find_header (evhttp_request_get_input_headers (call->request), name);
 }
+
+void
+dp_http_call_each_header (const DpHttpCall *call, DpHttpHeaderFunc function, gpointer user)
+{
+  if (call->request == NULL)
+    return;
+  const struct evkeyvalq *headers = evhttp_request_get_input_headers (call->request);
+  for (const struct evkeyval *row = headers->tqh_first; row != NULL; row = row->next.tqe_next)
+    function (user, row->key, row->value);
+}
--- a/net/http_call.h
+++ b/net/http_call.h
@@ -20,7 +20,7 @@
   DP_HTTP_COMPLETE,
   DP_HTTP_CONNECT_FAILED, /* there was no connection */
   DP_HTTP_BROKEN,         /* closed too early, or not HTTP */
-  DP_HTTP_INCOMPLETE,     /* ended by closing only */
+  DP_HTTP_INCOMPLETE,     /* ended by an orderly closing only */
   DP_HTTP_SILENT,         /* no progress within a time limit */
 } DpHttpEnd;
 
@@ -49,6 +49,7 @@
   guint16 port;
   enum evhttp_cmd_type method;
   const char *path;
+  const char *host; /* Host header; NULL: address and port */
   const DpHttpHeader *headers;
   guint header_count;
   const void *body; /* copied */
@@ -70,3 +71,8 @@
 
 /* Value of the answer's header, or NULL; from `head` on. */
 const char *dp_http_call_header (const DpHttpCall *call, const char *name);
+
+/* Called for each header of the answer, in order. */
+typedef void (*DpHttpHeaderFunc) (gpointer user, const char *name, const char *value);
+void
+dp_http_call_each_header (const DpHttpCall *call, DpHttpHeaderFunc function, gpointer user);
--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -140,3 +140,9 @@
 {
   connections->listener = listener;
 }
+
+void
+dp_http_connections_set_request_timeout (DpHttpConnections *connections, DpUsec timeout)
+{
+  connections->options.request_timeout = timeout;
+}
--- a/net/http_connections.h
+++ b/net/http_connections.h
@@ -36,3 +36,6 @@
 void dp_http_connections_set_busy (DpHttpConnections *connections,
                                    struct evhttp_connection *connection,
                                    gboolean busy);
+
+void
+dp_http_connections_set_request_timeout (DpHttpConnections *connections, DpUsec timeout);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -37,6 +37,7 @@
   GHashTable *writing;               /* exchanges whose answer is on its way out */
   DpHttpConnections *connections;
   GHashTable *closing; /* Closing: connections about to be closed */
+  gboolean close_after_answers;
 };
 
 struct DpHttpExchange
@@ -266,12 +267,58 @@
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+/* TRUE if another reader of the same bytes could take a part of the request for the next one:
+ * several lengths, a length beside chunks, another coding, or a body where evhttp expects none.
+ */
+static gboolean
+is_ambiguous (struct evhttp_request *request)
+{
+  const struct evkeyvalq *headers = evhttp_request_get_input_headers (request);
+  guint lengths = 0;
+  guint codings = 0;
+  gboolean has_body = FALSE;
+  for (const struct evkeyval *row = headers->tqh_first; row != NULL; row = row->next.tqe_next)
+    {
+      if (g_ascii_strcasecmp (row->key, "Content-Length") == 0)
+        {
+          lengths++;
+          has_body |= strcmp (row->value, "0") != 0;
+          if (row->value[strspn (row->value, "0123456789")] != '\0')
+            return TRUE;
+        }
+      else if (g_ascii_strcasecmp (row->key, "Transfer-Encoding") == 0)
+        {
+          codings++;
+          has_body = TRUE;
+          if (g_ascii_strcasecmp (row->value, "chunked") != 0)
+            return TRUE;
+        }
+    }
+  if (lengths + codings > 1)
+    return TRUE;
+  switch (evhttp_request_get_command (request))
+    {
+    case EVHTTP_REQ_POST:
+    case EVHTTP_REQ_PUT:
+    case EVHTTP_REQ_PATCH:
+      return FALSE;
+    default:
+      return has_body;
+    }
+}
+
 static void
 on_request (struct evhttp_request *request, void *user)
 {
   DpHttpServer *server = user;
   count (server, "dogwoodplank_http_requests_total");
   send_at_once (request);
+  if (is_ambiguous (request))
+    {
+      count (server, "dogwoodplank_http_ambiguous_total");
+      refuse (request, DP_REASON_BAD_REQUEST);
+      return;
+    }
   struct evbuffer *input = evhttp_request_get_input_buffer (request);
   if (evbuffer_get_length (input) > server->options.body_max)
     {
@@ -407,6 +454,33 @@
   server->bound = NULL;
 }
 
+void
+dp_http_server_close_after_answers (DpHttpServer *server)
+{
+  server->close_after_answers = TRUE;
+}
+
+void
+dp_http_server_set_limits (DpHttpServer *server, const DpHttpServerLimits *limits)
+{
+  if (limits->head_max > 0)
+    {
+      server->options.head_max = limits->head_max;
+      evhttp_set_max_headers_size (server->http, (ev_ssize_t)limits->head_max);
+    }
+  if (limits->body_max > 0)
+    {
+      server->options.body_max = limits->body_max;
+      evhttp_set_max_body_size (server->http, (ev_ssize_t)(limits->body_max * BODY_SLACK));
+    }
+  if (limits->idle_timeout <= 0)
+    return;
+  server->options.read_timeout = limits->idle_timeout;
+  struct timeval timeout = to_timeval (limits->idle_timeout);
+  evhttp_set_timeout_tv (server->http, &timeout);
+  dp_http_connections_set_request_timeout (server->connections, limits->idle_timeout);
+}
+
 guint
 dp_http_server_open_exchanges (const DpHttpServer *server)
 {
@@ -456,6 +530,18 @@
   return evhttp_find_header (evhttp_request_get_input_headers (exchange->request), name);
 }
 
+void
+dp_http_exchange_each_header (const DpHttpExchange *exchange,
+                              void (*function) (gpointer user,
+                                                const char *name,
+                                                const char *value),
+                              gpointer user)
+{
+  const struct evkeyvalq *headers = evhttp_request_get_input_headers (exchange->request);
+  for (const struct evkeyval *row = headers->tqh_first; row != NULL; row = row->next.tqe_next)
+    function (user, row->key, row->value);
+}
+
 const char *
 dp_http_exchange_body (const DpHttpExchange *exchange, gsize *length)
 {
@@ -492,7 +578,7 @@
 static void
 add_connection_header (DpHttpExchange *exchange)
 {
-  if (exchange->server->bound == NULL)
+  if (exchange->server->bound == NULL || exchange->server->close_after_answers)
     dp_http_exchange_add_header (exchange, "Connection", "close");
 }
 
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -47,6 +47,18 @@
 /* No new connections; those there are go on, and close after their answer. */
 void dp_http_server_stop_accepting (DpHttpServer *server);
 
+/* Answers say that the connection closes after them; new connections are still accepted. */
+void dp_http_server_close_after_answers (DpHttpServer *server);
+
+/* Limits for what comes from now on; 0 keeps the present one. */
+typedef struct DpHttpServerLimits
+{
+  gsize head_max;
+  gsize body_max;
+  DpUsec idle_timeout; /* of connections without a request */
+} DpHttpServerLimits;
+void dp_http_server_set_limits (DpHttpServer *server, const DpHttpServerLimits *limits);
+
 guint dp_http_server_open_exchanges (const DpHttpServer *server);
 
 /* TRUE if no exchange is open and all answers have been handed to the kernel. */
@@ -59,6 +71,12 @@
 /* Path and query as sent. */
 const char *dp_http_exchange_target (const DpHttpExchange *exchange);
 const char *dp_http_exchange_header (const DpHttpExchange *exchange, const char *name);
+/* Calls `function` for each header of the request, in order. */
+void dp_http_exchange_each_header (const DpHttpExchange *exchange,
+                                   void (*function) (gpointer user,
+                                                     const char *name,
+                                                     const char *value),
+                                   gpointer user);
 /* The body; NUL-terminated behind `length`. */
 const char *dp_http_exchange_body (const DpHttpExchange *exchange, gsize *length);
 /* TRUE if the caller can tell a streamed answer's end from a cut (HTTP/1.1 or later). */
--- a/net/process.c
+++ b/net/process.c
@@ -71,6 +71,13 @@
   return process->settings->manifest != NULL && process->settings->vms->len > 0;
 }
 
+/* TRUE if manifest and view come from the VM's agent. */
+static gboolean
+follows_agent (const DpProcess *process)
+{
+  return process->self.role == DP_ROLE_ENTRY || process->self.role == DP_ROLE_SCHEDULER;
+}
+
 /* --- manifest and view --- */
 
 static void
@@ -170,7 +177,7 @@
 {
   DpProcess *process = user;
   gboolean of_agent = from.vm == process->self.vm && from.role == DP_ROLE_AGENT;
-  if (process->self.role == DP_ROLE_AGENT)
+  if (!follows_agent (process))
     {
       process->callbacks->message (process->user, from, message);
       return;
@@ -332,7 +339,7 @@
 static void
 send_hello (DpProcess *process)
 {
-  if (is_static (process) || process->self.role == DP_ROLE_AGENT)
+  if (is_static (process) || !follows_agent (process))
     return;
   DpMessage message = { .type = DP_MESSAGE_HELLO };
   message.hello.role = process->self.role;
@@ -413,7 +420,8 @@
                                  .address = settings->address,
                                  .ports = { [DP_ROLE_ENTRY] = settings->entry_bus_port,
                                             [DP_ROLE_SCHEDULER] = settings->scheduler_bus_port,
-                                            [DP_ROLE_AGENT] = settings->agent_bus_port },
+                                            [DP_ROLE_AGENT] = settings->agent_bus_port,
+                                            [DP_ROLE_NODE] = settings->agent_bus_port },
                                  .counters = process->counters,
                                  .keys = has_keys ? &keys : NULL,
                                  .receive = on_message,
--- /dev/null
+++ b/node/front.c
@@ -0,0 +1,291 @@
+/* Callers: admission of their requests, readiness, and the way out. */
+#include "node/node.h"
+
+#include "common/log.h"
+
+#include <string.h>
+
+/* Until a config says otherwise. */
+#define HEAD_BYTES_MAX 16384
+#define BODY_BYTES_MAX ((gsize)4 * 1024 * 1024)
+#define IDLE_TIMEOUT (15 * DP_USEC_PER_SEC)
+/* Callers reuse connections that were idle for most of the stated time; closing later than they
+ * do avoids requests that cross the closing. */
+#define IDLE_FACTOR 1.3
+#define WRITE_TIMEOUT (10 * DP_USEC_PER_SEC)
+/* Bytes of an answer that wait for a slow caller. */
+#define UNREAD_MAX ((gsize)1024 * 1024)
+#define EXCHANGES_MAX 1500
+#define READY_CONNECTIONS_MAX 32
+#define READY_READ_TIMEOUT (30 * DP_USEC_PER_SEC)
+#define READY_HEAD_BYTES_MAX 4096
+/* The balancer asks once a second and takes a VM out after two misses: callers still come for
+ * so long after a stop. */
+#define BALANCER_LAG (2600 * DP_USEC_PER_MSEC)
+/* Kept of the time for a stop, to end in order. */
+#define STOP_RESERVE (700 * DP_USEC_PER_MSEC)
+#define RETRY_AFTER_NOT_READY (500 * DP_USEC_PER_MSEC)
+
+/* What admission finds out, step by step. */
+typedef struct Admission
+{
+  DpNode *node;
+  DpHttpExchange *exchange;
+  DpCallerRequest said;
+  const DpRoute *route;
+  int workspace;
+  double charged;
+  DpReason refusal;
+  DpUsec retry_after;
+} Admission;
+
+static gboolean
+refuse (Admission *admission, DpReason reason, DpUsec retry_after)
+{
+  admission->refusal = reason;
+  admission->retry_after = retry_after;
+  return FALSE;
+}
+
+static gboolean
+check_ready (Admission *admission)
+{
+  if (admission->node->manifest == NULL)
+    return refuse (admission, DP_REASON_NOT_READY, RETRY_AFTER_NOT_READY);
+  return TRUE;
+}
+
+static gboolean
+find_route (Admission *admission)
+{
+  char *path = g_strdup (dp_http_exchange_target (admission->exchange));
+  path[strcspn (path, "?#")] = '\0';
+  admission->route
+    = dp_manifest_find_route (admission->node->manifest, admission->said.host, path);
+  g_free (path);
+  if (admission->route == NULL)
+    return refuse (admission, DP_REASON_NO_SUCH_PATH, 0);
+  return TRUE;
+}
+
+static gboolean
+check_key (Admission *admission)
+{
+  const DpManifest *manifest = admission->node->manifest;
+  admission->workspace = -1;
+  int key = -1;
+  if (admission->said.access_key != NULL)
+    {
+      char *sha256
+        = g_compute_checksum_for_string (G_CHECKSUM_SHA256, admission->said.access_key, -1);
+      key = dp_manifest_find_key (manifest, sha256);
+      g_free (sha256);
+    }
+  if (key >= 0)
+    admission->workspace
+      = (int)DP_MANIFEST_ROW (manifest, keys, DpAccessKey, (guint)key)->workspace;
+  if (key < 0 && manifest->workspaces->len > 0 && !admission->route->is_public)
+    return refuse (admission, DP_REASON_UNAUTHORIZED, 0);
+  return TRUE;
+}
+
+/* What the request counts against its workspace's limit. */
+static double
+measure_cost (const Admission *admission, const DpWorkspace *workspace)
+{
+  if (!workspace->rate_counts_tokens)
+    return 1;
+  if (!admission->said.has_tokens)
+    return workspace->plain_tokens;
+  return (double)admission->said.prompt_tokens + (double)admission->said.output_tokens_max;
+}
+
+static gboolean
+check_limit (Admission *admission)
+{
+  DpNode *node = admission->node;
+  if (admission->workspace < 0)
+    return TRUE;
+  const DpWorkspace *workspace = DP_MANIFEST_ROW (node->manifest, workspaces, DpWorkspace,
+                                                  (guint)admission->workspace);
+  DpQuotaLimit limit = dp_peers_limit (node->manifest, admission->workspace);
+  double cost = measure_cost (admission, workspace);
+  DpUsec retry_after = 0;
+  if (!dp_quota_user_admit (node->quota_user, &limit, cost, dp_peers_count (node),
+                            dp_node_now (), &retry_after))
+    return refuse (admission, DP_REASON_RATE_LIMITED, retry_after);
+  admission->charged = cost;
+  return TRUE;
+}
+
+static guint
+tier (const Admission *admission)
+{
+  if (admission->workspace < 0)
+    return admission->route->tier;
+  int own = DP_MANIFEST_ROW (admission->node->manifest, workspaces, DpWorkspace,
+                             (guint)admission->workspace)
+              ->tier;
+  return own >= 0 ? (guint)own : admission->route->tier;
+}
+
+static DpNodePool *
+choose_pool (const Admission *admission)
+{
+  DpNode *node = admission->node;
+  node->random = dp_hash_bytes (&node->random, sizeof node->random, node->next_attempt);
+  guint index = dp_route_choose_pool (admission->route, node->random);
+  const DpPool *pool = DP_MANIFEST_ROW (node->manifest, pools, DpPool, index);
+  return g_hash_table_lookup (node->pools, &pool->name);
+}
+
+static void
+begin (const Admission *admission)
+{
+  DpNode *node = admission->node;
+  const DpRoute *route = admission->route;
+  void *row;
+  DpHandle handle = dp_table_add (node->requests, &row);
+  DpNodeRequest *request = row;
+  DpUsec now = dp_node_now ();
+  DpUsec limit = admission->said.time_limit;
+  request->self = handle;
+  request->node = node;
+  request->exchange = admission->exchange;
+  request->manifest = dp_manifest_ref (node->manifest);
+  request->route = route;
+  request->workspace = admission->workspace;
+  request->id = g_strdup (admission->said.id);
+  request->pool = choose_pool (admission);
+  request->said = admission->said;
+  request->tier = tier (admission);
+  request->is_repeatable = dp_route_is_repeatable (route);
+  request->charged = admission->charged;
+  request->arrived = now;
+  request->goal_at = now + route->first_byte_goal;
+  request->deadline = now + (limit > 0 ? MIN (limit, route->timeout) : route->timeout);
+  dp_request_begin (request);
+}
+
+static void
+on_request (gpointer user, DpHttpExchange *exchange)
+{
+  Admission admission = { .node = user, .exchange = exchange };
+  dp_wire_read_request (exchange, &admission.said);
+  if (check_ready (&admission) && find_route (&admission) && check_key (&admission)
+      && check_limit (&admission))
+    begin (&admission);
+  else
+    dp_request_refuse_exchange (admission.node, exchange, admission.said.id,
+                                admission.refusal, admission.retry_after);
+}
+
+/* --- readiness --- */
+
+static gboolean
+is_ready (const DpNode *node)
+{
+  return !node->is_stopping && node->manifest != NULL
+         && dp_directory_count (node->directory) > 0;
+}
+
+static void
+on_ready_request (gpointer user, DpHttpExchange *exchange)
+{
+  const DpNode *node = user;
+  const char *text = is_ready (node) ? "ready\n" : "not ready\n";
+  dp_http_exchange_reply (exchange, is_ready (node) ? 200 : 503, text, strlen (text));
+}
+
+/* --- life --- */
+
+static DpHttpServer *
+listen_to_callers (DpNode *node)
+{
+  const DpHttpServerOptions options
+    = { .base = node->base,
+        .address = node->figures.caller_address,
+        .port = node->figures.caller_port,
+        .name = "callers",
+        .head_max = HEAD_BYTES_MAX,
+        .body_max = BODY_BYTES_MAX,
+        .read_timeout = (DpUsec)((double)IDLE_TIMEOUT * IDLE_FACTOR),
+        .write_timeout = WRITE_TIMEOUT,
+        .unread_max = UNREAD_MAX,
+        .exchanges_max = EXCHANGES_MAX,
+        .connections_max = node->figures.connections_max,
+        .request_timeout = (DpUsec)((double)IDLE_TIMEOUT * IDLE_FACTOR),
+        .counters = node->counters,
+        .handler = on_request,
+        .user = node };
+  return dp_http_server_new (&options);
+}
+
+static DpHttpServer *
+listen_to_balancer (DpNode *node)
+{
+  const DpHttpServerOptions options = { .base = node->base,
+                                        .address = node->figures.ready_address,
+                                        .port = node->figures.ready_port,
+                                        .name = "ready",
+                                        .head_max = READY_HEAD_BYTES_MAX,
+                                        .body_max = READY_HEAD_BYTES_MAX,
+                                        .read_timeout = READY_READ_TIMEOUT,
+                                        .write_timeout = READY_READ_TIMEOUT,
+                                        .unread_max = UNREAD_MAX,
+                                        .exchanges_max = READY_CONNECTIONS_MAX,
+                                        .connections_max = READY_CONNECTIONS_MAX,
+                                        .request_timeout = READY_READ_TIMEOUT,
+                                        .counters = node->counters,
+                                        .handler = on_ready_request,
+                                        .user = node };
+  return dp_http_server_new (&options);
+}
+
+gboolean
+dp_front_start (DpNode *node, DpFindings *findings)
+{
+  node->callers = listen_to_callers (node);
+  node->ready = listen_to_balancer (node);
+  if (node->callers == NULL)
+    dp_findings_add (findings, "settings", 0, "caller_listen", "can't listen on %s:%u",
+                     node->figures.caller_address, node->figures.caller_port);
+  if (node->ready == NULL)
+    dp_findings_add (findings, "settings", 0, "ready_listen", "can't listen on %s:%u",
+                     node->figures.ready_address, node->figures.ready_port);
+  return dp_findings_count (findings) == 0;
+}
+
+void
+dp_front_set_limits (DpNode *node)
+{
+  const DpCallerLimits *stated = &node->manifest->caller_limits;
+  const DpHttpServerLimits limits
+    = { .head_max = stated->head_bytes,
+        .body_max = stated->body_bytes,
+        .idle_timeout = (DpUsec)((double)stated->idle_timeout * IDLE_FACTOR) };
+  dp_http_server_set_limits (node->callers, &limits);
+}
+
+void
+dp_front_stop (DpNode *node)
+{
+  node->is_stopping = TRUE;
+  node->stop_at = dp_node_now ();
+  dp_http_server_close_after_answers (node->callers);
+  dp_peers_say_leaving (node);
+  dp_follow_leave (node->follow);
+}
+
+gboolean
+dp_front_may_exit (DpNode *node, DpUsec now)
+{
+  if (!node->is_stopping)
+    return FALSE;
+  DpUsec since = now - node->stop_at;
+  DpUsec limit = node->figures.stop_time - STOP_RESERVE;
+  if (since >= limit)
+    return TRUE;
+  return since >= BALANCER_LAG && dp_http_server_is_idle (node->callers)
+         && dp_table_count (node->requests) == 0;
+}
--- /dev/null
+++ b/node/main.c
@@ -0,0 +1,186 @@
+/* dogwoodplank-node: life of the process. */
+#include "node/node.h"
+
+#include "common/log.h"
+#include "net/program.h"
+
+#include <signal.h>
+#include <stdlib.h>
+
+/* Names the settings file where the command line does not. */
+#define SETTINGS_VARIABLE "DOGWOODPLANK_BOOT"
+/* A tick that is so late tells that the process stood still: what it knows of others' silence is
+ * worth nothing. */
+#define PAUSE_BOUND (150 * DP_USEC_PER_MSEC)
+
+static void
+on_message (gpointer user, DpPeer from, const DpMessage *message)
+{
+  dp_peers_message (user, from, message);
+}
+
+static void
+on_process_tick (gpointer user)
+{
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *user)
+{
+  DpNode *node = user;
+  DpUsec now = dp_node_now ();
+  gboolean was_paused = now - node->ticked_at > PAUSE_BOUND;
+  node->ticked_at = now;
+  if (was_paused)
+    dp_counters_add (node->counters, "dogwoodplank_pauses_total", NULL, NULL, 1);
+  dp_request_tick (node, now);
+  dp_peers_tick (node, now);
+  dp_placing_tick (node, now, was_paused);
+  dp_follow_tick (node->follow, now);
+  if (dp_front_may_exit (node, now))
+    dp_process_quit (node->process);
+}
+
+static void
+on_stop (gpointer user)
+{
+  dp_front_stop (user);
+}
+
+static void
+on_reload (evutil_socket_t fd, short what, void *user)
+{
+  /* Addresses and ports can't change while the process lives; the rest comes from the store. */
+  dp_log (DP_LOG_NOTICE, "reload", "outcome", "nothing to change", NULL);
+}
+
+static void
+add_status (gpointer user, struct json_object *status)
+{
+  const DpNode *node = user;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, node->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DpNodePool *pool = value;
+      DpDispatcherStatus row = dp_dispatcher_status (pool->dispatcher);
+      struct json_object *object = json_object_new_object ();
+      json_object_object_add (object, "targets", json_object_new_int64 (row.targets));
+      json_object_object_add (object, "suspects", json_object_new_int64 (row.suspects));
+      json_object_object_add (object, "waiting", json_object_new_int64 (row.waiting));
+      json_object_object_add (object, "running", json_object_new_int64 (row.running));
+      json_object_object_add (status, pool->text, object);
+    }
+}
+
+static const DpProcessCallbacks process_callbacks = {
+  .message = on_message,
+  .tick = on_process_tick,
+  .status = add_status,
+  .stop = on_stop,
+};
+
+static struct event *
+start_tick (DpNode *node)
+{
+  struct event *tick = event_new (node->base, -1, EV_PERSIST, on_tick, node);
+  const struct timeval interval = { .tv_usec = DP_DISPATCH_TICK };
+  event_add (tick, &interval);
+  node->ticked_at = dp_node_now ();
+  return tick;
+}
+
+static void
+make_parts (DpNode *node)
+{
+  node->base = dp_process_base (node->process);
+  node->counters = dp_process_counters (node->process);
+  node->self = dp_name (node->settings->process.name);
+  node->random = dp_process_random ();
+  node->directory = dp_directory_new ();
+  node->owners = dp_owners_new (node->self);
+  node->quota_user = dp_quota_user_new ();
+  node->quota_keeper = dp_quota_keeper_new ();
+  node->pools
+    = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, dp_placing_pool_free);
+  const DpTableOptions requests
+    = { .row_size = sizeof (DpNodeRequest), .clear_row = dp_request_clear };
+  node->requests = dp_table_new (&requests);
+  node->by_attempt = g_hash_table_new_full (dp_id_hash, dp_id_same, g_free, g_free);
+  node->follow = dp_follow_new (node);
+}
+
+static void
+free_parts (DpNode *node)
+{
+  g_clear_pointer (&node->callers, dp_http_server_free);
+  g_clear_pointer (&node->ready, dp_http_server_free);
+  dp_table_unref (node->requests);
+  g_hash_table_unref (node->by_attempt);
+  g_hash_table_unref (node->pools);
+  dp_follow_free (node->follow);
+  dp_directory_free (node->directory);
+  dp_owners_free (node->owners);
+  dp_quota_user_free (node->quota_user);
+  dp_quota_keeper_free (node->quota_keeper);
+  dp_manifest_unref (node->manifest);
+  dp_view_unref (node->view);
+}
+
+static void
+serve (DpNode *node)
+{
+  node->tick = start_tick (node);
+  struct event *reload = evsignal_new (node->base, SIGHUP, on_reload, node);
+  event_add (reload, NULL);
+  dp_log (DP_LOG_NOTICE, "started", "vm", node->settings->process.name, "data_centre",
+          node->settings->process.data_centre, "version", DP_VERSION, NULL);
+  dp_follow_start (node->follow);
+  dp_process_run (node->process);
+  dp_log (DP_LOG_NOTICE, "stopped", "vm", node->settings->process.name, NULL);
+  event_free (reload);
+  event_free (node->tick);
+}
+
+static gboolean
+run (const void *settings, DpFindings *findings)
+{
+  DpNode node = { .settings = settings };
+  if (!dp_node_read_figures (settings, &node.figures, findings))
+    return FALSE;
+  const DpProcessOptions options = { .program = "dogwoodplank-node",
+                                     .role = DP_ROLE_NODE,
+                                     .settings = &node.settings->process,
+                                     .callbacks = &process_callbacks,
+                                     .user = &node };
+  node.process = dp_process_new (&options, findings);
+  if (node.process == NULL)
+    return FALSE;
+  make_parts (&node);
+  gboolean ok = dp_front_start (&node, findings);
+  if (ok)
+    serve (&node);
+  free_parts (&node);
+  dp_process_free (node.process);
+  return ok;
+}
+
+int
+main (int argc, char **argv)
+{
+  const DpProgram program = {
+    .name = "dogwoodplank-node",
+    .doc = "Entry, scheduler and agent of one VM in one process.",
+    .settings = dp_node_settings,
+    .setting_count = dp_node_setting_count,
+    .settings_size = sizeof (DpNodeSettings),
+    .process_offset = G_STRUCT_OFFSET (DpNodeSettings, process),
+    .run = run,
+  };
+  const char *file = getenv (SETTINGS_VARIABLE);
+  if (argc > 1 || file == NULL)
+    return dp_program_main (&program, argc, argv);
+  char *arguments[] = { argv[0], "--settings", (char *)file, NULL };
+  return dp_program_main (&program, 3, arguments);
+}
--- /dev/null
+++ b/node/node.h
@@ -0,0 +1,252 @@
+/* dogwoodplank-node: entry, scheduler and agent of one VM in one process.
+ *
+ * The node is a blackboard that its parts read and write; each part owns the functions named for
+ * it below. Everything runs on one loop in one thread.
+ *
+ *   settings.c its settings
+ *   follow.c   what lies in the platform's store: config, targets, VMs
+ *   peers.c    the other VMs: probes, owners, limits of workspaces
+ *   placing.c  which target a request is sent to: asks, grants, dispatchers
+ *   front.c    callers: admission, ready, stop
+ *   request.c  one request from admission to its final answer
+ *   attempt.c  one sending of a request to a target
+ */
+#pragma once
+
+#include "core/directory.h"
+#include "core/dispatcher.h"
+#include "core/owners.h"
+#include "core/quota.h"
+#include "core/retry.h"
+#include "net/http_call.h"
+#include "net/http_server.h"
+#include "net/process.h"
+#include "net/sse.h"
+#include "platform/client.h"
+#include "platform/wire.h"
+
+typedef struct DpNodeSettings
+{
+  DpProcessSettings process;
+  char *caller_listen; /* "IP:PORT" */
+  char *ready_listen;
+  char *store;
+  char *seeds; /* "IP:PORT,...": VMs to ask while the store is away */
+  char *processor_share; /* of a core */
+  char *descriptors_max;
+  char *target_heartbeat_ms;
+  char *stop_time_s;
+  char *retry_ratio;
+  char *retry_slack;
+  char *retry_window_s;
+} DpNodeSettings;
+
+/* The texts of the settings, read. */
+typedef struct DpNodeFigures
+{
+  char caller_address[46];
+  guint16 caller_port;
+  char ready_address[46];
+  guint16 ready_port;
+  char store_address[46];
+  guint16 store_port;
+  guint weight; /* thousandths of a core */
+  guint connections_max;
+  DpUsec target_heartbeat;
+  DpUsec stop_time; /* from SIGTERM to SIGKILL */
+  double retry_ratio;
+  double retry_slack;
+  DpUsec retry_window;
+} DpNodeFigures;
+
+/* FALSE: there are findings. */
+gboolean dp_node_read_figures (const DpNodeSettings *settings,
+                               DpNodeFigures *figures,
+                               DpFindings *findings);
+
+extern const DpSetting dp_node_settings[];
+extern const guint dp_node_setting_count;
+
+typedef struct DpNode DpNode;
+typedef struct DpNodeRequest DpNodeRequest;
+typedef struct DpFollow DpFollow;
+
+/* One pool as this VM uses it. */
+typedef struct DpNodePool
+{
+  DpName name;
+  char *text;
+  gboolean is_shared; /* one owner places for all VMs; else each VM for itself */
+  DpDispatcher *dispatcher;
+  DpName owner; /* that was asked last; 0: none */
+  DpUsec reported_at;
+  DpRetryBudget budget;
+} DpNodePool;
+
+struct DpNode
+{
+  const DpNodeSettings *settings;
+  DpNodeFigures figures;
+  DpProcess *process;
+  struct event_base *base;
+  DpCounters *counters;
+  DpName self;
+  guint64 random;
+  /* from the platform */
+  DpPlatformClient *store;
+  DpFollow *follow;
+  DpManifest *manifest; /* NULL until one is known */
+  DpUsec manifest_proof; /* when the store last confirmed it as the newest */
+  DpDirectory *directory;
+  guint64 directory_applied; /* version that the dispatchers have */
+  DpUsec directory_proof;
+  DpView *view;
+  DpUsec view_proof;
+  /* other VMs */
+  DpOwners *owners;
+  guint64 probe_sequence;
+  DpQuotaUser *quota_user;
+  DpQuotaKeeper *quota_keeper;
+  /* requests */
+  DpHttpServer *callers;
+  DpHttpServer *ready;
+  GHashTable *pools;      /* DpName -> DpNodePool */
+  DpTable *requests;      /* DpNodeRequest */
+  GHashTable *by_attempt; /* DpId -> DpHandle: requests that wait for a place */
+  guint64 next_attempt;
+  /* time */
+  struct event *tick;
+  DpUsec ticked_at;
+  DpUsec peers_ticked_at;
+  gboolean is_stopping;
+  DpUsec stop_at;
+};
+
+/* Stages of a request. */
+typedef enum DpNodeStage
+{
+  DP_STAGE_PLACING, /* asked for a target */
+  DP_STAGE_SENT,
+} DpNodeStage;
+
+struct DpNodeRequest
+{
+  DpHandle self;
+  DpNode *node;
+  /* constant */
+  DpHttpExchange *exchange; /* NULL: the caller has left */
+  DpManifest *manifest;     /* of its admission; a reference */
+  const DpRoute *route;
+  int workspace; /* index; -1: public route */
+  char *id;
+  DpNodePool *pool;
+  DpCallerRequest said; /* texts valid as long as the exchange */
+  guint tier;
+  gboolean is_repeatable;
+  double charged; /* against the workspace's limit */
+  DpUsec arrived;
+  DpUsec goal_at;
+  DpUsec deadline;
+  /* placing */
+  DpNodeStage stage;
+  DpId attempt;
+  DpName owner;
+  DpUsec asked_at;
+  guint excluded_count;
+  DpName excluded[DP_EXCLUDED_MAX];
+  /* sendings */
+  guint sendings;
+  guint runs;
+  gboolean may_have_run;
+  DpName target;
+  char target_text[DP_TARGET_TEXT_BYTES];
+  DpUsec sent_at;
+  DpUsec first_after;    /* of this sending's first event or byte; 0: none yet */
+  DpHttpCall *call;      /* NULL: none is open */
+  DpTargetAnswer answer; /* of this sending */
+  GArray *headers;       /* of this sending's answer: DpHttpHeader; NULL: no head yet */
+  DpSse *sse;
+  GByteArray *body; /* an answer that is not streamed */
+  /* answer */
+  gboolean head_given; /* the caller has the head of a stream */
+  char *last_event;    /* id of the last event that the caller has */
+};
+
+/* Microseconds of the steady clock. */
+static inline DpUsec
+dp_node_now (void)
+{
+  return dp_process_now ();
+}
+
+/* --- follow.c --- */
+
+DpFollow *dp_follow_new (DpNode *node);
+void dp_follow_free (DpFollow *follow);
+void dp_follow_start (DpFollow *follow);
+void dp_follow_tick (DpFollow *follow, DpUsec now);
+/* Takes this VM out of the list of VMs. */
+void dp_follow_leave (DpFollow *follow);
+
+/* --- peers.c --- */
+
+void dp_peers_set_view (DpNode *node, DpView *view);
+void dp_peers_message (DpNode *node, DpPeer from, const DpMessage *message);
+void dp_peers_tick (DpNode *node, DpUsec now);
+/* Tells the VMs that may ask this one that it leaves. */
+void dp_peers_say_leaving (DpNode *node);
+void dp_peers_send (DpNode *node, DpName vm, const DpMessage *message);
+guint dp_peers_count (const DpNode *node);
+/* Limit of the workspace; `per_second` is 0 if it has none. */
+DpQuotaLimit dp_peers_limit (const DpManifest *manifest, int workspace);
+
+/* --- placing.c --- */
+
+void dp_placing_set_manifest (DpNode *node);
+void dp_placing_set_targets (DpNode *node);
+/* Asks for a target; the request is sent once there is one. */
+void dp_placing_ask (DpNodeRequest *request);
+/* The ask, or the grant, is over. */
+void dp_placing_done (DpNodeRequest *request, DpReason reason);
+void dp_placing_started (DpNodeRequest *request);
+void dp_placing_message (DpNode *node, DpName from, const DpMessage *message);
+void dp_placing_tick (DpNode *node, DpUsec now, gboolean was_paused);
+void dp_placing_pool_free (gpointer pool);
+
+/* --- front.c --- */
+
+gboolean dp_front_start (DpNode *node, DpFindings *findings);
+void dp_front_set_limits (DpNode *node);
+void dp_front_stop (DpNode *node);
+/* TRUE if nothing keeps the process any more. */
+gboolean dp_front_may_exit (DpNode *node, DpUsec now);
+
+/* --- request.c --- */
+
+/* Takes over an admitted request and asks for a target. */
+void dp_request_begin (DpNodeRequest *request);
+void dp_request_given (DpNodeRequest *request, DpName target);
+/* The dispatcher refused it. */
+void dp_request_refused (DpNodeRequest *request, DpReason reason, DpUsec retry_after);
+/* The dispatcher took it back from its target. */
+void dp_request_revoked (DpNodeRequest *request, DpReason reason);
+/* This sending is over without an answer for the caller. */
+void dp_request_failed (DpNodeRequest *request, DpAttemptEnd end, DpReason reason);
+/* The whole answer has been given; `reason` tells what it says of the target. */
+void dp_request_complete (DpNodeRequest *request, DpReason reason);
+void dp_request_tick (DpNode *node, DpUsec now);
+void dp_request_clear (void *row);
+/* Answers and ends an exchange that is no request (yet). */
+void dp_request_refuse_exchange (DpNode *node,
+                                 DpHttpExchange *exchange,
+                                 const char *id,
+                                 DpReason reason,
+                                 DpUsec retry_after);
+
+/* --- attempt.c --- */
+
+void dp_attempt_start (DpNodeRequest *request, const DpDirectoryRow *target);
+/* Closes the connection to the target, which ends its work. */
+void dp_attempt_cancel (DpNodeRequest *request);
+/* Gives the caller the failure that the target has answered. */
+void dp_attempt_pass_on (DpNodeRequest *request);
--- /dev/null
+++ b/node/peers.c
@@ -0,0 +1,182 @@
+/* The other VMs of the system: who is heard, who owns what, and limits over all of them. */
+#include "node/node.h"
+
+#include "common/log.h"
+
+#define PEERS_INTERVAL (100 * DP_USEC_PER_MSEC)
+
+void
+dp_peers_send (DpNode *node, DpName vm, const DpMessage *message)
+{
+  dp_process_send (node->process, (DpPeer){ vm, DP_ROLE_NODE }, message);
+}
+
+guint
+dp_peers_count (const DpNode *node)
+{
+  return node->view != NULL ? MAX (node->view->vms->len, 1) : 1;
+}
+
+void
+dp_peers_set_view (DpNode *node, DpView *view)
+{
+  dp_view_unref (node->view);
+  node->view = dp_view_ref (view);
+  dp_owners_set_view (node->owners, view);
+  dp_process_set_peers (node->process, view);
+  dp_counters_set (node->counters, "dogwoodplank_vms", NULL, NULL, view->vms->len);
+}
+
+/* --- probes --- */
+
+static void
+send_probe (DpNode *node, DpName vm, DpMessageType type, guint64 sequence)
+{
+  DpMessage message = { .type = type };
+  message.probe.sequence = sequence;
+  message.probe.incarnation = dp_process_incarnation (node->process);
+  message.probe.leaving = node->is_stopping;
+  message.probe.manifest_revision = node->manifest != NULL ? node->manifest->revision : 0;
+  dp_peers_send (node, vm, &message);
+}
+
+static void
+collect_due (DpNode *node, DpUsec now, GArray *due)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, node->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DpNodePool *pool = value;
+      if (pool->is_shared)
+        dp_owners_due_probes (node->owners, pool->name, now, due);
+    }
+  for (guint i = 0; node->manifest != NULL && i < node->manifest->workspaces->len; i++)
+    if (dp_peers_limit (node->manifest, (int)i).per_second > 0)
+      dp_owners_due_probes (
+        node->owners,
+        DP_MANIFEST_ROW (node->manifest, workspaces, DpWorkspace, i)->name, now, due);
+}
+
+static void
+send_due_probes (DpNode *node, DpUsec now)
+{
+  GArray *due = g_array_new (FALSE, FALSE, sizeof (DpName));
+  collect_due (node, now, due);
+  for (guint i = 0; i < due->len; i++)
+    send_probe (node, g_array_index (due, DpName, i), DP_MESSAGE_PROBE,
+                ++node->probe_sequence);
+  g_array_unref (due);
+}
+
+void
+dp_peers_say_leaving (DpNode *node)
+{
+  for (guint i = 0; node->view != NULL && i < node->view->vms->len; i++)
+    {
+      const DpVm *vm = &g_array_index (node->view->vms, DpVm, i);
+      if (vm->name != node->self)
+        send_probe (node, vm->name, DP_MESSAGE_PROBE_ACK, 0);
+    }
+}
+
+/* --- limits of workspaces --- */
+
+DpQuotaLimit
+dp_peers_limit (const DpManifest *manifest, int workspace)
+{
+  DpQuotaLimit limit = { 0 };
+  if (workspace < 0)
+    return limit;
+  const DpWorkspace *row
+    = DP_MANIFEST_ROW (manifest, workspaces, DpWorkspace, (guint)workspace);
+  limit.workspace = row->name;
+  limit.per_second = row->rate_per_second;
+  limit.burst = row->rate_burst;
+  return limit;
+}
+
+static void
+answer_limit_ask (DpNode *node, DpName from, const DpLimitAsk *ask)
+{
+  if (node->manifest == NULL)
+    return;
+  int index = dp_manifest_find (node->manifest, DP_MANIFEST_WORKSPACE, ask->workspace);
+  DpQuotaLimit limit = dp_peers_limit (node->manifest, index);
+  if (limit.per_second <= 0)
+    return;
+  DpMessage message = { .type = DP_MESSAGE_LIMIT_GIVEN };
+  message.limit_given
+    = dp_quota_keeper_ask (node->quota_keeper, &limit, ask, 1.0, dp_node_now ());
+  if (from == node->self)
+    dp_quota_user_given (node->quota_user, &message.limit_given);
+  else
+    dp_peers_send (node, from, &message);
+}
+
+static void
+send_limit_asks (DpNode *node, DpUsec now)
+{
+  GArray *asks = g_array_new (FALSE, FALSE, sizeof (DpLimitAsk));
+  dp_quota_user_due_asks (node->quota_user, now, asks);
+  for (guint i = 0; i < asks->len; i++)
+    {
+      DpMessage message = { .type = DP_MESSAGE_LIMIT_ASK };
+      message.limit_ask = g_array_index (asks, DpLimitAsk, i);
+      DpName keeper = dp_owners_choose (node->owners, message.limit_ask.workspace, now);
+      if (keeper == node->self)
+        answer_limit_ask (node, node->self, &message.limit_ask);
+      else
+        dp_peers_send (node, keeper, &message);
+    }
+  g_array_unref (asks);
+}
+
+/* --- */
+
+static void
+note_heard (DpNode *node, DpName vm, gboolean leaving)
+{
+  DpUsec now = dp_node_now ();
+  if (dp_owners_is_silent (node->owners, vm))
+    {
+      const DpVm *row = node->view != NULL ? dp_view_find (node->view, vm) : NULL;
+      dp_log (DP_LOG_NOTICE, "vm_regained", "vm", row != NULL ? row->text : "unknown", NULL);
+    }
+  dp_owners_heard (node->owners, vm, leaving, now);
+}
+
+void
+dp_peers_message (DpNode *node, DpPeer from, const DpMessage *message)
+{
+  switch (message->type)
+    {
+    case DP_MESSAGE_PROBE:
+      note_heard (node, from.vm, message->probe.leaving);
+      send_probe (node, from.vm, DP_MESSAGE_PROBE_ACK, message->probe.sequence);
+      break;
+    case DP_MESSAGE_PROBE_ACK:
+      note_heard (node, from.vm, message->probe.leaving);
+      break;
+    case DP_MESSAGE_LIMIT_ASK:
+      answer_limit_ask (node, from.vm, &message->limit_ask);
+      break;
+    case DP_MESSAGE_LIMIT_GIVEN:
+      dp_quota_user_given (node->quota_user, &message->limit_given);
+      break;
+    default:
+      dp_placing_message (node, from.vm, message);
+      break;
+    }
+}
+
+void
+dp_peers_tick (DpNode *node, DpUsec now)
+{
+  if (now - node->peers_ticked_at < PEERS_INTERVAL)
+    return;
+  node->peers_ticked_at = now;
+  send_due_probes (node, now);
+  send_limit_asks (node, now);
+}
--- /dev/null
+++ b/node/request.c
@@ -0,0 +1,337 @@
+/* One request, from its admission to its final answer. */
+#include "node/node.h"
+
+#include "common/log.h"
+
+#include <string.h>
+
+/* For refusals whose reason tells no better time. */
+#define RETRY_AFTER_DEFAULT (300 * DP_USEC_PER_MSEC)
+
+static void
+format_ms (char out[16], DpUsec time)
+{
+  g_snprintf (out, 16, "%" G_GINT64_FORMAT, time / DP_USEC_PER_MSEC);
+}
+
+static const char *
+workspace_text (const DpNodeRequest *request)
+{
+  if (request->workspace < 0)
+    return NULL;
+  return DP_MANIFEST_ROW (request->manifest, workspaces, DpWorkspace,
+                          (guint)request->workspace)
+    ->text;
+}
+
+/* The last line of each request: what became of it, and what decided it. */
+static void
+log_end (const DpNodeRequest *request, int status, DpReason reason)
+{
+  DpNode *node = request->node;
+  DpUsec now = dp_node_now ();
+  char status_text[8], total[16], first[16], sendings[8], config_age[16], targets_age[16];
+  char version[24];
+  g_snprintf (status_text, sizeof status_text, "%d", status);
+  g_snprintf (sendings, sizeof sendings, "%u", request->sendings);
+  g_snprintf (version, sizeof version, "%" G_GUINT64_FORMAT, request->manifest->revision);
+  format_ms (total, now - request->arrived);
+  format_ms (first, request->first_after);
+  format_ms (config_age, now - node->manifest_proof);
+  format_ms (targets_age, now - node->directory_proof);
+  dp_log (DP_LOG_INFO, "request_end", "request", request->id, "route", request->route->text,
+          "workspace", workspace_text (request), "status", status_text, "reason",
+          dp_reason_name (reason), "may_have_run", request->may_have_run ? "yes" : "no",
+          "sendings", sendings, "target", request->target_text, "first_ms", first, "total_ms",
+          total, "config", version, "config_age_ms", config_age, "targets_age_ms", targets_age,
+          NULL);
+}
+
+static void
+log_step (const DpNodeRequest *request, const char *event, DpReason reason)
+{
+  char waited[16], left[16];
+  DpUsec now = dp_node_now ();
+  format_ms (waited, now - request->arrived);
+  format_ms (left, request->deadline - now);
+  dp_log (DP_LOG_INFO, event, "request", request->id, "target", request->target_text, "reason",
+          dp_reason_name (reason), "age_ms", waited, "left_ms", left, NULL);
+}
+
+void
+dp_request_clear (void *row)
+{
+  DpNodeRequest *request = row;
+  dp_attempt_cancel (request);
+  if (!dp_id_is_none (request->attempt))
+    g_hash_table_remove (request->node->by_attempt, &request->attempt);
+  dp_manifest_unref (request->manifest);
+  g_free (request->id);
+  g_free (request->last_event);
+}
+
+static void
+remove_request (DpNodeRequest *request)
+{
+  if (request->exchange != NULL)
+    dp_http_exchange_set_gone (request->exchange, NULL, NULL, NULL);
+  dp_table_remove (request->node->requests, request->self);
+}
+
+/* --- final answers --- */
+
+static void
+reply_problem (DpHttpExchange *exchange, int status, DpReason reason, DpUsec retry_after)
+{
+  char body[160];
+  const char *outcome = status == 502 || status == 504 ? "unknown" : "not_run";
+  g_snprintf (body, sizeof body, "{\"status\":%d,\"reason\":\"%s\",\"outcome\":\"%s\"}\n",
+              status, dp_reason_name (reason), outcome);
+  dp_http_exchange_add_header (exchange, "Content-Type", "application/problem+json");
+  if (retry_after > 0)
+    dp_wire_add_retry_after (exchange, retry_after);
+  dp_http_exchange_reply (exchange, status, body, strlen (body));
+}
+
+static void
+count_refusal (DpNode *node, DpReason reason)
+{
+  dp_counters_add (node->counters, "dogwoodplank_refusals_total", "reason",
+                   dp_reason_name (reason), 1);
+}
+
+void
+dp_request_refuse_exchange (DpNode *node,
+                            DpHttpExchange *exchange,
+                            const char *id,
+                            DpReason reason,
+                            DpUsec retry_after)
+{
+  count_refusal (node, reason);
+  char version[24], age[16];
+  g_snprintf (version, sizeof version, "%" G_GUINT64_FORMAT,
+              node->manifest != NULL ? node->manifest->revision : 0);
+  format_ms (age, dp_node_now () - node->manifest_proof);
+  dp_log (DP_LOG_INFO, "request_refused", "request", id, "reason", dp_reason_name (reason),
+          "path", dp_http_exchange_target (exchange), "config", version, "config_age_ms", age,
+          NULL);
+  reply_problem (exchange, dp_reason_status (reason), reason, retry_after);
+}
+
+/* Gives the request up: its caller gets the final answer at once. */
+static void
+give_up (DpNodeRequest *request, DpReason reason, DpUsec retry_after)
+{
+  int status = dp_reason_status (reason);
+  /* These promise that the request did not run. */
+  if (request->may_have_run && (status == 503 || status == 429))
+    status = 502;
+  else if (!request->may_have_run && status >= 500)
+    status = 503;
+  if (status == 503 && retry_after == 0)
+    retry_after = RETRY_AFTER_DEFAULT;
+  count_refusal (request->node, reason);
+  log_end (request, status, reason);
+  DpHttpExchange *exchange = request->exchange;
+  if (exchange != NULL)
+    {
+      dp_http_exchange_set_gone (exchange, NULL, NULL, NULL);
+      request->exchange = NULL;
+      if (request->head_given)
+        dp_http_exchange_break_off (exchange);
+      else
+        reply_problem (exchange, status, reason, status == 503 ? retry_after : 0);
+    }
+  if (!request->may_have_run)
+    dp_quota_user_give_back (request->node->quota_user,
+                             dp_peers_limit (request->manifest, request->workspace).workspace,
+                             request->charged);
+  remove_request (request);
+}
+
+void
+dp_request_complete (DpNodeRequest *request, DpReason reason)
+{
+  log_end (request, request->answer.status, reason);
+  dp_counters_add (request->node->counters, "dogwoodplank_answers_total", NULL, NULL, 1);
+  dp_placing_done (request, reason);
+  request->exchange = NULL;
+  remove_request (request);
+}
+
+/* --- steps --- */
+
+static void
+on_caller_gone (gpointer user)
+{
+  DpNodeRequest *request = user;
+  request->exchange = NULL;
+  dp_counters_add (request->node->counters, "dogwoodplank_callers_gone_total", NULL, NULL, 1);
+  log_end (request, dp_reason_status (DP_REASON_CALLER_GONE), DP_REASON_CALLER_GONE);
+  dp_attempt_cancel (request);
+  dp_placing_done (request, DP_REASON_CALLER_GONE);
+  remove_request (request);
+}
+
+void
+dp_request_begin (DpNodeRequest *request)
+{
+  dp_http_exchange_set_gone (request->exchange, on_caller_gone, request, NULL);
+  dp_retry_budget_count_request (&request->pool->budget, request->arrived);
+  dp_placing_ask (request);
+}
+
+static void
+exclude (DpNodeRequest *request, DpName target)
+{
+  if (request->excluded_count < DP_EXCLUDED_MAX)
+    request->excluded[request->excluded_count++] = target;
+}
+
+void
+dp_request_given (DpNodeRequest *request, DpName target)
+{
+  DpNode *node = request->node;
+  DpUsec now = dp_node_now ();
+  const DpDirectoryRow *row = dp_directory_find (node->directory, target);
+  request->target = target;
+  request->sent_at = now;
+  request->first_after = 0;
+  request->stage = DP_STAGE_SENT;
+  if (now >= request->deadline)
+    {
+      dp_placing_done (request, DP_REASON_DEADLINE_PASSED);
+      give_up (request, DP_REASON_DEADLINE_PASSED, 0);
+      return;
+    }
+  if (row == NULL || !dp_directory_may_use (node->directory, target))
+    {
+      /* The owner knows less of this target than this VM does. */
+      log_step (request, "grant_not_used", DP_REASON_NO_TARGET);
+      dp_placing_done (request, DP_REASON_NO_TARGET);
+      exclude (request, target);
+      dp_placing_ask (request);
+      return;
+    }
+  request->sendings++;
+  g_strlcpy (request->target_text, row->record.id, sizeof request->target_text);
+  log_step (request, "request_sent", DP_REASON_NONE);
+  dp_attempt_start (request, row);
+}
+
+void
+dp_request_refused (DpNodeRequest *request, DpReason reason, DpUsec retry_after)
+{
+  give_up (request, reason, retry_after);
+}
+
+/* What never reached a target is no repeat there, and what can't be repeated costs nothing. */
+static gboolean
+spend_budget (DpNodeRequest *request, DpAttemptEnd end, DpUsec now)
+{
+  switch (end)
+    {
+    case DP_ATTEMPT_UNSENT:
+      return TRUE;
+    case DP_ATTEMPT_DECLINED:
+      break;
+    case DP_ATTEMPT_BROKE:
+    case DP_ATTEMPT_ERROR:
+      if (!request->is_repeatable || request->runs >= request->route->attempts_max)
+        return FALSE;
+      break;
+    }
+  return dp_retry_budget_spend (&request->pool->budget, now);
+}
+
+static DpNextStep
+decide (DpNodeRequest *request, DpAttemptEnd end)
+{
+  DpUsec now = dp_node_now ();
+  const DpAttemptFacts facts = {
+    .end = end,
+    .is_repeatable = request->is_repeatable,
+    .may_have_run = request->may_have_run,
+    .answer_begun = request->head_given,
+    .can_go_on = request->route->kind == DP_ROUTE_STREAM && request->route->resumable,
+    .runs = request->runs,
+    .runs_max = request->route->attempts_max,
+    .sendings = request->sendings,
+    .within_budget = spend_budget (request, end, now),
+    .time_left = request->deadline - now,
+  };
+  return dp_retry_decide (&facts);
+}
+
+void
+dp_request_failed (DpNodeRequest *request, DpAttemptEnd end, DpReason reason)
+{
+  if (end == DP_ATTEMPT_BROKE || end == DP_ATTEMPT_ERROR)
+    {
+      request->runs++;
+      request->may_have_run = TRUE;
+    }
+  log_step (request, "sending_failed", reason);
+  /* An answer to be passed on has to be read before its connection is closed. */
+  DpNextStep step = decide (request, end);
+  if (step == DP_STEP_PASS_ON)
+    {
+      dp_attempt_pass_on (request);
+      return;
+    }
+  dp_attempt_cancel (request);
+  dp_placing_done (request, reason);
+  switch (step)
+    {
+    case DP_STEP_AGAIN:
+      dp_counters_add (request->node->counters, "dogwoodplank_retries_total", "reason",
+                       dp_reason_name (reason), 1);
+      exclude (request, request->target);
+      dp_placing_ask (request);
+      break;
+    case DP_STEP_NOT_RUN:
+      give_up (request, DP_REASON_NO_TARGET, 0);
+      break;
+    default:
+      give_up (request, reason, 0);
+      break;
+    }
+}
+
+void
+dp_request_revoked (DpNodeRequest *request, DpReason reason)
+{
+  if (request->stage == DP_STAGE_PLACING)
+    {
+      dp_placing_ask (request);
+      return;
+    }
+  if (reason != DP_REASON_TARGET_SILENT || request->first_after > 0
+      || !request->is_repeatable)
+    return;
+  dp_request_failed (request, DP_ATTEMPT_BROKE, DP_REASON_TARGET_SILENT);
+}
+
+/* The caller's or the route's time is up. */
+static void
+expire (DpNodeRequest *request)
+{
+  gboolean was_sent = request->stage == DP_STAGE_SENT;
+  if (was_sent)
+    request->may_have_run = TRUE;
+  dp_attempt_cancel (request);
+  dp_placing_done (request, DP_REASON_DEADLINE_PASSED);
+  give_up (request, DP_REASON_DEADLINE_PASSED, 0);
+}
+
+void
+dp_request_tick (DpNode *node, DpUsec now)
+{
+  for (DpHandle at = dp_table_next (node->requests, 0); at != 0;
+       at = dp_table_next (node->requests, at))
+    {
+      DpNodeRequest *request = dp_table_get (node->requests, at);
+      if (now >= request->deadline)
+        expire (request);
+    }
+}
--- /dev/null
+++ b/node/settings.c
@@ -0,0 +1,99 @@
+#include "node/node.h"
+
+#include <math.h>
+#include <string.h>
+
+#define TEXT(member, argument, text, is_required)                                              \
+  DP_TEXT_SETTING (#member, DpNodeSettings, member, argument, text, is_required)
+
+const DpSetting dp_node_settings[] = {
+  DP_PROCESS_COMMON_SETTINGS (DpNodeSettings, process, 7083),
+  TEXT (caller_listen, "IP:PORT", "where callers come", TRUE),
+  TEXT (ready_listen, "IP:PORT", "where the balancer asks", TRUE),
+  TEXT (store, "IP:PORT", "the platform's store", TRUE),
+  TEXT (seeds, "IP:PORT,...", "VMs to ask while the store is away", FALSE),
+  TEXT (processor_share, "SHARE", "of a core: the VM's part in owning pools (0.1)", FALSE),
+  TEXT (descriptors_max, "N", "descriptors of the process (4096)", FALSE),
+  TEXT (target_heartbeat_ms, "MS", "how often targets write to the store (1200)", FALSE),
+  TEXT (stop_time_s, "S", "from SIGTERM to SIGKILL (8)", FALSE),
+  TEXT (retry_ratio, "SHARE", "repeats a pool may get for each request (0.2)", FALSE),
+  TEXT (retry_slack, "N", "repeats beside them in a window, of all VMs (100)", FALSE),
+  TEXT (retry_window_s, "S", "window of both (10)", FALSE),
+};
+
+const guint dp_node_setting_count = G_N_ELEMENTS (dp_node_settings);
+
+/* Defaults of the texts that hold numbers. */
+#define PROCESSOR_SHARE_DEFAULT 0.1
+#define DESCRIPTORS_DEFAULT 4096
+#define HEARTBEAT_MS_DEFAULT 1200
+#define STOP_TIME_S_DEFAULT 8
+#define RETRY_RATIO_DEFAULT 0.2
+#define RETRY_SLACK_DEFAULT 100
+#define RETRY_WINDOW_S_DEFAULT 10
+#define WEIGHT_PER_CORE 1000
+
+static void
+read_endpoint (
+  const char *name, const char *text, char address[46], guint16 *port, DpFindings *findings)
+{
+  const char *colon = strrchr (text, ':');
+  guint64 number;
+  if (colon != NULL && colon - text < 46
+      && g_ascii_string_to_unsigned (colon + 1, 10, 1, G_MAXUINT16, &number, NULL))
+    {
+      g_strlcpy (address, text, (gsize)(colon - text) + 1);
+      *port = (guint16)number;
+      return;
+    }
+  dp_findings_add (findings, "settings", 0, name, "must be IP:PORT, not \"%s\"", text);
+}
+
+static double
+read_number (const char *name, const char *text, double missing, DpFindings *findings)
+{
+  if (text == NULL || text[0] == '\0')
+    return missing;
+  char *end;
+  double number = g_ascii_strtod (text, &end);
+  if (*end == '\0' && isfinite (number) && number >= 0)
+    return number;
+  dp_findings_add (findings, "settings", 0, name, "must be a number, not \"%s\"", text);
+  return missing;
+}
+
+gboolean
+dp_node_read_figures (const DpNodeSettings *settings,
+                      DpNodeFigures *figures,
+                      DpFindings *findings)
+{
+  read_endpoint ("caller_listen", settings->caller_listen, figures->caller_address,
+                 &figures->caller_port, findings);
+  read_endpoint ("ready_listen", settings->ready_listen, figures->ready_address,
+                 &figures->ready_port, findings);
+  read_endpoint ("store", settings->store, figures->store_address, &figures->store_port,
+                 findings);
+  double share = read_number ("processor_share", settings->processor_share,
+                              PROCESSOR_SHARE_DEFAULT, findings);
+  figures->weight = (guint)MAX (share * WEIGHT_PER_CORE, 1);
+  /* A request takes two descriptors: its caller's and its target's. */
+  figures->connections_max = (guint)MAX (
+    read_number ("descriptors_max", settings->descriptors_max, DESCRIPTORS_DEFAULT, findings)
+      / 2,
+    2);
+  figures->target_heartbeat
+    = (DpUsec)read_number ("target_heartbeat_ms", settings->target_heartbeat_ms,
+                           HEARTBEAT_MS_DEFAULT, findings)
+      * DP_USEC_PER_MSEC;
+  figures->stop_time = (DpUsec)(read_number ("stop_time_s", settings->stop_time_s,
+                                             STOP_TIME_S_DEFAULT, findings)
+                                * (double)DP_USEC_PER_SEC);
+  figures->retry_ratio
+    = read_number ("retry_ratio", settings->retry_ratio, RETRY_RATIO_DEFAULT, findings);
+  figures->retry_slack
+    = read_number ("retry_slack", settings->retry_slack, RETRY_SLACK_DEFAULT, findings);
+  double window = read_number ("retry_window_s", settings->retry_window_s,
+                               RETRY_WINDOW_S_DEFAULT, findings);
+  figures->retry_window = (DpUsec)(MAX (window, 1) * (double)DP_USEC_PER_SEC);
+  return dp_findings_count (findings) == 0;
+}
