net: accepted sockets are told apart by their peer's address; quota: a sliding window

Ruled out: the targets (they see the cut from us), time limits, epoll's changelist (the same with and without). Limits are counted in the window in which they hold; a cut limit of 64k tokens/s with a burst of 230k now gives 92k/s, as stated, instead of 64k/s.

--- a/core/dispatcher_targets.c
+++ b/core/dispatcher_targets.c
@@ -10,10 +10,6 @@
 #define TROUBLE_COST 4.0
 /* A target that turns requests away gets none for this long. */
 #define FULL_PAUSE (30 * DP_USEC_PER_MSEC)
-/* A first event is overdue after this many times its expected time, and a little more for the
- * network and for prompts of others that are read meanwhile. */
-#define SILENCE_FACTOR 3.0
-#define SILENCE_SLACK (150 * DP_USEC_PER_MSEC)
 /* A prompt that was read within this time is probably still in the target's memory. */
 #define SESSION_AGE_MAX (5 * DP_USEC_PER_SEC)
 /* What a prompt that need not be read again is worth, as a part of the cost of a target. */
@@ -197,8 +193,8 @@
 {
   if (place->started || place->was_adopted)
     return FALSE;
-  DpUsec limit = (DpUsec)((double)place->first_expected * SILENCE_FACTOR) + SILENCE_SLACK;
-  return dispatcher->now - place->given_at > limit;
+  return dispatcher->now - place->given_at
+         > dp_pace_overdue (&dispatcher->pace, place->first_expected);
 }
 
 /* Takes back what may run elsewhere; the rest has to wait for its answer. */
--- a/core/pace.c
+++ b/core/pace.c
@@ -7,6 +7,14 @@
 /* No target differs more from its pool; what looks so is a stall or a cached prompt. */
 #define PACE_MIN 0.2
 #define PACE_MAX 8.0
+/* How long the slowest measurement is remembered: half of it after some hundred. */
+#define SLOWEST_FADE 0.997
+#define SLOWEST_MIN 2.0
+#define SLOWEST_MAX 5.0
+/* An answer is overdue after this many times the slowest, and a little more for the network and
+ * for other requests' prompts that are read meanwhile. */
+#define OVERDUE_FACTOR 1.5
+#define OVERDUE_SLACK (150 * DP_USEC_PER_MSEC)
 /* Until something has been measured: 40 ms, and 10 ms for each thousand tokens. */
 #define FIRST_BASE_MS 40.0
 #define FIRST_SLOPE_MS 10.0
@@ -25,7 +33,7 @@
 void
 dp_pace_model_init (DpPaceModel *model)
 {
-  *model = (DpPaceModel){ 0 };
+  *model = (DpPaceModel){ .slowest = SLOWEST_MIN };
   add_point (model, 0, FIRST_BASE_MS);
   add_point (model, 4, FIRST_BASE_MS + 4 * FIRST_SLOPE_MS);
 }
@@ -49,6 +57,12 @@
   return (DpUsec)(ms * (double)DP_USEC_PER_MSEC);
 }
 
+DpUsec
+dp_pace_overdue (const DpPaceModel *model, DpUsec expected)
+{
+  return (DpUsec)((double)expected * model->slowest * OVERDUE_FACTOR) + OVERDUE_SLACK;
+}
+
 double
 dp_pace_learn (DpPaceModel *model, guint prompt_tokens, double pace, DpUsec measured)
 {
@@ -61,5 +75,7 @@
   model->xx *= MODEL_FADE;
   model->xy *= MODEL_FADE;
   add_point (model, x, ms / pace);
+  model->slowest = CLAMP (MAX (model->slowest * SLOWEST_FADE, ratio / pace), SLOWEST_MIN,
+                          SLOWEST_MAX);
   return CLAMP (pace + PACE_GAIN * (ratio - pace), PACE_MIN, PACE_MAX);
 }
--- a/core/pace.h
+++ b/core/pace.h
@@ -17,6 +17,7 @@
   double y;
   double xx;
   double xy;
+  double slowest; /* recent measurement over expectation: how late an answer may well be */
 } DpPaceModel;
 
 void dp_pace_model_init (DpPaceModel *model);
@@ -24,5 +25,8 @@
 /* Expected time from sending to the first event at a target of that pace. */
 DpUsec dp_pace_first_event (const DpPaceModel *model, guint prompt_tokens, double pace);
 
+/* Time after which an answer that takes `expected` is overdue. */
+DpUsec dp_pace_overdue (const DpPaceModel *model, DpUsec expected);
+
 /* Takes one measurement of a target of that pace; returns the target's new pace. */
 double dp_pace_learn (DpPaceModel *model, guint prompt_tokens, double pace, DpUsec measured);
--- a/core/quota.h
+++ b/core/quota.h
@@ -1,7 +1,8 @@
 /* Rate limits of workspaces over all VMs.
  *
- * Each limit has one VM that keeps its bucket (see core/owners.h); the other VMs ask it for credit
- * ahead of their use. An entry spends its credit, and goes into debt while the keeper has said
+ * In any window a workspace may use what its rate brings in that time, and its burst. Each limit
+ * has one VM that keeps count (see core/owners.h); the other VMs ask it for credit ahead of their
+ * use. An entry spends its credit, and goes into debt while the keeper has said
  * that there is enough, so that no request waits for an answer. Without a keeper's answer a VM
  * uses an equal share of the limit.
  */
@@ -17,6 +18,7 @@
   DpName workspace;
   double per_second; /* 0: none */
   double burst;
+  DpUsec window;
 } DpQuotaLimit;
 
 /* --- at the VM that takes requests --- */
@@ -44,7 +46,8 @@
 
 typedef struct DpQuotaKeeper DpQuotaKeeper;
 
-DpQuotaKeeper *dp_quota_keeper_new (void);
+/* A limit that is kept from before `fresh_until` on starts unused. */
+DpQuotaKeeper *dp_quota_keeper_new (DpUsec fresh_until);
 void dp_quota_keeper_free (DpQuotaKeeper *keeper);
 /* `reach` is the part of all VMs that can ask here, 0 to 1: the rest has a keeper of its own. */
 DpLimitGiven dp_quota_keeper_ask (DpQuotaKeeper *keeper,
--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -1,18 +1,19 @@
 #include "net/http_connections.h"
 
 #include <event2/bufferevent.h>
+#include <string.h>
 #include <sys/socket.h>
-#include <sys/stat.h>
 
 /* How often connections are looked through. */
 #define SWEEP_SECONDS 1
 
-/* One accepted connection. evhttp does not tell when it frees one; the socket's inode tells
- * whether the descriptor is still the same socket. */
+/* One accepted connection. evhttp does not tell when it frees one; the peer's address tells
+ * whether the descriptor is still the same socket. Inodes don't: some kernels number all sockets
+ * alike. */
 typedef struct Connection
 {
   int fd;
-  ino_t inode;
+  struct sockaddr_storage peer;
   DpUsec since;  /* accepted, or done with the last request */
   gboolean busy; /* a request is being answered */
 } Connection;
@@ -27,11 +28,23 @@
   struct event *sweep;
 };
 
-static ino_t
-socket_inode (int fd)
+/* All zero if the descriptor is no connected socket. */
+static struct sockaddr_storage
+peer_address (int fd)
 {
-  struct stat info;
-  return fstat (fd, &info) == 0 ? info.st_ino : 0;
+  struct sockaddr_storage peer;
+  memset (&peer, 0, sizeof peer);
+  socklen_t length = sizeof peer;
+  if (getpeername (fd, (struct sockaddr *)&peer, &length) != 0)
+    memset (&peer, 0, sizeof peer);
+  return peer;
+}
+
+static gboolean
+is_same_socket (const Connection *connection)
+{
+  struct sockaddr_storage peer = peer_address (connection->fd);
+  return peer.ss_family != 0 && memcmp (&peer, &connection->peer, sizeof peer) == 0;
 }
 
 static void
@@ -67,7 +80,7 @@
     {
       Connection *connection = g_new0 (Connection, 1);
       connection->fd = bufferevent_getfd (g_ptr_array_index (connections->accepted, i));
-      connection->inode = socket_inode (connection->fd);
+      connection->peer = peer_address (connection->fd);
       connection->since = g_get_monotonic_time ();
       g_hash_table_replace (connections->rows, &connection->fd, connection);
     }
@@ -86,7 +99,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Connection *connection = value;
-      if (socket_inode (connection->fd) != connection->inode)
+      if (!is_same_socket (connection))
         g_hash_table_iter_remove (&iter);
       else if (!connection->busy && connection->since < oldest)
         shutdown (connection->fd, SHUT_RDWR);
--- a/node/front.c
+++ b/node/front.c
@@ -108,7 +108,7 @@
     return TRUE;
   const DpWorkspace *workspace = DP_MANIFEST_ROW (node->manifest, workspaces, DpWorkspace,
                                                   (guint)admission->workspace);
-  DpQuotaLimit limit = dp_peers_limit (node->manifest, admission->workspace);
+  DpQuotaLimit limit = dp_peers_limit (node, node->manifest, admission->workspace);
   double cost = measure_cost (admission, workspace);
   DpUsec retry_after = 0;
   if (!dp_quota_user_admit (node->quota_user, &limit, cost, dp_peers_count (node),
@@ -167,17 +167,28 @@
   dp_request_begin (request);
 }
 
+static const char *
+workspace_text (const Admission *admission)
+{
+  if (admission->workspace < 0)
+    return NULL;
+  return DP_MANIFEST_ROW (admission->node->manifest, workspaces, DpWorkspace,
+                          (guint)admission->workspace)
+    ->text;
+}
+
 static void
 on_request (gpointer user, DpHttpExchange *exchange)
 {
-  Admission admission = { .node = user, .exchange = exchange };
+  Admission admission = { .node = user, .exchange = exchange, .workspace = -1 };
   dp_wire_read_request (exchange, &admission.said);
   if (check_ready (&admission) && find_route (&admission) && check_key (&admission)
       && check_limit (&admission))
     begin (&admission);
   else
     dp_request_refuse_exchange (admission.node, exchange, admission.said.id,
-                                admission.refusal, admission.retry_after);
+                                workspace_text (&admission), admission.refusal,
+                                admission.retry_after);
 }
 
 /* --- readiness --- */
--- a/node/main.c
+++ b/node/main.c
@@ -13,6 +13,9 @@
  * worth nothing. */
 #define PAUSE_BOUND (150 * DP_USEC_PER_MSEC)
 
+/* The system's first start: nothing was used of any limit before. */
+#define FRESH_TIME (20 * DP_USEC_PER_SEC)
+
 static void
 on_message (gpointer user, DpPeer from, const DpMessage *message)
 {
@@ -101,7 +104,8 @@
   node->directory = dp_directory_new ();
   node->owners = dp_owners_new (node->self);
   node->quota_user = dp_quota_user_new ();
-  node->quota_keeper = dp_quota_keeper_new ();
+  gboolean is_first = g_strcmp0 (node->settings->first_start, "true") == 0;
+  node->quota_keeper = dp_quota_keeper_new (is_first ? dp_node_now () + FRESH_TIME : 0);
   node->pools
     = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, dp_placing_pool_free);
   const DpTableOptions requests
--- a/node/node.h
+++ b/node/node.h
@@ -39,6 +39,8 @@
   char *retry_ratio;
   char *retry_slack;
   char *retry_window_s;
+  char *quota_window_s;
+  char *first_start; /* "true": the whole system starts for the first time */
 } DpNodeSettings;
 
 /* The texts of the settings, read. */
@@ -57,6 +59,7 @@
   double retry_ratio;
   double retry_slack;
   DpUsec retry_window;
+  DpUsec quota_window;
 } DpNodeFigures;
 
 /* FALSE: there are findings. */
@@ -198,7 +201,8 @@
 void dp_peers_send (DpNode *node, DpName vm, const DpMessage *message);
 guint dp_peers_count (const DpNode *node);
 /* Limit of the workspace; `per_second` is 0 if it has none. */
-DpQuotaLimit dp_peers_limit (const DpManifest *manifest, int workspace);
+DpQuotaLimit
+dp_peers_limit (const DpNode *node, const DpManifest *manifest, int workspace);
 
 /* --- placing.c --- */
 
@@ -240,6 +244,7 @@
 void dp_request_refuse_exchange (DpNode *node,
                                  DpHttpExchange *exchange,
                                  const char *id,
+                                 const char *workspace,
                                  DpReason reason,
                                  DpUsec retry_after);
 
--- a/node/peers.c
+++ b/node/peers.c
@@ -53,7 +53,7 @@
         dp_owners_due_probes (node->owners, pool->name, now, due);
     }
   for (guint i = 0; node->manifest != NULL && i < node->manifest->workspaces->len; i++)
-    if (dp_peers_limit (node->manifest, (int)i).per_second > 0)
+    if (dp_peers_limit (node, node->manifest, (int)i).per_second > 0)
       dp_owners_due_probes (
         node->owners,
         DP_MANIFEST_ROW (node->manifest, workspaces, DpWorkspace, i)->name, now, due);
@@ -84,9 +84,9 @@
 /* --- limits of workspaces --- */
 
 DpQuotaLimit
-dp_peers_limit (const DpManifest *manifest, int workspace)
+dp_peers_limit (const DpNode *node, const DpManifest *manifest, int workspace)
 {
-  DpQuotaLimit limit = { 0 };
+  DpQuotaLimit limit = { .window = node->figures.quota_window };
   if (workspace < 0)
     return limit;
   const DpWorkspace *row
@@ -103,7 +103,7 @@
   if (node->manifest == NULL)
     return;
   int index = dp_manifest_find (node->manifest, DP_MANIFEST_WORKSPACE, ask->workspace);
-  DpQuotaLimit limit = dp_peers_limit (node->manifest, index);
+  DpQuotaLimit limit = dp_peers_limit (node, node->manifest, index);
   if (limit.per_second <= 0)
     return;
   DpMessage message = { .type = DP_MESSAGE_LIMIT_GIVEN };
--- a/node/placing.c
+++ b/node/placing.c
@@ -238,8 +238,7 @@
 void
 dp_placing_started (DpNodeRequest *request)
 {
-  /* Only shared pools judge silence by it. */
-  if (!request->pool->is_shared || dp_id_is_none (request->attempt))
+  if (dp_id_is_none (request->attempt))
     return;
   DpMessage message = { .type = DP_MESSAGE_GRANT_PROGRESS };
   message.grant_progress
--- a/node/request.c
+++ b/node/request.c
@@ -104,6 +104,7 @@
 dp_request_refuse_exchange (DpNode *node,
                             DpHttpExchange *exchange,
                             const char *id,
+                            const char *workspace,
                             DpReason reason,
                             DpUsec retry_after)
 {
@@ -113,7 +114,7 @@
               node->manifest != NULL ? node->manifest->revision : 0);
   format_ms (age, dp_node_now () - node->manifest_proof);
   dp_log (DP_LOG_INFO, "request_refused", "request", id, "reason", dp_reason_name (reason),
-          "path", dp_http_exchange_target (exchange), "config", version, "config_age_ms", age,
+          "workspace", workspace, "path", dp_http_exchange_target (exchange), "config", version, "config_age_ms", age,
           NULL);
   reply_problem (exchange, dp_reason_status (reason), reason, retry_after);
 }
@@ -144,7 +145,9 @@
     }
   if (!request->may_have_run)
     dp_quota_user_give_back (request->node->quota_user,
-                             dp_peers_limit (request->manifest, request->workspace).workspace,
+                             dp_peers_limit (request->node, request->manifest,
+                                             request->workspace)
+                               .workspace,
                              request->charged);
   remove_request (request);
 }
--- a/node/settings.c
+++ b/node/settings.c
@@ -19,6 +19,8 @@
   TEXT (retry_ratio, "SHARE", "repeats a pool may get for each request (0.2)", FALSE),
   TEXT (retry_slack, "N", "repeats beside them in a window, of all VMs (100)", FALSE),
   TEXT (retry_window_s, "S", "window of both (10)", FALSE),
+  TEXT (quota_window_s, "S", "window of workspaces' rate limits (8)", FALSE),
+  TEXT (first_start, "true", "the whole system starts for the first time", FALSE),
 };
 
 const guint dp_node_setting_count = G_N_ELEMENTS (dp_node_settings);
@@ -31,6 +33,7 @@
 #define RETRY_RATIO_DEFAULT 0.2
 #define RETRY_SLACK_DEFAULT 100
 #define RETRY_WINDOW_S_DEFAULT 10
+#define QUOTA_WINDOW_S_DEFAULT 8
 #define WEIGHT_PER_CORE 1000
 
 static void
@@ -95,5 +98,8 @@
   double window = read_number ("retry_window_s", settings->retry_window_s,
                                RETRY_WINDOW_S_DEFAULT, findings);
   figures->retry_window = (DpUsec)(MAX (window, 1) * (double)DP_USEC_PER_SEC);
+  double quota_window = read_number ("quota_window_s", settings->quota_window_s,
+                                     QUOTA_WINDOW_S_DEFAULT, findings);
+  figures->quota_window = (DpUsec)(MAX (quota_window, 1) * (double)DP_USEC_PER_SEC);
   return dp_findings_count (findings) == 0;
 }
