node: a stop turns callers away once the balancer knows; config and targets from other VMs

A VM that starts while the store is away, or is turned away by it, learns config, targets and VMs from others that were heard, or from the seeds.

--- a/core/directory.h
+++ b/core/directory.h
@@ -21,7 +21,7 @@
   char pool[DP_TARGET_TEXT_BYTES];
   char data_centre[DP_TARGET_TEXT_BYTES];
   char address[46]; /* IP number */
-  guint16 port;
+  guint port_number;
   guint slots; /* requests that it runs at once */
   gboolean is_draining;
   guint64 started; /* Unix milliseconds; tells lifetimes under one id apart */
--- a/core/message.c
+++ b/core/message.c
@@ -21,6 +21,8 @@
   [DP_MESSAGE_MANIFEST_ASK] = "manifest_ask",
   [DP_MESSAGE_LIMIT_ASK] = "limit_ask",
   [DP_MESSAGE_LIMIT_GIVEN] = "limit_given",
+  [DP_MESSAGE_TARGETS_ASK] = "targets_ask",
+  [DP_MESSAGE_TARGETS] = "targets",
 };
 
 const char *
@@ -44,6 +46,9 @@
     case DP_MESSAGE_PROBE_ACK:
       g_clear_pointer (&message->probe.news, g_array_unref);
       break;
+    case DP_MESSAGE_TARGETS:
+      g_clear_pointer (&message->targets.rows, g_array_unref);
+      break;
     default:
       break;
     }
--- a/core/message.h
+++ b/core/message.h
@@ -64,6 +64,9 @@
   DP_MESSAGE_LIMIT_ASK,
   /* scheduler -> entry */
   DP_MESSAGE_LIMIT_GIVEN,
+  /* node <-> node: for those that can't reach the platform */
+  DP_MESSAGE_TARGETS_ASK,
+  DP_MESSAGE_TARGETS,
   DP_MESSAGE_COUNT,
 } DpMessageType;
 
@@ -279,6 +282,19 @@
   DpUsec retry_after; /* for the others; 0: not known */
 } DpLimitGiven;
 
+/* "Which targets and VMs do you know?" */
+typedef struct DpTargetsAsk
+{
+  guint64 version; /* of the asker's targets */
+} DpTargetsAsk;
+
+/* Targets as a node knows them. */
+typedef struct DpTargetsText
+{
+  DpUsec age;   /* of the platform's last word on them */
+  GArray *rows; /* DpTargetRecord; owned by the message */
+} DpTargetsText;
+
 typedef struct DpMessage
 {
   DpMessageType type;
@@ -303,6 +319,8 @@
     DpManifestAsk manifest_ask;
     DpLimitAsk limit_ask;
     DpLimitGiven limit_given;
+    DpTargetsAsk targets_ask;
+    DpTargetsText targets;
   };
 } DpMessage;
 
--- a/net/codec.h
+++ b/net/codec.h
@@ -19,6 +19,8 @@
 #define DP_CODEC_FRAME_BYTES_MAX (1024 * 1024 + 1024)
 /* Rows of a view or of a probe's news. */
 #define DP_CODEC_VMS_MAX 4096
+/* Targets in one message. */
+#define DP_CODEC_TARGETS_MAX 4096
 
 #define DP_CODEC_ERROR (dp_codec_error_quark ())
 
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -1,5 +1,6 @@
 #include "net/codec_fields.h"
 
+#include "core/directory.h"
 #include "core/view.h"
 #include "manifest/manifest.h"
 #include "net/codec.h"
@@ -232,6 +233,27 @@
   USEC (5, DpMessage, limit_given.retry_after),
 };
 
+static const DpField targets_ask_fields[] = {
+  UINT64 (1, DpMessage, targets_ask.version),
+};
+
+static const DpField target_fields[] = {
+  TEXT (1, DpTargetRecord, id),
+  TEXT (2, DpTargetRecord, pool),
+  TEXT (3, DpTargetRecord, data_centre),
+  TEXT (4, DpTargetRecord, address),
+  UINT (5, DpTargetRecord, port_number, G_MAXUINT16),
+  UINT (6, DpTargetRecord, slots, G_MAXUINT),
+  FLAG (7, DpTargetRecord, is_draining),
+  UINT64 (8, DpTargetRecord, started),
+};
+static const DpFieldTable target_table = TABLE (DpTargetRecord, target_fields);
+
+static const DpField targets_fields[] = {
+  USEC (1, DpMessage, targets.age),
+  ARRAY (2, DpMessage, targets.rows, DP_CODEC_TARGETS_MAX, &target_table),
+};
+
 static const DpFieldTable tables[DP_MESSAGE_COUNT] = {
   [DP_MESSAGE_GRANT_ASK] = TABLE (DpMessage, grant_ask_fields),
   [DP_MESSAGE_GRANT_PROGRESS] = TABLE (DpMessage, grant_progress_fields),
@@ -253,6 +275,8 @@
   [DP_MESSAGE_MANIFEST_ASK] = TABLE (DpMessage, manifest_ask_fields),
   [DP_MESSAGE_LIMIT_ASK] = TABLE (DpMessage, limit_ask_fields),
   [DP_MESSAGE_LIMIT_GIVEN] = TABLE (DpMessage, limit_given_fields),
+  [DP_MESSAGE_TARGETS_ASK] = TABLE (DpMessage, targets_ask_fields),
+  [DP_MESSAGE_TARGETS] = TABLE (DpMessage, targets_fields),
 };
 
 const DpFieldTable *
--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -159,3 +159,17 @@
 {
   connections->options.request_timeout = timeout;
 }
+
+void
+dp_http_connections_close_idle (DpHttpConnections *connections)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, connections->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Connection *connection = value;
+      if (!connection->busy && is_same_socket (connection))
+        shutdown (connection->fd, SHUT_RDWR);
+    }
+}
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -460,6 +460,12 @@
   server->close_after_answers = TRUE;
 }
 
+void
+dp_http_server_close_idle (DpHttpServer *server)
+{
+  dp_http_connections_close_idle (server->connections);
+}
+
 void
 dp_http_server_set_limits (DpHttpServer *server, const DpHttpServerLimits *limits)
 {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -50,6 +50,9 @@
 /* Answers say that the connection closes after them; new connections are still accepted. */
 void dp_http_server_close_after_answers (DpHttpServer *server);
 
+/* Closes connections that wait for their next request. */
+void dp_http_server_close_idle (DpHttpServer *server);
+
 /* Limits for what comes from now on; 0 keeps the present one. */
 typedef struct DpHttpServerLimits
 {
--- a/node/attempt.c
+++ b/node/attempt.c
@@ -258,7 +258,7 @@
   const DpHttpCallOptions options = {
     .base = request->node->base,
     .address = target->record.address,
-    .port = target->record.port,
+    .port = (guint16)target->record.port_number,
     .method = method (dp_http_exchange_method (request->exchange)),
     .path = dp_http_exchange_target (request->exchange),
     .host = request->said.host,
--- a/node/follow.c
+++ b/node/follow.c
@@ -98,13 +98,11 @@
 /* --- config --- */
 
 static void
-take_config (DpFollow *follow, const DpStoreObject *object, guint64 revision)
+use_config (DpFollow *follow, struct json_object *spec, const char *source)
 {
   DpNode *node = follow->node;
-  if (object->is_deleted || strcmp (object->name, "main") != 0)
-    return;
   DpFindings *findings = dp_findings_new ();
-  DpManifest *manifest = dp_records_read_config (object->spec, findings);
+  DpManifest *manifest = dp_records_read_config (spec, findings);
   log_findings ("config", findings);
   dp_findings_unref (findings);
   if (manifest == NULL)
@@ -114,17 +112,42 @@
   if (node->manifest != NULL && manifest->revision <= node->manifest->revision)
     {
       if (manifest->revision < node->manifest->revision)
-        log_change ("config_ignored", version, "older than the one in force", revision);
+        dp_log (DP_LOG_NOTICE, "config_ignored", "version", version, "source", source,
+                "reason", "older than the one in force", NULL);
       dp_manifest_unref (manifest);
       return;
     }
-  log_change ("config_in_force", version, "ok", revision);
+  dp_log (DP_LOG_NOTICE, "config_in_force", "version", version, "source", source, NULL);
   dp_manifest_unref (node->manifest);
   node->manifest = manifest;
+  g_clear_pointer (&node->manifest_text, g_bytes_unref);
+  gsize length;
+  const char *text
+    = json_object_to_json_string_length (spec, JSON_C_TO_STRING_PLAIN, &length);
+  node->manifest_text = g_bytes_new (text, length);
   dp_placing_set_manifest (node);
   dp_front_set_limits (node);
 }
 
+static void
+take_config (DpFollow *follow, const DpStoreObject *object, guint64 revision)
+{
+  if (!object->is_deleted && strcmp (object->name, DP_CONFIG_NAME) == 0)
+    use_config (follow, object->spec, "store");
+}
+
+void
+dp_follow_take_config_text (DpFollow *follow, GBytes *text)
+{
+  gsize length;
+  const char *data = g_bytes_get_data (text, &length);
+  struct json_tokener *tokener = json_tokener_new ();
+  struct json_object *spec = json_tokener_parse_ex (tokener, data, (int)length);
+  json_tokener_free (tokener);
+  use_config (follow, spec, "another VM");
+  json_object_put (spec);
+}
+
 /* --- targets --- */
 
 static void
@@ -171,6 +194,21 @@
   g_array_unref (missing);
 }
 
+void
+dp_follow_take_targets (DpFollow *follow, const GArray *records)
+{
+  DpNode *node = follow->node;
+  guint64 before = dp_directory_version (node->directory);
+  dp_directory_replace (node->directory, (const DpTargetRecord *)records->data, records->len,
+                        FALSE, dp_node_now ());
+  if (dp_directory_version (node->directory) == before)
+    return;
+  char count[16];
+  g_snprintf (count, sizeof count, "%u", records->len);
+  dp_log (DP_LOG_NOTICE, "targets_from_vm", "targets", count, NULL);
+  dp_placing_set_targets (node);
+}
+
 /* --- VMs --- */
 
 static void
@@ -231,6 +269,23 @@
   g_hash_table_foreach_remove (follow->vms, is_unlisted, user);
 }
 
+void
+dp_follow_take_vms (DpFollow *follow, const GArray *vms)
+{
+  gboolean changed = FALSE;
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const DpVm *vm = &g_array_index (vms, DpVm, i);
+      if (g_hash_table_contains (follow->vms, &vm->name))
+        continue;
+      g_hash_table_insert (follow->vms, g_memdup2 (&vm->name, sizeof vm->name),
+                           g_memdup2 (vm, sizeof *vm));
+      changed = TRUE;
+    }
+  if (changed)
+    publish_view (follow);
+}
+
 /* --- pages --- */
 
 static void
--- a/node/front.c
+++ b/node/front.c
@@ -288,12 +288,27 @@
   dp_follow_leave (node->follow);
 }
 
+/* Callers that still come are better off with another VM: what is taken now could not be ended
+ * in time. Callers try again at once when a connection closes without an answer to a request that
+ * was not read. */
+static void
+turn_away (DpNode *node)
+{
+  if (node->turned_away)
+    return;
+  node->turned_away = TRUE;
+  dp_http_server_stop_accepting (node->callers);
+  dp_http_server_close_idle (node->callers);
+}
+
 gboolean
 dp_front_may_exit (DpNode *node, DpUsec now)
 {
   if (!node->is_stopping)
     return FALSE;
   DpUsec since = now - node->stop_at;
+  if (since >= BALANCER_LAG)
+    turn_away (node);
   DpUsec limit = node->figures.stop_time - STOP_RESERVE;
   if (since >= limit)
     return TRUE;
--- a/node/main.c
+++ b/node/main.c
@@ -101,6 +101,7 @@
   node->counters = dp_process_counters (node->process);
   node->self = dp_name (node->settings->process.name);
   node->random = dp_process_random ();
+  node->started_at = dp_node_now ();
   node->directory = dp_directory_new ();
   node->owners = dp_owners_new (node->self);
   node->quota_user = dp_quota_user_new ();
@@ -129,6 +130,7 @@
   dp_quota_user_free (node->quota_user);
   dp_quota_keeper_free (node->quota_keeper);
   dp_manifest_unref (node->manifest);
+  g_clear_pointer (&node->manifest_text, g_bytes_unref);
   dp_view_unref (node->view);
 }
 
--- a/node/node.h
+++ b/node/node.h
@@ -5,6 +5,7 @@
  *
  *   settings.c its settings
  *   follow.c   what lies in the platform's store: config, targets, VMs
+ *   share.c    the same from other VMs, while the store is out of reach
  *   peers.c    the other VMs: probes, owners, limits of workspaces
  *   placing.c  which target a request is sent to: asks, grants, dispatchers
  *   front.c    callers: admission, ready, stop
@@ -99,6 +100,7 @@
   DpPlatformClient *store;
   DpFollow *follow;
   DpManifest *manifest; /* NULL until one is known */
+  GBytes *manifest_text; /* as it lies in the store */
   DpUsec manifest_proof; /* when the store last confirmed it as the newest */
   DpDirectory *directory;
   guint64 directory_applied; /* version that the dispatchers have */
@@ -121,8 +123,12 @@
   struct event *tick;
   DpUsec ticked_at;
   DpUsec peers_ticked_at;
+  DpUsec started_at;
+  DpUsec asked_state_at;   /* another VM, for what the store can't tell */
+  DpUsec asked_manifest_at;
   gboolean is_stopping;
   DpUsec stop_at;
+  gboolean turned_away; /* no new callers any more */
 };
 
 /* Stages of a request. */
@@ -191,6 +197,21 @@
 /* Takes this VM out of the list of VMs. */
 void dp_follow_leave (DpFollow *follow);
 
+/* What another VM knows; each is ignored if this VM knows better. */
+void dp_follow_take_config_text (DpFollow *follow, GBytes *text);
+void dp_follow_take_targets (DpFollow *follow, const GArray *records);
+void dp_follow_take_vms (DpFollow *follow, const GArray *vms);
+
+/* --- share.c --- */
+
+void dp_share_tick (DpNode *node, DpUsec now);
+/* TRUE if the message was one of these. */
+gboolean dp_share_message (DpNode *node, DpName from, const DpMessage *message);
+/* A VM has this config in force. */
+void dp_share_note_revision (DpNode *node, DpName vm, guint64 revision);
+/* VMs by the addresses of the settings, under names of their own: GArray of DpVm. */
+GArray *dp_share_seeds (const DpNode *node);
+
 /* --- peers.c --- */
 
 void dp_peers_set_view (DpNode *node, DpView *view);
--- a/node/peers.c
+++ b/node/peers.c
@@ -23,7 +23,12 @@
   dp_view_unref (node->view);
   node->view = dp_view_ref (view);
   dp_owners_set_view (node->owners, view);
-  dp_process_set_peers (node->process, view);
+  GArray *rows = dp_share_seeds (node);
+  g_array_append_vals (rows, view->vms->data, view->vms->len);
+  DpView *reachable = dp_view_new (view->version, (const DpVm *)rows->data, rows->len);
+  dp_process_set_peers (node->process, reachable);
+  dp_view_unref (reachable);
+  g_array_unref (rows);
   dp_counters_set (node->counters, "dogwoodplank_vms", NULL, NULL, view->vms->len);
 }
 
@@ -154,10 +159,12 @@
     {
     case DP_MESSAGE_PROBE:
       note_heard (node, from.vm, message->probe.leaving);
+      dp_share_note_revision (node, from.vm, message->probe.manifest_revision);
       send_probe (node, from.vm, DP_MESSAGE_PROBE_ACK, message->probe.sequence);
       break;
     case DP_MESSAGE_PROBE_ACK:
       note_heard (node, from.vm, message->probe.leaving);
+      dp_share_note_revision (node, from.vm, message->probe.manifest_revision);
       break;
     case DP_MESSAGE_LIMIT_ASK:
       answer_limit_ask (node, from.vm, &message->limit_ask);
@@ -166,7 +173,8 @@
       dp_quota_user_given (node->quota_user, &message->limit_given);
       break;
     default:
-      dp_placing_message (node, from.vm, message);
+      if (!dp_share_message (node, from.vm, message))
+        dp_placing_message (node, from.vm, message);
       break;
     }
 }
@@ -179,4 +187,5 @@
   node->peers_ticked_at = now;
   send_due_probes (node, now);
   send_limit_asks (node, now);
+  dp_share_tick (node, now);
 }
