--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -52,7 +52,7 @@
   dispatcher->sessions = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   dispatcher->waiting = g_ptr_array_new ();
   dp_pace_model_init (&dispatcher->pace);
-  for (guint i = 0; i < DP_TIERS_MAX; i++)
+  for (guint i = 0; i < DP_URGENCY_COUNT; i++)
     dispatcher->hold_ms[i] = HOLD_START_MS;
   return dispatcher;
 }
@@ -130,7 +130,7 @@
   place->state = DP_PLACE_WAITING;
   place->waiting_index = dispatcher->waiting->len;
   g_ptr_array_add (dispatcher->waiting, place);
-  dispatcher->tier_waiting[place->ask.urgency]++;
+  dispatcher->urgency_waiting[place->ask.urgency]++;
   entry_seen (dispatcher, place->entry)->waiting++;
 }
 
@@ -141,7 +141,7 @@
   g_ptr_array_remove_index_fast (dispatcher->waiting, index);
   if (index < dispatcher->waiting->len)
     ((DpPlace *)g_ptr_array_index (dispatcher->waiting, index))->waiting_index = index;
-  dispatcher->tier_waiting[place->ask.urgency]--;
+  dispatcher->urgency_waiting[place->ask.urgency]--;
   entry_seen (dispatcher, place->entry)->waiting--;
 }
 
@@ -282,7 +282,7 @@
     return;
   DpPlace *place = add_place (dispatcher, from, ask->attempt);
   place->ask = *ask;
-  place->ask.urgency = MIN (ask->urgency, DP_TIERS_MAX - 1);
+  place->ask.urgency = MIN (ask->urgency, DP_URGENCY_COUNT - 1);
   place->goal_at = dispatcher->now + ask->goal_left;
   place->deadline = dispatcher->now + ask->remaining;
   enqueue (dispatcher, place);
@@ -552,7 +552,7 @@
       entry->advert_at = dispatcher->now;
       DpMessage *message = dp_dispatch_send (dispatcher, entry->vm, DP_MESSAGE_ADVERT);
       message->advert.group = dispatcher->options.pool;
-      message->advert.wait = dp_dispatch_estimate_wait (dispatcher, DP_TIERS_MAX - 1);
+      message->advert.wait = dp_dispatch_estimate_wait (dispatcher, DP_URGENCY_COUNT - 1);
     }
 }
 
--- a/core/dispatcher_board.h
+++ b/core/dispatcher_board.h
@@ -3,7 +3,6 @@
 
 #include "core/dispatcher.h"
 #include "core/pace.h"
-#include "manifest/manifest.h"
 
 /* A suspect target is probed with one request after this time, and after twice as long with each
  * failure in a row. */
@@ -81,8 +80,8 @@
   GHashTable *sessions; /* guint64 -> DpSessionPlace */
   GPtrArray *waiting;   /* DpPlace, in no order: it is short, and is read whole to choose */
   DpPaceModel pace;
-  double hold_ms[DP_TIERS_MAX]; /* learned time that a request of the tier keeps its slot */
-  guint tier_waiting[DP_TIERS_MAX];
+  double hold_ms[DP_URGENCY_COUNT]; /* learned time that a request of that urgency keeps its slot */
+  guint urgency_waiting[DP_URGENCY_COUNT];
   guint running;
   guint64 random;
 };
@@ -113,8 +112,8 @@
 DpPlace *dp_dispatch_next (DpDispatcher *dispatcher, const DpBackend *backend);
 /* Why the request should not wait any longer; NONE: it should. */
 DpReason dp_dispatch_check_wait (const DpDispatcher *dispatcher, const DpPlace *place);
-/* Time until a request of that tier that came now would be given a target. */
-DpUsec dp_dispatch_estimate_wait (const DpDispatcher *dispatcher, guint tier);
+/* Time until a request of that urgency that came now would be given a target. */
+DpUsec dp_dispatch_estimate_wait (const DpDispatcher *dispatcher, guint urgency);
 
 /* --- dispatcher.c --- */
 
--- a/core/dispatcher_queue.c
+++ b/core/dispatcher_queue.c
@@ -6,10 +6,13 @@
  * on time, least on long low-tier ones, and a late urgent one lies between (LATE_TIERS). */
 #include "core/dispatcher_board.h"
 
-/* A late request ranks behind requests on time of this many tiers below its own. */
+/* A late request ranks behind requests on time of this many steps of urgency below its own. */
 #define LATE_TIERS 1
-/* From the owner to the target and back to the caller. */
-#define TRANSPORT_USEC (8 * DP_USEC_PER_MSEC)
+/* From the owner to the target and back to the caller, with the wait for a tick. */
+#define TRANSPORT_USEC (16 * DP_USEC_PER_MSEC)
+/* First events vary; a request that would only just be on time probably is not, and takes the
+ * place of one that would. */
+#define ON_TIME_MARGIN 1.25
 /* Part of a request's time that it may wait; then it has to leave room for another attempt. */
 #define WAIT_SHARE 0.4
 /* A caller of a stream leaves after two seconds without an event. */
@@ -23,9 +26,10 @@
 {
   DpUsec first
     = dp_pace_first_event (&dispatcher->pace, place->ask.prompt_tokens, backend->pace);
-  gboolean on_time = dispatcher->now + first + TRANSPORT_USEC <= place->goal_at;
-  guint tier = place->ask.urgency;
-  return on_time ? 2 * tier : 2 * (tier + LATE_TIERS) + 1;
+  gboolean on_time = dispatcher->now + (DpUsec)((double)first * ON_TIME_MARGIN) + TRANSPORT_USEC
+                     <= place->goal_at;
+  guint urgency = place->ask.urgency;
+  return on_time ? 2 * urgency : 2 * (urgency + LATE_TIERS) + 1;
 }
 
 /* TRUE if `a` goes first; both have the same rank. */
@@ -55,11 +59,11 @@
 }
 
 DpUsec
-dp_dispatch_estimate_wait (const DpDispatcher *dispatcher, guint tier)
+dp_dispatch_estimate_wait (const DpDispatcher *dispatcher, guint urgency)
 {
   double work_ms = 0;
-  for (guint i = 0; i <= MIN (tier, DP_TIERS_MAX - 1); i++)
-    work_ms += dispatcher->tier_waiting[i] * dispatcher->hold_ms[i];
+  for (guint i = 0; i <= MIN (urgency, DP_URGENCY_COUNT - 1); i++)
+    work_ms += dispatcher->urgency_waiting[i] * dispatcher->hold_ms[i];
   guint slots = MAX (dp_dispatch_slots (dispatcher), 1);
   return (DpUsec)(work_ms / slots * (double)DP_USEC_PER_MSEC);
 }
--- a/core/message.h
+++ b/core/message.h
@@ -18,6 +18,9 @@
 /* Grants named in one report of an entry. */
 #define DP_HELD_MAX 64
 #define DP_ADVERT_TIERS_MAX 8
+/* The workspace's tier, and within it the route's. */
+#define DP_URGENCY_ROUTES 4
+#define DP_URGENCY_COUNT 32
 
 typedef enum DpRole
 {
@@ -89,7 +92,7 @@
   guint excluded_count;
   DpName excluded[DP_EXCLUDED_MAX];
   /* asks of a pool's dispatcher only */
-  guint urgency;    /* index of the tier, 0 the most urgent */
+  guint urgency;    /* 0 is the most urgent; below DP_URGENCY_COUNT */
   DpUsec goal_left; /* until the first byte would be late; 0: it is */
   guint64 session;  /* hash of the prompt's last part; 0: none */
 } DpGrantAsk;
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -73,7 +73,7 @@
         grant_ask.excluded_count,
         DP_EXCLUDED_MAX,
         NULL),
-  UINT (13, DpMessage, grant_ask.urgency, DP_TIERS_MAX - 1),
+  UINT (13, DpMessage, grant_ask.urgency, DP_URGENCY_COUNT - 1),
   USEC (14, DpMessage, grant_ask.goal_left),
   UINT64 (15, DpMessage, grant_ask.session),
 };
--- a/node/front.c
+++ b/node/front.c
@@ -118,15 +118,21 @@
   return TRUE;
 }
 
+/* A workspace's tier goes before the route's; within it, routes keep their order. */
 static guint
-tier (const Admission *admission)
+urgency (const Admission *admission)
 {
-  if (admission->workspace < 0)
-    return admission->route->tier;
-  int own = DP_MANIFEST_ROW (admission->node->manifest, workspaces, DpWorkspace,
-                             (guint)admission->workspace)
-              ->tier;
-  return own >= 0 ? (guint)own : admission->route->tier;
+  guint route = admission->route->tier;
+  guint first = route;
+  if (admission->workspace >= 0)
+    {
+      int own = DP_MANIFEST_ROW (admission->node->manifest, workspaces, DpWorkspace,
+                                 (guint)admission->workspace)
+                  ->tier;
+      first = own >= 0 ? (guint)own : route;
+    }
+  return MIN (first * DP_URGENCY_ROUTES + MIN (route, DP_URGENCY_ROUTES - 1),
+              DP_URGENCY_COUNT - 1);
 }
 
 static DpNodePool *
@@ -158,7 +164,7 @@
   request->id = g_strdup (admission->said.id);
   request->pool = choose_pool (admission);
   request->said = admission->said;
-  request->tier = tier (admission);
+  request->urgency = urgency (admission);
   request->is_repeatable = dp_route_is_repeatable (route);
   request->charged = admission->charged;
   request->arrived = now;
--- a/node/node.h
+++ b/node/node.h
@@ -150,7 +150,7 @@
   char *id;
   DpNodePool *pool;
   DpCallerRequest said; /* texts valid as long as the exchange */
-  guint tier;
+  guint urgency;
   gboolean is_repeatable;
   double charged; /* against the workspace's limit */
   DpUsec arrived;
--- a/node/placing.c
+++ b/node/placing.c
@@ -209,7 +209,7 @@
   ask->remaining = MAX (request->deadline - now, 0);
   ask->goal_left = MAX (request->goal_at - now, 0);
   ask->repeatable = request->is_repeatable;
-  ask->urgency = request->tier;
+  ask->urgency = request->urgency;
   ask->session = request->said.session;
   ask->excluded_count = request->excluded_count;
   for (guint i = 0; i < request->excluded_count; i++)
