--- a/core/quota.c
+++ b/core/quota.c
@@ -6,14 +6,16 @@
 #define ASK_AHEAD 2.0
 /* A keeper that did not answer for so long is replaced by an equal share. */
 #define KEEPER_SILENCE (600 * DP_USEC_PER_MSEC)
-/* Debt that may be run up on a keeper's word that there is enough, in seconds of the limit. */
-#define DEBT_SECONDS 0.1
+/* Debt that all VMs together may run up on a keeper's word that there is enough, in seconds of
+ * the limit: with the burst at hand it stays within what a window allows. */
+#define DEBT_SECONDS 0.6
 #define RETRY_AFTER_MIN (100 * DP_USEC_PER_MSEC)
 #define RETRY_AFTER_MAX (2 * DP_USEC_PER_SEC)
 #define WANT_MAX 1e9
-/* Part of the burst that may be used at one moment. The rest is spread over the window, so that a
- * workspace far over its limit is served evenly. */
-#define DEPTH_PART 0.5
+/* Parts of the burst that may be used at one moment, and that are spread over the window, so that
+ * a workspace far over its limit is served evenly. The rest makes up for debts. */
+#define DEPTH_PART 0.4
+#define SPREAD_PART 0.4
 /* A keeper that has just begun does not know what was used before: it starts with this part of
  * the depth. */
 #define START_PART 0.25
@@ -114,7 +116,8 @@
     add_equal_share (use, limit, vms, now);
   else
     use->share_at = now;
-  double floor = use->is_short || is_silent ? 0 : -limit->per_second * DEBT_SECONDS;
+  double debt = limit->per_second * DEBT_SECONDS / MAX (vms, 1);
+  double floor = use->is_short || is_silent ? 0 : -debt;
   use->used += cost;
   if (use->credit - cost < floor)
     {
@@ -211,7 +214,7 @@
 {
   double window = MAX ((double)limit->window / (double)DP_USEC_PER_SEC, 1);
   double depth = limit->burst * DEPTH_PART * reach;
-  double refill = (limit->per_second + limit->burst * (1 - DEPTH_PART) / window) * reach;
+  double refill = (limit->per_second + limit->burst * SPREAD_PART / window) * reach;
   Bucket *bucket = obtain_bucket (keeper, ask->workspace, depth, now);
   double seconds = (double)(now - bucket->at) / (double)DP_USEC_PER_SEC;
   bucket->at = now;
