--- a/common/log.c
+++ b/common/log.c
@@ -1,5 +1,6 @@
 #include "common/log.h"
 
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -8,8 +9,11 @@
 /* Longer values are cut, so that one line stays within one write(2). */
 #define VALUE_BYTES_MAX 512
 
-static const char *log_program = "dogwoodplank";
-static DpLogLevel log_level = DP_LOG_INFO;
+static DpLogOptions log_options = { .program = "dogwoodplank", .level = DP_LOG_INFO };
+/* Lines that may be written now, at most those of a second. */
+static double log_allowance;
+static gint64 log_allowance_at;
+static guint64 log_dropped;
 
 static gboolean
 is_plain (const char *value)
@@ -47,17 +51,52 @@
   g_string_append_c (out, '"');
 }
 
+void
+dp_log_configure (const DpLogOptions *options)
+{
+  log_options = *options;
+  log_allowance = options->lines_per_second;
+  if (!options->to_output)
+    return;
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+  if (flags >= 0)
+    fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
 void
 dp_log_init (const char *program, DpLogLevel level)
 {
-  log_program = program;
-  log_level = level;
+  dp_log_configure (&(DpLogOptions){ .program = program, .level = level });
+}
+
+guint64
+dp_log_dropped (void)
+{
+  return log_dropped;
+}
+
+/* Warnings and changes of state always pass. */
+static gboolean
+passes_bound (DpLogLevel level)
+{
+  if (level < DP_LOG_INFO || log_options.lines_per_second == 0)
+    return TRUE;
+  gint64 now = g_get_monotonic_time ();
+  double earned = (double)(now - log_allowance_at) / G_USEC_PER_SEC;
+  log_allowance_at = now;
+  log_allowance = MIN (log_allowance + earned * log_options.lines_per_second,
+                       (double)log_options.lines_per_second);
+  if (log_allowance < 1)
+    return FALSE;
+  log_allowance -= 1;
+  return TRUE;
 }
 
 void
 dp_log_format (GString *out, DpLogLevel level, const char *event, va_list pairs)
 {
-  g_string_append_printf (out, "<%d>program=%s event=%s", (int)level, log_program, event);
+  g_string_append_printf (out, "<%d>program=%s event=%s", (int)level, log_options.program,
+                          event);
   for (;;)
     {
       const char *key = va_arg (pairs, const char *);
@@ -74,15 +113,21 @@
 void
 dp_log (DpLogLevel level, const char *event, ...)
 {
-  if (level > log_level)
+  if (level > log_options.level)
     return;
+  if (!passes_bound (level))
+    {
+      log_dropped++;
+      return;
+    }
   GString *line = g_string_new (NULL);
   va_list pairs;
   va_start (pairs, event);
   dp_log_format (line, level, event, pairs);
   va_end (pairs);
   g_string_append_c (line, '\n');
-  ssize_t written = write (STDERR_FILENO, line->str, line->len);
-  (void)written;
+  int out = log_options.to_output ? STDOUT_FILENO : STDERR_FILENO;
+  if (write (out, line->str, line->len) < 0)
+    log_dropped++;
   g_string_free (line, TRUE);
 }
--- a/core/directory.c
+++ b/core/directory.c
@@ -11,6 +11,8 @@
   GHashTable *by_name; /* DpName -> DpHandle */
   GHashTable *drained; /* DpName -> guint64: start of the newest lifetime that was draining */
   guint64 version;
+  DpUsec contact_at;  /* 0: never */
+  DpUsec grace_until; /* what is missing until then may live */
 };
 
 DpDirectory *
@@ -101,34 +103,44 @@
   row->pool = dp_name (taken.pool);
   row->data_centre = dp_name (taken.data_centre);
   row->is_listed = TRUE;
-  row->lapsed_since = 0;
   directory->version++;
   return TRUE;
 }
 
 void
-dp_directory_remove (DpDirectory *directory, DpName name, gboolean may_live, DpUsec now)
+dp_directory_contact (DpDirectory *directory, DpUsec lapse, DpUsec now)
+{
+  if (directory->contact_at != 0 && now - directory->contact_at > lapse)
+    directory->grace_until = now + DP_RETURN_GRACE;
+  directory->contact_at = now;
+}
+
+DpUsec
+dp_directory_contact_at (const DpDirectory *directory)
+{
+  return directory->contact_at;
+}
+
+void
+dp_directory_remove (DpDirectory *directory, DpName name, DpUsec now)
 {
   DpDirectoryRow *row = find (directory, name);
   if (row == NULL)
     return;
-  if (!may_live || row->record.is_draining)
+  if (now >= directory->grace_until || row->record.is_draining)
     {
       drop_row (directory, row);
       return;
     }
-  if (!row->is_listed)
-    return;
+  if (row->is_listed)
+    directory->version++;
   row->is_listed = FALSE;
-  row->lapsed_since = now;
-  directory->version++;
 }
 
 void
 dp_directory_replace (DpDirectory *directory,
                       const DpTargetRecord *records,
                       guint count,
-                      gboolean may_live,
                       DpUsec now)
 {
   GHashTable *listed = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
@@ -143,19 +155,21 @@
     {
       const DpDirectoryRow *row = dp_table_get (directory->rows, at);
       if (!g_hash_table_contains (listed, &row->name))
-        dp_directory_remove (directory, row->name, may_live, now);
+        dp_directory_remove (directory, row->name, now);
     }
   g_hash_table_unref (listed);
 }
 
 void
-dp_directory_expire (DpDirectory *directory, DpUsec before)
+dp_directory_expire (DpDirectory *directory, DpUsec now)
 {
+  if (now < directory->grace_until)
+    return;
   for (DpHandle at = dp_table_next (directory->rows, 0); at != 0;
        at = dp_table_next (directory->rows, at))
     {
       DpDirectoryRow *row = dp_table_get (directory->rows, at);
-      if (!row->is_listed && row->lapsed_since < before)
+      if (!row->is_listed)
         drop_row (directory, row);
     }
 }
--- a/core/directory.h
+++ b/core/directory.h
@@ -2,7 +2,8 @@
  *
  * Rows come from the platform's listing and watch, or from a peer. A target that was once seen
  * draining stays so for its lifetime, whatever an older answer says. Entries that lapse while
- * the platform can't be reached may be alive: they are kept until a grace time after its return.
+ * the platform can't be reached may be alive: they are kept until a grace time after its
+ * return.
  */
 #pragma once
 
@@ -12,6 +13,9 @@
 
 #include <glib.h>
 
+/* Entries of targets that live are back so long after the platform's return. */
+#define DP_RETURN_GRACE (2 * DP_USEC_PER_SEC)
+
 #define DP_TARGET_TEXT_BYTES 64
 
 /* What a target says of itself. */
@@ -34,8 +38,7 @@
   DpName pool;
   DpName data_centre;
   DpTargetRecord record;
-  gboolean is_listed;   /* FALSE: lapsed while the platform was out of reach */
-  DpUsec lapsed_since;  /* if it is not listed */
+  gboolean is_listed; /* FALSE: lapsed while the platform was out of reach */
 } DpDirectoryRow;
 
 typedef struct DpDirectory DpDirectory;
@@ -47,19 +50,26 @@
  * was seen. */
 gboolean dp_directory_put (DpDirectory *directory, const DpTargetRecord *record);
 
-/* The entry is gone from the platform. With `may_live`, it lapsed while the platform was out of
- * reach: the target is kept until dp_directory_expire() drops it. */
-void dp_directory_remove (DpDirectory *directory, DpName name, gboolean may_live, DpUsec now);
+/* The platform has answered for the targets. If it was out of reach for longer than `lapse`, in
+ * which entries run out, what is missing may live until a grace time after this. */
+void dp_directory_contact (DpDirectory *directory, DpUsec lapse, DpUsec now);
+
+/* The entry is gone from the platform. Within the grace time the target is kept, unless it was
+ * draining. */
+void dp_directory_remove (DpDirectory *directory, DpName name, DpUsec now);
 
 /* Takes a whole listing: puts its rows and removes the others. */
 void dp_directory_replace (DpDirectory *directory,
                            const DpTargetRecord *records,
                            guint count,
-                           gboolean may_live,
                            DpUsec now);
 
-/* Drops rows that have been missing since before `before`. */
-void dp_directory_expire (DpDirectory *directory, DpUsec before);
+/* Drops rows that are still missing after the grace time. Not to be called while the platform
+ * is out of reach. */
+void dp_directory_expire (DpDirectory *directory, DpUsec now);
+
+/* When the platform last answered; 0: never. */
+DpUsec dp_directory_contact_at (const DpDirectory *directory);
 
 /* NULL: not known. */
 const DpDirectoryRow *dp_directory_find (const DpDirectory *directory, DpName name);
--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -435,11 +435,8 @@
 }
 
 void
-dp_dispatcher_receive (DpDispatcher *dispatcher,
-                       DpName from,
-                       const DpMessage *message,
-                       DpUsec now,
-                       GArray *sends)
+dp_dispatcher_receive (
+  DpDispatcher *dispatcher, DpName from, const DpMessage *message, DpUsec now, GArray *sends)
 {
   begin (dispatcher, now, sends);
   entry_seen (dispatcher, from)->heard_at = now;
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -54,11 +54,8 @@
                                 GArray *sends);
 
 /* GRANT_ASK, GRANT_PROGRESS, GRANT_DONE or GRANT_HELD of an entry. */
-void dp_dispatcher_receive (DpDispatcher *dispatcher,
-                            DpName from,
-                            const DpMessage *message,
-                            DpUsec now,
-                            GArray *sends);
+void dp_dispatcher_receive (
+  DpDispatcher *dispatcher, DpName from, const DpMessage *message, DpUsec now, GArray *sends);
 
 /* To be called every DP_DISPATCH_TICK. */
 #define DP_DISPATCH_TICK (20 * DP_USEC_PER_MSEC)
--- a/core/dispatcher_board.h
+++ b/core/dispatcher_board.h
@@ -1,11 +1,12 @@
-/* The dispatcher's board: tables that its parts read and write. Private to core/dispatcher*.c. */
+/* The dispatcher's board: tables that its parts read and write. Private to core/dispatcher*.c.
+ */
 #pragma once
 
 #include "core/dispatcher.h"
 #include "core/pace.h"
 
-/* A suspect target is probed with one request after this time, and after twice as long with each
- * failure in a row. */
+/* A suspect target is probed with one request after this time, and after twice as long with
+ * each failure in a row. */
 #define DP_PROBE_MIN (250 * DP_USEC_PER_MSEC)
 #define DP_PROBE_MAX (2 * DP_USEC_PER_SEC)
 
@@ -18,9 +19,9 @@
   DpName name;
   guint slots;
   gboolean is_draining;
-  GPtrArray *held; /* DpPlace: requests that it was given */
-  double pace;     /* relative to the pool's model, see core/pace.h */
-  double trouble;  /* share of failures among the last outcomes, 0 to 1 */
+  GPtrArray *held;     /* DpPlace: requests that it was given */
+  double pace;         /* relative to the pool's model, see core/pace.h */
+  double trouble;      /* share of failures among the last outcomes, 0 to 1 */
   gboolean is_suspect; /* silent or unreachable: gets single probes only */
   DpUsec probe_at;
   DpUsec probe_pause;
@@ -41,7 +42,7 @@
   DpGrantAsk ask;
   DpName entry;
   DpUsec arrived;
-  DpUsec goal_at;     /* the first byte is late after it */
+  DpUsec goal_at; /* the first byte is late after it */
   DpUsec deadline;
   guint waiting_index; /* in DpDispatcher.waiting */
   /* running */
@@ -80,7 +81,8 @@
   GHashTable *sessions; /* guint64 -> DpSessionPlace */
   GPtrArray *waiting;   /* DpPlace, in no order: it is short, and is read whole to choose */
   DpPaceModel pace;
-  double hold_ms[DP_URGENCY_COUNT]; /* learned time that a request of that urgency keeps its slot */
+  double
+    hold_ms[DP_URGENCY_COUNT]; /* learned time that a request of that urgency keeps its slot */
   guint urgency_waiting[DP_URGENCY_COUNT];
   guint running;
   guint64 random;
--- a/core/dispatcher_queue.c
+++ b/core/dispatcher_queue.c
@@ -50,7 +50,8 @@
       if (dp_dispatch_is_excluded (&place->ask, backend->name))
         continue;
       guint found = rank (dispatcher, place, backend);
-      if (best != NULL && (found > best_rank || (found == best_rank && !goes_first (place, best))))
+      if (best != NULL
+          && (found > best_rank || (found == best_rank && !goes_first (place, best))))
         continue;
       best = place;
       best_rank = found;
--- a/core/dispatcher_targets.c
+++ b/core/dispatcher_targets.c
@@ -59,8 +59,7 @@
 {
   if (place == NULL || place->ask.session == 0)
     return FALSE;
-  const DpSessionPlace *last
-    = g_hash_table_lookup (dispatcher->sessions, &place->ask.session);
+  const DpSessionPlace *last = g_hash_table_lookup (dispatcher->sessions, &place->ask.session);
   return last != NULL && last->backend == backend->name
          && dispatcher->now - last->at < SESSION_AGE_MAX;
 }
@@ -130,8 +129,8 @@
 static void
 suspect (DpDispatcher *dispatcher, DpBackend *backend)
 {
-  backend->probe_pause = backend->is_suspect ? MIN (2 * backend->probe_pause, DP_PROBE_MAX)
-                                             : DP_PROBE_MIN;
+  backend->probe_pause
+    = backend->is_suspect ? MIN (2 * backend->probe_pause, DP_PROBE_MAX) : DP_PROBE_MIN;
   backend->is_suspect = TRUE;
   backend->probe_at = dispatcher->now + backend->probe_pause;
   dp_counters_add (dispatcher->options.counters, "dogwoodplank_targets_suspected_total", NULL,
--- a/core/owners.c
+++ b/core/owners.c
@@ -207,8 +207,7 @@
 }
 
 void
-dp_owners_due_probes (
-  DpOwners *owners, DpName key, guint candidates, DpUsec now, GArray *out)
+dp_owners_due_probes (DpOwners *owners, DpName key, guint candidates, DpUsec now, GArray *out)
 {
   const GArray *names = ranking (owners, key);
   guint living = 0;
--- a/core/owners.h
+++ b/core/owners.h
@@ -1,8 +1,8 @@
 /* Which VM owns a key (a pool, a workspace's limit), by what this process has heard itself.
  *
  * Owners are chosen by weighted rendezvous over the members, so that VMs which hear each other
- * agree without a word. A VM that did not answer in time is passed over until it answers a probe.
- * Two VMs that disagree for a while cost efficiency, never safety.
+ * agree without a word. A VM that did not answer in time is passed over until it answers a
+ * probe. Two VMs that disagree for a while cost efficiency, never safety.
  */
 #pragma once
 
@@ -37,8 +37,8 @@
 
 /* Appends the VMs (DpName) that should be probed now for the key: its owner, and as many living
  * successors as make `candidates` with it. */
-void dp_owners_due_probes (
-  DpOwners *owners, DpName key, guint candidates, DpUsec now, GArray *out);
+void
+dp_owners_due_probes (DpOwners *owners, DpName key, guint candidates, DpUsec now, GArray *out);
 
 /* Part of the VMs that are in touch with this one, itself included: the others may have chosen
  * owners of their own. VMs that were not heard for long are taken as gone. */
--- a/core/pace.c
+++ b/core/pace.c
@@ -75,7 +75,7 @@
   model->xx *= MODEL_FADE;
   model->xy *= MODEL_FADE;
   add_point (model, x, ms / pace);
-  model->slowest = CLAMP (MAX (model->slowest * SLOWEST_FADE, ratio / pace), SLOWEST_MIN,
-                          SLOWEST_MAX);
+  model->slowest
+    = CLAMP (MAX (model->slowest * SLOWEST_FADE, ratio / pace), SLOWEST_MIN, SLOWEST_MAX);
   return CLAMP (pace + PACE_GAIN * (ratio - pace), PACE_MIN, PACE_MAX);
 }
--- a/core/pace.h
+++ b/core/pace.h
@@ -1,7 +1,7 @@
 /* How long targets take, learned from answers.
  *
- * One model a pool: the time to the first event grows linearly with the prompt. Each target has a
- * pace, its time relative to the model; 0.5 is twice as fast as the usual target.
+ * One model a pool: the time to the first event grows linearly with the prompt. Each target has
+ * a pace, its time relative to the model; 0.5 is twice as fast as the usual target.
  */
 #pragma once
 
--- a/core/quota.c
+++ b/core/quota.c
@@ -12,10 +12,10 @@
 #define RETRY_AFTER_MIN (100 * DP_USEC_PER_MSEC)
 #define RETRY_AFTER_MAX (2 * DP_USEC_PER_SEC)
 #define WANT_MAX 1e9
-/* Parts of the burst that may be used at one moment, and that are spread over the window, so that
- * a workspace far over its limit is served evenly. The rest makes up for debts. */
-#define DEPTH_PART 0.4
-#define SPREAD_PART 0.4
+/* Parts of the burst that may be used at one moment, and that are spread over the window, so
+ * that a workspace far over its limit is served evenly. */
+#define DEPTH_PART 0.5
+#define SPREAD_PART 0.5
 /* A keeper that has just begun does not know what was used before: it starts with this part of
  * the depth. */
 #define START_PART 0.25
@@ -23,12 +23,12 @@
 typedef struct Use
 {
   DpName workspace;
-  double credit;    /* negative: debt */
-  double used;      /* since the last ask */
-  double recent;    /* use in an interval, fading */
+  double credit;     /* negative: debt */
+  double used;       /* since the last ask */
+  double recent;     /* use in an interval, fading */
   gboolean is_short; /* the keeper gave less than was asked for */
   guint64 sequence;
-  guint64 answered; /* of the newest ask with an answer */
+  guint64 answered;     /* of the newest ask with an answer */
   DpUsec asked_at;      /* 0: never */
   DpUsec waiting_since; /* of the oldest ask without an answer; 0: none */
   DpUsec share_at;      /* the equal share was added until then */
--- a/core/quota.h
+++ b/core/quota.h
@@ -1,10 +1,10 @@
 /* Rate limits of workspaces over all VMs.
  *
- * In any window a workspace may use what its rate brings in that time, and its burst. Each limit
- * has one VM that keeps count (see core/owners.h); the other VMs ask it for credit ahead of their
- * use. An entry spends its credit, and goes into debt while the keeper has said
- * that there is enough, so that no request waits for an answer. Without a keeper's answer a VM
- * uses an equal share of the limit.
+ * In any window a workspace may use what its rate brings in that time, and its burst. Each
+ * limit has one VM that keeps count (see core/owners.h); the other VMs ask it for credit ahead
+ * of their use. An entry spends its credit, and goes into debt while the keeper has said that
+ * there is enough, so that no request waits for an answer. Without a keeper's answer a VM uses
+ * an equal share of the limit.
  */
 #pragma once
 
@@ -49,7 +49,8 @@
 /* A limit that is kept from before `fresh_until` on starts unused. */
 DpQuotaKeeper *dp_quota_keeper_new (DpUsec fresh_until);
 void dp_quota_keeper_free (DpQuotaKeeper *keeper);
-/* `reach` is the part of all VMs that can ask here, 0 to 1: the rest has a keeper of its own. */
+/* `reach` is the part of all VMs that can ask here, 0 to 1: the rest has a keeper of its own.
+ */
 DpLimitGiven dp_quota_keeper_ask (DpQuotaKeeper *keeper,
                                   const DpQuotaLimit *limit,
                                   const DpLimitAsk *ask,
--- a/core/retry.h
+++ b/core/retry.h
@@ -18,10 +18,10 @@
 {
   DpAttemptEnd end;
   gboolean is_repeatable;
-  gboolean may_have_run;  /* this sending or an earlier one */
-  gboolean answer_begun;  /* the caller has the head of an answer */
-  gboolean can_go_on;     /* a begun answer can go on at another target */
-  guint runs;             /* sendings that may have run */
+  gboolean may_have_run; /* this sending or an earlier one */
+  gboolean answer_begun; /* the caller has the head of an answer */
+  gboolean can_go_on;    /* a begun answer can go on at another target */
+  guint runs;            /* sendings that may have run */
   guint runs_max;
   guint sendings;         /* all */
   gboolean within_budget; /* of repeats, over all VMs */
@@ -43,8 +43,8 @@
 #define DP_BUDGET_SLOTS 12
 typedef struct DpRetryBudget
 {
-  double ratio;  /* repeats for each request */
-  double spare;  /* repeats beside them, of this VM, in a window */
+  double ratio; /* repeats for each request */
+  double spare; /* repeats beside them, of this VM, in a window */
   DpUsec window;
   guint requests[DP_BUDGET_SLOTS];
   guint repeats[DP_BUDGET_SLOTS];
--- a/core/view.h
+++ b/core/view.h
@@ -25,8 +25,8 @@
   char address[46]; /* IP number */
   DpVmState state;
   guint64 incarnation;  /* rises with each start of the VM's entry; 0: not known yet */
-  guint weight; /* thousandths of a core; owners are chosen by it; 0: not known */
   guint64 announcement; /* rises with each announcement of the VM's own agent; orders news */
+  guint weight;         /* thousandths of a core; owners are chosen by it; 0: not known */
 } DpVm;
 
 typedef struct DpView
--- a/entry/store.c
+++ b/entry/store.c
@@ -104,6 +104,7 @@
       return call->is_write ? DP_STORE_UNAVAILABLE : DP_STORE_BROKEN;
     case DP_PLATFORM_LOST:
     case DP_PLATFORM_UNCHANGED:
+    case DP_PLATFORM_HISTORY_GONE:
     case DP_PLATFORM_RESULT_COUNT:
       break;
     }
--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -8,8 +8,8 @@
 #define SWEEP_SECONDS 1
 
 /* One accepted connection. evhttp does not tell when it frees one; the peer's address tells
- * whether the descriptor is still the same socket. Inodes don't: some kernels number all sockets
- * alike. */
+ * whether the descriptor is still the same socket. Inodes don't: some kernels number all
+ * sockets alike. */
 typedef struct Connection
 {
   int fd;
--- a/net/http_connections.h
+++ b/net/http_connections.h
@@ -37,8 +37,7 @@
                                    struct evhttp_connection *connection,
                                    gboolean busy);
 
-void
-dp_http_connections_set_request_timeout (DpHttpConnections *connections, DpUsec timeout);
+void dp_http_connections_set_request_timeout (DpHttpConnections *connections, DpUsec timeout);
 
 /* Closes the connections on which no request is being answered. */
 void dp_http_connections_close_idle (DpHttpConnections *connections);
--- a/net/process.c
+++ b/net/process.c
@@ -324,6 +324,8 @@
   else if (strcmp (target, "/metrics") == 0)
     {
       GString *text = g_string_new (NULL);
+      dp_counters_set (process->counters, "dogwoodplank_log_lines_dropped", NULL, NULL,
+                       dp_log_dropped ());
       dp_counters_format (process->counters, text);
       reply_text (exchange, 200, "text/plain; version=0.0.4", text->str);
       g_string_free (text, TRUE);
--- a/net/program.c
+++ b/net/program.c
@@ -5,6 +5,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+/* Four lines a request at twice the busiest second of a VM; a line costs some ten
+ * microseconds. */
+#define LOG_LINES_PER_SECOND 600
+
+/* Settings or addresses are of no use; starting again would not help. */
+#define EXIT_FINDINGS 2
+
 static void
 print_findings (const DpFindings *findings)
 {
@@ -30,7 +37,10 @@
   if (ok)
     {
       const DpProcessSettings *process = (const void *)(settings + program->process_offset);
-      dp_log_init (program->name, (DpLogLevel)process->log_level);
+      dp_log_configure (&(DpLogOptions){ .program = program->name,
+                                         .level = (DpLogLevel)process->log_level,
+                                         .to_output = TRUE,
+                                         .lines_per_second = LOG_LINES_PER_SECOND });
       ok = program->run (settings, findings);
     }
   if (!ok)
@@ -38,5 +48,5 @@
   dp_settings_clear (program->settings, program->setting_count, settings);
   g_free (settings);
   dp_findings_unref (findings);
-  return ok ? EXIT_SUCCESS : EXIT_FAILURE;
+  return ok ? EXIT_SUCCESS : EXIT_FINDINGS;
 }
--- a/node/attempt.c
+++ b/node/attempt.c
@@ -209,9 +209,9 @@
     const char *name;
     enum evhttp_cmd_type type;
   } methods[] = {
-    { "GET", EVHTTP_REQ_GET },       { "POST", EVHTTP_REQ_POST },
-    { "PUT", EVHTTP_REQ_PUT },       { "DELETE", EVHTTP_REQ_DELETE },
-    { "HEAD", EVHTTP_REQ_HEAD },     { "PATCH", EVHTTP_REQ_PATCH },
+    { "GET", EVHTTP_REQ_GET },         { "POST", EVHTTP_REQ_POST },
+    { "PUT", EVHTTP_REQ_PUT },         { "DELETE", EVHTTP_REQ_DELETE },
+    { "HEAD", EVHTTP_REQ_HEAD },       { "PATCH", EVHTTP_REQ_PATCH },
     { "OPTIONS", EVHTTP_REQ_OPTIONS },
   };
   for (guint i = 0; i < G_N_ELEMENTS (methods); i++)
--- a/node/follow.c
+++ b/node/follow.c
@@ -23,10 +23,8 @@
 #define CALLS_BURST 40
 #define CALLS_IN_FLIGHT 8
 #define CALLS_QUEUED 32
-/* Entries lapse after three missed heartbeats; those that live are back within two seconds of
- * the store's return. */
+/* Entries of targets lapse after so many missed heartbeats. */
 #define LAPSE_HEARTBEATS 3
-#define RETURN_GRACE (2 * DP_USEC_PER_SEC)
 
 typedef enum Kind
 {
@@ -62,7 +60,6 @@
   Stream streams[KIND_COUNT];
   GHashTable *vms; /* DpName -> DpVm */
   guint64 view_version;
-  DpUsec outage_until; /* entries that are missing until then may live */
   struct event *enlist;
   gboolean is_leaving;
 };
@@ -112,8 +109,8 @@
   if (node->manifest != NULL && manifest->revision <= node->manifest->revision)
     {
       if (manifest->revision < node->manifest->revision)
-        dp_log (DP_LOG_NOTICE, "config_ignored", "version", version, "source", source,
-                "reason", "older than the one in force", NULL);
+        dp_log (DP_LOG_NOTICE, "config_ignored", "version", version, "source", source, "reason",
+                "older than the one in force", NULL);
       dp_manifest_unref (manifest);
       return;
     }
@@ -122,8 +119,7 @@
   node->manifest = manifest;
   g_clear_pointer (&node->manifest_text, g_bytes_unref);
   gsize length;
-  const char *text
-    = json_object_to_json_string_length (spec, JSON_C_TO_STRING_PLAIN, &length);
+  const char *text = json_object_to_json_string_length (spec, JSON_C_TO_STRING_PLAIN, &length);
   node->manifest_text = g_bytes_new (text, length);
   dp_placing_set_manifest (node);
   dp_front_set_limits (node);
@@ -158,9 +154,9 @@
   DpName name = dp_name (object->name);
   if (object->is_deleted)
     {
-      gboolean may_live = now < follow->outage_until;
-      dp_directory_remove (node->directory, name, may_live, now);
-      log_change ("target_removed", object->name, may_live ? "kept for a while" : "gone",
+      dp_directory_remove (node->directory, name, now);
+      gboolean is_kept = dp_directory_find (node->directory, name) != NULL;
+      log_change ("target_removed", object->name, is_kept ? "kept for a while" : "gone",
                   revision);
       return;
     }
@@ -168,7 +164,7 @@
   DpFindings *findings = dp_findings_new ();
   if (!dp_records_read_target (object, &record, findings))
     /* What can't be read names no target to use. */
-    dp_directory_remove (node->directory, name, FALSE, now);
+    dp_directory_remove (node->directory, name, now);
   else if (dp_directory_put (node->directory, &record))
     log_change ("target_known", object->name, record.is_draining ? "draining" : "ready",
                 revision);
@@ -189,8 +185,7 @@
     if (!g_hash_table_contains (listed, &row->name))
       g_array_append_val (missing, row->name);
   for (guint i = 0; i < missing->len; i++)
-    dp_directory_remove (node->directory, g_array_index (missing, DpName, i),
-                         now < follow->outage_until, now);
+    dp_directory_remove (node->directory, g_array_index (missing, DpName, i), now);
   g_array_unref (missing);
 }
 
@@ -200,7 +195,7 @@
   DpNode *node = follow->node;
   guint64 before = dp_directory_version (node->directory);
   dp_directory_replace (node->directory, (const DpTargetRecord *)records->data, records->len,
-                        FALSE, dp_node_now ());
+                        dp_node_now ());
   if (dp_directory_version (node->directory) == before)
     return;
   char count[16];
@@ -258,8 +253,7 @@
   const GHashTable *listed = ((gpointer *)user)[0];
   const DpFollow *follow = ((gpointer *)user)[1];
   const DpName *name = key;
-  return *name != follow->node->self
-         && !g_hash_table_contains ((GHashTable *)listed, name);
+  return *name != follow->node->self && !g_hash_table_contains ((GHashTable *)listed, name);
 }
 
 static void
@@ -323,8 +317,7 @@
       const DpStorePage *page = g_ptr_array_index (stream->pages, p);
       for (guint i = 0; i < page->objects->len; i++)
         {
-          DpName name
-            = dp_name (g_array_index (page->objects, DpStoreObject, i).name);
+          DpName name = dp_name (g_array_index (page->objects, DpStoreObject, i).name);
           g_hash_table_add (listed, g_memdup2 (&name, sizeof name));
         }
     }
@@ -348,13 +341,9 @@
       node->manifest_proof = now;
       break;
     case KIND_TARGETS:
-      {
-        DpUsec lapse = node->figures.target_heartbeat * LAPSE_HEARTBEATS;
-        if (node->directory_proof != 0 && now - node->directory_proof > lapse)
-          follow->outage_until = now + RETURN_GRACE;
-        node->directory_proof = now;
-        break;
-      }
+      dp_directory_contact (node->directory, LAPSE_HEARTBEATS * node->figures.target_heartbeat,
+                            now);
+      break;
     case KIND_VMS:
       node->view_proof = now;
       break;
@@ -498,6 +487,9 @@
       call.type = DP_PLATFORM_WATCH_KIND;
       call.version = stream->revision;
       call.watch_time = stream->kind == KIND_VMS ? VMS_WATCH_TIME : WATCH_TIME;
+      /* After a failure the store's return is to be seen at once, also if it has no news. */
+      if (stream->failures > 0)
+        call.watch_time = DP_USEC_PER_MSEC;
       dp_platform_client_call (follow->node->store, &call, on_watched, stream);
       return;
     }
@@ -640,9 +632,9 @@
 {
   DpNode *node = follow->node;
   /* While the store is away, nothing that is missing is known to be gone. */
-  if (now < follow->outage_until || follow->streams[KIND_TARGETS].failures > 0)
+  if (follow->streams[KIND_TARGETS].failures > 0)
     return;
-  dp_directory_expire (node->directory, now - RETURN_GRACE);
+  dp_directory_expire (node->directory, now);
   if (dp_directory_version (node->directory) != node->directory_applied)
     dp_placing_set_targets (node);
 }
--- a/node/front.c
+++ b/node/front.c
@@ -106,8 +106,8 @@
   DpNode *node = admission->node;
   if (admission->workspace < 0)
     return TRUE;
-  const DpWorkspace *workspace = DP_MANIFEST_ROW (node->manifest, workspaces, DpWorkspace,
-                                                  (guint)admission->workspace);
+  const DpWorkspace *workspace
+    = DP_MANIFEST_ROW (node->manifest, workspaces, DpWorkspace, (guint)admission->workspace);
   DpQuotaLimit limit = dp_peers_limit (node, node->manifest, admission->workspace);
   double cost = measure_cost (admission, workspace);
   DpUsec retry_after = 0;
@@ -295,8 +295,8 @@
 }
 
 /* Callers that still come are better off with another VM: what is taken now could not be ended
- * in time. Callers try again at once when a connection closes without an answer to a request that
- * was not read. */
+ * in time. Callers try again at once when a connection closes without an answer to a request
+ * that was not read. */
 static void
 turn_away (DpNode *node)
 {
--- a/node/main.c
+++ b/node/main.c
@@ -9,8 +9,8 @@
 
 /* Names the settings file where the command line does not. */
 #define SETTINGS_VARIABLE "DOGWOODPLANK_BOOT"
-/* A tick that is so late tells that the process stood still: what it knows of others' silence is
- * worth nothing. */
+/* A tick that is so late tells that the process stood still: what it knows of others' silence
+ * is worth nothing. */
 #define PAUSE_BOUND (150 * DP_USEC_PER_MSEC)
 
 /* The system's first start: nothing was used of any limit before. */
@@ -107,8 +107,7 @@
   node->quota_user = dp_quota_user_new ();
   gboolean is_first = g_strcmp0 (node->settings->first_start, "true") == 0;
   node->quota_keeper = dp_quota_keeper_new (is_first ? dp_node_now () + FRESH_TIME : 0);
-  node->pools
-    = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, dp_placing_pool_free);
+  node->pools = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, dp_placing_pool_free);
   const DpTableOptions requests
     = { .row_size = sizeof (DpNodeRequest), .clear_row = dp_request_clear };
   node->requests = dp_table_new (&requests);
--- a/node/node.h
+++ b/node/node.h
@@ -1,7 +1,7 @@
 /* dogwoodplank-node: entry, scheduler and agent of one VM in one process.
  *
- * The node is a blackboard that its parts read and write; each part owns the functions named for
- * it below. Everything runs on one loop in one thread.
+ * The node is a blackboard that its parts read and write; each part owns the functions named
+ * for it below. Everything runs on one loop in one thread.
  *
  *   settings.c its settings
  *   follow.c   what lies in the platform's store: config, targets, VMs
@@ -32,7 +32,7 @@
   char *caller_listen; /* "IP:PORT" */
   char *ready_listen;
   char *store;
-  char *seeds; /* "IP:PORT,...": VMs to ask while the store is away */
+  char *seeds;           /* "IP:PORT,...": VMs to ask while the store is away */
   char *processor_share; /* of a core */
   char *descriptors_max;
   char *target_heartbeat_ms;
@@ -99,12 +99,11 @@
   /* from the platform */
   DpPlatformClient *store;
   DpFollow *follow;
-  DpManifest *manifest; /* NULL until one is known */
+  DpManifest *manifest;  /* NULL until one is known */
   GBytes *manifest_text; /* as it lies in the store */
   DpUsec manifest_proof; /* when the store last confirmed it as the newest */
   DpDirectory *directory;
   guint64 directory_applied; /* version that the dispatchers have */
-  DpUsec directory_proof;
   DpView *view;
   DpUsec view_proof;
   /* other VMs */
@@ -124,7 +123,7 @@
   DpUsec ticked_at;
   DpUsec peers_ticked_at;
   DpUsec started_at;
-  DpUsec asked_state_at;   /* another VM, for what the store can't tell */
+  DpUsec asked_state_at; /* another VM, for what the store can't tell */
   DpUsec asked_manifest_at;
   gboolean is_stopping;
   DpUsec stop_at;
@@ -222,8 +221,7 @@
 void dp_peers_send (DpNode *node, DpName vm, const DpMessage *message);
 guint dp_peers_count (const DpNode *node);
 /* Limit of the workspace; `per_second` is 0 if it has none. */
-DpQuotaLimit
-dp_peers_limit (const DpNode *node, const DpManifest *manifest, int workspace);
+DpQuotaLimit dp_peers_limit (const DpNode *node, const DpManifest *manifest, int workspace);
 
 /* --- placing.c --- */
 
--- a/node/peers.c
+++ b/node/peers.c
@@ -59,9 +59,9 @@
     }
   for (guint i = 0; node->manifest != NULL && i < node->manifest->workspaces->len; i++)
     if (dp_peers_limit (node, node->manifest, (int)i).per_second > 0)
-      dp_owners_due_probes (
-        node->owners,
-        DP_MANIFEST_ROW (node->manifest, workspaces, DpWorkspace, i)->name, 1, now, due);
+      dp_owners_due_probes (node->owners,
+                            DP_MANIFEST_ROW (node->manifest, workspaces, DpWorkspace, i)->name,
+                            1, now, due);
 }
 
 static void
@@ -70,8 +70,7 @@
   GArray *due = g_array_new (FALSE, FALSE, sizeof (DpName));
   collect_due (node, now, due);
   for (guint i = 0; i < due->len; i++)
-    send_probe (node, g_array_index (due, DpName, i), DP_MESSAGE_PROBE,
-                ++node->probe_sequence);
+    send_probe (node, g_array_index (due, DpName, i), DP_MESSAGE_PROBE, ++node->probe_sequence);
   g_array_unref (due);
 }
 
@@ -113,9 +112,8 @@
     return;
   DpUsec now = dp_node_now ();
   DpMessage message = { .type = DP_MESSAGE_LIMIT_GIVEN };
-  message.limit_given
-    = dp_quota_keeper_ask (node->quota_keeper, &limit, ask,
-                           dp_owners_reach (node->owners, now), now);
+  message.limit_given = dp_quota_keeper_ask (node->quota_keeper, &limit, ask,
+                                             dp_owners_reach (node->owners, now), now);
   if (from == node->self)
     dp_quota_user_given (node->quota_user, &message.limit_given);
   else
--- a/node/placing.c
+++ b/node/placing.c
@@ -130,8 +130,7 @@
        at = dp_table_next (node->requests, at))
     {
       const DpNodeRequest *request = dp_table_get (node->requests, at);
-      if (request->pool != pool || request->owner != owner
-          || dp_id_is_none (request->attempt))
+      if (request->pool != pool || request->owner != owner || dp_id_is_none (request->attempt))
         continue;
       if (report->count == DP_HELD_MAX)
         {
@@ -171,8 +170,7 @@
        at = dp_table_next (node->requests, at))
     {
       DpNodeRequest *request = dp_table_get (node->requests, at);
-      if (request->pool == pool && request->owner == before
-          && request->stage == DP_STAGE_SENT)
+      if (request->pool == pool && request->owner == before && request->stage == DP_STAGE_SENT)
         request->owner = owner;
     }
   if (!dp_owners_is_silent (node->owners, before))
--- a/node/request.c
+++ b/node/request.c
@@ -19,8 +19,7 @@
 {
   if (request->workspace < 0)
     return NULL;
-  return DP_MANIFEST_ROW (request->manifest, workspaces, DpWorkspace,
-                          (guint)request->workspace)
+  return DP_MANIFEST_ROW (request->manifest, workspaces, DpWorkspace, (guint)request->workspace)
     ->text;
 }
 
@@ -38,7 +37,7 @@
   format_ms (total, now - request->arrived);
   format_ms (first, request->first_after);
   format_ms (config_age, now - node->manifest_proof);
-  format_ms (targets_age, now - node->directory_proof);
+  format_ms (targets_age, now - dp_directory_contact_at (node->directory));
   dp_log (DP_LOG_INFO, "request_end", "request", request->id, "route", request->route->text,
           "workspace", workspace_text (request), "status", status_text, "reason",
           dp_reason_name (reason), "may_have_run", request->may_have_run ? "yes" : "no",
@@ -114,8 +113,8 @@
               node->manifest != NULL ? node->manifest->revision : 0);
   format_ms (age, dp_node_now () - node->manifest_proof);
   dp_log (DP_LOG_INFO, "request_refused", "request", id, "reason", dp_reason_name (reason),
-          "workspace", workspace, "path", dp_http_exchange_target (exchange), "config", version, "config_age_ms", age,
-          NULL);
+          "workspace", workspace, "path", dp_http_exchange_target (exchange), "config", version,
+          "config_age_ms", age, NULL);
   reply_problem (exchange, dp_reason_status (reason), reason, retry_after);
 }
 
@@ -144,11 +143,10 @@
         reply_problem (exchange, status, reason, status == 503 ? retry_after : 0);
     }
   if (!request->may_have_run)
-    dp_quota_user_give_back (request->node->quota_user,
-                             dp_peers_limit (request->node, request->manifest,
-                                             request->workspace)
-                               .workspace,
-                             request->charged);
+    dp_quota_user_give_back (
+      request->node->quota_user,
+      dp_peers_limit (request->node, request->manifest, request->workspace).workspace,
+      request->charged);
   remove_request (request);
 }
 
@@ -309,8 +307,7 @@
       dp_placing_ask (request);
       return;
     }
-  if (reason != DP_REASON_TARGET_SILENT || request->first_after > 0
-      || !request->is_repeatable)
+  if (reason != DP_REASON_TARGET_SILENT || request->first_after > 0 || !request->is_repeatable)
     return;
   dp_request_failed (request, DP_ATTEMPT_BROKE, DP_REASON_TARGET_SILENT);
 }
--- a/node/settings.c
+++ b/node/settings.c
@@ -88,9 +88,9 @@
     = (DpUsec)read_number ("target_heartbeat_ms", settings->target_heartbeat_ms,
                            HEARTBEAT_MS_DEFAULT, findings)
       * DP_USEC_PER_MSEC;
-  figures->stop_time = (DpUsec)(read_number ("stop_time_s", settings->stop_time_s,
-                                             STOP_TIME_S_DEFAULT, findings)
-                                * (double)DP_USEC_PER_SEC);
+  figures->stop_time
+    = (DpUsec)(read_number ("stop_time_s", settings->stop_time_s, STOP_TIME_S_DEFAULT, findings)
+               * (double)DP_USEC_PER_SEC);
   figures->retry_ratio
     = read_number ("retry_ratio", settings->retry_ratio, RETRY_RATIO_DEFAULT, findings);
   figures->retry_slack
--- a/node/share.c
+++ b/node/share.c
@@ -97,7 +97,7 @@
 void
 dp_share_tick (DpNode *node, DpUsec now)
 {
-  DpUsec proof = MIN (node->manifest_proof, node->directory_proof);
+  DpUsec proof = MIN (node->manifest_proof, dp_directory_contact_at (node->directory));
   gboolean is_starting = proof == 0 && now - node->started_at > START_PATIENCE;
   gboolean is_cut = proof != 0 && now - proof > PROOF_AGE_MAX;
   if ((!is_starting && !is_cut) || now - node->asked_state_at < ASK_INTERVAL)
@@ -146,10 +146,10 @@
 tell_targets (DpNode *node, DpName to)
 {
   DpUsec now = dp_node_now ();
-  if (node->directory_proof == 0)
+  if (dp_directory_contact_at (node->directory) == 0)
     return;
   DpMessage message = { .type = DP_MESSAGE_TARGETS };
-  message.targets.age = now - node->directory_proof;
+  message.targets.age = now - dp_directory_contact_at (node->directory);
   message.targets.rows = list_targets (node);
   dp_peers_send (node, to, &message);
   dp_message_clear (&message);
@@ -160,8 +160,9 @@
 static void
 take_targets (DpNode *node, const DpTargetsText *targets)
 {
-  DpUsec age = dp_node_now () - node->directory_proof;
-  gboolean is_first = node->directory_proof == 0 && dp_directory_count (node->directory) == 0;
+  DpUsec age = dp_node_now () - dp_directory_contact_at (node->directory);
+  gboolean is_first = dp_directory_contact_at (node->directory) == 0
+                      && dp_directory_count (node->directory) == 0;
   gboolean is_fresh = targets->age < SHARED_AGE_MAX && age > PROOF_AGE_MAX;
   if (targets->rows != NULL && (is_first || is_fresh))
     dp_follow_take_targets (node->follow, targets->rows);
--- /dev/null
+++ b/standins/store.c
@@ -0,0 +1,399 @@
+/* standin-store: the users' store of objects by kind, kept in memory. Written from their
+ * published protocol; see docs/STANDINS.md.
+ *
+ * GET, POST, PUT, DELETE of /objects/KIND and /objects/KIND/NAME; watches by `watch` and
+ * `wait_ms`.
+ */
+#include "common/id.h"
+#include "standins/fault.h"
+#include "standins/http.h"
+
+#include <argp.h>
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BODY_MAX ((gsize)2 * 1024 * 1024)
+#define PAGE_DEFAULT 500
+#define PATH_PREFIX "/objects/"
+
+const char *argp_program_version = "standin-store " DP_VERSION;
+
+typedef struct StoreFaults
+{
+  gint64 unavailable;  /* 1: 503 to each call */
+  gint64 silent;       /* 1: calls get no answer and no effect */
+  gint64 history_gone; /* 1: watches get 410 */
+  gint64 page;         /* rows in a page of a listing */
+  gint64 broken;       /* 1: answers are no JSON */
+} StoreFaults;
+
+/* One change, or the present state of one object. */
+typedef struct Object
+{
+  char *kind;
+  char *name;
+  guint64 revision;
+  gboolean is_deleted;
+  struct json_object *body;
+} Object;
+
+/* A watch that waits for news. */
+typedef struct Watch
+{
+  struct evhttp_request *req;
+  struct event *timer;
+  char *kind;
+  guint64 revision;
+} Watch;
+
+static struct
+{
+  struct event_base *base;
+  guint64 revision;
+  GHashTable *objects; /* "KIND/NAME" -> Object */
+  GPtrArray *changes;  /* Object, oldest first */
+  GQueue watches;      /* Watch */
+  StoreFaults faults;
+  FaultTable fault_table;
+} store;
+
+static const FaultSwitch fault_switches[] = {
+  { "unavailable", .number = &store.faults.unavailable },
+  { "silent", .number = &store.faults.silent },
+  { "history_gone", .number = &store.faults.history_gone },
+  { "page", .number = &store.faults.page },
+  { "broken", .number = &store.faults.broken },
+};
+
+static void
+object_free (gpointer data)
+{
+  Object *object = data;
+  g_free (object->kind);
+  g_free (object->name);
+  json_object_put (object->body);
+  g_free (object);
+}
+
+static Object *
+object_new (const char *kind, const char *name, struct json_object *body, gboolean is_deleted)
+{
+  Object *object = g_new0 (Object, 1);
+  object->kind = g_strdup (kind);
+  object->name = g_strdup (name);
+  object->body = json_object_get (body);
+  object->revision = store.revision;
+  object->is_deleted = is_deleted;
+  return object;
+}
+
+static void
+reply_json (struct evhttp_request *req, int status, struct json_object *body)
+{
+  const char *text
+    = store.faults.broken == 1 ? "{\"items\":[" : json_object_to_json_string (body);
+  standin_reply (req, status, "application/json", text);
+  json_object_put (body);
+}
+
+static void
+reply_status (struct evhttp_request *req, int status)
+{
+  reply_json (req, status, json_object_new_object ());
+}
+
+/* --- watches --- */
+
+static struct json_object *
+collect_events (const char *kind, guint64 after)
+{
+  struct json_object *events = json_object_new_array ();
+  for (guint i = 0; i < store.changes->len; i++)
+    {
+      const Object *change = g_ptr_array_index (store.changes, i);
+      if (change->revision <= after || strcmp (change->kind, kind) != 0)
+        continue;
+      struct json_object *event = json_object_new_object ();
+      json_object_object_add (event, "deleted", json_object_new_boolean (change->is_deleted));
+      json_object_object_add (event, "object", json_object_get (change->body));
+      json_object_array_add (events, event);
+    }
+  return events;
+}
+
+static void
+reply_events (struct evhttp_request *req, struct json_object *events)
+{
+  struct json_object *body = json_object_new_object ();
+  json_object_object_add (body, "events", events);
+  json_object_object_add (body, "store_revision", json_object_new_uint64 (store.revision));
+  reply_json (req, 200, body);
+}
+
+static void
+watch_free (Watch *watch)
+{
+  g_queue_remove (&store.watches, watch);
+  event_free (watch->timer);
+  g_free (watch->kind);
+  g_free (watch);
+}
+
+static void
+on_watch_gone (struct evhttp_connection *connection, void *data)
+{
+  Watch *watch = data;
+  standin_forget (watch->req);
+  watch_free (watch);
+}
+
+static void
+end_watch (Watch *watch)
+{
+  standin_unwatch (watch->req);
+  reply_events (watch->req, collect_events (watch->kind, watch->revision));
+  watch_free (watch);
+}
+
+static void
+on_watch_time (evutil_socket_t fd, short what, void *data)
+{
+  end_watch (data);
+}
+
+static void
+wake_watches (const char *kind)
+{
+  GList *next;
+  for (GList *link = store.watches.head; link != NULL; link = next)
+    {
+      Watch *watch = link->data;
+      next = link->next;
+      if (strcmp (watch->kind, kind) == 0)
+        end_watch (watch);
+    }
+}
+
+static void
+begin_watch (struct evhttp_request *req, const char *kind, guint64 revision, guint64 wait_ms)
+{
+  if (store.faults.history_gone == 1)
+    {
+      reply_status (req, 410);
+      return;
+    }
+  struct json_object *events = collect_events (kind, revision);
+  if (json_object_array_length (events) > 0 || wait_ms == 0)
+    {
+      reply_events (req, events);
+      return;
+    }
+  json_object_put (events);
+  Watch *watch = g_new0 (Watch, 1);
+  watch->req = req;
+  watch->kind = g_strdup (kind);
+  watch->revision = revision;
+  watch->timer = evtimer_new (store.base, on_watch_time, watch);
+  const struct timeval time
+    = { .tv_sec = (time_t)(wait_ms / 1000), .tv_usec = (suseconds_t)(wait_ms % 1000 * 1000) };
+  event_add (watch->timer, &time);
+  g_queue_push_tail (&store.watches, watch);
+  standin_watch_close (req, on_watch_gone, watch);
+}
+
+/* --- objects --- */
+
+static gint
+compare_names (gconstpointer a, gconstpointer b)
+{
+  const Object *left = *(Object *const *)a;
+  const Object *right = *(Object *const *)b;
+  return strcmp (left->name, right->name);
+}
+
+static void
+list_kind (struct evhttp_request *req, const char *kind)
+{
+  char *after = standin_query (req, "after");
+  GPtrArray *rows = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, store.objects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Object *object = value;
+      if (strcmp (object->kind, kind) == 0
+          && (after == NULL || strcmp (object->name, after) > 0))
+        g_ptr_array_add (rows, value);
+    }
+  g_ptr_array_sort (rows, compare_names);
+  guint page = store.faults.page > 0 ? (guint)store.faults.page : PAGE_DEFAULT;
+  struct json_object *items = json_object_new_array ();
+  for (guint i = 0; i < MIN (rows->len, page); i++)
+    json_object_array_add (items,
+                           json_object_get (((Object *)g_ptr_array_index (rows, i))->body));
+  struct json_object *body = json_object_new_object ();
+  json_object_object_add (body, "items", items);
+  json_object_object_add (body, "has_more", json_object_new_boolean (rows->len > page));
+  json_object_object_add (body, "store_revision", json_object_new_uint64 (store.revision));
+  reply_json (req, 200, body);
+  g_ptr_array_unref (rows);
+  g_free (after);
+}
+
+static void
+change (const char *kind, const char *name, struct json_object *body, gboolean is_deleted)
+{
+  store.revision++;
+  struct json_object *metadata;
+  if (json_object_object_get_ex (body, "metadata", &metadata))
+    json_object_object_add (metadata, "revision", json_object_new_uint64 (store.revision));
+  char *key = g_strconcat (kind, "/", name, NULL);
+  if (is_deleted)
+    g_hash_table_remove (store.objects, key);
+  else
+    g_hash_table_insert (store.objects, g_strdup (key), object_new (kind, name, body, FALSE));
+  g_free (key);
+  g_ptr_array_add (store.changes, object_new (kind, name, body, is_deleted));
+  wake_watches (kind);
+}
+
+static struct json_object *
+read_body (struct evhttp_request *req, const char **name)
+{
+  gsize length;
+  char *text = standin_body (req, &length);
+  struct json_object *body = json_tokener_parse (text);
+  g_free (text);
+  struct json_object *metadata;
+  struct json_object *member;
+  *name = NULL;
+  if (json_object_object_get_ex (body, "metadata", &metadata)
+      && json_object_object_get_ex (metadata, "name", &member))
+    *name = json_object_get_string (member);
+  return body;
+}
+
+static void
+write_object (struct evhttp_request *req, const char *kind, gboolean must_exist)
+{
+  const char *name;
+  struct json_object *body = read_body (req, &name);
+  if (name == NULL)
+    {
+      json_object_put (body);
+      reply_status (req, 400);
+      return;
+    }
+  char *key = g_strconcat (kind, "/", name, NULL);
+  gboolean exists = g_hash_table_contains (store.objects, key);
+  g_free (key);
+  if (exists != must_exist)
+    {
+      json_object_put (body);
+      reply_status (req, exists ? 409 : 404);
+      return;
+    }
+  change (kind, name, body, FALSE);
+  reply_json (req, 200, body);
+}
+
+static void
+remove_object (struct evhttp_request *req, const char *kind, const char *name)
+{
+  char *key = g_strconcat (kind, "/", name, NULL);
+  const Object *object = g_hash_table_lookup (store.objects, key);
+  g_free (key);
+  if (object == NULL)
+    {
+      reply_status (req, 404);
+      return;
+    }
+  struct json_object *body = json_object_get (object->body);
+  change (kind, name, body, TRUE);
+  reply_json (req, 200, body);
+}
+
+static void
+read_kind (struct evhttp_request *req, const char *kind)
+{
+  char *watch = standin_query (req, "watch");
+  char *wait = standin_query (req, "wait_ms");
+  if (watch != NULL)
+    begin_watch (req, kind, g_ascii_strtoull (watch, NULL, 10),
+                 wait != NULL ? g_ascii_strtoull (wait, NULL, 10) : 0);
+  else
+    list_kind (req, kind);
+  g_free (watch);
+  g_free (wait);
+}
+
+static void
+on_call (struct evhttp_request *req, gpointer data)
+{
+  const char *path = standin_path (req);
+  if (store.faults.silent == 1)
+    return;
+  if (store.faults.unavailable == 1 || !g_str_has_prefix (path, PATH_PREFIX))
+    {
+      reply_status (req, store.faults.unavailable == 1 ? 503 : 404);
+      return;
+    }
+  char **parts = g_strsplit (path + strlen (PATH_PREFIX), "/", 2);
+  switch (evhttp_request_get_command (req))
+    {
+    case EVHTTP_REQ_GET:
+      read_kind (req, parts[0]);
+      break;
+    case EVHTTP_REQ_POST:
+      write_object (req, parts[0], FALSE);
+      break;
+    case EVHTTP_REQ_PUT:
+      write_object (req, parts[0], TRUE);
+      break;
+    case EVHTTP_REQ_DELETE:
+      remove_object (req, parts[0], parts[1] != NULL ? parts[1] : "");
+      break;
+    default:
+      reply_status (req, 405);
+      break;
+    }
+  g_strfreev (parts);
+}
+
+static void
+on_control (struct evhttp_request *req, gpointer data)
+{
+  fault_handle (&store.fault_table, req);
+}
+
+int
+main (int argc, char **argv)
+{
+  char *address;
+  guint16 port;
+  if (argc != 3 || !standin_parse_address (argv[1], &address, &port))
+    {
+      fprintf (stderr, "usage: standin-store IP:PORT CONTROL_PORT\n");
+      return EXIT_FAILURE;
+    }
+  store.base = event_base_new ();
+  store.objects = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, object_free);
+  store.changes = g_ptr_array_new_with_free_func (object_free);
+  store.fault_table
+    = (FaultTable){ .switches = fault_switches, .count = G_N_ELEMENTS (fault_switches) };
+  fault_clear (&store.fault_table);
+  const StandinServerOptions options = { .base = store.base,
+                                         .address = address,
+                                         .port = port,
+                                         .control_port = (guint16)atoi (argv[2]),
+                                         .body_max = BODY_MAX,
+                                         .handle = on_call,
+                                         .control = on_control };
+  if (standin_server_new (&options) == NULL)
+    return EXIT_FAILURE;
+  standin_run (store.base);
+  g_free (address);
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/standins/target.c
@@ -0,0 +1,285 @@
+/* standin-target: a target of the users' platform; whoever starts it registers it in the store.
+ * Written from their published protocol; see docs/STANDINS.md.
+ *
+ * A request with Token-Count gets a stream of events, any other one a short body. GET /runs on
+ * the control port tells how often each request ran; that is what tests believe. */
+#include "common/id.h"
+#include "standins/fault.h"
+#include "standins/http.h"
+
+#include <argp.h>
+#include <event2/keyvalq_struct.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BODY_MAX ((gsize)8 * 1024 * 1024)
+#define EVENTS 5
+#define SLOTS 4
+
+const char *argp_program_version = "standin-target " DP_VERSION;
+
+typedef struct TargetFaults
+{
+  gint64 decline;     /* 1: says that it does not run the request */
+  gint64 other;       /* 1: the address is another target's */
+  gint64 cut_before;  /* 1: closes without an answer, before it runs anything */
+  gint64 cut_after;   /* closes after that many events, in the midst of the next */
+  gint64 silent;      /* 1: runs, and never answers */
+  gint64 status;      /* of the answer, after it ran */
+  gint64 wrong_id;    /* 1: the answer is another request's */
+  gint64 no_receipt;  /* 1: a success without the receipt */
+  gint64 second;      /* 1: a second answer behind the first */
+  gint64 unframed;    /* 1: the answer ends with its connection */
+  gint64 wait_ms;     /* before the first event or the body */
+  gint64 promise_503; /* 1: 503 although it ran */
+} TargetFaults;
+
+typedef struct Run
+{
+  struct evhttp_request *req;
+  struct event *timer;
+  gint64 next; /* id of the next event */
+} Run;
+
+static struct
+{
+  struct event_base *base;
+  const char *id;
+  GHashTable *runs; /* Request-Id -> times */
+  guint total;
+  guint declined;
+  TargetFaults faults;
+  FaultTable fault_table;
+} target;
+
+static const FaultSwitch fault_switches[] = {
+  { "decline", .number = &target.faults.decline },
+  { "other", .number = &target.faults.other },
+  { "cut_before", .number = &target.faults.cut_before },
+  { "cut_after", .number = &target.faults.cut_after },
+  { "silent", .number = &target.faults.silent },
+  { "status", .number = &target.faults.status },
+  { "wrong_id", .number = &target.faults.wrong_id },
+  { "no_receipt", .number = &target.faults.no_receipt },
+  { "second", .number = &target.faults.second },
+  { "unframed", .number = &target.faults.unframed },
+  { "wait_ms", .number = &target.faults.wait_ms },
+  { "promise_503", .number = &target.faults.promise_503 },
+};
+
+static void
+add_header (struct evhttp_request *req, const char *name, const char *value)
+{
+  evhttp_add_header (evhttp_request_get_output_headers (req), name, value);
+}
+
+/* Name of the request, and the receipt of a run. */
+static void
+add_marks (struct evhttp_request *req)
+{
+  const char *id = standin_header (req, "Request-Id");
+  add_header (req, "Request-Id", target.faults.wrong_id == 1 || id == NULL ? "other" : id);
+  char *receipt = g_strdup_printf ("receipt.%s.%s", target.id, id != NULL ? id : "");
+  if (target.faults.no_receipt != 1)
+    add_header (req, "Response-Seal", receipt);
+  g_free (receipt);
+}
+
+static void
+decline (struct evhttp_request *req, int status)
+{
+  target.declined++;
+  add_header (req, "Not-Executed", "1");
+  standin_reply (req, status, "text/plain", "not run\n");
+}
+
+static void
+note_run (struct evhttp_request *req)
+{
+  const char *id = standin_header (req, "Request-Id");
+  guint count = GPOINTER_TO_UINT (g_hash_table_lookup (target.runs, id != NULL ? id : ""));
+  g_hash_table_replace (target.runs, g_strdup (id != NULL ? id : ""),
+                        GUINT_TO_POINTER (count + 1));
+  target.total++;
+}
+
+/* --- plain answers --- */
+
+static void
+cut_with (struct evhttp_request *req, const char *format)
+{
+  const char *id = standin_header (req, "Request-Id");
+  char *raw = g_strdup_printf (format, id != NULL ? id : "", target.id);
+  standin_cut (req, raw, strlen (raw));
+  g_free (raw);
+}
+
+static void
+answer_plain (struct evhttp_request *req)
+{
+  if (target.faults.unframed == 1)
+    cut_with (req, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: receipt.%s\r\n\r\n"
+                   "unframed\n");
+  else if (target.faults.second == 1)
+    cut_with (req, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: receipt.%s\r\n"
+                   "Content-Length: 6\r\n\r\nfirst\nHTTP/1.1 200 OK\r\n"
+                   "Content-Length: 7\r\n\r\nsecond\n");
+  else if (target.faults.cut_after != FAULT_OFF)
+    cut_with (req, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: receipt.%s\r\n"
+                   "Content-Length: 100\r\n\r\nonly a part");
+  else
+    {
+      add_marks (req);
+      int status = target.faults.status != FAULT_OFF ? (int)target.faults.status : 200;
+      standin_reply (req, target.faults.promise_503 == 1 ? 503 : status, "text/plain",
+                     "done\n");
+    }
+}
+
+/* --- streams --- */
+
+static void
+run_free (Run *run)
+{
+  event_free (run->timer);
+  g_free (run);
+}
+
+static void
+send_event (struct evhttp_request *req, gint64 id)
+{
+  struct evbuffer *buffer = evbuffer_new ();
+  evbuffer_add_printf (buffer, "id: %d\ndata: piece %d\n\n", (int)id, (int)id);
+  evhttp_send_reply_chunk (req, buffer);
+  evbuffer_free (buffer);
+}
+
+static void
+answer_stream (struct evhttp_request *req, gint64 next)
+{
+  add_marks (req);
+  add_header (req, "Content-Type", "text/event-stream");
+  evhttp_send_reply_start (req, 200, NULL);
+  for (gint64 sent = 0; next <= EVENTS; next++, sent++)
+    {
+      if (sent == target.faults.cut_after)
+        {
+          const char *part = "8\r\nid: 99\nd\r\n";
+          standin_cut (req, part, strlen (part));
+          return;
+        }
+      send_event (req, next);
+    }
+  evhttp_send_reply_end (req);
+}
+
+static void
+on_run_gone (struct evhttp_connection *connection, void *data)
+{
+  Run *run = data;
+  standin_forget (run->req);
+  run_free (run);
+}
+
+static void
+on_run_time (evutil_socket_t fd, short what, void *data)
+{
+  Run *run = data;
+  if (target.faults.silent == 1)
+    return;
+  standin_unwatch (run->req);
+  if (run->next > 0)
+    answer_stream (run->req, run->next);
+  else
+    answer_plain (run->req);
+  run_free (run);
+}
+
+static void
+on_request (struct evhttp_request *req, gpointer data)
+{
+  const char *expected = standin_header (req, "Expect-Instance");
+  if (target.faults.cut_before == 1)
+    {
+      standin_cut (req, "", 0);
+      return;
+    }
+  if (target.faults.other == 1 || g_strcmp0 (expected, target.id) != 0)
+    {
+      decline (req, 421);
+      return;
+    }
+  if (target.faults.decline == 1)
+    {
+      decline (req, 503);
+      return;
+    }
+  note_run (req);
+  Run *run = g_new0 (Run, 1);
+  run->req = req;
+  const char *resume = standin_header (req, "Last-Event-Id");
+  if (standin_header (req, "Token-Count") != NULL)
+    run->next = resume != NULL ? atoi (resume) + 1 : 1;
+  run->timer = evtimer_new (target.base, on_run_time, run);
+  gint64 wait = MAX (target.faults.wait_ms, 0);
+  const struct timeval time = { .tv_sec = wait / 1000, .tv_usec = wait % 1000 * 1000 };
+  event_add (run->timer, &time);
+  standin_watch_close (req, on_run_gone, run);
+}
+
+/* --- control --- */
+
+static void
+reply_runs (struct evhttp_request *req)
+{
+  guint most = 0;
+  GHashTableIter iter;
+  gpointer count;
+  g_hash_table_iter_init (&iter, target.runs);
+  while (g_hash_table_iter_next (&iter, NULL, &count))
+    most = MAX (most, GPOINTER_TO_UINT (count));
+  char text[96];
+  g_snprintf (text, sizeof text, "{\"runs\":%u,\"most\":%u,\"declined\":%u}\n", target.total,
+              most, target.declined);
+  standin_reply (req, 200, "application/json", text);
+}
+
+static void
+on_control (struct evhttp_request *req, gpointer data)
+{
+  if (strcmp (standin_path (req), "/runs") == 0)
+    reply_runs (req);
+  else
+    fault_handle (&target.fault_table, req);
+}
+
+int
+main (int argc, char **argv)
+{
+  char *address;
+  guint16 port;
+  if (argc != 4 || !standin_parse_address (argv[1], &address, &port))
+    {
+      fprintf (stderr, "usage: standin-target IP:PORT CONTROL_PORT ID\n");
+      return EXIT_FAILURE;
+    }
+  target.base = event_base_new ();
+  target.id = argv[3];
+  target.runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  target.fault_table
+    = (FaultTable){ .switches = fault_switches, .count = G_N_ELEMENTS (fault_switches) };
+  fault_clear (&target.fault_table);
+  const StandinServerOptions options = { .base = target.base,
+                                         .address = address,
+                                         .port = port,
+                                         .control_port = (guint16)atoi (argv[2]),
+                                         .body_max = BODY_MAX,
+                                         .handle = on_request,
+                                         .control = on_control };
+  if (standin_server_new (&options) == NULL)
+    return EXIT_FAILURE;
+  standin_run (target.base);
+  g_free (address);
+  return EXIT_SUCCESS;
+}
--- a/tests/process.c
+++ b/tests/process.c
@@ -43,7 +43,11 @@
     {
       prctl (PR_SET_PDEATHSIG, SIGKILL);
       redirect (options->log_path, STDERR_FILENO, O_WRONLY | O_CREAT | O_APPEND);
-      redirect (options->out_path, STDOUT_FILENO, O_WRONLY | O_CREAT | O_TRUNC);
+      /* The system's processes log on standard output, stand-ins on standard error. */
+      if (options->out_path != NULL)
+        redirect (options->out_path, STDOUT_FILENO, O_WRONLY | O_CREAT | O_TRUNC);
+      else
+        redirect (options->log_path, STDOUT_FILENO, O_WRONLY | O_CREAT | O_APPEND);
       execv (options->argv[0], (char *const *)options->argv);
       _exit (127);
     }
@@ -175,10 +179,12 @@
   if (fd < 0)
     return NULL;
   GString *request = g_string_new (NULL);
+  gboolean names_host = headers != NULL && strstr (headers, "Host: ") != NULL;
   g_string_printf (request,
-                   "%s %s HTTP/1.1\r\nHost: test\r\nConnection: close\r\n%s"
+                   "%s %s HTTP/1.1\r\n%sConnection: close\r\n%s"
                    "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n%s",
-                   method, path, headers != NULL ? headers : "",
+                   method, path, names_host ? "" : "Host: test\r\n",
+                   headers != NULL ? headers : "",
                    body != NULL ? strlen (body) : 0, body != NULL ? body : "");
   ssize_t sent = send (fd, request->str, request->len, MSG_NOSIGNAL);
   gboolean sent_all = sent == (ssize_t)request->len;
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -263,8 +263,7 @@
   if (id != 0)
     {
       message.grant_held.count = 1;
-      message.grant_held.held[0]
-        = (DpHeld){ .attempt = { 0, id }, .target = dp_name (target) };
+      message.grant_held.held[0] = (DpHeld){ .attempt = { 0, id }, .target = dp_name (target) };
     }
   receive (fixture, &message);
 }
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -1,5 +1,6 @@
 /* Messages on the wire: round trips, truncation, bit flips, foreign members, hostile counts. */
 #include "core/view.h"
+#include "core/directory.h"
 #include "net/codec.h"
 #include "net/frame_check.h"
 
@@ -17,8 +18,8 @@
 two_vms (void)
 {
   GArray *vms = g_array_new (FALSE, TRUE, sizeof (DpVm));
-  DpVm first = { 5, 6, "vm-a", "127.0.1.1", DP_VM_LEAVING, 7, 8 };
-  DpVm second = { G_MAXUINT64, 1, "vm-b", "127.0.1.2", DP_VM_DEAD, G_MAXUINT64, 9 };
+  DpVm first = { 5, 6, "vm-a", "127.0.1.1", DP_VM_LEAVING, 7, 8, 170 };
+  DpVm second = { G_MAXUINT64, 1, "vm-b", "127.0.1.2", DP_VM_DEAD, G_MAXUINT64, 9, 500 };
   g_array_append_val (vms, first);
   g_array_append_val (vms, second);
   return vms;
@@ -41,7 +42,10 @@
                                      .prefix_count = DP_PREFIX_BLOCKS_MAX,
                                      .prefix = { 9, 10, 11 },
                                      .excluded_count = 2,
-                                     .excluded = { 12, 13 } } };
+                                     .excluded = { 12, 13 },
+                                     .urgency = DP_URGENCY_COUNT - 1,
+                                     .goal_left = 14,
+                                     .session = 15 } };
 }
 
 static DpMessage
@@ -54,6 +58,16 @@
   return message;
 }
 
+static DpMessage
+sample_targets (void)
+{
+  DpMessage message = { .type = DP_MESSAGE_TARGETS, .targets = { .age = 1 } };
+  message.targets.rows = g_array_new (FALSE, FALSE, sizeof (DpTargetRecord));
+  const DpTargetRecord row = { "i-1", "pool", "dc", "127.0.1.1", 80, 5, TRUE, 7 };
+  g_array_append_val (message.targets.rows, row);
+  return message;
+}
+
 static DpMessage
 sample_probe (DpMessageType type)
 {
@@ -123,6 +137,11 @@
     case DP_MESSAGE_LIMIT_GIVEN:
       message.limit_given = (DpLimitGiven){ 1, 2, 3, DP_REASON_RATE_LIMITED, 4 };
       break;
+    case DP_MESSAGE_TARGETS_ASK:
+      message.targets_ask = (DpTargetsAsk){ 1 };
+      break;
+    case DP_MESSAGE_TARGETS:
+      return sample_targets ();
     case DP_MESSAGE_COUNT:
       break;
     }
@@ -273,7 +292,7 @@
   FRAME ("huge type",
          "\x95\x01\xcf\xff\xff\xff\xff\xff\xff\xff\xff\x02\x00\x80",
          DP_CODEC_ERROR_TYPE),
-  FRAME ("unknown role", "\x95\x01\x0c\x02\x03\x80", DP_CODEC_ERROR_MALFORMED),
+  FRAME ("unknown role", "\x95\x01\x0c\x02\x04\x80", DP_CODEC_ERROR_MALFORMED),
   FRAME ("body is no map", "\x95\x01\x0c\x02\x00\x90", DP_CODEC_ERROR_VALUE),
   FRAME ("negative number", "\x95\x01\x0c\x02\x00\x81\x02\xff", DP_CODEC_ERROR_VALUE),
   FRAME ("text for a number", "\x95\x01\x0c\x02\x00\x81\x02\xa1x", DP_CODEC_ERROR_VALUE),
--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -32,8 +32,7 @@
   { "unsent, not repeatable", FACTS (UNSENT, FIRST), DP_STEP_AGAIN },
   { "declined, not repeatable", FACTS (DECLINED, FIRST), DP_STEP_AGAIN },
   { "declined, no budget", FACTS (DECLINED, .sendings = 1), DP_STEP_NOT_RUN },
-  { "declined too often",
-    FACTS (DECLINED, .sendings = 4, .within_budget = TRUE),
+  { "declined too often", FACTS (DECLINED, .sendings = 4, .within_budget = TRUE),
     DP_STEP_NOT_RUN },
   { "declined, but an earlier sending may have run",
     FACTS (DECLINED, .sendings = 4, .within_budget = TRUE, .may_have_run = TRUE),
@@ -46,8 +45,7 @@
   { "broke within a stream that can go on",
     FACTS (BROKE, FIRST, RAN, .is_repeatable = TRUE, .answer_begun = TRUE, .can_go_on = TRUE),
     DP_STEP_AGAIN },
-  { "broke within a stream that can't",
-    FACTS (BROKE, FIRST, RAN, .answer_begun = TRUE),
+  { "broke within a stream that can't", FACTS (BROKE, FIRST, RAN, .answer_begun = TRUE),
     DP_STEP_BREAK_OFF },
   { "error, not repeatable", FACTS (ERROR, FIRST, RAN), DP_STEP_PASS_ON },
   { "error, repeatable", FACTS (ERROR, FIRST, RAN, .is_repeatable = TRUE), DP_STEP_AGAIN },
@@ -126,10 +124,8 @@
     STEPS = 3000,
     VMS_MAX = 8,
   };
-  const DpQuotaLimit limit = { .workspace = 5,
-                               .per_second = row->per_second,
-                               .burst = row->burst,
-                               .window = 8 * SEC };
+  const DpQuotaLimit limit
+    = { .workspace = 5, .per_second = row->per_second, .burst = row->burst, .window = 8 * SEC };
   DpQuotaKeeper *keeper = dp_quota_keeper_new (START + SEC);
   DpQuotaUser *users[VMS_MAX];
   static double use[STEPS];
@@ -171,8 +167,8 @@
   ck_assert_msg (served >= allowed * row->served_min, "%s: %.0f of %.0f", row->name, served,
                  allowed);
   double most = most_in_window (use, STEPS, 800);
-  ck_assert_msg (most <= whole * (1 + row->over_max), "%s: %.0f in a window of %.0f",
-                 row->name, most, whole);
+  ck_assert_msg (most <= whole * (1 + row->over_max), "%s: %.0f in a window of %.0f", row->name,
+                 most, whole);
   for (guint i = 0; i < row->vms; i++)
     dp_quota_user_free (users[i]);
   dp_quota_keeper_free (keeper);
@@ -243,7 +239,9 @@
     { { FALSE, FALSE, 5, FALSE }, { TRUE, FALSE, 0, TRUE } },
     2,
     TRUE },
-  { "a draining one that lapsed", { { FALSE, TRUE, 5, FALSE }, { TRUE, FALSE, 0, TRUE } }, 2,
+  { "a draining one that lapsed",
+    { { FALSE, TRUE, 5, FALSE }, { TRUE, FALSE, 0, TRUE } },
+    2,
     FALSE },
 };
 
@@ -260,7 +258,11 @@
                                 .is_draining = step->is_draining,
                                 .started = step->started };
       if (step->is_removal)
-        dp_directory_remove (directory, dp_name ("t"), step->may_live, START);
+        {
+          dp_directory_contact (directory, 3 * SEC, START);
+          dp_directory_contact (directory, 3 * SEC, START + (step->may_live ? 4 : 2) * SEC);
+          dp_directory_remove (directory, dp_name ("t"), START + 5 * SEC);
+        }
       else
         dp_directory_put (directory, &record);
     }
@@ -270,16 +272,36 @@
 }
 END_TEST
 
+/* The platform was away for 6 s; the entry's removal is seen some time after its return. */
+typedef struct LapseCase
+{
+  const char *name;
+  DpUsec removed_after;
+  DpUsec looked_after;
+  gboolean may_use;
+} LapseCase;
+
+static const LapseCase lapse_cases[] = {
+  { "missing at the return", 0, 1 * SEC, TRUE },
+  { "still missing after the grace time", 0, 2 * SEC, FALSE },
+  { "removed late in the grace time", 1900 * MSEC, 1950 * MSEC, TRUE },
+  { "removed late, no second grace time", 1900 * MSEC, 2 * SEC, FALSE },
+  { "removed after it", 2100 * MSEC, 2100 * MSEC, FALSE },
+};
+
 START_TEST (a_lapsed_target_is_dropped_in_time)
 {
+  const LapseCase *row = &lapse_cases[_i];
   DpDirectory *directory = dp_directory_new ();
   DpTargetRecord record = { .id = "t", .pool = "p", .slots = 1 };
+  DpUsec back = START + 6 * SEC;
+  dp_directory_contact (directory, 3 * SEC, START);
   dp_directory_put (directory, &record);
-  dp_directory_replace (directory, NULL, 0, TRUE, START);
-  dp_directory_expire (directory, START - 1);
-  ck_assert (dp_directory_may_use (directory, dp_name ("t")));
-  dp_directory_expire (directory, START + 1);
-  ck_assert (!dp_directory_may_use (directory, dp_name ("t")));
+  dp_directory_contact (directory, 3 * SEC, back);
+  dp_directory_replace (directory, NULL, 0, back + row->removed_after);
+  dp_directory_expire (directory, back + row->looked_after);
+  ck_assert_msg (dp_directory_may_use (directory, dp_name ("t")) == row->may_use, "%s",
+                 row->name);
   dp_directory_free (directory);
 }
 END_TEST
@@ -405,7 +427,8 @@
   tcase_add_loop_test (tests, limits_hold_over_all_vms, 0, G_N_ELEMENTS (limit_cases));
   tcase_add_test (tests, without_a_keeper_a_vm_uses_its_share);
   tcase_add_loop_test (tests, which_targets_may_be_used, 0, G_N_ELEMENTS (directory_cases));
-  tcase_add_test (tests, a_lapsed_target_is_dropped_in_time);
+  tcase_add_loop_test (tests, a_lapsed_target_is_dropped_in_time, 0,
+                       G_N_ELEMENTS (lapse_cases));
   tcase_add_test (tests, all_vms_choose_the_same_owner);
   tcase_add_test (tests, a_strong_vm_owns_most_keys);
   tcase_add_loop_test (tests, an_owner_that_is_out_of_reach_is_passed_over, 0,
