--- a/core/owners.c
+++ b/core/owners.c
@@ -12,6 +12,8 @@
 #define GONE_AGE (30 * DP_USEC_PER_SEC)
 /* Weight of a VM that states none. */
 #define WEIGHT_DEFAULT 100
+/* A hundred VMs of a sixth of the weight own a hundredth of the keys of eight strong ones. */
+#define WEIGHT_POWER 4
 
 typedef struct Peer
 {
@@ -90,14 +92,15 @@
   return (left->score < right->score) - (left->score > right->score);
 }
 
-/* Weighted rendezvous: a VM of twice the weight owns twice as many keys. */
+/* Weighted rendezvous. An owner works for all VMs: one of a sixth of the processor would be the
+ * first to be overloaded, so strong VMs own nearly all keys. */
 static double
 score (DpName key, const DpVm *vm)
 {
   guint64 hash = dp_rendezvous_weight (key, vm->name);
   double uniform = ((double)(hash >> 11) + 0.5) / (double)(G_GUINT64_CONSTANT (1) << 53);
   double weight = vm->weight > 0 ? vm->weight : WEIGHT_DEFAULT;
-  return -weight / log (uniform);
+  return -pow (weight, WEIGHT_POWER) / log (uniform);
 }
 
 static GArray *
--- a/core/quota.c
+++ b/core/quota.c
@@ -9,16 +9,19 @@
 /* Debt that all VMs together may run up on a keeper's word that there is enough, in seconds of
  * the limit: with the burst at hand it stays within what a window allows. */
 #define DEBT_SECONDS 0.6
+/* Of many VMs each has so small a part of it that the first request would not fit. A VM in debt
+ * asks at once, so that debts are known within a round trip. */
+#define DEBT_REQUESTS 2.0
 #define RETRY_AFTER_MIN (100 * DP_USEC_PER_MSEC)
 #define RETRY_AFTER_MAX (2 * DP_USEC_PER_SEC)
 #define WANT_MAX 1e9
 /* Parts of the burst that may be used at one moment, and that are spread over the window, so
  * that a workspace far over its limit is served evenly. */
-#define DEPTH_PART 0.5
-#define SPREAD_PART 0.5
+#define DEPTH_PART 0.4
+#define SPREAD_PART 0.4
 /* A keeper that has just begun does not know what was used before: it starts with this part of
  * the depth. */
-#define START_PART 0.25
+#define START_PART 0.05
 
 typedef struct Use
 {
@@ -116,7 +119,7 @@
     add_equal_share (use, limit, vms, now);
   else
     use->share_at = now;
-  double debt = limit->per_second * DEBT_SECONDS / MAX (vms, 1);
+  double debt = MAX (limit->per_second * DEBT_SECONDS / MAX (vms, 1), DEBT_REQUESTS * cost);
   double floor = use->is_short || is_silent ? 0 : -debt;
   use->used += cost;
   if (use->credit - cost < floor)
@@ -136,6 +139,13 @@
     use->credit += cost;
 }
 
+gboolean
+dp_quota_user_is_in_debt (const DpQuotaUser *user, DpName workspace)
+{
+  const Use *use = g_hash_table_lookup (user->uses, &workspace);
+  return use != NULL && use->credit < 0 && use->waiting_since == 0;
+}
+
 void
 dp_quota_user_due_asks (DpQuotaUser *user, DpUsec now, GArray *out)
 {
@@ -145,9 +155,12 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       Use *use = value;
-      if (use->asked_at != 0 && now - use->asked_at < ASK_INTERVAL)
+      gboolean is_due = use->asked_at == 0 || now - use->asked_at >= ASK_INTERVAL;
+      gboolean is_urgent = use->credit < 0 && use->waiting_since == 0;
+      if (!is_due && !is_urgent)
         continue;
-      use->recent = (use->recent + use->used) / 2;
+      if (is_due)
+        use->recent = (use->recent + use->used) / 2;
       double want = MAX (use->used, use->recent) * ASK_AHEAD - use->credit;
       use->used = 0;
       if (want <= 0)
--- a/core/quota.h
+++ b/core/quota.h
@@ -38,6 +38,8 @@
                               DpUsec *retry_after);
 /* Gives back what a request was charged that ran nowhere. */
 void dp_quota_user_give_back (DpQuotaUser *user, DpName workspace, double cost);
+/* TRUE if an ask is due at once, since the workspace is in debt. */
+gboolean dp_quota_user_is_in_debt (const DpQuotaUser *user, DpName workspace);
 /* Appends the asks (DpLimitAsk) that are due. */
 void dp_quota_user_due_asks (DpQuotaUser *user, DpUsec now, GArray *out);
 void dp_quota_user_given (DpQuotaUser *user, const DpLimitGiven *given);
--- a/node/front.c
+++ b/node/front.c
@@ -115,6 +115,8 @@
                             dp_node_now (), &retry_after))
     return refuse (admission, DP_REASON_RATE_LIMITED, retry_after);
   admission->charged = cost;
+  if (dp_quota_user_is_in_debt (node->quota_user, limit.workspace))
+    dp_peers_send_limit_asks (node, dp_node_now ());
   return TRUE;
 }
 
--- a/node/node.h
+++ b/node/node.h
@@ -220,6 +220,8 @@
 void dp_peers_say_leaving (DpNode *node);
 void dp_peers_send (DpNode *node, DpName vm, const DpMessage *message);
 guint dp_peers_count (const DpNode *node);
+/* Asks for the credit that is due. */
+void dp_peers_send_limit_asks (DpNode *node, DpUsec now);
 /* Limit of the workspace; `per_second` is 0 if it has none. */
 DpQuotaLimit dp_peers_limit (const DpNode *node, const DpManifest *manifest, int workspace);
 
--- a/node/peers.c
+++ b/node/peers.c
@@ -120,8 +120,8 @@
     dp_peers_send (node, from, &message);
 }
 
-static void
-send_limit_asks (DpNode *node, DpUsec now)
+void
+dp_peers_send_limit_asks (DpNode *node, DpUsec now)
 {
   GArray *asks = g_array_new (FALSE, FALSE, sizeof (DpLimitAsk));
   dp_quota_user_due_asks (node->quota_user, now, asks);
@@ -187,6 +187,6 @@
     return;
   node->peers_ticked_at = now;
   send_due_probes (node, now);
-  send_limit_asks (node, now);
+  dp_peers_send_limit_asks (node, now);
   dp_share_tick (node, now);
 }
