--- a/core/message.c
+++ b/core/message.c
@@ -23,6 +23,7 @@
   [DP_MESSAGE_LIMIT_GIVEN] = "limit_given",
   [DP_MESSAGE_TARGETS_ASK] = "targets_ask",
   [DP_MESSAGE_TARGETS] = "targets",
+  [DP_MESSAGE_RELAY] = "relay",
 };
 
 const char *
--- a/core/message.h
+++ b/core/message.h
@@ -70,6 +70,7 @@
   /* node <-> node: for those that can't reach the platform */
   DP_MESSAGE_TARGETS_ASK,
   DP_MESSAGE_TARGETS,
+  DP_MESSAGE_RELAY,
   DP_MESSAGE_COUNT,
 } DpMessageType;
 
@@ -294,10 +295,20 @@
 /* Targets as a node knows them. */
 typedef struct DpTargetsText
 {
-  DpUsec age;   /* of the platform's last word on them */
-  GArray *rows; /* DpTargetRecord; owned by the message */
+  DpUsec age;       /* of the platform's last word on them */
+  guint64 revision; /* of the platform's store that they are as of */
+  GArray *rows;     /* DpTargetRecord; owned by the message */
 } DpTargetsText;
 
+/* "This is the newest that the platform's store has", from a VM that watches it for others. */
+typedef struct DpRelay
+{
+  guint64 manifest_revision;
+  guint64 targets_revision; /* of the store */
+  guint64 vms_revision;
+  DpUsec age; /* of the oldest of the three */
+} DpRelay;
+
 typedef struct DpMessage
 {
   DpMessageType type;
@@ -324,6 +335,7 @@
     DpLimitGiven limit_given;
     DpTargetsAsk targets_ask;
     DpTargetsText targets;
+    DpRelay relay;
   };
 } DpMessage;
 
--- a/core/owners.c
+++ b/core/owners.c
@@ -230,6 +230,29 @@
     }
 }
 
+gboolean
+dp_owners_is_relay (DpOwners *owners)
+{
+  if (owners->view == NULL || owners->view->vms->len <= DP_RELAY_FLEET_MIN)
+    return TRUE;
+  const DpVm *self = dp_view_find (owners->view, owners->self);
+  if (self == NULL)
+    return TRUE;
+  const GArray *names = ranking (owners, self->data_centre);
+  guint before = 0;
+  for (guint i = 0; i < names->len && before < DP_RELAYS; i++)
+    {
+      DpName name = g_array_index (names, DpName, i);
+      if (name == owners->self)
+        return TRUE;
+      const Peer *peer = find_peer (owners, name);
+      gboolean is_leaving = peer != NULL && peer->is_leaving;
+      const DpVm *vm = dp_view_find (owners->view, name);
+      before += vm != NULL && vm->data_centre == self->data_centre && !is_leaving;
+    }
+  return FALSE;
+}
+
 double
 dp_owners_reach (const DpOwners *owners, DpUsec now)
 {
--- a/core/owners.h
+++ b/core/owners.h
@@ -40,6 +40,14 @@
 void
 dp_owners_due_probes (DpOwners *owners, DpName key, guint candidates, DpUsec now, GArray *out);
 
+/* Fleets up to this size need no relays: each VM watches the store itself. */
+#define DP_RELAY_FLEET_MIN 32
+/* VMs of a data centre that watch the store for the others there. */
+#define DP_RELAYS 2
+
+/* TRUE if this VM is to watch the store whatever others do. */
+gboolean dp_owners_is_relay (DpOwners *owners);
+
 /* Part of the VMs that are in touch with this one, itself included: the others may have chosen
  * owners of their own. VMs that were not heard for long are taken as gone. */
 double dp_owners_reach (const DpOwners *owners, DpUsec now);
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -252,6 +252,14 @@
 static const DpField targets_fields[] = {
   USEC (1, DpMessage, targets.age),
   ARRAY (2, DpMessage, targets.rows, DP_CODEC_TARGETS_MAX, &target_table),
+  UINT64 (3, DpMessage, targets.revision),
+};
+
+static const DpField relay_fields[] = {
+  UINT64 (1, DpMessage, relay.manifest_revision),
+  UINT64 (2, DpMessage, relay.targets_revision),
+  UINT64 (3, DpMessage, relay.vms_revision),
+  USEC (4, DpMessage, relay.age),
 };
 
 static const DpFieldTable tables[DP_MESSAGE_COUNT] = {
@@ -277,6 +285,7 @@
   [DP_MESSAGE_LIMIT_GIVEN] = TABLE (DpMessage, limit_given_fields),
   [DP_MESSAGE_TARGETS_ASK] = TABLE (DpMessage, targets_ask_fields),
   [DP_MESSAGE_TARGETS] = TABLE (DpMessage, targets_fields),
+  [DP_MESSAGE_RELAY] = TABLE (DpMessage, relay_fields),
 };
 
 const DpFieldTable *
--- a/node/follow.c
+++ b/node/follow.c
@@ -9,13 +9,17 @@
 /* A watch without news returns after this time, so that a connection that has gone silent is
  * noticed well within the time in which a config has to be in force. */
 #define WATCH_TIME (2 * DP_USEC_PER_SEC)
-#define VMS_WATCH_TIME (5 * DP_USEC_PER_SEC)
 /* Answers come within milliseconds; slow days take some hundred. */
 #define CALL_TIMEOUT (500 * DP_USEC_PER_MSEC)
 /* On slow days a listing may take longer than that; each failure in a row adds as much. */
 #define CALL_TIMEOUT_MAX (3 * DP_USEC_PER_SEC)
+/* A VM whose relays are silent for so long watches for itself: well within the time in which a
+ * config has to be in force. */
+#define RELAY_SILENCE (900 * DP_USEC_PER_MSEC)
 /* Changes that come together cost one call if the watch is called again a little later. */
 #define GATHER_TIME (20 * DP_USEC_PER_MSEC)
+/* All VMs start at once; nothing is bound to how soon they know each other. */
+#define VMS_GATHER_TIME (300 * DP_USEC_PER_MSEC)
 #define RETRY_TIME (150 * DP_USEC_PER_MSEC)
 #define BACKOFF_MIN (100 * DP_USEC_PER_MSEC)
 #define BACKOFF_MAX (400 * DP_USEC_PER_MSEC)
@@ -47,6 +51,7 @@
   Kind kind;
   struct event *next; /* the next call */
   gboolean is_listed; /* watches go on from `revision` */
+  gboolean is_parked; /* a relay watches for this VM */
   guint64 revision;
   guint failures; /* in a row */
   /* a listing that comes in pages */
@@ -190,17 +195,21 @@
 }
 
 void
-dp_follow_take_targets (DpFollow *follow, const GArray *records)
+dp_follow_take_targets (DpFollow *follow, const DpTargetsText *targets)
 {
   DpNode *node = follow->node;
+  Stream *stream = &follow->streams[KIND_TARGETS];
+  if (targets->revision < stream->revision)
+    return;
   guint64 before = dp_directory_version (node->directory);
-  dp_directory_replace (node->directory, (const DpTargetRecord *)records->data, records->len,
-                        dp_node_now ());
+  dp_directory_replace (node->directory, (const DpTargetRecord *)targets->rows->data,
+                        targets->rows->len, dp_node_now ());
+  stream->revision = targets->revision;
   if (dp_directory_version (node->directory) == before)
     return;
   char count[16];
-  g_snprintf (count, sizeof count, "%u", records->len);
-  dp_log (DP_LOG_NOTICE, "targets_from_vm", "targets", count, NULL);
+  g_snprintf (count, sizeof count, "%u", targets->rows->len);
+  log_change ("targets_from_vm", count, "ok", targets->revision);
   dp_placing_set_targets (node);
 }
 
@@ -263,9 +272,23 @@
   g_hash_table_foreach_remove (follow->vms, is_unlisted, user);
 }
 
+/* Drops VMs that a whole list does not name. */
+static gboolean
+drop_absent_vms (DpFollow *follow, const GArray *vms)
+{
+  GHashTable *listed = g_hash_table_new (g_int64_hash, g_int64_equal);
+  for (guint i = 0; i < vms->len; i++)
+    g_hash_table_add (listed, &g_array_index (vms, DpVm, i).name);
+  guint before = g_hash_table_size (follow->vms);
+  drop_unlisted_vms (follow, listed);
+  g_hash_table_unref (listed);
+  return g_hash_table_size (follow->vms) != before;
+}
+
 void
-dp_follow_take_vms (DpFollow *follow, const GArray *vms)
+dp_follow_take_vms (DpFollow *follow, const GArray *vms, guint64 revision)
 {
+  Stream *stream = &follow->streams[KIND_VMS];
   gboolean changed = FALSE;
   for (guint i = 0; i < vms->len; i++)
     {
@@ -276,10 +299,47 @@
                            g_memdup2 (vm, sizeof *vm));
       changed = TRUE;
     }
+  if (revision > stream->revision)
+    {
+      stream->revision = revision;
+      changed |= drop_absent_vms (follow, vms);
+    }
   if (changed)
     publish_view (follow);
 }
 
+/* --- relays --- */
+
+DpRelay
+dp_follow_state (const DpFollow *follow)
+{
+  const DpNode *node = follow->node;
+  DpUsec proof = MIN (MIN (node->manifest_proof, node->view_proof),
+                      dp_directory_contact_at (node->directory));
+  return (DpRelay){ .manifest_revision = node->manifest != NULL ? node->manifest->revision : 0,
+                    .targets_revision = follow->streams[KIND_TARGETS].revision,
+                    .vms_revision = follow->streams[KIND_VMS].revision,
+                    .age = dp_node_now () - proof };
+}
+
+void
+dp_follow_take_proof (DpFollow *follow, const DpRelay *relay)
+{
+  DpNode *node = follow->node;
+  DpUsec now = dp_node_now ();
+  DpUsec proof = now - relay->age;
+  node->relay_heard_at = now;
+  DpRelay own = dp_follow_state (follow);
+  if (own.manifest_revision >= relay->manifest_revision)
+    node->manifest_proof = MAX (node->manifest_proof, proof);
+  if (own.vms_revision >= relay->vms_revision)
+    node->view_proof = MAX (node->view_proof, proof);
+  if (own.targets_revision >= relay->targets_revision
+      && proof > dp_directory_contact_at (node->directory))
+    dp_directory_contact (node->directory, LAPSE_HEARTBEATS * node->figures.target_heartbeat,
+                          proof);
+}
+
 /* --- pages --- */
 
 static void
@@ -471,22 +531,33 @@
   gboolean had_news = page->objects->len > 0;
   dp_store_page_free (page);
   if (had_news)
-    schedule (stream->next, GATHER_TIME);
+    schedule (stream->next, stream->kind == KIND_VMS ? VMS_GATHER_TIME : GATHER_TIME);
   else
     call_next (stream);
 }
 
+static gboolean
+must_watch (const Stream *stream)
+{
+  const DpNode *node = stream->follow->node;
+  return !stream->is_listed || dp_owners_is_relay (node->owners)
+         || dp_node_now () - node->relay_heard_at > RELAY_SILENCE;
+}
+
 static void
 call_next (Stream *stream)
 {
   const DpFollow *follow = stream->follow;
+  stream->is_parked = !must_watch (stream);
+  if (stream->is_parked)
+    return;
   DpUsec timeout = MIN (CALL_TIMEOUT * (stream->failures + 1), CALL_TIMEOUT_MAX);
   DpPlatformCall call = { .path = kind_paths[stream->kind], .timeout = timeout };
   if (stream->is_listed)
     {
       call.type = DP_PLATFORM_WATCH_KIND;
       call.version = stream->revision;
-      call.watch_time = stream->kind == KIND_VMS ? VMS_WATCH_TIME : WATCH_TIME;
+      call.watch_time = WATCH_TIME;
       /* After a failure the store's return is to be seen at once, also if it has no news. */
       if (stream->failures > 0)
         call.watch_time = DP_USEC_PER_MSEC;
@@ -631,6 +702,9 @@
 dp_follow_tick (DpFollow *follow, DpUsec now)
 {
   DpNode *node = follow->node;
+  for (guint i = 0; i < KIND_COUNT; i++)
+    if (follow->streams[i].is_parked && must_watch (&follow->streams[i]))
+      call_next (&follow->streams[i]);
   /* While the store is away, nothing that is missing is known to be gone. */
   if (follow->streams[KIND_TARGETS].failures > 0)
     return;
--- a/node/node.h
+++ b/node/node.h
@@ -125,6 +125,9 @@
   DpUsec started_at;
   DpUsec asked_state_at; /* another VM, for what the store can't tell */
   DpUsec asked_manifest_at;
+  DpUsec relay_heard_at;
+  DpUsec relayed_at;
+  DpRelay relayed; /* what the others of the data centre were told last */
   gboolean is_stopping;
   DpUsec stop_at;
   gboolean turned_away; /* no new callers any more */
@@ -198,8 +201,12 @@
 
 /* What another VM knows; each is ignored if this VM knows better. */
 void dp_follow_take_config_text (DpFollow *follow, GBytes *text);
-void dp_follow_take_targets (DpFollow *follow, const GArray *records);
-void dp_follow_take_vms (DpFollow *follow, const GArray *vms);
+void dp_follow_take_targets (DpFollow *follow, const DpTargetsText *targets);
+void dp_follow_take_vms (DpFollow *follow, const GArray *vms, guint64 revision);
+/* Another VM has just heard from the store that nothing is newer. */
+void dp_follow_take_proof (DpFollow *follow, const DpRelay *relay);
+/* Store revisions that targets and VMs are as of, and the age of the oldest proof. */
+DpRelay dp_follow_state (const DpFollow *follow);
 
 /* --- share.c --- */
 
--- a/node/share.c
+++ b/node/share.c
@@ -13,6 +13,10 @@
 /* A VM whose own word of the store is older tells nothing new. */
 #define SHARED_AGE_MAX (2500 * DP_USEC_PER_MSEC)
 #define SEEDS_MAX 16
+/* Relays speak at least this often: a third of what makes others watch for themselves. */
+#define RELAY_INTERVAL (300 * DP_USEC_PER_MSEC)
+/* Changes that come together are told together. */
+#define RELAY_GATHER (40 * DP_USEC_PER_MSEC)
 
 GArray *
 dp_share_seeds (const DpNode *node)
@@ -73,7 +77,7 @@
 send_view (DpNode *node, DpName vm)
 {
   DpMessage message = { .type = DP_MESSAGE_VIEW };
-  message.view.version = node->view->version;
+  message.view.version = dp_follow_state (node->follow).vms_revision;
   message.view.vms = node->view->vms;
   dp_peers_send (node, vm, &message);
 }
@@ -94,8 +98,8 @@
   g_array_unref (names);
 }
 
-void
-dp_share_tick (DpNode *node, DpUsec now)
+static void
+ask_if_cut (DpNode *node, DpUsec now)
 {
   DpUsec proof = MIN (node->manifest_proof, dp_directory_contact_at (node->directory));
   gboolean is_starting = proof == 0 && now - node->started_at > START_PATIENCE;
@@ -150,28 +154,99 @@
     return;
   DpMessage message = { .type = DP_MESSAGE_TARGETS };
   message.targets.age = now - dp_directory_contact_at (node->directory);
+  message.targets.revision = dp_follow_state (node->follow).targets_revision;
   message.targets.rows = list_targets (node);
   dp_peers_send (node, to, &message);
   dp_message_clear (&message);
   send_view (node, to);
 }
 
-/* The store's own word goes before another VM's. */
+/* --- relays --- */
+
+static gboolean
+is_news (const DpRelay *now, const DpRelay *before)
+{
+  return now->manifest_revision != before->manifest_revision
+         || now->targets_revision != before->targets_revision
+         || now->vms_revision != before->vms_revision;
+}
+
+static void
+tell (DpNode *node, DpName vm, const DpRelay *state)
+{
+  const DpRelay *before = &node->relayed;
+  if (state->manifest_revision != before->manifest_revision)
+    tell_manifest (node, vm, &(DpManifestAsk){ 0 });
+  if (state->targets_revision != before->targets_revision)
+    tell_targets (node, vm);
+  if (state->vms_revision != before->vms_revision)
+    send_view (node, vm);
+  DpMessage message = { .type = DP_MESSAGE_RELAY, .relay = *state };
+  dp_peers_send (node, vm, &message);
+}
+
+/* A relay tells the VMs of its data centre what the store has said. */
+static void
+relay (DpNode *node, DpUsec now)
+{
+  if (node->view->vms->len <= DP_RELAY_FLEET_MIN || !dp_owners_is_relay (node->owners))
+    return;
+  DpRelay state = dp_follow_state (node->follow);
+  DpUsec since = now - node->relayed_at;
+  gboolean is_due
+    = since >= RELAY_INTERVAL || (since >= RELAY_GATHER && is_news (&state, &node->relayed));
+  if (!is_due || state.age > PROOF_AGE_MAX)
+    return;
+  DpName data_centre = dp_name (node->settings->process.data_centre);
+  for (guint i = 0; i < node->view->vms->len; i++)
+    {
+      const DpVm *vm = &g_array_index (node->view->vms, DpVm, i);
+      if (vm->name != node->self && vm->data_centre == data_centre)
+        tell (node, vm->name, &state);
+    }
+  node->relayed = state;
+  node->relayed_at = now;
+}
+
+/* Asks for what it does not have yet. */
+static void
+take_relay (DpNode *node, DpName from, const DpRelay *state)
+{
+  DpUsec now = dp_node_now ();
+  DpRelay own = dp_follow_state (node->follow);
+  dp_follow_take_proof (node->follow, state);
+  dp_share_note_revision (node, from, state->manifest_revision);
+  gboolean is_behind
+    = own.targets_revision < state->targets_revision || own.vms_revision < state->vms_revision;
+  if (!is_behind || now - node->asked_state_at < ASK_INTERVAL)
+    return;
+  node->asked_state_at = now;
+  DpMessage message = { .type = DP_MESSAGE_TARGETS_ASK };
+  message.targets_ask.version = own.targets_revision;
+  dp_peers_send (node, from, &message);
+}
+
+/* A newer word of the store is taken from any VM; what is not newer only while this VM has none
+ * of its own. */
 static void
 take_targets (DpNode *node, const DpTargetsText *targets)
 {
-  DpUsec age = dp_node_now () - dp_directory_contact_at (node->directory);
-  gboolean is_first = dp_directory_contact_at (node->directory) == 0
-                      && dp_directory_count (node->directory) == 0;
-  gboolean is_fresh = targets->age < SHARED_AGE_MAX && age > PROOF_AGE_MAX;
-  if (targets->rows != NULL && (is_first || is_fresh))
-    dp_follow_take_targets (node->follow, targets->rows);
+  guint64 own = dp_follow_state (node->follow).targets_revision;
+  gboolean is_newer = targets->revision > own && targets->age < SHARED_AGE_MAX;
+  gboolean is_first = dp_directory_count (node->directory) == 0;
+  if (targets->rows != NULL && (is_newer || is_first))
+    dp_follow_take_targets (node->follow, targets);
 }
 
 /* A VM knows best of itself; of others, only if the store has said nothing yet. */
 static void
 take_view (DpNode *node, DpName from, const DpViewText *view)
 {
+  if (view->vms != NULL && view->version > dp_follow_state (node->follow).vms_revision)
+    {
+      dp_follow_take_vms (node->follow, view->vms, view->version);
+      return;
+    }
   GArray *taken = g_array_new (FALSE, FALSE, sizeof (DpVm));
   for (guint i = 0; view->vms != NULL && i < view->vms->len; i++)
     {
@@ -179,7 +254,7 @@
       if (vm->name == from || node->view_proof == 0)
         g_array_append_vals (taken, vm, 1);
     }
-  dp_follow_take_vms (node->follow, taken);
+  dp_follow_take_vms (node->follow, taken, 0);
   g_array_unref (taken);
 }
 
@@ -201,6 +276,9 @@
     case DP_MESSAGE_TARGETS:
       take_targets (node, &message->targets);
       return TRUE;
+    case DP_MESSAGE_RELAY:
+      take_relay (node, from, &message->relay);
+      return TRUE;
     case DP_MESSAGE_VIEW:
       take_view (node, from, &message->view);
       return TRUE;
@@ -208,3 +286,10 @@
       return FALSE;
     }
 }
+
+void
+dp_share_tick (DpNode *node, DpUsec now)
+{
+  ask_if_cut (node, now);
+  relay (node, now);
+}
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -61,7 +61,7 @@
 static DpMessage
 sample_targets (void)
 {
-  DpMessage message = { .type = DP_MESSAGE_TARGETS, .targets = { .age = 1 } };
+  DpMessage message = { .type = DP_MESSAGE_TARGETS, .targets = { .age = 1, .revision = 2 } };
   message.targets.rows = g_array_new (FALSE, FALSE, sizeof (DpTargetRecord));
   const DpTargetRecord row = { "i-1", "pool", "dc", "127.0.1.1", 80, 5, TRUE, 7 };
   g_array_append_val (message.targets.rows, row);
@@ -142,6 +142,9 @@
       break;
     case DP_MESSAGE_TARGETS:
       return sample_targets ();
+    case DP_MESSAGE_RELAY:
+      message.relay = (DpRelay){ 1, 2, 3, 4 };
+      break;
     case DP_MESSAGE_COUNT:
       break;
     }
