--- a/core/quota.c
+++ b/core/quota.c
@@ -11,14 +11,14 @@
 #define DEBT_SECONDS 0.6
 /* Of many VMs each has so small a part of it that the first request would not fit. A VM in debt
  * asks at once, so that debts are known within a round trip. */
-#define DEBT_REQUESTS 2.0
+#define DEBT_REQUESTS 1.0
 #define RETRY_AFTER_MIN (100 * DP_USEC_PER_MSEC)
 #define RETRY_AFTER_MAX (2 * DP_USEC_PER_SEC)
 #define WANT_MAX 1e9
 /* Parts of the burst that may be used at one moment, and that are spread over the window, so
  * that a workspace far over its limit is served evenly. */
-#define DEPTH_PART 0.4
-#define SPREAD_PART 0.4
+#define DEPTH_PART 0.7
+#define SPREAD_PART 0.1
 /* A keeper that has just begun does not know what was used before: it starts with this part of
  * the depth. */
 #define START_PART 0.05
@@ -29,7 +29,7 @@
   double credit;     /* negative: debt */
   double used;       /* since the last ask */
   double recent;     /* use in an interval, fading */
-  gboolean is_short; /* the keeper gave less than was asked for */
+  gboolean is_short; /* the keeper could not make up for the debt */
   guint64 sequence;
   guint64 answered;     /* of the newest ask with an answer */
   DpUsec asked_at;      /* 0: never */
@@ -184,7 +184,8 @@
   use->credit += given->given;
   use->answered = given->sequence;
   use->waiting_since = 0;
-  use->is_short = given->reason != DP_REASON_NONE;
+  /* Less than was asked for ahead of use is no shortage yet. */
+  use->is_short = given->reason != DP_REASON_NONE && use->credit < 0;
 }
 
 DpQuotaKeeper *
