--- a/common/counters.c
+++ b/common/counters.c
@@ -89,6 +89,26 @@
   obtain (counters, name, label, value)->value += amount;
 }
 
+void
+dp_counters_observe_ms (DpCounters *counters, const char *name, guint64 ms)
+{
+  /* Around the goals of first bytes and the time limits of requests. */
+  static const guint bounds_ms[] = { 10, 25, 50, 100, 150, 250, 500, 1000, 2500, 10000 };
+  char member[KEY_BYTES];
+  char bound[16];
+  g_snprintf (member, sizeof member, "%s_bucket", name);
+  for (guint i = 0; i < G_N_ELEMENTS (bounds_ms); i++)
+    {
+      g_snprintf (bound, sizeof bound, "%u", bounds_ms[i]);
+      dp_counters_add (counters, member, "le", bound, ms <= bounds_ms[i]);
+    }
+  dp_counters_add (counters, member, "le", "+Inf", 1);
+  g_snprintf (member, sizeof member, "%s_sum", name);
+  dp_counters_add (counters, member, NULL, NULL, ms);
+  g_snprintf (member, sizeof member, "%s_count", name);
+  dp_counters_add (counters, member, NULL, NULL, 1);
+}
+
 void
 dp_counters_set (
   DpCounters *counters, const char *name, const char *label, const char *value, guint64 amount)
--- a/common/counters.h
+++ b/common/counters.h
@@ -17,6 +17,10 @@
 void dp_counters_add (
   DpCounters *counters, const char *name, const char *label, const char *value, guint64 amount);
 
+/* Adds one measurement to a histogram of milliseconds: NAME_bucket{le="..."}, NAME_sum and
+ * NAME_count. */
+void dp_counters_observe_ms (DpCounters *counters, const char *name, guint64 ms);
+
 /* Sets a gauge. */
 void dp_counters_set (
   DpCounters *counters, const char *name, const char *label, const char *value, guint64 amount);
--- a/core/directory.c
+++ b/core/directory.c
@@ -83,6 +83,15 @@
   directory->version++;
 }
 
+static gboolean
+is_same_record (const DpTargetRecord *a, const DpTargetRecord *b)
+{
+  return strcmp (a->pool, b->pool) == 0 && strcmp (a->data_centre, b->data_centre) == 0
+         && strcmp (a->address, b->address) == 0 && a->port_number == b->port_number
+         && a->slots == b->slots && a->is_draining == b->is_draining
+         && a->started == b->started;
+}
+
 gboolean
 dp_directory_put (DpDirectory *directory, const DpTargetRecord *record)
 {
@@ -95,7 +104,7 @@
     taken.is_draining = TRUE;
   else if (record->is_draining)
     remember_drain (directory, name, record->started);
-  if (row != NULL && row->is_listed && memcmp (&row->record, &taken, sizeof taken) == 0)
+  if (row != NULL && row->is_listed && is_same_record (&row->record, &taken))
     return FALSE;
   if (row == NULL)
     row = add_row (directory, name);
--- a/manifest/manifest.h
+++ b/manifest/manifest.h
@@ -142,11 +142,11 @@
   gboolean resumable; /* streams: may go on at another target after the last whole event */
   gboolean is_public; /* needs no access key */
   guint tier;
-  guint attempts_max;      /* targets that one request may be sent to */
-  DpUsec timeout;          /* for the whole answer */
-  DpUsec first_byte_goal;  /* an answer that begins later is late */
-  DpUsec pause_goal;       /* streams: longest pause between events of an answer on time */
-  GArray *shares;          /* DpRouteShare, at least one */
+  guint attempts_max;     /* targets that one request may be sent to */
+  DpUsec timeout;         /* for the whole answer */
+  DpUsec first_byte_goal; /* an answer that begins later is late */
+  DpUsec pause_goal;      /* streams: longest pause between events of an answer on time */
+  GArray *shares;         /* DpRouteShare, at least one */
 } DpRoute;
 
 /* Bounds on what callers send; 0: none stated. */
@@ -188,7 +188,7 @@
   GArray *groups;          /* DpGroup */
   GHashTable *index;       /* kind and name -> index + 1 */
   GHashTable *key_index;   /* SHA-256 -> index + 1 */
-  GHashTable *host_index;  /* host in lower case -> GPtrArray of DpRoute, longest prefix first */
+  GHashTable *host_index; /* host in lower case -> GPtrArray of DpRoute, longest prefix first */
 } DpManifest;
 
 /* An empty manifest, for the parser and for tests that build one row by row: fill the arrays,
--- a/node/attempt.c
+++ b/node/attempt.c
@@ -170,15 +170,18 @@
 take_answer (DpNodeRequest *request)
 {
   const DpTargetAnswer *answer = &request->answer;
+  gboolean is_stream = is_stream_answer (request);
+  /* No answer of this request, or none that may be given: also a failure after a stream began.
+   */
+  gboolean is_useless
+    = !answer->is_genuine || is_promise (answer->status) || (request->head_given && !is_stream);
   if (answer->is_declined)
     dp_request_failed (request, DP_ATTEMPT_DECLINED,
                        answer->is_for_other ? DP_REASON_CONNECT_FAILED : DP_REASON_NO_TARGET);
-  else if (!answer->is_genuine || is_promise (answer->status))
+  else if (is_useless)
     dp_request_failed (request, DP_ATTEMPT_BROKE, DP_REASON_TARGET_ERROR);
-  else if (is_stream_answer (request))
+  else if (is_stream)
     finish_stream (request);
-  else if (request->head_given)
-    dp_request_failed (request, DP_ATTEMPT_BROKE, DP_REASON_TARGET_ERROR);
   else if (answer->status >= 500)
     dp_request_failed (request, DP_ATTEMPT_ERROR, DP_REASON_TARGET_ERROR);
   else
--- a/node/follow.c
+++ b/node/follow.c
@@ -94,7 +94,7 @@
 {
   char text[24];
   g_snprintf (text, sizeof text, "%" G_GUINT64_FORMAT, revision);
-  dp_log (DP_LOG_NOTICE, event, "name", name, "outcome", outcome, "store_revision", text, NULL);
+  dp_log (DP_LOG_NOTICE, event, "name", name, "outcome", outcome, "as_of", text, NULL);
 }
 
 /* --- config --- */
--- a/node/node.h
+++ b/node/node.h
@@ -243,7 +243,7 @@
 void dp_placing_started (DpNodeRequest *request);
 void dp_placing_message (DpNode *node, DpName from, const DpMessage *message);
 void dp_placing_tick (DpNode *node, DpUsec now, gboolean was_paused);
-void dp_placing_pool_free (gpointer pool);
+void dp_placing_pool_free (gpointer data);
 
 /* --- front.c --- */
 
--- a/node/request.c
+++ b/node/request.c
@@ -154,6 +154,14 @@
 dp_request_complete (DpNodeRequest *request, DpReason reason)
 {
   log_end (request, request->answer.status, reason);
+  DpUsec total = dp_node_now () - request->arrived;
+  dp_counters_observe_ms (request->node->counters, "dogwoodplank_answer_ms",
+                          (guint64)(total / DP_USEC_PER_MSEC));
+  if (request->first_after > 0)
+    dp_counters_observe_ms (
+      request->node->counters, "dogwoodplank_first_event_ms",
+      (guint64)((request->sent_at - request->arrived + request->first_after)
+                / DP_USEC_PER_MSEC));
   dp_counters_add (request->node->counters, "dogwoodplank_answers_total", NULL, NULL, 1);
   dp_placing_done (request, reason);
   request->exchange = NULL;
--- a/tests/process.c
+++ b/tests/process.c
@@ -184,8 +184,8 @@
                    "%s %s HTTP/1.1\r\n%sConnection: close\r\n%s"
                    "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n%s",
                    method, path, names_host ? "" : "Host: test\r\n",
-                   headers != NULL ? headers : "",
-                   body != NULL ? strlen (body) : 0, body != NULL ? body : "");
+                   headers != NULL ? headers : "", body != NULL ? strlen (body) : 0,
+                   body != NULL ? body : "");
   ssize_t sent = send (fd, request->str, request->len, MSG_NOSIGNAL);
   gboolean sent_all = sent == (ssize_t)request->len;
   g_string_free (request, TRUE);
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -1,6 +1,6 @@
 /* Messages on the wire: round trips, truncation, bit flips, foreign members, hostile counts. */
-#include "core/view.h"
 #include "core/directory.h"
+#include "core/view.h"
 #include "net/codec.h"
 #include "net/frame_check.h"
 
--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -127,7 +127,7 @@
   const DpQuotaLimit limit
     = { .workspace = 5, .per_second = row->per_second, .burst = row->burst, .window = 8 * SEC };
   DpQuotaKeeper *keeper = dp_quota_keeper_new (START + SEC);
-  DpQuotaUser *users[VMS_MAX];
+  DpQuotaUser *users[VMS_MAX] = { NULL };
   static double use[STEPS];
   double asked = 0;
   double served = 0;
@@ -135,7 +135,7 @@
     users[i] = dp_quota_user_new ();
   for (guint step = 0; step < STEPS; step++)
     {
-      DpUsec now = START + step * 10 * MSEC;
+      DpUsec now = START + (DpUsec)step * 10 * MSEC;
       use[step] = 0;
       if (row->keeper_dies && step == STEPS / 3)
         {
@@ -183,7 +183,7 @@
   double served = 0;
   for (guint step = 0; step < 1000; step++)
     {
-      DpUsec now = START + step * 10 * MSEC;
+      DpUsec now = START + (DpUsec)step * 10 * MSEC;
       DpUsec retry_after = 0;
       if (dp_quota_user_admit (user, &limit, 100, 12, now, &retry_after))
         served += 100;
