--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -12,6 +12,7 @@
 ninja -C "$bin" --quiet
 work=$(mktemp -d)
 . scripts/small_system.sh
+. scripts/demo_platform.sh
 
 finish() {
   stop_all
@@ -113,6 +114,8 @@
   --service "$net.31:8100" || load_status=$?
 report "$load_status" '300 requests of 20 callers' 'each answer checked by its caller'
 
+run_platform_demo
+
 echo "--- counters"
 for vm in 1 2 3; do
   echo "vm-$vm entry:"
