node: budgets follow the number of VMs, a leaving VM stays leaving, an old entry is replaced

Found by reading: a VM whose config came before the list of VMs took all spare repeats for its own; any message of a VM that was leaving made it an owner again; a VM of a known name with a new address kept its old entry. Tests: repeats_keep_to_their_budget_in_any_window, rows 'leaving, and speaking on' and 'left, and started again' of an_owner_that_is_out_of_reach.

--- a/core/owners.c
+++ b/core/owners.c
@@ -155,13 +155,18 @@
 }
 
 void
-dp_owners_heard (DpOwners *owners, DpName vm, gboolean leaving, DpUsec now)
+dp_owners_heard (DpOwners *owners, DpName vm, DpUsec now)
 {
   Peer *peer = obtain_peer (owners, vm);
   peer->heard_at = now;
   peer->probed_at = 0;
   peer->is_silent = FALSE;
-  peer->is_leaving = leaving;
+}
+
+void
+dp_owners_set_leaving (DpOwners *owners, DpName vm, gboolean is_leaving)
+{
+  obtain_peer (owners, vm)->is_leaving = is_leaving;
 }
 
 void
--- a/core/owners.h
+++ b/core/owners.h
@@ -24,8 +24,11 @@
 /* Owner of the key; this VM itself if no other is known to live. */
 DpName dp_owners_choose (DpOwners *owners, DpName key, DpUsec now);
 
-/* A message came from the VM. */
-void dp_owners_heard (DpOwners *owners, DpName vm, gboolean leaving, DpUsec now);
+/* A message came from the VM. One that leaves speaks on until it is gone: only its own word
+ * ends that it leaves. */
+void dp_owners_heard (DpOwners *owners, DpName vm, DpUsec now);
+/* The VM has said whether it leaves. */
+void dp_owners_set_leaving (DpOwners *owners, DpName vm, gboolean is_leaving);
 /* It did not answer in time. */
 void dp_owners_silent (DpOwners *owners, DpName vm, DpUsec now);
 gboolean dp_owners_is_silent (const DpOwners *owners, DpName vm);
--- a/core/retry.c
+++ b/core/retry.c
@@ -42,14 +42,18 @@
 }
 
 void
-dp_retry_budget_init (
-  DpRetryBudget *budget, double ratio, double slack, DpUsec window, guint vms)
+dp_retry_budget_init (DpRetryBudget *budget, double ratio, DpUsec window)
 {
   budget->ratio = ratio * BUDGET_PART;
-  budget->spare = slack * BUDGET_PART / MAX (vms, 1);
   budget->window = window;
 }
 
+void
+dp_retry_budget_set_spare (DpRetryBudget *budget, double slack, guint vms)
+{
+  budget->spare = slack * BUDGET_PART / MAX (vms, 1);
+}
+
 /* Forgets slots that have left the window. One slot more than the window has is kept, since the
  * newest is not full. */
 static guint
--- a/core/retry.h
+++ b/core/retry.h
@@ -51,9 +51,9 @@
   gint64 slot; /* number of the newest slot */
 } DpRetryBudget;
 
-/* `vms` share the spare repeats. */
-void dp_retry_budget_init (
-  DpRetryBudget *budget, double ratio, double slack, DpUsec window, guint vms);
+void dp_retry_budget_init (DpRetryBudget *budget, double ratio, DpUsec window);
+/* `vms` share the spare repeats. Nothing is spare before it is called. */
+void dp_retry_budget_set_spare (DpRetryBudget *budget, double slack, guint vms);
 void dp_retry_budget_count_request (DpRetryBudget *budget, DpUsec now);
 /* FALSE: the repeat must not be made. */
 gboolean dp_retry_budget_spend (DpRetryBudget *budget, DpUsec now);
--- a/node/follow.c
+++ b/node/follow.c
@@ -70,6 +70,7 @@
 };
 
 static void call_next (Stream *stream);
+static void on_enlisted (const DpPlatformReply *reply, gpointer data);
 
 static void
 schedule (struct event *event, DpUsec delay)
@@ -589,6 +590,23 @@
   return vm;
 }
 
+/* Writes this VM's entry; one that an earlier process, or an earlier VM of the name, has left
+ * is replaced. */
+static void
+enlist (DpFollow *follow, DpPlatformCallType type)
+{
+  DpVm vm = own_row (follow->node);
+  char *body = dp_records_write_vm (&vm, follow->node->settings->process.data_centre);
+  char *path = type == DP_PLATFORM_REPLACE ? g_strconcat (DP_KIND_VMS "/", vm.text, NULL)
+                                           : g_strdup (DP_KIND_VMS);
+  const DpPlatformCall call = {
+    .type = type, .path = path, .value = body, .length = strlen (body), .timeout = CALL_TIMEOUT
+  };
+  dp_platform_client_call (follow->node->store, &call, on_enlisted, follow);
+  g_free (path);
+  g_free (body);
+}
+
 static void
 on_enlisted (const DpPlatformReply *reply, gpointer data)
 {
@@ -599,8 +617,7 @@
       dp_log (DP_LOG_NOTICE, "enlisted", "outcome", "ok", NULL);
       return;
     case DP_PLATFORM_CONFLICT:
-      /* An earlier process of this VM has done it. */
-      dp_log (DP_LOG_NOTICE, "enlisted", "outcome", "already there", NULL);
+      enlist (follow, DP_PLATFORM_REPLACE);
       return;
     default:
       if (!follow->is_leaving)
@@ -612,16 +629,7 @@
 static void
 on_enlist (evutil_socket_t fd, short what, void *user)
 {
-  DpFollow *follow = user;
-  DpVm vm = own_row (follow->node);
-  char *body = dp_records_write_vm (&vm, follow->node->settings->process.data_centre);
-  const DpPlatformCall call = { .type = DP_PLATFORM_CREATE,
-                                .path = DP_KIND_VMS,
-                                .value = body,
-                                .length = strlen (body),
-                                .timeout = CALL_TIMEOUT };
-  dp_platform_client_call (follow->node->store, &call, on_enlisted, follow);
-  g_free (body);
+  enlist (user, DP_PLATFORM_CREATE);
 }
 
 static void
--- a/node/node.h
+++ b/node/node.h
@@ -235,6 +235,8 @@
 /* --- placing.c --- */
 
 void dp_placing_set_manifest (DpNode *node);
+/* Other VMs came or went: they share the budgets of repeats. */
+void dp_placing_set_vms (DpNode *node);
 void dp_placing_set_targets (DpNode *node);
 /* Asks for a target; the request is sent once there is one. */
 void dp_placing_ask (DpNodeRequest *request);
--- a/node/peers.c
+++ b/node/peers.c
@@ -23,6 +23,7 @@
   dp_view_unref (node->view);
   node->view = dp_view_ref (view);
   dp_owners_set_view (node->owners, view);
+  dp_placing_set_vms (node);
   GArray *rows = dp_share_seeds (node);
   g_array_append_vals (rows, view->vms->data, view->vms->len);
   DpView *reachable = dp_view_new (view->version, (const DpVm *)rows->data, rows->len);
@@ -141,7 +142,7 @@
 /* --- */
 
 static void
-note_heard (DpNode *node, DpName vm, gboolean leaving)
+note_heard (DpNode *node, DpName vm)
 {
   DpUsec now = dp_node_now ();
   if (dp_owners_is_silent (node->owners, vm))
@@ -149,7 +150,7 @@
       const DpVm *row = node->view != NULL ? dp_view_find (node->view, vm) : NULL;
       dp_log (DP_LOG_NOTICE, "vm_regained", "vm", row != NULL ? row->text : "unknown", NULL);
     }
-  dp_owners_heard (node->owners, vm, leaving, now);
+  dp_owners_heard (node->owners, vm, now);
 }
 
 void
@@ -158,16 +159,18 @@
   switch (message->type)
     {
     case DP_MESSAGE_PROBE:
-      note_heard (node, from.vm, message->probe.leaving);
+      note_heard (node, from.vm);
+      dp_owners_set_leaving (node->owners, from.vm, message->probe.leaving);
       dp_share_note_revision (node, from.vm, message->probe.manifest_revision);
       send_probe (node, from.vm, DP_MESSAGE_PROBE_ACK, message->probe.sequence);
       break;
     case DP_MESSAGE_PROBE_ACK:
-      note_heard (node, from.vm, message->probe.leaving);
+      note_heard (node, from.vm);
+      dp_owners_set_leaving (node->owners, from.vm, message->probe.leaving);
       dp_share_note_revision (node, from.vm, message->probe.manifest_revision);
       break;
     case DP_MESSAGE_LIMIT_ASK:
-      note_heard (node, from.vm, FALSE);
+      note_heard (node, from.vm);
       answer_limit_ask (node, from.vm, &message->limit_ask);
       break;
     case DP_MESSAGE_LIMIT_GIVEN:
--- a/node/placing.c
+++ b/node/placing.c
@@ -57,12 +57,23 @@
         .policy = pool->is_shared ? DP_DISPATCH_QUEUE : DP_DISPATCH_TWO_CHOICES,
         .counters = node->counters };
   pool->dispatcher = dp_dispatcher_new (&options);
-  dp_retry_budget_init (&pool->budget, node->figures.retry_ratio, node->figures.retry_slack,
-                        node->figures.retry_window, dp_peers_count (node));
+  dp_retry_budget_init (&pool->budget, node->figures.retry_ratio, node->figures.retry_window);
+  dp_retry_budget_set_spare (&pool->budget, node->figures.retry_slack, dp_peers_count (node));
   g_hash_table_insert (node->pools, &pool->name, pool);
   return pool;
 }
 
+void
+dp_placing_set_vms (DpNode *node)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, node->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    dp_retry_budget_set_spare (&((DpNodePool *)value)->budget, node->figures.retry_slack,
+                               dp_peers_count (node));
+}
+
 void
 dp_placing_set_manifest (DpNode *node)
 {
@@ -337,7 +348,7 @@
 void
 dp_placing_message (DpNode *node, DpName from, const DpMessage *message)
 {
-  dp_owners_heard (node->owners, from, FALSE, dp_node_now ());
+  dp_owners_heard (node->owners, from, dp_node_now ());
   DpName name = message_pool (message);
   if (name == 0)
     {
--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -60,8 +60,11 @@
 
 START_TEST (repeats_keep_to_their_budget_in_any_window)
 {
-  DpRetryBudget budget;
-  dp_retry_budget_init (&budget, 0.2, 24, 10 * SEC, 12);
+  DpRetryBudget budget = { 0 };
+  dp_retry_budget_init (&budget, 0.2, 10 * SEC);
+  /* This VM was alone at first, as after a start; then it learned of the others. */
+  dp_retry_budget_set_spare (&budget, 24, 1);
+  dp_retry_budget_set_spare (&budget, 24, 12);
   DpUsec spent[4000];
   guint count = 0;
   for (DpUsec now = START; now < START + 30 * SEC; now += 10 * MSEC)
@@ -358,14 +361,17 @@
   gboolean silent;
   gboolean leaving;
   gboolean heard_again;
+  gboolean says_it_stays;
   gboolean stays;
 } OwnerCase;
 
 static const OwnerCase owner_cases[] = {
-  { "heard", FALSE, FALSE, FALSE, TRUE },
-  { "silent", TRUE, FALSE, FALSE, FALSE },
-  { "silent, then heard", TRUE, FALSE, TRUE, TRUE },
-  { "leaving", FALSE, TRUE, FALSE, FALSE },
+  { "heard", FALSE, FALSE, FALSE, FALSE, TRUE },
+  { "silent", TRUE, FALSE, FALSE, FALSE, FALSE },
+  { "silent, then heard", TRUE, FALSE, TRUE, FALSE, TRUE },
+  { "leaving", FALSE, TRUE, FALSE, FALSE, FALSE },
+  { "leaving, and speaking on", FALSE, TRUE, TRUE, FALSE, FALSE },
+  { "left, and started again", FALSE, TRUE, TRUE, TRUE, TRUE },
 };
 
 START_TEST (an_owner_that_is_out_of_reach_is_passed_over)
@@ -377,11 +383,14 @@
   while (dp_owners_choose (owners, key, START) == self)
     key++;
   DpName first = dp_owners_choose (owners, key, START);
-  dp_owners_heard (owners, first, row->leaving, START);
+  dp_owners_heard (owners, first, START);
+  dp_owners_set_leaving (owners, first, row->leaving);
   if (row->silent)
     dp_owners_silent (owners, first, START);
   if (row->heard_again)
-    dp_owners_heard (owners, first, FALSE, START + SEC);
+    dp_owners_heard (owners, first, START + SEC);
+  if (row->says_it_stays)
+    dp_owners_set_leaving (owners, first, FALSE);
   ck_assert_msg ((dp_owners_choose (owners, key, START + SEC) == first) == row->stays, "%s",
                  row->name);
   dp_owners_free (owners);
