--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -14,3 +14,6 @@
 
 /* keypair: prints a new key pair for the settings of all processes. */
 int dp_ctl_keypair (int argc, char **argv);
+
+/* explain REQUEST-ID [FILE...]: prints a request's way through the processes' logs. */
+int dp_ctl_explain (int argc, char **argv);
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -14,6 +14,7 @@
     "Commands:\n"
     "  check FILE...      checks manifests; prints every finding with file, line and member\n"
     "  status [IP...]     shows what programs on VMs, or the platform, report\n"
+    "  explain ID [LOG...] shows a request's way through the processes' logs\n"
     "  keypair            makes keys for the traffic between processes\n"
     "  replay [TRACE...]  replays recorded traces on the shipping decisions\n"
     "\nCOMMAND --help tells more.\n"
@@ -27,10 +28,8 @@
 } Command;
 
 static const Command commands[] = {
-  { "check", dp_ctl_check },
-  { "status", dp_ctl_status },
-  { "keypair", dp_ctl_keypair },
-  { "replay", dp_replay_main },
+  { "check", dp_ctl_check },     { "status", dp_ctl_status },  { "explain", dp_ctl_explain },
+  { "keypair", dp_ctl_keypair }, { "replay", dp_replay_main },
 };
 
 typedef struct Arguments
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -628,6 +628,41 @@
 }
 END_TEST
 
+/* The log alone tells what became of a request. */
+START_TEST (a_failed_request_is_explained_from_the_log)
+{
+  World *world = world_ready ();
+  set_fault (world, world->target_control[0], "{\"cut_before\":1}");
+  set_fault (world, world->target_control[1], "{\"cut_before\":1}");
+  int status = 0;
+  g_free (http_exchange ("POST", world->address[0], world->callers[0], "/book/1",
+                         HOST KEY "Request-Id: lost1\r\n", NULL, &status));
+  ck_assert_int_eq (status, 502);
+  char *program = g_strconcat (build, "/ctl/dogwoodplankctl", NULL);
+  char *out = g_strconcat (world->folder, "/explained", NULL);
+  const char *const argv[] = { program, "explain", "lost1", world->log, NULL };
+  Process *process = process_start (
+    &(ProcessOptions){ .argv = argv, .log_path = world->log, .out_path = out });
+  ck_assert (process_wait (process, WAIT, &status));
+  ck_assert (WIFEXITED (status) && WEXITSTATUS (status) == 0);
+  char *text = NULL;
+  ck_assert (g_file_get_contents (out, &text, NULL, NULL));
+  static const char *const wanted[] = { "event=request_sent request=lost1",
+                                        "event=sending_failed request=lost1",
+                                        "reason=target_broke_off",
+                                        "event=request_end request=lost1",
+                                        "may_have_run=yes",
+                                        "event=target_known name=t" };
+  for (guint i = 0; i < G_N_ELEMENTS (wanted); i++)
+    ck_assert_msg (strstr (text, wanted[i]) != NULL, "%s is missing in %s", wanted[i], text);
+  g_free (text);
+  g_free (out);
+  g_free (program);
+  process_free (process);
+  world_free (world);
+}
+END_TEST
+
 START_TEST (wrong_settings_are_reported_together)
 {
   char *folder = g_dir_make_tmp ("dp-node-XXXXXX", NULL);
@@ -684,6 +719,7 @@
   tcase_add_test (tests, without_a_config_nothing_is_served_and_nothing_denied);
   tcase_add_test (tests, a_draining_target_gets_nothing_new);
   tcase_add_test (tests, a_stop_ends_what_was_begun);
+  tcase_add_test (tests, a_failed_request_is_explained_from_the_log);
   tcase_add_test (tests, wrong_settings_are_reported_together);
   suite_add_tcase (suite, tests);
   SRunner *runner = srunner_create (suite);
