--- a/core/quota.c
+++ b/core/quota.c
@@ -8,7 +8,7 @@
 #define KEEPER_SILENCE (600 * DP_USEC_PER_MSEC)
 /* Debt that all VMs together may run up on a keeper's word that there is enough, in seconds of
  * the limit: with the burst at hand it stays within what a window allows. */
-#define DEBT_SECONDS 0.6
+#define DEBT_SECONDS 0.4
 /* Of many VMs each has so small a part of it that the first request would not fit. A VM in debt
  * asks at once, so that debts are known within a round trip. */
 #define DEBT_REQUESTS 1.0
@@ -17,8 +17,8 @@
 #define WANT_MAX 1e9
 /* Parts of the burst that may be used at one moment, and that are spread over the window, so
  * that a workspace far over its limit is served evenly. */
-#define DEPTH_PART 0.7
-#define SPREAD_PART 0.1
+#define DEPTH_PART 0.65
+#define SPREAD_PART 0.05
 /* A keeper that has just begun does not know what was used before: it starts with this part of
  * the depth. */
 #define START_PART 0.05
--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -65,7 +65,7 @@
   /* This VM was alone at first, as after a start; then it learned of the others. */
   dp_retry_budget_set_spare (&budget, 24, 1);
   dp_retry_budget_set_spare (&budget, 24, 12);
-  DpUsec spent[4000];
+  DpUsec spent[4000] = { 0 };
   guint count = 0;
   for (DpUsec now = START; now < START + 30 * SEC; now += 10 * MSEC)
     {
