--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -1,7 +1,5 @@
 #include "core/dispatcher_board.h"
 
-#include <string.h>
-
 /* An entry that was not heard for so long is gone, with all its requests: three reports. */
 #define ENTRY_LAPSE (2500 * DP_USEC_PER_MSEC)
 /* Entries with waiting requests hear of it this often: half of what they take for silence. */
@@ -592,15 +590,6 @@
   send_adverts (dispatcher);
 }
 
-void
-dp_dispatcher_forget (DpDispatcher *dispatcher)
-{
-  for (DpHandle at = dp_table_next (dispatcher->places, 0); at != 0;
-       at = dp_table_next (dispatcher->places, at))
-    forget_place (dispatcher, dp_table_get (dispatcher->places, at));
-  g_hash_table_remove_all (dispatcher->entries);
-}
-
 DpDispatcherStatus
 dp_dispatcher_status (const DpDispatcher *dispatcher)
 {
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -61,9 +61,6 @@
 #define DP_DISPATCH_TICK (20 * DP_USEC_PER_MSEC)
 void dp_dispatcher_tick (DpDispatcher *dispatcher, DpUsec now, GArray *sends);
 
-/* Forgets requests and grants, for example after a pause of the process. */
-void dp_dispatcher_forget (DpDispatcher *dispatcher);
-
 /* For status and tests. */
 typedef struct DpDispatcherStatus
 {
--- a/core/dispatcher_board.h
+++ b/core/dispatcher_board.h
@@ -81,8 +81,7 @@
   GHashTable *sessions; /* guint64 -> DpSessionPlace */
   GPtrArray *waiting;   /* DpPlace, in no order: it is short, and is read whole to choose */
   DpPaceModel pace;
-  double
-    hold_ms[DP_URGENCY_COUNT]; /* learned time that a request of that urgency keeps its slot */
+  double hold_ms[DP_URGENCY_COUNT]; /* learned time in a slot, by urgency */
   guint urgency_waiting[DP_URGENCY_COUNT];
   guint running;
   guint64 random;
--- a/core/owners.c
+++ b/core/owners.c
@@ -190,20 +190,6 @@
   return peer != NULL ? peer->heard_at : 0;
 }
 
-void
-dp_owners_forget (DpOwners *owners)
-{
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, owners->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      Peer *peer = value;
-      peer->heard_at = 0;
-      peer->probed_at = 0;
-    }
-}
-
 static gboolean
 is_due (Peer *peer, DpUsec now)
 {
--- a/core/owners.h
+++ b/core/owners.h
@@ -35,9 +35,6 @@
 /* When the VM was last heard; 0: never. */
 DpUsec dp_owners_heard_at (const DpOwners *owners, DpName vm);
 
-/* After a pause of this process: nothing that was heard before counts. */
-void dp_owners_forget (DpOwners *owners);
-
 /* Appends the VMs (DpName) that should be probed now for the key: its owner, and as many living
  * successors as make `candidates` with it. */
 void
