--- /dev/null
+++ b/tests/test_records.c
@@ -0,0 +1,202 @@
+/* Records of the users' store: what is read, and what names nothing to use. */
+#include "platform/records.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+static DpStorePage *
+read_page (const char *text, gboolean is_watch, DpFindings *findings)
+{
+  return dp_records_read_page (text, strlen (text), is_watch, findings);
+}
+
+/* --- pages --- */
+
+typedef struct PageCase
+{
+  const char *name;
+  const char *text;
+  gboolean is_watch;
+  gboolean is_read;
+  guint objects;
+  guint findings;
+} PageCase;
+
+static const PageCase page_cases[] = {
+  { "empty", "{\"items\":[],\"store_revision\":5}", FALSE, TRUE, 0, 0 },
+  { "one", "{\"items\":[{\"metadata\":{\"name\":\"a\"},\"spec\":{}}],\"store_revision\":5}",
+    FALSE, TRUE, 1, 0 },
+  { "an entry without a name", "{\"items\":[{\"spec\":{}},{}],\"store_revision\":5}", FALSE,
+    TRUE, 0, 2 },
+  { "a name that is no text", "{\"items\":[{\"metadata\":{\"name\":7}}],\"store_revision\":5}",
+    FALSE, TRUE, 0, 1 },
+  { "an entry that is no object", "{\"items\":[1,\"x\",null],\"store_revision\":5}", FALSE,
+    TRUE, 0, 3 },
+  { "a deletion",
+    "{\"events\":[{\"deleted\":true,\"object\":{\"metadata\":{\"name\":\"a\"}}}],"
+    "\"store_revision\":5}",
+    TRUE, TRUE, 1, 0 },
+  { "an event without an object", "{\"events\":[{\"deleted\":true}],\"store_revision\":5}",
+    TRUE, TRUE, 0, 1 },
+  { "no revision", "{\"items\":[]}", FALSE, FALSE, 0, 1 },
+  { "a revision that is no number", "{\"items\":[],\"store_revision\":\"5\"}", FALSE, FALSE, 0,
+    1 },
+  { "no rows", "{\"store_revision\":5}", FALSE, FALSE, 0, 1 },
+  { "cut off", "{\"items\":[", FALSE, FALSE, 0, 1 },
+  { "no JSON", "\xff\xfe", FALSE, FALSE, 0, 1 },
+  { "nothing", "", FALSE, FALSE, 0, 1 },
+};
+
+START_TEST (pages_are_read_or_refused)
+{
+  const PageCase *row = &page_cases[_i];
+  DpFindings *findings = dp_findings_new ();
+  DpStorePage *page = read_page (row->text, row->is_watch, findings);
+  ck_assert_msg ((page != NULL) == row->is_read, "%s", row->name);
+  if (page != NULL)
+    ck_assert_msg (page->objects->len == row->objects, "%s: %u objects", row->name,
+                   page->objects->len);
+  ck_assert_msg (dp_findings_count (findings) == row->findings, "%s: %u findings", row->name,
+                 dp_findings_count (findings));
+  dp_store_page_free (page);
+  dp_findings_unref (findings);
+}
+END_TEST
+
+/* --- targets --- */
+
+typedef struct TargetCase
+{
+  const char *name;
+  const char *spec;
+  gboolean is_target;
+} TargetCase;
+
+#define GOOD                                                                                   \
+  "\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":5,"                  \
+  "\"state\":\"ready\""
+
+static const TargetCase target_cases[] = {
+  { "good", "{" GOOD "}", TRUE },
+  { "unknown members", "{" GOOD ",\"new\":{\"a\":[1]},\"born\":17}", TRUE },
+  { "draining", "{" GOOD ",\"state\":\"draining\"}", TRUE },
+  { "a state that isn't named", "{" GOOD ",\"state\":\"resting\"}", FALSE },
+  { "no state", "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":5}",
+    FALSE },
+  { "slots as text", "{" GOOD ",\"slots\":\"5\"}", FALSE },
+  { "no slots", "{" GOOD ",\"slots\":0}", FALSE },
+  { "less than none", "{" GOOD ",\"slots\":-5}", FALSE },
+  { "an address without a port", "{" GOOD ",\"address\":\"10.0.0.1\"}", FALSE },
+  { "port 0", "{" GOOD ",\"address\":\"10.0.0.1:0\"}", FALSE },
+  { "a port too large", "{" GOOD ",\"address\":\"10.0.0.1:65536\"}", FALSE },
+  { "a service that is no text", "{" GOOD ",\"service\":[\"s\"]}", FALSE },
+  { "an empty zone", "{" GOOD ",\"zone\":\"\"}", FALSE },
+  { "a list", "[]", FALSE },
+  { "a text", "\"spec\"", FALSE },
+};
+
+START_TEST (only_whole_entries_name_targets)
+{
+  const TargetCase *row = &target_cases[_i];
+  char *text = g_strdup_printf (
+    "{\"items\":[{\"metadata\":{\"name\":\"t\"},\"spec\":%s}],\"store_revision\":1}",
+    row->spec);
+  DpFindings *findings = dp_findings_new ();
+  DpStorePage *page = read_page (text, FALSE, findings);
+  ck_assert_ptr_nonnull (page);
+  DpTargetRecord target;
+  gboolean is_target = dp_records_read_target (&g_array_index (page->objects, DpStoreObject, 0),
+                                               &target, findings);
+  ck_assert_msg (is_target == row->is_target, "%s", row->name);
+  ck_assert_msg ((dp_findings_count (findings) == 0) == row->is_target, "%s", row->name);
+  if (is_target)
+    {
+      ck_assert_str_eq (target.address, "10.0.0.1");
+      ck_assert_uint_eq (target.port_number, 80);
+    }
+  dp_store_page_free (page);
+  dp_findings_unref (findings);
+  g_free (text);
+}
+END_TEST
+
+/* --- config --- */
+
+typedef struct ConfigCase
+{
+  const char *name;
+  const char *text;
+  gboolean is_read;
+  guint routes;
+  guint findings;
+} ConfigCase;
+
+#define ROUTE "\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/a/\",\"kind\":\"safe\""
+
+static const ConfigCase config_cases[] = {
+  { "a route", "{\"version\":1,\"routes\":[{" ROUTE ",\"service\":\"s\"}]}", TRUE, 1, 0 },
+  { "no version", "{\"routes\":[]}", FALSE, 0, 1 },
+  { "no routes", "{\"version\":1}", FALSE, 0, 1 },
+  { "a route without a service", "{\"version\":1,\"routes\":[{" ROUTE "}]}", TRUE, 0, 1 },
+  { "an unknown kind",
+    "{\"version\":1,\"routes\":[{" ROUTE ",\"kind\":\"odd\",\"service\":\"s\"}]}", TRUE, 0, 1 },
+  { "a route that is no object", "{\"version\":1,\"routes\":[5]}", TRUE, 0, 1 },
+  { "a split",
+    "{\"version\":1,\"routes\":[{" ROUTE ",\"weighted_split\":[{\"service\":\"s\","
+    "\"weight\":90},{\"service\":\"t\",\"weight\":10}]}]}",
+    TRUE, 1, 0 },
+};
+
+START_TEST (configs_are_read_or_refused)
+{
+  const ConfigCase *row = &config_cases[_i];
+  struct json_object *spec = json_tokener_parse (row->text);
+  DpFindings *findings = dp_findings_new ();
+  DpManifest *manifest = dp_records_read_config (spec, findings);
+  ck_assert_msg ((manifest != NULL) == row->is_read, "%s", row->name);
+  if (manifest != NULL)
+    ck_assert_msg (manifest->routes->len == row->routes, "%s", row->name);
+  ck_assert_msg (dp_findings_count (findings) == row->findings, "%s", row->name);
+  dp_manifest_unref (manifest);
+  dp_findings_unref (findings);
+  json_object_put (spec);
+}
+END_TEST
+
+START_TEST (the_longest_prefix_wins)
+{
+  struct json_object *spec = json_tokener_parse (
+    "{\"version\":1,\"routes\":["
+    "{\"name\":\"short\",\"host\":\"h\",\"path_prefix\":\"/a/\",\"kind\":\"safe\","
+    "\"service\":\"s\"},"
+    "{\"name\":\"long\",\"host\":\"h\",\"path_prefix\":\"/a/b/\",\"kind\":\"safe\","
+    "\"service\":\"s\"}]}");
+  DpFindings *findings = dp_findings_new ();
+  DpManifest *manifest = dp_records_read_config (spec, findings);
+  ck_assert_str_eq (dp_manifest_find_route (manifest, "h", "/a/b/c")->text, "long");
+  ck_assert_str_eq (dp_manifest_find_route (manifest, "H:80", "/a/c")->text, "short");
+  ck_assert_ptr_null (dp_manifest_find_route (manifest, "h", "/a"));
+  ck_assert_ptr_null (dp_manifest_find_route (manifest, "other", "/a/b/c"));
+  dp_manifest_unref (manifest);
+  dp_findings_unref (findings);
+  json_object_put (spec);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("records");
+  TCase *tests = tcase_create ("records");
+  tcase_add_loop_test (tests, pages_are_read_or_refused, 0, G_N_ELEMENTS (page_cases));
+  tcase_add_loop_test (tests, only_whole_entries_name_targets, 0, G_N_ELEMENTS (target_cases));
+  tcase_add_loop_test (tests, configs_are_read_or_refused, 0, G_N_ELEMENTS (config_cases));
+  tcase_add_test (tests, the_longest_prefix_wins);
+  suite_add_tcase (suite, tests);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
