node: requests that bring targets down are refused by all VMs

Cause: a request that crashes each engine that runs it was stopped by nobody on the users' platform; only the three-process form counted, within a data centre. Now: core/quarantine.c, moved out of the entry's board, counts by fingerprint (caller, method, path, body); two owners of the fingerprint keep the count, tell all VMs from the second failure on, and any VM that gets a whole answer ends the count. From the third on the request is refused with 503 and Retry-After for 60 s, and afterwards by its next failure. Tests: which_requests_are_quarantined (11 cases), the_count_of_fingerprints_is_bounded, and a_request_that_brings_targets_down_is_refused_by_all_vms with real processes.

--- a/core/entry.c
+++ b/core/entry.c
@@ -65,7 +65,7 @@
   board->buckets = g_hash_table_new_full (bucket_hash, bucket_equal, NULL, entry_bucket_free);
   board->groups = new_name_table ();
   board->vms = new_name_table ();
-  board->quarantine = new_name_table ();
+  board->quarantine = entry_quarantine_new ();
   board->budgets = new_name_table ();
   board->limits = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, entry_limit_free);
   board->kept = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
@@ -92,7 +92,7 @@
   g_hash_table_unref (board->buckets);
   g_hash_table_unref (board->groups);
   g_hash_table_unref (board->vms);
-  g_hash_table_unref (board->quarantine);
+  dp_quarantine_free (board->quarantine);
   g_hash_table_unref (board->budgets);
   g_hash_table_unref (board->limits);
   g_ptr_array_unref (board->kept);
--- a/core/entry_board.h
+++ b/core/entry_board.h
@@ -7,6 +7,7 @@
 
 #include "common/table.h"
 #include "core/entry.h"
+#include "core/quarantine.h"
 
 /* --- routes: what a manifest says about groups, indexed for requests --- */
 
@@ -160,14 +161,6 @@
   DpUsec dead_since;   /* 0: not dead in the view */
 } VmState;
 
-typedef struct Quarantine
-{
-  guint failures;
-  DpName target; /* of the last failure that counted */
-  DpUsec counted_at;
-  DpUsec until;
-} Quarantine;
-
 /* A workspace with limits, as this entry uses it. */
 typedef struct LimitState
 {
@@ -207,13 +200,13 @@
   GHashTable *callers;  /* DpCaller -> DpHandle */
   GHashTable *attempts; /* DpId -> DpHandle: current attempts only */
   DpTable *claims;
-  GHashTable *claim_index; /* DpId -> DpHandle */
-  GHashTable *buckets;     /* DpBucketId -> Bucket */
-  GHashTable *groups;      /* DpName -> GroupState */
-  GHashTable *vms;         /* DpName -> VmState */
-  GHashTable *quarantine;  /* body hash -> Quarantine */
-  GHashTable *budgets;     /* workspace -> double: retries that may be made */
-  GHashTable *limits;      /* workspace -> LimitState */
+  GHashTable *claim_index;       /* DpId -> DpHandle */
+  GHashTable *buckets;           /* DpBucketId -> Bucket */
+  GHashTable *groups;            /* DpName -> GroupState */
+  GHashTable *vms;               /* DpName -> VmState */
+  DpQuarantineTable *quarantine; /* by body hash */
+  GHashTable *budgets;           /* workspace -> double: retries that may be made */
+  GHashTable *limits;            /* workspace -> LimitState */
   guint64 limit_sequence;
 
   /* the platform's store */
@@ -398,6 +391,7 @@
 
 /* --- entry_quarantine.c: requests that bring targets down --- */
 
+DpQuarantineTable *entry_quarantine_new (void);
 gboolean entry_quarantine_holds (DpEntryBoard *board, guint64 body_hash);
 /* A target went down under the request. */
 void entry_quarantine_add (DpEntryBoard *board, guint64 body_hash, DpName target);
--- a/core/entry_quarantine.c
+++ b/core/entry_quarantine.c
@@ -5,36 +5,29 @@
 
 #define DEATHS_MAX 2
 #define QUARANTINE_TIME (600 * DP_USEC_PER_SEC)
-/* One target that breaks off several answers at once has gone down once. */
-#define SAME_TARGET_INTERVAL (2 * DP_USEC_PER_SEC)
+/* 64 bytes a row. */
+#define ROWS_MAX 16384
 
-gboolean
-entry_quarantine_holds (DpEntryBoard *board, guint64 body_hash)
+DpQuarantineTable *
+entry_quarantine_new (void)
 {
-  const Quarantine *row = g_hash_table_lookup (board->quarantine, &body_hash);
-  return row != NULL && row->failures >= DEATHS_MAX && board->now < row->until;
+  const DpQuarantineOptions options = { .failures_max = DEATHS_MAX,
+                                        .hold_time = QUARANTINE_TIME,
+                                        .memory_time = QUARANTINE_TIME,
+                                        .rows_max = ROWS_MAX };
+  return dp_quarantine_new (&options);
 }
 
-static Quarantine *
-find_row (DpEntryBoard *board, guint64 body_hash)
+gboolean
+entry_quarantine_holds (DpEntryBoard *board, guint64 body_hash)
 {
-  Quarantine *row = g_hash_table_lookup (board->quarantine, &body_hash);
-  if (row == NULL)
-    {
-      row = g_new0 (Quarantine, 1);
-      g_hash_table_insert (board->quarantine, g_memdup2 (&body_hash, sizeof body_hash), row);
-    }
-  return row;
+  return dp_quarantine_holds (board->quarantine, body_hash, board->now, NULL);
 }
 
 static void
-tell_others (DpEntryBoard *board, guint64 body_hash, const Quarantine *row)
+tell_others (DpEntryBoard *board, guint64 body_hash)
 {
-  DpMessage message = { .type = DP_MESSAGE_QUARANTINE };
-  message.quarantine.fingerprint = body_hash;
-  message.quarantine.failures = row->failures;
-  message.quarantine.remaining = MAX (row->until - board->now, 0);
-  message.quarantine.target = row->target;
+  DpMessage message = dp_quarantine_message (board->quarantine, body_hash, board->now);
   for (guint i = 0; i < board->view->vms->len; i++)
     {
       const DpVm *vm = &g_array_index (board->view->vms, DpVm, i);
@@ -49,56 +42,30 @@
 void
 entry_quarantine_add (DpEntryBoard *board, guint64 body_hash, DpName target)
 {
-  Quarantine *row = find_row (board, body_hash);
-  gboolean is_same_fall = row->failures > 0 && row->target == target
-                          && board->now - row->counted_at < SAME_TARGET_INTERVAL;
-  row->until = board->now + QUARANTINE_TIME;
-  if (is_same_fall)
+  guint failures = dp_quarantine_add (board->quarantine, body_hash, target, board->now);
+  if (failures == 0)
     return;
-  row->failures += 1;
-  row->target = target;
-  row->counted_at = board->now;
-  if (row->failures == DEATHS_MAX)
+  if (failures == DEATHS_MAX)
     entry_count (board, "dogwoodplank_quarantined_total", NULL, NULL);
-  tell_others (board, body_hash, row);
+  tell_others (board, body_hash);
 }
 
 /* What has been answered whole is no reason for the failures before it: the targets were. */
 void
 entry_quarantine_clear (DpEntryBoard *board, guint64 body_hash)
 {
-  if (!g_hash_table_remove (board->quarantine, &body_hash))
-    return;
-  Quarantine cleared = { .failures = 0 };
-  tell_others (board, body_hash, &cleared);
+  if (dp_quarantine_clear (board->quarantine, body_hash))
+    tell_others (board, body_hash);
 }
 
 void
 entry_quarantine_on_message (DpEntryBoard *board, const DpQuarantine *message)
 {
-  if (message->failures == 0)
-    {
-      g_hash_table_remove (board->quarantine, &message->fingerprint);
-      return;
-    }
-  Quarantine *row = find_row (board, message->fingerprint);
-  if (message->failures > row->failures)
-    {
-      row->target = message->target;
-      row->counted_at = board->now;
-    }
-  row->failures = MAX (row->failures, message->failures);
-  DpUsec remaining = CLAMP (message->remaining, 0, QUARANTINE_TIME);
-  row->until = MAX (row->until, board->now + remaining);
+  dp_quarantine_take (board->quarantine, message, board->now);
 }
 
 void
 entry_quarantine_tick (DpEntryBoard *board)
 {
-  GHashTableIter iter;
-  gpointer row;
-  g_hash_table_iter_init (&iter, board->quarantine);
-  while (g_hash_table_iter_next (&iter, NULL, &row))
-    if (board->now >= ((Quarantine *)row)->until)
-      g_hash_table_iter_remove (&iter);
+  dp_quarantine_tick (board->quarantine, board->now);
 }
--- a/core/message.c
+++ b/core/message.c
@@ -24,6 +24,7 @@
   [DP_MESSAGE_TARGETS_ASK] = "targets_ask",
   [DP_MESSAGE_TARGETS] = "targets",
   [DP_MESSAGE_RELAY] = "relay",
+  [DP_MESSAGE_QUARANTINE_REPORT] = "quarantine_report",
 };
 
 const char *
--- a/core/message.h
+++ b/core/message.h
@@ -71,6 +71,8 @@
   DP_MESSAGE_TARGETS_ASK,
   DP_MESSAGE_TARGETS,
   DP_MESSAGE_RELAY,
+  /* node -> node that owns the count */
+  DP_MESSAGE_QUARANTINE_REPORT,
   DP_MESSAGE_COUNT,
 } DpMessageType;
 
@@ -213,7 +215,7 @@
 } DpHolderAnswer;
 
 /* Targets have gone down under a request with this fingerprint; or, with 0 failures, one has
- * answered it whole. */
+ * answered it whole. A report tells of one failure, else `failures` is the count so far. */
 typedef struct DpQuarantine
 {
   guint64 fingerprint;
--- a/core/reason.h
+++ b/core/reason.h
@@ -40,6 +40,7 @@
   X (ANSWER_INCOMPLETE, "answer_incomplete", 502, TRUE)                                        \
   X (RETRY_BUDGET, "retry_budget_spent", 503, TRUE)                                            \
   X (QUARANTINED, "quarantined", 422, FALSE)                                                   \
+  X (TARGETS_DIED, "targets_died", 503, TRUE)                                                  \
   /* claims */                                                                                 \
   X (PLATFORM_UNAVAILABLE, "platform_unavailable", 503, TRUE)                                  \
   X (HOLDER_GONE, "holder_gone", 409, FALSE)                                                   \
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -286,6 +286,7 @@
   [DP_MESSAGE_TARGETS_ASK] = TABLE (DpMessage, targets_ask_fields),
   [DP_MESSAGE_TARGETS] = TABLE (DpMessage, targets_fields),
   [DP_MESSAGE_RELAY] = TABLE (DpMessage, relay_fields),
+  [DP_MESSAGE_QUARANTINE_REPORT] = TABLE (DpMessage, quarantine_fields),
 };
 
 const DpFieldTable *
--- a/node/main.c
+++ b/node/main.c
@@ -104,6 +104,7 @@
   node->started_at = dp_node_now ();
   node->directory = dp_directory_new ();
   node->owners = dp_owners_new (node->self);
+  node->poison = dp_poison_table_new ();
   node->quota_user = dp_quota_user_new ();
   gboolean is_first = g_strcmp0 (node->settings->first_start, "true") == 0;
   node->quota_keeper = dp_quota_keeper_new (is_first ? dp_node_now () + FRESH_TIME : 0);
@@ -126,6 +127,7 @@
   dp_follow_free (node->follow);
   dp_directory_free (node->directory);
   dp_owners_free (node->owners);
+  dp_quarantine_free (node->poison);
   dp_quota_user_free (node->quota_user);
   dp_quota_keeper_free (node->quota_keeper);
   dp_manifest_unref (node->manifest);
--- a/node/node.h
+++ b/node/node.h
@@ -8,6 +8,7 @@
  *   share.c    the same from other VMs, while the store is out of reach
  *   peers.c    the other VMs: probes, owners, limits of workspaces
  *   placing.c  which target a request is sent to: asks, grants, dispatchers
+ *   poison.c   requests that bring targets down
  *   front.c    callers: admission, ready, stop
  *   request.c  one request from admission to its final answer
  *   attempt.c  one sending of a request to a target
@@ -17,6 +18,7 @@
 #include "core/directory.h"
 #include "core/dispatcher.h"
 #include "core/owners.h"
+#include "core/quarantine.h"
 #include "core/quota.h"
 #include "core/retry.h"
 #include "net/http_call.h"
@@ -111,6 +113,7 @@
   guint64 probe_sequence;
   DpQuotaUser *quota_user;
   DpQuotaKeeper *quota_keeper;
+  DpQuarantineTable *poison;
   /* requests */
   DpHttpServer *callers;
   DpHttpServer *ready;
@@ -154,7 +157,8 @@
   DpCallerRequest said; /* texts valid as long as the exchange */
   guint urgency;
   gboolean is_repeatable;
-  double charged; /* against the workspace's limit */
+  guint64 fingerprint; /* 0: not computed yet */
+  double charged;      /* against the workspace's limit */
   DpUsec arrived;
   DpUsec goal_at;
   DpUsec deadline;
@@ -247,6 +251,18 @@
 void dp_placing_tick (DpNode *node, DpUsec now, gboolean was_paused);
 void dp_placing_pool_free (gpointer data);
 
+/* --- poison.c --- */
+
+DpQuarantineTable *dp_poison_table_new (void);
+/* TRUE if the request must not be sent now; `remaining` gets for how long. */
+gboolean dp_poison_holds (DpNodeRequest *request, DpUsec *remaining);
+/* The request's target broke off. */
+void dp_poison_failed (DpNodeRequest *request);
+/* The request has been answered whole. */
+void dp_poison_answered (DpNodeRequest *request);
+/* TRUE if the message was one of these. */
+gboolean dp_poison_message (DpNode *node, const DpMessage *message);
+
 /* --- front.c --- */
 
 gboolean dp_front_start (DpNode *node, DpFindings *findings);
--- a/node/peers.c
+++ b/node/peers.c
@@ -177,7 +177,7 @@
       dp_quota_user_given (node->quota_user, &message->limit_given);
       break;
     default:
-      if (!dp_share_message (node, from.vm, message))
+      if (!dp_share_message (node, from.vm, message) && !dp_poison_message (node, message))
         dp_placing_message (node, from.vm, message);
       break;
     }
@@ -192,4 +192,5 @@
   send_due_probes (node, now);
   dp_peers_send_limit_asks (node, now);
   dp_share_tick (node, now);
+  dp_quarantine_tick (node->poison, now);
 }
--- a/node/request.c
+++ b/node/request.c
@@ -154,6 +154,7 @@
 dp_request_complete (DpNodeRequest *request, DpReason reason)
 {
   log_end (request, request->answer.status, reason);
+  dp_poison_answered (request);
   DpUsec total = dp_node_now () - request->arrived;
   dp_counters_observe_ms (request->node->counters, "dogwoodplank_answer_ms",
                           (guint64)(total / DP_USEC_PER_MSEC));
@@ -186,6 +187,12 @@
 dp_request_begin (DpNodeRequest *request)
 {
   dp_http_exchange_set_gone (request->exchange, on_caller_gone, request, NULL);
+  DpUsec remaining = 0;
+  if (dp_poison_holds (request, &remaining))
+    {
+      give_up (request, DP_REASON_TARGETS_DIED, remaining);
+      return;
+    }
   dp_retry_budget_count_request (&request->pool->budget, request->arrived);
   dp_placing_ask (request);
 }
@@ -281,6 +288,10 @@
       request->may_have_run = TRUE;
     }
   log_step (request, "sending_failed", reason);
+  gboolean broke_off
+    = reason == DP_REASON_TARGET_BROKE || reason == DP_REASON_ANSWER_INCOMPLETE;
+  if (end == DP_ATTEMPT_BROKE && broke_off)
+    dp_poison_failed (request);
   /* An answer to be passed on has to be read before its connection is closed. */
   DpNextStep step = decide (request, end);
   if (step == DP_STEP_PASS_ON)
@@ -293,6 +304,11 @@
   switch (step)
     {
     case DP_STEP_AGAIN:
+      if (dp_poison_holds (request, NULL))
+        {
+          give_up (request, DP_REASON_TARGETS_DIED, 0);
+          break;
+        }
       dp_counters_add (request->node->counters, "dogwoodplank_retries_total", "reason",
                        dp_reason_name (reason), 1);
       exclude (request, request->target);
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -114,6 +114,7 @@
       message.holder_answer = (DpHolderAnswer){ id, id, DP_HOLDER_RELEASED };
       break;
     case DP_MESSAGE_QUARANTINE:
+    case DP_MESSAGE_QUARANTINE_REPORT:
       message.quarantine = (DpQuarantine){ 1, 2, 3, 4 };
       break;
     case DP_MESSAGE_HELLO:
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -582,6 +582,59 @@
 }
 END_TEST
 
+/* --- requests that bring targets down --- */
+
+static int
+book (const World *world, guint vm, const char *body, char **answer)
+{
+  int status = 0;
+  char *text = http_exchange ("POST", world->address[vm], world->callers[vm], "/book/1",
+                              HOST KEY "Request-Id: q\r\nDeadline-Ms: 1500\r\n", body, &status);
+  if (answer != NULL)
+    *answer = text;
+  else
+    g_free (text);
+  return status;
+}
+
+static gboolean
+is_refused_as_deadly (const World *world, guint vm)
+{
+  char *answer = NULL;
+  int status = book (world, vm, "deadly", &answer);
+  gboolean refused = status == 503 && strstr (answer, "targets_died") != NULL;
+  g_free (answer);
+  return refused;
+}
+
+/* Its caller sends it again and again; what one target breaks off within two seconds counts
+ * once. */
+START_TEST (a_request_that_brings_targets_down_is_refused_by_all_vms)
+{
+  World *world = world_ready ();
+  set_fault (world, world->target_control[0], "{\"cut_before\":1}");
+  set_fault (world, world->target_control[1], "{\"cut_before\":1}");
+  gint64 end = g_get_monotonic_time () + WAIT;
+  while (!is_refused_as_deadly (world, 0) && g_get_monotonic_time () < end)
+    continue;
+  ck_assert (is_refused_as_deadly (world, 0));
+  while (!is_refused_as_deadly (world, 1) && g_get_monotonic_time () < end)
+    continue;
+  gint64 runs = target_number (world, "runs");
+  for (guint vm = 0; vm < VMS; vm++)
+    ck_assert (is_refused_as_deadly (world, vm));
+  ck_assert_int_eq (target_number (world, "runs"), runs);
+  set_fault (world, world->target_control[0], "{}");
+  set_fault (world, world->target_control[1], "{}");
+  /* Others of the same caller are not held for it. */
+  while (book (world, 1, "harmless", NULL) != 200 && g_get_monotonic_time () < end)
+    continue;
+  ck_assert_int_eq (book (world, 1, "harmless", NULL), 200);
+  ck_assert (is_refused_as_deadly (world, 1));
+  world_free (world);
+}
+END_TEST
+
 /* --- the process --- */
 
 START_TEST (a_stop_ends_what_was_begun)
@@ -718,6 +771,7 @@
   tcase_add_test (tests, a_vm_that_starts_while_the_store_is_away_learns_from_others);
   tcase_add_test (tests, without_a_config_nothing_is_served_and_nothing_denied);
   tcase_add_test (tests, a_draining_target_gets_nothing_new);
+  tcase_add_test (tests, a_request_that_brings_targets_down_is_refused_by_all_vms);
   tcase_add_test (tests, a_stop_ends_what_was_begun);
   tcase_add_test (tests, a_failed_request_is_explained_from_the_log);
   tcase_add_test (tests, wrong_settings_are_reported_together);
--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -1,6 +1,7 @@
 /* Owners, directory, retries and limits: the decisions of a node beside the dispatcher's. */
 #include "core/directory.h"
 #include "core/owners.h"
+#include "core/quarantine.h"
 #include "core/quota.h"
 #include "core/retry.h"
 
@@ -309,6 +310,102 @@
 }
 END_TEST
 
+/* --- requests that bring targets down --- */
+
+#define PRINT 77
+
+typedef enum QuarantineStep
+{
+  Q_END,
+  Q_BREAKS, /* a target broke off here */
+  Q_TOLD,   /* another process has counted so many */
+  Q_SERVED,
+  Q_WAIT,
+} QuarantineStep;
+
+typedef struct QuarantineCase
+{
+  const char *name;
+  struct
+  {
+    QuarantineStep step;
+    guint value; /* target, count, or milliseconds */
+  } steps[6];
+  gboolean is_held;
+} QuarantineCase;
+
+static const QuarantineCase quarantine_cases[] = {
+  { "three targets", { { Q_BREAKS, 1 }, { Q_BREAKS, 2 }, { Q_BREAKS, 3 } }, TRUE },
+  { "two targets", { { Q_BREAKS, 1 }, { Q_BREAKS, 2 } }, FALSE },
+  { "one target at once", { { Q_BREAKS, 1 }, { Q_BREAKS, 1 }, { Q_BREAKS, 1 } }, FALSE },
+  { "one target that comes back",
+    { { Q_BREAKS, 1 }, { Q_WAIT, 3000 }, { Q_BREAKS, 1 }, { Q_WAIT, 3000 }, { Q_BREAKS, 1 } },
+    TRUE },
+  { "served in between",
+    { { Q_BREAKS, 1 }, { Q_BREAKS, 2 }, { Q_SERVED, 0 }, { Q_BREAKS, 3 } },
+    FALSE },
+  { "others count it", { { Q_TOLD, 3 } }, TRUE },
+  { "others count two, and one here", { { Q_TOLD, 2 }, { Q_BREAKS, 3 } }, TRUE },
+  { "others saw it served", { { Q_TOLD, 3 }, { Q_TOLD, 0 } }, FALSE },
+  { "after the hold", { { Q_TOLD, 3 }, { Q_WAIT, 61000 } }, FALSE },
+  { "one failure after the hold", { { Q_TOLD, 3 }, { Q_WAIT, 61000 }, { Q_BREAKS, 4 } }, TRUE },
+  { "after the memory", { { Q_TOLD, 3 }, { Q_WAIT, 601000 }, { Q_BREAKS, 4 } }, FALSE },
+};
+
+static DpUsec
+take_quarantine_step (DpQuarantineTable *table, QuarantineStep step, guint value, DpUsec now)
+{
+  const DpQuarantine told
+    = { .fingerprint = PRINT, .failures = value, .remaining = 60 * SEC, .target = 100 };
+  switch (step)
+    {
+    case Q_BREAKS:
+      dp_quarantine_add (table, PRINT, value, now);
+      break;
+    case Q_TOLD:
+      dp_quarantine_take (table, &told, now);
+      break;
+    case Q_SERVED:
+      dp_quarantine_clear (table, PRINT);
+      break;
+    case Q_WAIT:
+      now += value * MSEC;
+      dp_quarantine_tick (table, now);
+      break;
+    case Q_END:
+      break;
+    }
+  return now;
+}
+
+START_TEST (which_requests_are_quarantined)
+{
+  const QuarantineCase *row = &quarantine_cases[_i];
+  const DpQuarantineOptions options
+    = { .failures_max = 3, .hold_time = 60 * SEC, .memory_time = 600 * SEC, .rows_max = 2 };
+  DpQuarantineTable *table = dp_quarantine_new (&options);
+  DpUsec now = START;
+  for (guint i = 0; i < G_N_ELEMENTS (row->steps); i++)
+    now = take_quarantine_step (table, row->steps[i].step, row->steps[i].value, now);
+  ck_assert_msg (dp_quarantine_holds (table, PRINT, now, NULL) == row->is_held, "%s",
+                 row->name);
+  dp_quarantine_free (table);
+}
+END_TEST
+
+START_TEST (the_count_of_fingerprints_is_bounded)
+{
+  const DpQuarantineOptions options
+    = { .failures_max = 1, .hold_time = SEC, .memory_time = SEC, .rows_max = 2 };
+  DpQuarantineTable *table = dp_quarantine_new (&options);
+  for (guint64 print = 1; print <= 5; print++)
+    dp_quarantine_add (table, print, 1, START);
+  ck_assert_uint_eq (dp_quarantine_count (table), 2);
+  ck_assert (!dp_quarantine_holds (table, 3, START, NULL));
+  dp_quarantine_free (table);
+}
+END_TEST
+
 /* --- owners --- */
 
 enum
@@ -442,6 +539,9 @@
   tcase_add_test (tests, a_strong_vm_owns_most_keys);
   tcase_add_loop_test (tests, an_owner_that_is_out_of_reach_is_passed_over, 0,
                        G_N_ELEMENTS (owner_cases));
+  tcase_add_loop_test (tests, which_requests_are_quarantined, 0,
+                       G_N_ELEMENTS (quarantine_cases));
+  tcase_add_test (tests, the_count_of_fingerprints_is_bounded);
   tcase_add_test (tests, alone_a_vm_owns_everything_itself);
   tcase_add_test (tests, an_unanswered_probe_makes_a_vm_silent);
   suite_add_tcase (suite, tests);
