owners: a VM counts itself against all members, not against those it has heard

Test: how_much_of_a_limit_an_owner_may_give, three of five rows red before. Also: request_end tells what the request was charged.

--- a/core/owners.c
+++ b/core/owners.c
@@ -9,7 +9,6 @@
 #define PROBE_TIMEOUT (250 * DP_USEC_PER_MSEC)
 /* VMs that use this one as an owner are heard far more often. */
 #define TOUCH_AGE (2500 * DP_USEC_PER_MSEC)
-#define GONE_AGE (30 * DP_USEC_PER_SEC)
 /* Weight of a VM that states none. */
 #define WEIGHT_DEFAULT 100
 /* A hundred VMs of a sixth of the weight own a hundredth of the keys of eight strong ones. */
@@ -247,16 +246,16 @@
 double
 dp_owners_reach (const DpOwners *owners, DpUsec now)
 {
-  guint present = 1;
+  if (owners->view == NULL)
+    return 1;
   guint in_touch = 1;
-  for (guint i = 0; owners->view != NULL && i < owners->view->vms->len; i++)
+  for (guint i = 0; i < owners->view->vms->len; i++)
     {
       DpName vm = g_array_index (owners->view->vms, DpVm, i).name;
       const Peer *peer = find_peer (owners, vm);
       if (vm == owners->self || peer == NULL || peer->heard_at == 0)
         continue;
-      present += now - peer->heard_at < GONE_AGE;
       in_touch += now - peer->heard_at < TOUCH_AGE;
     }
-  return (double)in_touch / present;
+  return (double)in_touch / MAX (owners->view->vms->len, in_touch);
 }
--- a/core/owners.h
+++ b/core/owners.h
@@ -49,5 +49,6 @@
 gboolean dp_owners_is_relay (DpOwners *owners);
 
 /* Part of the VMs that are in touch with this one, itself included: the others may have chosen
- * owners of their own. VMs that were not heard for long are taken as gone. */
+ * owners of their own. A VM that nobody uses as an owner hears few others, and is in touch with
+ * few; all that use an owner are heard by it. */
 double dp_owners_reach (const DpOwners *owners, DpUsec now);
--- a/node/request.c
+++ b/node/request.c
@@ -30,7 +30,8 @@
   DpNode *node = request->node;
   DpUsec now = dp_node_now ();
   char status_text[8], total[16], first[16], sendings[8], config_age[16], targets_age[16];
-  char version[24];
+  char version[24], charged[24];
+  g_snprintf (charged, sizeof charged, "%.0f", request->charged);
   g_snprintf (status_text, sizeof status_text, "%d", status);
   g_snprintf (sendings, sizeof sendings, "%u", request->sendings);
   g_snprintf (version, sizeof version, "%" G_GUINT64_FORMAT, request->manifest->revision);
@@ -42,8 +43,8 @@
           "workspace", workspace_text (request), "status", status_text, "reason",
           dp_reason_name (reason), "may_have_run", request->may_have_run ? "yes" : "no",
           "sendings", sendings, "target", request->target_text, "first_ms", first, "total_ms",
-          total, "config", version, "config_age_ms", config_age, "targets_age_ms", targets_age,
-          NULL);
+          total, "charged", charged, "config", version, "config_age_ms", config_age,
+          "targets_age_ms", targets_age, NULL);
 }
 
 static void
--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -452,6 +452,35 @@
 }
 END_TEST
 
+typedef struct ReachCase
+{
+  const char *name;
+  guint heard;     /* of the other VMs */
+  DpUsec heard_at; /* before now */
+  double reach;
+} ReachCase;
+
+static const ReachCase reach_cases[] = {
+  { "all", OWNER_VMS - 1, SEC, 1 },
+  { "none since the start", 0, 0, 1.0 / OWNER_VMS },
+  { "two of the others", 2, SEC, 3.0 / OWNER_VMS },
+  { "none for a while, cut off after it heard few", 2, 3 * SEC, 1.0 / OWNER_VMS },
+  { "none for long", OWNER_VMS - 1, 9 * SEC, 1.0 / OWNER_VMS },
+};
+
+START_TEST (how_much_of_a_limit_an_owner_may_give)
+{
+  const ReachCase *row = &reach_cases[_i];
+  DpOwners *owners = make_owners (1, OWNER_VMS);
+  for (DpName vm = 2; vm < 2 + row->heard; vm++)
+    dp_owners_heard (owners, vm, START);
+  double reach = dp_owners_reach (owners, START + row->heard_at);
+  ck_assert_msg (reach > row->reach - 0.01 && reach < row->reach + 0.01, "%s: %g", row->name,
+                 reach);
+  dp_owners_free (owners);
+}
+END_TEST
+
 typedef struct OwnerCase
 {
   const char *name;
@@ -542,6 +571,8 @@
   tcase_add_loop_test (tests, which_requests_are_quarantined, 0,
                        G_N_ELEMENTS (quarantine_cases));
   tcase_add_test (tests, the_count_of_fingerprints_is_bounded);
+  tcase_add_loop_test (tests, how_much_of_a_limit_an_owner_may_give, 0,
+                       G_N_ELEMENTS (reach_cases));
   tcase_add_test (tests, alone_a_vm_owns_everything_itself);
   tcase_add_test (tests, an_unanswered_probe_makes_a_vm_silent);
   suite_add_tcase (suite, tests);
