http server: a stream begun before a stop ends its connection

Only answers begun after SIGTERM said Connection: close. Now: the header is added again at the end of the stream, where evhttp decides on the closing. Test: a_stream_begun_before_the_stop_ends_its_connection, red before in both rows.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -655,6 +655,8 @@
       close_later (exchange);
       return;
     }
+  /* The head may have gone out before the stop; evhttp reads the headers again at the end. */
+  add_connection_header (exchange);
   release_exchange (exchange);
   evhttp_send_reply_end (request);
 }
--- a/tests/test_net_http.c
+++ b/tests/test_net_http.c
@@ -795,6 +795,30 @@
 }
 END_TEST
 
+/* The head of its answer could not say so yet. 0: closes after answers; 1: takes no new
+ * connections either */
+START_TEST (a_stream_begun_before_the_stop_ends_its_connection)
+{
+  Fixture *fixture = make_fixture ();
+  Caller *caller = make_caller (fixture->base, GET_KEPT GET_KEPT);
+  run (fixture->base);
+  dp_http_exchange_start (fixture->exchange, 200);
+  dp_http_exchange_write (fixture->exchange, "ab", 2);
+  settle (fixture->base);
+  dp_http_server_close_after_answers (fixture->server);
+  if (_i == 1)
+    dp_http_server_stop_accepting (fixture->server);
+  dp_http_server_close_idle (fixture->server);
+  dp_http_exchange_finish (fixture->exchange);
+  run (fixture->base);
+  ck_assert (caller->closed);
+  ck_assert_uint_eq (fixture->requests, 1);
+  ck_assert (g_str_has_suffix (caller->received->str, "2\r\nab\r\n0\r\n\r\n"));
+  free_caller (caller);
+  free_fixture (fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -825,6 +849,7 @@
   tcase_add_test (tcase, connections_beyond_the_limit_wait_until_one_is_free);
   tcase_add_test (tcase, a_request_that_trickles_in_is_cut_off);
   tcase_add_test (tcase, a_stopping_server_finishes_what_it_has);
+  tcase_add_loop_test (tcase, a_stream_begun_before_the_stop_ends_its_connection, 0, 2);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
