--- a/core/entry.h
+++ b/core/entry.h
@@ -212,6 +212,13 @@
   gsize length;
 } DpForward;
 
+/* The rest of an answer that has begun will not come. */
+typedef struct DpBreakOff
+{
+  DpCaller caller;
+  DpReason reason;
+} DpBreakOff;
+
 /* The caller's final answer, when it is not a target's. */
 typedef struct DpProblem
 {
@@ -257,7 +264,7 @@
     DpCaller end;
     DpProblem problem;
     DpReplay replay;
-    DpCaller break_off; /* close without the final chunk */
+    DpBreakOff break_off; /* close without the final chunk */
     DpBucketId claim_read;
     DpClaimWrite claim_write;
   };
--- a/core/entry_answers.c
+++ b/core/entry_answers.c
@@ -78,7 +78,8 @@
   else if (answer_has_begun (request))
     {
       count_refusal (board, reason);
-      entry_add_action (board, DP_ENTRY_ACTION_BREAK)->break_off = request->caller;
+      entry_add_action (board, DP_ENTRY_ACTION_BREAK)->break_off
+        = (DpBreakOff){ .caller = request->caller, .reason = reason };
     }
   else
     {
--- a/entry/shell.c
+++ b/entry/shell.c
@@ -135,11 +135,11 @@
       end_caller (shell, caller, "replayed", NULL);
       break;
     case DP_ENTRY_ACTION_BREAK:
-      caller = find_caller (shell, action->break_off);
+      caller = find_caller (shell, action->break_off.caller);
       if (caller == NULL)
         break;
       dp_entry_caller_break_off (caller);
-      end_caller (shell, caller, "broken_off", NULL);
+      end_caller (shell, caller, "broken_off", dp_reason_name (action->break_off.reason));
       break;
     case DP_ENTRY_ACTION_CLAIM_READ:
       dp_claim_store_read (shell->store, action->claim_read);
--- a/replay/cluster_boards.c
+++ b/replay/cluster_boards.c
@@ -129,7 +129,7 @@
                         action->problem.reason);
       break;
     case DP_ENTRY_ACTION_BREAK:
-      sim_request_over (sim, (guint)action->break_off - 1, SIM_BROKEN, DP_REASON_NONE);
+      sim_request_over (sim, (guint)action->break_off.caller - 1, SIM_BROKEN, DP_REASON_NONE);
       break;
     default:
       break;
--- a/standins/target.c
+++ b/standins/target.c
@@ -245,11 +245,28 @@
   standin_reply (req, 200, "application/json", text);
 }
 
+/* A line a request: its id, and how often it ran. */
+static void
+reply_ids (struct evhttp_request *req)
+{
+  GString *text = g_string_new (NULL);
+  GHashTableIter iter;
+  gpointer id;
+  gpointer count;
+  g_hash_table_iter_init (&iter, target.runs);
+  while (g_hash_table_iter_next (&iter, &id, &count))
+    g_string_append_printf (text, "%s %u\n", (const char *)id, GPOINTER_TO_UINT (count));
+  standin_reply (req, 200, "text/plain", text->str);
+  g_string_free (text, TRUE);
+}
+
 static void
 on_control (struct evhttp_request *req, gpointer data)
 {
   if (strcmp (standin_path (req), "/runs") == 0)
     reply_runs (req);
+  else if (strcmp (standin_path (req), "/ids") == 0)
+    reply_ids (req);
   else
     fault_handle (&target.fault_table, req);
 }
--- a/tests/matrix_callers.c
+++ b/tests/matrix_callers.c
@@ -156,7 +156,7 @@
       finish (world, caller, FINAL_REPLAY);
       break;
     case DP_ENTRY_ACTION_BREAK:
-      finish (world, caller_find (world, action->break_off), FINAL_BREAK);
+      finish (world, caller_find (world, action->break_off.caller), FINAL_BREAK);
       break;
     default:
       break;
--- a/tests/system.c
+++ b/tests/system.c
@@ -385,6 +385,7 @@
       arguments[used++] = flags[i];
     }
   Load *load = g_new0 (Load, 1);
+  load->folder = system->folder;
   load->out_path = g_strdup_printf ("%s/load%u.out", system->folder, count);
   char *log = g_strdup_printf ("%s/load%u.log", system->folder, count);
   load->process = process_start (
@@ -405,6 +406,26 @@
   return number;
 }
 
+/* What the entries' logs say of the answers that were not whole. */
+static void
+append_cut_answers (GString *text, const char *folder)
+{
+  for (guint vm = 0; vm < SYSTEM_VMS; vm++)
+    {
+      char *path = g_strdup_printf ("%s/entry%u.log", folder, vm);
+      char *log = NULL;
+      char **lines
+        = g_file_get_contents (path, &log, NULL, NULL) ? g_strsplit (log, "\n", -1) : NULL;
+      for (guint i = 0; lines != NULL && lines[i] != NULL; i++)
+        if (strstr (lines[i], "event=request_end") != NULL
+            && strstr (lines[i], "end=complete") == NULL)
+          g_string_append_printf (text, "entry%u: %s\n", vm, lines[i]);
+      g_strfreev (lines);
+      g_free (log);
+      g_free (path);
+    }
+}
+
 LoadSummary
 system_finish_load (Load *load)
 {
@@ -419,6 +440,10 @@
   summary.broken = summary_number (summary.text, "broken");
   summary.wrong = summary_number (summary.text, "wrong");
   summary.stuck = summary_number (summary.text, "stuck");
+  GString *text = g_string_new (summary.text);
+  append_cut_answers (text, load->folder);
+  g_free (summary.text);
+  summary.text = g_string_free (text, FALSE);
   process_free (load->process);
   g_free (load->out_path);
   g_free (load);
--- a/tests/system.h
+++ b/tests/system.h
@@ -63,6 +63,7 @@
 {
   Process *process;
   char *out_path;
+  const char *folder; /* the system's */
 } Load;
 
 typedef struct LoadSummary
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -1,7 +1,7 @@
 /* The node as a real process between stand-ins of the users' platform: one request of each kind
  * through each trouble of its target, and what the store does meanwhile. */
 #include "tests/free_port.h"
-#include "tests/process.h"
+#include "tests/node_kit.h"
 
 #include <arpa/inet.h>
 #include <check.h>
@@ -39,58 +39,30 @@
   Process *node[VMS];
 } World;
 
-static const char config[]
-  = "{\"metadata\":{\"name\":\"main\"},\"spec\":{\"version\":%u,"
-    "\"routes\":["
-    "{\"name\":\"book\",\"host\":\"site.example\",\"path_prefix\":\"/book/"
-    "\",\"kind\":\"unsafe\","
-    "\"timeout_ms\":1500,\"target_latency_ms\":150,\"max_attempts\":1,\"priority\":2,"
-    "\"service\":\"app\"},"
-    "{\"name\":\"look\",\"host\":\"site.example\",\"path_prefix\":\"/look/\",\"kind\":\"safe\","
-    "\"timeout_ms\":1500,\"target_latency_ms\":150,\"max_attempts\":2,\"priority\":2,"
-    "\"service\":\"app\"},"
-    "{\"name\":\"open\",\"host\":\"site.example\",\"path_prefix\":\"/open/\",\"kind\":\"safe\","
-    "\"timeout_ms\":1500,\"public\":true,\"service\":\"app\"},"
-    "{\"name\":\"draft\",\"host\":\"site.example\",\"path_prefix\":\"/draft/\","
-    "\"kind\":\"streaming\",\"timeout_ms\":3000,\"target_latency_ms\":250,\"max_attempts\":2,"
-    "\"priority\":0,\"stream_resume\":true,\"gap_aim_ms\":200,\"service\":\"app\"},"
-    "{\"name\":\"letter\",\"host\":\"site.example\",\"path_prefix\":\"/letter/\","
-    "\"kind\":\"streaming\",\"timeout_ms\":3000,\"target_latency_ms\":250,\"max_attempts\":1,"
-    "\"priority\":1,\"stream_resume\":false,\"gap_aim_ms\":200,\"service\":\"app\"}%s],"
-    "\"services\":[{\"name\":\"app\",\"engine\":{\"slots\":4}}],"
-    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,"
-    "\"idle_timeout_ms\":15000},"
-    "\"tenants\":[{\"name\":\"crew\",\"api_keys\":[\"letmein\"],\"unit\":\"tokens\","
-    "\"plain_tokens\":10,\"rate_per_s\":1000000,\"burst\":1000000}]}}";
-
-static void
-put (const World *world, const char *method, const char *kind_and_name, const char *body)
+static NodeKitStore
+store_of (const World *world)
 {
-  char *path = g_strconcat ("/objects/", kind_and_name, NULL);
-  int status;
-  g_free (http_exchange (method, world->address[0], world->store, path, NULL, body, &status));
-  ck_assert_msg (status == 200, "%s %s: %d", method, path, status);
-  g_free (path);
+  return (NodeKitStore){ .address = world->address[0], .port = world->store };
 }
 
 static void
 put_config (const World *world, guint version, const char *more_routes)
 {
-  char *body = g_strdup_printf (config, version, more_routes);
-  put (world, version == 1 ? "POST" : "PUT", "config", body);
-  g_free (body);
+  ck_assert_int_eq (node_kit_put_config (store_of (world), version, more_routes), 200);
 }
 
 static void
 put_target (const World *world, guint index, const char *method, const char *state)
 {
-  char *body
-    = g_strdup_printf ("{\"metadata\":{\"name\":\"t%u\"},\"spec\":{\"service\":\"app\","
-                       "\"address\":\"%s:%u\",\"zone\":\"a\",\"slots\":4,\"state\":\"%s\","
-                       "\"born\":1700000000000,\"sequence\":1}}",
-                       index, world->address[0], world->target[index], state);
-  put (world, method, "servers", body);
-  g_free (body);
+  char id[8];
+  g_snprintf (id, sizeof id, "t%u", index);
+  const NodeKitTarget target = { .id = id,
+                                 .address = world->address[0],
+                                 .port = world->target[index],
+                                 .data_centre = "a",
+                                 .state = state,
+                                 .started = 1700000000000 };
+  ck_assert_int_eq (node_kit_put_target (store_of (world), method, &target), 200);
 }
 
 static Process *
@@ -130,23 +102,25 @@
 static void
 start_node (World *world, guint vm)
 {
-  char *text = g_strdup_printf (
-    "// settings of a test\n{\"name\":\"vm%u\",\"address\":\"%s\",\"data_centre\":\"a\","
-    "\"agent_bus_port\":%u,\"operator_port\":%u,\"caller_listen\":\"%s:%u\","
-    "\"ready_listen\":\"%s:%u\",\"store\":\"%s:%u\",\"seeds\":\"%s:1,%s:1\","
-    "\"first_start\":\"true\"}",
-    vm, world->address[vm], world->bus, world->operators, world->address[vm],
-    world->callers[vm], world->address[vm], world->ready[vm], world->address[0], world->store,
-    world->address[0], world->address[1]);
-  char *path = g_strdup_printf ("%s/vm%u.json", world->folder, vm);
-  ck_assert (g_file_set_contents (path, text, -1, NULL));
-  char *program = g_strconcat (build, "/node/dogwoodplank-node", NULL);
-  const char *const argv[] = { program, "--settings", path, NULL };
-  world->node[vm] = start (world, argv);
+  char name[8];
+  g_snprintf (name, sizeof name, "vm%u", vm);
+  char *seeds = g_strdup_printf ("%s:1,%s:1", world->address[0], world->address[1]);
+  const NodeKitVm settings = { .build = build,
+                               .folder = world->folder,
+                               .log = world->log,
+                               .name = name,
+                               .address = world->address[vm],
+                               .data_centre = "a",
+                               .bus = world->bus,
+                               .operators = world->operators,
+                               .callers = world->callers[vm],
+                               .ready = world->ready[vm],
+                               .store = store_of (world),
+                               .seeds = seeds,
+                               .first_start = TRUE };
+  world->node[vm] = node_kit_start (&settings);
   ck_assert (wait_for_port (world->address[vm], world->ready[vm], WAIT));
-  g_free (program);
-  g_free (path);
-  g_free (text);
+  g_free (seeds);
 }
 
 static World *
