--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -240,14 +240,14 @@
 }
 
 static void
-refuse (DpDispatcher *dispatcher, DpPlace *place, DpReason reason)
+refuse (DpDispatcher *dispatcher, DpPlace *place, DpReason reason, gboolean at_once)
 {
   DpMessage *message = dp_dispatch_send (dispatcher, place->entry, DP_MESSAGE_GRANT_REFUSED);
-  message->grant_refused
-    = (DpGrantRefused){ .attempt = place->ask.attempt,
-                        .group = dispatcher->options.pool,
-                        .reason = reason,
-                        .retry_after = come_back_after (dispatcher, place) };
+  message->grant_refused = (DpGrantRefused){ .attempt = place->ask.attempt,
+                                             .group = dispatcher->options.pool,
+                                             .reason = reason,
+                                             .retry_after = come_back_after (dispatcher, place),
+                                             .at_once = at_once };
   count (dispatcher, "dogwoodplank_grants_refused_total", reason);
   forget_place (dispatcher, place);
 }
@@ -283,13 +283,14 @@
   place->ask.urgency = MIN (ask->urgency, DP_URGENCY_COUNT - 1);
   place->goal_at = dispatcher->now + ask->goal_left;
   place->deadline = dispatcher->now + ask->remaining;
+  dp_dispatch_note_offered (dispatcher, place->ask.urgency, 1 + ask->shed);
   enqueue (dispatcher, place);
   fill (dispatcher);
   if (find_place (dispatcher, ask->attempt)->state != DP_PLACE_WAITING)
     return;
-  DpReason reason = dp_dispatch_check_wait (dispatcher, place);
+  DpReason reason = dp_dispatch_check_arrival (dispatcher, place);
   if (reason != DP_REASON_NONE)
-    refuse (dispatcher, place, reason);
+    refuse (dispatcher, place, reason, TRUE);
 }
 
 static void
@@ -528,7 +529,7 @@
       DpPlace *place = g_ptr_array_index (dispatcher->waiting, i - 1);
       DpReason reason = dp_dispatch_check_wait (dispatcher, place);
       if (reason != DP_REASON_NONE)
-        refuse (dispatcher, place, reason);
+        refuse (dispatcher, place, reason, FALSE);
     }
 }
 
--- a/core/message.h
+++ b/core/message.h
@@ -98,6 +98,7 @@
   guint urgency;    /* 0 is the most urgent; below DP_URGENCY_COUNT */
   DpUsec goal_left; /* until the first byte would be late; 0: it is */
   guint64 session;  /* hash of the prompt's last part; 0: none */
+  guint shed;       /* requests of this urgency that the entry refused since its last ask */
 } DpGrantAsk;
 
 typedef struct DpGrantGiven
@@ -121,6 +122,7 @@
   DpName group;
   DpReason reason;
   DpUsec retry_after; /* from the queue's drain estimate */
+  gboolean at_once;   /* on arrival: its like would be refused as well */
 } DpGrantRefused;
 
 /* The grant, or the place in the queue, is taken back. With NO_OWNER the ask does not wait here
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -76,6 +76,7 @@
   UINT (13, DpMessage, grant_ask.urgency, DP_URGENCY_COUNT - 1),
   USEC (14, DpMessage, grant_ask.goal_left),
   UINT64 (15, DpMessage, grant_ask.session),
+  UINT (16, DpMessage, grant_ask.shed, G_MAXUINT),
 };
 
 static const DpField grant_progress_fields[] = {
@@ -130,6 +131,7 @@
   UINT64 (2, DpMessage, grant_refused.group),
   UINT (3, DpMessage, grant_refused.reason, REASON_MAX),
   USEC (4, DpMessage, grant_refused.retry_after),
+  FLAG (5, DpMessage, grant_refused.at_once),
 };
 
 static const DpField grant_revoked_fields[] = {
--- a/node/node.h
+++ b/node/node.h
@@ -21,6 +21,7 @@
 #include "core/quarantine.h"
 #include "core/quota.h"
 #include "core/retry.h"
+#include "core/shed.h"
 #include "net/http_call.h"
 #include "net/http_server.h"
 #include "net/process.h"
@@ -87,6 +88,7 @@
   DpName owner; /* that was asked last; 0: none */
   DpUsec reported_at;
   DpRetryBudget budget;
+  DpShed shed;
 } DpNodePool;
 
 struct DpNode
--- a/node/placing.c
+++ b/node/placing.c
@@ -200,11 +200,29 @@
   return owner;
 }
 
+/* TRUE if the owner has just refused its like. */
+static gboolean
+shed (DpNodeRequest *request, DpUsec now)
+{
+  if (!request->pool->is_shared || request->sendings > 0)
+    return FALSE;
+  DpUsec retry_after = 0;
+  DpReason reason = dp_shed_check (&request->pool->shed, request->urgency,
+                                   request->goal_at - now, now, &retry_after);
+  if (reason == DP_REASON_NONE)
+    return FALSE;
+  dp_counters_add (request->node->counters, "dogwoodplank_shed_total", NULL, NULL, 1);
+  dp_request_refused (request, reason, retry_after);
+  return TRUE;
+}
+
 void
 dp_placing_ask (DpNodeRequest *request)
 {
   DpNode *node = request->node;
   DpUsec now = dp_node_now ();
+  if (shed (request, now))
+    return;
   request->stage = DP_STAGE_PLACING;
   new_attempt (request);
   request->owner = choose_owner (node, request->pool, now);
@@ -220,6 +238,7 @@
   ask->repeatable = request->is_repeatable;
   ask->urgency = request->urgency;
   ask->session = request->said.session;
+  ask->shed = dp_shed_take_count (&request->pool->shed, request->urgency);
   ask->excluded_count = request->excluded_count;
   for (guint i = 0; i < request->excluded_count; i++)
     ask->excluded[i] = request->excluded[i];
@@ -289,6 +308,18 @@
     dp_request_given (request, given->target);
 }
 
+static void
+on_refused (DpNode *node, const DpGrantRefused *refused)
+{
+  DpNodeRequest *request = find_request (node, refused->attempt);
+  if (request == NULL || request->stage != DP_STAGE_PLACING)
+    return;
+  if (refused->at_once)
+    dp_shed_note (&request->pool->shed, request->urgency, request->goal_at - request->asked_at,
+                  refused->reason, refused->retry_after, dp_node_now ());
+  dp_request_refused (request, refused->reason, refused->retry_after);
+}
+
 static void
 on_message_to_entry (DpNode *node, DpName from, const DpMessage *message)
 {
@@ -299,10 +330,7 @@
       on_given (node, from, &message->grant_given);
       break;
     case DP_MESSAGE_GRANT_REFUSED:
-      request = find_request (node, message->grant_refused.attempt);
-      if (request != NULL && request->stage == DP_STAGE_PLACING)
-        dp_request_refused (request, message->grant_refused.reason,
-                            message->grant_refused.retry_after);
+      on_refused (node, &message->grant_refused);
       break;
     case DP_MESSAGE_GRANT_REVOKED:
       request = find_request (node, message->grant_revoked.attempt);
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -45,7 +45,8 @@
                                      .excluded = { 12, 13 },
                                      .urgency = DP_URGENCY_COUNT - 1,
                                      .goal_left = 14,
-                                     .session = 15 } };
+                                     .session = 15,
+                                     .shed = 16 } };
 }
 
 static DpMessage
@@ -99,7 +100,7 @@
       message.grant_queued = (DpGrantQueued){ id, 1, 2, 3 };
       break;
     case DP_MESSAGE_GRANT_REFUSED:
-      message.grant_refused = (DpGrantRefused){ id, 1, DP_REASON_QUEUE_FULL, 2 };
+      message.grant_refused = (DpGrantRefused){ id, 1, DP_REASON_QUEUE_FULL, 2, TRUE };
       break;
     case DP_MESSAGE_GRANT_REVOKED:
       message.grant_revoked = (DpGrantRevoked){ id, 1, DP_REASON_PREEMPTED, 2 };
