--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -283,14 +283,20 @@
   place->ask.urgency = MIN (ask->urgency, DP_URGENCY_COUNT - 1);
   place->goal_at = dispatcher->now + ask->goal_left;
   place->deadline = dispatcher->now + ask->remaining;
-  dp_dispatch_note_offered (dispatcher, place->ask.urgency, 1 + ask->shed);
   enqueue (dispatcher, place);
   fill (dispatcher);
   if (find_place (dispatcher, ask->attempt)->state != DP_PLACE_WAITING)
     return;
   DpReason reason = dp_dispatch_check_arrival (dispatcher, place);
   if (reason != DP_REASON_NONE)
-    refuse (dispatcher, place, reason, TRUE);
+    {
+      refuse (dispatcher, place, reason, TRUE);
+      return;
+    }
+  DpPlace *surplus = dp_dispatch_surplus (dispatcher);
+  if (surplus != NULL)
+    refuse (dispatcher, surplus, surplus == place ? DP_REASON_QUEUE_FULL : DP_REASON_DISPLACED,
+            TRUE);
 }
 
 static void
--- a/core/dispatcher_board.h
+++ b/core/dispatcher_board.h
@@ -83,8 +83,6 @@
   DpPaceModel pace;
   double hold_ms[DP_URGENCY_COUNT]; /* learned time in a slot, by urgency */
   guint urgency_waiting[DP_URGENCY_COUNT];
-  double offered_ms[DP_URGENCY_COUNT]; /* slot time asked for lately, fading */
-  DpUsec offered_at;
   guint running;
   guint64 random;
 };
@@ -115,11 +113,10 @@
 DpPlace *dp_dispatch_next (DpDispatcher *dispatcher, const DpBackend *backend);
 /* Why the request should not wait any longer; NONE: it should. */
 DpReason dp_dispatch_check_wait (const DpDispatcher *dispatcher, const DpPlace *place);
-/* `count` requests of that urgency have come, here or at an entry that refused them. */
-void dp_dispatch_note_offered (DpDispatcher *dispatcher, guint urgency, guint count);
-/* The same as dp_dispatch_check_wait() for a request that has just come and was given nothing:
- * also whether it has a chance against what comes after it. */
-DpReason dp_dispatch_check_arrival (DpDispatcher *dispatcher, const DpPlace *place);
+/* The same for a request that has just come and was given nothing. */
+DpReason dp_dispatch_check_arrival (const DpDispatcher *dispatcher, const DpPlace *place);
+/* The request that has to go since too many wait; NULL: none. */
+DpPlace *dp_dispatch_surplus (const DpDispatcher *dispatcher);
 /* Time until a request of that urgency that came now would be given a target. */
 DpUsec dp_dispatch_estimate_wait (const DpDispatcher *dispatcher, guint urgency);
 
--- a/core/dispatcher_queue.c
+++ b/core/dispatcher_queue.c
@@ -6,8 +6,6 @@
  * on time, least on long low-tier ones, and a late urgent one lies between (LATE_TIERS). */
 #include "core/dispatcher_board.h"
 
-#include <math.h>
-
 /* A late request ranks behind requests on time of this many steps of urgency below its own. */
 #define LATE_TIERS 1
 /* From the owner to the target and back to the caller, with the wait for a tick. */
@@ -19,16 +17,8 @@
 #define WAIT_SHARE 0.4
 /* A caller of a stream leaves after two seconds without an event. */
 #define WAIT_MAX (1500 * DP_USEC_PER_MSEC)
-/* Time over which the load is measured: short against bursts, long against single requests. */
-#define OFFERED_TIME_MS 400.0
-/* In a pool of few slots, over as many requests' time in all slots at least. */
-#define OFFERED_REQUESTS 8
-/* Above this part of all slots, requests on time take all of them and late ones get none. */
-#define OFFERED_FULL 0.95
-/* More urgent work leaves at least this part of the slots, for an estimate that is finite. */
-#define LEFT_MIN 0.05
 /* Requests that wait for each slot; more would wait longer than any caller. */
-#define WAITING_PER_SLOT 8
+#define WAITING_PER_SLOT 4
 
 /* The smaller, the sooner. */
 static guint
@@ -79,6 +69,13 @@
   return (DpUsec)(work_ms / slots * (double)DP_USEC_PER_MSEC);
 }
 
+static DpUsec
+wait_limit (const DpPlace *place)
+{
+  DpUsec part = (DpUsec)((double)(place->deadline - place->arrived) * WAIT_SHARE);
+  return MIN (part, WAIT_MAX);
+}
+
 DpReason
 dp_dispatch_check_wait (const DpDispatcher *dispatcher, const DpPlace *place)
 {
@@ -86,64 +83,33 @@
   DpUsec first = dp_dispatch_fastest_first (dispatcher, place->ask.prompt_tokens);
   if (now + first >= place->deadline)
     return DP_REASON_DEADLINE_UNREACHABLE;
-  DpUsec limit = (DpUsec)((double)(place->deadline - place->arrived) * WAIT_SHARE);
-  if (now - place->arrived > MIN (limit, WAIT_MAX))
+  if (now - place->arrived > wait_limit (place))
     return DP_REASON_DEADLINE_UNREACHABLE;
-  if (dispatcher->waiting->len > WAITING_PER_SLOT * MAX (dp_dispatch_slots (dispatcher), 1)
-      && now == place->arrived)
-    return DP_REASON_QUEUE_FULL;
   return DP_REASON_NONE;
 }
 
-static double
-offered_time_ms (const DpDispatcher *dispatcher)
-{
-  double longest = 0;
-  for (guint i = 0; i < DP_URGENCY_COUNT; i++)
-    longest = MAX (longest, dispatcher->hold_ms[i]);
-  return MAX (OFFERED_TIME_MS,
-              OFFERED_REQUESTS * longest / MAX (dp_dispatch_slots (dispatcher), 1));
-}
-
-void
-dp_dispatch_note_offered (DpDispatcher *dispatcher, guint urgency, guint count)
-{
-  double since = (double)(dispatcher->now - dispatcher->offered_at) / (double)DP_USEC_PER_MSEC;
-  double fading = exp (-MAX (since, 0) / offered_time_ms (dispatcher));
-  dispatcher->offered_at = dispatcher->now;
-  for (guint i = 0; i < DP_URGENCY_COUNT; i++)
-    dispatcher->offered_ms[i] *= fading;
-  dispatcher->offered_ms[urgency] += dispatcher->hold_ms[urgency] * count;
-}
-
-/* Part of all slots that requests more urgent than `urgency` ask for. */
-static double
-offered_above (const DpDispatcher *dispatcher, guint urgency)
-{
-  double work_ms = 0;
-  for (guint i = 0; i < MIN (urgency, DP_URGENCY_COUNT); i++)
-    work_ms += dispatcher->offered_ms[i];
-  return work_ms / offered_time_ms (dispatcher) / MAX (dp_dispatch_slots (dispatcher), 1);
-}
-
 DpReason
-dp_dispatch_check_arrival (DpDispatcher *dispatcher, const DpPlace *place)
+dp_dispatch_check_arrival (const DpDispatcher *dispatcher, const DpPlace *place)
 {
   DpReason reason = dp_dispatch_check_wait (dispatcher, place);
   if (reason != DP_REASON_NONE)
     return reason;
-  guint urgency = place->ask.urgency;
-  double wait = (double)dp_dispatch_estimate_wait (dispatcher, urgency);
-  DpUsec first = dp_dispatch_fastest_first (dispatcher, place->ask.prompt_tokens);
-  double on_time_wait = wait / MAX (1 - offered_above (dispatcher, urgency), LEFT_MIN);
-  DpUsec first_at = dispatcher->now + (DpUsec)(on_time_wait + (double)first * ON_TIME_MARGIN)
-                    + TRANSPORT_USEC;
-  if (first_at <= place->goal_at)
-    return DP_REASON_NONE;
-  /* Late: what comes after it and is on time goes first. */
-  double left = 1 - offered_above (dispatcher, urgency + 1);
-  DpUsec limit = MIN ((DpUsec)((double)place->ask.remaining * WAIT_SHARE), WAIT_MAX);
-  if (left < 1 - OFFERED_FULL || wait / left > (double)limit)
-    return DP_REASON_DEADLINE_UNREACHABLE;
-  return DP_REASON_NONE;
+  DpUsec wait = dp_dispatch_estimate_wait (dispatcher, place->ask.urgency);
+  return wait > wait_limit (place) ? DP_REASON_DEADLINE_UNREACHABLE : DP_REASON_NONE;
+}
+
+DpPlace *
+dp_dispatch_surplus (const DpDispatcher *dispatcher)
+{
+  if (dispatcher->waiting->len <= WAITING_PER_SLOT * MAX (dp_dispatch_slots (dispatcher), 1))
+    return NULL;
+  DpPlace *last = NULL;
+  for (guint i = 0; i < dispatcher->waiting->len; i++)
+    {
+      DpPlace *place = g_ptr_array_index (dispatcher->waiting, i);
+      if (last == NULL || place->ask.urgency > last->ask.urgency
+          || (place->ask.urgency == last->ask.urgency && place->arrived > last->arrived))
+        last = place;
+    }
+  return last;
 }
--- a/core/message.h
+++ b/core/message.h
@@ -98,7 +98,6 @@
   guint urgency;    /* 0 is the most urgent; below DP_URGENCY_COUNT */
   DpUsec goal_left; /* until the first byte would be late; 0: it is */
   guint64 session;  /* hash of the prompt's last part; 0: none */
-  guint shed;       /* requests of this urgency that the entry refused since its last ask */
 } DpGrantAsk;
 
 typedef struct DpGrantGiven
--- a/core/shed.c
+++ b/core/shed.c
@@ -19,21 +19,12 @@
 }
 
 DpReason
-dp_shed_check (DpShed *shed, guint urgency, DpUsec goal_left, DpUsec now, DpUsec *retry_after)
+dp_shed_check (
+  const DpShed *shed, guint urgency, DpUsec goal_left, DpUsec now, DpUsec *retry_after)
 {
   guint index = MIN (urgency, DP_URGENCY_COUNT - 1);
   if (now >= shed->rows[index].until || goal_left > shed->rows[index].goal_left)
     return DP_REASON_NONE;
-  shed->rows[index].refused++;
   *retry_after = shed->rows[index].retry_after;
   return shed->rows[index].reason;
 }
-
-guint
-dp_shed_take_count (DpShed *shed, guint urgency)
-{
-  guint index = MIN (urgency, DP_URGENCY_COUNT - 1);
-  guint count = shed->rows[index].refused;
-  shed->rows[index].refused = 0;
-  return count;
-}
--- a/core/shed.h
+++ b/core/shed.h
@@ -2,8 +2,8 @@
  *
  * Answers the load in which callers ask for several times what a pool can serve: without it
  * each refusal costs a message to the owner and one back, and the owner's processor is what
- * all others wait for. A refusal holds for a short time, so that one request of each VM keeps
- * asking, and the owner hears how many were refused in between.
+ * all others wait for. A refusal holds for a short time, so that a few requests of each VM keep
+ * asking.
  */
 #pragma once
 
@@ -20,7 +20,6 @@
     DpUsec goal_left; /* what has less time to be on time has less of a chance */
     DpUsec retry_after;
     DpReason reason;
-    guint refused; /* since the last ask */
   } rows[DP_URGENCY_COUNT];
 } DpShed;
 
@@ -33,9 +32,6 @@
                    DpUsec now);
 
 /* NONE: the owner is to be asked. Otherwise why the request is refused, and when its caller
- * should come back; the refusal is counted. */
-DpReason
-dp_shed_check (DpShed *shed, guint urgency, DpUsec goal_left, DpUsec now, DpUsec *retry_after);
-
-/* Refused since the last call, for the ask that is sent now. */
-guint dp_shed_take_count (DpShed *shed, guint urgency);
+ * should come back. */
+DpReason dp_shed_check (
+  const DpShed *shed, guint urgency, DpUsec goal_left, DpUsec now, DpUsec *retry_after);
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -76,7 +76,6 @@
   UINT (13, DpMessage, grant_ask.urgency, DP_URGENCY_COUNT - 1),
   USEC (14, DpMessage, grant_ask.goal_left),
   UINT64 (15, DpMessage, grant_ask.session),
-  UINT (16, DpMessage, grant_ask.shed, G_MAXUINT),
 };
 
 static const DpField grant_progress_fields[] = {
--- a/node/placing.c
+++ b/node/placing.c
@@ -238,7 +238,6 @@
   ask->repeatable = request->is_repeatable;
   ask->urgency = request->urgency;
   ask->session = request->said.session;
-  ask->shed = dp_shed_take_count (&request->pool->shed, request->urgency);
   ask->excluded_count = request->excluded_count;
   for (guint i = 0; i < request->excluded_count; i++)
     ask->excluded[i] = request->excluded[i];
