--- a/core/quota.c
+++ b/core/quota.c
@@ -20,8 +20,8 @@
 #define WANT_MAX 1e9
 /* Parts of the burst that may be used at one moment, and that are spread over the window, so
  * that a workspace far over its limit is served evenly. */
-#define DEPTH_PART 0.8
-#define SPREAD_PART 0.05
+#define DEPTH_PART 0.4
+#define SPREAD_PART 0.5
 /* A keeper that has just begun does not know what was used before: it starts with this part of
  * the depth. */
 #define START_PART 0.05
