quota: few requests wait for the keeper instead of running up debts

Cause: a VM without credit went into debt by up to two requests; with 142 VMs and large requests that is more than the burst (a row of 8,000 to 24,000 tokens a request, twelve times as many later: 1.166 of a window's limit, 1.1 is allowed). Now: debts are bounded over all VMs (0.4 s of the rate); a request beyond it waits for the keeper's answer, a round trip, and is refused if the keeper is short. With that the whole burst can be used: depth 0.4 and spread 0.6.

--- a/core/quota.c
+++ b/core/quota.c
@@ -9,9 +9,6 @@
 /* Debt that all VMs together may run up on a keeper's word that there is enough, in seconds of
  * the limit: with the burst at hand it stays within what a window allows. */
 #define DEBT_SECONDS 0.4
-/* Of many VMs each has so small a part of it that the first request would not fit. A VM in debt
- * asks at once, so that debts are known within a round trip. */
-#define DEBT_REQUESTS 2.0
 /* Part of the burst that all VMs together hold as credit while there is enough. What they hold
  * can all be used in one moment, on top of what the keeper has. */
 #define STOCK_PART 0.3
@@ -21,7 +18,7 @@
 /* Parts of the burst that may be used at one moment, and that are spread over the window, so
  * that a workspace far over its limit is served evenly. */
 #define DEPTH_PART 0.4
-#define SPREAD_PART 0.5
+#define SPREAD_PART 0.6
 /* A keeper that has just begun does not know what was used before: it starts with this part of
  * the depth. */
 #define START_PART 0.05
@@ -33,7 +30,8 @@
   double used;       /* since the last ask */
   double recent;     /* use in an interval, fading */
   double stock;      /* credit to hold while there is enough */
-  gboolean is_short; /* the keeper could not make up for the debt */
+  double waiting;    /* cost of the requests that wait for an answer */
+  gboolean is_short; /* the keeper gave less than was asked for */
   guint64 sequence;
   guint64 answered;     /* of the newest ask with an answer */
   DpUsec asked_at;      /* 0: never */
@@ -107,33 +105,53 @@
   return CLAMP ((DpUsec)(seconds * (double)DP_USEC_PER_SEC), RETRY_AFTER_MIN, RETRY_AFTER_MAX);
 }
 
-gboolean
-dp_quota_user_admit (DpQuotaUser *user,
-                     const DpQuotaLimit *limit,
-                     double cost,
-                     guint vms,
-                     DpUsec now,
-                     DpUsec *retry_after)
+DpQuotaVerdict
+dp_quota_user_admit_again (DpQuotaUser *user,
+                           const DpQuotaLimit *limit,
+                           DpQuotaRequest *request,
+                           DpUsec now,
+                           DpUsec *retry_after)
 {
   if (limit->per_second <= 0)
-    return TRUE;
+    return DP_QUOTA_ADMITTED;
   Use *use = obtain_use (user, limit->workspace, now);
   gboolean is_silent = use->waiting_since != 0 && now - use->waiting_since > KEEPER_SILENCE;
   if (is_silent)
-    add_equal_share (use, limit, vms, now);
+    add_equal_share (use, limit, request->vms, now);
   else
     use->share_at = now;
-  double debt = MAX (limit->per_second * DEBT_SECONDS / MAX (vms, 1), DEBT_REQUESTS * cost);
-  double floor = use->is_short || is_silent ? 0 : -debt;
-  use->stock = limit->burst * STOCK_PART / MAX (vms, 1);
-  use->used += cost;
-  if (use->credit - cost < floor)
+  gboolean may_owe = !use->is_short && !is_silent;
+  double debt = may_owe ? limit->per_second * DEBT_SECONDS / MAX (request->vms, 1) : 0;
+  if (use->credit - request->cost >= -debt)
     {
-      *retry_after = come_back_after (use, limit, cost);
-      return FALSE;
+      use->credit -= request->cost;
+      return DP_QUOTA_ADMITTED;
     }
-  use->credit -= cost;
-  return TRUE;
+  if (!may_owe)
+    {
+      *retry_after = come_back_after (use, limit, request->cost);
+      return DP_QUOTA_REFUSED;
+    }
+  if (request->counted != use->answered + 1)
+    use->waiting += request->cost;
+  request->counted = use->answered + 1;
+  return DP_QUOTA_WAITS;
+}
+
+DpQuotaVerdict
+dp_quota_user_admit (DpQuotaUser *user,
+                     const DpQuotaLimit *limit,
+                     DpQuotaRequest *request,
+                     DpUsec now,
+                     DpUsec *retry_after)
+{
+  if (limit->per_second > 0)
+    {
+      Use *use = obtain_use (user, limit->workspace, now);
+      use->stock = limit->burst * STOCK_PART / MAX (request->vms, 1);
+      use->used += request->cost;
+    }
+  return dp_quota_user_admit_again (user, limit, request, now, retry_after);
 }
 
 void
@@ -144,11 +162,17 @@
     use->credit += cost;
 }
 
+static gboolean
+is_urgent (const Use *use)
+{
+  return (use->credit < 0 || use->waiting > 0) && use->waiting_since == 0;
+}
+
 gboolean
-dp_quota_user_is_in_debt (const DpQuotaUser *user, DpName workspace)
+dp_quota_user_must_ask (const DpQuotaUser *user, DpName workspace)
 {
   const Use *use = g_hash_table_lookup (user->uses, &workspace);
-  return use != NULL && use->credit < 0 && use->waiting_since == 0;
+  return use != NULL && is_urgent (use);
 }
 
 void
@@ -161,15 +185,14 @@
     {
       Use *use = value;
       gboolean is_due = use->asked_at == 0 || now - use->asked_at >= ASK_INTERVAL;
-      gboolean is_urgent = use->credit < 0 && use->waiting_since == 0;
-      if (!is_due && !is_urgent)
+      if (!is_due && !is_urgent (use))
         continue;
       if (is_due)
         use->recent = (use->recent + use->used) / 2;
       double ahead = MAX (use->used, use->recent) * ASK_AHEAD;
       if (!use->is_short)
         ahead = MIN (ahead, use->stock);
-      double want = ahead - use->credit;
+      double want = ahead + use->waiting - use->credit;
       use->used = 0;
       double returned = 0;
       if (is_due && !use->is_short && -want > use->stock)
@@ -197,8 +220,9 @@
   use->credit += given->given;
   use->answered = given->sequence;
   use->waiting_since = 0;
-  /* Less than was asked for ahead of use is no shortage yet. */
-  use->is_short = given->reason != DP_REASON_NONE && use->credit < 0;
+  use->is_short = given->reason != DP_REASON_NONE;
+  /* They are looked at again now. */
+  use->waiting = 0;
 }
 
 DpQuotaKeeper *
--- a/core/quota.h
+++ b/core/quota.h
@@ -2,9 +2,9 @@
  *
  * In any window a workspace may use what its rate brings in that time, and its burst. Each
  * limit has one VM that keeps count (see core/owners.h); the other VMs ask it for credit ahead
- * of their use. An entry spends its credit, and goes into debt while the keeper has said that
- * there is enough, so that no request waits for an answer. Without a keeper's answer a VM uses
- * an equal share of the limit.
+ * of their use. A VM spends its credit, and goes into a small debt while the keeper has said
+ * that there is enough, so that few requests wait for an answer. Without a keeper's answer a VM
+ * uses an equal share of the limit.
  */
 #pragma once
 
@@ -28,18 +28,37 @@
 DpQuotaUser *dp_quota_user_new (void);
 void dp_quota_user_free (DpQuotaUser *user);
 
-/* Charges `cost`. FALSE: the workspace is over its limit; `retry_after` says when to come back.
- * `vms` share the limit while no keeper answers. */
-gboolean dp_quota_user_admit (DpQuotaUser *user,
-                              const DpQuotaLimit *limit,
-                              double cost,
-                              guint vms,
-                              DpUsec now,
-                              DpUsec *retry_after);
+typedef enum DpQuotaVerdict
+{
+  DP_QUOTA_ADMITTED, /* and charged */
+  DP_QUOTA_REFUSED,  /* the workspace is over its limit */
+  DP_QUOTA_WAITS,    /* until the keeper answers the ask that is due now */
+} DpQuotaVerdict;
+
+/* What is asked of a limit. */
+typedef struct DpQuotaRequest
+{
+  double cost;
+  guint vms;       /* share the limit while no keeper answers */
+  guint64 counted; /* 0 at first; which answer it waits for */
+} DpQuotaRequest;
+
+/* A request has come. If it is refused, `retry_after` says when to come back. */
+DpQuotaVerdict dp_quota_user_admit (DpQuotaUser *user,
+                                    const DpQuotaLimit *limit,
+                                    DpQuotaRequest *request,
+                                    DpUsec now,
+                                    DpUsec *retry_after);
+/* The same for one that waits: after an answer, and from time to time without one. */
+DpQuotaVerdict dp_quota_user_admit_again (DpQuotaUser *user,
+                                          const DpQuotaLimit *limit,
+                                          DpQuotaRequest *request,
+                                          DpUsec now,
+                                          DpUsec *retry_after);
 /* Gives back what a request was charged that ran nowhere. */
 void dp_quota_user_give_back (DpQuotaUser *user, DpName workspace, double cost);
-/* TRUE if an ask is due at once, since the workspace is in debt. */
-gboolean dp_quota_user_is_in_debt (const DpQuotaUser *user, DpName workspace);
+/* TRUE if an ask is due at once, since the workspace is in debt or requests wait. */
+gboolean dp_quota_user_must_ask (const DpQuotaUser *user, DpName workspace);
 /* Appends the asks (DpLimitAsk) that are due. */
 void dp_quota_user_due_asks (DpQuotaUser *user, DpUsec now, GArray *out);
 void dp_quota_user_given (DpQuotaUser *user, const DpLimitGiven *given);
--- a/node/front.c
+++ b/node/front.c
@@ -34,7 +34,8 @@
   DpCallerRequest said;
   const DpRoute *route;
   int workspace;
-  double charged;
+  DpQuotaRequest quota; /* cost 0: no limit */
+  gboolean waits;       /* for the limit's keeper */
   DpReason refusal;
   DpUsec retry_after;
 } Admission;
@@ -109,14 +110,22 @@
   const DpWorkspace *workspace
     = DP_MANIFEST_ROW (node->manifest, workspaces, DpWorkspace, (guint)admission->workspace);
   DpQuotaLimit limit = dp_peers_limit (node, node->manifest, admission->workspace);
-  double cost = measure_cost (admission, workspace);
+  if (limit.per_second <= 0)
+    return TRUE;
+  admission->quota.cost = measure_cost (admission, workspace);
+  admission->quota.vms = dp_peers_count (node);
   DpUsec retry_after = 0;
-  if (!dp_quota_user_admit (node->quota_user, &limit, cost, dp_peers_count (node),
-                            dp_node_now (), &retry_after))
-    return refuse (admission, DP_REASON_RATE_LIMITED, retry_after);
-  admission->charged = cost;
-  if (dp_quota_user_is_in_debt (node->quota_user, limit.workspace))
-    dp_peers_send_limit_asks (node, dp_node_now ());
+  switch (dp_quota_user_admit (node->quota_user, &limit, &admission->quota, dp_node_now (),
+                               &retry_after))
+    {
+    case DP_QUOTA_REFUSED:
+      return refuse (admission, DP_REASON_RATE_LIMITED, retry_after);
+    case DP_QUOTA_WAITS:
+      admission->waits = TRUE;
+      break;
+    case DP_QUOTA_ADMITTED:
+      break;
+    }
   return TRUE;
 }
 
@@ -147,6 +156,14 @@
   return g_hash_table_lookup (node->pools, &pool->name);
 }
 
+static DpName
+workspace_name (const Admission *admission)
+{
+  return DP_MANIFEST_ROW (admission->node->manifest, workspaces, DpWorkspace,
+                          (guint)admission->workspace)
+    ->name;
+}
+
 static void
 begin (const Admission *admission)
 {
@@ -168,11 +185,18 @@
   request->said = admission->said;
   request->urgency = urgency (admission);
   request->is_repeatable = dp_route_is_repeatable (route);
-  request->charged = admission->charged;
+  request->quota = admission->quota;
+  request->charged = admission->waits ? 0 : admission->quota.cost;
   request->arrived = now;
   request->goal_at = now + route->first_byte_goal;
   request->deadline = now + (limit > 0 ? MIN (limit, route->timeout) : route->timeout);
+  request->stage = admission->waits ? DP_STAGE_LIMITED : DP_STAGE_PLACING;
+  node->limited += admission->waits;
   dp_request_begin (request);
+  /* The answer may come at once, from this very VM. */
+  if (admission->workspace >= 0
+      && dp_quota_user_must_ask (node->quota_user, workspace_name (admission)))
+    dp_peers_send_limit_asks (node, now);
 }
 
 static const char *
--- a/node/node.h
+++ b/node/node.h
@@ -121,6 +121,7 @@
   DpHttpServer *ready;
   GHashTable *pools;      /* DpName -> DpNodePool */
   DpTable *requests;      /* DpNodeRequest */
+  guint limited;          /* of them, at DP_STAGE_LIMITED */
   GHashTable *by_attempt; /* DpId -> DpHandle: requests that wait for a place */
   guint64 next_attempt;
   /* time */
@@ -141,6 +142,7 @@
 /* Stages of a request. */
 typedef enum DpNodeStage
 {
+  DP_STAGE_LIMITED, /* waits for the keeper of its workspace's limit */
   DP_STAGE_PLACING, /* asked for a target */
   DP_STAGE_SENT,
 } DpNodeStage;
@@ -159,8 +161,9 @@
   DpCallerRequest said; /* texts valid as long as the exchange */
   guint urgency;
   gboolean is_repeatable;
-  guint64 fingerprint; /* 0: not computed yet */
-  double charged;      /* against the workspace's limit */
+  guint64 fingerprint;  /* 0: not computed yet */
+  DpQuotaRequest quota; /* what it asks of the workspace's limit */
+  double charged;       /* of it, so far */
   DpUsec arrived;
   DpUsec goal_at;
   DpUsec deadline;
@@ -286,6 +289,8 @@
 void dp_request_failed (DpNodeRequest *request, DpAttemptEnd end, DpReason reason);
 /* The whole answer has been given; `reason` tells what it says of the target. */
 void dp_request_complete (DpNodeRequest *request, DpReason reason);
+/* Requests that wait for a limit's keeper are looked at again. */
+void dp_request_look_at_limited (DpNode *node);
 void dp_request_tick (DpNode *node, DpUsec now);
 void dp_request_clear (void *row);
 /* Answers and ends an exchange that is no request (yet). */
--- a/node/peers.c
+++ b/node/peers.c
@@ -102,6 +102,13 @@
   return limit;
 }
 
+static void
+take_limit (DpNode *node, const DpLimitGiven *given)
+{
+  dp_quota_user_given (node->quota_user, given);
+  dp_request_look_at_limited (node);
+}
+
 static void
 answer_limit_ask (DpNode *node, DpName from, const DpLimitAsk *ask)
 {
@@ -116,7 +123,7 @@
   message.limit_given = dp_quota_keeper_ask (node->quota_keeper, &limit, ask,
                                              dp_owners_reach (node->owners, now), now);
   if (from == node->self)
-    dp_quota_user_given (node->quota_user, &message.limit_given);
+    take_limit (node, &message.limit_given);
   else
     dp_peers_send (node, from, &message);
 }
@@ -174,7 +181,7 @@
       answer_limit_ask (node, from.vm, &message->limit_ask);
       break;
     case DP_MESSAGE_LIMIT_GIVEN:
-      dp_quota_user_given (node->quota_user, &message->limit_given);
+      take_limit (node, &message->limit_given);
       break;
     default:
       if (!dp_share_message (node, from.vm, message) && !dp_poison_message (node, message))
@@ -191,6 +198,7 @@
   node->peers_ticked_at = now;
   send_due_probes (node, now);
   dp_peers_send_limit_asks (node, now);
+  dp_request_look_at_limited (node);
   dp_share_tick (node, now);
   dp_quarantine_tick (node->poison, now);
 }
--- a/node/request.c
+++ b/node/request.c
@@ -65,6 +65,8 @@
   dp_attempt_cancel (request);
   if (!dp_id_is_none (request->attempt))
     g_hash_table_remove (request->node->by_attempt, &request->attempt);
+  if (request->stage == DP_STAGE_LIMITED)
+    request->node->limited--;
   dp_manifest_unref (request->manifest);
   g_free (request->id);
   g_free (request->last_event);
@@ -141,7 +143,8 @@
       if (request->head_given)
         dp_http_exchange_break_off (exchange);
       else
-        reply_problem (exchange, status, reason, status == 503 ? retry_after : 0);
+        reply_problem (exchange, status, reason,
+                       status == 503 || status == 429 ? retry_after : 0);
     }
   if (!request->may_have_run)
     dp_quota_user_give_back (
@@ -195,7 +198,44 @@
       return;
     }
   dp_retry_budget_count_request (&request->pool->budget, request->arrived);
-  dp_placing_ask (request);
+  if (request->stage != DP_STAGE_LIMITED)
+    dp_placing_ask (request);
+}
+
+static void
+look_at_limited (DpNodeRequest *request, DpUsec now)
+{
+  DpNode *node = request->node;
+  DpQuotaLimit limit = dp_peers_limit (node, request->manifest, request->workspace);
+  DpUsec retry_after = 0;
+  switch (
+    dp_quota_user_admit_again (node->quota_user, &limit, &request->quota, now, &retry_after))
+    {
+    case DP_QUOTA_WAITS:
+      return;
+    case DP_QUOTA_ADMITTED:
+      node->limited--;
+      request->stage = DP_STAGE_PLACING;
+      request->charged = request->quota.cost;
+      dp_placing_ask (request);
+      return;
+    case DP_QUOTA_REFUSED:
+      give_up (request, DP_REASON_RATE_LIMITED, retry_after);
+      return;
+    }
+}
+
+void
+dp_request_look_at_limited (DpNode *node)
+{
+  DpUsec now = dp_node_now ();
+  for (DpHandle at = dp_table_next (node->requests, 0); at != 0 && node->limited > 0;
+       at = dp_table_next (node->requests, at))
+    {
+      DpNodeRequest *request = dp_table_get (node->requests, at);
+      if (request->stage == DP_STAGE_LIMITED)
+        look_at_limited (request, now);
+    }
 }
 
 static void
--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -113,6 +113,8 @@
     0.99, 0 },
   { "the same, with six times as many later", 142, 150, 25, 4000, TRUE, 3, 840000, 870000,
     FALSE, 0.9, 0.1 },
+  { "rare and larger requests, twelve times as many later", 142, 300, 25, 8000, TRUE, 3, 840000,
+    870000, FALSE, 0.9, 0.1 },
   { "twelve VMs, six times as many later", 12, 12, 2, 4000, TRUE, 1, 840000, 870000, FALSE, 0.9,
     0.1 },
 };
@@ -131,13 +133,22 @@
   DpLimitGiven given;
 } LateAnswer;
 
+/* A request that waits for the keeper's answer. */
+typedef struct LateRequest
+{
+  guint step;
+  guint vm;
+  DpQuotaRequest request;
+} LateRequest;
+
 typedef struct LimitWorld
 {
   const LimitCase *row;
   DpQuotaLimit limit;
   DpQuotaKeeper *keeper;
   DpQuotaUser *users[LIMIT_VMS_MAX];
-  GArray *late; /* LateAnswer, in the order of their steps */
+  GArray *waiting; /* LateRequest */
+  GArray *late;    /* LateAnswer, in the order of their steps */
   double use[LIMIT_STEPS];
   double ideal; /* level of a limiter that knows all use at once */
   double allowed;
@@ -189,6 +200,45 @@
   g_array_unref (asks);
 }
 
+/* Requests may wait for a fraction of a second at most. */
+#define LATE_STEPS_MAX 80
+
+static void
+admit_limited (LimitWorld *world, guint step, LateRequest late)
+{
+  DpUsec now = START + (DpUsec)step * 10 * MSEC;
+  DpUsec retry_after = 0;
+  DpQuotaUser *user = world->users[late.vm];
+  DpQuotaVerdict verdict
+    = late.step == step
+        ? dp_quota_user_admit (user, &world->limit, &late.request, now, &retry_after)
+        : dp_quota_user_admit_again (user, &world->limit, &late.request, now, &retry_after);
+  switch (verdict)
+    {
+    case DP_QUOTA_ADMITTED:
+      world->use[step] += late.request.cost;
+      break;
+    case DP_QUOTA_REFUSED:
+      ck_assert_int_gt (retry_after, 0);
+      break;
+    case DP_QUOTA_WAITS:
+      ck_assert_uint_le (step - late.step, LATE_STEPS_MAX);
+      g_array_append_val (world->waiting, late);
+      break;
+    }
+}
+
+/* Looks again at all that waited. */
+static void
+admit_waiting (LimitWorld *world, guint step)
+{
+  GArray *waiting = world->waiting;
+  world->waiting = g_array_new (FALSE, FALSE, sizeof (LateRequest));
+  for (guint i = 0; i < waiting->len; i++)
+    admit_limited (world, step, g_array_index (waiting, LateRequest, i));
+  g_array_unref (waiting);
+}
+
 static void
 deliver_limit_answers (LimitWorld *world, guint step)
 {
@@ -226,19 +276,17 @@
       world->keeper = dp_quota_keeper_new (0);
     }
   deliver_limit_answers (world, step);
+  admit_waiting (world, step);
   double asked = 0;
   for (guint vm = 0; vm < row->vms; vm++)
     {
       if (has_request (row, step, vm))
         {
           double cost = request_cost (row, step, vm);
-          DpUsec retry_after = 0;
           asked += cost;
-          if (dp_quota_user_admit (world->users[vm], &world->limit, cost, row->vms, now,
-                                   &retry_after))
-            world->use[step] += cost;
-          else
-            ck_assert_int_gt (retry_after, 0);
+          const LateRequest late
+            = { .step = step, .vm = vm, .request = { .cost = cost, .vms = row->vms } };
+          admit_limited (world, step, late);
         }
       send_limit_asks (world, step, vm, now);
       if (row->delay == 0)
@@ -258,6 +306,7 @@
   };
   world->keeper = dp_quota_keeper_new (START + SEC);
   world->late = g_array_new (FALSE, FALSE, sizeof (LateAnswer));
+  world->waiting = g_array_new (FALSE, FALSE, sizeof (LateRequest));
   for (guint i = 0; i < row->vms; i++)
     world->users[i] = dp_quota_user_new ();
   for (guint step = 0; step < LIMIT_STEPS; step++)
@@ -272,6 +321,7 @@
     dp_quota_user_free (world->users[i]);
   dp_quota_keeper_free (world->keeper);
   g_array_unref (world->late);
+  g_array_unref (world->waiting);
   g_free (world);
 }
 END_TEST
@@ -286,7 +336,8 @@
     {
       DpUsec now = START + (DpUsec)step * 10 * MSEC;
       DpUsec retry_after = 0;
-      if (dp_quota_user_admit (user, &limit, 100, 12, now, &retry_after))
+      DpQuotaRequest request = { .cost = 100, .vms = 12 };
+      if (dp_quota_user_admit (user, &limit, &request, now, &retry_after) == DP_QUOTA_ADMITTED)
         served += 100;
       GArray *asks = g_array_new (FALSE, FALSE, sizeof (DpLimitAsk));
       dp_quota_user_due_asks (user, now, asks);
