node: VMs that are gone leave the list, and one removed by mistake comes back

Cause: the entry of a VM that was lost for good stayed in the store for ever, was probed, counted as a member of limits and budgets, and could be a relay. Now: core/prune.c decides (60 s unheard, three probes unanswered, and this VM hears at least half of the others); the owner of the list removes the entry. A VM that misses its own entry writes it again. node/enlist.c holds what follow.c had of this VM's own entry. Tests: which_vms_are_gone (five cases), a_vm_that_was_removed_enlists_again (real processes).

--- a/node/follow.c
+++ b/node/follow.c
@@ -65,12 +65,9 @@
   Stream streams[KIND_COUNT];
   GHashTable *vms; /* DpName -> DpVm */
   guint64 view_version;
-  struct event *enlist;
-  gboolean is_leaving;
 };
 
 static void call_next (Stream *stream);
-static void on_enlisted (const DpPlatformReply *reply, gpointer data);
 
 static void
 schedule (struct event *event, DpUsec delay)
@@ -237,7 +234,11 @@
   DpName name = dp_name (object->name);
   /* This VM knows best of itself. */
   if (name == follow->node->self)
-    return;
+    {
+      if (object->is_deleted)
+        dp_enlist_missing (follow->node->enlist);
+      return;
+    }
   if (object->is_deleted)
     {
       if (g_hash_table_remove (follow->vms, &name))
@@ -385,7 +386,11 @@
   if (stream->kind == KIND_TARGETS)
     drop_unlisted_targets (stream->follow, listed);
   else if (stream->kind == KIND_VMS)
-    drop_unlisted_vms (stream->follow, listed);
+    {
+      drop_unlisted_vms (stream->follow, listed);
+      if (!g_hash_table_contains (listed, &stream->follow->node->self))
+        dp_enlist_missing (stream->follow->node->enlist);
+    }
   g_hash_table_unref (listed);
 }
 
@@ -576,79 +581,6 @@
   call_next (user);
 }
 
-/* --- this VM's own entry --- */
-
-static DpVm
-own_row (const DpNode *node)
-{
-  DpVm vm = { .name = node->self,
-              .data_centre = dp_name (node->settings->process.data_centre),
-              .state = DP_VM_LIVE,
-              .weight = node->figures.weight };
-  g_strlcpy (vm.text, node->settings->process.name, sizeof vm.text);
-  g_strlcpy (vm.address, node->settings->process.address, sizeof vm.address);
-  return vm;
-}
-
-/* Writes this VM's entry; one that an earlier process, or an earlier VM of the name, has left
- * is replaced. */
-static void
-enlist (DpFollow *follow, DpPlatformCallType type)
-{
-  DpVm vm = own_row (follow->node);
-  char *body = dp_records_write_vm (&vm, follow->node->settings->process.data_centre);
-  char *path = type == DP_PLATFORM_REPLACE ? g_strconcat (DP_KIND_VMS "/", vm.text, NULL)
-                                           : g_strdup (DP_KIND_VMS);
-  const DpPlatformCall call = {
-    .type = type, .path = path, .value = body, .length = strlen (body), .timeout = CALL_TIMEOUT
-  };
-  dp_platform_client_call (follow->node->store, &call, on_enlisted, follow);
-  g_free (path);
-  g_free (body);
-}
-
-static void
-on_enlisted (const DpPlatformReply *reply, gpointer data)
-{
-  DpFollow *follow = data;
-  switch (reply->result)
-    {
-    case DP_PLATFORM_OK:
-      dp_log (DP_LOG_NOTICE, "enlisted", "outcome", "ok", NULL);
-      return;
-    case DP_PLATFORM_CONFLICT:
-      enlist (follow, DP_PLATFORM_REPLACE);
-      return;
-    default:
-      if (!follow->is_leaving)
-        schedule (follow->enlist, 2 * RETRY_TIME);
-      return;
-    }
-}
-
-static void
-on_enlist (evutil_socket_t fd, short what, void *user)
-{
-  enlist (user, DP_PLATFORM_CREATE);
-}
-
-static void
-on_left (const DpPlatformReply *reply, gpointer data)
-{
-  dp_log (DP_LOG_NOTICE, "delisted", "outcome", dp_platform_result_name (reply->result), NULL);
-}
-
-void
-dp_follow_leave (DpFollow *follow)
-{
-  follow->is_leaving = TRUE;
-  char *path = g_strconcat (DP_KIND_VMS "/", follow->node->settings->process.name, NULL);
-  const DpPlatformCall call
-    = { .type = DP_PLATFORM_REMOVE, .path = path, .timeout = CALL_TIMEOUT };
-  dp_platform_client_call (follow->node->store, &call, on_left, follow);
-  g_free (path);
-}
-
 /* --- life --- */
 
 static DpPlatformClient *
@@ -682,7 +614,6 @@
   follow->node = node;
   node->store = make_client (node);
   follow->vms = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
-  follow->enlist = evtimer_new (node->base, on_enlist, follow);
   for (guint i = 0; i < KIND_COUNT; i++)
     {
       Stream *stream = &follow->streams[i];
@@ -691,7 +622,7 @@
       stream->next = evtimer_new (node->base, on_next, stream);
       stream->pages = g_ptr_array_new_with_free_func (page_free);
     }
-  DpVm self = own_row (node);
+  DpVm self = dp_enlist_row (node);
   g_hash_table_insert (follow->vms, g_memdup2 (&self.name, sizeof self.name),
                        g_memdup2 (&self, sizeof self));
   publish_view (follow);
@@ -703,7 +634,7 @@
 {
   for (guint i = 0; i < KIND_COUNT; i++)
     call_next (&follow->streams[i]);
-  schedule (follow->enlist, 0);
+  dp_enlist_start (follow->node->enlist);
 }
 
 void
@@ -733,7 +664,6 @@
       g_ptr_array_unref (follow->streams[i].pages);
       g_free (follow->streams[i].after);
     }
-  event_free (follow->enlist);
   g_hash_table_unref (follow->vms);
   g_free (follow);
 }
--- a/node/front.c
+++ b/node/front.c
@@ -317,7 +317,7 @@
   node->stop_at = dp_node_now ();
   dp_http_server_close_after_answers (node->callers);
   dp_peers_say_leaving (node);
-  dp_follow_leave (node->follow);
+  dp_enlist_leave (node->enlist);
 }
 
 /* Callers that still come are better off with another VM: what is taken now could not be ended
--- a/node/main.c
+++ b/node/main.c
@@ -113,6 +113,8 @@
     = { .row_size = sizeof (DpNodeRequest), .clear_row = dp_request_clear };
   node->requests = dp_table_new (&requests);
   node->by_attempt = g_hash_table_new_full (dp_id_hash, dp_id_same, g_free, g_free);
+  node->enlist = dp_enlist_new (node);
+  node->prune = dp_prune_new ();
   node->follow = dp_follow_new (node);
 }
 
@@ -125,6 +127,8 @@
   g_hash_table_unref (node->by_attempt);
   g_hash_table_unref (node->pools);
   dp_follow_free (node->follow);
+  dp_enlist_free (node->enlist);
+  dp_prune_free (node->prune);
   dp_directory_free (node->directory);
   dp_owners_free (node->owners);
   dp_quarantine_free (node->poison);
--- a/node/node.h
+++ b/node/node.h
@@ -5,6 +5,7 @@
  *
  *   settings.c its settings
  *   follow.c   what lies in the platform's store: config, targets, VMs
+ *   enlist.c   this VM's own entry there
  *   share.c    the same from other VMs, while the store is out of reach
  *   peers.c    the other VMs: probes, owners, limits of workspaces
  *   placing.c  which target a request is sent to: asks, grants, dispatchers
@@ -18,6 +19,7 @@
 #include "core/directory.h"
 #include "core/dispatcher.h"
 #include "core/owners.h"
+#include "core/prune.h"
 #include "core/quarantine.h"
 #include "core/quota.h"
 #include "core/retry.h"
@@ -77,6 +79,7 @@
 typedef struct DpNode DpNode;
 typedef struct DpNodeRequest DpNodeRequest;
 typedef struct DpFollow DpFollow;
+typedef struct DpEnlist DpEnlist;
 
 /* One pool as this VM uses it. */
 typedef struct DpNodePool
@@ -103,6 +106,8 @@
   /* from the platform */
   DpPlatformClient *store;
   DpFollow *follow;
+  DpEnlist *enlist;
+  DpPrune *prune;
   DpManifest *manifest;  /* NULL until one is known */
   GBytes *manifest_text; /* as it lies in the store */
   DpUsec manifest_proof; /* when the store last confirmed it as the newest */
@@ -128,6 +133,7 @@
   struct event *tick;
   DpUsec ticked_at;
   DpUsec peers_ticked_at;
+  DpUsec pruned_at;
   DpUsec started_at;
   DpUsec asked_state_at; /* another VM, for what the store can't tell */
   DpUsec asked_manifest_at;
@@ -205,8 +211,6 @@
 void dp_follow_free (DpFollow *follow);
 void dp_follow_start (DpFollow *follow);
 void dp_follow_tick (DpFollow *follow, DpUsec now);
-/* Takes this VM out of the list of VMs. */
-void dp_follow_leave (DpFollow *follow);
 
 /* What another VM knows; each is ignored if this VM knows better. */
 void dp_follow_take_config_text (DpFollow *follow, GBytes *text);
@@ -217,6 +221,20 @@
 /* Store revisions that targets and VMs are as of, and the age of the oldest proof. */
 DpRelay dp_follow_state (const DpFollow *follow);
 
+/* --- enlist.c --- */
+
+DpEnlist *dp_enlist_new (DpNode *node);
+void dp_enlist_free (DpEnlist *enlist);
+void dp_enlist_start (DpEnlist *enlist);
+/* The store does not list this VM; it is written again after a while. */
+void dp_enlist_missing (DpEnlist *enlist);
+/* Takes this VM out of the list. */
+void dp_enlist_leave (DpEnlist *enlist);
+/* Removes the entry of a VM that is gone. */
+void dp_enlist_remove (DpEnlist *enlist, DpName vm);
+/* What is written. */
+DpVm dp_enlist_row (const DpNode *node);
+
 /* --- share.c --- */
 
 void dp_share_tick (DpNode *node, DpUsec now);
--- a/node/peers.c
+++ b/node/peers.c
@@ -4,6 +4,11 @@
 #include "common/log.h"
 
 #define PEERS_INTERVAL (100 * DP_USEC_PER_MSEC)
+#define PRUNE_INTERVAL DP_USEC_PER_SEC
+/* The list of VMs is trusted if the store, or a relay, has confirmed it within this time. */
+#define PRUNE_PROOF_MAX (5 * DP_USEC_PER_SEC)
+/* Name of the key whose owner keeps the list of VMs. */
+#define PRUNE_KEY "list of VMs"
 
 void
 dp_peers_send (DpNode *node, DpName vm, const DpMessage *message)
@@ -190,6 +195,32 @@
     }
 }
 
+/* --- VMs that are gone --- */
+
+static void
+prune (DpNode *node, DpUsec now)
+{
+  if (now - node->pruned_at < PRUNE_INTERVAL)
+    return;
+  node->pruned_at = now;
+  if (node->view == NULL || now - node->view_proof > PRUNE_PROOF_MAX
+      || dp_owners_choose (node->owners, dp_name (PRUNE_KEY), now) != node->self)
+    {
+      dp_prune_reset (node->prune);
+      return;
+    }
+  GArray *probes = g_array_new (FALSE, FALSE, sizeof (DpName));
+  GArray *gone = g_array_new (FALSE, FALSE, sizeof (DpName));
+  dp_prune_tick (node->prune, node->owners, node->view, node->self, now, probes, gone);
+  for (guint i = 0; i < probes->len; i++)
+    send_probe (node, g_array_index (probes, DpName, i), DP_MESSAGE_PROBE,
+                ++node->probe_sequence);
+  for (guint i = 0; i < gone->len; i++)
+    dp_enlist_remove (node->enlist, g_array_index (gone, DpName, i));
+  g_array_unref (probes);
+  g_array_unref (gone);
+}
+
 void
 dp_peers_tick (DpNode *node, DpUsec now)
 {
@@ -201,4 +232,5 @@
   dp_request_look_at_limited (node);
   dp_share_tick (node, now);
   dp_quarantine_tick (node->poison, now);
+  prune (node, now);
 }
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -499,6 +499,25 @@
 }
 END_TEST
 
+/* Somebody takes a VM that lives for dead: it comes back by itself. */
+START_TEST (a_vm_that_was_removed_enlists_again)
+{
+  World *world = world_ready ();
+  int status = 0;
+  g_free (http_exchange ("DELETE", world->address[0], world->store,
+                         "/objects/dogwoodplank-vms/vm1", NULL, NULL, &status));
+  ck_assert_int_eq (status, 200);
+  gint64 end = g_get_monotonic_time () + WAIT;
+  status = 404;
+  while (status != 200 && g_get_monotonic_time () < end)
+    g_free (http_exchange ("GET", world->address[0], world->store,
+                           "/objects/dogwoodplank-vms/vm1", NULL, NULL, &status));
+  ck_assert_int_eq (status, 200);
+  ck_assert_int_eq (look (world, 1, "/look/1"), 200);
+  world_free (world);
+}
+END_TEST
+
 START_TEST (an_older_config_never_comes_back)
 {
   World *world = world_ready ();
@@ -741,6 +760,7 @@
   tcase_add_test (tests, ambiguous_requests_reach_no_target);
   tcase_add_loop_test (tests, a_change_comes_into_force_whatever_the_store_does, 0,
                        G_N_ELEMENTS (store_cases));
+  tcase_add_test (tests, a_vm_that_was_removed_enlists_again);
   tcase_add_test (tests, an_older_config_never_comes_back);
   tcase_add_test (tests, a_vm_that_starts_while_the_store_is_away_learns_from_others);
   tcase_add_test (tests, without_a_config_nothing_is_served_and_nothing_denied);
--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -1,6 +1,7 @@
 /* Owners, directory, retries and limits: the decisions of a node beside the dispatcher's. */
 #include "core/directory.h"
 #include "core/owners.h"
+#include "core/prune.h"
 #include "core/quarantine.h"
 #include "core/quota.h"
 #include "core/retry.h"
@@ -671,6 +672,53 @@
 }
 END_TEST
 
+/* VMs 2 to OWNER_VMS; those up to `alive` answer each probe. */
+typedef struct PruneCase
+{
+  const char *name;
+  DpName alive;
+  guint seconds;
+  guint gone;
+} PruneCase;
+
+static const PruneCase prune_cases[] = {
+  { "all answer", OWNER_VMS, 120, 0 },
+  { "one is gone", OWNER_VMS - 1, 120, 1 },
+  { "one is silent for a while", OWNER_VMS - 1, 50, 0 },
+  { "three are gone", OWNER_VMS - 3, 120, 3 },
+  { "cut off from most", 3, 120, 0 },
+};
+
+START_TEST (which_vms_are_gone)
+{
+  const PruneCase *row = &prune_cases[_i];
+  DpOwners *owners = make_owners (1, OWNER_VMS);
+  DpPrune *prune = dp_prune_new ();
+  DpVm vms[OWNER_VMS] = { 0 };
+  for (guint i = 0; i < OWNER_VMS; i++)
+    vms[i].name = i + 1;
+  DpView *view = dp_view_new (1, vms, OWNER_VMS);
+  GArray *probes = g_array_new (FALSE, FALSE, sizeof (DpName));
+  GArray *gone = g_array_new (FALSE, FALSE, sizeof (DpName));
+  for (guint second = 0; second < row->seconds; second++)
+    {
+      DpUsec now = START + second * SEC;
+      g_array_set_size (probes, 0);
+      g_array_set_size (gone, 0);
+      dp_prune_tick (prune, owners, view, 1, now, probes, gone);
+      for (guint i = 0; i < probes->len; i++)
+        if (g_array_index (probes, DpName, i) <= row->alive)
+          dp_owners_heard (owners, g_array_index (probes, DpName, i), now + 10 * MSEC);
+    }
+  ck_assert_msg (gone->len == row->gone, "%s: %u", row->name, gone->len);
+  g_array_unref (probes);
+  g_array_unref (gone);
+  dp_view_unref (view);
+  dp_prune_free (prune);
+  dp_owners_free (owners);
+}
+END_TEST
+
 START_TEST (alone_a_vm_owns_everything_itself)
 {
   DpOwners *owners = make_owners (1, OWNER_VMS);
@@ -721,6 +769,7 @@
   tcase_add_test (tests, the_count_of_fingerprints_is_bounded);
   tcase_add_loop_test (tests, how_much_of_a_limit_an_owner_may_give, 0,
                        G_N_ELEMENTS (reach_cases));
+  tcase_add_loop_test (tests, which_vms_are_gone, 0, G_N_ELEMENTS (prune_cases));
   tcase_add_test (tests, alone_a_vm_owns_everything_itself);
   tcase_add_test (tests, an_unanswered_probe_makes_a_vm_silent);
   suite_add_tcase (suite, tests);
