--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -1,11 +1,7 @@
 #include "core/dispatcher_board.h"
 
-/* An entry that was not heard for so long is gone, with all its requests: three reports. */
-#define ENTRY_LAPSE (2500 * DP_USEC_PER_MSEC)
 /* Entries with waiting requests hear of it this often: half of what they take for silence. */
 #define ADVERT_INTERVAL (40 * DP_USEC_PER_MSEC)
-/* A grant may be missing from a report that was on its way when it was given. */
-#define HELD_GRACE (1 * DP_USEC_PER_SEC)
 #define SESSIONS_MAX 20000
 /* Share of one answer in the learned time that a tier keeps a slot. */
 #define HOLD_GAIN 0.02
@@ -100,14 +96,14 @@
   return entry;
 }
 
-static DpPlace *
-find_place (const DpDispatcher *dispatcher, DpId attempt)
+DpPlace *
+dp_dispatch_find_place (const DpDispatcher *dispatcher, DpId attempt)
 {
   return g_hash_table_lookup (dispatcher->place_by_attempt, &attempt);
 }
 
-static DpPlace *
-add_place (DpDispatcher *dispatcher, DpName entry, DpId attempt)
+DpPlace *
+dp_dispatch_add_place (DpDispatcher *dispatcher, DpName entry, DpId attempt)
 {
   void *row;
   DpHandle handle = dp_table_add (dispatcher->places, &row);
@@ -143,8 +139,8 @@
   entry_seen (dispatcher, place->entry)->waiting--;
 }
 
-static void
-hold (DpDispatcher *dispatcher, DpPlace *place, DpBackend *backend)
+void
+dp_dispatch_hold (DpDispatcher *dispatcher, DpPlace *place, DpBackend *backend)
 {
   place->state = DP_PLACE_RUNNING;
   place->backend = backend->self;
@@ -162,8 +158,8 @@
   dispatcher->running--;
 }
 
-static void
-forget_place (DpDispatcher *dispatcher, DpPlace *place)
+void
+dp_dispatch_forget_place (DpDispatcher *dispatcher, DpPlace *place)
 {
   if (place->state == DP_PLACE_WAITING)
     dequeue (dispatcher, place);
@@ -199,7 +195,7 @@
 give (DpDispatcher *dispatcher, DpPlace *place, DpBackend *backend)
 {
   dequeue (dispatcher, place);
-  hold (dispatcher, place, backend);
+  dp_dispatch_hold (dispatcher, place, backend);
   place->first_expected
     = dp_pace_first_event (&dispatcher->pace, place->ask.prompt_tokens, backend->pace);
   remember_session (dispatcher, place, backend->name);
@@ -249,7 +245,7 @@
                                              .retry_after = come_back_after (dispatcher, place),
                                              .at_once = at_once };
   count (dispatcher, "dogwoodplank_grants_refused_total", reason);
-  forget_place (dispatcher, place);
+  dp_dispatch_forget_place (dispatcher, place);
 }
 
 void
@@ -260,7 +256,7 @@
                                              .group = dispatcher->options.pool,
                                              .reason = reason };
   count (dispatcher, "dogwoodplank_grants_revoked_total", reason);
-  forget_place (dispatcher, place);
+  dp_dispatch_forget_place (dispatcher, place);
 }
 
 /* --- messages --- */
@@ -268,7 +264,7 @@
 static void
 on_ask (DpDispatcher *dispatcher, DpName from, const DpGrantAsk *ask)
 {
-  DpPlace *known = find_place (dispatcher, ask->attempt);
+  DpPlace *known = dp_dispatch_find_place (dispatcher, ask->attempt);
   if (known != NULL && known->state == DP_PLACE_RUNNING)
     {
       const DpBackend *backend = dp_table_get (dispatcher->backends, known->backend);
@@ -278,14 +274,14 @@
     }
   if (known != NULL)
     return;
-  DpPlace *place = add_place (dispatcher, from, ask->attempt);
+  DpPlace *place = dp_dispatch_add_place (dispatcher, from, ask->attempt);
   place->ask = *ask;
   place->ask.urgency = MIN (ask->urgency, DP_URGENCY_COUNT - 1);
   place->goal_at = dispatcher->now + ask->goal_left;
   place->deadline = dispatcher->now + ask->remaining;
   enqueue (dispatcher, place);
   fill (dispatcher);
-  if (find_place (dispatcher, ask->attempt)->state != DP_PLACE_WAITING)
+  if (dp_dispatch_find_place (dispatcher, ask->attempt)->state != DP_PLACE_WAITING)
     return;
   DpReason reason = dp_dispatch_check_arrival (dispatcher, place);
   if (reason != DP_REASON_NONE)
@@ -302,7 +298,7 @@
 static void
 on_progress (DpDispatcher *dispatcher, const DpGrantProgress *progress)
 {
-  DpPlace *place = find_place (dispatcher, progress->attempt);
+  DpPlace *place = dp_dispatch_find_place (dispatcher, progress->attempt);
   if (place == NULL || place->state != DP_PLACE_RUNNING || place->started)
     return;
   place->started = TRUE;
@@ -349,7 +345,7 @@
 static void
 on_done (DpDispatcher *dispatcher, const DpGrantDone *done)
 {
-  DpPlace *place = find_place (dispatcher, done->attempt);
+  DpPlace *place = dp_dispatch_find_place (dispatcher, done->attempt);
   DpBackend *backend = NULL;
   if (place != NULL && place->state == DP_PLACE_RUNNING)
     backend = dp_table_get (dispatcher->backends, place->backend);
@@ -364,71 +360,7 @@
     return;
   if (backend != NULL && place->state == DP_PLACE_RUNNING)
     learn (dispatcher, place, backend, done);
-  forget_place (dispatcher, place);
-  fill (dispatcher);
-}
-
-static void
-adopt (DpDispatcher *dispatcher, DpName from, const DpHeld *held)
-{
-  DpBackend *backend = dp_dispatch_backend (dispatcher, held->target);
-  if (backend == NULL)
-    return;
-  DpPlace *place = add_place (dispatcher, from, held->attempt);
-  place->was_adopted = TRUE;
-  place->started = held->started;
-  hold (dispatcher, place, backend);
-}
-
-/* A waiting request that is not known here asks again. */
-static void
-ask_again (DpDispatcher *dispatcher, DpName from, const DpHeld *held)
-{
-  DpMessage *message = dp_dispatch_send (dispatcher, from, DP_MESSAGE_GRANT_REVOKED);
-  message->grant_revoked = (DpGrantRevoked){ .attempt = held->attempt,
-                                             .group = dispatcher->options.pool,
-                                             .reason = DP_REASON_NO_OWNER };
-}
-
-static gboolean
-is_reported (const DpGrantHeld *report, DpId attempt)
-{
-  for (guint i = 0; i < MIN (report->count, DP_HELD_MAX); i++)
-    if (dp_id_equal (report->held[i].attempt, attempt))
-      return TRUE;
-  return FALSE;
-}
-
-/* What a report that is whole does not name is over. */
-static void
-drop_unreported (DpDispatcher *dispatcher, DpName from, const DpGrantHeld *report)
-{
-  for (DpHandle at = dp_table_next (dispatcher->places, 0); at != 0;
-       at = dp_table_next (dispatcher->places, at))
-    {
-      DpPlace *place = dp_table_get (dispatcher->places, at);
-      DpUsec since = MAX (place->arrived, place->given_at);
-      if (place->entry == from && dispatcher->now - since > HELD_GRACE
-          && !is_reported (report, place->ask.attempt))
-        forget_place (dispatcher, place);
-    }
-}
-
-static void
-on_held (DpDispatcher *dispatcher, DpName from, const DpGrantHeld *report)
-{
-  for (guint i = 0; i < MIN (report->count, DP_HELD_MAX); i++)
-    {
-      const DpHeld *held = &report->held[i];
-      if (find_place (dispatcher, held->attempt) != NULL)
-        continue;
-      if (held->target != 0)
-        adopt (dispatcher, from, held);
-      else
-        ask_again (dispatcher, from, held);
-    }
-  if (report->part == 0 && report->last)
-    drop_unreported (dispatcher, from, report);
+  dp_dispatch_forget_place (dispatcher, place);
   fill (dispatcher);
 }
 
@@ -457,7 +389,8 @@
       on_done (dispatcher, &message->grant_done);
       break;
     case DP_MESSAGE_GRANT_HELD:
-      on_held (dispatcher, from, &message->grant_held);
+      dp_dispatch_take_report (dispatcher, from, &message->grant_held);
+      fill (dispatcher);
       break;
     default:
       break;
@@ -558,39 +491,11 @@
     }
 }
 
-static void
-lapse_entry (DpDispatcher *dispatcher, DpName vm)
-{
-  for (DpHandle at = dp_table_next (dispatcher->places, 0); at != 0;
-       at = dp_table_next (dispatcher->places, at))
-    {
-      DpPlace *place = dp_table_get (dispatcher->places, at);
-      if (place->entry == vm)
-        forget_place (dispatcher, place);
-    }
-}
-
-static void
-lapse_entries (DpDispatcher *dispatcher)
-{
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, dispatcher->entries);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const DpEntrySeen *entry = value;
-      if (dispatcher->now - entry->heard_at < ENTRY_LAPSE)
-        continue;
-      lapse_entry (dispatcher, entry->vm);
-      g_hash_table_iter_remove (&iter);
-    }
-}
-
 void
 dp_dispatcher_tick (DpDispatcher *dispatcher, DpUsec now, GArray *sends)
 {
   begin (dispatcher, now, sends);
-  lapse_entries (dispatcher);
+  dp_dispatch_lapse_entries (dispatcher);
   dp_dispatch_check_silence (dispatcher);
   fill (dispatcher);
   refuse_pointless (dispatcher);
--- a/core/dispatcher_board.h
+++ b/core/dispatcher_board.h
@@ -120,8 +120,22 @@
 /* Time until a request of that urgency that came now would be given a target. */
 DpUsec dp_dispatch_estimate_wait (const DpDispatcher *dispatcher, guint urgency);
 
+/* --- dispatcher_reports.c --- */
+
+/* Takes over what the entry holds, and forgets what a whole report leaves out. */
+void dp_dispatch_take_report (DpDispatcher *dispatcher, DpName from, const DpGrantHeld *report);
+/* Forgets entries that have not been heard for long, with all their requests. */
+void dp_dispatch_lapse_entries (DpDispatcher *dispatcher);
+
 /* --- dispatcher.c --- */
 
+DpPlace *dp_dispatch_find_place (const DpDispatcher *dispatcher, DpId attempt);
+/* A new place, not yet waiting or running. */
+DpPlace *dp_dispatch_add_place (DpDispatcher *dispatcher, DpName entry, DpId attempt);
+/* The place runs at the target from now on. */
+void dp_dispatch_hold (DpDispatcher *dispatcher, DpPlace *place, DpBackend *backend);
+void dp_dispatch_forget_place (DpDispatcher *dispatcher, DpPlace *place);
+
 DpMessage *dp_dispatch_send (DpDispatcher *dispatcher, DpName to, DpMessageType type);
 /* Takes a running request back from its target. */
 void dp_dispatch_revoke (DpDispatcher *dispatcher, DpPlace *place, DpReason reason);
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -219,55 +219,64 @@
   return soak_put_target (world, &world->targets[fault->index % SOAK_TARGETS], "draining");
 }
 
+typedef enum FaultPlace
+{
+  PLACE_VM,
+  PLACE_TARGET,
+  PLACE_STORE,
+  PLACE_OPERATOR,
+} FaultPlace;
+
+static FaultPlace
+place_of (FaultKind kind)
+{
+  if (kind <= FAULT_VM_RELOAD)
+    return PLACE_VM;
+  if (kind <= FAULT_TARGET_LINK)
+    return PLACE_TARGET;
+  return kind >= FAULT_STORE_PAUSE && kind <= FAULT_STORE_LINK ? PLACE_STORE : PLACE_OPERATOR;
+}
+
+/* FALSE: to be tried again. */
 static gboolean
 begin (Fault *fault)
 {
   SoakWorld *world = fault->world;
-  switch (fault->kind)
+  switch (place_of (fault->kind))
     {
-    case FAULT_VM_KILL:
-    case FAULT_VM_PAUSE:
-    case FAULT_VM_STOP:
-    case FAULT_VM_RELOAD:
+    case PLACE_VM:
       begin_vm (fault, &world->vms[fault->index % SOAK_VMS]);
       return TRUE;
-    case FAULT_TARGET_KILL:
-    case FAULT_TARGET_PAUSE:
-    case FAULT_TARGET_SPOILS:
-    case FAULT_TARGET_LINK:
+    case PLACE_TARGET:
       begin_target (fault, &world->targets[fault->index % SOAK_TARGETS]);
       return TRUE;
-    case FAULT_STORE_PAUSE:
-    case FAULT_STORE_SPOILS:
-    case FAULT_STORE_LINK:
+    case PLACE_STORE:
       begin_store (fault);
       return TRUE;
-    default:
-      return change_by_operator (fault);
+    case PLACE_OPERATOR:
+      break;
     }
+  return change_by_operator (fault);
 }
 
 static gboolean
 end (Fault *fault)
 {
   SoakWorld *world = fault->world;
-  switch (fault->kind)
+  switch (place_of (fault->kind))
     {
-    case FAULT_VM_KILL:
-    case FAULT_VM_PAUSE:
-    case FAULT_VM_STOP:
-    case FAULT_VM_RELOAD:
+    case PLACE_VM:
       return end_vm (fault, &world->vms[fault->index % SOAK_VMS]);
-    case FAULT_STORE_PAUSE:
-    case FAULT_STORE_SPOILS:
-    case FAULT_STORE_LINK:
+    case PLACE_TARGET:
+      return end_target (fault, &world->targets[fault->index % SOAK_TARGETS]);
+    case PLACE_STORE:
       end_store (fault);
       return TRUE;
-    case FAULT_CONFIG:
-      return TRUE;
-    default:
-      return end_target (fault, &world->targets[fault->index % SOAK_TARGETS]);
+    case PLACE_OPERATOR:
+      break;
     }
+  return fault->kind == FAULT_CONFIG
+         || end_target (fault, &world->targets[fault->index % SOAK_TARGETS]);
 }
 
 static void
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -7,7 +7,7 @@
 #include <sys/socket.h>
 
 /* Of SOAK_PROXY_DELAY: well over a round trip, well under what callers wait for. */
-#define DELAY_MS 120
+#define DELAY_USEC 120000
 #define HELD_MAX ((gsize)1024 * 1024)
 
 const char *const soak_proxy_mode_names[SOAK_PROXY_MODES] = {
@@ -93,7 +93,7 @@
 on_read (struct bufferevent *bev, void *user)
 {
   Side *side = user;
-  const struct timeval delay = { .tv_usec = DELAY_MS * 1000 };
+  const struct timeval delay = { .tv_usec = DELAY_USEC };
   if (holds_back (side))
     return;
   if (side->link->proxy->mode != SOAK_PROXY_DELAY)
