--- a/core/quota.c
+++ b/core/quota.c
@@ -21,7 +21,7 @@
 #define SPREAD_PART 0.6
 /* A keeper that has just begun does not know what was used before: it starts with this part of
  * the depth. */
-#define START_PART 0.05
+#define START_PART 0.25
 
 typedef struct Use
 {
