--- a/core/quota.c
+++ b/core/quota.c
@@ -21,7 +21,7 @@
 #define SPREAD_PART 0.6
 /* A keeper that has just begun does not know what was used before: it starts with this part of
  * the depth. */
-#define START_PART 0.25
+#define START_PART 0.05
 
 typedef struct Use
 {
@@ -31,7 +31,7 @@
   double recent;     /* use in an interval, fading */
   double stock;      /* credit to hold while there is enough */
   double waiting;    /* cost of the requests that wait for an answer */
-  gboolean is_short; /* the keeper could not cover debts and what waits */
+  gboolean is_short; /* the keeper gave less than was asked for */
   guint64 sequence;
   guint64 answered;     /* of the newest ask with an answer */
   DpUsec asked_at;      /* 0: never */
@@ -220,8 +220,7 @@
   use->credit += given->given;
   use->answered = given->sequence;
   use->waiting_since = 0;
-  /* Less than was asked for ahead of use is no shortage. */
-  use->is_short = given->reason != DP_REASON_NONE && use->credit < use->waiting;
+  use->is_short = given->reason != DP_REASON_NONE;
   /* They are looked at again now. */
   use->waiting = 0;
 }
