dispatcher: only a refusal for what waits speaks for other requests

Found by reading: a request refused on arrival since its own deadline was too short also made its VM refuse the like for 50 ms, whatever room there was for them; and what was refused by one owner was refused after a change of the owner as well. Now: the refusal says whether too much waits (is_overload, in place of at_once); its like has no more time until its deadline either; a new owner is asked at once. Tests: a_request_whose_own_time_is_too_short_is_no_overload (red with the flag set as before), the_like_of_a_refused_request_is_refused_for_a_while (six cases).

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -236,14 +236,14 @@
 }
 
 static void
-refuse (DpDispatcher *dispatcher, DpPlace *place, DpReason reason, gboolean at_once)
+refuse (DpDispatcher *dispatcher, DpPlace *place, DpReason reason, gboolean is_overload)
 {
   DpMessage *message = dp_dispatch_send (dispatcher, place->entry, DP_MESSAGE_GRANT_REFUSED);
   message->grant_refused = (DpGrantRefused){ .attempt = place->ask.attempt,
                                              .group = dispatcher->options.pool,
                                              .reason = reason,
                                              .retry_after = come_back_after (dispatcher, place),
-                                             .at_once = at_once };
+                                             .is_overload = is_overload };
   count (dispatcher, "dogwoodplank_grants_refused_total", reason);
   dp_dispatch_forget_place (dispatcher, place);
 }
@@ -261,6 +261,29 @@
 
 /* --- messages --- */
 
+/* Refuses the request that has just come and was given nothing, or one that has to make room.
+ */
+static void
+refuse_on_arrival (DpDispatcher *dispatcher, DpPlace *place)
+{
+  DpReason reason = dp_dispatch_check_wait (dispatcher, place);
+  if (reason != DP_REASON_NONE)
+    {
+      /* Its own time is too short, whatever waits. */
+      refuse (dispatcher, place, reason, FALSE);
+      return;
+    }
+  if (dp_dispatch_is_hopeless (dispatcher, place))
+    {
+      refuse (dispatcher, place, DP_REASON_DEADLINE_UNREACHABLE, TRUE);
+      return;
+    }
+  DpPlace *surplus = dp_dispatch_surplus (dispatcher);
+  if (surplus != NULL)
+    refuse (dispatcher, surplus, surplus == place ? DP_REASON_QUEUE_FULL : DP_REASON_DISPLACED,
+            TRUE);
+}
+
 static void
 on_ask (DpDispatcher *dispatcher, DpName from, const DpGrantAsk *ask)
 {
@@ -281,18 +304,8 @@
   place->deadline = dispatcher->now + ask->remaining;
   enqueue (dispatcher, place);
   fill (dispatcher);
-  if (dp_dispatch_find_place (dispatcher, ask->attempt)->state != DP_PLACE_WAITING)
-    return;
-  DpReason reason = dp_dispatch_check_arrival (dispatcher, place);
-  if (reason != DP_REASON_NONE)
-    {
-      refuse (dispatcher, place, reason, TRUE);
-      return;
-    }
-  DpPlace *surplus = dp_dispatch_surplus (dispatcher);
-  if (surplus != NULL)
-    refuse (dispatcher, surplus, surplus == place ? DP_REASON_QUEUE_FULL : DP_REASON_DISPLACED,
-            TRUE);
+  if (place->state == DP_PLACE_WAITING)
+    refuse_on_arrival (dispatcher, place);
 }
 
 static void
--- a/core/dispatcher_board.h
+++ b/core/dispatcher_board.h
@@ -113,8 +113,8 @@
 DpPlace *dp_dispatch_next (DpDispatcher *dispatcher, const DpBackend *backend);
 /* Why the request should not wait any longer; NONE: it should. */
 DpReason dp_dispatch_check_wait (const DpDispatcher *dispatcher, const DpPlace *place);
-/* The same for a request that has just come and was given nothing. */
-DpReason dp_dispatch_check_arrival (const DpDispatcher *dispatcher, const DpPlace *place);
+/* TRUE if what waits before a request that has just come takes longer than it may wait. */
+gboolean dp_dispatch_is_hopeless (const DpDispatcher *dispatcher, const DpPlace *place);
 /* The request that has to go since too many wait; NULL: none. */
 DpPlace *dp_dispatch_surplus (const DpDispatcher *dispatcher);
 /* Time until a request of that urgency that came now would be given a target. */
--- a/core/dispatcher_queue.c
+++ b/core/dispatcher_queue.c
@@ -88,14 +88,10 @@
   return DP_REASON_NONE;
 }
 
-DpReason
-dp_dispatch_check_arrival (const DpDispatcher *dispatcher, const DpPlace *place)
+gboolean
+dp_dispatch_is_hopeless (const DpDispatcher *dispatcher, const DpPlace *place)
 {
-  DpReason reason = dp_dispatch_check_wait (dispatcher, place);
-  if (reason != DP_REASON_NONE)
-    return reason;
-  DpUsec wait = dp_dispatch_estimate_wait (dispatcher, place->ask.urgency);
-  return wait > wait_limit (place) ? DP_REASON_DEADLINE_UNREACHABLE : DP_REASON_NONE;
+  return dp_dispatch_estimate_wait (dispatcher, place->ask.urgency) > wait_limit (place);
 }
 
 DpPlace *
--- a/core/message.h
+++ b/core/message.h
@@ -120,8 +120,8 @@
   DpId attempt;
   DpName group;
   DpReason reason;
-  DpUsec retry_after; /* from the queue's drain estimate */
-  gboolean at_once;   /* on arrival: its like would be refused as well */
+  DpUsec retry_after;   /* from the queue's drain estimate */
+  gboolean is_overload; /* too much waits: the like of it would be refused as well */
 } DpGrantRefused;
 
 /* The grant, or the place in the queue, is taken back. With NO_OWNER the ask does not wait here
--- a/core/shed.c
+++ b/core/shed.c
@@ -4,27 +4,27 @@
 #define HOLD_TIME (50 * DP_USEC_PER_MSEC)
 
 void
-dp_shed_note (DpShed *shed,
-              guint urgency,
-              DpUsec goal_left,
-              DpReason reason,
-              DpUsec retry_after,
-              DpUsec now)
+dp_shed_note (
+  DpShed *shed, const DpShedRequest *request, DpReason reason, DpUsec retry_after, DpUsec now)
 {
-  guint index = MIN (urgency, DP_URGENCY_COUNT - 1);
-  shed->rows[index].until = now + HOLD_TIME;
-  shed->rows[index].goal_left = goal_left;
-  shed->rows[index].retry_after = retry_after;
-  shed->rows[index].reason = reason;
+  DpShedRow *row = &shed->rows[MIN (request->urgency, DP_URGENCY_COUNT - 1)];
+  *row = (DpShedRow){ .until = now + HOLD_TIME,
+                      .goal_left = request->goal_left,
+                      .remaining = request->remaining,
+                      .retry_after = retry_after,
+                      .reason = reason };
 }
 
 DpReason
-dp_shed_check (
-  const DpShed *shed, guint urgency, DpUsec goal_left, DpUsec now, DpUsec *retry_after)
+dp_shed_check (const DpShed *shed,
+               const DpShedRequest *request,
+               DpUsec now,
+               DpUsec *retry_after)
 {
-  guint index = MIN (urgency, DP_URGENCY_COUNT - 1);
-  if (now >= shed->rows[index].until || goal_left > shed->rows[index].goal_left)
+  const DpShedRow *row = &shed->rows[MIN (request->urgency, DP_URGENCY_COUNT - 1)];
+  if (now >= row->until || request->goal_left > row->goal_left
+      || request->remaining > row->remaining)
     return DP_REASON_NONE;
-  *retry_after = shed->rows[index].retry_after;
-  return shed->rows[index].reason;
+  *retry_after = row->retry_after;
+  return row->reason;
 }
--- a/core/shed.h
+++ b/core/shed.h
@@ -12,26 +12,36 @@
 
 #include <glib.h>
 
+/* The last refusal of one urgency. */
+typedef struct DpShedRow
+{
+  DpUsec until;     /* refused until then; 0: not */
+  DpUsec goal_left; /* of the request that was refused: with less of either time a request */
+  DpUsec remaining; /* has less of a chance */
+  DpUsec retry_after;
+  DpReason reason;
+} DpShedRow;
+
 typedef struct DpShed
 {
-  struct
-  {
-    DpUsec until;     /* refused until then; 0: not */
-    DpUsec goal_left; /* what has less time to be on time has less of a chance */
-    DpUsec retry_after;
-    DpReason reason;
-  } rows[DP_URGENCY_COUNT];
+  DpShedRow rows[DP_URGENCY_COUNT];
 } DpShed;
 
-/* The owner has refused such a request as soon as it came. */
-void dp_shed_note (DpShed *shed,
-                   guint urgency,
-                   DpUsec goal_left,
-                   DpReason reason,
-                   DpUsec retry_after,
-                   DpUsec now);
+/* What decides whether a request is like another one. */
+typedef struct DpShedRequest
+{
+  guint urgency;
+  DpUsec goal_left;
+  DpUsec remaining; /* until its deadline */
+} DpShedRequest;
+
+/* The owner has refused such a request since too much waits. */
+void dp_shed_note (
+  DpShed *shed, const DpShedRequest *request, DpReason reason, DpUsec retry_after, DpUsec now);
 
 /* NONE: the owner is to be asked. Otherwise why the request is refused, and when its caller
  * should come back. */
-DpReason dp_shed_check (
-  const DpShed *shed, guint urgency, DpUsec goal_left, DpUsec now, DpUsec *retry_after);
+DpReason dp_shed_check (const DpShed *shed,
+                        const DpShedRequest *request,
+                        DpUsec now,
+                        DpUsec *retry_after);
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -130,7 +130,7 @@
   UINT64 (2, DpMessage, grant_refused.group),
   UINT (3, DpMessage, grant_refused.reason, REASON_MAX),
   USEC (4, DpMessage, grant_refused.retry_after),
-  FLAG (5, DpMessage, grant_refused.at_once),
+  FLAG (5, DpMessage, grant_refused.is_overload),
 };
 
 static const DpField grant_revoked_fields[] = {
--- a/node/placing.c
+++ b/node/placing.c
@@ -172,6 +172,8 @@
 {
   DpName before = pool->owner;
   pool->owner = owner;
+  /* What one owner refused, another one may have room for. */
+  pool->shed = (DpShed){ 0 };
   if (before == 0)
     return;
   dp_log (DP_LOG_NOTICE, "owner_changed", "pool", pool->text, "from", vm_text (node, before),
@@ -200,6 +202,14 @@
   return owner;
 }
 
+static DpShedRequest
+shed_request (const DpNodeRequest *request, DpUsec at)
+{
+  return (DpShedRequest){ .urgency = request->urgency,
+                          .goal_left = request->goal_at - at,
+                          .remaining = request->deadline - at };
+}
+
 /* TRUE if the owner has just refused its like. */
 static gboolean
 shed (DpNodeRequest *request, DpUsec now)
@@ -207,8 +217,8 @@
   if (!request->pool->is_shared || request->sendings > 0)
     return FALSE;
   DpUsec retry_after = 0;
-  DpReason reason = dp_shed_check (&request->pool->shed, request->urgency,
-                                   request->goal_at - now, now, &retry_after);
+  const DpShedRequest like = shed_request (request, now);
+  DpReason reason = dp_shed_check (&request->pool->shed, &like, now, &retry_after);
   if (reason == DP_REASON_NONE)
     return FALSE;
   dp_counters_add (request->node->counters, "dogwoodplank_shed_total", NULL, NULL, 1);
@@ -313,9 +323,12 @@
   DpNodeRequest *request = find_request (node, refused->attempt);
   if (request == NULL || request->stage != DP_STAGE_PLACING)
     return;
-  if (refused->at_once)
-    dp_shed_note (&request->pool->shed, request->urgency, request->goal_at - request->asked_at,
-                  refused->reason, refused->retry_after, dp_node_now ());
+  if (refused->is_overload)
+    {
+      const DpShedRequest like = shed_request (request, request->asked_at);
+      dp_shed_note (&request->pool->shed, &like, refused->reason, refused->retry_after,
+                    dp_node_now ());
+    }
   dp_request_refused (request, refused->reason, refused->retry_after);
 }
 
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -333,6 +333,23 @@
 }
 END_TEST
 
+/* A caller in a hurry tells nothing about the others. */
+START_TEST (a_request_whose_own_time_is_too_short_is_no_overload)
+{
+  Fixture fixture;
+  set_up (&fixture);
+  add_target (&fixture, "a", 1, FALSE);
+  for (guint64 id = 1; id <= WINDOW; id++)
+    ask (&fixture, (Ask){ id, 0, 500 * MSEC, 4 * DP_USEC_PER_SEC });
+  ask (&fixture, (Ask){ 11, 0, 500 * MSEC, 5 * MSEC });
+  const DpMessage *refused = find_sent (&fixture, DP_MESSAGE_GRANT_REFUSED, 11);
+  ck_assert_ptr_nonnull (refused);
+  ck_assert_int_eq (refused->grant_refused.reason, DP_REASON_DEADLINE_UNREACHABLE);
+  ck_assert (!refused->grant_refused.is_overload);
+  tear_down (&fixture);
+}
+END_TEST
+
 START_TEST (waiting_ends_before_the_deadline)
 {
   Fixture fixture;
@@ -364,6 +381,7 @@
   tcase_add_test (tests, an_unknown_waiting_request_asks_again);
   tcase_add_test (tests, a_silent_entry_frees_its_slots);
   tcase_add_test (tests, a_repeated_ask_is_one_request);
+  tcase_add_test (tests, a_request_whose_own_time_is_too_short_is_no_overload);
   tcase_add_test (tests, waiting_ends_before_the_deadline);
   suite_add_tcase (suite, tests);
   SRunner *runner = srunner_create (suite);
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -232,6 +232,15 @@
 
 /* --- VMs --- */
 
+static DpShedRequest
+shed_request (const Request *request)
+{
+  const Kind *kind = &kinds[request->kind];
+  return (DpShedRequest){ .urgency = request->kind,
+                          .goal_left = (DpUsec)kind->goal_ms * MSEC,
+                          .remaining = (DpUsec)kind->limit_ms * MSEC };
+}
+
 static void
 ask (World *world, Request *request)
 {
@@ -239,9 +248,9 @@
   DpShed *shed = &world->sheds[request->vm];
   DpUsec goal_left = (DpUsec)kind->goal_ms * MSEC;
   DpUsec retry_after = 0;
+  const DpShedRequest like = shed_request (request);
   if (world->policy == DP_DISPATCH_QUEUE
-      && dp_shed_check (shed, request->kind, goal_left, clock_of (world), &retry_after)
-           != DP_REASON_NONE)
+      && dp_shed_check (shed, &like, clock_of (world), &retry_after) != DP_REASON_NONE)
     {
       refuse (world, request);
       return;
@@ -277,10 +286,12 @@
       break;
     case DP_MESSAGE_GRANT_REFUSED:
       request = &world->requests[refused->attempt.low - 1];
-      if (refused->at_once)
-        dp_shed_note (&world->sheds[letter->vm], request->kind,
-                      (DpUsec)kinds[request->kind].goal_ms * MSEC, refused->reason,
-                      refused->retry_after, clock_of (world));
+      if (refused->is_overload)
+        {
+          const DpShedRequest like = shed_request (request);
+          dp_shed_note (&world->sheds[letter->vm], &like, refused->reason, refused->retry_after,
+                        clock_of (world));
+        }
       refuse (world, request);
       break;
     default:
@@ -429,6 +440,39 @@
   printf ("\n");
 }
 
+/* --- what is like a refused request --- */
+
+typedef struct ShedCase
+{
+  const char *name;
+  DpShedRequest request;
+  DpUsec after; /* the refusal */
+  gboolean is_refused;
+} ShedCase;
+
+/* Refused was one of urgency 2 with 300 ms to be on time and 2 s until its deadline. */
+static const ShedCase shed_cases[] = {
+  { "the same", { 2, 300 * MSEC, 2 * SEC }, 10 * MSEC, TRUE },
+  { "less time to be on time", { 2, 100 * MSEC, 2 * SEC }, 10 * MSEC, TRUE },
+  { "more time to be on time", { 2, 400 * MSEC, 2 * SEC }, 10 * MSEC, FALSE },
+  { "a later deadline", { 2, 300 * MSEC, 3 * SEC }, 10 * MSEC, FALSE },
+  { "more urgent", { 1, 300 * MSEC, 2 * SEC }, 10 * MSEC, FALSE },
+  { "later", { 2, 300 * MSEC, 2 * SEC }, 60 * MSEC, FALSE },
+};
+
+START_TEST (the_like_of_a_refused_request_is_refused_for_a_while)
+{
+  const ShedCase *row = &shed_cases[_i];
+  const DpShedRequest refused = { 2, 300 * MSEC, 2 * SEC };
+  DpShed shed = { 0 };
+  DpUsec retry_after = 0;
+  dp_shed_note (&shed, &refused, DP_REASON_QUEUE_FULL, 70 * MSEC, SEC);
+  DpReason reason = dp_shed_check (&shed, &row->request, SEC + row->after, &retry_after);
+  ck_assert_msg ((reason == DP_REASON_QUEUE_FULL) == row->is_refused, "%s", row->name);
+  ck_assert_int_eq (retry_after, row->is_refused ? 70 * MSEC : 0);
+}
+END_TEST
+
 typedef struct BurstCase
 {
   const char *name;
@@ -473,6 +517,8 @@
   tcase_set_timeout (tests, 120);
   tcase_add_loop_test (tests, a_burst_costs_the_least_urgent_and_tells_them_soon, 0,
                        G_N_ELEMENTS (bursts));
+  tcase_add_loop_test (tests, the_like_of_a_refused_request_is_refused_for_a_while, 0,
+                       G_N_ELEMENTS (shed_cases));
   suite_add_tcase (suite, tests);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
