node: reading the change again

- A request stopped by that between two sendings is told how long to stay away, not 300 ms.
- An urgent ask for credit looks at its own workspace only, not at all of them for each request.
- A request holds its workspace in place of an index with -1 for none; five look-ups go.
- Methods are passed on as they were read, without a table back from their names.

--- a/core/quota.c
+++ b/core/quota.c
@@ -12,8 +12,11 @@
 /* Part of the burst that all VMs together hold as credit while there is enough. What they hold
  * can all be used in one moment, on top of what the keeper has. */
 #define STOCK_PART 0.3
+/* Callers of a workspace over its limit come back after half an interval of asks at the
+ * soonest; most time limits end soon after two seconds. */
 #define RETRY_AFTER_MIN (100 * DP_USEC_PER_MSEC)
 #define RETRY_AFTER_MAX (2 * DP_USEC_PER_SEC)
+/* Fits the message's field; more than any limit. */
 #define WANT_MAX 1e9
 /* Parts of the burst that may be used at one moment, and that are spread over the window, so
  * that a workspace far over its limit is served evenly. */
@@ -168,11 +171,34 @@
   return (use->credit < 0 || use->waiting > 0) && use->waiting_since == 0;
 }
 
-gboolean
-dp_quota_user_must_ask (const DpQuotaUser *user, DpName workspace)
+/* FALSE: nothing is to be asked for or given back. */
+static gboolean
+make_ask (Use *use, DpUsec now, DpLimitAsk *ask)
 {
-  const Use *use = g_hash_table_lookup (user->uses, &workspace);
-  return use != NULL && is_urgent (use);
+  gboolean is_due = use->asked_at == 0 || now - use->asked_at >= ASK_INTERVAL;
+  if (!is_due && !is_urgent (use))
+    return FALSE;
+  if (is_due)
+    use->recent = (use->recent + use->used) / 2;
+  double ahead = MAX (use->used, use->recent) * ASK_AHEAD;
+  if (!use->is_short)
+    ahead = MIN (ahead, use->stock);
+  double want = ahead + use->waiting - use->credit;
+  use->used = 0;
+  double returned = 0;
+  if (is_due && !use->is_short && -want > use->stock)
+    returned = -want;
+  if (want <= 0 && returned <= 0)
+    return FALSE;
+  use->credit -= returned;
+  use->asked_at = now;
+  if (use->waiting_since == 0)
+    use->waiting_since = now;
+  *ask = (DpLimitAsk){ .workspace = use->workspace,
+                       .sequence = ++use->sequence,
+                       .want = (guint)CLAMP (want, 0, WANT_MAX),
+                       .returned = (guint)MIN (returned, WANT_MAX) };
+  return TRUE;
 }
 
 void
@@ -180,35 +206,18 @@
 {
   GHashTableIter iter;
   gpointer value;
+  DpLimitAsk ask;
   g_hash_table_iter_init (&iter, user->uses);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      Use *use = value;
-      gboolean is_due = use->asked_at == 0 || now - use->asked_at >= ASK_INTERVAL;
-      if (!is_due && !is_urgent (use))
-        continue;
-      if (is_due)
-        use->recent = (use->recent + use->used) / 2;
-      double ahead = MAX (use->used, use->recent) * ASK_AHEAD;
-      if (!use->is_short)
-        ahead = MIN (ahead, use->stock);
-      double want = ahead + use->waiting - use->credit;
-      use->used = 0;
-      double returned = 0;
-      if (is_due && !use->is_short && -want > use->stock)
-        returned = -want;
-      if (want <= 0 && returned <= 0)
-        continue;
-      use->credit -= returned;
-      use->asked_at = now;
-      if (use->waiting_since == 0)
-        use->waiting_since = now;
-      DpLimitAsk ask = { .workspace = use->workspace,
-                         .sequence = ++use->sequence,
-                         .want = (guint)CLAMP (want, 0, WANT_MAX),
-                         .returned = (guint)MIN (returned, WANT_MAX) };
+    if (make_ask (value, now, &ask))
       g_array_append_val (out, ask);
-    }
+}
+
+gboolean
+dp_quota_user_due_ask (DpQuotaUser *user, DpName workspace, DpUsec now, DpLimitAsk *ask)
+{
+  Use *use = g_hash_table_lookup (user->uses, &workspace);
+  return use != NULL && is_urgent (use) && make_ask (use, now, ask);
 }
 
 void
--- a/core/quota.h
+++ b/core/quota.h
@@ -57,10 +57,12 @@
                                           DpUsec *retry_after);
 /* Gives back what a request was charged that ran nowhere. */
 void dp_quota_user_give_back (DpQuotaUser *user, DpName workspace, double cost);
-/* TRUE if an ask is due at once, since the workspace is in debt or requests wait. */
-gboolean dp_quota_user_must_ask (const DpQuotaUser *user, DpName workspace);
 /* Appends the asks (DpLimitAsk) that are due. */
 void dp_quota_user_due_asks (DpQuotaUser *user, DpUsec now, GArray *out);
+/* The same for one workspace, after a request of it has come: an ask is due at once if it is in
+ * debt or requests wait. FALSE: none is due. */
+gboolean
+dp_quota_user_due_ask (DpQuotaUser *user, DpName workspace, DpUsec now, DpLimitAsk *ask);
 void dp_quota_user_given (DpQuotaUser *user, const DpLimitGiven *given);
 
 /* --- at the VM that keeps a limit --- */
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -500,6 +500,12 @@
          && g_hash_table_size (server->closing) == 0;
 }
 
+enum evhttp_cmd_type
+dp_http_exchange_command (const DpHttpExchange *exchange)
+{
+  return evhttp_request_get_command (exchange->request);
+}
+
 const char *
 dp_http_exchange_method (const DpHttpExchange *exchange)
 {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -11,6 +11,7 @@
 #include "common/id.h"
 
 #include <event2/event.h>
+#include <event2/http.h>
 #include <glib.h>
 
 typedef struct DpHttpServer DpHttpServer;
@@ -71,6 +72,7 @@
 
 /* "GET", or "" for a method that is not known. */
 const char *dp_http_exchange_method (const DpHttpExchange *exchange);
+enum evhttp_cmd_type dp_http_exchange_command (const DpHttpExchange *exchange);
 /* Path and query as sent. */
 const char *dp_http_exchange_target (const DpHttpExchange *exchange);
 const char *dp_http_exchange_header (const DpHttpExchange *exchange, const char *name);
--- a/node/attempt.c
+++ b/node/attempt.c
@@ -204,36 +204,13 @@
 
 /* --- the start --- */
 
-static enum evhttp_cmd_type
-method (const char *name)
-{
-  static const struct
-  {
-    const char *name;
-    enum evhttp_cmd_type type;
-  } methods[] = {
-    { "GET", EVHTTP_REQ_GET },         { "POST", EVHTTP_REQ_POST },
-    { "PUT", EVHTTP_REQ_PUT },         { "DELETE", EVHTTP_REQ_DELETE },
-    { "HEAD", EVHTTP_REQ_HEAD },       { "PATCH", EVHTTP_REQ_PATCH },
-    { "OPTIONS", EVHTTP_REQ_OPTIONS },
-  };
-  for (guint i = 0; i < G_N_ELEMENTS (methods); i++)
-    if (strcmp (methods[i].name, name) == 0)
-      return methods[i].type;
-  return EVHTTP_REQ_GET;
-}
-
 static GArray *
 make_headers (const DpNodeRequest *request)
 {
   const DpTargetCall call = {
     .time_left = request->deadline - dp_node_now (),
     .target_id = request->target_text,
-    .workspace = request->workspace >= 0
-                   ? DP_MANIFEST_ROW (request->manifest, workspaces, DpWorkspace,
-                                      (guint)request->workspace)
-                       ->text
-                   : NULL,
+    .workspace = request->workspace != NULL ? request->workspace->text : NULL,
     .resume_after
     = request->last_event != NULL ? request->last_event : request->said.resume_after,
   };
@@ -262,7 +239,7 @@
     .base = request->node->base,
     .address = target->record.address,
     .port = (guint16)target->record.port_number,
-    .method = method (dp_http_exchange_method (request->exchange)),
+    .method = dp_http_exchange_command (request->exchange),
     .path = dp_http_exchange_target (request->exchange),
     .host = request->said.host,
     .headers = (const DpHttpHeader *)headers->data,
--- a/node/front.c
+++ b/node/front.c
@@ -33,9 +33,9 @@
   DpHttpExchange *exchange;
   DpCallerRequest said;
   const DpRoute *route;
-  int workspace;
-  DpQuotaRequest quota; /* cost 0: no limit */
-  gboolean waits;       /* for the limit's keeper */
+  const DpWorkspace *workspace; /* NULL: a public route */
+  DpQuotaRequest quota;         /* cost 0: no limit */
+  gboolean waits;               /* for the limit's keeper */
   DpReason refusal;
   DpUsec retry_after;
 } Admission;
@@ -73,7 +73,6 @@
 check_key (Admission *admission)
 {
   const DpManifest *manifest = admission->node->manifest;
-  admission->workspace = -1;
   int key = -1;
   if (admission->said.access_key != NULL)
     {
@@ -84,7 +83,8 @@
     }
   if (key >= 0)
     admission->workspace
-      = (int)DP_MANIFEST_ROW (manifest, keys, DpAccessKey, (guint)key)->workspace;
+      = DP_MANIFEST_ROW (manifest, workspaces, DpWorkspace,
+                         DP_MANIFEST_ROW (manifest, keys, DpAccessKey, (guint)key)->workspace);
   if (key < 0 && manifest->workspaces->len > 0 && !admission->route->is_public)
     return refuse (admission, DP_REASON_UNAUTHORIZED, 0);
   return TRUE;
@@ -92,8 +92,9 @@
 
 /* What the request counts against its workspace's limit. */
 static double
-measure_cost (const Admission *admission, const DpWorkspace *workspace)
+measure_cost (const Admission *admission)
 {
+  const DpWorkspace *workspace = admission->workspace;
   if (!workspace->rate_counts_tokens)
     return 1;
   if (!admission->said.has_tokens)
@@ -105,14 +106,10 @@
 check_limit (Admission *admission)
 {
   DpNode *node = admission->node;
-  if (admission->workspace < 0)
-    return TRUE;
-  const DpWorkspace *workspace
-    = DP_MANIFEST_ROW (node->manifest, workspaces, DpWorkspace, (guint)admission->workspace);
-  DpQuotaLimit limit = dp_peers_limit (node, node->manifest, admission->workspace);
+  DpQuotaLimit limit = dp_peers_limit (node, admission->workspace);
   if (limit.per_second <= 0)
     return TRUE;
-  admission->quota.cost = measure_cost (admission, workspace);
+  admission->quota.cost = measure_cost (admission);
   admission->quota.vms = dp_peers_count (node);
   DpUsec retry_after = 0;
   switch (dp_quota_user_admit (node->quota_user, &limit, &admission->quota, dp_node_now (),
@@ -135,13 +132,8 @@
 {
   guint route = admission->route->tier;
   guint first = route;
-  if (admission->workspace >= 0)
-    {
-      int own = DP_MANIFEST_ROW (admission->node->manifest, workspaces, DpWorkspace,
-                                 (guint)admission->workspace)
-                  ->tier;
-      first = own >= 0 ? (guint)own : route;
-    }
+  if (admission->workspace != NULL && admission->workspace->tier >= 0)
+    first = (guint)admission->workspace->tier;
   return MIN (first * DP_URGENCY_ROUTES + MIN (route, DP_URGENCY_ROUTES - 1),
               DP_URGENCY_COUNT - 1);
 }
@@ -156,14 +148,6 @@
   return g_hash_table_lookup (node->pools, &pool->name);
 }
 
-static DpName
-workspace_name (const Admission *admission)
-{
-  return DP_MANIFEST_ROW (admission->node->manifest, workspaces, DpWorkspace,
-                          (guint)admission->workspace)
-    ->name;
-}
-
 static void
 begin (const Admission *admission)
 {
@@ -194,33 +178,22 @@
   node->limited += admission->waits;
   dp_request_begin (request);
   /* The answer may come at once, from this very VM. */
-  if (admission->workspace >= 0
-      && dp_quota_user_must_ask (node->quota_user, workspace_name (admission)))
-    dp_peers_send_limit_asks (node, now);
-}
-
-static const char *
-workspace_text (const Admission *admission)
-{
-  if (admission->workspace < 0)
-    return NULL;
-  return DP_MANIFEST_ROW (admission->node->manifest, workspaces, DpWorkspace,
-                          (guint)admission->workspace)
-    ->text;
+  if (admission->workspace != NULL)
+    dp_peers_ask_limit (node, admission->workspace->name, now);
 }
 
 static void
 on_request (gpointer user, DpHttpExchange *exchange)
 {
-  Admission admission = { .node = user, .exchange = exchange, .workspace = -1 };
+  Admission admission = { .node = user, .exchange = exchange };
   dp_wire_read_request (exchange, &admission.said);
   if (check_ready (&admission) && find_route (&admission) && check_key (&admission)
       && check_limit (&admission))
     begin (&admission);
   else
     dp_request_refuse_exchange (admission.node, exchange, admission.said.id,
-                                workspace_text (&admission), admission.refusal,
-                                admission.retry_after);
+                                admission.workspace != NULL ? admission.workspace->text : NULL,
+                                admission.refusal, admission.retry_after);
 }
 
 /* --- readiness --- */
--- a/node/node.h
+++ b/node/node.h
@@ -161,7 +161,7 @@
   DpHttpExchange *exchange; /* NULL: the caller has left */
   DpManifest *manifest;     /* of its admission; a reference */
   const DpRoute *route;
-  int workspace; /* index; -1: public route */
+  const DpWorkspace *workspace; /* of that manifest; NULL: a public route */
   char *id;
   DpNodePool *pool;
   DpCallerRequest said; /* texts valid as long as the exchange */
@@ -254,10 +254,10 @@
 void dp_peers_say_leaving (DpNode *node);
 void dp_peers_send (DpNode *node, DpName vm, const DpMessage *message);
 guint dp_peers_count (const DpNode *node);
-/* Asks for the credit that is due. */
-void dp_peers_send_limit_asks (DpNode *node, DpUsec now);
-/* Limit of the workspace; `per_second` is 0 if it has none. */
-DpQuotaLimit dp_peers_limit (const DpNode *node, const DpManifest *manifest, int workspace);
+/* A request of the workspace has come: asks for credit if that can't wait. */
+void dp_peers_ask_limit (DpNode *node, DpName workspace, DpUsec now);
+/* Limit of the workspace; `per_second` is 0 if it has none, or if there is no workspace. */
+DpQuotaLimit dp_peers_limit (const DpNode *node, const DpWorkspace *workspace);
 
 /* --- placing.c --- */
 
--- a/node/peers.c
+++ b/node/peers.c
@@ -64,10 +64,11 @@
         dp_owners_due_probes (node->owners, pool->name, DP_OWNER_CANDIDATES, now, due);
     }
   for (guint i = 0; node->manifest != NULL && i < node->manifest->workspaces->len; i++)
-    if (dp_peers_limit (node, node->manifest, (int)i).per_second > 0)
-      dp_owners_due_probes (node->owners,
-                            DP_MANIFEST_ROW (node->manifest, workspaces, DpWorkspace, i)->name,
-                            1, now, due);
+    {
+      const DpWorkspace *row = DP_MANIFEST_ROW (node->manifest, workspaces, DpWorkspace, i);
+      if (row->rate_per_second > 0)
+        dp_owners_due_probes (node->owners, row->name, 1, now, due);
+    }
 }
 
 static void
@@ -94,16 +95,14 @@
 /* --- limits of workspaces --- */
 
 DpQuotaLimit
-dp_peers_limit (const DpNode *node, const DpManifest *manifest, int workspace)
+dp_peers_limit (const DpNode *node, const DpWorkspace *workspace)
 {
   DpQuotaLimit limit = { .window = node->figures.quota_window };
-  if (workspace < 0)
+  if (workspace == NULL)
     return limit;
-  const DpWorkspace *row
-    = DP_MANIFEST_ROW (manifest, workspaces, DpWorkspace, (guint)workspace);
-  limit.workspace = row->name;
-  limit.per_second = row->rate_per_second;
-  limit.burst = row->rate_burst;
+  limit.workspace = workspace->name;
+  limit.per_second = workspace->rate_per_second;
+  limit.burst = workspace->rate_burst;
   return limit;
 }
 
@@ -120,7 +119,10 @@
   if (node->manifest == NULL)
     return;
   int index = dp_manifest_find (node->manifest, DP_MANIFEST_WORKSPACE, ask->workspace);
-  DpQuotaLimit limit = dp_peers_limit (node, node->manifest, index);
+  if (index < 0)
+    return;
+  DpQuotaLimit limit = dp_peers_limit (
+    node, DP_MANIFEST_ROW (node->manifest, workspaces, DpWorkspace, (guint)index));
   if (limit.per_second <= 0)
     return;
   DpUsec now = dp_node_now ();
@@ -133,24 +135,35 @@
     dp_peers_send (node, from, &message);
 }
 
-void
-dp_peers_send_limit_asks (DpNode *node, DpUsec now)
+static void
+send_limit_ask (DpNode *node, const DpLimitAsk *ask, DpUsec now)
+{
+  DpMessage message = { .type = DP_MESSAGE_LIMIT_ASK, .limit_ask = *ask };
+  DpName keeper = dp_owners_choose (node->owners, ask->workspace, now);
+  if (keeper == node->self)
+    answer_limit_ask (node, node->self, ask);
+  else
+    dp_peers_send (node, keeper, &message);
+}
+
+static void
+send_limit_asks (DpNode *node, DpUsec now)
 {
   GArray *asks = g_array_new (FALSE, FALSE, sizeof (DpLimitAsk));
   dp_quota_user_due_asks (node->quota_user, now, asks);
   for (guint i = 0; i < asks->len; i++)
-    {
-      DpMessage message = { .type = DP_MESSAGE_LIMIT_ASK };
-      message.limit_ask = g_array_index (asks, DpLimitAsk, i);
-      DpName keeper = dp_owners_choose (node->owners, message.limit_ask.workspace, now);
-      if (keeper == node->self)
-        answer_limit_ask (node, node->self, &message.limit_ask);
-      else
-        dp_peers_send (node, keeper, &message);
-    }
+    send_limit_ask (node, &g_array_index (asks, DpLimitAsk, i), now);
   g_array_unref (asks);
 }
 
+void
+dp_peers_ask_limit (DpNode *node, DpName workspace, DpUsec now)
+{
+  DpLimitAsk ask;
+  if (dp_quota_user_due_ask (node->quota_user, workspace, now, &ask))
+    send_limit_ask (node, &ask, now);
+}
+
 /* --- */
 
 static void
@@ -228,7 +241,7 @@
     return;
   node->peers_ticked_at = now;
   send_due_probes (node, now);
-  dp_peers_send_limit_asks (node, now);
+  send_limit_asks (node, now);
   dp_request_look_at_limited (node);
   dp_share_tick (node, now);
   dp_quarantine_tick (node->poison, now);
--- a/node/poison.c
+++ b/node/poison.c
@@ -22,6 +22,8 @@
 /* About 100 bytes a row. */
 #define ROWS_MAX 4096
 #define OWNERS 2
+/* Fingerprints are owned in so many parts: a VM keeps an order of all VMs for each key. */
+#define OWNER_PARTS 16
 
 DpQuarantineTable *
 dp_poison_table_new (void)
@@ -59,7 +61,8 @@
 {
   DpUsec now = dp_node_now ();
   for (guint i = 0; i < OWNERS; i++)
-    owners[i] = dp_owners_choose (node->owners, dp_name_pair (print, i + 1), now);
+    owners[i]
+      = dp_owners_choose (node->owners, dp_name_pair (1 + print % OWNER_PARTS, i + 1), now);
 }
 
 static void
--- a/node/request.c
+++ b/node/request.c
@@ -14,15 +14,6 @@
   g_snprintf (out, 16, "%" G_GINT64_FORMAT, time / DP_USEC_PER_MSEC);
 }
 
-static const char *
-workspace_text (const DpNodeRequest *request)
-{
-  if (request->workspace < 0)
-    return NULL;
-  return DP_MANIFEST_ROW (request->manifest, workspaces, DpWorkspace, (guint)request->workspace)
-    ->text;
-}
-
 /* The last line of each request: what became of it, and what decided it. */
 static void
 log_end (const DpNodeRequest *request, int status, DpReason reason)
@@ -40,11 +31,11 @@
   format_ms (config_age, now - node->manifest_proof);
   format_ms (targets_age, now - dp_directory_contact_at (node->directory));
   dp_log (DP_LOG_INFO, "request_end", "request", request->id, "route", request->route->text,
-          "workspace", workspace_text (request), "status", status_text, "reason",
-          dp_reason_name (reason), "may_have_run", request->may_have_run ? "yes" : "no",
-          "sendings", sendings, "target", request->target_text, "first_ms", first, "total_ms",
-          total, "charged", charged, "config", version, "config_age_ms", config_age,
-          "targets_age_ms", targets_age, NULL);
+          "workspace", request->workspace != NULL ? request->workspace->text : NULL, "status",
+          status_text, "reason", dp_reason_name (reason), "may_have_run",
+          request->may_have_run ? "yes" : "no", "sendings", sendings, "target",
+          request->target_text, "first_ms", first, "total_ms", total, "charged", charged,
+          "config", version, "config_age_ms", config_age, "targets_age_ms", targets_age, NULL);
 }
 
 static void
@@ -146,11 +137,9 @@
         reply_problem (exchange, status, reason,
                        status == 503 || status == 429 ? retry_after : 0);
     }
-  if (!request->may_have_run)
-    dp_quota_user_give_back (
-      request->node->quota_user,
-      dp_peers_limit (request->node, request->manifest, request->workspace).workspace,
-      request->charged);
+  if (!request->may_have_run && request->workspace != NULL)
+    dp_quota_user_give_back (request->node->quota_user, request->workspace->name,
+                             request->charged);
   remove_request (request);
 }
 
@@ -206,7 +195,7 @@
 look_at_limited (DpNodeRequest *request, DpUsec now)
 {
   DpNode *node = request->node;
-  DpQuotaLimit limit = dp_peers_limit (node, request->manifest, request->workspace);
+  DpQuotaLimit limit = dp_peers_limit (node, request->workspace);
   DpUsec retry_after = 0;
   switch (
     dp_quota_user_admit_again (node->quota_user, &limit, &request->quota, now, &retry_after))
@@ -328,6 +317,7 @@
       request->runs++;
       request->may_have_run = TRUE;
     }
+  DpUsec remaining = 0;
   log_step (request, "sending_failed", reason);
   gboolean broke_off
     = reason == DP_REASON_TARGET_BROKE || reason == DP_REASON_ANSWER_INCOMPLETE;
@@ -345,9 +335,9 @@
   switch (step)
     {
     case DP_STEP_AGAIN:
-      if (dp_poison_holds (request, NULL))
+      if (dp_poison_holds (request, &remaining))
         {
-          give_up (request, DP_REASON_TARGETS_DIED, 0);
+          give_up (request, DP_REASON_TARGETS_DIED, remaining);
           break;
         }
       dp_counters_add (request->node->counters, "dogwoodplank_retries_total", "reason",
