--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -92,6 +92,7 @@
   { "a port too large", "{" GOOD ",\"address\":\"10.0.0.1:65536\"}", FALSE },
   { "a service that is no text", "{" GOOD ",\"service\":[\"s\"]}", FALSE },
   { "an empty zone", "{" GOOD ",\"zone\":\"\"}", FALSE },
+  { "a start as text", "{" GOOD ",\"born\":\"17\"}", FALSE },
   { "a list", "[]", FALSE },
   { "a text", "\"spec\"", FALSE },
 };
@@ -146,6 +147,22 @@
     "{\"version\":1,\"routes\":[{" ROUTE ",\"weighted_split\":[{\"service\":\"s\","
     "\"weight\":90},{\"service\":\"t\",\"weight\":10}]}]}",
     TRUE, 1, 0 },
+  { "a part of a split without a service",
+    "{\"version\":1,\"routes\":[{" ROUTE ",\"weighted_split\":[{\"service\":\"s\","
+    "\"weight\":90},{\"weight\":10}]}]}",
+    TRUE, 1, 1 },
+  { "a time as text, a negative number",
+    "{\"version\":1,\"routes\":[{" ROUTE ",\"service\":\"s\",\"timeout_ms\":\"5\","
+    "\"max_attempts\":-1}]}",
+    TRUE, 1, 2 },
+  { "a rate as text, a key that is no text",
+    "{\"version\":1,\"routes\":[{" ROUTE ",\"service\":\"s\"}],\"tenants\":[{\"name\":\"t\","
+    "\"rate_per_s\":\"7\",\"api_keys\":[5]}]}",
+    TRUE, 1, 2 },
+  { "no numbers at all",
+    "{\"version\":1,\"routes\":[{" ROUTE ",\"service\":\"s\",\"timeout_ms\":null}],"
+    "\"tenants\":[{\"name\":\"t\"}]}",
+    TRUE, 1, 0 },
 };
 
 START_TEST (configs_are_read_or_refused)
