soak: the platform's names are spoken by the test kit; a fault of a target replaces the one before

A target's faults were added to those set before, and clearing them also cleared the time that a run takes, so that faults met few requests that ran.

--- a/soak/caller.c
+++ b/soak/caller.c
@@ -10,8 +10,8 @@
 /* Callers try again at once when a connection fails, as behind a balancer. */
 #define RECONNECT_MS 20
 /* What callers give; routes may give less. */
-#define TIME_LIMIT_MS 2500
-/* The longest route's time limit, and what a busy machine may add. */
+#define TIMEOUT_MS 2500
+/* The longest route's timeout, and what a busy machine may add. */
 #define PATIENCE (5 * DP_USEC_PER_SEC)
 #define LEAVE_PERCENT 3
 #define LEAVE_MAX_MS 60
@@ -229,13 +229,15 @@
     g_strlcpy (path, kind_paths[request->kind], sizeof path);
   gboolean is_stream = request->kind == SOAK_DRAFT || request->kind == SOAK_LETTER;
   gboolean is_read = request->kind == SOAK_LOOK || request->kind == SOAK_NEW_ROUTE;
-  const char *body = is_read ? "" : caller->id;
-  evbuffer_add_printf (
-    bufferevent_get_output (caller->bev),
-    "%s %s HTTP/1.1\r\nHost: " NODE_KIT_HOST "\r\nAuthorization: Bearer " NODE_KIT_KEY
-    "\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n%sContent-Length: %u\r\n\r\n%s",
-    is_read ? "GET" : "POST", path, caller->id, TIME_LIMIT_MS,
-    is_stream ? "Token-Count: 100,40\r\nModel: m\r\n" : "", (guint)strlen (body), body);
+  const NodeKitRequest text = { .method = is_read ? "GET" : "POST",
+                                .path = path,
+                                .id = caller->id,
+                                .body = is_read ? "" : caller->id,
+                                .timeout_ms = TIMEOUT_MS,
+                                .is_stream = is_stream };
+  char *bytes = node_kit_format_request (&text);
+  bufferevent_write (caller->bev, bytes, strlen (bytes));
+  g_free (bytes);
   g_hash_table_insert (world->requests, g_strdup (caller->id), request);
 }
 
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -46,12 +46,9 @@
 };
 
 static const char *const target_faults[] = {
-  "{\"wait_ms\":10,\"cut_before\":1}",  "{\"wait_ms\":10,\"cut_after\":2}",
-  "{\"wait_ms\":10,\"decline\":1}",     "{\"wait_ms\":10,\"other\":1}",
-  "{\"wait_ms\":10,\"status\":500}",    "{\"wait_ms\":10,\"wrong_id\":1}",
-  "{\"wait_ms\":10,\"no_receipt\":1}",  "{\"wait_ms\":10,\"second\":1}",
-  "{\"wait_ms\":10,\"unframed\":1}",    "{\"wait_ms\":400}",
-  "{\"wait_ms\":10,\"promise_503\":1}", "{\"silent\":1}",
+  "{\"cut_before\":1}", "{\"cut_after\":2}", "{\"decline\":1}",     "{\"other\":1}",
+  "{\"status\":500}",   "{\"wrong_id\":1}",  "{\"no_receipt\":1}",  "{\"second\":1}",
+  "{\"unframed\":1}",   "{\"wait_ms\":400}", "{\"promise_503\":1}", "{\"silent\":1}",
 };
 
 static const char *const store_faults[] = {
@@ -166,7 +163,7 @@
       return TRUE;
     case FAULT_TARGET_SPOILS:
       if (!target->is_paused && target->process != NULL)
-        soak_target_set_faults (world, target, "{}");
+        soak_target_set_faults (world, target, NULL);
       return TRUE;
     default:
       soak_proxy_set_mode (target->proxy, SOAK_PROXY_PASS);
@@ -334,7 +331,7 @@
         soak_target_start (world, target);
       target->is_paused = FALSE;
       target->started += 1;
-      soak_target_set_faults (world, target, "{}");
+      soak_target_set_faults (world, target, NULL);
       soak_proxy_set_mode (target->proxy, SOAK_PROXY_PASS);
       if (!soak_put_target (world, target, "ready"))
         soak_world_violation (world, "the store did not take target %s", target->id);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -120,6 +120,7 @@
 void soak_target_start (SoakWorld *world, SoakTarget *target);
 /* SIGKILL, after its runs have been read; its entry in the store stays. */
 void soak_target_kill (SoakWorld *world, SoakTarget *target);
+/* The target has these faults only; NULL: none. */
 void soak_target_set_faults (SoakWorld *world, SoakTarget *target, const char *json);
 void soak_store_set_faults (SoakWorld *world, const char *json);
 /* FALSE: the store did not take it. */
--- a/soak/verdict.c
+++ b/soak/verdict.c
@@ -39,12 +39,10 @@
                const char *head,
                const GString *body)
 {
-  char *own = g_strdup_printf ("\r\nRequest-Id: %s\r\n", id);
-  if (strstr (head, own) == NULL)
+  if (!node_kit_answers (head, id))
     soak_world_violation (world, "%s: a success without its id: %s", id, head);
-  g_free (own);
-  if (strstr (head, "\r\nResponse-Seal: ") == NULL)
-    soak_world_violation (world, "%s: a success without a receipt", id);
+  if (!node_kit_is_signed (head))
+    soak_world_violation (world, "%s: a success without a signature", id);
   if (is_stream (request->kind) ? !is_whole_stream (body) : !is_whole_body (body))
     soak_world_violation (world, "%s: a success with a wrong body: %s", id, body->str);
 }
--- a/soak/world.c
+++ b/soak/world.c
@@ -9,8 +9,8 @@
 /* Sanitizer builds on a busy machine start slowly. */
 #define START_TIMEOUT (30 * DP_USEC_PER_SEC)
 #define STOP_TIMEOUT (12 * DP_USEC_PER_SEC)
-/* A run takes this long at a target that has no fault. */
-#define NO_FAULTS "{\"wait_ms\":10}"
+/* A run takes this long, so that faults meet requests that run. */
+#define RUN_TIME "{\"wait_ms\":10}"
 
 double
 soak_world_time (const SoakWorld *world)
@@ -74,17 +74,13 @@
   set_faults (world->store_address, json);
 }
 
-#define NEW_ROUTE                                                                              \
-  ",{\"name\":\"v%u\",\"host\":\"site.example\",\"path_prefix\":\"/v%u/\",\"kind\":\"safe\","  \
-  "\"timeout_ms\":1500,\"service\":\"app\"}"
-
 gboolean
 soak_put_config (SoakWorld *world)
 {
   guint version = world->config_version + 1;
   GString *routes = g_string_new (NULL);
   for (guint i = 2; i <= version; i++)
-    g_string_append_printf (routes, NEW_ROUTE, i, i);
+    g_string_append_printf (routes, NODE_KIT_ROUTE ("v%u"), i, i);
   gboolean taken = node_kit_put_config (operator_store (world), version, routes->str) == 200;
   g_string_free (routes, TRUE);
   if (taken)
@@ -115,7 +111,7 @@
   target->started = g_get_real_time () / 1000;
   target->is_paused = FALSE;
   if (wait_for_port (target->address, SOAK_CONTROL_PORT, START_TIMEOUT))
-    soak_target_set_faults (world, target, "{}");
+    soak_target_set_faults (world, target, NULL);
   else
     soak_world_violation (world, "target %s did not start", target->id);
 }
@@ -123,8 +119,10 @@
 void
 soak_target_set_faults (SoakWorld *world, SoakTarget *target, const char *json)
 {
-  set_faults (target->address, NO_FAULTS);
-  set_faults (target->address, json);
+  set_faults (target->address, "{}");
+  set_faults (target->address, RUN_TIME);
+  if (json != NULL)
+    set_faults (target->address, json);
 }
 
 void
--- a/tests/node_kit.c
+++ b/tests/node_kit.c
@@ -1,6 +1,7 @@
 #include "tests/node_kit.h"
 
 #include <check.h>
+#include <string.h>
 
 static const char config[]
   = "{\"metadata\":{\"name\":\"main\"},\"spec\":{\"version\":%u,"
@@ -72,6 +73,32 @@
   return status;
 }
 
+char *
+node_kit_format_request (const NodeKitRequest *request)
+{
+  return g_strdup_printf (
+    "%s %s HTTP/1.1\r\nHost: " NODE_KIT_HOST "\r\nAuthorization: Bearer " NODE_KIT_KEY
+    "\r\nRequest-Id: %s\r\nDeadline-Ms: %u\r\n%sContent-Length: %u\r\n\r\n%s",
+    request->method, request->path, request->id, request->timeout_ms,
+    request->is_stream ? "Token-Count: 100,40\r\nModel: m\r\n" : "",
+    (guint)strlen (request->body), request->body);
+}
+
+gboolean
+node_kit_answers (const char *head, const char *id)
+{
+  char *own = g_strdup_printf ("\r\nRequest-Id: %s\r\n", id);
+  gboolean found = strstr (head, own) != NULL;
+  g_free (own);
+  return found;
+}
+
+gboolean
+node_kit_is_signed (const char *head)
+{
+  return strstr (head, "\r\nResponse-Seal: ") != NULL;
+}
+
 Process *
 node_kit_start (const NodeKitVm *vm)
 {
--- a/tests/node_kit.h
+++ b/tests/node_kit.h
@@ -47,5 +47,28 @@
 int node_kit_put_target (NodeKitStore store, const char *method, const NodeKitTarget *target);
 int node_kit_remove_target (NodeKitStore store, const char *id);
 
+/* A route for `more_routes`, under /NAME/. */
+#define NODE_KIT_ROUTE(name)                                                                   \
+  ",{\"name\":\"" name "\",\"host\":\"" NODE_KIT_HOST "\",\"path_prefix\":\"/" name            \
+  "/\",\"kind\":\"safe\",\"timeout_ms\":1500,\"service\":\"app\"}"
+
+/* A caller's request. */
+typedef struct NodeKitRequest
+{
+  const char *method;
+  const char *path;
+  const char *id;
+  const char *body;
+  guint timeout_ms; /* how long the caller waits */
+  gboolean is_stream;
+} NodeKitRequest;
+
+/* Its bytes. Free with g_free(). */
+char *node_kit_format_request (const NodeKitRequest *request);
+/* TRUE if the head of an answer names the request. */
+gboolean node_kit_answers (const char *head, const char *id);
+/* TRUE if the head bears a target's signature. */
+gboolean node_kit_is_signed (const char *head);
+
 /* Writes the settings and starts the process. */
 Process *node_kit_start (const NodeKitVm *vm);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -477,9 +477,7 @@
   { "its answers can't be read", "{\"broken\":1}", "{}" },
 };
 
-#define NEW_ROUTE                                                                              \
-  ",{\"name\":\"new\",\"host\":\"site.example\",\"path_prefix\":\"/new/\",\"kind\":\"safe\","  \
-  "\"timeout_ms\":1500,\"service\":\"app\"}"
+#define NEW_ROUTE NODE_KIT_ROUTE ("new")
 
 START_TEST (a_change_comes_into_force_whatever_the_store_does)
 {
