words: signature, incarnation, latency objective, timeout

The users' pages paraphrase these (receipt, lifetime, response-time goal, time limit); names and comments of the change use the field's terms.

--- a/common/counters.c
+++ b/common/counters.c
@@ -92,7 +92,7 @@
 void
 dp_counters_observe_ms (DpCounters *counters, const char *name, guint64 ms)
 {
-  /* Around the goals of first bytes and the time limits of requests. */
+  /* Around the latency objectives of first bytes and the timeouts of requests. */
   static const guint bounds_ms[] = { 10, 25, 50, 100, 150, 250, 500, 1000, 2500, 10000 };
   char member[KEY_BYTES];
   char bound[16];
--- a/core/directory.c
+++ b/core/directory.c
@@ -2,14 +2,15 @@
 
 #include <string.h>
 
-/* Lifetimes that were seen draining are remembered, so that no late answer revives one. */
+/* Incarnations that were seen draining are remembered, so that no late answer revives one. */
 #define DRAINED_MAX 4096
 
 struct DpDirectory
 {
   DpTable *rows;
   GHashTable *by_name; /* DpName -> DpHandle */
-  GHashTable *drained; /* DpName -> guint64: start of the newest lifetime that was draining */
+  GHashTable
+    *drained; /* DpName -> guint64: start of the newest incarnation that was draining */
   guint64 version;
   DpUsec contact_at;  /* 0: never */
   DpUsec grace_until; /* what is missing until then may live */
@@ -53,7 +54,7 @@
                        g_memdup2 (&started, sizeof started));
 }
 
-/* TRUE if a lifetime at least as new as the record's has been seen draining. */
+/* TRUE if an incarnation at least as new as the record's has been seen draining. */
 static gboolean
 was_drained (const DpDirectory *directory, DpName name, guint64 started)
 {
--- a/core/directory.h
+++ b/core/directory.h
@@ -1,8 +1,8 @@
 /* The directory: targets that register themselves, as this process knows them.
  *
  * Rows come from the platform's listing and watch, or from a peer. A target that was once seen
- * draining stays so for its lifetime, whatever an older answer says. Entries that lapse while
- * the platform can't be reached may be alive: they are kept until a grace time after its
+ * draining stays so for its incarnation, whatever an older answer says. Entries that lapse
+ * while the platform can't be reached may be alive: they are kept until a grace time after its
  * return.
  */
 #pragma once
@@ -21,14 +21,14 @@
 /* What a target says of itself. */
 typedef struct DpTargetRecord
 {
-  char id[DP_TARGET_TEXT_BYTES]; /* of this lifetime, mostly */
+  char id[DP_TARGET_TEXT_BYTES]; /* of this incarnation, mostly */
   char pool[DP_TARGET_TEXT_BYTES];
   char data_centre[DP_TARGET_TEXT_BYTES];
   char address[46]; /* IP number */
   guint port_number;
   guint slots; /* requests that it runs at once */
   gboolean is_draining;
-  guint64 started; /* Unix milliseconds; tells lifetimes under one id apart */
+  guint64 started; /* Unix milliseconds; tells incarnations under one id apart */
 } DpTargetRecord;
 
 typedef struct DpDirectoryRow
--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -2,11 +2,13 @@
 
 /* Entries with waiting requests hear of it this often: half of what they take for silence. */
 #define ADVERT_INTERVAL (40 * DP_USEC_PER_MSEC)
+/* Some 60 bytes each: about a megabyte. */
 #define SESSIONS_MAX 20000
 /* Share of one answer in the learned time that a tier keeps a slot. */
 #define HOLD_GAIN 0.02
 /* Until it is learned. */
 #define HOLD_START_MS 250.0
+/* As long as VMs refuse the like of a request themselves, see core/shed.c. */
 #define RETRY_AFTER_MIN (50 * DP_USEC_PER_MSEC)
 /* Refused callers come back spread over this part of the wait more, so that they don't come
  * back at one moment. */
@@ -300,7 +302,7 @@
   DpPlace *place = dp_dispatch_add_place (dispatcher, from, ask->attempt);
   place->ask = *ask;
   place->ask.urgency = MIN (ask->urgency, DP_URGENCY_COUNT - 1);
-  place->goal_at = dispatcher->now + ask->goal_left;
+  place->objective_at = dispatcher->now + ask->objective_left;
   place->deadline = dispatcher->now + ask->remaining;
   enqueue (dispatcher, place);
   fill (dispatcher);
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -21,7 +21,8 @@
 typedef enum DpDispatchPolicy
 {
   DP_DISPATCH_QUEUE,       /* the product: one queue, late binding */
-  DP_DISPATCH_TWO_CHOICES, /* baseline: at once to the less used of two random targets */
+  DP_DISPATCH_TWO_CHOICES, /* at once to the less used of two random targets: for pools where
+                            * each VM places for itself, and the baseline of measurements */
 } DpDispatchPolicy;
 
 typedef struct DpDispatcherOptions
--- a/core/dispatcher_board.h
+++ b/core/dispatcher_board.h
@@ -42,7 +42,7 @@
   DpGrantAsk ask;
   DpName entry;
   DpUsec arrived;
-  DpUsec goal_at; /* the first byte is late after it */
+  DpUsec objective_at; /* the first byte is late after it */
   DpUsec deadline;
   guint waiting_index; /* in DpDispatcher.waiting */
   /* running */
--- a/core/dispatcher_queue.c
+++ b/core/dispatcher_queue.c
@@ -27,7 +27,7 @@
   DpUsec first
     = dp_pace_first_event (&dispatcher->pace, place->ask.prompt_tokens, backend->pace);
   gboolean on_time = dispatcher->now + (DpUsec)((double)first * ON_TIME_MARGIN) + TRANSPORT_USEC
-                     <= place->goal_at;
+                     <= place->objective_at;
   guint urgency = place->ask.urgency;
   return on_time ? 2 * urgency : 2 * (urgency + LATE_TIERS) + 1;
 }
@@ -36,7 +36,8 @@
 static gboolean
 goes_first (const DpPlace *a, const DpPlace *b)
 {
-  return a->goal_at != b->goal_at ? a->goal_at < b->goal_at : a->arrived < b->arrived;
+  return a->objective_at != b->objective_at ? a->objective_at < b->objective_at
+                                            : a->arrived < b->arrived;
 }
 
 DpPlace *
--- a/core/dispatcher_targets.c
+++ b/core/dispatcher_targets.c
@@ -77,7 +77,7 @@
   return value;
 }
 
-/* The least used of two random targets: a baseline, for measurement. */
+/* The less used of two random targets, whatever is known of their health. */
 static DpBackend *
 choose_of_two (DpDispatcher *dispatcher, const DpPlace *place)
 {
--- a/core/message.h
+++ b/core/message.h
@@ -95,9 +95,9 @@
   guint excluded_count;
   DpName excluded[DP_EXCLUDED_MAX];
   /* asks of a pool's dispatcher only */
-  guint urgency;    /* 0 is the most urgent; below DP_URGENCY_COUNT */
-  DpUsec goal_left; /* until the first byte would be late; 0: it is */
-  guint64 session;  /* hash of the prompt's last part; 0: none */
+  guint urgency;         /* 0 is the most urgent; below DP_URGENCY_COUNT */
+  DpUsec objective_left; /* until the first byte would be late; 0: it is */
+  guint64 session;       /* hash of the prompt's last part; 0: none */
 } DpGrantAsk;
 
 typedef struct DpGrantGiven
--- a/core/quota.c
+++ b/core/quota.c
@@ -13,7 +13,7 @@
  * can all be used in one moment, on top of what the keeper has. */
 #define STOCK_PART 0.3
 /* Callers of a workspace over its limit come back after half an interval of asks at the
- * soonest; most time limits end soon after two seconds. */
+ * soonest; most timeouts end soon after two seconds. */
 #define RETRY_AFTER_MIN (100 * DP_USEC_PER_MSEC)
 #define RETRY_AFTER_MAX (2 * DP_USEC_PER_SEC)
 /* Fits the message's field; more than any limit. */
--- a/core/shed.c
+++ b/core/shed.c
@@ -9,7 +9,7 @@
 {
   DpShedRow *row = &shed->rows[MIN (request->urgency, DP_URGENCY_COUNT - 1)];
   *row = (DpShedRow){ .until = now + HOLD_TIME,
-                      .goal_left = request->goal_left,
+                      .objective_left = request->objective_left,
                       .remaining = request->remaining,
                       .retry_after = retry_after,
                       .reason = reason };
@@ -22,7 +22,7 @@
                DpUsec *retry_after)
 {
   const DpShedRow *row = &shed->rows[MIN (request->urgency, DP_URGENCY_COUNT - 1)];
-  if (now >= row->until || request->goal_left > row->goal_left
+  if (now >= row->until || request->objective_left > row->objective_left
       || request->remaining > row->remaining)
     return DP_REASON_NONE;
   *retry_after = row->retry_after;
--- a/core/shed.h
+++ b/core/shed.h
@@ -15,8 +15,9 @@
 /* The last refusal of one urgency. */
 typedef struct DpShedRow
 {
-  DpUsec until;     /* refused until then; 0: not */
-  DpUsec goal_left; /* of the request that was refused: with less of either time a request */
+  DpUsec until; /* refused until then; 0: not */
+  DpUsec
+    objective_left; /* of the request that was refused: with less of either time a request */
   DpUsec remaining; /* has less of a chance */
   DpUsec retry_after;
   DpReason reason;
@@ -31,7 +32,7 @@
 typedef struct DpShedRequest
 {
   guint urgency;
-  DpUsec goal_left;
+  DpUsec objective_left;
   DpUsec remaining; /* until its deadline */
 } DpShedRequest;
 
--- a/manifest/manifest.h
+++ b/manifest/manifest.h
@@ -142,11 +142,11 @@
   gboolean resumable; /* streams: may go on at another target after the last whole event */
   gboolean is_public; /* needs no access key */
   guint tier;
-  guint attempts_max;     /* targets that one request may be sent to */
-  DpUsec timeout;         /* for the whole answer */
-  DpUsec first_byte_goal; /* an answer that begins later is late */
-  DpUsec pause_goal;      /* streams: longest pause between events of an answer on time */
-  GArray *shares;         /* DpRouteShare, at least one */
+  guint attempts_max;          /* targets that one request may be sent to */
+  DpUsec timeout;              /* for the whole answer */
+  DpUsec first_byte_objective; /* an answer that begins later is late */
+  DpUsec pause_objective;      /* streams: longest pause between events of an answer on time */
+  GArray *shares;              /* DpRouteShare, at least one */
 } DpRoute;
 
 /* Bounds on what callers send; 0: none stated. */
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -74,7 +74,7 @@
         DP_EXCLUDED_MAX,
         NULL),
   UINT (13, DpMessage, grant_ask.urgency, DP_URGENCY_COUNT - 1),
-  USEC (14, DpMessage, grant_ask.goal_left),
+  USEC (14, DpMessage, grant_ask.objective_left),
   UINT64 (15, DpMessage, grant_ask.session),
 };
 
--- a/node/attempt.c
+++ b/node/attempt.c
@@ -231,7 +231,7 @@
   reset_answer (request);
   DpUsec left = request->deadline - dp_node_now ();
   gboolean can_go_on = request->route->kind == DP_ROUTE_STREAM && request->is_repeatable;
-  DpUsec pause = MAX (request->route->pause_goal * PAUSE_FACTOR, PAUSE_MIN);
+  DpUsec pause = MAX (request->route->pause_objective * PAUSE_FACTOR, PAUSE_MIN);
   GArray *headers = make_headers (request);
   gsize length;
   const char *body = dp_http_exchange_body (request->exchange, &length);
--- a/node/front.c
+++ b/node/front.c
@@ -157,7 +157,7 @@
   DpHandle handle = dp_table_add (node->requests, &row);
   DpNodeRequest *request = row;
   DpUsec now = dp_node_now ();
-  DpUsec limit = admission->said.time_limit;
+  DpUsec limit = admission->said.timeout;
   request->self = handle;
   request->node = node;
   request->exchange = admission->exchange;
@@ -172,7 +172,7 @@
   request->quota = admission->quota;
   request->charged = admission->waits ? 0 : admission->quota.cost;
   request->arrived = now;
-  request->goal_at = now + route->first_byte_goal;
+  request->objective_at = now + route->first_byte_objective;
   request->deadline = now + (limit > 0 ? MIN (limit, route->timeout) : route->timeout);
   request->stage = admission->waits ? DP_STAGE_LIMITED : DP_STAGE_PLACING;
   node->limited += admission->waits;
--- a/node/node.h
+++ b/node/node.h
@@ -171,7 +171,7 @@
   DpQuotaRequest quota; /* what it asks of the workspace's limit */
   double charged;       /* of it, so far */
   DpUsec arrived;
-  DpUsec goal_at;
+  DpUsec objective_at;
   DpUsec deadline;
   /* placing */
   DpNodeStage stage;
--- a/node/placing.c
+++ b/node/placing.c
@@ -206,7 +206,7 @@
 shed_request (const DpNodeRequest *request, DpUsec at)
 {
   return (DpShedRequest){ .urgency = request->urgency,
-                          .goal_left = request->goal_at - at,
+                          .objective_left = request->objective_at - at,
                           .remaining = request->deadline - at };
 }
 
@@ -244,7 +244,7 @@
   ask->prompt_tokens = request->said.prompt_tokens;
   ask->output_tokens = request->said.output_tokens_max;
   ask->remaining = MAX (request->deadline - now, 0);
-  ask->goal_left = MAX (request->goal_at - now, 0);
+  ask->objective_left = MAX (request->objective_at - now, 0);
   ask->repeatable = request->is_repeatable;
   ask->urgency = request->urgency;
   ask->session = request->said.session;
--- a/soak/caller.c
+++ b/soak/caller.c
@@ -258,7 +258,7 @@
     request->kind = SOAK_LOOK;
   request->config_version = world->config_version;
   request->vm = caller->vm;
-  request->lifetime = world->vms[caller->vm].lifetime;
+  request->incarnation = world->vms[caller->vm].incarnation;
   request->sent_at = g_get_monotonic_time ();
   g_snprintf (caller->id, sizeof caller->id, "c%u-%u", caller->index, ++caller->sent);
   caller->request = request;
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -46,9 +46,9 @@
 };
 
 static const char *const target_faults[] = {
-  "{\"cut_before\":1}", "{\"cut_after\":2}", "{\"decline\":1}",     "{\"other\":1}",
-  "{\"status\":500}",   "{\"wrong_id\":1}",  "{\"no_receipt\":1}",  "{\"second\":1}",
-  "{\"unframed\":1}",   "{\"wait_ms\":400}", "{\"promise_503\":1}", "{\"silent\":1}",
+  "{\"cut_before\":1}", "{\"cut_after\":2}", "{\"decline\":1}",      "{\"other\":1}",
+  "{\"status\":500}",   "{\"wrong_id\":1}",  "{\"no_signature\":1}", "{\"second\":1}",
+  "{\"unframed\":1}",   "{\"wait_ms\":400}", "{\"promise_503\":1}",  "{\"silent\":1}",
 };
 
 static const char *const store_faults[] = {
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -61,11 +61,11 @@
   char store_address[SOAK_ADDRESS_BYTES]; /* of the proxy */
   SoakProxy *store;
   Process *process;
-  guint lifetime;      /* counts starts */
+  guint incarnation;   /* counts starts */
   gint64 disturbed_at; /* last kill, signal, pause or end of a pause; monotonic, microseconds */
   gboolean is_paused;
   gboolean is_stopping; /* SIGTERM was sent */
-  guint config_seen;    /* highest version that this lifetime has served */
+  guint config_seen;    /* highest version that this incarnation has served */
 } SoakVm;
 
 typedef struct SoakTarget
@@ -166,7 +166,7 @@
   SoakEnd end;
   guint vm;
   guint config_version; /* of a new route */
-  guint lifetime;
+  guint incarnation;
   gint64 sent_at;
   gint64 ended_at;
 } SoakRequest;
--- a/soak/verdict.c
+++ b/soak/verdict.c
@@ -54,7 +54,7 @@
   const SoakVm *vm = &world->vms[request->vm];
   gboolean may_be_old
     = request->kind == SOAK_NEW_ROUTE && status == 404
-      && (request->lifetime != vm->lifetime || request->config_version > vm->config_seen);
+      && (request->incarnation != vm->incarnation || request->config_version > vm->config_seen);
   if (!may_be_old)
     soak_world_violation (world, "%s: status %d from %s, config %u, seen %u", id, status,
                           vm->name, request->config_version, vm->config_seen);
@@ -64,7 +64,7 @@
 note_config (SoakWorld *world, const SoakRequest *request)
 {
   SoakVm *vm = &world->vms[request->vm];
-  if (request->kind == SOAK_NEW_ROUTE && request->lifetime == vm->lifetime)
+  if (request->kind == SOAK_NEW_ROUTE && request->incarnation == vm->incarnation)
     vm->config_seen = MAX (vm->config_seen, request->config_version);
 }
 
@@ -102,7 +102,7 @@
 judge_closed (SoakWorld *world, const char *id, const SoakRequest *request, guint runs)
 {
   const SoakVm *vm = &world->vms[request->vm];
-  gboolean was_disturbed = request->lifetime != vm->lifetime
+  gboolean was_disturbed = request->incarnation != vm->incarnation
                            || (vm->disturbed_at > request->sent_at - 10 * DP_USEC_PER_SEC
                                && vm->disturbed_at < request->ended_at + DP_USEC_PER_SEC);
   if (request->end == SOAK_CLOSED && runs > 0 && !was_disturbed)
--- a/soak/world.c
+++ b/soak/world.c
@@ -177,9 +177,9 @@
         .ready = SOAK_READY_PORT,
         .store = { .address = vm->store_address, .port = SOAK_SERVER_PORT },
         .seeds = world->seeds,
-        .first_start = vm->lifetime == 0 };
+        .first_start = vm->incarnation == 0 };
   vm->process = node_kit_start (&settings);
-  vm->lifetime += 1;
+  vm->incarnation += 1;
   vm->config_seen = 0;
   vm->is_paused = FALSE;
   vm->is_stopping = FALSE;
--- a/standins/target.c
+++ b/standins/target.c
@@ -21,18 +21,18 @@
 
 typedef struct TargetFaults
 {
-  gint64 decline;     /* 1: says that it does not run the request */
-  gint64 other;       /* 1: the address is another target's */
-  gint64 cut_before;  /* 1: closes without an answer, before it runs anything */
-  gint64 cut_after;   /* closes after that many events, in the midst of the next */
-  gint64 silent;      /* 1: runs, and never answers */
-  gint64 status;      /* of the answer, after it ran */
-  gint64 wrong_id;    /* 1: the answer is another request's */
-  gint64 no_receipt;  /* 1: a success without the receipt */
-  gint64 second;      /* 1: a second answer behind the first */
-  gint64 unframed;    /* 1: the answer ends with its connection */
-  gint64 wait_ms;     /* before the first event or the body */
-  gint64 promise_503; /* 1: 503 although it ran */
+  gint64 decline;      /* 1: says that it does not run the request */
+  gint64 other;        /* 1: the address is another target's */
+  gint64 cut_before;   /* 1: closes without an answer, before it runs anything */
+  gint64 cut_after;    /* closes after that many events, in the midst of the next */
+  gint64 silent;       /* 1: runs, and never answers */
+  gint64 status;       /* of the answer, after it ran */
+  gint64 wrong_id;     /* 1: the answer is another request's */
+  gint64 no_signature; /* 1: a success without the signature */
+  gint64 second;       /* 1: a second answer behind the first */
+  gint64 unframed;     /* 1: the answer ends with its connection */
+  gint64 wait_ms;      /* before the first event or the body */
+  gint64 promise_503;  /* 1: 503 although it ran */
 } TargetFaults;
 
 typedef struct Run
@@ -61,7 +61,7 @@
   { "silent", .number = &target.faults.silent },
   { "status", .number = &target.faults.status },
   { "wrong_id", .number = &target.faults.wrong_id },
-  { "no_receipt", .number = &target.faults.no_receipt },
+  { "no_signature", .number = &target.faults.no_signature },
   { "second", .number = &target.faults.second },
   { "unframed", .number = &target.faults.unframed },
   { "wait_ms", .number = &target.faults.wait_ms },
@@ -74,16 +74,16 @@
   evhttp_add_header (evhttp_request_get_output_headers (req), name, value);
 }
 
-/* Name of the request, and the receipt of a run. */
+/* Name of the request, and the signature of a run. */
 static void
 add_marks (struct evhttp_request *req)
 {
   const char *id = standin_header (req, "Request-Id");
   add_header (req, "Request-Id", target.faults.wrong_id == 1 || id == NULL ? "other" : id);
-  char *receipt = g_strdup_printf ("receipt.%s.%s", target.id, id != NULL ? id : "");
-  if (target.faults.no_receipt != 1)
-    add_header (req, "Response-Seal", receipt);
-  g_free (receipt);
+  char *signature = g_strdup_printf ("signature.%s.%s", target.id, id != NULL ? id : "");
+  if (target.faults.no_signature != 1)
+    add_header (req, "Response-Seal", signature);
+  g_free (signature);
 }
 
 static void
@@ -119,14 +119,14 @@
 answer_plain (struct evhttp_request *req)
 {
   if (target.faults.unframed == 1)
-    cut_with (req, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: receipt.%s\r\n\r\n"
+    cut_with (req, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: signature.%s\r\n\r\n"
                    "unframed\n");
   else if (target.faults.second == 1)
-    cut_with (req, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: receipt.%s\r\n"
+    cut_with (req, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: signature.%s\r\n"
                    "Content-Length: 6\r\n\r\nfirst\nHTTP/1.1 200 OK\r\n"
                    "Content-Length: 7\r\n\r\nsecond\n");
   else if (target.faults.cut_after != FAULT_OFF)
-    cut_with (req, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: receipt.%s\r\n"
+    cut_with (req, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: signature.%s\r\n"
                    "Content-Length: 100\r\n\r\nonly a part");
   else
     {
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -62,7 +62,7 @@
 {
   guint64 id;
   guint tier;
-  DpUsec goal_left;
+  DpUsec objective_left;
   DpUsec remaining;
 } Ask;
 
@@ -74,7 +74,7 @@
                                     .group = dp_name (POOL),
                                     .prompt_tokens = 1000,
                                     .remaining = row.remaining,
-                                    .goal_left = row.goal_left,
+                                    .objective_left = row.objective_left,
                                     .urgency = row.tier,
                                     .repeatable = TRUE };
   receive (fixture, &message);
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -44,7 +44,7 @@
                                      .excluded_count = 2,
                                      .excluded = { 12, 13 },
                                      .urgency = DP_URGENCY_COUNT - 1,
-                                     .goal_left = 14,
+                                     .objective_left = 14,
                                      .session = 15 } };
 }
 
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -282,7 +282,7 @@
     1, "unknown" },
   { "booking, another request's answer", "{\"wrong_id\":1}", "{\"wrong_id\":1}", "/book/1", 502,
     1, "unknown" },
-  { "booking, no receipt", "{\"no_receipt\":1}", "{\"no_receipt\":1}", "/book/1", 502, 1,
+  { "booking, no signature", "{\"no_signature\":1}", "{\"no_signature\":1}", "/book/1", 502, 1,
     "unknown" },
   { "booking, silent", "{\"silent\":1}", "{\"silent\":1}", "/book/1", 504, 1, "unknown" },
   { "booking, a second answer", "{\"second\":1}", "{\"second\":1}", "/book/1", 200, 1,
--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -379,7 +379,7 @@
     { { FALSE, TRUE, 5, FALSE }, { TRUE, FALSE, 0, FALSE }, { FALSE, FALSE, 5, FALSE } },
     3,
     FALSE },
-  { "a new start under the same id is a new lifetime",
+  { "a new start under the same id is a new incarnation",
     { { FALSE, TRUE, 5, FALSE }, { FALSE, FALSE, 6, FALSE } },
     2,
     TRUE },
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -26,7 +26,7 @@
 {
   guint prompt_ms; /* until the first event at an engine of pace 1 */
   guint hold_ms;   /* in a slot */
-  guint goal_ms;
+  guint objective_ms;
   guint limit_ms;
   double part; /* of all requests */
   double worth;
@@ -217,7 +217,7 @@
   Result *result = &world->result;
   const Kind *kind = &kinds[request->kind];
   Engine *engine = &world->engines[request->engine];
-  gboolean on_time = request->first - request->came <= kind->goal_ms;
+  gboolean on_time = request->first - request->came <= kind->objective_ms;
   request->stage = STAGE_ENDED;
   if (on_time)
     result->on_time[request->kind]++;
@@ -237,7 +237,7 @@
 {
   const Kind *kind = &kinds[request->kind];
   return (DpShedRequest){ .urgency = request->kind,
-                          .goal_left = (DpUsec)kind->goal_ms * MSEC,
+                          .objective_left = (DpUsec)kind->objective_ms * MSEC,
                           .remaining = (DpUsec)kind->limit_ms * MSEC };
 }
 
@@ -246,7 +246,7 @@
 {
   const Kind *kind = &kinds[request->kind];
   DpShed *shed = &world->sheds[request->vm];
-  DpUsec goal_left = (DpUsec)kind->goal_ms * MSEC;
+  DpUsec objective_left = (DpUsec)kind->objective_ms * MSEC;
   DpUsec retry_after = 0;
   const DpShedRequest like = shed_request (request);
   if (world->policy == DP_DISPATCH_QUEUE
@@ -260,7 +260,7 @@
                                     .group = dp_name (POOL),
                                     .prompt_tokens = kind->prompt_ms * 100,
                                     .remaining = (DpUsec)kind->limit_ms * MSEC,
-                                    .goal_left = goal_left,
+                                    .objective_left = objective_left,
                                     .urgency = request->kind };
   request->stage = STAGE_ASKED;
   send_letter (world, TRUE, request->vm, &message);
@@ -483,8 +483,8 @@
   double told_max_ms; /* mean time until a refusal */
 } BurstCase;
 
-/* The most urgent kind asks for a quarter of the load's slot time. Its goal is 300 ms: whoever
- * can't be served is told by then. */
+/* The most urgent kind asks for a quarter of the load's slot time. Its latency objective is 300
+ * ms: whoever can't be served is told by then. */
 static const BurstCase bursts[] = {
   { "half as much again", 1.6, 0.97, 0.97, 1.05, 2000 },
   { "three times", 3.0, 0.97, 0.3, 1.3, 300 },
