--- a/net/http_call.h
+++ b/net/http_call.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "common/id.h"
+#include "net/http_header.h"
 
 #include <event2/event.h>
 #include <event2/http.h>
@@ -24,12 +25,6 @@
   DP_HTTP_SILENT,         /* no progress within a time limit */
 } DpHttpEnd;
 
-typedef struct DpHttpHeader
-{
-  const char *name;
-  const char *value;
-} DpHttpHeader;
-
 typedef struct DpHttpCall DpHttpCall;
 
 typedef struct DpHttpCallbacks
@@ -72,7 +67,6 @@
 /* Value of the answer's header, or NULL; from `head` on. */
 const char *dp_http_call_header (const DpHttpCall *call, const char *name);
 
-/* Called for each header of the answer, in order. */
-typedef void (*DpHttpHeaderFunc) (gpointer user, const char *name, const char *value);
+/* Calls `function` for each header of the answer. */
 void
 dp_http_call_each_header (const DpHttpCall *call, DpHttpHeaderFunc function, gpointer user);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -544,9 +544,7 @@
 
 void
 dp_http_exchange_each_header (const DpHttpExchange *exchange,
-                              void (*function) (gpointer user,
-                                                const char *name,
-                                                const char *value),
+                              DpHttpHeaderFunc function,
                               gpointer user)
 {
   const struct evkeyvalq *headers = evhttp_request_get_input_headers (exchange->request);
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -9,6 +9,7 @@
 
 #include "common/counters.h"
 #include "common/id.h"
+#include "net/http_header.h"
 
 #include <event2/event.h>
 #include <event2/http.h>
@@ -78,9 +79,7 @@
 const char *dp_http_exchange_header (const DpHttpExchange *exchange, const char *name);
 /* Calls `function` for each header of the request, in order. */
 void dp_http_exchange_each_header (const DpHttpExchange *exchange,
-                                   void (*function) (gpointer user,
-                                                     const char *name,
-                                                     const char *value),
+                                   DpHttpHeaderFunc function,
                                    gpointer user);
 /* The body; NUL-terminated behind `length`. */
 const char *dp_http_exchange_body (const DpHttpExchange *exchange, gsize *length);
