platform, node: limits that targets state are decoded and logged

The incident could not be told apart by logs: nothing said that a target had stated a limit, to which VM, or what a VM believed of it when it sent a request. Decoded once, in platform/wire (a decimal number; anything else is logged and counted), kept by the directory with the time of the response, so that late responses change nothing. Nothing acts on it yet.

--- a/core/directory.c
+++ b/core/directory.c
@@ -109,7 +109,10 @@
   if (row == NULL)
     row = add_row (directory, name);
   if (row->record.started != updated.started)
-    row->paused_until = 0;
+    {
+      row->paused_until = 0;
+      row->limit = (DpTargetLimit){ 0 };
+    }
   row->record = updated;
   row->pool = dp_name (updated.pool);
   row->data_centre = dp_name (updated.data_centre);
@@ -213,6 +216,26 @@
     row->paused_until = MAX (row->paused_until, until);
 }
 
+gboolean
+dp_directory_record_limit (DpDirectory *directory, const DpLimitReport *report, DpUsec now)
+{
+  DpDirectoryRow *row = find (directory, report->target);
+  if (row == NULL || row->record.started != report->started
+      || report->observed_at < row->limit.observed_at)
+    return FALSE;
+  DpTargetLimit *limit = &row->limit;
+  gboolean is_same = limit->is_set == report->is_set
+                     && (!limit->is_set || limit->per_second == report->per_second);
+  if (limit->is_set != report->is_set)
+    limit->changed_at = now;
+  limit->is_set = report->is_set;
+  limit->per_second = report->is_set ? report->per_second : 0;
+  limit->observed_at = report->observed_at;
+  if (!is_same)
+    directory->version++;
+  return !is_same;
+}
+
 gboolean
 dp_directory_may_use (const DpDirectory *directory, DpName name, DpUsec now)
 {
--- a/core/directory.h
+++ b/core/directory.h
@@ -31,6 +31,15 @@
   guint64 started; /* Unix milliseconds; distinguishes incarnations with the same id */
 } DpTargetRecord;
 
+/* Limit on the requests that a target accepts, as it states in its responses. */
+typedef struct DpTargetLimit
+{
+  gboolean is_set;
+  double per_second;  /* requests from all VMs together */
+  DpUsec observed_at; /* time of the latest response that this is based on; 0: none */
+  DpUsec changed_at;  /* when this VM learned of a limit, or of its end; 0: never */
+} DpTargetLimit;
+
 typedef struct DpDirectoryRow
 {
   DpHandle self;
@@ -39,7 +48,8 @@
   DpName data_centre;
   DpTargetRecord record;
   DpUsec paused_until; /* the target refuses this VM's requests until then */
-  gboolean is_listed;  /* FALSE: expired at the platform, kept for the grace period */
+  DpTargetLimit limit;
+  gboolean is_listed; /* FALSE: expired at the platform, kept for the grace period */
 } DpDirectoryRow;
 
 typedef struct DpDirectory DpDirectory;
@@ -76,6 +86,20 @@
 /* Marks the target as not usable by this VM before `until`. */
 void dp_directory_pause (DpDirectory *directory, DpName name, DpUsec until);
 
+typedef struct DpLimitReport
+{
+  DpName target;
+  guint64 started;    /* identifies the target's incarnation */
+  gboolean is_set;    /* FALSE: the target has no limit any more */
+  double per_second;  /* if set */
+  DpUsec observed_at; /* time of the response */
+} DpLimitReport;
+
+/* Records a target's limit unless a later response is known. Returns TRUE if the limit changed.
+ */
+gboolean
+dp_directory_record_limit (DpDirectory *directory, const DpLimitReport *report, DpUsec now);
+
 /* Time of the last contact with the platform; 0 if there was none. */
 DpUsec dp_directory_last_contact_at (const DpDirectory *directory);
 
--- a/node/attempt.c
+++ b/node/attempt.c
@@ -48,6 +48,7 @@
     return;
   if (request->answer.is_leaving)
     dp_placement_target_leaving (node, request->target);
+  dp_target_limits_on_response (request);
   if (request->answer.pause == 0)
     return;
   char pause_ms[16];
--- a/node/node.h
+++ b/node/node.h
@@ -10,6 +10,7 @@
  *   peers.c            other VMs: probes, messages, removal of dead ones
  *   limits.c           rate limits of workspaces
  *   placement.c        choice of a request's target: owners, grants, dispatchers
+ *   target_limits.c    limits that targets state in their responses
  *   quarantine.c       requests that crash targets
  *   memory.c           memory use against the process's limit
  *   caller_listener.c  HTTP listeners: admission, readiness, shutdown
@@ -297,6 +298,11 @@
 void dp_placement_tick (DpNode *node, DpUsec now, gboolean was_paused);
 void dp_placement_pool_free (gpointer data);
 
+/* --- target_limits.c --- */
+
+/* The head of a response was received. */
+void dp_target_limits_on_response (const DpNodeRequest *request);
+
 /* --- quarantine.c --- */
 
 DpQuarantineTable *dp_node_quarantine_new (void);
--- a/node/request.c
+++ b/node/request.c
@@ -50,6 +50,26 @@
           dp_reason_name (reason), "age_ms", age, "left_ms", left, NULL);
 }
 
+static void
+log_sent (const DpNodeRequest *request, const DpTargetLimit *limit)
+{
+  if (!limit->is_set)
+    {
+      log_event (request, "request_sent", DP_REASON_NONE);
+      return;
+    }
+  char per_second[G_ASCII_DTOSTR_BUF_SIZE], limit_age[16], age[16], left[16];
+  DpUsec now = dp_node_now ();
+  g_ascii_formatd (per_second, sizeof per_second, "%.3f", limit->per_second);
+  format_ms (limit_age, now - limit->changed_at);
+  format_ms (age, now - request->arrived);
+  format_ms (left, request->deadline - now);
+  dp_counters_add (request->node->counters, "dogwoodplank_limited_sent_total", NULL, NULL, 1);
+  dp_log (DP_LOG_INFO, "request_sent", "request", request->id, "target", request->target_text,
+          "reason", dp_reason_name (DP_REASON_NONE), "age_ms", age, "left_ms", left,
+          "target_limit", per_second, "limit_known_ms", limit_age, NULL);
+}
+
 void
 dp_request_clear (void *row)
 {
@@ -261,7 +281,7 @@
     }
   request->attempt_count++;
   g_strlcpy (request->target_text, row->record.id, sizeof request->target_text);
-  log_event (request, "request_sent", DP_REASON_NONE);
+  log_sent (request, &row->limit);
   dp_attempt_start (request, row);
 }
 
--- a/standins/target.c
+++ b/standins/target.c
@@ -38,6 +38,7 @@
   gint64 promise_503;  /* 1: status 503 although the request ran */
   gint64 leaving;      /* 1: responses have Server-Leaving */
   gint64 retry_after;  /* Retry-After in seconds of refused requests */
+  char *limit;         /* Server-Limit of responses */
 } TargetFaults;
 
 typedef struct Run
@@ -74,6 +75,7 @@
   { "promise_503", .number = &target.faults.promise_503 },
   { "leaving", .number = &target.faults.leaving },
   { "retry_after", .number = &target.faults.retry_after },
+  { "limit", .text = &target.faults.limit },
 };
 
 static void
@@ -82,11 +84,14 @@
   evhttp_add_header (evhttp_request_get_output_headers (req), name, value);
 }
 
+/* Adds the headers in which the target states its own condition. */
 static void
-add_leaving_header (struct evhttp_request *req)
+add_state_headers (struct evhttp_request *req)
 {
   if (target.faults.leaving == 1)
     add_header (req, "Server-Leaving", "1");
+  if (target.faults.limit != NULL)
+    add_header (req, "Server-Limit", target.faults.limit);
 }
 
 /* Adds the headers that show that the request ran: its id and a signature. */
@@ -98,7 +103,7 @@
   char *signature = g_strdup_printf ("signature.%s.%s", target.id, id != NULL ? id : "");
   if (target.faults.no_signature != 1)
     add_header (req, "Response-Seal", signature);
-  add_leaving_header (req);
+  add_state_headers (req);
   g_free (signature);
 }
 
@@ -107,7 +112,7 @@
 {
   target.declined++;
   add_header (req, "Not-Executed", "1");
-  add_leaving_header (req);
+  add_state_headers (req);
   char *retry_after = g_strdup_printf ("%d", (int)target.faults.retry_after);
   if (target.faults.retry_after != FAULT_OFF)
     add_header (req, "Retry-After", retry_after);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -223,6 +223,15 @@
   return sum;
 }
 
+static int
+get_status (const Cluster *cluster, guint vm, const char *path)
+{
+  int status = 0;
+  g_free (http_exchange ("GET", cluster->address[vm], cluster->caller_port[vm], path, HOST KEY,
+                         NULL, &status));
+  return status;
+}
+
 /* --- faults of targets --- */
 
 typedef struct FaultCase
@@ -413,6 +422,46 @@
 }
 END_TEST
 
+/* --- limits that targets state --- */
+
+typedef struct StatedLimitCase
+{
+  const char *value;
+  gboolean is_valid;
+} StatedLimitCase;
+
+static const StatedLimitCase stated_limit_cases[] = {
+  { "7", TRUE },      { "5.9", TRUE },    { "0", TRUE },
+  { ".5", TRUE },     { "2.", TRUE },     { "-1", FALSE },
+  { "0x10", FALSE },  { "1e3", FALSE },   { "inf", FALSE },
+  { "nan", FALSE },   { "1,5", FALSE },   { ".", FALSE },
+  { "1.2.3", FALSE }, { "7 a s", FALSE }, { "99999999999999999999", FALSE },
+};
+
+#define LIMITED "dogwoodplank_limited_targets"
+#define INVALID "dogwoodplank_invalid_limits_total"
+
+START_TEST (a_limit_is_a_decimal_number)
+{
+  const StatedLimitCase *row = &stated_limit_cases[_i];
+  Cluster *cluster = cluster_start ();
+  char *fault = g_strdup_printf ("{\"limit\":\"%s\"}", row->value);
+  for (guint i = 0; i < TARGETS; i++)
+    set_fault (cluster, cluster->target_control[i], fault);
+  ck_assert_int_eq (get_status (cluster, 0, "/look/1"), 200);
+  ck_assert_msg (wait_for_number (cluster->address[0], cluster->operator_port, "/metrics",
+                                  row->is_valid ? LIMITED : INVALID, 1, WAIT),
+                 "%s", row->value);
+  char *metrics = http_exchange ("GET", cluster->address[0], cluster->operator_port, "/metrics",
+                                 NULL, NULL, NULL);
+  ck_assert_msg (find_number (metrics, row->is_valid ? INVALID : LIMITED) <= 0, "%s",
+                 row->value);
+  g_free (metrics);
+  g_free (fault);
+  cluster_free (cluster);
+}
+END_TEST
+
 /* --- admission --- */
 
 typedef struct RefusalCase
@@ -519,15 +568,6 @@
 
 /* --- the store --- */
 
-static int
-get_status (const Cluster *cluster, guint vm, const char *path)
-{
-  int status = 0;
-  g_free (http_exchange ("GET", cluster->address[vm], cluster->caller_port[vm], path, HOST KEY,
-                         NULL, &status));
-  return status;
-}
-
 /* Waits until requests of the path get the status. */
 static gboolean
 wait_status (const Cluster *cluster, guint vm, const char *path, int wanted)
@@ -834,6 +874,8 @@
   tcase_add_loop_test (tests, leaving_and_busy_targets_get_no_requests, 0,
                        G_N_ELEMENTS (statement_cases));
   tcase_add_test (tests, statement_of_another_target_is_ignored);
+  tcase_add_loop_test (tests, a_limit_is_a_decimal_number, 0,
+                       G_N_ELEMENTS (stated_limit_cases));
   tcase_add_test (tests, requests_without_route_or_key_are_refused);
   tcase_add_test (tests, ambiguous_requests_reach_no_target);
   tcase_add_loop_test (tests, config_change_takes_effect_despite_store_faults, 0,
--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -252,6 +252,87 @@
     }
 }
 
+/* --- limits of targets --- */
+
+typedef struct LimitEvent
+{
+  gboolean is_listing; /* the target is listed as incarnation `started` */
+  guint64 started;
+  gboolean is_set;
+  double per_second;
+  DpUsec observed_at;
+  gboolean is_change;
+} LimitEvent;
+
+typedef struct LimitCase
+{
+  const char *name;
+  LimitEvent events[3]; /* after the listing of incarnation 5; ends with observed_at 0 */
+  double per_second;    /* afterwards; -1: no limit */
+} LimitCase;
+
+#define LISTED(incarnation)                                                                    \
+  {                                                                                            \
+    .is_listing = TRUE, .started = incarnation, .observed_at = 1, .is_change = TRUE            \
+  }
+#define STATED(limit, at, change)                                                              \
+  {                                                                                            \
+    .started = 5, .is_set = TRUE, .per_second = limit, .observed_at = at, .is_change = change  \
+  }
+#define ENDED(at, change)                                                                      \
+  {                                                                                            \
+    .started = 5, .observed_at = at, .is_change = change                                       \
+  }
+
+static const LimitCase limit_cases[] = {
+  { "stated", { STATED (2, SEC, TRUE) }, 2 },
+  { "stated as zero", { STATED (0, SEC, TRUE) }, 0 },
+  { "repeated", { STATED (2, SEC, TRUE), STATED (2, 2 * SEC, FALSE) }, 2 },
+  { "lowered", { STATED (2, SEC, TRUE), STATED (1, 2 * SEC, TRUE) }, 1 },
+  { "ended", { STATED (2, SEC, TRUE), ENDED (2 * SEC, TRUE) }, -1 },
+  { "an older end arrives late", { STATED (2, 2 * SEC, TRUE), ENDED (SEC, FALSE) }, 2 },
+  { "an older limit arrives late",
+    { STATED (2, SEC, TRUE), ENDED (3 * SEC, TRUE), STATED (2, 2 * SEC, FALSE) },
+    -1 },
+  { "of another incarnation",
+    { { .started = 4, .is_set = TRUE, .per_second = 2, .observed_at = SEC } },
+    -1 },
+  { "the target has restarted", { STATED (2, SEC, TRUE), LISTED (6) }, -1 },
+  { "listed again",
+    { STATED (2, SEC, TRUE), { .is_listing = TRUE, .started = 5, .observed_at = 1 } },
+    2 },
+};
+
+static void
+check_limit_event (DpDirectory *directory, const LimitCase *row, const LimitEvent *event)
+{
+  DpTargetRecord record = { .id = "t", .pool = "pool", .started = event->started };
+  const DpLimitReport report = { .target = dp_name ("t"),
+                                 .started = event->started,
+                                 .is_set = event->is_set,
+                                 .per_second = event->per_second,
+                                 .observed_at = event->observed_at };
+  gboolean is_change = event->is_listing
+                         ? dp_directory_put (directory, &record)
+                         : dp_directory_record_limit (directory, &report, START);
+  ck_assert_msg (is_change == event->is_change, "%s", row->name);
+}
+
+START_TEST (the_latest_response_determines_a_targets_limit)
+{
+  const LimitCase *row = &limit_cases[_i];
+  DpDirectory *directory = dp_directory_new ();
+  DpTargetRecord record = { .id = "t", .pool = "pool", .started = 5 };
+  dp_directory_put (directory, &record);
+  for (guint i = 0; i < G_N_ELEMENTS (row->events) && row->events[i].observed_at != 0; i++)
+    check_limit_event (directory, row, &row->events[i]);
+  const DpDirectoryRow *found = dp_directory_find (directory, dp_name ("t"));
+  double per_second = found->limit.is_set ? found->limit.per_second : -1;
+  ck_assert_msg (per_second == row->per_second, "%s: %f", row->name, per_second);
+  dp_directory_free (directory);
+}
+END_TEST
+
 START_TEST (a_targets_own_report_overrides_its_listing)
 {
   const TargetEventCase *row = &target_event_cases[_i];
@@ -730,6 +811,8 @@
                        G_N_ELEMENTS (directory_cases));
   tcase_add_loop_test (tests, a_targets_own_report_overrides_its_listing, 0,
                        G_N_ELEMENTS (target_event_cases));
+  tcase_add_loop_test (tests, the_latest_response_determines_a_targets_limit, 0,
+                       G_N_ELEMENTS (limit_cases));
   tcase_add_loop_test (tests, a_lapsed_target_is_dropped_in_time, 0,
                        G_N_ELEMENTS (lapse_cases));
   tcase_add_test (tests, all_vms_choose_the_same_owner);
