--- a/standins/target.c
+++ b/standins/target.c
@@ -2,8 +2,8 @@
  * docs/STANDINS.md. It does not register itself in the store.
  *
  * The response to a request with Token-Count is a stream of events, else a short body. On the
- * control port, GET /runs returns totals and GET /ids how often each request ran; tests rely on
- * these counts. */
+ * control port, GET /runs returns totals, GET /ids how often each request ran and GET /arrivals
+ * when requests arrived; tests rely on these. */
 #include "common/id.h"
 #include "standins/fault.h"
 #include "standins/http.h"
@@ -53,6 +53,7 @@
   struct event_base *base;
   const char *id;
   GHashTable *runs; /* Request-Id -> number of runs */
+  GArray *arrivals; /* gint64: monotonic milliseconds, of all requests */
   guint total;
   guint declined;
   TargetFaults faults;
@@ -255,6 +256,8 @@
 on_request (struct evhttp_request *req, gpointer data)
 {
   const char *expected = standin_request_header (req, "Expect-Instance");
+  gint64 now = g_get_monotonic_time () / 1000;
+  g_array_append_val (target.arrivals, now);
   if (target.faults.cut_before == 1)
     {
       standin_send_and_close (req, "", 0);
@@ -315,6 +318,19 @@
   g_string_free (text, TRUE);
 }
 
+/* One line per request: its arrival in milliseconds of the monotonic clock, which is the same
+ * for all processes of the machine. */
+static void
+reply_arrivals (struct evhttp_request *req)
+{
+  GString *text = g_string_new (NULL);
+  for (guint i = 0; i < target.arrivals->len; i++)
+    g_string_append_printf (text, "%" G_GINT64_FORMAT "\n",
+                            g_array_index (target.arrivals, gint64, i));
+  standin_reply (req, 200, "text/plain", text->str);
+  g_string_free (text, TRUE);
+}
+
 static void
 on_control_request (struct evhttp_request *req, gpointer data)
 {
@@ -322,6 +338,8 @@
     reply_runs (req);
   else if (strcmp (standin_request_path (req), "/ids") == 0)
     reply_ids (req);
+  else if (strcmp (standin_request_path (req), "/arrivals") == 0)
+    reply_arrivals (req);
   else
     fault_handle (&target.fault_table, req);
 }
@@ -339,6 +357,7 @@
   target.base = event_base_new ();
   target.id = argv[3];
   target.runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  target.arrivals = g_array_new (FALSE, FALSE, sizeof (gint64));
   target.fault_table
     = (FaultTable){ .switches = fault_switches, .count = G_N_ELEMENTS (fault_switches) };
   fault_clear (&target.fault_table);
--- a/tests/node_kit.h
+++ b/tests/node_kit.h
@@ -17,6 +17,7 @@
 typedef struct NodeKitTarget
 {
   const char *id;
+  const char *service; /* NULL: "app" */
   const char *address;
   guint16 port;
   const char *data_centre;
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -52,11 +52,16 @@
 }
 
 static void
-put_target (const Cluster *cluster, guint index, const char *method, const char *state)
+put_target_of (const Cluster *cluster,
+               guint index,
+               const char *method,
+               const char *state,
+               const char *service)
 {
   char id[8];
   g_snprintf (id, sizeof id, "t%u", index);
   const NodeKitTarget target = { .id = id,
+                                 .service = service,
                                  .address = cluster->address[0],
                                  .port = cluster->target[index],
                                  .data_centre = "a",
@@ -65,6 +70,12 @@
   ck_assert_int_eq (node_kit_put_target (store_of (cluster), method, &target), 200);
 }
 
+static void
+put_target (const Cluster *cluster, guint index, const char *method, const char *state)
+{
+  put_target_of (cluster, index, method, state, NULL);
+}
+
 static Process *
 start (const Cluster *cluster, const char *const *argv)
 {
@@ -462,6 +473,108 @@
 }
 END_TEST
 
+/* --- limits of targets over all VMs --- */
+
+/* Accepted by the platform's rules in any window: one and a half times the limit, and some. */
+#define LIMIT_WINDOW_MS 4000
+#define LIMIT_FACTOR 1.5
+#define LIMIT_EXTRA 5
+/* A VM must keep the limit this long after it has forwarded a response that states it. */
+#define LIMIT_NOTICE_MS 500
+#define LIMIT_REQUESTS_MIN 200
+
+typedef struct FleetLimitCase
+{
+  const char *name;
+  const char *service;
+  const char *path;
+  const char *limit;
+} FleetLimitCase;
+
+static const FleetLimitCase fleet_limit_cases[] = {
+  { "pool with an owner", "app", "/look/1", "3" },
+  { "pool without an owner", "desk", "/desk/1", "3" },
+  { "no requests at all", "app", "/look/1", "0" },
+  { "less than one request per window", "desk", "/desk/1", "0.1" },
+};
+
+static GArray *
+read_arrivals (const Cluster *cluster, guint target)
+{
+  GArray *arrivals = g_array_new (FALSE, FALSE, sizeof (gint64));
+  char *text = http_exchange ("GET", cluster->address[0], cluster->target_control[target],
+                              "/arrivals", NULL, NULL, NULL);
+  ck_assert_ptr_nonnull (text);
+  for (char *at = text; *at != '\0'; at = strchr (at, '\n') + 1)
+    {
+      gint64 arrival = g_ascii_strtoll (at, NULL, 10);
+      g_array_append_val (arrivals, arrival);
+    }
+  g_free (text);
+  return arrivals;
+}
+
+/* Returns the highest number of arrivals within LIMIT_WINDOW_MS, from `start` on. */
+static guint
+most_arrivals (const GArray *arrivals, gint64 start)
+{
+  guint most = 0;
+  guint first = 0;
+  for (guint i = 0; i < arrivals->len; i++)
+    {
+      gint64 arrival = g_array_index (arrivals, gint64, i);
+      while (g_array_index (arrivals, gint64, first) < MAX (start, arrival - LIMIT_WINDOW_MS)
+             && first < i)
+        first++;
+      if (arrival >= start)
+        most = MAX (most, i - first + 1);
+    }
+  return most;
+}
+
+/* Sends requests to all VMs in turn until `duration_ms` has passed. */
+static guint
+send_for (const Cluster *cluster, const char *path, gint64 duration_ms)
+{
+  guint sent = 0;
+  gint64 end = g_get_monotonic_time () / 1000 + duration_ms;
+  while (g_get_monotonic_time () / 1000 < end)
+    ck_assert_int_eq (get_status (cluster, sent++ % VMS, path), 200);
+  return sent;
+}
+
+START_TEST (a_target_gets_no_more_from_all_vms_than_its_limit)
+{
+  const FleetLimitCase *row = &fleet_limit_cases[_i];
+  Cluster *cluster = cluster_new ();
+  put_config (cluster, 1,
+              ",{\"name\":\"desk\",\"host\":\"site.example\",\"path_prefix\":\"/desk/\","
+              "\"kind\":\"safe\",\"timeout_ms\":1500,\"service\":\"desk\"}");
+  for (guint i = 0; i < TARGETS; i++)
+    put_target_of (cluster, i, "POST", "ready", row->service);
+  for (guint i = 0; i < VMS; i++)
+    start_node (cluster, i);
+  for (guint i = 0; i < VMS; i++)
+    ck_assert (wait_ready (cluster, i));
+  send_for (cluster, row->path, 300);
+  char *fault = g_strdup_printf ("{\"limit\":\"%s\"}", row->limit);
+  set_fault (cluster, cluster->target_control[0], fault);
+  guint sent = send_for (cluster, row->path, LIMIT_NOTICE_MS);
+  gint64 start = g_get_monotonic_time () / 1000;
+  sent += send_for (cluster, row->path, LIMIT_WINDOW_MS + 1000);
+  ck_assert_uint_ge (sent, LIMIT_REQUESTS_MIN);
+  GArray *arrivals = read_arrivals (cluster, 0);
+  guint most = most_arrivals (arrivals, start);
+  double allowed
+    = LIMIT_FACTOR * g_ascii_strtod (row->limit, NULL) * LIMIT_WINDOW_MS / 1000 + LIMIT_EXTRA;
+  ck_assert_msg (most <= allowed, "%s: %u requests in 4 s, %f allowed", row->name, most,
+                 allowed);
+  g_array_unref (arrivals);
+  g_free (fault);
+  cluster_free (cluster);
+}
+END_TEST
+
 /* --- admission --- */
 
 typedef struct RefusalCase
@@ -858,16 +971,9 @@
 }
 END_TEST
 
-int
-main (int argc, char **argv)
+static TCase *
+all_tests (void)
 {
-  if (argc < 2)
-    {
-      fprintf (stderr, "usage: test_node BUILD_FOLDER\n");
-      return EXIT_FAILURE;
-    }
-  build = argv[1];
-  Suite *suite = suite_create ("node");
   TCase *tests = tcase_create ("node");
   tcase_add_loop_test (tests, target_faults_are_answered_correctly, 0,
                        G_N_ELEMENTS (fault_cases));
@@ -889,7 +995,30 @@
   tcase_add_test (tests, stop_completes_open_requests);
   tcase_add_test (tests, failed_request_is_explained_from_log);
   tcase_add_test (tests, all_invalid_settings_are_reported);
-  suite_add_tcase (suite, tests);
+  return tests;
+}
+
+static TCase *
+limit_tests (void)
+{
+  TCase *tests = tcase_create ("limits");
+  tcase_add_loop_test (tests, a_target_gets_no_more_from_all_vms_than_its_limit, 0,
+                       G_N_ELEMENTS (fleet_limit_cases));
+  return tests;
+}
+
+int
+main (int argc, char **argv)
+{
+  gboolean is_limits = argc > 2 && strcmp (argv[2], "limits") == 0;
+  if (argc < 2 || (argc > 2 && !is_limits))
+    {
+      fprintf (stderr, "usage: test_node BUILD_FOLDER [limits]\n");
+      return EXIT_FAILURE;
+    }
+  build = argv[1];
+  Suite *suite = suite_create (is_limits ? "node_limits" : "node");
+  suite_add_tcase (suite, is_limits ? limit_tests () : all_tests ());
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
   int failed = srunner_ntests_failed (runner);
