core, node: the pool's owner keeps the limits that targets state

Cause: nothing read the limit.

The owner of the pool assigns all requests, so it keeps the limit: a bucket that starts empty, and never more than the limit allows in five seconds. Requests sent before count, since a new owner asks all VMs for them. VMs that disagree on the owner tell each owner what others have assigned; an owner that is cut off takes its part. Plain services, which each VM dispatches for itself, go through their owner while one of their targets has a limit. Waits and Retry-After count limited targets by what the limit lets them do.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -38,6 +38,7 @@
   dispatcher->options = *options;
   dispatcher->options.counters = dp_counters_ref (options->counters);
   dispatcher->random = options->seed;
+  dispatcher->reach = 1;
   DpTableOptions targets
     = { .row_size = sizeof (DpDispatchTarget), .clear_row = dp_dispatch_target_clear };
   dispatcher->targets = dp_table_new (&targets);
@@ -214,6 +215,8 @@
   send_grant (dispatcher, request, target);
   if (target->is_suspect)
     target->next_probe_at = dispatcher->now + target->probe_interval;
+  if (target->limiter != NULL)
+    dp_target_limiter_record (target->limiter, dispatcher->now);
   dp_counters_add (dispatcher->options.counters, "dogwoodplank_grants_given_total", NULL, NULL,
                    1);
 }
@@ -436,6 +439,7 @@
   switch (message->type)
     {
     case DP_MESSAGE_GRANT_ASK:
+      dp_dispatch_record_use_as_owner (dispatcher);
       on_request (dispatcher, from, &message->grant_ask);
       break;
     case DP_MESSAGE_GRANT_PROGRESS:
@@ -448,9 +452,30 @@
       dp_dispatch_apply_report (dispatcher, from, &message->grant_held);
       assign_waiting (dispatcher);
       break;
+    case DP_MESSAGE_TARGET_LIMITS:
+      dp_dispatch_record_use_as_owner (dispatcher);
+      break;
+    case DP_MESSAGE_TARGET_SENT:
+      dp_dispatch_apply_sent (dispatcher, &message->target_sent);
+      break;
     default:
       break;
     }
+  dp_dispatch_announce_limits (dispatcher);
+}
+
+void
+dp_dispatcher_set_shared (DpDispatcher *dispatcher, gboolean is_shared)
+{
+  if (dispatcher->options.is_shared != is_shared)
+    dispatcher->asked_at = 0;
+  dispatcher->options.is_shared = is_shared;
+}
+
+void
+dp_dispatcher_set_reach (DpDispatcher *dispatcher, double fraction)
+{
+  dispatcher->reach = fraction;
 }
 
 /* --- targets --- */
@@ -474,6 +499,7 @@
 drop_target (DpDispatcher *dispatcher, DpDispatchTarget *target)
 {
   DpHandle handle = target->self;
+  dispatcher->limited -= target->limiter != NULL;
   g_hash_table_remove (dispatcher->target_by_name, &target->name);
   dp_table_remove (dispatcher->targets, handle);
 }
@@ -511,8 +537,10 @@
       target->data_centre = row->data_centre;
       target->slots = MAX (row->record.slots, 1);
       target->is_draining = row->record.is_draining;
+      dp_dispatch_set_limit (dispatcher, target, row);
     }
   assign_waiting (dispatcher);
+  dp_dispatch_announce_limits (dispatcher);
 }
 
 /* --- timers --- */
@@ -557,6 +585,7 @@
   assign_waiting (dispatcher);
   refuse_timed_out (dispatcher);
   send_adverts (dispatcher);
+  dp_dispatch_announce_limits (dispatcher);
 }
 
 DpDispatcherStatus
@@ -564,7 +593,8 @@
 {
   DpDispatcherStatus status = { .targets = dp_table_count (dispatcher->targets),
                                 .waiting = dispatcher->waiting->len,
-                                .running = dispatcher->running };
+                                .running = dispatcher->running,
+                                .limited = dispatcher->limited };
   for (DpHandle at = dp_table_next (dispatcher->targets, 0); at != 0;
        at = dp_table_next (dispatcher->targets, at))
     {
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -34,10 +34,14 @@
   DpName pool;
   guint64 seed;
   DpDispatchPolicy policy;
+  gboolean is_shared;   /* this VM may own the pool, i.e. dispatch for all VMs */
   DpCounters *counters; /* a reference is taken */
 } DpDispatcherOptions;
 
-/* Outgoing message to the entry of VM `to`. */
+/* As the receiver: all VMs, this one included. */
+#define DP_DISPATCH_ALL_VMS ((DpName)0)
+
+/* Outgoing message to VM `to`. */
 typedef struct DpDispatchMessage
 {
   DpName to;
@@ -58,8 +62,13 @@
                                 DpUsec now,
                                 GArray *outbox);
 
-/* Handles GRANT_ASK, GRANT_PROGRESS, GRANT_DONE or GRANT_HELD from the entry of VM `from`.
- * Other types are ignored. */
+/* Changes whether this VM may own the pool. */
+void dp_dispatcher_set_shared (DpDispatcher *dispatcher, gboolean is_shared);
+/* Fraction of all VMs that this VM can reach, initially 1: its part of the targets' limits. */
+void dp_dispatcher_set_reach (DpDispatcher *dispatcher, double fraction);
+
+/* Handles GRANT_ASK, GRANT_PROGRESS, GRANT_DONE, GRANT_HELD, TARGET_LIMITS or TARGET_SENT from
+ * VM `from`. The limits themselves come from the directory. Other types are ignored. */
 void dp_dispatcher_receive (
   DpDispatcher *dispatcher, DpName from, const DpMessage *message, DpUsec now, GArray *outbox);
 
@@ -74,6 +83,7 @@
   guint suspects; /* targets that receive only probes */
   guint waiting;
   guint running;
+  guint limited; /* targets with a limit */
 } DpDispatcherStatus;
 
 DpDispatcherStatus dp_dispatcher_status (const DpDispatcher *dispatcher);
--- a/core/dispatcher_private.h
+++ b/core/dispatcher_private.h
@@ -3,6 +3,7 @@
 
 #include "core/dispatcher.h"
 #include "core/latency_model.h"
+#include "core/target_limiter.h"
 
 /* A suspect target is probed with one request after this interval, which doubles with each
  * consecutive failure. */
@@ -24,9 +25,13 @@
   gboolean is_suspect; /* unresponsive or unreachable: receives single probes only */
   DpUsec next_probe_at;
   DpUsec probe_interval;
-  DpUsec full_until;     /* after it rejected a request for lack of capacity */
-  DpUsec paused_until;   /* as requested by the target */
-  guint64 skipped_round; /* last assign_round in which no waiting request could use it */
+  DpUsec full_until;        /* after it rejected a request for lack of capacity */
+  DpUsec paused_until;      /* as requested by the target */
+  DpTargetLimiter *limiter; /* NULL: the target has stated no limit */
+  guint64 started;          /* Unix milliseconds, identifies the incarnation */
+  DpUsec limit_observed_at; /* time of the latest response about the limit */
+  gboolean has_limit_news;  /* a limit was set or has ended, and was not announced yet */
+  guint64 skipped_round;    /* last assign_round in which no waiting request could use it */
 } DpDispatchTarget;
 
 typedef enum DpDispatchRequestState
@@ -87,7 +92,11 @@
   double slot_ms[DP_URGENCY_LEVELS]; /* moving average of the time in a slot, by urgency */
   guint waiting_by_urgency[DP_URGENCY_LEVELS];
   guint running;
-  guint64 random; /* state of the random number generator */
+  guint limited;       /* number of targets with a limit */
+  double reach;        /* see dp_dispatcher_set_reach() */
+  DpUsec asked_at;     /* last use as the owner of a shared pool */
+  DpUsec announced_at; /* last announcement of all limits */
+  guint64 random;      /* state of the random number generator */
 };
 
 /* --- dispatcher_targets.c: target health and selection --- */
@@ -114,8 +123,9 @@
 /* Expected time to the first event at the fastest target in service, i.e. accepting and not
  * suspect. */
 DpUsec dp_dispatch_fastest_first_event (const DpDispatcher *dispatcher, guint prompt_tokens);
-/* Number of slots of all targets in service. */
-guint dp_dispatch_total_slots (const DpDispatcher *dispatcher);
+/* Number of slots of all targets in service that requests of this average time in a slot can
+ * use: with a limit, a target may not be able to fill its slots. */
+double dp_dispatch_usable_slots (const DpDispatcher *dispatcher, double slot_ms);
 /* Marks targets with overdue requests as suspect, and revokes those requests if repeatable. */
 void dp_dispatch_check_timeouts (DpDispatcher *dispatcher);
 gboolean dp_dispatch_is_excluded (const DpGrantAsk *ask, DpName target);
@@ -125,6 +135,20 @@
                               const DpGrantAsk *ask,
                               const DpDispatchTarget *target);
 
+/* --- dispatcher_limits.c: limits that targets state for all VMs --- */
+
+/* Applies the limit in the directory. */
+void dp_dispatch_set_limit (DpDispatcher *dispatcher,
+                            DpDispatchTarget *target,
+                            const DpDirectoryRow *row);
+/* A VM uses this dispatcher as the pool's owner. */
+void dp_dispatch_record_use_as_owner (DpDispatcher *dispatcher);
+/* Sends the announcements that are due, if this VM owns the pool. */
+void dp_dispatch_announce_limits (DpDispatcher *dispatcher);
+void dp_dispatch_apply_sent (DpDispatcher *dispatcher, const DpTargetSent *sent);
+gboolean dp_dispatch_limit_allows (const DpDispatcher *dispatcher,
+                                   const DpDispatchTarget *target);
+
 /* --- dispatcher_links.c: reachability between data centres --- */
 
 GArray *dp_dispatch_links_new (void);
--- a/core/dispatcher_queue.c
+++ b/core/dispatcher_queue.c
@@ -64,14 +64,36 @@
   return best;
 }
 
-DpUsec
-dp_dispatch_estimate_wait (const DpDispatcher *dispatcher, guint urgency)
+/* Time in a slot that the waiting requests up to this urgency need, in milliseconds. */
+static double
+sum_waiting_work (const DpDispatcher *dispatcher, guint urgency, guint *count)
 {
   double work_ms = 0;
+  *count = 0;
   for (guint i = 0; i <= MIN (urgency, DP_URGENCY_LEVELS - 1); i++)
-    work_ms += dispatcher->waiting_by_urgency[i] * dispatcher->slot_ms[i];
-  guint slots = MAX (dp_dispatch_total_slots (dispatcher), 1);
-  return (DpUsec)(work_ms / slots * (double)DP_USEC_PER_MSEC);
+    {
+      work_ms += dispatcher->waiting_by_urgency[i] * dispatcher->slot_ms[i];
+      *count += dispatcher->waiting_by_urgency[i];
+    }
+  return work_ms;
+}
+
+/* Slots that the waiting requests up to this urgency can use. */
+static double
+usable_slots (const DpDispatcher *dispatcher, guint urgency)
+{
+  guint count;
+  double work_ms = sum_waiting_work (dispatcher, urgency, &count);
+  double slots = count > 0 ? dp_dispatch_usable_slots (dispatcher, work_ms / count) : 0;
+  return slots > 0 ? slots : 1;
+}
+
+DpUsec
+dp_dispatch_estimate_wait (const DpDispatcher *dispatcher, guint urgency)
+{
+  guint count;
+  double work_ms = sum_waiting_work (dispatcher, urgency, &count);
+  return (DpUsec)(work_ms / usable_slots (dispatcher, urgency) * (double)DP_USEC_PER_MSEC);
 }
 
 static DpUsec
@@ -104,7 +126,7 @@
 dp_dispatch_find_excess (const DpDispatcher *dispatcher)
 {
   if (dispatcher->waiting->len
-      <= WAITING_PER_SLOT * MAX (dp_dispatch_total_slots (dispatcher), 1))
+      <= MAX (WAITING_PER_SLOT * usable_slots (dispatcher, DP_URGENCY_LEVELS - 1), 1))
     return NULL;
   DpDispatchRequest *last = NULL;
   for (guint i = 0; i < dispatcher->waiting->len; i++)
--- a/core/dispatcher_targets.c
+++ b/core/dispatcher_targets.c
@@ -19,6 +19,8 @@
  * slower but less loaded target is chosen. */
 #define LOAD_COST 0.5
 
+#define MSEC_PER_SEC 1000.0
+
 DpDispatchTarget *
 dp_dispatch_find_target (const DpDispatcher *dispatcher, DpName name)
 {
@@ -31,6 +33,7 @@
 {
   DpDispatchTarget *target = row;
   g_clear_pointer (&target->requests, g_ptr_array_unref);
+  g_clear_pointer (&target->limiter, g_free);
 }
 
 gboolean
@@ -47,6 +50,8 @@
     return 0;
   if (target->is_suspect && dispatcher->now < target->next_probe_at)
     return 0;
+  if (!dp_dispatch_limit_allows (dispatcher, target))
+    return 0;
   if (target->is_suspect || target->failure_rate > FAILURE_RATE_MAX)
     window = 1;
   return window > target->requests->len ? window - target->requests->len : 0;
@@ -100,7 +105,8 @@
   return total_cost;
 }
 
-/* Returns the less loaded of two random targets, regardless of their health. */
+/* Returns the less loaded of two random targets, regardless of their health. Limits are kept.
+ */
 static DpDispatchTarget *
 choose_of_two (DpDispatcher *dispatcher, const DpDispatchRequest *request)
 {
@@ -110,6 +116,7 @@
     {
       DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
       if (dp_dispatch_is_accepting (dispatcher, target)
+          && dp_dispatch_limit_allows (dispatcher, target)
           && (request == NULL || dp_dispatch_may_use (dispatcher, &request->ask, target)))
         g_ptr_array_add (candidates, target);
     }
@@ -203,16 +210,21 @@
                                     pace > 0 ? pace : 1);
 }
 
-guint
-dp_dispatch_total_slots (const DpDispatcher *dispatcher)
+double
+dp_dispatch_usable_slots (const DpDispatcher *dispatcher, double slot_ms)
 {
-  guint slots = 0;
+  double slots = 0;
   for (DpHandle at = dp_table_next (dispatcher->targets, 0); at != 0;
        at = dp_table_next (dispatcher->targets, at))
     {
       const DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
-      if (dp_dispatch_is_accepting (dispatcher, target) && !target->is_suspect)
-        slots += target->slots;
+      if (!dp_dispatch_is_accepting (dispatcher, target) || target->is_suspect)
+        continue;
+      double limit = target->limiter != NULL
+                       ? dp_target_limiter_rate (target->limiter, dispatcher->reach) * slot_ms
+                           / MSEC_PER_SEC
+                       : target->slots;
+      slots += MIN (target->slots, limit);
     }
   return slots;
 }
--- a/core/message.h
+++ b/core/message.h
@@ -22,6 +22,10 @@
  * of its route. */
 #define DP_URGENCY_ROUTE_LEVELS 4
 #define DP_URGENCY_LEVELS 32
+/* Rows per DpTargetLimits message. */
+#define DP_LIMIT_ROWS_MAX 64
+/* Slots per DpTargetSent. */
+#define DP_SENT_SLOTS_MAX 20
 /* Slots per DpUseReport. */
 #define DP_USE_REPORT_SLOTS_MAX 81
 
@@ -84,6 +88,10 @@
   DP_MESSAGE_USE_REPORT,
   /* node -> node that owns the pool -> all nodes */
   DP_MESSAGE_TARGET_LEAVING,
+  /* node -> node that owns the pool, and owner -> all nodes */
+  DP_MESSAGE_TARGET_LIMITS,
+  /* node -> owner that keeps a target's limit */
+  DP_MESSAGE_TARGET_SENT,
   DP_MESSAGE_COUNT,
 } DpMessageType;
 
@@ -385,6 +393,35 @@
   guint64 started; /* start of the target's incarnation, Unix milliseconds */
 } DpTargetLeaving;
 
+/* Limit that a target states in its responses. */
+typedef struct DpLimitRow
+{
+  DpName target;
+  guint64 started;   /* start of the target's incarnation, Unix milliseconds */
+  gboolean is_set;   /* FALSE: the target has no limit any more */
+  guint64 milli;     /* thousandths of a request per second, from all VMs together */
+  DpUsec age;        /* time since the response */
+  gboolean is_query; /* the owner needs to know what each node has sent to the target */
+} DpLimitRow;
+
+typedef struct DpTargetLimits
+{
+  DpName pool;
+  gboolean is_owner; /* the sender assigns requests to the pool's targets */
+  guint count;
+  DpLimitRow rows[DP_LIMIT_ROWS_MAX];
+} DpTargetLimits;
+
+/* Requests that a node has sent to a target, and that the receiver has not assigned. */
+typedef struct DpTargetSent
+{
+  DpName target;
+  DpName pool;
+  DpUsec slot; /* length of a slot */
+  guint count;
+  guint slots[DP_SENT_SLOTS_MAX]; /* newest first */
+} DpTargetSent;
+
 typedef struct DpMessage
 {
   DpMessageType type;
@@ -414,6 +451,8 @@
     DpUseAsk use_ask;
     DpUseReport use_report;
     DpTargetLeaving target_leaving;
+    DpTargetLimits target_limits;
+    DpTargetSent target_sent;
     DpTargetsAsk targets_ask;
     DpTargetRows targets;
     DpRelay relay;
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -289,6 +289,38 @@
                 NULL),
 };
 
+static const DpField limit_row_fields[] = {
+  UINT64 (1, DpLimitRow, target), UINT64 (2, DpLimitRow, started),
+  FLAG (3, DpLimitRow, is_set),   UINT64 (4, DpLimitRow, milli),
+  USEC (5, DpLimitRow, age),      FLAG (6, DpLimitRow, is_query),
+};
+static const DpFieldTable limit_row_table = TABLE (DpLimitRow, limit_row_fields);
+
+static const DpField target_limits_fields[] = {
+  UINT64 (1, DpMessage, target_limits.pool),
+  FLAG (2, DpMessage, target_limits.is_owner),
+  INLINE_ARRAY (3,
+                DP_FIELD_STRUCTS,
+                DpMessage,
+                target_limits.rows,
+                target_limits.count,
+                DP_LIMIT_ROWS_MAX,
+                &limit_row_table),
+};
+
+static const DpField target_sent_fields[] = {
+  UINT64 (1, DpMessage, target_sent.target),
+  UINT64 (2, DpMessage, target_sent.pool),
+  USEC (3, DpMessage, target_sent.slot),
+  INLINE_ARRAY (4,
+                DP_FIELD_UINTS,
+                DpMessage,
+                target_sent.slots,
+                target_sent.count,
+                DP_SENT_SLOTS_MAX,
+                NULL),
+};
+
 static const DpField target_leaving_fields[] = {
   UINT64 (1, DpMessage, target_leaving.target),
   UINT64 (2, DpMessage, target_leaving.pool),
@@ -354,6 +386,8 @@
   [DP_MESSAGE_USE_ASK] = TABLE (DpMessage, use_ask_fields),
   [DP_MESSAGE_USE_REPORT] = TABLE (DpMessage, use_report_fields),
   [DP_MESSAGE_TARGET_LEAVING] = TABLE (DpMessage, target_leaving_fields),
+  [DP_MESSAGE_TARGET_LIMITS] = TABLE (DpMessage, target_limits_fields),
+  [DP_MESSAGE_TARGET_SENT] = TABLE (DpMessage, target_sent_fields),
 };
 
 const DpFieldTable *
--- a/node/main.c
+++ b/node/main.c
@@ -74,6 +74,7 @@
       json_object_object_add (object, "suspects", json_object_new_int64 (row.suspects));
       json_object_object_add (object, "waiting", json_object_new_int64 (row.waiting));
       json_object_object_add (object, "running", json_object_new_int64 (row.running));
+      json_object_object_add (object, "limited", json_object_new_int64 (row.limited));
       json_object_object_add (status, pool->text, object);
     }
 }
@@ -106,6 +107,7 @@
   node->directory = dp_directory_new ();
   node->owners = dp_owners_new (node->self, node->started_at);
   node->quarantine = dp_node_quarantine_new ();
+  node->limit_client = dp_limit_client_new ();
   gboolean is_first = g_strcmp0 (node->settings->first_start, "true") == 0;
   const DpQuotaClientOptions quota = { .seed = node->random,
                                        .incarnation = dp_process_incarnation (node->process),
@@ -140,6 +142,7 @@
   dp_directory_free (node->directory);
   dp_owners_free (node->owners);
   dp_quarantine_free (node->quarantine);
+  dp_limit_client_free (node->limit_client);
   dp_quota_client_free (node->quota_client);
   dp_quota_server_free (node->quota_server);
   dp_manifest_unref (node->manifest);
--- a/node/node.h
+++ b/node/node.h
@@ -21,6 +21,7 @@
 
 #include "core/directory.h"
 #include "core/dispatcher.h"
+#include "core/limit_client.h"
 #include "core/owners.h"
 #include "core/prune.h"
 #include "core/quarantine.h"
@@ -92,8 +93,12 @@
 typedef struct DpNodePool
 {
   DpName name;
-  char *text;         /* the name as written in the config */
-  gboolean is_shared; /* one VM owns dispatch for all; otherwise each VM dispatches its own */
+  char *text; /* the name as written in the config */
+  DpPoolKind kind;
+  /* One VM owns dispatch for all: for pools of engines, and while a target has a limit.
+   * Otherwise each VM dispatches its own requests. */
+  gboolean is_shared;
+  gboolean has_limits; /* a target has a limit */
   DpDispatcher *dispatcher;
   DpName owner;       /* last chosen owner; 0: none yet */
   DpUsec reported_at; /* last report of held grants to the owner */
@@ -128,6 +133,7 @@
   DpQuotaClient *quota_client;
   DpQuotaServer *quota_server;
   DpQuarantineTable *quarantine;
+  DpLimitClient *limit_client;
   /* requests */
   DpHttpServer *callers;
   DpHttpServer *ready;
@@ -294,6 +300,8 @@
 void dp_placement_report_started (DpNodeRequest *request);
 /* The target announced in an answer that it is stopping. */
 void dp_placement_target_leaving (DpNode *node, DpName target);
+/* Sends a message about the pool to the VM that owns it, even if it is not shared yet. */
+void dp_placement_send_to_owner (DpNode *node, DpName pool, const DpMessage *message);
 void dp_placement_on_message (DpNode *node, DpName from, const DpMessage *message);
 void dp_placement_tick (DpNode *node, DpUsec now, gboolean was_paused);
 void dp_placement_pool_free (gpointer data);
@@ -302,6 +310,10 @@
 
 /* The head of a response was received. */
 void dp_target_limits_on_response (const DpNodeRequest *request);
+/* The request is sent to the target. */
+void dp_target_limits_on_send (const DpNodeRequest *request, const DpDirectoryRow *row);
+/* A report for the pool's owner, or an announcement from it. */
+void dp_target_limits_on_message (DpNode *node, DpName from, const DpTargetLimits *limits);
 
 /* --- quarantine.c --- */
 
--- a/node/placement.c
+++ b/node/placement.c
@@ -50,11 +50,13 @@
   pool = g_new0 (DpNodePool, 1);
   pool->name = row->name;
   pool->text = g_strdup (row->text);
+  pool->kind = row->kind;
   pool->is_shared = row->kind == DP_POOL_ENGINES;
   const DpDispatcherOptions options
     = { .pool = row->name,
         .seed = node->random,
         .policy = pool->is_shared ? DP_DISPATCH_QUEUE : DP_DISPATCH_TWO_CHOICES,
+        .is_shared = pool->is_shared,
         .counters = node->counters };
   pool->dispatcher = dp_dispatcher_new (&options);
   dp_retry_budget_init (&pool->budget, node->params.retry_ratio, node->params.retry_window);
@@ -83,6 +85,33 @@
   dp_placement_set_targets (node);
 }
 
+static gboolean
+has_limited_target (const DpNode *node, const DpNodePool *pool)
+{
+  DpHandle at = 0;
+  const DpDirectoryRow *row;
+  while ((row = dp_directory_next (node->directory, &at)) != NULL)
+    if (row->pool == pool->name && row->limit.is_set)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+set_pool_targets (DpNode *node, DpNodePool *pool)
+{
+  pool->has_limits = has_limited_target (node, pool);
+  pool->is_shared = pool->kind == DP_POOL_ENGINES || pool->has_limits;
+  GArray *outbox = dp_dispatch_outbox_new ();
+  /* While the targets are set, the pool is shared if it was or will be: an owner announces the
+   * first limit as well as the end of the last one. */
+  if (pool->is_shared)
+    dp_dispatcher_set_shared (pool->dispatcher, TRUE);
+  dp_dispatcher_set_targets (pool->dispatcher, node->directory, dp_node_now (), outbox);
+  dp_dispatcher_set_shared (pool->dispatcher, pool->is_shared);
+  deliver (node, outbox);
+  g_array_unref (outbox);
+}
+
 void
 dp_placement_set_targets (DpNode *node)
 {
@@ -94,13 +123,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     g_ptr_array_add (pools, value);
   for (guint i = 0; i < pools->len; i++)
-    {
-      const DpNodePool *pool = g_ptr_array_index (pools, i);
-      GArray *outbox = dp_dispatch_outbox_new ();
-      dp_dispatcher_set_targets (pool->dispatcher, node->directory, dp_node_now (), outbox);
-      deliver (node, outbox);
-      g_array_unref (outbox);
-    }
+    set_pool_targets (node, g_ptr_array_index (pools, i));
   g_ptr_array_unref (pools);
   dp_counters_set (node->counters, "dogwoodplank_targets", NULL, NULL,
                    dp_directory_count (node->directory));
@@ -288,6 +311,15 @@
   send_to_owner (request->node, request->pool, request->owner, &message);
 }
 
+void
+dp_placement_send_to_owner (DpNode *node, DpName pool_name, const DpMessage *message)
+{
+  DpNodePool *pool = g_hash_table_lookup (node->pools, &pool_name);
+  if (pool != NULL)
+    send_to_owner (node, pool, dp_owners_choose (node->owners, pool_name, dp_node_now ()),
+                   message);
+}
+
 /* --- leaving targets --- */
 
 static void
@@ -416,13 +448,28 @@
     }
 }
 
+/* An announcement of limits that this VM keeps as an owner. */
+static void
+send_to_all (DpNode *node, const DpMessage *message)
+{
+  for (guint i = 0; node->view != NULL && i < node->view->vms->len; i++)
+    {
+      DpName vm = g_array_index (node->view->vms, DpVm, i).name;
+      if (vm != node->self)
+        dp_peers_send (node, vm, message);
+    }
+  dp_target_limits_on_message (node, node->self, &message->target_limits);
+}
+
 static void
 deliver (DpNode *node, GArray *outbox)
 {
   for (guint i = 0; i < outbox->len; i++)
     {
       const DpDispatchMessage *outgoing = &g_array_index (outbox, DpDispatchMessage, i);
-      if (outgoing->to == node->self)
+      if (outgoing->to == DP_DISPATCH_ALL_VMS)
+        send_to_all (node, &outgoing->message);
+      else if (outgoing->to == node->self)
         on_message_to_entry (node, node->self, &outgoing->message);
       else
         dp_peers_send (node, outgoing->to, &outgoing->message);
@@ -442,6 +489,10 @@
       return message->grant_done.group;
     case DP_MESSAGE_GRANT_HELD:
       return message->grant_held.group;
+    case DP_MESSAGE_TARGET_LIMITS:
+      return message->target_limits.pool;
+    case DP_MESSAGE_TARGET_SENT:
+      return message->target_sent.pool;
     default:
       return 0;
     }
@@ -451,6 +502,12 @@
 dp_placement_on_message (DpNode *node, DpName from, const DpMessage *message)
 {
   dp_owners_on_message (node->owners, from, dp_node_now ());
+  if (message->type == DP_MESSAGE_TARGET_LIMITS)
+    {
+      dp_target_limits_on_message (node, from, &message->target_limits);
+      if (message->target_limits.is_owner)
+        return;
+    }
   DpName name = message_pool (message);
   if (name == 0)
     {
@@ -514,6 +571,9 @@
   for (guint i = 0; i < pools->len; i++)
     {
       DpNodePool *pool = g_ptr_array_index (pools, i);
+      if (pool->has_limits)
+        dp_dispatcher_set_reach (pool->dispatcher,
+                                 dp_owners_reachable_fraction (node->owners, now));
       GArray *outbox = dp_dispatch_outbox_new ();
       dp_dispatcher_tick (pool->dispatcher, now, outbox);
       deliver (node, outbox);
--- a/node/request.c
+++ b/node/request.c
@@ -282,6 +282,7 @@
   request->attempt_count++;
   g_strlcpy (request->target_text, row->record.id, sizeof request->target_text);
   log_sent (request, &row->limit);
+  dp_target_limits_on_send (request, row);
   dp_attempt_start (request, row);
 }
 
--- a/node/target_limits.c
+++ b/node/target_limits.c
@@ -1,5 +1,10 @@
 /* Limits that targets state in their responses: how many requests a second they accept from all
- * VMs together. */
+ * VMs together.
+ *
+ * A VM that learns of a limit, or of its end, reports it to the pool's owner. The owner's
+ * dispatcher announces it to all VMs and keeps it. While a target of a pool has a limit, all
+ * requests to the pool are dispatched by its owner.
+ */
 #include "node/node.h"
 
 #include "common/log.h"
@@ -8,6 +13,8 @@
 
 /* Changes of a limit by less than this fraction are not logged. */
 #define LOGGED_CHANGE_MIN 0.1
+/* Limits are sent to other VMs in thousandths, and kept with that precision. */
+#define MILLI 1000.0
 
 static void
 log_limit (DpNode *node, const DpDirectoryRow *row, double previous, const char *source)
@@ -41,7 +48,9 @@
 record (DpNode *node, const DpLimitReport *report, const char *source)
 {
   const DpDirectoryRow *row = dp_directory_find (node->directory, report->target);
-  double previous = row != NULL && row->limit.is_set ? row->limit.per_second : -1;
+  if (row == NULL)
+    return FALSE;
+  double previous = row->limit.is_set ? row->limit.per_second : -1;
   if (!dp_directory_record_limit (node->directory, report, dp_node_now ()))
     return FALSE;
   log_limit (node, row, previous, source);
@@ -49,6 +58,8 @@
   return TRUE;
 }
 
+/* --- reports to the owner --- */
+
 /* The end of a limit shows in a response to a request that was sent after the limit was known:
  * responses to earlier requests may have left the target before it set the limit. */
 static gboolean
@@ -59,6 +70,21 @@
          && request->sent_at > row->limit.changed_at;
 }
 
+static void
+report_limit (DpNode *node, const DpDirectoryRow *row)
+{
+  DpMessage message = { .type = DP_MESSAGE_TARGET_LIMITS };
+  message.target_limits.pool = row->pool;
+  message.target_limits.count = 1;
+  message.target_limits.rows[0]
+    = (DpLimitRow){ .target = row->name,
+                    .started = row->record.started,
+                    .is_set = row->limit.is_set,
+                    .milli = (guint64)llround (row->limit.per_second * MILLI),
+                    .age = dp_node_now () - row->limit.observed_at };
+  dp_placement_send_to_owner (node, row->pool, &message);
+}
+
 void
 dp_target_limits_on_response (const DpNodeRequest *request)
 {
@@ -77,7 +103,84 @@
   const DpLimitReport report = { .target = request->target,
                                  .started = row->record.started,
                                  .is_set = is_stated,
-                                 .per_second = answer->limit_per_second,
+                                 .per_second = round (answer->limit_per_second * MILLI) / MILLI,
                                  .observed_at = dp_node_now () };
-  record (node, &report, "target response");
+  if (!record (node, &report, "target response"))
+    return;
+  dp_placement_set_targets (node);
+  report_limit (node, row);
+}
+
+/* --- requests sent, for the owners that keep limits --- */
+
+static void
+send_sent (DpNode *node, DpName owner, const DpTargetSent *sent)
+{
+  const DpMessage message = { .type = DP_MESSAGE_TARGET_SENT, .target_sent = *sent };
+  if (owner == node->self)
+    dp_placement_on_message (node, owner, &message);
+  else
+    dp_peers_send (node, owner, &message);
+}
+
+void
+dp_target_limits_on_send (const DpNodeRequest *request, const DpDirectoryRow *row)
+{
+  DpNode *node = request->node;
+  GArray *owners = g_array_new (FALSE, FALSE, sizeof (DpName));
+  const DpLimitSend send = { .pool = request->pool->name,
+                             .target = request->target,
+                             .assigned_by = request->owner,
+                             .is_limited = row->limit.is_set };
+  dp_limit_client_record_send (node->limit_client, &send, dp_node_now (), owners);
+  const DpTargetSent sent
+    = { .target = request->target, .pool = request->pool->name, .count = 1, .slots = { 1 } };
+  for (guint i = 0; i < owners->len; i++)
+    send_sent (node, g_array_index (owners, DpName, i), &sent);
+  g_array_unref (owners);
+}
+
+/* --- messages --- */
+
+static void
+answer_query (DpNode *node, DpName owner, DpName pool, DpName target)
+{
+  DpTargetSent sent = { .target = target, .pool = pool };
+  dp_limit_client_report (node->limit_client, &sent, dp_node_now ());
+  send_sent (node, owner, &sent);
+}
+
+static void
+apply_limits (DpNode *node, const DpTargetLimits *limits)
+{
+  gboolean has_changed = FALSE;
+  for (guint i = 0; i < MIN (limits->count, DP_LIMIT_ROWS_MAX); i++)
+    {
+      const DpLimitRow *row = &limits->rows[i];
+      const DpLimitReport report = { .target = row->target,
+                                     .started = row->started,
+                                     .is_set = row->is_set,
+                                     .per_second = (double)row->milli / MILLI,
+                                     .observed_at = dp_node_now () - row->age };
+      has_changed = record (node, &report, "another VM") || has_changed;
+    }
+  if (has_changed)
+    dp_placement_set_targets (node);
+}
+
+static void
+on_announcement (DpNode *node, DpName owner, const DpTargetLimits *limits)
+{
+  dp_limit_client_on_announcement (node->limit_client, limits->pool, owner, dp_node_now ());
+  for (guint i = 0; i < MIN (limits->count, DP_LIMIT_ROWS_MAX); i++)
+    if (limits->rows[i].is_query)
+      answer_query (node, owner, limits->pool, limits->rows[i].target);
+}
+
+void
+dp_target_limits_on_message (DpNode *node, DpName from, const DpTargetLimits *limits)
+{
+  apply_limits (node, limits);
+  if (limits->is_owner)
+    on_announcement (node, from, limits);
 }
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -156,6 +156,14 @@
     case DP_MESSAGE_TARGET_LEAVING:
       message.target_leaving = (DpTargetLeaving){ 1, 2, 3 };
       break;
+    case DP_MESSAGE_TARGET_LIMITS:
+      message.target_limits = (DpTargetLimits){
+        1, TRUE, 2, { { 1, 2, TRUE, 3, 4, TRUE }, { 5, 6, FALSE, 0, 7, FALSE } }
+      };
+      break;
+    case DP_MESSAGE_TARGET_SENT:
+      message.target_sent = (DpTargetSent){ 1, 2, 3, 3, { 4, 5, 6 } };
+      break;
     case DP_MESSAGE_TARGETS_ASK:
       message.targets_ask = (DpTargetsAsk){ 1 };
       break;
