soak: targets state limits, and what reaches them is counted

No target may get more than one and a half times its limit and five requests in 4 s from VMs that were not started, paused or stopped lately.

--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -9,8 +9,13 @@
 /* Sanitizer builds on a busy machine start slowly. */
 #define PROCESS_START_TIMEOUT (30 * DP_USEC_PER_SEC)
 #define PROCESS_STOP_TIMEOUT (12 * DP_USEC_PER_SEC)
-/* Targets take this long for each run, so that faults hit running requests. */
-#define RUN_DELAY_FAULT "{\"wait_ms\":10}"
+/* Clears all faults of a target but its limit. Each run takes a while, so that faults hit
+ * running requests. */
+#define NO_TARGET_FAULTS                                                                       \
+  "{\"cut_before\":-1,\"cut_after\":-1,\"decline\":-1,\"other\":-1,\"status\":-1,\"wrong_"     \
+  "id\":-1,"                                                                                   \
+  "\"no_signature\":-1,\"second\":-1,\"unframed\":-1,\"promise_503\":-1,\"silent\":-1,"        \
+  "\"wait_ms\":10}"
 
 double
 soak_cluster_elapsed (const SoakCluster *cluster)
@@ -124,12 +129,20 @@
 void
 soak_target_set_faults (SoakCluster *cluster, SoakTarget *target, const char *json)
 {
-  set_faults (target->address, "{}");
-  set_faults (target->address, RUN_DELAY_FAULT);
+  set_faults (target->address, NO_TARGET_FAULTS);
   if (json != NULL)
     set_faults (target->address, json);
 }
 
+void
+soak_target_send_limit (const SoakTarget *target)
+{
+  char *json
+    = g_strdup_printf ("{\"limit\":\"%s\"}", target->limit != NULL ? target->limit : "");
+  set_faults (target->address, json);
+  g_free (json);
+}
+
 void
 soak_target_collect_runs (SoakCluster *cluster, const SoakTarget *target)
 {
@@ -160,12 +173,22 @@
   if (target->is_paused)
     process_signal (target->process, SIGCONT);
   soak_target_collect_runs (cluster, target);
+  soak_target_collect_arrivals (target);
+  soak_target_set_limit (cluster, target, NULL);
   g_clear_pointer (&target->process, process_free);
   soak_proxy_set_mode (target->proxy, SOAK_PROXY_PASS);
 }
 
 /* --- VMs --- */
 
+static void
+record_disturbance (SoakVm *vm)
+{
+  vm->disturbed_at = g_get_monotonic_time ();
+  gint64 msec = vm->disturbed_at / 1000;
+  g_array_append_val (vm->disturbances, msec);
+}
+
 void
 soak_vm_start (SoakCluster *cluster, SoakVm *vm)
 {
@@ -188,7 +211,7 @@
   vm->newest_config_served = 0;
   vm->is_paused = FALSE;
   vm->is_stopping = FALSE;
-  vm->disturbed_at = g_get_monotonic_time ();
+  record_disturbance (vm);
 }
 
 void
@@ -196,7 +219,7 @@
 {
   if (vm->process == NULL)
     return;
-  vm->disturbed_at = g_get_monotonic_time ();
+  record_disturbance (vm);
   switch (number)
     {
     case SIGKILL:
@@ -263,6 +286,7 @@
       format_address (vm->address, 1 + i);
       format_address (vm->store_proxy_address, 101 + i);
       vm->data_centre = i < SOAK_VMS / 2 ? "a" : "b";
+      vm->disturbances = g_array_new (FALSE, FALSE, sizeof (gint64));
       g_string_append_printf (bus_seeds, "%s%s:1", i > 0 ? "," : "", vm->address);
     }
   cluster->bus_seeds = g_string_free (bus_seeds, FALSE);
@@ -270,6 +294,9 @@
     {
       SoakTarget *target = &cluster->targets[i];
       g_snprintf (target->id, sizeof target->id, "t%u", i);
+      target->limits = g_array_new (FALSE, FALSE, sizeof (SoakLimit));
+      target->arrivals = g_array_new (FALSE, FALSE, sizeof (SoakArrival));
+      target->disturbed_at = g_array_new (FALSE, FALSE, sizeof (gint64));
       format_address (target->address, 150 + i);
       format_address (target->proxy_address, 200 + i);
     }
@@ -359,6 +386,14 @@
     g_spawn_sync (NULL, command, NULL, G_SPAWN_SEARCH_PATH, NULL, NULL, NULL, NULL, NULL, NULL);
   else
     printf ("logs: %s\n", cluster->log_folder);
+  for (guint i = 0; i < SOAK_VMS; i++)
+    g_array_unref (cluster->vms[i].disturbances);
+  for (guint i = 0; i < SOAK_TARGETS; i++)
+    {
+      g_array_unref (cluster->targets[i].limits);
+      g_array_unref (cluster->targets[i].arrivals);
+      g_array_unref (cluster->targets[i].disturbed_at);
+    }
   g_hash_table_unref (cluster->run_counts);
   g_hash_table_unref (cluster->requests);
   g_ptr_array_unref (cluster->violations);
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -123,6 +123,7 @@
       soak_target_kill (cluster, target);
       break;
     case FAULT_TARGET_PAUSE:
+      soak_target_record_disturbance (target);
       if (target->process != NULL)
         process_signal (target->process, SIGSTOP);
       target->is_paused = target->process != NULL;
@@ -133,6 +134,7 @@
                                 target_faults[fault->choice % G_N_ELEMENTS (target_faults)]);
       break;
     case FAULT_TARGET_LINK:
+      soak_target_record_disturbance (target);
       soak_proxy_set_mode (target->proxy,
                            (SoakProxyMode)(1 + fault->choice % (SOAK_PROXY_MODES - 1)));
       break;
@@ -158,6 +160,7 @@
         target->started += 1;
       return soak_put_target (cluster, target, "ready");
     case FAULT_TARGET_PAUSE:
+      soak_target_record_disturbance (target);
       if (target->process != NULL)
         process_signal (target->process, SIGCONT);
       target->is_paused = FALSE;
@@ -167,6 +170,7 @@
         soak_target_set_faults (cluster, target, NULL);
       return TRUE;
     default:
+      soak_target_record_disturbance (target);
       soak_proxy_set_mode (target->proxy, SOAK_PROXY_PASS);
       return TRUE;
     }
@@ -335,6 +339,8 @@
         soak_target_start (cluster, target);
       target->is_paused = FALSE;
       target->started += 1;
+      soak_target_record_disturbance (target);
+      soak_target_set_limit (cluster, target, NULL);
       soak_target_set_faults (cluster, target, NULL);
       soak_proxy_set_mode (target->proxy, SOAK_PROXY_PASS);
       if (!soak_put_target (cluster, target, "ready"))
--- a/soak/main.c
+++ b/soak/main.c
@@ -101,14 +101,19 @@
   for (guint i = 0; i < SOAK_CALLERS; i++)
     callers[i] = soak_caller_new (cluster, i);
   soak_faults_schedule (cluster, FAULTS_DURATION_SECONDS);
+  soak_limits_choose (cluster);
   run_loop (cluster, FAULTS_DURATION_SECONDS);
   wait_for_recovery (cluster);
   check_config (cluster);
   for (guint i = 0; i < SOAK_CALLERS; i++)
     soak_caller_free (callers[i]);
   for (guint i = 0; i < SOAK_TARGETS; i++)
-    soak_target_collect_runs (cluster, &cluster->targets[i]);
+    {
+      soak_target_collect_runs (cluster, &cluster->targets[i]);
+      soak_target_collect_arrivals (&cluster->targets[i]);
+    }
   soak_check_runs (cluster);
+  soak_check_limits (cluster);
   soak_cluster_stop (cluster);
   guint violations = cluster->violations->len;
   printf ("seed %u: served=%u not_run=%u failed=%u denied=%u cut=%u closed=%u left=%u "
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -4,6 +4,7 @@
  *   proxy.c    loopback proxies that delay, reset or block traffic
  *   cluster.c  starts, signals and stops the processes
  *   faults.c   generates and schedules the faults of a seed
+ *   limits.c   limits that targets state, and their check
  *   caller.c   callers on persistent connections
  *   checker.c  compares each request's outcome with what the targets ran
  */
@@ -61,13 +62,30 @@
   char store_proxy_address[SOAK_ADDRESS_BYTES];
   SoakProxy *store_proxy;
   Process *process;
-  guint incarnation;   /* number of starts */
-  gint64 disturbed_at; /* last start or signal; monotonic, microseconds */
+  guint incarnation;    /* number of starts */
+  gint64 disturbed_at;  /* last start or signal; monotonic, microseconds */
+  GArray *disturbances; /* gint64: all of them; monotonic, milliseconds */
   gboolean is_paused;
   gboolean is_stopping;       /* SIGTERM was sent */
   guint newest_config_served; /* by this incarnation */
 } SoakVm;
 
+/* Times of limits and arrivals are monotonic milliseconds. */
+typedef struct SoakLimit
+{
+  double per_second;
+  gint64 from;
+  gint64 to;
+} SoakLimit;
+
+#define SOAK_ID_BYTES 32
+
+typedef struct SoakArrival
+{
+  gint64 at;
+  char id[SOAK_ID_BYTES]; /* of the request */
+} SoakArrival;
+
 typedef struct SoakTarget
 {
   char id[8];
@@ -77,6 +95,10 @@
   Process *process;
   gint64 started; /* Unix milliseconds */
   gboolean is_paused;
+  const char *limit;    /* stated in responses; NULL: none */
+  GArray *limits;       /* SoakLimit */
+  GArray *arrivals;     /* SoakArrival, as collected so far */
+  GArray *disturbed_at; /* gint64: when requests to it were held up or let through again */
 } SoakTarget;
 
 typedef struct SoakCluster
@@ -125,6 +147,8 @@
 void soak_target_kill (SoakCluster *cluster, SoakTarget *target);
 /* Replaces the target's faults; NULL clears them. */
 void soak_target_set_faults (SoakCluster *cluster, SoakTarget *target, const char *json);
+/* Sends the target's limit to it. */
+void soak_target_send_limit (const SoakTarget *target);
 void soak_store_set_faults (SoakCluster *cluster, const char *json);
 /* Both return FALSE if the store did not accept the write. */
 gboolean soak_put_config (SoakCluster *cluster);
@@ -140,6 +164,16 @@
 /* Clears all faults that are still active. */
 void soak_faults_clear (SoakCluster *cluster);
 
+/* --- limits.c --- */
+
+/* Lets targets chosen by the seed state a limit until they are killed or cleared. */
+void soak_limits_choose (SoakCluster *cluster);
+/* NULL: none any more. */
+void soak_target_set_limit (SoakCluster *cluster, SoakTarget *target, const char *limit);
+void soak_target_record_disturbance (SoakTarget *target);
+void soak_target_collect_arrivals (SoakTarget *target);
+void soak_check_limits (SoakCluster *cluster);
+
 /* --- caller.c, checker.c --- */
 
 typedef enum SoakRequestKind
--- a/standins/target.c
+++ b/standins/target.c
@@ -52,8 +52,8 @@
 {
   struct event_base *base;
   const char *id;
-  GHashTable *runs; /* Request-Id -> number of runs */
-  GArray *arrivals; /* gint64: monotonic milliseconds, of all requests */
+  GHashTable *runs;  /* Request-Id -> number of runs */
+  GString *arrivals; /* a line per request: monotonic milliseconds and Request-Id */
   guint total;
   guint declined;
   TargetFaults faults;
@@ -252,12 +252,20 @@
   run_free (run);
 }
 
+/* The monotonic clock is the same for all processes of the machine. */
+static void
+record_arrival (struct evhttp_request *req)
+{
+  const char *id = standin_request_header (req, "Request-Id");
+  g_string_append_printf (target.arrivals, "%" G_GINT64_FORMAT " %s\n",
+                          g_get_monotonic_time () / 1000, id != NULL ? id : "");
+}
+
 static void
 on_request (struct evhttp_request *req, gpointer data)
 {
   const char *expected = standin_request_header (req, "Expect-Instance");
-  gint64 now = g_get_monotonic_time () / 1000;
-  g_array_append_val (target.arrivals, now);
+  record_arrival (req);
   if (target.faults.cut_before == 1)
     {
       standin_send_and_close (req, "", 0);
@@ -318,19 +326,6 @@
   g_string_free (text, TRUE);
 }
 
-/* One line per request: its arrival in milliseconds of the monotonic clock, which is the same
- * for all processes of the machine. */
-static void
-reply_arrivals (struct evhttp_request *req)
-{
-  GString *text = g_string_new (NULL);
-  for (guint i = 0; i < target.arrivals->len; i++)
-    g_string_append_printf (text, "%" G_GINT64_FORMAT "\n",
-                            g_array_index (target.arrivals, gint64, i));
-  standin_reply (req, 200, "text/plain", text->str);
-  g_string_free (text, TRUE);
-}
-
 static void
 on_control_request (struct evhttp_request *req, gpointer data)
 {
@@ -339,7 +334,7 @@
   else if (strcmp (standin_request_path (req), "/ids") == 0)
     reply_ids (req);
   else if (strcmp (standin_request_path (req), "/arrivals") == 0)
-    reply_arrivals (req);
+    standin_reply (req, 200, "text/plain", target.arrivals->str);
   else
     fault_handle (&target.fault_table, req);
 }
@@ -357,7 +352,7 @@
   target.base = event_base_new ();
   target.id = argv[3];
   target.runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  target.arrivals = g_array_new (FALSE, FALSE, sizeof (gint64));
+  target.arrivals = g_string_new (NULL);
   target.fault_table
     = (FaultTable){ .switches = fault_switches, .count = G_N_ELEMENTS (fault_switches) };
   fault_clear (&target.fault_table);
