standins: the store answers for single objects, and is restored from copies

GET of one object returned the list of its kind with status 200, so the test removed_vm_registers_again passed whether the entry was back or not; it still passes now that a missing one is 404. POST /copy and /restore on the control port return to an older state; Store-Era counts the restores.

--- a/standins/store.c
+++ b/standins/store.c
@@ -2,7 +2,8 @@
  * published protocol; see docs/STANDINS.md.
  *
  * GET, POST and PUT on /objects/KIND; DELETE on /objects/KIND/NAME. A GET with the query
- * parameter `watch` (a revision) waits up to `wait_ms` for changes after that revision.
+ * parameter `watch` (a revision) waits up to `wait_ms` for changes after that revision. On the
+ * control port, POST /copy keeps a copy of everything, and POST /restore returns to it.
  */
 #include "common/id.h"
 #include "standins/fault.h"
@@ -26,6 +27,7 @@
   gint64 history_gone; /* 1: watches get 410 */
   gint64 page;         /* maximum objects in a listing; 0: PAGE_DEFAULT */
   gint64 broken;       /* 1: responses are truncated JSON */
+  char *era;           /* Store-Era of all responses instead of the number of the era */
 } StoreFaults;
 
 /* A change, or the current state of an object. */
@@ -47,13 +49,22 @@
   guint64 revision;
 } Watch;
 
-static struct
+typedef struct Content
 {
-  struct event_base *base;
   guint64 revision;
   GHashTable *objects; /* "KIND/NAME" -> Object */
   GPtrArray *changes;  /* Object, oldest first */
-  GQueue watches;      /* Watch */
+} Content;
+
+static struct
+{
+  struct event_base *base;
+  guint64 revision;
+  GHashTable *objects;
+  GPtrArray *changes;
+  Content copy;   /* `objects` NULL: none was made */
+  guint era;      /* rises with each restore */
+  GQueue watches; /* Watch */
   StoreFaults faults;
   FaultTable fault_table;
 } store;
@@ -64,6 +75,7 @@
   { "history_gone", .number = &store.faults.history_gone },
   { "page", .number = &store.faults.page },
   { "broken", .number = &store.faults.broken },
+  { "era", .text = &store.faults.era },
 };
 
 static void
@@ -91,6 +103,10 @@
 static void
 reply_json (struct evhttp_request *req, int status, struct json_object *body)
 {
+  char era[16];
+  g_snprintf (era, sizeof era, "%u", store.era);
+  evhttp_add_header (evhttp_request_get_output_headers (req), "Store-Era",
+                     store.faults.era != NULL ? store.faults.era : era);
   const char *text
     = store.faults.broken == 1 ? "{\"items\":[" : json_object_to_json_string (body);
   standin_reply (req, status, "application/json", text);
@@ -178,7 +194,7 @@
 static void
 start_watch (struct evhttp_request *req, const char *kind, guint64 revision, guint64 wait_ms)
 {
-  if (store.faults.history_gone == 1)
+  if (store.faults.history_gone == 1 || revision > store.revision)
     {
       reply_status (req, 410);
       return;
@@ -316,8 +332,25 @@
 }
 
 static void
-handle_get (struct evhttp_request *req, const char *kind)
+read_object (struct evhttp_request *req, const char *kind, const char *name)
+{
+  char *key = g_strconcat (kind, "/", name, NULL);
+  const Object *object = g_hash_table_lookup (store.objects, key);
+  g_free (key);
+  if (object != NULL)
+    reply_json (req, 200, json_object_get (object->body));
+  else
+    reply_status (req, 404);
+}
+
+static void
+handle_get (struct evhttp_request *req, const char *kind, const char *name)
 {
+  if (name != NULL)
+    {
+      read_object (req, kind, name);
+      return;
+    }
   char *watch = standin_query_parameter (req, "watch");
   char *wait = standin_query_parameter (req, "wait_ms");
   if (watch != NULL)
@@ -344,7 +377,7 @@
   switch (evhttp_request_get_command (req))
     {
     case EVHTTP_REQ_GET:
-      handle_get (req, parts[0]);
+      handle_get (req, parts[0], parts[1]);
       break;
     case EVHTTP_REQ_POST:
       write_object (req, parts[0], FALSE);
@@ -362,9 +395,75 @@
   g_strfreev (parts);
 }
 
+/* --- copies --- */
+
+static Object *
+object_copy (const Object *object)
+{
+  Object *copy = g_new0 (Object, 1);
+  struct json_object *body = NULL;
+  json_object_deep_copy (object->body, &body, NULL);
+  *copy = (Object){ .kind = g_strdup (object->kind),
+                    .name = g_strdup (object->name),
+                    .revision = object->revision,
+                    .is_deleted = object->is_deleted,
+                    .body = body };
+  return copy;
+}
+
+static Content
+copy_content (guint64 revision, GHashTable *objects, const GPtrArray *changes)
+{
+  Content copy
+    = { .revision = revision,
+        .objects = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, object_free),
+        .changes = g_ptr_array_new_with_free_func (object_free) };
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  g_hash_table_iter_init (&iter, objects);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    g_hash_table_insert (copy.objects, g_strdup (key), object_copy (value));
+  for (guint i = 0; i < changes->len; i++)
+    g_ptr_array_add (copy.changes, object_copy (g_ptr_array_index (changes, i)));
+  return copy;
+}
+
+static void
+make_copy (void)
+{
+  g_clear_pointer (&store.copy.objects, g_hash_table_unref);
+  g_clear_pointer (&store.copy.changes, g_ptr_array_unref);
+  store.copy = copy_content (store.revision, store.objects, store.changes);
+}
+
+/* Watches that wait stay open. */
+static void
+restore_copy (void)
+{
+  Content content = copy_content (store.copy.revision, store.copy.objects, store.copy.changes);
+  g_hash_table_unref (store.objects);
+  g_ptr_array_unref (store.changes);
+  store.revision = content.revision;
+  store.objects = content.objects;
+  store.changes = content.changes;
+  store.era++;
+}
+
 static void
 on_control (struct evhttp_request *req, gpointer data)
 {
+  const char *path = standin_request_path (req);
+  gboolean is_copy = strcmp (path, "/copy") == 0;
+  if (is_copy || strcmp (path, "/restore") == 0)
+    {
+      if (is_copy)
+        make_copy ();
+      else if (store.copy.objects != NULL)
+        restore_copy ();
+      reply_status (req, store.copy.objects != NULL ? 200 : 409);
+      return;
+    }
   fault_handle (&store.fault_table, req);
 }
 
@@ -381,6 +480,7 @@
   store.base = event_base_new ();
   store.objects = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, object_free);
   store.changes = g_ptr_array_new_with_free_func (object_free);
+  store.era = 1;
   store.fault_table
     = (FaultTable){ .switches = fault_switches, .count = G_N_ELEMENTS (fault_switches) };
   fault_clear (&store.fault_table);
