platform, node: a restored store takes nothing back

In a drill the users' store returns from a copy some seconds old and raises its era.

The client decodes the era and drops answers of an older one. Era and revision are one version, carried in the frames between VMs. A higher era lists all kinds anew and writes this VM's entry again within a second at random; targets that the copy lacks are kept for two seconds, VMs for 2.5, targets that were seen gone are not taken from the first listing. Older configs were refused already.

--- a/core/directory.c
+++ b/core/directory.c
@@ -2,14 +2,17 @@
 
 #include <string.h>
 
-/* Draining incarnations that are remembered, so that a late record does not revive one. */
+/* Draining, and removed, incarnations that are remembered, so that a late or restored record
+ * does not revive one. */
 #define DRAINED_MAX 4096
+#define GONE_MAX 4096
 
 struct DpDirectory
 {
   DpTable *rows;
   GHashTable *by_name; /* DpName -> DpHandle */
   GHashTable *drained; /* DpName -> guint64: `started` of the newest draining incarnation */
+  GHashTable *gone;    /* DpName -> guint64: `started` of removed rows */
   guint64 version;
   DpUsec last_contact_at; /* 0: never */
   DpUsec grace_until;     /* rows that go missing before this are kept */
@@ -23,6 +26,7 @@
   directory->rows = dp_table_new (&rows);
   directory->by_name = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   directory->drained = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  directory->gone = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   return directory;
 }
 
@@ -34,6 +38,7 @@
   dp_table_unref (directory->rows);
   g_hash_table_unref (directory->by_name);
   g_hash_table_unref (directory->drained);
+  g_hash_table_unref (directory->gone);
   g_free (directory);
 }
 
@@ -45,14 +50,20 @@
 }
 
 static void
-remember_drain (DpDirectory *directory, DpName name, guint64 started)
+remember (GHashTable *incarnations, guint maximum, DpName name, guint64 started)
 {
-  if (g_hash_table_size (directory->drained) >= DRAINED_MAX)
-    g_hash_table_remove_all (directory->drained);
-  g_hash_table_insert (directory->drained, g_memdup2 (&name, sizeof name),
+  if (g_hash_table_size (incarnations) >= maximum)
+    g_hash_table_remove_all (incarnations);
+  g_hash_table_insert (incarnations, g_memdup2 (&name, sizeof name),
                        g_memdup2 (&started, sizeof started));
 }
 
+static void
+remember_drain (DpDirectory *directory, DpName name, guint64 started)
+{
+  remember (directory->drained, DRAINED_MAX, name, started);
+}
+
 /* TRUE if this incarnation or a newer one was seen draining. */
 static gboolean
 was_drained (const DpDirectory *directory, DpName name, guint64 started)
@@ -78,6 +89,7 @@
 drop_row (DpDirectory *directory, DpDirectoryRow *row)
 {
   DpHandle handle = row->self;
+  remember (directory->gone, GONE_MAX, row->name, row->record.started);
   g_hash_table_remove (directory->by_name, &row->name);
   dp_table_remove (directory->rows, handle);
   directory->version++;
@@ -99,6 +111,7 @@
   DpDirectoryRow *row = find (directory, name);
   if (row != NULL && record->started < row->record.started)
     return FALSE;
+  g_hash_table_remove (directory->gone, &name);
   DpTargetRecord updated = *record;
   if (was_drained (directory, name, record->started))
     updated.is_draining = TRUE;
@@ -135,6 +148,19 @@
   return directory->last_contact_at;
 }
 
+void
+dp_directory_begin_grace_period (DpDirectory *directory, DpUsec now)
+{
+  directory->grace_until = now + DP_RECONNECT_GRACE_PERIOD;
+}
+
+gboolean
+dp_directory_is_gone (const DpDirectory *directory, DpName name, guint64 started)
+{
+  const guint64 *gone = g_hash_table_lookup (directory->gone, &name);
+  return gone != NULL && started <= *gone;
+}
+
 void
 dp_directory_remove (DpDirectory *directory, DpName name, DpUsec now)
 {
--- a/core/directory.h
+++ b/core/directory.h
@@ -66,6 +66,12 @@
  * targets missing from the platform are kept. */
 void dp_directory_record_contact (DpDirectory *directory, DpUsec lifetime, DpUsec now);
 
+/* The platform's store was restored from an older copy: starts the grace period. */
+void dp_directory_begin_grace_period (DpDirectory *directory, DpUsec now);
+
+/* TRUE if this incarnation, or a newer one, was removed and has not been put since. */
+gboolean dp_directory_is_gone (const DpDirectory *directory, DpName name, guint64 started);
+
 /* Handles a registration that was removed from the platform. During the grace period the row is
  * kept, unless the target was draining. */
 void dp_directory_remove (DpDirectory *directory, DpName name, DpUsec now);
--- a/core/message.h
+++ b/core/message.h
@@ -8,6 +8,7 @@
 
 #include "common/id.h"
 #include "core/reason.h"
+#include "core/store_version.h"
 
 #include <glib.h>
 
@@ -270,8 +271,9 @@
 /* A view as it is sent. */
 typedef struct DpViewRows
 {
-  guint64 version;
-  GArray *vms; /* DpVm; owned by the message */
+  guint64 version; /* between nodes: the revision of the platform's store */
+  GArray *vms;     /* DpVm; owned by the message */
+  guint64 era;     /* of the platform's store */
 } DpViewRows;
 
 /* Probe between agents, with piggybacked membership updates and the accepted manifest. */
@@ -371,18 +373,19 @@
 /* List of targets as a node knows it. */
 typedef struct DpTargetRows
 {
-  DpUsec age;       /* time since the platform last confirmed the list */
-  guint64 revision; /* of the platform's store at which the list was read */
-  GArray *rows;     /* DpTargetRecord; owned by the message */
+  DpUsec age;             /* time since the platform last confirmed the list */
+  DpStoreVersion version; /* of the platform's store at which the list was read */
+  GArray *rows;           /* DpTargetRecord; owned by the message */
 } DpTargetRows;
 
-/* Latest revisions in the platform's store, from a VM that watches it for others. */
+/* Latest versions in the platform's store, from a VM that watches it for others. */
 typedef struct DpRelay
 {
   guint64 manifest_revision;
-  guint64 targets_revision; /* of the store */
-  guint64 vms_revision;
-  DpUsec age; /* time since the least recent of the three was confirmed */
+  DpStoreVersion targets;
+  DpStoreVersion vms;
+  DpUsec age;  /* time since the least recent of the three was confirmed */
+  guint64 era; /* latest known of the store */
 } DpRelay;
 
 /* A target has announced in an answer that it is leaving. */
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -210,6 +210,7 @@
 static const DpField view_fields[] = {
   UINT64 (1, DpMessage, view.version),
   GARRAY (2, DpMessage, view.vms, DP_CODEC_VMS_MAX, &vm_table),
+  UINT64 (3, DpMessage, view.era),
 };
 
 static const DpField probe_fields[] = {
@@ -346,14 +347,18 @@
 static const DpField targets_fields[] = {
   USEC (1, DpMessage, targets.age),
   GARRAY (2, DpMessage, targets.rows, DP_CODEC_TARGETS_MAX, &target_table),
-  UINT64 (3, DpMessage, targets.revision),
+  UINT64 (3, DpMessage, targets.version.revision),
+  UINT64 (4, DpMessage, targets.version.era),
 };
 
 static const DpField relay_fields[] = {
   UINT64 (1, DpMessage, relay.manifest_revision),
-  UINT64 (2, DpMessage, relay.targets_revision),
-  UINT64 (3, DpMessage, relay.vms_revision),
+  UINT64 (2, DpMessage, relay.targets.revision),
+  UINT64 (3, DpMessage, relay.vms.revision),
   USEC (4, DpMessage, relay.age),
+  UINT64 (5, DpMessage, relay.targets.era),
+  UINT64 (6, DpMessage, relay.vms.era),
+  UINT64 (7, DpMessage, relay.era),
 };
 
 static const DpFieldTable message_tables[DP_MESSAGE_COUNT] = {
--- a/node/node.h
+++ b/node/node.h
@@ -230,12 +230,14 @@
 /* Apply data received from another VM; ignored if this VM's own is newer. */
 void dp_store_watch_apply_config_text (DpStoreWatch *watch, GBytes *text);
 void dp_store_watch_apply_targets (DpStoreWatch *watch, const DpTargetRows *targets);
-/* `revision` 0: adds missing VMs only, removes none. */
-void dp_store_watch_apply_vms (DpStoreWatch *watch, const GArray *vms, guint64 revision);
-/* Another VM reports what the store's current revisions are: confirms this VM's data if its
- * revisions are at least as new. */
+/* `version` NULL: adds missing VMs only, removes none. */
+void dp_store_watch_apply_vms (DpStoreWatch *watch,
+                               const GArray *vms,
+                               const DpStoreVersion *version);
+/* Another VM reports what the store's current versions are: confirms this VM's data if its
+ * versions are at least as new. */
 void dp_store_watch_apply_relay (DpStoreWatch *watch, const DpRelay *relay);
-/* Revisions of this VM's data, and the age of the oldest confirmation by the store. */
+/* Versions of this VM's data, and the age of the oldest confirmation by the store. */
 DpRelay dp_store_watch_state (const DpStoreWatch *watch);
 /* TRUE if the last call to the store failed for any kind of objects. */
 gboolean dp_store_watch_is_failing (const DpStoreWatch *watch);
@@ -247,6 +249,8 @@
 void dp_registration_start (DpRegistration *registration);
 /* The store does not list this VM: writes the entry again after a delay. */
 void dp_registration_on_missing (DpRegistration *registration);
+/* The store was restored from a copy that may lack this VM's entry: writes it again. */
+void dp_registration_on_restored (DpRegistration *registration);
 /* Deletes this VM's entry; it is not written again. */
 void dp_registration_delete_own (DpRegistration *registration);
 /* Deletes the entry of a VM that no longer exists. */
--- a/node/peer_sync.c
+++ b/node/peer_sync.c
@@ -84,7 +84,9 @@
 send_view (DpNode *node, DpName vm)
 {
   DpMessage message = { .type = DP_MESSAGE_VIEW };
-  message.view.version = dp_store_watch_state (node->store_watch).vms_revision;
+  DpStoreVersion version = dp_store_watch_state (node->store_watch).vms;
+  message.view.version = version.revision;
+  message.view.era = version.era;
   message.view.vms = node->view->vms;
   dp_peers_send (node, vm, &message);
 }
@@ -162,7 +164,7 @@
     return;
   DpMessage message = { .type = DP_MESSAGE_TARGETS };
   message.targets.age = now - dp_directory_last_contact_at (node->directory);
-  message.targets.revision = dp_store_watch_state (node->store_watch).targets_revision;
+  message.targets.version = dp_store_watch_state (node->store_watch).targets;
   message.targets.rows = list_targets (node);
   dp_peers_send (node, to, &message);
   dp_message_clear (&message);
@@ -175,8 +177,8 @@
 has_changed (const DpRelay *current, const DpRelay *previous)
 {
   return current->manifest_revision != previous->manifest_revision
-         || current->targets_revision != previous->targets_revision
-         || current->vms_revision != previous->vms_revision;
+         || dp_store_version_compare (current->targets, previous->targets) != 0
+         || dp_store_version_compare (current->vms, previous->vms) != 0;
 }
 
 static void
@@ -185,9 +187,9 @@
   const DpRelay *previous = &node->last_relay;
   if (state->manifest_revision != previous->manifest_revision)
     send_manifest (node, vm, &(DpManifestAsk){ 0 });
-  if (state->targets_revision != previous->targets_revision)
+  if (dp_store_version_compare (state->targets, previous->targets) != 0)
     send_targets (node, vm);
-  if (state->vms_revision != previous->vms_revision)
+  if (dp_store_version_compare (state->vms, previous->vms) != 0)
     send_view (node, vm);
   DpMessage message = { .type = DP_MESSAGE_RELAY, .relay = *state };
   dp_peers_send (node, vm, &message);
@@ -223,36 +225,39 @@
   DpRelay own = dp_store_watch_state (node->store_watch);
   dp_store_watch_apply_relay (node->store_watch, state);
   dp_peer_sync_on_revision (node, from, state->manifest_revision);
-  gboolean is_behind
-    = own.targets_revision < state->targets_revision || own.vms_revision < state->vms_revision;
+  gboolean is_behind = dp_store_version_compare (own.targets, state->targets) < 0
+                       || dp_store_version_compare (own.vms, state->vms) < 0;
   if (!is_behind || now - node->state_requested_at < REQUEST_INTERVAL)
     return;
   node->state_requested_at = now;
   DpMessage message = { .type = DP_MESSAGE_TARGETS_ASK };
-  message.targets_ask.version = own.targets_revision;
+  message.targets_ask.version = own.targets.revision;
   dp_peers_send (node, from, &message);
 }
 
-/* Accepts targets of a newer store revision; other targets only while this VM has none. */
+/* Accepts targets of a newer version of the store; other targets only while this VM has none.
+ */
 static void
 on_targets (DpNode *node, const DpTargetRows *targets)
 {
-  guint64 own = dp_store_watch_state (node->store_watch).targets_revision;
-  gboolean is_newer = targets->revision > own && targets->age < RECEIVED_AGE_MAX;
+  DpStoreVersion own = dp_store_watch_state (node->store_watch).targets;
+  gboolean is_newer
+    = dp_store_version_compare (targets->version, own) > 0 && targets->age < RECEIVED_AGE_MAX;
   gboolean is_first = dp_directory_count (node->directory) == 0;
   if (targets->rows != NULL && (is_newer || is_first))
     dp_store_watch_apply_targets (node->store_watch, targets);
 }
 
-/* Accepts the whole list if its store revision is newer. Otherwise accepts the sender's row for
- * itself, and those for other VMs only before the first response from the store. */
+/* Accepts the whole list if its version of the store is newer. Otherwise accepts the sender's
+ * row for itself, and those for other VMs only before the first response from the store. */
 static void
 on_view (DpNode *node, DpName from, const DpViewRows *view)
 {
+  const DpStoreVersion version = { .era = view->era, .revision = view->version };
   if (view->vms != NULL
-      && view->version > dp_store_watch_state (node->store_watch).vms_revision)
+      && dp_store_version_compare (version, dp_store_watch_state (node->store_watch).vms) > 0)
     {
-      dp_store_watch_apply_vms (node->store_watch, view->vms, view->version);
+      dp_store_watch_apply_vms (node->store_watch, view->vms, &version);
       return;
     }
   GArray *accepted = g_array_new (FALSE, FALSE, sizeof (DpVm));
@@ -262,7 +267,7 @@
       if (vm->name == from || node->view_confirmed_at == 0)
         g_array_append_vals (accepted, vm, 1);
     }
-  dp_store_watch_apply_vms (node->store_watch, accepted, 0);
+  dp_store_watch_apply_vms (node->store_watch, accepted, NULL);
   g_array_unref (accepted);
 }
 
--- a/node/registration.c
+++ b/node/registration.c
@@ -11,6 +11,8 @@
 #define CALL_TIMEOUT (500 * DP_USEC_PER_MSEC)
 /* Not urgent: the watches detect first that the store is reachable again. */
 #define RETRY_DELAY (300 * DP_USEC_PER_MSEC)
+/* After a restore all VMs write within this time. */
+#define RESTORE_SPREAD DP_USEC_PER_SEC
 
 struct DpRegistration
 {
@@ -84,7 +86,9 @@
 on_timer (evutil_socket_t fd, short what, void *user)
 {
   DpRegistration *registration = user;
-  if (!registration->is_writing && !registration->is_leaving)
+  if (registration->is_writing)
+    schedule (registration, RETRY_DELAY);
+  else if (!registration->is_leaving)
     write_entry (registration, DP_PLATFORM_CREATE);
 }
 
@@ -123,6 +127,13 @@
     schedule (registration, RETRY_DELAY);
 }
 
+void
+dp_registration_on_restored (DpRegistration *registration)
+{
+  if (!registration->is_leaving)
+    schedule (registration, (DpUsec)(dp_process_random () % RESTORE_SPREAD));
+}
+
 static void
 on_vm_deleted (const DpPlatformReply *reply, gpointer data)
 {
--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -31,6 +31,11 @@
 #define CALLS_QUEUED 32
 /* A target's entry expires after this many missed heartbeats. */
 #define EXPIRY_HEARTBEATS 3
+/* After a restore, entries of VMs are written again within two seconds. */
+#define VMS_SETTLE_TIME (2500 * DP_USEC_PER_MSEC)
+/* After a restore, entries of targets that are gone expire within EXPIRY_HEARTBEATS and this.
+ */
+#define TARGETS_SETTLE_TIME (500 * DP_USEC_PER_MSEC)
 
 typedef enum Kind
 {
@@ -52,11 +57,16 @@
   DpStoreWatch *watch;
   Kind kind;
   struct event *timer; /* starts the next call */
-  gboolean is_listed;  /* listing complete: watch from `revision` */
+  gboolean is_listed;  /* listing complete: watch from `version` */
   gboolean is_relayed; /* no calls: a relay sends the changes */
-  guint64 revision;
+  DpStoreVersion version;
   guint failures; /* consecutive */
+  /* The store was restored: the next listing may lack entries that will be written again, and
+   * have ones that are out of date. */
+  gboolean is_restored;
+  DpUsec relist_at; /* when such a listing is repeated; 0: never */
   /* listing in progress */
+  guint64 listing_era;
   GPtrArray *pages; /* DpStorePage */
   char *after;      /* name of the last object of the last page */
 } ObjectFeed;
@@ -67,6 +77,7 @@
   ObjectFeed feeds[KIND_COUNT];
   GHashTable *vms; /* DpName -> DpVm */
   guint64 view_version;
+  guint64 era; /* highest known of the store; 0: unknown */
 };
 
 static void start_next_call (ObjectFeed *feed);
@@ -97,6 +108,47 @@
   dp_log (DP_LOG_NOTICE, event, "name", name, "outcome", outcome, "as_of", text, NULL);
 }
 
+/* --- restores --- */
+
+static void
+log_restore (const DpStoreWatch *watch, guint64 era, const char *source)
+{
+  char era_text[24], before[24], targets[24], vms[24];
+  g_snprintf (era_text, sizeof era_text, "%" G_GUINT64_FORMAT, era);
+  g_snprintf (before, sizeof before, "%" G_GUINT64_FORMAT, watch->era);
+  g_snprintf (targets, sizeof targets, "%" G_GUINT64_FORMAT,
+              watch->feeds[KIND_TARGETS].version.revision);
+  g_snprintf (vms, sizeof vms, "%" G_GUINT64_FORMAT, watch->feeds[KIND_VMS].version.revision);
+  dp_log (DP_LOG_WARNING, "store_restored", "era", era_text, "before", before,
+          "targets_revision", targets, "vms_revision", vms, "source", source, NULL);
+}
+
+/* The store has stated an era. A higher one than before means that it was restored from an
+ * older copy: what was written since is missing, and revisions are given out again. */
+static void
+apply_era (DpStoreWatch *watch, guint64 era, const char *source)
+{
+  DpNode *node = watch->node;
+  if (era <= watch->era)
+    return;
+  gboolean is_restored = watch->era != 0;
+  if (is_restored)
+    log_restore (watch, era, source);
+  watch->era = era;
+  dp_counters_set (node->counters, "dogwoodplank_store_era", NULL, NULL, era);
+  if (!is_restored)
+    return;
+  dp_counters_add (node->counters, "dogwoodplank_store_restores_total", NULL, NULL, 1);
+  dp_directory_begin_grace_period (node->directory, dp_node_now ());
+  for (guint i = 0; i < KIND_COUNT; i++)
+    {
+      ObjectFeed *feed = &watch->feeds[i];
+      feed->is_listed = feed->is_listed && feed->is_relayed;
+      feed->is_restored = TRUE;
+    }
+  dp_registration_on_restored (node->registration);
+}
+
 /* --- config --- */
 
 static void
@@ -151,6 +203,16 @@
 
 /* --- targets --- */
 
+/* TRUE if the record is of a target that was gone already before the store was restored. If it
+ * is not gone after all, the next listing has it again. */
+static gboolean
+is_restored_in_error (const DpStoreWatch *watch, const DpTargetRecord *record)
+{
+  return watch->feeds[KIND_TARGETS].is_restored
+         && dp_directory_is_gone (watch->node->directory, dp_name (record->id),
+                                  record->started);
+}
+
 static void
 apply_target (DpStoreWatch *watch, const DpStoreObject *object, guint64 revision)
 {
@@ -170,7 +232,8 @@
   if (!dp_records_read_target (object, &record, diagnostics))
     /* A target with an invalid record must not be used. */
     dp_directory_remove (node->directory, name, now);
-  else if (dp_directory_put (node->directory, &record))
+  else if (!is_restored_in_error (watch, &record)
+           && dp_directory_put (node->directory, &record))
     log_change ("target_known", object->name, record.is_draining ? "draining" : "ready",
                 revision);
   log_diagnostics ("target", diagnostics);
@@ -199,17 +262,18 @@
 {
   DpNode *node = watch->node;
   ObjectFeed *feed = &watch->feeds[KIND_TARGETS];
-  if (targets->revision < feed->revision)
+  if (dp_store_version_compare (targets->version, feed->version) < 0)
     return;
+  apply_era (watch, targets->version.era, "another VM");
   guint64 version_before = dp_directory_version (node->directory);
   dp_directory_replace (node->directory, (const DpTargetRecord *)targets->rows->data,
                         targets->rows->len, dp_node_now ());
-  feed->revision = targets->revision;
+  feed->version = targets->version;
   if (dp_directory_version (node->directory) == version_before)
     return;
   char count[16];
   g_snprintf (count, sizeof count, "%u", targets->rows->len);
-  log_change ("targets_from_vm", count, "ok", targets->revision);
+  log_change ("targets_from_vm", count, "ok", targets->version.revision);
   dp_placement_set_targets (node);
 }
 
@@ -290,9 +354,11 @@
 }
 
 void
-dp_store_watch_apply_vms (DpStoreWatch *watch, const GArray *vms, guint64 revision)
+dp_store_watch_apply_vms (DpStoreWatch *watch, const GArray *vms, const DpStoreVersion *version)
 {
   ObjectFeed *feed = &watch->feeds[KIND_VMS];
+  if (version != NULL)
+    apply_era (watch, version->era, "another VM");
   gboolean changed = FALSE;
   for (guint i = 0; i < vms->len; i++)
     {
@@ -303,9 +369,9 @@
                            g_memdup2 (vm, sizeof *vm));
       changed = TRUE;
     }
-  if (revision > feed->revision)
+  if (version != NULL && dp_store_version_compare (*version, feed->version) > 0)
     {
-      feed->revision = revision;
+      feed->version = *version;
       changed |= drop_absent_vms (watch, vms);
     }
   if (changed)
@@ -321,9 +387,10 @@
   DpUsec confirmed_at = MIN (MIN (node->manifest_confirmed_at, node->view_confirmed_at),
                              dp_directory_last_contact_at (node->directory));
   return (DpRelay){ .manifest_revision = node->manifest != NULL ? node->manifest->revision : 0,
-                    .targets_revision = watch->feeds[KIND_TARGETS].revision,
-                    .vms_revision = watch->feeds[KIND_VMS].revision,
-                    .age = dp_node_now () - confirmed_at };
+                    .targets = watch->feeds[KIND_TARGETS].version,
+                    .vms = watch->feeds[KIND_VMS].version,
+                    .age = dp_node_now () - confirmed_at,
+                    .era = watch->era };
 }
 
 gboolean
@@ -342,12 +409,13 @@
   DpUsec now = dp_node_now ();
   DpUsec confirmed_at = now - relay->age;
   node->relay_received_at = now;
+  apply_era (watch, relay->era, "relay");
   DpRelay own = dp_store_watch_state (watch);
   if (own.manifest_revision >= relay->manifest_revision)
     node->manifest_confirmed_at = MAX (node->manifest_confirmed_at, confirmed_at);
-  if (own.vms_revision >= relay->vms_revision)
+  if (dp_store_version_compare (own.vms, relay->vms) >= 0)
     node->view_confirmed_at = MAX (node->view_confirmed_at, confirmed_at);
-  if (own.targets_revision >= relay->targets_revision
+  if (dp_store_version_compare (own.targets, relay->targets) >= 0
       && confirmed_at > dp_directory_last_contact_at (node->directory))
     dp_directory_record_contact (
       node->directory, EXPIRY_HEARTBEATS * node->params.target_heartbeat, confirmed_at);
@@ -396,7 +464,7 @@
     }
   if (feed->kind == KIND_TARGETS)
     drop_unlisted_targets (feed->watch, listed);
-  else if (feed->kind == KIND_VMS)
+  else if (feed->kind == KIND_VMS && !feed->is_restored)
     {
       drop_unlisted_vms (feed->watch, listed);
       if (!g_hash_table_contains (listed, &feed->watch->node->self))
@@ -439,6 +507,29 @@
     dp_placement_set_targets (node);
 }
 
+static void
+clear_listing (ObjectFeed *feed)
+{
+  g_ptr_array_set_size (feed->pages, 0);
+  g_clear_pointer (&feed->after, g_free);
+}
+
+/* Schedules a further listing after one of a store that was just restored. */
+static void
+schedule_relisting (ObjectFeed *feed)
+{
+  DpUsec now = dp_node_now ();
+  feed->relist_at = 0;
+  if (!feed->is_restored)
+    return;
+  DpUsec heartbeat = feed->watch->node->params.target_heartbeat;
+  feed->relist_at
+    = now
+      + (feed->kind == KIND_TARGETS ? EXPIRY_HEARTBEATS * heartbeat + TARGETS_SETTLE_TIME
+                                    : VMS_SETTLE_TIME);
+  feed->is_restored = FALSE;
+}
+
 static void
 finish_listing (ObjectFeed *feed, guint64 revision)
 {
@@ -447,9 +538,9 @@
   drop_unlisted (feed);
   publish (feed);
   feed->is_listed = TRUE;
-  feed->revision = revision;
-  g_ptr_array_set_size (feed->pages, 0);
-  g_clear_pointer (&feed->after, g_free);
+  feed->version = (DpStoreVersion){ .era = feed->listing_era, .revision = revision };
+  schedule_relisting (feed);
+  clear_listing (feed);
 }
 
 /* --- calls --- */
@@ -493,11 +584,18 @@
 on_listed (const DpPlatformReply *reply, gpointer data)
 {
   ObjectFeed *feed = data;
+  apply_era (feed->watch, reply->era, "store");
+  if (feed->pages->len > 0 && reply->era != feed->listing_era)
+    {
+      clear_listing (feed);
+      start_next_call (feed);
+      return;
+    }
+  feed->listing_era = reply->era;
   DpStorePage *page = reply->result == DP_PLATFORM_OK ? read_page (feed, reply, FALSE) : NULL;
   if (page == NULL)
     {
-      g_ptr_array_set_size (feed->pages, 0);
-      g_clear_pointer (&feed->after, g_free);
+      clear_listing (feed);
       record_failure (feed, dp_platform_result_name (reply->result));
       return;
     }
@@ -524,6 +622,15 @@
 on_watched (const DpPlatformReply *reply, gpointer data)
 {
   ObjectFeed *feed = data;
+  apply_era (feed->watch, reply->era, "store");
+  /* Revisions of another era say nothing about the changes since the last response. */
+  feed->is_listed
+    = feed->is_listed && (feed->version.era == 0 || feed->version.era == feed->watch->era);
+  if (!feed->is_listed)
+    {
+      start_next_call (feed);
+      return;
+    }
   if (reply->result == DP_PLATFORM_HISTORY_GONE || reply->result == DP_PLATFORM_BROKEN)
     {
       dp_log (DP_LOG_NOTICE, "store_history_gone", "kind", kind_paths[feed->kind], NULL);
@@ -544,7 +651,7 @@
   apply_page (feed, page);
   if (page->objects->len > 0)
     publish (feed);
-  feed->revision = MAX (feed->revision, page->revision);
+  feed->version.revision = MAX (feed->version.revision, page->revision);
   gboolean had_changes = page->objects->len > 0;
   dp_store_page_free (page);
   if (had_changes)
@@ -573,7 +680,7 @@
   if (feed->is_listed)
     {
       call.type = DP_PLATFORM_WATCH_KIND;
-      call.version = feed->revision;
+      call.version = feed->version.revision;
       call.watch_time = WATCH_TIMEOUT;
       /* After a failure, a short watch detects soon that the store is reachable again. */
       if (feed->failures > 0)
@@ -653,8 +760,16 @@
 {
   DpNode *node = watch->node;
   for (guint i = 0; i < KIND_COUNT; i++)
-    if (watch->feeds[i].is_relayed && must_watch (&watch->feeds[i]))
-      start_next_call (&watch->feeds[i]);
+    {
+      ObjectFeed *feed = &watch->feeds[i];
+      if (feed->relist_at != 0 && now >= feed->relist_at)
+        {
+          feed->relist_at = 0;
+          feed->is_listed = FALSE;
+        }
+      if (feed->is_relayed && must_watch (feed))
+        start_next_call (feed);
+    }
   /* While the store is unreachable, targets missing from it may still be live. */
   if (watch->feeds[KIND_TARGETS].failures > 0)
     return;
--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -83,23 +83,28 @@
   set_faults (cluster->store_address, json);
 }
 
-gboolean
-soak_put_config (SoakCluster *cluster)
+static gboolean
+write_config (const SoakCluster *cluster, guint version)
 {
-  guint version = cluster->config_version + 1;
   GString *routes = g_string_new (NULL);
   for (guint i = 2; i <= version; i++)
     g_string_append_printf (routes, NODE_KIT_ROUTE ("v%u"), i, i);
   gboolean is_accepted
     = node_kit_put_config (operator_store (cluster), version, routes->str) == 200;
   g_string_free (routes, TRUE);
-  if (is_accepted)
-    cluster->config_version = version;
   return is_accepted;
 }
 
 gboolean
-soak_put_target (SoakCluster *cluster, const SoakTarget *target, const char *state)
+soak_put_config (SoakCluster *cluster)
+{
+  gboolean is_accepted = write_config (cluster, cluster->config_version + 1);
+  cluster->config_version += is_accepted;
+  return is_accepted;
+}
+
+gboolean
+soak_put_target (SoakCluster *cluster, SoakTarget *target, const char *state)
 {
   const NodeKitTarget row = { .id = target->id,
                               .address = target->proxy_address,
@@ -108,10 +113,52 @@
                               .state = state,
                               .started = target->started };
   NodeKitStore store = operator_store (cluster);
+  target->state = state;
   return node_kit_put_target (store, "PUT", &row) == 200
          || node_kit_put_target (store, "POST", &row) == 200;
 }
 
+static gboolean
+post_to_store (const SoakCluster *cluster, const char *path)
+{
+  int status = 0;
+  g_free (http_exchange ("POST", cluster->store_address, SOAK_CONTROL_PORT, path, NULL, NULL,
+                         &status));
+  return status == 200;
+}
+
+void
+soak_store_copy (SoakCluster *cluster)
+{
+  post_to_store (cluster, "/copy");
+}
+
+gboolean
+soak_store_restore (SoakCluster *cluster)
+{
+  /* Without a copy there is nothing to restore. */
+  if (!post_to_store (cluster, "/restore"))
+    return TRUE;
+  gboolean is_accepted
+    = cluster->config_version < 2 || write_config (cluster, cluster->config_version);
+  for (guint i = 0; i < SOAK_TARGETS; i++)
+    if (cluster->targets[i].state != NULL)
+      is_accepted = soak_put_target (cluster, &cluster->targets[i], cluster->targets[i].state)
+                    && is_accepted;
+  return is_accepted;
+}
+
+gboolean
+soak_vm_is_listed (const SoakCluster *cluster, const SoakVm *vm)
+{
+  int status = 0;
+  char *path = g_strdup_printf ("/objects/dogwoodplank-vms/%s", vm->name);
+  g_free (
+    http_exchange ("GET", cluster->store_address, SOAK_SERVER_PORT, path, NULL, NULL, &status));
+  g_free (path);
+  return status == 200;
+}
+
 /* --- targets --- */
 
 void
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -26,6 +26,7 @@
   FAULT_STORE_PAUSE,
   FAULT_STORE_SPOILS,
   FAULT_STORE_LINK,
+  FAULT_STORE_RESTORE, /* at its end, from a copy made at its beginning */
   FAULT_CONFIG,
   FAULT_KINDS,
 } FaultKind;
@@ -43,6 +44,7 @@
   [FAULT_STORE_PAUSE] = "store_pause",
   [FAULT_STORE_SPOILS] = "store_spoils",
   [FAULT_STORE_LINK] = "store_link",
+  [FAULT_STORE_RESTORE] = "store_restore",
   [FAULT_CONFIG] = "config",
 };
 
@@ -188,6 +190,11 @@
     }
   if (!cluster->store_is_available)
     return;
+  if (fault->kind == FAULT_STORE_RESTORE)
+    {
+      soak_store_copy (cluster);
+      return;
+    }
   cluster->store_is_available = FALSE;
   if (fault->kind == FAULT_STORE_PAUSE)
     process_signal (cluster->store, SIGSTOP);
@@ -195,18 +202,22 @@
     soak_store_set_faults (cluster, store_faults[fault->choice % G_N_ELEMENTS (store_faults)]);
 }
 
-static void
+/* FALSE if the store did not accept the change, to be retried. */
+static gboolean
 end_store_fault (Fault *fault)
 {
   SoakCluster *cluster = fault->cluster;
+  if (fault->kind == FAULT_STORE_RESTORE)
+    return cluster->store_is_available && soak_store_restore (cluster);
   if (fault->kind == FAULT_STORE_LINK)
     {
       soak_proxy_set_mode (cluster->vms[fault->index % SOAK_VMS].store_proxy, SOAK_PROXY_PASS);
-      return;
+      return TRUE;
     }
   process_signal (cluster->store, SIGCONT);
   soak_store_set_faults (cluster, "{}");
   cluster->store_is_available = TRUE;
+  return TRUE;
 }
 
 /* FALSE if the store did not accept the change, to be retried. */
@@ -236,8 +247,8 @@
     return COMPONENT_VM;
   if (kind <= FAULT_TARGET_LINK)
     return COMPONENT_TARGET;
-  return kind >= FAULT_STORE_PAUSE && kind <= FAULT_STORE_LINK ? COMPONENT_STORE
-                                                               : COMPONENT_OPERATOR;
+  return kind >= FAULT_STORE_PAUSE && kind <= FAULT_STORE_RESTORE ? COMPONENT_STORE
+                                                                  : COMPONENT_OPERATOR;
 }
 
 /* FALSE if the store did not accept the change, to be retried. */
@@ -273,8 +284,7 @@
     case COMPONENT_TARGET:
       return end_target_fault (fault, &cluster->targets[fault->index % SOAK_TARGETS]);
     case COMPONENT_STORE:
-      end_store_fault (fault);
-      return TRUE;
+      return end_store_fault (fault);
     case COMPONENT_OPERATOR:
       break;
     }
--- a/soak/main.c
+++ b/soak/main.c
@@ -16,6 +16,8 @@
 #define RECOVERED_SERVED_COUNT 150
 /* Limit for a config change to be applied by all VMs. */
 #define CONFIG_APPLY_TIMEOUT (3 * DP_USEC_PER_SEC)
+/* Limit for lost entries to be written again. */
+#define ENTRY_TIMEOUT (3 * DP_USEC_PER_SEC)
 
 static void
 run_loop (SoakCluster *cluster, double seconds)
@@ -89,6 +91,21 @@
     }
 }
 
+/* Checks that each VM has its entry in the store, also if the store lost it. */
+static void
+check_entries (SoakCluster *cluster)
+{
+  gint64 end = g_get_monotonic_time () + ENTRY_TIMEOUT;
+  for (guint i = 0; i < SOAK_VMS; i++)
+    {
+      while (!soak_vm_is_listed (cluster, &cluster->vms[i]) && g_get_monotonic_time () < end)
+        run_loop (cluster, 0.01);
+      if (!soak_vm_is_listed (cluster, &cluster->vms[i]))
+        soak_cluster_add_violation (cluster, "%s has no entry in the store",
+                                    cluster->vms[i].name);
+    }
+}
+
 static guint
 run_seed (const char *build, guint32 seed)
 {
@@ -105,6 +122,7 @@
   run_loop (cluster, FAULTS_DURATION_SECONDS);
   wait_for_recovery (cluster);
   check_config (cluster);
+  check_entries (cluster);
   for (guint i = 0; i < SOAK_CALLERS; i++)
     soak_caller_free (callers[i]);
   for (guint i = 0; i < SOAK_TARGETS; i++)
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -95,6 +95,7 @@
   Process *process;
   gint64 started; /* Unix milliseconds */
   gboolean is_paused;
+  const char *state;    /* as last written to the store */
   const char *limit;    /* stated in responses; NULL: none */
   GArray *limits;       /* SoakLimit */
   GArray *arrivals;     /* SoakArrival, as collected so far */
@@ -150,9 +151,15 @@
 /* Sends the target's limit to it. */
 void soak_target_send_limit (const SoakTarget *target);
 void soak_store_set_faults (SoakCluster *cluster, const char *json);
+/* Keeps a copy of the store. */
+void soak_store_copy (SoakCluster *cluster);
+/* Returns to the copy; the operator and the targets then write again what they had written.
+ * FALSE if the store did not accept that. */
+gboolean soak_store_restore (SoakCluster *cluster);
+gboolean soak_vm_is_listed (const SoakCluster *cluster, const SoakVm *vm);
 /* Both return FALSE if the store did not accept the write. */
 gboolean soak_put_config (SoakCluster *cluster);
-gboolean soak_put_target (SoakCluster *cluster, const SoakTarget *target, const char *state);
+gboolean soak_put_target (SoakCluster *cluster, SoakTarget *target, const char *state);
 /* Adds the target's runs so far to `cluster->run_counts`. */
 void soak_target_collect_runs (SoakCluster *cluster, const SoakTarget *target);
 
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -63,7 +63,8 @@
 static DpMessage
 make_targets (void)
 {
-  DpMessage message = { .type = DP_MESSAGE_TARGETS, .targets = { .age = 1, .revision = 2 } };
+  DpMessage message
+    = { .type = DP_MESSAGE_TARGETS, .targets = { .age = 1, .version = { 3, 2 } } };
   message.targets.rows = g_array_new (FALSE, FALSE, sizeof (DpTargetRecord));
   const DpTargetRecord row = { "i-1", "pool", "dc", "127.0.1.1", 80, 5, TRUE, 7 };
   g_array_append_val (message.targets.rows, row);
@@ -126,7 +127,7 @@
       message.manifest = (DpManifestText){ 1, 2, g_bytes_new_static ("{ }", 3), 4, 5 };
       break;
     case DP_MESSAGE_VIEW:
-      message.view = (DpViewRows){ 1, make_two_vms () };
+      message.view = (DpViewRows){ 1, make_two_vms (), 2 };
       break;
     case DP_MESSAGE_PROBE:
     case DP_MESSAGE_PROBE_ACK:
@@ -170,7 +171,7 @@
     case DP_MESSAGE_TARGETS:
       return make_targets ();
     case DP_MESSAGE_RELAY:
-      message.relay = (DpRelay){ 1, 2, 3, 4 };
+      message.relay = (DpRelay){ 1, { 2, 3 }, { 4, 5 }, 6, 7 };
       break;
     case DP_MESSAGE_COUNT:
       break;
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -707,6 +707,8 @@
   { "pages of one object", "{\"page\":1}", "{\"page\":1}" },
   { "history gone", "{\"history_gone\":1}", "{}" },
   { "unreadable answers", "{\"broken\":1}", "{}" },
+  { "an era that is no number", "{\"era\":\"first\"}", "{\"era\":\"first\"}" },
+  { "a late answer of an older era", "{\"era\":\"0\"}", "{}" },
 };
 
 #define NEW_ROUTE NODE_KIT_ROUTE ("new")
@@ -748,6 +750,130 @@
 }
 END_TEST
 
+/* --- a store that was restored from a copy --- */
+
+typedef struct RestoreCase
+{
+  const char *name;
+  guint more_changes; /* right after the restore: revisions run past the lost ones */
+  guint restores;
+} RestoreCase;
+
+static const RestoreCase restore_cases[] = {
+  { "revisions behind", 0, 1 },
+  { "revisions run past", 40, 1 },
+  { "restored twice", 40, 2 },
+};
+
+#define NEWER_ROUTE                                                                            \
+  NEW_ROUTE ",{\"name\":\"newer\",\"host\":\"site.example\",\"path_prefix\":\"/newer/\","      \
+            "\"kind\":\"safe\",\"timeout_ms\":1500,\"service\":\"app\"}"
+/* Entries of VMs and targets are written again within this time. */
+#define RESTORE_TIME (2 * DP_USEC_PER_SEC)
+
+static void
+post_control (const Cluster *cluster, const char *path)
+{
+  int status = 0;
+  g_free (http_exchange ("POST", cluster->address[0], cluster->store_control, path, NULL, NULL,
+                         &status));
+  ck_assert_int_eq (status, 200);
+}
+
+static void
+write_unrelated_objects (const Cluster *cluster, guint count)
+{
+  for (guint i = 0; i < count; i++)
+    {
+      char *body = g_strdup_printf ("{\"metadata\":{\"name\":\"n%u\"},\"spec\":{}}", i);
+      g_free (http_exchange ("POST", cluster->address[0], cluster->store, "/objects/notes",
+                             NULL, body, NULL));
+      g_free (body);
+    }
+}
+
+static gboolean
+are_vms_listed (const Cluster *cluster)
+{
+  for (guint i = 0; i < VMS; i++)
+    {
+      char path[40];
+      int status = 0;
+      g_snprintf (path, sizeof path, "/objects/dogwoodplank-vms/vm%u", i);
+      g_free (
+        http_exchange ("GET", cluster->address[0], cluster->store, path, NULL, NULL, &status));
+      if (status != 200)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static gint64
+count_runs (const Cluster *cluster, guint target)
+{
+  char *text = http_exchange ("GET", cluster->address[0], cluster->target_control[target],
+                              "/runs", NULL, NULL, NULL);
+  gint64 runs = find_number (text, "runs");
+  g_free (text);
+  return runs;
+}
+
+/* Lost by the restore: the entries of target 1 and of the VMs, config 2, and that target 0
+ * drains. Requests must go on as before. */
+START_TEST (a_restored_store_takes_nothing_back)
+{
+  const RestoreCase *row = &restore_cases[_i];
+  Cluster *cluster = cluster_new ();
+  put_config (cluster, 1, "");
+  put_target (cluster, 0, "POST", "ready");
+  post_control (cluster, "/copy");
+  put_target (cluster, 1, "POST", "ready");
+  for (guint i = 0; i < VMS; i++)
+    start_node (cluster, i);
+  for (guint i = 0; i < VMS; i++)
+    ck_assert (wait_ready (cluster, i));
+  put_config (cluster, 2, NEW_ROUTE);
+  put_target (cluster, 0, "PUT", "draining");
+  for (guint i = 0; i < VMS; i++)
+    ck_assert (wait_status (cluster, i, "/new/1", 200));
+  gint64 settled_runs;
+  do
+    {
+      settled_runs = count_runs (cluster, 0);
+      for (guint i = 0; i < 20 * VMS; i++)
+        ck_assert_int_eq (get_status (cluster, i % VMS, "/new/1"), 200);
+    }
+  while (count_runs (cluster, 0) > settled_runs);
+  for (guint i = 0; i < row->restores; i++)
+    post_control (cluster, "/restore");
+  write_unrelated_objects (cluster, row->more_changes);
+  gint64 start = g_get_monotonic_time ();
+  gboolean is_target_listed = FALSE;
+  gboolean is_in_force = FALSE;
+  put_config (cluster, 3, NEWER_ROUTE);
+  while (g_get_monotonic_time () < start + 2 * RESTORE_TIME || !is_in_force)
+    {
+      gint64 elapsed = g_get_monotonic_time () - start;
+      if (!is_target_listed && elapsed > RESTORE_TIME / 2)
+        {
+          put_target (cluster, 1, "POST", "ready");
+          is_target_listed = TRUE;
+        }
+      is_in_force = TRUE;
+      for (guint i = 0; i < VMS; i++)
+        {
+          ck_assert_msg (get_status (cluster, i, "/new/1") == 200, "%s: VM %u after %d ms",
+                         row->name, i, (int)(elapsed / 1000));
+          is_in_force = get_status (cluster, i, "/newer/1") == 200 && is_in_force;
+        }
+      ck_assert_msg (elapsed < WAIT, "%s: config 3 is not in force", row->name);
+    }
+  ck_assert_msg (are_vms_listed (cluster), "%s: a VM is not listed", row->name);
+  ck_assert_msg (count_runs (cluster, 0) == settled_runs, "%s: target 0 was used", row->name);
+  cluster_free (cluster);
+}
+END_TEST
+
 START_TEST (older_config_is_ignored)
 {
   Cluster *cluster = cluster_start ();
@@ -987,6 +1113,8 @@
   tcase_add_loop_test (tests, config_change_takes_effect_despite_store_faults, 0,
                        G_N_ELEMENTS (store_cases));
   tcase_add_test (tests, removed_vm_registers_again);
+  tcase_add_loop_test (tests, a_restored_store_takes_nothing_back, 0,
+                       G_N_ELEMENTS (restore_cases));
   tcase_add_test (tests, older_config_is_ignored);
   tcase_add_test (tests, vm_started_during_store_outage_gets_data_from_other_vms);
   tcase_add_test (tests, requests_get_503_until_there_is_a_config);
--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -6,6 +6,7 @@
 #include "core/prune.h"
 #include "core/quarantine.h"
 #include "core/retry.h"
+#include "core/store_version.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -252,6 +253,59 @@
     }
 }
 
+/* --- versions of the store --- */
+
+typedef struct VersionCase
+{
+  const char *name;
+  DpStoreVersion a;
+  DpStoreVersion b;
+  int sign;
+} VersionCase;
+
+static const VersionCase version_cases[] = {
+  { "same", { 2, 7 }, { 2, 7 }, 0 },
+  { "newer revision", { 2, 8 }, { 2, 7 }, 1 },
+  { "newer era, older revision", { 3, 1 }, { 2, 7 }, 1 },
+  { "older era, newer revision", { 2, 90 }, { 3, 7 }, -1 },
+  { "same revision of two eras", { 2, 7 }, { 3, 7 }, -1 },
+  { "one era unknown", { 0, 8 }, { 3, 7 }, 1 },
+  { "both eras unknown", { 0, 6 }, { 0, 7 }, -1 },
+};
+
+START_TEST (versions_are_ordered_by_era_and_revision)
+{
+  const VersionCase *row = &version_cases[_i];
+  int forward = dp_store_version_compare (row->a, row->b);
+  int backward = dp_store_version_compare (row->b, row->a);
+  ck_assert_msg ((forward > 0) - (forward < 0) == row->sign, "%s: %d", row->name, forward);
+  ck_assert_msg ((backward > 0) - (backward < 0) == -row->sign, "%s: %d", row->name, backward);
+}
+END_TEST
+
+START_TEST (a_restored_store_removes_no_live_target)
+{
+  DpDirectory *directory = dp_directory_new ();
+  DpTargetRecord record = { .id = "t", .pool = "pool", .started = 5 };
+  DpName name = dp_name ("t");
+  dp_directory_record_contact (directory, 3 * SEC, START);
+  dp_directory_put (directory, &record);
+  dp_directory_begin_grace_period (directory, START);
+  dp_directory_remove (directory, name, START + MSEC);
+  dp_directory_expire (directory, START + SEC);
+  ck_assert (dp_directory_may_use (directory, name, START + SEC));
+  ck_assert (!dp_directory_is_gone (directory, name, 5));
+  dp_directory_expire (directory, START + DP_RECONNECT_GRACE_PERIOD);
+  ck_assert (!dp_directory_may_use (directory, name, START + DP_RECONNECT_GRACE_PERIOD));
+  /* A restored entry of this incarnation is out of date, one of a new incarnation is not. */
+  ck_assert (dp_directory_is_gone (directory, name, 5));
+  ck_assert (!dp_directory_is_gone (directory, name, 6));
+  dp_directory_put (directory, &record);
+  ck_assert (!dp_directory_is_gone (directory, name, 5));
+  dp_directory_free (directory);
+}
+END_TEST
+
 /* --- limits of targets --- */
 
 typedef struct LimitEvent
@@ -811,6 +865,9 @@
                        G_N_ELEMENTS (directory_cases));
   tcase_add_loop_test (tests, a_targets_own_report_overrides_its_listing, 0,
                        G_N_ELEMENTS (target_event_cases));
+  tcase_add_loop_test (tests, versions_are_ordered_by_era_and_revision, 0,
+                       G_N_ELEMENTS (version_cases));
+  tcase_add_test (tests, a_restored_store_removes_no_live_target);
   tcase_add_loop_test (tests, the_latest_response_determines_a_targets_limit, 0,
                        G_N_ELEMENTS (limit_cases));
   tcase_add_loop_test (tests, a_lapsed_target_is_dropped_in_time, 0,
