node, core: three faults found on reading the fix again

- A limit ended with any genuine response without it, also an error that something in front of the target may have sent.
It takes a success now (a_limit_ends_with_a_success_only).
- A listing that was on its way while a relay told of a restore counted as the first of the new era.
It is repeated now; not shown by a test.

--- a/core/dispatcher_targets.c
+++ b/core/dispatcher_targets.c
@@ -230,7 +230,7 @@
 }
 
 /* TRUE if the request should have started, and its VM responds: nobody reports the requests of
- * a VM that has failed. */
+ * another VM that has failed. */
 static gboolean
 is_overdue (const DpDispatcher *dispatcher, const DpDispatchRequest *request)
 {
@@ -240,7 +240,8 @@
   DpUsec due_at = request->granted_at
                   + dp_latency_model_overdue_after (&dispatcher->latency_model,
                                                     request->expected_first_event);
-  return dispatcher->now > due_at && entry != NULL && entry->last_seen_at > due_at;
+  gboolean is_reported = entry != NULL && entry->last_seen_at > due_at;
+  return dispatcher->now > due_at && (is_reported || !dispatcher->options.is_shared);
 }
 
 /* Revokes repeatable requests, which can run elsewhere. Others have to wait for their response.
--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -585,10 +585,12 @@
 {
   ObjectFeed *feed = data;
   apply_era (feed->watch, reply->era, "store");
-  if (feed->pages->len > 0 && reply->era != feed->listing_era)
+  gboolean is_first = feed->pages->len == 0;
+  if ((reply->era != 0 && reply->era < feed->watch->era)
+      || (!is_first && reply->era != feed->listing_era))
     {
       clear_listing (feed);
-      start_next_call (feed);
+      schedule (feed->timer, RETRY_DELAY);
       return;
     }
   feed->listing_era = reply->era;
--- a/node/target_limits.c
+++ b/node/target_limits.c
@@ -60,13 +60,15 @@
 
 /* --- reports to the owner --- */
 
-/* The end of a limit shows in a response to a request that was sent after the limit was known:
- * responses to earlier requests may have left the target before it set the limit. */
+/* The end of a limit shows in a successful response to a request that was sent after the limit
+ * was known: responses to earlier requests may have left the target before it set the limit,
+ * and an error may come from something in front of it. */
 static gboolean
 is_unlimited (const DpNodeRequest *request, const DpDirectoryRow *row)
 {
-  return row->limit.is_set && request->answer.limit == DP_RESPONSE_LIMIT_NONE
-         && request->answer.is_authentic && !request->answer.is_declined
+  const DpTargetResponse *answer = &request->answer;
+  return row->limit.is_set && answer->limit == DP_RESPONSE_LIMIT_NONE && answer->is_authentic
+         && answer->status >= 200 && answer->status < 300
          && request->sent_at > row->limit.changed_at;
 }
 
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -37,7 +37,7 @@
   fixture->counters = dp_counters_new ();
   fixture->directory = dp_directory_new ();
   const DpDispatcherOptions options
-    = { .pool = dp_name (POOL), .seed = 5, .counters = fixture->counters };
+    = { .pool = dp_name (POOL), .seed = 5, .is_shared = TRUE, .counters = fixture->counters };
   fixture->dispatcher = dp_dispatcher_new (&options);
   fixture->outbox = dp_dispatch_outbox_new ();
   fixture->now = START;
@@ -242,6 +242,20 @@
   receive (fixture, &message);
 }
 
+/* A VM that dispatches only its own requests need not report them. */
+START_TEST (an_unresponsive_target_is_detected_without_reports_of_the_own_vm)
+{
+  Fixture fixture;
+  set_up (&fixture);
+  dp_dispatcher_set_shared (fixture.dispatcher, FALSE);
+  add_target (&fixture, "a", 5, FALSE);
+  send_request (&fixture, (Request){ 1, 0, 500 * MSEC, 4 * DP_USEC_PER_SEC });
+  tick (&fixture, 700 * MSEC);
+  ck_assert_ptr_nonnull (find_sent (&fixture, DP_MESSAGE_GRANT_REVOKED, 1));
+  tear_down (&fixture);
+}
+END_TEST
+
 /* A VM that was killed: nobody reports the end of its request. */
 START_TEST (the_silence_of_a_vm_is_not_blamed_on_its_target)
 {
@@ -537,6 +551,7 @@
                        G_N_ELEMENTS (failure_cases));
   tcase_add_test (tests, requests_of_an_unresponsive_target_are_revoked);
   tcase_add_test (tests, the_silence_of_a_vm_is_not_blamed_on_its_target);
+  tcase_add_test (tests, an_unresponsive_target_is_detected_without_reports_of_the_own_vm);
   tcase_add_test (tests, a_request_that_has_started_is_not_revoked);
   tcase_add_test (tests, a_new_owner_adopts_reported_requests);
   tcase_add_test (tests, a_request_missing_from_a_report_is_removed);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -473,6 +473,42 @@
 }
 END_TEST
 
+START_TEST (a_limit_ends_with_a_success_only)
+{
+  Cluster *cluster = cluster_start ();
+  for (guint i = 0; i < TARGETS; i++)
+    set_fault (cluster, cluster->target_control[i], "{\"limit\":\"1000\"}");
+  const char *metrics_address = cluster->address[0];
+  do
+    ck_assert_int_eq (get_status (cluster, 0, "/look/1"), 200);
+  while (!wait_for_number (metrics_address, cluster->operator_port, "/metrics", LIMITED,
+                           TARGETS, 50 * DP_USEC_PER_MSEC));
+  for (guint i = 0; i < TARGETS; i++)
+    set_fault (cluster, cluster->target_control[i], "{\"limit\":\"\",\"status\":500}");
+  for (guint i = 0; i < 4 * TARGETS; i++)
+    ck_assert_int_eq (get_status (cluster, 0, "/look/1"), 500);
+  char *metrics = http_exchange ("GET", metrics_address, cluster->operator_port, "/metrics",
+                                 NULL, NULL, NULL);
+  ck_assert_int_eq (find_number (metrics, LIMITED), TARGETS);
+  g_free (metrics);
+  for (guint i = 0; i < TARGETS; i++)
+    set_fault (cluster, cluster->target_control[i], "{\"status\":-1}");
+  gint64 limited = TARGETS;
+  for (gint64 end = g_get_monotonic_time () + WAIT;
+       limited == TARGETS && g_get_monotonic_time () < end;)
+    {
+      get_status (cluster, 0, "/look/1");
+      metrics = http_exchange ("GET", metrics_address, cluster->operator_port, "/metrics", NULL,
+                               NULL, NULL);
+      limited = find_number (metrics, LIMITED);
+      g_free (metrics);
+    }
+  /* The other target may get no request, since its failures are remembered. */
+  ck_assert_int_lt (limited, TARGETS);
+  cluster_free (cluster);
+}
+END_TEST
+
 /* --- limits of targets over all VMs --- */
 
 /* Accepted by the platform's rules in any window: one and a half times the limit, and some. */
@@ -1108,6 +1144,7 @@
   tcase_add_test (tests, statement_of_another_target_is_ignored);
   tcase_add_loop_test (tests, a_limit_is_a_decimal_number, 0,
                        G_N_ELEMENTS (stated_limit_cases));
+  tcase_add_test (tests, a_limit_ends_with_a_success_only);
   tcase_add_test (tests, requests_without_route_or_key_are_refused);
   tcase_add_test (tests, ambiguous_requests_reach_no_target);
   tcase_add_loop_test (tests, config_change_takes_effect_despite_store_faults, 0,
