core: an entry that leaves an owner takes its grants with it

Cause: an entry that uses another owner tells the previous one by an empty report, but grants younger than a second were kept, since a report may have been sent before a grant was received. They end at the new owner. When the previous owner is chosen again, its targets are full of them, and suspect as soon as they are overdue.

The report now says that the entry has left, and nothing of it is kept; a grant that is still on its way is released by the entry, as before.

--- a/core/dispatcher_reports.c
+++ b/core/dispatcher_reports.c
@@ -4,7 +4,8 @@
 
 /* An entry counts as failed after this long without a message: three missed reports. */
 #define ENTRY_TIMEOUT (2500 * DP_USEC_PER_MSEC)
-/* A recent grant may be missing from a report that was sent before the grant was received. */
+/* A recent grant may be missing from a report that was sent before the grant was received,
+ * unless the entry has left: it then releases a grant that it receives later. */
 #define REPORT_GRACE_PERIOD (1 * DP_USEC_PER_SEC)
 
 static void
@@ -47,7 +48,8 @@
     {
       DpDispatchRequest *request = dp_table_get (dispatcher->requests, at);
       DpUsec since = MAX (request->arrived_at, request->granted_at);
-      if (request->entry == from && dispatcher->now - since > REPORT_GRACE_PERIOD
+      gboolean is_recent = dispatcher->now - since <= REPORT_GRACE_PERIOD;
+      if (request->entry == from && (!is_recent || report->has_left)
           && !is_reported (report, request->ask.attempt))
         dp_dispatch_remove_request (dispatcher, request);
     }
--- a/core/message.h
+++ b/core/message.h
@@ -197,6 +197,7 @@
   guint64 incarnation; /* of the entry */
   guint part;          /* number of this message, from 0, if there are more rows than fit */
   gboolean last;       /* the last part */
+  gboolean has_left;   /* the entry uses another owner now and holds no grants of this one */
   guint count;
   DpHeldGrant held[DP_HELD_GRANTS_MAX];
 } DpGrantHeld;
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -117,6 +117,7 @@
                 grant_held.count,
                 DP_HELD_GRANTS_MAX,
                 &held_grant_table),
+  FLAG (6, DpMessage, grant_held.has_left),
 };
 
 static const DpField grant_given_fields[] = {
--- a/node/placement.c
+++ b/node/placement.c
@@ -152,16 +152,18 @@
                        g_memdup2 (&request->self, sizeof (DpHandle)));
 }
 
-/* Sends the owner a list of the pool's requests that it places; an empty one if `is_empty`. */
+/* Sends the owner a list of the pool's requests that it places; an empty one if the VM has left
+ * it for another owner. */
 static void
-send_report (DpNode *node, DpNodePool *pool, DpName owner, gboolean is_empty)
+send_report (DpNode *node, DpNodePool *pool, DpName owner, gboolean has_left)
 {
   DpMessage message = { .type = DP_MESSAGE_GRANT_HELD };
   DpGrantHeld *report = &message.grant_held;
   report->group = pool->name;
   report->incarnation = dp_process_incarnation (node->process);
   report->last = TRUE;
-  for (DpHandle at = dp_table_next (node->requests, 0); at != 0 && !is_empty;
+  report->has_left = has_left;
+  for (DpHandle at = dp_table_next (node->requests, 0); at != 0 && !has_left;
        at = dp_table_next (node->requests, at))
     {
       const DpNodeRequest *request = dp_table_get (node->requests, at);
@@ -179,7 +181,7 @@
                          .started = request->first_byte_after > 0 };
     }
   pool->reported_at = dp_node_now ();
-  if (report->count > 0 || is_empty)
+  if (report->count > 0 || has_left)
     send_to_owner (node, pool, owner, &message);
 }
 
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -330,6 +330,26 @@
 }
 END_TEST
 
+/* A request that another owner has taken over must not fill its target here, or be blamed on
+ * it, when this VM owns the pool again soon after. */
+START_TEST (an_entry_that_has_left_holds_no_recent_grants)
+{
+  Fixture fixture;
+  set_up (&fixture);
+  add_target (&fixture, "a", 1, FALSE);
+  for (guint64 id = 1; id <= WINDOW; id++)
+    send_request (&fixture, (Request){ id, 0, 500 * MSEC, 4 * DP_USEC_PER_SEC });
+  ck_assert_uint_eq (dp_dispatcher_status (fixture.dispatcher).running, WINDOW);
+  DpMessage message = { .type = DP_MESSAGE_GRANT_HELD };
+  message.grant_held = (DpGrantHeld){ .group = dp_name (POOL), .last = TRUE, .has_left = TRUE };
+  receive (&fixture, &message);
+  ck_assert_uint_eq (dp_dispatcher_status (fixture.dispatcher).running, 0);
+  send_request (&fixture, (Request){ 9, 0, 500 * MSEC, 4 * DP_USEC_PER_SEC });
+  ck_assert_ptr_nonnull (find_sent (&fixture, DP_MESSAGE_GRANT_GIVEN, 9));
+  tear_down (&fixture);
+}
+END_TEST
+
 START_TEST (a_request_missing_from_a_report_is_removed)
 {
   Fixture fixture;
@@ -554,6 +574,7 @@
   tcase_add_test (tests, an_unresponsive_target_is_detected_without_reports_of_the_own_vm);
   tcase_add_test (tests, a_request_that_has_started_is_not_revoked);
   tcase_add_test (tests, a_new_owner_adopts_reported_requests);
+  tcase_add_test (tests, an_entry_that_has_left_holds_no_recent_grants);
   tcase_add_test (tests, a_request_missing_from_a_report_is_removed);
   tcase_add_test (tests, an_unknown_waiting_request_is_revoked);
   tcase_add_test (tests, requests_of_a_timed_out_entry_are_removed);
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -53,8 +53,9 @@
 static DpMessage
 make_grant_held (void)
 {
-  DpMessage message = { .type = DP_MESSAGE_GRANT_HELD,
-                        .grant_held = { 1, 2, 3, TRUE, DP_HELD_GRANTS_MAX, { { { 0, 0 } } } } };
+  DpMessage message
+    = { .type = DP_MESSAGE_GRANT_HELD,
+        .grant_held = { 1, 2, 3, TRUE, TRUE, DP_HELD_GRANTS_MAX, { { { 0, 0 } } } } };
   for (guint i = 0; i < DP_HELD_GRANTS_MAX; i++)
     message.grant_held.held[i] = (DpHeldGrant){ { i, 2 }, 3, 4, 5, 6, 7 + i, i % 2 == 0 };
   return message;
