node: data from a relay ends the time after a restore

Two faults found on reading again, neither shown by a test: - A VM that follows a relay never left the state after a restore, in which targets that were gone before are ignored: once it watched the store itself, a target that had lapsed and came back would have been ignored for good. - The length of a slot in a report from another VM was not bounded; the sum of ages could overflow.

test_platform_client now shows that responses of an older era are dropped and that an era that is no number is counted and ignored.

--- a/core/dispatcher_limits.c
+++ b/core/dispatcher_limits.c
@@ -114,7 +114,7 @@
 dp_dispatch_apply_sent (DpDispatcher *dispatcher, const DpTargetSent *sent)
 {
   const DpDispatchTarget *target = dp_dispatch_find_target (dispatcher, sent->target);
-  if (target == NULL || target->limiter == NULL)
+  if (target == NULL || target->limiter == NULL || sent->slot > DP_LIMIT_WINDOW)
     return;
   for (guint i = 0; i < MIN (sent->count, DP_SENT_SLOTS_MAX); i++)
     if (sent->slots[i] > 0)
--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -149,6 +149,14 @@
   dp_registration_on_restored (node->registration);
 }
 
+/* Data of the restored store came from a VM that has listed it. */
+static void
+set_version (ObjectFeed *feed, DpStoreVersion version)
+{
+  feed->version = version;
+  feed->is_restored = feed->is_restored && version.era != feed->watch->era;
+}
+
 /* --- config --- */
 
 static void
@@ -268,7 +276,7 @@
   guint64 version_before = dp_directory_version (node->directory);
   dp_directory_replace (node->directory, (const DpTargetRecord *)targets->rows->data,
                         targets->rows->len, dp_node_now ());
-  feed->version = targets->version;
+  set_version (feed, targets->version);
   if (dp_directory_version (node->directory) == version_before)
     return;
   char count[16];
@@ -371,7 +379,7 @@
     }
   if (version != NULL && dp_store_version_compare (*version, feed->version) > 0)
     {
-      feed->version = *version;
+      set_version (feed, *version);
       changed |= drop_absent_vms (watch, vms);
     }
   if (changed)
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -744,7 +744,7 @@
   { "history gone", "{\"history_gone\":1}", "{}" },
   { "unreadable answers", "{\"broken\":1}", "{}" },
   { "an era that is no number", "{\"era\":\"first\"}", "{\"era\":\"first\"}" },
-  { "a late answer of an older era", "{\"era\":\"0\"}", "{}" },
+  { "no era for a while", "{\"era\":\"0\"}", "{}" },
 };
 
 #define NEW_ROUTE NODE_KIT_ROUTE ("new")
--- a/tests/test_platform_client.c
+++ b/tests/test_platform_client.c
@@ -47,6 +47,7 @@
   int status;
   guint64 version; /* 0: the object does not exist */
   char *value;
+  const char *era; /* NULL: no header */
   guint calls;
   GPtrArray *held; /* requests that get no response */
 } Server;
@@ -61,6 +62,8 @@
   else if (server->fault != FAULT_NO_ETAG)
     evhttp_add_header (headers, "ETag", etag);
   g_free (etag);
+  if (server->era != NULL)
+    evhttp_add_header (headers, "Store-Era", server->era);
   struct evbuffer *body = evbuffer_new ();
   if (evhttp_request_get_command (request) == EVHTTP_REQ_GET)
     evbuffer_add_printf (body, "%s", server->value);
@@ -266,6 +269,7 @@
   gboolean done;
   DpPlatformResult result;
   guint64 version;
+  guint64 era;
   char *value;
   guint objects;
 } Outcome;
@@ -278,6 +282,7 @@
   outcome->done = TRUE;
   outcome->result = reply->result;
   outcome->version = reply->version;
+  outcome->era = reply->era;
   if (reply->value != NULL)
     {
       gsize length;
@@ -410,6 +415,52 @@
 }
 END_TEST
 
+typedef struct EraCase
+{
+  const char *name;
+  const char *header; /* of the second response; the first has era 5 */
+  DpPlatformResult result;
+  guint64 era;
+  guint64 invalid; /* counted */
+} EraCase;
+
+static const EraCase era_cases[] = {
+  { "same", "5", DP_PLATFORM_OK, 5, 0 },
+  { "restored", "6", DP_PLATFORM_OK, 6, 0 },
+  { "a late response", "4", DP_PLATFORM_UNAVAILABLE, 5, 0 },
+  { "none", NULL, DP_PLATFORM_OK, 5, 0 },
+  { "not a number", "five", DP_PLATFORM_OK, 5, 1 },
+  { "negative", "-6", DP_PLATFORM_OK, 5, 1 },
+  { "too large", "99999999999999999999", DP_PLATFORM_OK, 5, 1 },
+};
+
+START_TEST (responses_of_an_older_era_are_dropped)
+{
+  const EraCase *row = &era_cases[_i];
+  Server *server = server_new ();
+  DpCounters *counters = dp_counters_new ();
+  DpPlatformClient *client = client_new (server, counters, 10);
+  const DpPlatformCall call = { .type = DP_PLATFORM_READ, .path = "a/b" };
+  server->era = "5";
+  Outcome outcome = call_and_wait (server, client, &call);
+  ck_assert_int_eq (outcome.result, DP_PLATFORM_OK);
+  ck_assert_uint_eq (outcome.era, 5);
+  g_free (outcome.value);
+  server->era = row->header;
+  outcome = call_and_wait (server, client, &call);
+  ck_assert_msg (outcome.result == row->result, "%s: %s", row->name,
+                 dp_platform_result_name (outcome.result));
+  ck_assert_msg (outcome.era == row->era, "%s: era %u", row->name, (guint)outcome.era);
+  ck_assert_uint_eq (
+    dp_counters_get (counters, "dogwoodplank_invalid_store_eras_total", NULL, NULL),
+    row->invalid);
+  g_free (outcome.value);
+  dp_platform_client_unref (client);
+  dp_counters_unref (counters);
+  server_free (server);
+}
+END_TEST
+
 /* After a failure no call reaches the platform until the backoff has elapsed; one success ends
  * the backoff. */
 START_TEST (client_backs_off_after_a_failure)
@@ -566,6 +617,8 @@
   Suite *suite = suite_create ("platform_client");
   TCase *tcase = tcase_create ("platform_client");
   tcase_add_loop_test (tcase, each_fault_maps_to_its_result, 0, G_N_ELEMENTS (call_cases));
+  tcase_add_loop_test (tcase, responses_of_an_older_era_are_dropped, 0,
+                       G_N_ELEMENTS (era_cases));
   tcase_add_test (tcase, client_backs_off_after_a_failure);
   tcase_add_test (tcase, the_queue_is_bounded);
   tcase_add_test (tcase, calls_stay_within_the_rate_limit);
