core, node: no grant is used of an owner that does not keep the limit

Cause, from its log: vm0 was restarted after the last announcement of the limits, became the pool's owner when its two seconds were over, just before the next one, and assigned 13 requests in 150 ms without knowing of the limit; the VMs that sent them knew it (target_limit=0.400 in their request_sent lines).

A VM now uses a grant for a target with a limit only if the owner has announced itself lately. Else it tells the owner of the limit and places the request again, without that target. The row "a new owner that knows no limits" plays it in virtual time; without the check (mutation unaware_owner_obeyed) it fails.

--- a/core/limit_client.c
+++ b/core/limit_client.c
@@ -59,6 +59,18 @@
   g_array_append_val (client->owners, row);
 }
 
+gboolean
+dp_limit_client_is_keeper (const DpLimitClient *client, DpName pool, DpName owner, DpUsec now)
+{
+  for (guint i = 0; i < client->owners->len; i++)
+    {
+      const Owner *row = &g_array_index (client->owners, Owner, i);
+      if (row->pool == pool && row->vm == owner && now - row->announced_at <= DP_LIMIT_WINDOW)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static void
 expire_sends (DpLimitClient *client, DpUsec now)
 {
--- a/core/limit_client.h
+++ b/core/limit_client.h
@@ -20,6 +20,11 @@
 void
 dp_limit_client_on_announcement (DpLimitClient *client, DpName pool, DpName owner, DpUsec now);
 
+/* TRUE if the owner has announced itself lately. One that has not may have started after the
+ * last announcement of the limits: its grants for targets with a limit must not be used. */
+gboolean
+dp_limit_client_is_keeper (const DpLimitClient *client, DpName pool, DpName owner, DpUsec now);
+
 typedef struct DpLimitSend
 {
   DpName pool;
--- a/node/node.h
+++ b/node/node.h
@@ -314,6 +314,10 @@
 
 /* The head of a response was received. */
 void dp_target_limits_on_response (const DpNodeRequest *request);
+/* TRUE if the request's owner may assign it to the target. If the owner does not know of the
+ * target's limit, tells it. */
+gboolean dp_target_limits_accepts_grant (const DpNodeRequest *request,
+                                         const DpDirectoryRow *row);
 /* The request is sent to the target. */
 void dp_target_limits_on_send (const DpNodeRequest *request, const DpDirectoryRow *row);
 /* A report for the pool's owner, or an announcement from it. */
--- a/node/request.c
+++ b/node/request.c
@@ -270,7 +270,8 @@
       fail_request (request, DP_REASON_DEADLINE_PASSED, 0);
       return;
     }
-  if (row == NULL || !dp_directory_may_use (node->directory, target, now))
+  if (row == NULL || !dp_directory_may_use (node->directory, target, now)
+      || !dp_target_limits_accepts_grant (request, row))
     {
       /* This VM has newer information about the target than the owner. */
       log_event (request, "grant_not_used", DP_REASON_NO_TARGET);
--- a/node/target_limits.c
+++ b/node/target_limits.c
@@ -72,8 +72,8 @@
          && request->sent_at > row->limit.changed_at;
 }
 
-static void
-report_limit (DpNode *node, const DpDirectoryRow *row)
+static DpMessage
+make_report (const DpDirectoryRow *row)
 {
   DpMessage message = { .type = DP_MESSAGE_TARGET_LIMITS };
   message.target_limits.pool = row->pool;
@@ -84,7 +84,7 @@
                     .is_set = row->limit.is_set,
                     .milli = (guint64)llround (row->limit.per_second * MILLI),
                     .age = dp_node_now () - row->limit.observed_at };
-  dp_placement_send_to_owner (node, row->pool, &message);
+  return message;
 }
 
 void
@@ -110,7 +110,26 @@
   if (!record (node, &report, "target response"))
     return;
   dp_placement_set_targets (node);
-  report_limit (node, row);
+  const DpMessage message = make_report (row);
+  dp_placement_send_to_owner (node, row->pool, &message);
+}
+
+gboolean
+dp_target_limits_accepts_grant (const DpNodeRequest *request, const DpDirectoryRow *row)
+{
+  DpNode *node = request->node;
+  if (!row->limit.is_set
+      || dp_limit_client_is_keeper (node->limit_client, row->pool, request->owner,
+                                    dp_node_now ()))
+    return TRUE;
+  dp_log (DP_LOG_NOTICE, "limit_unknown_to_owner", "request", request->id, "target",
+          row->record.id, NULL);
+  const DpMessage message = make_report (row);
+  if (request->owner == node->self)
+    dp_placement_on_message (node, node->self, &message);
+  else
+    dp_peers_send (node, request->owner, &message);
+  return FALSE;
 }
 
 /* --- requests sent, for the owners that keep limits --- */
--- a/tests/test_target_limits.c
+++ b/tests/test_target_limits.c
@@ -268,12 +268,14 @@
 #define FLEET_TARGETS_MAX 18
 #define DELAY (2 * MSEC)
 #define STATED_AT (START + 6 * SEC)
+#define NEW_OWNER_AFTER (9 * SEC)
 #define FLEET_END (STATED_AT + 20 * SEC)
 
 typedef enum Disturbance
 {
   DISTURB_NONE,
   DISTURB_OWNER_DIES,    /* and starts again with no state */
+  DISTURB_NEW_OWNER,     /* has started after the last announcement of the limits */
   DISTURB_OWNER_CHANGES, /* every 700 ms */
   DISTURB_TWO_OWNERS,
   DISTURB_THREE_OWNERS,
@@ -303,6 +305,7 @@
   { "plain service, less than one per VM", TRUE, 30, 3, 3, 2, 90, DISTURB_NONE, 0.85 },
   { "the owner dies", FALSE, 15, 18, 2, 7, 450, DISTURB_OWNER_DIES, 0.85 },
   { "plain service, the owner dies", TRUE, 15, 3, 1, 8, 90, DISTURB_OWNER_DIES, 0.85 },
+  { "a new owner that knows no limits", FALSE, 15, 6, 2, 3, 300, DISTURB_NEW_OWNER, 0.85 },
   { "the owner changes often", FALSE, 15, 6, 2, 10, 150, DISTURB_OWNER_CHANGES, 0.6 },
   { "two owners", FALSE, 15, 6, 2, 10, 150, DISTURB_TWO_OWNERS, 0.6 },
   { "two owners, high limit", FALSE, 15, 6, 2, 40, 900, DISTURB_TWO_OWNERS, 0.6 },
@@ -399,6 +402,8 @@
   DpUsec since = fleet->now - STATED_AT;
   if (is_disturbed (fleet, DISTURB_OWNER_DIES))
     return since > 1120 * MSEC ? 1 : 0;
+  if (is_disturbed (fleet, DISTURB_NEW_OWNER))
+    return since > NEW_OWNER_AFTER ? 1 : 0;
   if (is_disturbed (fleet, DISTURB_OWNER_CHANGES))
     return (guint)(fleet->now / (700 * MSEC) % 2);
   if (is_disturbed (fleet, DISTURB_TWO_OWNERS))
@@ -493,6 +498,20 @@
   handle_fleet_outbox (fleet, index, outbox);
 }
 
+static DpMessage
+make_report (const DpDirectoryRow *row, DpUsec now)
+{
+  DpMessage message = { .type = DP_MESSAGE_TARGET_LIMITS };
+  message.target_limits.pool = dp_name (POOL);
+  message.target_limits.count = 1;
+  message.target_limits.rows[0]
+    = (DpLimitRow){ .target = row->name,
+                    .is_set = row->limit.is_set,
+                    .milli = (guint64)(row->limit.per_second * 1000),
+                    .age = now - row->limit.observed_at };
+  return message;
+}
+
 static void
 on_response (Fleet *fleet, const Delivery *delivery)
 {
@@ -509,13 +528,7 @@
       && dp_directory_record_limit (directory, &report, fleet->now))
     {
       apply_fleet_targets (fleet, vm);
-      DpMessage message = { .type = DP_MESSAGE_TARGET_LIMITS };
-      message.target_limits.pool = dp_name (POOL);
-      message.target_limits.count = 1;
-      message.target_limits.rows[0]
-        = (DpLimitRow){ .target = delivery->target,
-                        .is_set = row->limit.is_set,
-                        .milli = (guint64)(row->limit.per_second * 1000) };
+      const DpMessage message = make_report (row, fleet->now);
       post (fleet, vm, owner_of (fleet, vm), &message);
     }
   DpMessage done = { .type = DP_MESSAGE_GRANT_DONE };
@@ -586,6 +599,20 @@
   handle_fleet_outbox (fleet, delivery->to, outbox);
 }
 
+static void
+decline_grant (
+  Fleet *fleet, guint vm, guint owner, const DpGrantGiven *given, const DpDirectoryRow *row)
+{
+  const DpMessage report = make_report (row, fleet->now);
+  post (fleet, vm, owner, &report);
+  DpMessage done = { .type = DP_MESSAGE_GRANT_DONE };
+  done.grant_done = (DpGrantDone){ .attempt = given->attempt,
+                                   .group = dp_name (POOL),
+                                   .target = given->target,
+                                   .reason = DP_REASON_NO_TARGET };
+  post (fleet, vm, owner, &done);
+}
+
 static void
 send_to_target (Fleet *fleet, guint vm, guint owner, const DpGrantGiven *given)
 {
@@ -593,8 +620,14 @@
   char id[8];
   for (target_id (target, id); dp_name (id) != given->target; target_id (target, id))
     target++;
-  g_array_append_val (fleet->arrivals[target], fleet->now);
   const DpDirectoryRow *row = dp_directory_find (fleet->vms[vm].directory, given->target);
+  if (row->limit.is_set
+      && !dp_limit_client_is_keeper (fleet->vms[vm].client, dp_name (POOL), owner, fleet->now))
+    {
+      decline_grant (fleet, vm, owner, given, row);
+      return;
+    }
+  g_array_append_val (fleet->arrivals[target], fleet->now);
   GArray *owners = g_array_new (FALSE, FALSE, sizeof (DpName));
   const DpLimitSend send = { .pool = dp_name (POOL),
                              .target = given->target,
@@ -666,6 +699,11 @@
       stop_vm (&fleet->vms[0]);
       start_vm (fleet, 0);
     }
+  if (fleet->now == STATED_AT + NEW_OWNER_AFTER && fleet->row->disturbance == DISTURB_NEW_OWNER)
+    {
+      stop_vm (&fleet->vms[1]);
+      start_vm (fleet, 1);
+    }
   for (guint i = 0; i < fleet->row->vms && fleet->now % DP_DISPATCH_TICK_INTERVAL == 0; i++)
     {
       GArray *outbox = dp_dispatch_outbox_new ();
