node: a report names all limits of the pool

Found on reading: VMs take an owner that has announced itself as the keeper of all limits of the pool, but one that has just restarted knew only those in the report that made it announce itself. Each report names all limits now. Not shown by a test that fails before.

--- a/node/target_limits.c
+++ b/node/target_limits.c
@@ -72,18 +72,31 @@
          && request->sent_at > row->limit.changed_at;
 }
 
+static void
+add_row (DpTargetLimits *limits, const DpDirectoryRow *row)
+{
+  if (limits->count < DP_LIMIT_ROWS_MAX)
+    limits->rows[limits->count++]
+      = (DpLimitRow){ .target = row->name,
+                      .started = row->record.started,
+                      .is_set = row->limit.is_set,
+                      .milli = (guint64)llround (row->limit.per_second * MILLI),
+                      .age = dp_node_now () - row->limit.observed_at };
+}
+
+/* Returns a report of the target's limit and of all others of its pool: once the owner keeps
+ * one, VMs rely on it to keep all of them. */
 static DpMessage
-make_report (const DpDirectoryRow *row)
+make_report (const DpNode *node, const DpDirectoryRow *target)
 {
   DpMessage message = { .type = DP_MESSAGE_TARGET_LIMITS };
-  message.target_limits.pool = row->pool;
-  message.target_limits.count = 1;
-  message.target_limits.rows[0]
-    = (DpLimitRow){ .target = row->name,
-                    .started = row->record.started,
-                    .is_set = row->limit.is_set,
-                    .milli = (guint64)llround (row->limit.per_second * MILLI),
-                    .age = dp_node_now () - row->limit.observed_at };
+  message.target_limits.pool = target->pool;
+  add_row (&message.target_limits, target);
+  DpHandle at = 0;
+  const DpDirectoryRow *row;
+  while ((row = dp_directory_next (node->directory, &at)) != NULL)
+    if (row != target && row->pool == target->pool && row->limit.is_set)
+      add_row (&message.target_limits, row);
   return message;
 }
 
@@ -110,7 +123,7 @@
   if (!record (node, &report, "target response"))
     return;
   dp_placement_set_targets (node);
-  const DpMessage message = make_report (row);
+  const DpMessage message = make_report (node, row);
   dp_placement_send_to_owner (node, row->pool, &message);
 }
 
@@ -124,7 +137,7 @@
     return TRUE;
   dp_log (DP_LOG_NOTICE, "limit_unknown_to_owner", "request", request->id, "target",
           row->record.id, NULL);
-  const DpMessage message = make_report (row);
+  const DpMessage message = make_report (node, row);
   if (request->owner == node->self)
     dp_placement_on_message (node, node->self, &message);
   else
--- a/tests/test_target_limits.c
+++ b/tests/test_target_limits.c
@@ -498,17 +498,27 @@
   handle_fleet_outbox (fleet, index, outbox);
 }
 
-static DpMessage
-make_report (const DpDirectoryRow *row, DpUsec now)
+static void
+add_row (DpTargetLimits *limits, const DpDirectoryRow *row, DpUsec now)
 {
-  DpMessage message = { .type = DP_MESSAGE_TARGET_LIMITS };
-  message.target_limits.pool = dp_name (POOL);
-  message.target_limits.count = 1;
-  message.target_limits.rows[0]
+  limits->rows[limits->count++]
     = (DpLimitRow){ .target = row->name,
                     .is_set = row->limit.is_set,
                     .milli = (guint64)(row->limit.per_second * 1000),
                     .age = now - row->limit.observed_at };
+}
+
+static DpMessage
+make_report (const Fleet *fleet, guint vm, const DpDirectoryRow *target)
+{
+  DpMessage message = { .type = DP_MESSAGE_TARGET_LIMITS };
+  message.target_limits.pool = dp_name (POOL);
+  add_row (&message.target_limits, target, fleet->now);
+  DpHandle at = 0;
+  const DpDirectoryRow *row;
+  while ((row = dp_directory_next (fleet->vms[vm].directory, &at)) != NULL)
+    if (row != target && row->limit.is_set)
+      add_row (&message.target_limits, row, fleet->now);
   return message;
 }
 
@@ -528,7 +538,7 @@
       && dp_directory_record_limit (directory, &report, fleet->now))
     {
       apply_fleet_targets (fleet, vm);
-      const DpMessage message = make_report (row, fleet->now);
+      const DpMessage message = make_report (fleet, vm, row);
       post (fleet, vm, owner_of (fleet, vm), &message);
     }
   DpMessage done = { .type = DP_MESSAGE_GRANT_DONE };
@@ -603,7 +613,7 @@
 decline_grant (
   Fleet *fleet, guint vm, guint owner, const DpGrantGiven *given, const DpDirectoryRow *row)
 {
-  const DpMessage report = make_report (row, fleet->now);
+  const DpMessage report = make_report (fleet, vm, row);
   post (fleet, vm, owner, &report);
   DpMessage done = { .type = DP_MESSAGE_GRANT_DONE };
   done.grant_done = (DpGrantDone){ .attempt = given->attempt,
