core, node: an owner that returns is asked anew whether it keeps the limits

A VM forgets an owner's announcement when it begins to use that owner, and an owner that gets a report announces itself within 100 ms. The row "an owner that returns without its limits" fails without it (mutation returning_owner_trusted). Not covered: an owner that restarts so fast that no VM notices; the VMs ask on, and take it for the keeper for up to five seconds.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -453,7 +453,7 @@
       assign_waiting (dispatcher);
       break;
     case DP_MESSAGE_TARGET_LIMITS:
-      dp_dispatch_record_use_as_owner (dispatcher);
+      dp_dispatch_on_limit_report (dispatcher);
       break;
     case DP_MESSAGE_TARGET_SENT:
       dp_dispatch_apply_sent (dispatcher, &message->target_sent);
--- a/core/dispatcher_limits.c
+++ b/core/dispatcher_limits.c
@@ -8,6 +8,8 @@
 
 /* Interval of the announcements. It is also how late a restarted VM learns of the limits. */
 #define ANNOUNCE_INTERVAL (2 * DP_USEC_PER_SEC)
+/* The same after a VM has reported a limit: it may not know that this VM keeps it. */
+#define REPORTED_INTERVAL (100 * DP_USEC_PER_MSEC)
 #define MILLI 1000.0
 
 /* TRUE if VMs lately used this dispatcher as the pool's owner. */
@@ -98,15 +100,26 @@
     }
 }
 
+void
+dp_dispatch_on_limit_report (DpDispatcher *dispatcher)
+{
+  dp_dispatch_record_use_as_owner (dispatcher);
+  dispatcher->was_limit_reported = TRUE;
+}
+
 void
 dp_dispatch_announce_limits (DpDispatcher *dispatcher)
 {
   if (!is_owner (dispatcher))
     return;
-  gboolean is_due = dispatcher->limited > 0
-                    && dispatcher->now - dispatcher->announced_at >= ANNOUNCE_INTERVAL;
+  DpUsec interval = dispatcher->was_limit_reported ? REPORTED_INTERVAL : ANNOUNCE_INTERVAL;
+  gboolean is_due
+    = dispatcher->limited > 0 && dispatcher->now - dispatcher->announced_at >= interval;
   if (is_due)
-    dispatcher->announced_at = dispatcher->now;
+    {
+      dispatcher->announced_at = dispatcher->now;
+      dispatcher->was_limit_reported = FALSE;
+    }
   announce (dispatcher, is_due);
 }
 
--- a/core/dispatcher_private.h
+++ b/core/dispatcher_private.h
@@ -92,11 +92,12 @@
   double slot_ms[DP_URGENCY_LEVELS]; /* moving average of the time in a slot, by urgency */
   guint waiting_by_urgency[DP_URGENCY_LEVELS];
   guint running;
-  guint limited;       /* number of targets with a limit */
-  double reach;        /* see dp_dispatcher_set_reach() */
-  DpUsec asked_at;     /* last use as the owner of a shared pool */
-  DpUsec announced_at; /* last announcement of all limits */
-  guint64 random;      /* state of the random number generator */
+  guint limited;               /* number of targets with a limit */
+  double reach;                /* see dp_dispatcher_set_reach() */
+  DpUsec asked_at;             /* last use as the owner of a shared pool */
+  DpUsec announced_at;         /* last announcement of all limits */
+  gboolean was_limit_reported; /* since then */
+  guint64 random;              /* state of the random number generator */
 };
 
 /* --- dispatcher_targets.c: target health and selection --- */
@@ -143,6 +144,8 @@
                             const DpDirectoryRow *row);
 /* A VM uses this dispatcher as the pool's owner. */
 void dp_dispatch_record_use_as_owner (DpDispatcher *dispatcher);
+/* A VM has reported a limit to this VM as the pool's owner. */
+void dp_dispatch_on_limit_report (DpDispatcher *dispatcher);
 /* Sends the announcements that are due, if this VM owns the pool. */
 void dp_dispatch_announce_limits (DpDispatcher *dispatcher);
 void dp_dispatch_apply_sent (DpDispatcher *dispatcher, const DpTargetSent *sent);
--- a/core/limit_client.c
+++ b/core/limit_client.c
@@ -48,15 +48,24 @@
 
 void
 dp_limit_client_on_announcement (DpLimitClient *client, DpName pool, DpName owner, DpUsec now)
+{
+  dp_limit_client_on_new_owner (client, pool, owner);
+  for (guint i = client->owners->len; i > 0; i--)
+    if (now - g_array_index (client->owners, Owner, i - 1).announced_at > DP_LIMIT_WINDOW)
+      g_array_remove_index_fast (client->owners, i - 1);
+  const Owner row = { .pool = pool, .vm = owner, .announced_at = now };
+  g_array_append_val (client->owners, row);
+}
+
+void
+dp_limit_client_on_new_owner (DpLimitClient *client, DpName pool, DpName owner)
 {
   for (guint i = client->owners->len; i > 0; i--)
     {
       const Owner *row = &g_array_index (client->owners, Owner, i - 1);
-      if ((row->vm == owner && row->pool == pool) || now - row->announced_at > DP_LIMIT_WINDOW)
+      if (row->vm == owner && row->pool == pool)
         g_array_remove_index_fast (client->owners, i - 1);
     }
-  const Owner row = { .pool = pool, .vm = owner, .announced_at = now };
-  g_array_append_val (client->owners, row);
 }
 
 gboolean
--- a/core/limit_client.h
+++ b/core/limit_client.h
@@ -20,6 +20,9 @@
 void
 dp_limit_client_on_announcement (DpLimitClient *client, DpName pool, DpName owner, DpUsec now);
 
+/* This VM begins to use the owner, which may have restarted since its last announcement. */
+void dp_limit_client_on_new_owner (DpLimitClient *client, DpName pool, DpName owner);
+
 /* TRUE if the owner has announced itself lately. One that has not may have started after the
  * last announcement of the limits: its grants for targets with a limit must not be used. */
 gboolean
--- a/node/placement.c
+++ b/node/placement.c
@@ -199,6 +199,7 @@
 {
   DpName previous = pool->owner;
   pool->owner = owner;
+  dp_limit_client_on_new_owner (node->limit_client, pool->name, owner);
   /* The new owner may have room for what the previous one refused. */
   pool->shed = (DpShed){ 0 };
   if (previous == 0)
--- a/tests/test_target_limits.c
+++ b/tests/test_target_limits.c
@@ -275,6 +275,7 @@
 {
   DISTURB_NONE,
   DISTURB_OWNER_DIES,    /* and starts again with no state */
+  DISTURB_OWNER_RETURNS, /* the same, after it was the owner before */
   DISTURB_NEW_OWNER,     /* has started after the last announcement of the limits */
   DISTURB_OWNER_CHANGES, /* every 700 ms */
   DISTURB_TWO_OWNERS,
@@ -306,6 +307,8 @@
   { "the owner dies", FALSE, 15, 18, 2, 7, 450, DISTURB_OWNER_DIES, 0.85 },
   { "plain service, the owner dies", TRUE, 15, 3, 1, 8, 90, DISTURB_OWNER_DIES, 0.85 },
   { "a new owner that knows no limits", FALSE, 15, 6, 2, 3, 300, DISTURB_NEW_OWNER, 0.85 },
+  { "an owner that returns without its limits", FALSE, 15, 6, 2, 3, 300, DISTURB_OWNER_RETURNS,
+    0.85 },
   { "the owner changes often", FALSE, 15, 6, 2, 10, 150, DISTURB_OWNER_CHANGES, 0.6 },
   { "two owners", FALSE, 15, 6, 2, 10, 150, DISTURB_TWO_OWNERS, 0.6 },
   { "two owners, high limit", FALSE, 15, 6, 2, 40, 900, DISTURB_TWO_OWNERS, 0.6 },
@@ -336,6 +339,7 @@
   DpDispatcher *dispatcher;
   DpLimitClient *client;
   gboolean is_shared;
+  guint owner; /* last one used */
 } Vm;
 
 typedef struct Fleet
@@ -402,6 +406,8 @@
   DpUsec since = fleet->now - STATED_AT;
   if (is_disturbed (fleet, DISTURB_OWNER_DIES))
     return since > 1120 * MSEC ? 1 : 0;
+  if (is_disturbed (fleet, DISTURB_OWNER_RETURNS))
+    return since > NEW_OWNER_AFTER || since < NEW_OWNER_AFTER - SEC ? 1 : 0;
   if (is_disturbed (fleet, DISTURB_NEW_OWNER))
     return since > NEW_OWNER_AFTER ? 1 : 0;
   if (is_disturbed (fleet, DISTURB_OWNER_CHANGES))
@@ -675,7 +681,11 @@
                                     .remaining = 2 * SEC,
                                     .objective_left = 300 * MSEC,
                                     .repeatable = TRUE };
-  post (fleet, vm, dispatcher_of (fleet, vm), &message);
+  guint owner = dispatcher_of (fleet, vm);
+  if (owner != fleet->vms[vm].owner)
+    dp_limit_client_on_new_owner (fleet->vms[vm].client, dp_name (POOL), owner);
+  fleet->vms[vm].owner = owner;
+  post (fleet, vm, owner, &message);
 }
 
 static void
@@ -709,7 +719,9 @@
       stop_vm (&fleet->vms[0]);
       start_vm (fleet, 0);
     }
-  if (fleet->now == STATED_AT + NEW_OWNER_AFTER && fleet->row->disturbance == DISTURB_NEW_OWNER)
+  if (fleet->now == STATED_AT + NEW_OWNER_AFTER
+      && (fleet->row->disturbance == DISTURB_NEW_OWNER
+          || fleet->row->disturbance == DISTURB_OWNER_RETURNS))
     {
       stop_vm (&fleet->vms[1]);
       start_vm (fleet, 1);
