--- a/core/dispatcher_targets.c
+++ b/core/dispatcher_targets.c
@@ -229,19 +229,13 @@
   return slots;
 }
 
-/* TRUE if the request should have started, and its VM responds: nobody reports the requests of
- * another VM that has failed. */
 static gboolean
 is_overdue (const DpDispatcher *dispatcher, const DpDispatchRequest *request)
 {
   if (request->started || request->was_adopted)
     return FALSE;
-  const DpDispatchEntry *entry = g_hash_table_lookup (dispatcher->entries, &request->entry);
-  DpUsec due_at = request->granted_at
-                  + dp_latency_model_overdue_after (&dispatcher->latency_model,
-                                                    request->expected_first_event);
-  gboolean is_reported = entry != NULL && entry->last_seen_at > due_at;
-  return dispatcher->now > due_at && (is_reported || !dispatcher->options.is_shared);
+  return dispatcher->now - request->granted_at > dp_latency_model_overdue_after (
+           &dispatcher->latency_model, request->expected_first_event);
 }
 
 /* Revokes repeatable requests, which can run elsewhere. Others have to wait for their response.
