--- a/core/owners.c
+++ b/core/owners.c
@@ -263,6 +263,13 @@
   return peer != NULL && peer->is_unresponsive;
 }
 
+gboolean
+dp_owners_is_available (const DpOwners *owners, DpName vm)
+{
+  const Peer *peer = find_peer (owners, vm);
+  return peer == NULL || (!peer->is_unresponsive && !peer->is_leaving);
+}
+
 DpUsec
 dp_owners_last_seen_at (const DpOwners *owners, DpName vm)
 {
--- a/core/owners.h
+++ b/core/owners.h
@@ -43,6 +43,8 @@
 /* The VM did not answer in time. */
 void dp_owners_on_timeout (DpOwners *owners, DpName vm, DpUsec now);
 gboolean dp_owners_is_unresponsive (const DpOwners *owners, DpName vm);
+/* FALSE if the VM is unresponsive or leaving, as far as is known here. */
+gboolean dp_owners_is_available (const DpOwners *owners, DpName vm);
 /* Time of the last message from the VM; 0: none. */
 DpUsec dp_owners_last_seen_at (const DpOwners *owners, DpName vm);
 
