core: silence towards a VM without links doesn't make targets suspect

A VM that is cut off from the targets gets no responses on connections from before the cut either.

Reports to the owner state whether the VM is cut off; its overdue requests are revoked as before, but count against no target. An attempt that ends without any path (no_path_to_target) doesn't either.

a_vm_without_links_does_not_make_targets_suspect fails without the change in core/dispatcher_targets.c (1 suspect, 0 wanted).

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -449,6 +449,7 @@
       on_done (dispatcher, &message->grant_done);
       break;
     case DP_MESSAGE_GRANT_HELD:
+      get_entry (dispatcher, from)->is_cut_off = message->grant_held.is_cut_off;
       dp_dispatch_apply_report (dispatcher, from, &message->grant_held);
       assign_waiting (dispatcher);
       break;
--- a/core/dispatcher_private.h
+++ b/core/dispatcher_private.h
@@ -65,7 +65,8 @@
   DpName vm;
   DpUsec last_seen_at;
   DpUsec advert_sent_at;
-  guint waiting; /* number of its waiting requests */
+  guint waiting;       /* number of its waiting requests */
+  gboolean is_cut_off; /* see DpGrantHeld */
 } DpDispatchEntry;
 
 /* The target that last processed a session's prompt. */
--- a/core/dispatcher_targets.c
+++ b/core/dispatcher_targets.c
@@ -252,6 +252,15 @@
     }
 }
 
+/* A VM that has lost its links also gets no responses on connections from before, which says
+ * nothing about the targets. */
+static gboolean
+is_entry_cut_off (const DpDispatcher *dispatcher, const DpDispatchRequest *request)
+{
+  const DpDispatchEntry *entry = g_hash_table_lookup (dispatcher->entries, &request->entry);
+  return entry != NULL && entry->is_cut_off;
+}
+
 void
 dp_dispatch_check_timeouts (DpDispatcher *dispatcher)
 {
@@ -260,11 +269,18 @@
     {
       DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
       gboolean overdue = FALSE;
-      for (guint i = 0; i < target->requests->len && !overdue; i++)
-        overdue = is_overdue (dispatcher, g_ptr_array_index (target->requests, i));
+      gboolean is_silent = FALSE;
+      for (guint i = 0; i < target->requests->len && !is_silent; i++)
+        {
+          const DpDispatchRequest *request = g_ptr_array_index (target->requests, i);
+          if (!is_overdue (dispatcher, request))
+            continue;
+          overdue = TRUE;
+          is_silent = !is_entry_cut_off (dispatcher, request);
+        }
       if (!overdue)
         continue;
-      if (!target->is_suspect || dispatcher->now >= target->next_probe_at)
+      if (is_silent && (!target->is_suspect || dispatcher->now >= target->next_probe_at))
         mark_suspect (dispatcher, target);
       revoke_overdue (dispatcher, target);
     }
--- a/core/message.h
+++ b/core/message.h
@@ -207,6 +207,7 @@
   guint part;          /* number of this message, from 0, if there are more rows than fit */
   gboolean last;       /* the last part */
   gboolean has_left;   /* the entry uses another owner now and holds no grants of this one */
+  gboolean is_cut_off; /* the entry's own connections reach no target that others reach */
   guint count;
   DpHeldGrant held[DP_HELD_GRANTS_MAX];
 } DpGrantHeld;
--- a/core/reason.h
+++ b/core/reason.h
@@ -55,7 +55,9 @@
   X (OVERLOADED_ENTRY, "entry_overloaded", 503, TRUE)                                          \
   /* outcome queries */                                                                        \
   X (NO_RECORD, "no_record", 404, TRUE)                                                        \
-  X (RELEASED, "released", 404, TRUE)
+  X (RELEASED, "released", 404, TRUE)                                                          \
+  /* targets; last, since the numbers are on the wire */                                       \
+  X (NO_PATH, "no_path_to_target", 503, TRUE)
 
 typedef enum DpReason
 {
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -119,6 +119,7 @@
                 DP_HELD_GRANTS_MAX,
                 &held_grant_table),
   FLAG (6, DpMessage, grant_held.has_left),
+  FLAG (7, DpMessage, grant_held.is_cut_off),
 };
 
 static const DpField grant_given_fields[] = {
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -392,6 +392,32 @@
 }
 END_TEST
 
+/* --- VMs that have lost their links to targets --- */
+
+START_TEST (a_vm_without_links_does_not_make_targets_suspect)
+{
+  Fixture fixture;
+  set_up (&fixture);
+  add_target (&fixture, "a", 5, FALSE);
+  send_request (&fixture, (Request){ 1, 0, 500 * MSEC, 4 * DP_USEC_PER_SEC });
+  DpMessage message = { .type = DP_MESSAGE_GRANT_HELD };
+  message.grant_held
+    = (DpGrantHeld){ .group = dp_name (POOL),
+                     .last = TRUE,
+                     .is_cut_off = _i > 0,
+                     .count = 1,
+                     .held = { { .attempt = { 0, 1 }, .target = dp_name ("a") } } };
+  receive (&fixture, &message);
+  tick (&fixture, 2 * DP_USEC_PER_SEC);
+  ck_assert_ptr_nonnull (find_sent (&fixture, DP_MESSAGE_GRANT_REVOKED, 1));
+  ck_assert_uint_eq (dp_dispatcher_status (fixture.dispatcher).suspects, _i > 0 ? 0 : 1);
+  send_request (&fixture, (Request){ 2, 0, 500 * MSEC, 4 * DP_USEC_PER_SEC });
+  send_done (&fixture, 2, "a", DP_REASON_NO_PATH);
+  ck_assert_uint_eq (dp_dispatcher_status (fixture.dispatcher).suspects, _i > 0 ? 0 : 1);
+  tear_down (&fixture);
+}
+END_TEST
+
 /* --- lost links between data centres --- */
 
 static void
@@ -538,6 +564,7 @@
   tcase_add_test (tests, a_repeated_grant_request_is_counted_once);
   tcase_add_test (tests, a_refusal_for_a_close_deadline_is_no_overload);
   tcase_add_test (tests, a_request_is_refused_before_its_deadline);
+  tcase_add_loop_test (tests, a_vm_without_links_does_not_make_targets_suspect, 0, 2);
   tcase_add_test (tests, a_lost_link_is_detected_and_tried_again);
   tcase_add_loop_test (tests, a_paused_target_gets_no_requests, 0, G_N_ELEMENTS (policies));
   suite_add_tcase (suite, tests);
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -55,7 +55,7 @@
 {
   DpMessage message
     = { .type = DP_MESSAGE_GRANT_HELD,
-        .grant_held = { 1, 2, 3, TRUE, TRUE, DP_HELD_GRANTS_MAX, { { { 0, 0 } } } } };
+        .grant_held = { 1, 2, 3, TRUE, TRUE, TRUE, DP_HELD_GRANTS_MAX, { { { 0, 0 } } } } };
   for (guint i = 0; i < DP_HELD_GRANTS_MAX; i++)
     message.grant_held.held[i] = (DpHeldGrant){ { i, 2 }, 3, 4, 5, 6, 7 + i, i % 2 == 0 };
   return message;
