net: HTTP calls through a gateway

dp_http_call_start() gets the address of a gateway. evhttp's callbacks are replaced until the gateway has answered CONNECT with 200, so that evhttp sends the request only then: the bytes of the handshake count neither as sent nor as input before the head. connect_timeout covers the whole handshake.

502 and 504 of the gateway are DP_HTTP_CONNECT_FAILED, evidence on the target; all else that opens no tunnel is the new DP_HTTP_GATEWAY_FAILED, with nothing sent. A response that only the close of the connection ends is DP_HTTP_FAILED, since a gateway that is killed closes it in the same way. Abandoned calls reset the connection: an orderly end would wait behind bytes of the request that the target doesn't read.

--- a/net/http_call.c
+++ b/net/http_call.c
@@ -1,5 +1,8 @@
 #include "net/http_call.h"
 
+#include "net/socket_options.h"
+#include "net/tunnel_server.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
@@ -16,10 +19,23 @@
 #define PRE_HEAD_BYTES_MAX (RESPONSE_HEAD_BYTES_MAX + 16384)
 /* Input buffered in addition to a chunk of maximum size: its size line and one read. */
 #define CHUNK_OVERHEAD_BYTES_MAX 20480
+#define GATEWAY_HEAD_BYTES_MAX 4096
 #define DEFAULT_RESPONSE_BODY_BYTES_MAX ((gsize)64 * 1024 * 1024)
 /* Longer than the call's own timeouts, which are more precise than evhttp's. */
 #define EVHTTP_TIMEOUT_SECONDS 86400
 
+/* A connection to a gateway. */
+typedef struct Handshake
+{
+  char *request;        /* CONNECT */
+  gboolean in_progress; /* until the gateway has opened the tunnel */
+  /* evhttp's callbacks, which wait for the connection */
+  bufferevent_data_cb on_read;
+  bufferevent_data_cb on_write;
+  bufferevent_event_cb on_event;
+  void *arg;
+} Handshake;
+
 struct DpHttpCall
 {
   /* constant */
@@ -33,6 +49,7 @@
   struct evhttp_request *request; /* NULL once evhttp has freed it */
   struct event *timer;            /* the current timeout */
   struct event *cleanup_event;    /* frees the call outside evhttp's callbacks */
+  Handshake *handshake;           /* NULL: connects directly */
   /* state */
   gboolean has_sent_byte;
   gboolean has_head;
@@ -43,6 +60,13 @@
   gboolean start_failed;
 };
 
+static void
+format_authority (const DpHttpCallOptions *options, char *out, gsize size)
+{
+  gboolean is_ipv6 = strchr (options->address, ':') != NULL;
+  g_snprintf (out, size, is_ipv6 ? "[%s]:%u" : "%s:%u", options->address, options->port);
+}
+
 static void
 set_timer (DpHttpCall *call, DpUsec timeout)
 {
@@ -58,19 +82,31 @@
   event_free (call->cleanup_event);
   if (call->connection != NULL)
     evhttp_connection_free (call->connection);
+  if (call->handshake != NULL)
+    g_free (call->handshake->request);
+  g_free (call->handshake);
   g_free (call);
 }
 
+static void
+abandon_connection (DpHttpCall *call)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (call->connection);
+  /* Otherwise a connection that is just being established would still send the request. */
+  bufferevent_setcb (bev, NULL, NULL, NULL, NULL);
+  /* An orderly end would reach the gateway only after all bytes of the request. */
+  if (call->handshake != NULL && call->request != NULL)
+    dp_socket_reset_on_close (bufferevent_getfd (bev));
+}
+
 /* evhttp's callbacks must not free their own connection: defers this to the event loop. */
 static void
 schedule_free (DpHttpCall *call)
 {
   call->finished = TRUE;
   event_del (call->timer);
-  /* Otherwise a connection that is just being established would still send the request. */
   if (call->connection != NULL)
-    bufferevent_setcb (evhttp_connection_get_bufferevent (call->connection), NULL, NULL, NULL,
-                       NULL);
+    abandon_connection (call);
   event_active (call->cleanup_event, EV_TIMEOUT, 0);
 }
 
@@ -88,6 +124,19 @@
   call->callbacks->end (call->user, result, !call->has_sent_byte);
 }
 
+/* The result if no connection was established. */
+static DpHttpCallResult
+connect_result (const DpHttpCall *call)
+{
+  return call->handshake != NULL ? DP_HTTP_GATEWAY_FAILED : DP_HTTP_CONNECT_FAILED;
+}
+
+static gboolean
+is_handshaking (const DpHttpCall *call)
+{
+  return call->handshake != NULL && call->handshake->in_progress;
+}
+
 static void
 on_cleanup_event (evutil_socket_t fd, short what, void *user)
 {
@@ -95,7 +144,7 @@
   if (!call->finished)
     {
       call->finished = TRUE;
-      call->callbacks->end (call->user, DP_HTTP_CONNECT_FAILED, !call->has_sent_byte);
+      call->callbacks->end (call->user, connect_result (call), !call->has_sent_byte);
     }
   free_call (call);
 }
@@ -107,7 +156,7 @@
   if (call->is_oversized)
     finish (call, DP_HTTP_FAILED);
   else
-    finish (call, call->has_sent_byte ? DP_HTTP_TIMED_OUT : DP_HTTP_CONNECT_FAILED);
+    finish (call, call->has_sent_byte ? DP_HTTP_TIMED_OUT : connect_result (call));
 }
 
 /* Bytes removed from the output buffer were passed to the kernel, or were discarded when the
@@ -116,7 +165,7 @@
 on_output (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *user)
 {
   DpHttpCall *call = user;
-  if (info->n_deleted == 0 || call->has_sent_byte)
+  if (info->n_deleted == 0 || call->has_sent_byte || is_handshaking (call))
     return;
   call->has_sent_byte = TRUE;
   if (!call->finished)
@@ -129,7 +178,7 @@
 on_input (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *user)
 {
   DpHttpCall *call = user;
-  if (call->finished || call->is_oversized || info->n_added == 0)
+  if (call->finished || call->is_oversized || info->n_added == 0 || is_handshaking (call))
     return;
   if (!call->has_head)
     call->pre_head_bytes += info->n_added;
@@ -188,6 +237,14 @@
   return request->chunked || has_header (request, "Content-Length");
 }
 
+static DpHttpCallResult
+response_result (const DpHttpCall *call, struct evhttp_request *request)
+{
+  if (has_framing (request))
+    return DP_HTTP_COMPLETE;
+  return call->handshake != NULL ? DP_HTTP_FAILED : DP_HTTP_CLOSE_DELIMITED;
+}
+
 /* `request` is NULL after an error, and has no status if the connection failed. */
 static void
 on_done (struct evhttp_request *request, void *user)
@@ -196,21 +253,117 @@
   call->request = NULL;
   if (request == NULL || evhttp_request_get_response_code (request) == 0 || !call->has_head)
     {
-      finish (call, call->has_sent_byte ? DP_HTTP_FAILED : DP_HTTP_CONNECT_FAILED);
+      finish (call, call->has_sent_byte ? DP_HTTP_FAILED : connect_result (call));
       return;
     }
   deliver_body (call, request);
-  finish (call, has_framing (request) ? DP_HTTP_COMPLETE : DP_HTTP_CLOSE_DELIMITED);
+  finish (call, response_result (call, request));
+}
+
+/* --- connection to a gateway --- */
+
+/* Returns the status code of a response head, or 0 if it isn't valid. */
+static int
+parse_status (const char *head)
+{
+  if (!g_str_has_prefix (head, "HTTP/1.") || !g_ascii_isdigit (head[7]) || head[8] != ' ')
+    return 0;
+  const char *code = head + 9;
+  if (strspn (code, "0123456789") != 3 || (code[3] != ' ' && code[3] != '\r'))
+    return 0;
+  return (int)g_ascii_strtoll (code, NULL, 10);
 }
 
+/* Lets evhttp send the request through the tunnel. */
+static void
+finish_handshake (DpHttpCall *call, struct bufferevent *bev)
+{
+  Handshake *handshake = call->handshake;
+  handshake->in_progress = FALSE;
+  call->pre_head_bytes = evbuffer_get_length (bufferevent_get_input (bev));
+  bufferevent_setcb (bev, handshake->on_read, handshake->on_write, handshake->on_event,
+                     handshake->arg);
+  handshake->on_event (bev, BEV_EVENT_CONNECTED, handshake->arg);
+}
+
+static void
+on_gateway_read (struct bufferevent *bev, void *user)
+{
+  DpHttpCall *call = user;
+  struct evbuffer *input = bufferevent_get_input (bev);
+  struct evbuffer_ptr end = evbuffer_search (input, "\r\n\r\n", 4, NULL);
+  gsize received = end.pos >= 0 ? (gsize)end.pos + 4 : evbuffer_get_length (input);
+  if (received > GATEWAY_HEAD_BYTES_MAX)
+    {
+      finish (call, DP_HTTP_GATEWAY_FAILED);
+      return;
+    }
+  if (end.pos < 0)
+    return;
+  char head[GATEWAY_HEAD_BYTES_MAX + 1];
+  evbuffer_remove (input, head, received);
+  head[received] = '\0';
+  switch (parse_status (head))
+    {
+    case DP_TUNNEL_OPEN:
+      finish_handshake (call, bev);
+      break;
+    case DP_TUNNEL_TARGET_UNREACHABLE:
+    case DP_TUNNEL_TARGET_TIMED_OUT:
+      finish (call, DP_HTTP_CONNECT_FAILED);
+      break;
+    default:
+      finish (call, DP_HTTP_GATEWAY_FAILED);
+      break;
+    }
+}
+
+static void
+on_gateway_event (struct bufferevent *bev, short what, void *user)
+{
+  DpHttpCall *call = user;
+  if ((what & BEV_EVENT_CONNECTED) == 0)
+    {
+      finish (call, DP_HTTP_GATEWAY_FAILED);
+      return;
+    }
+  dp_socket_disable_nagle (bufferevent_getfd (bev));
+  dp_socket_enable_keepalive (bufferevent_getfd (bev));
+  bufferevent_write (bev, call->handshake->request, strlen (call->handshake->request));
+  bufferevent_enable (bev, EV_READ);
+}
+
+/* Takes the place of evhttp's callbacks, which would send the request once connected. */
+static void
+start_handshake (DpHttpCall *call)
+{
+  Handshake *handshake = call->handshake;
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (call->connection);
+  bufferevent_getcb (bev, &handshake->on_read, &handshake->on_write, &handshake->on_event,
+                     &handshake->arg);
+  bufferevent_setcb (bev, on_gateway_read, NULL, on_gateway_event, call);
+}
+
+static Handshake *
+make_handshake (const DpHttpCallOptions *options)
+{
+  char authority[64];
+  format_authority (options, authority, sizeof authority);
+  Handshake *handshake = g_new0 (Handshake, 1);
+  handshake->in_progress = TRUE;
+  handshake->request = g_strdup_printf ("CONNECT %s HTTP/1.1\r\nHost: %s\r\nTarget: %s\r\n\r\n",
+                                        authority, authority, options->target_id);
+  return handshake;
+}
+
+/* --- start --- */
+
 static void
 add_headers (struct evhttp_request *request, const DpHttpCallOptions *options)
 {
   struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
-  gboolean is_ipv6 = strchr (options->address, ':') != NULL;
   char host[64];
-  g_snprintf (host, sizeof host, is_ipv6 ? "[%s]:%u" : "%s:%u", options->address,
-              options->port);
+  format_authority (options, host, sizeof host);
   evhttp_add_header (headers, "Host", options->host != NULL ? options->host : host);
   evhttp_add_header (headers, "Connection", "close");
   for (guint i = 0; i < options->header_count; i++)
@@ -223,8 +376,10 @@
   struct bufferevent *bev = bufferevent_socket_new (options->base, -1, BEV_OPT_CLOSE_ON_FREE);
   evbuffer_add_cb (bufferevent_get_output (bev), on_output, call);
   evbuffer_add_cb (bufferevent_get_input (bev), on_input, call);
+  gboolean is_direct = options->gateway_address == NULL;
   struct evhttp_connection *connection = evhttp_connection_base_bufferevent_new (
-    options->base, NULL, bev, options->address, options->port);
+    options->base, NULL, bev, is_direct ? options->address : options->gateway_address,
+    is_direct ? options->port : options->gateway_port);
   evhttp_connection_set_timeout (connection, EVHTTP_TIMEOUT_SECONDS);
   evhttp_connection_set_max_headers_size (connection, RESPONSE_HEAD_BYTES_MAX);
   evhttp_connection_set_max_body_size (connection, (ev_ssize_t)call->response_body_max);
@@ -240,6 +395,27 @@
          || evutil_inet_pton (AF_INET6, address, &out) == 1;
 }
 
+/* TRUE if the text can stand in a header of the CONNECT request. */
+static gboolean
+is_header_value (const char *text)
+{
+  if (text == NULL || text[0] == '\0')
+    return FALSE;
+  for (const char *at = text; *at != '\0'; at++)
+    if (!g_ascii_isgraph (*at))
+      return FALSE;
+  return TRUE;
+}
+
+static gboolean
+has_valid_addresses (const DpHttpCallOptions *options)
+{
+  if (!is_ip_address (options->address))
+    return FALSE;
+  return options->gateway_address == NULL
+         || (is_ip_address (options->gateway_address) && is_header_value (options->target_id));
+}
+
 static gboolean
 send_request (DpHttpCall *call, const DpHttpCallOptions *options)
 {
@@ -273,13 +449,17 @@
   call->cleanup_event = event_new (options->base, -1, 0, on_cleanup_event, call);
   set_timer (call, options->connect_timeout != 0 ? options->connect_timeout
                                                  : DEFAULT_CONNECT_TIMEOUT);
+  if (options->gateway_address != NULL)
+    call->handshake = make_handshake (options);
   call->connection = make_connection (call, options);
   call->starting = TRUE;
-  if (!is_ip_address (options->address) || !send_request (call, options))
+  if (!has_valid_addresses (options) || !send_request (call, options))
     call->start_failed = TRUE;
   call->starting = FALSE;
   if (call->start_failed)
     event_active (call->cleanup_event, EV_TIMEOUT, 0);
+  else if (call->handshake != NULL)
+    start_handshake (call);
   return call;
 }
 
--- a/net/http_call.h
+++ b/net/http_call.h
@@ -4,6 +4,10 @@
  * chunk, or all bytes of Content-Length. A response that ends when the connection closes can't
  * be distinguished from a truncated one and is reported as close-delimited.
  *
+ * With a gateway, the call connects to another VM's DpTunnelServer, which forwards the bytes to
+ * the target. A gateway that ends closes the connection like a target that has sent everything,
+ * so a response without framing is never complete there.
+ *
  * Callbacks never run during dp_http_call_start(). The call frees itself after `end` or after
  * dp_http_call_cancel().
  */
@@ -19,7 +23,8 @@
 typedef enum DpHttpCallResult
 {
   DP_HTTP_COMPLETE,
-  DP_HTTP_CONNECT_FAILED,  /* no connection was established */
+  DP_HTTP_CONNECT_FAILED,  /* no connection to the target was established */
+  DP_HTTP_GATEWAY_FAILED,  /* the gateway opened no tunnel; says nothing of the target */
   DP_HTTP_FAILED,          /* response truncated, too large or not valid HTTP */
   DP_HTTP_CLOSE_DELIMITED, /* ended only by an orderly close of the connection */
   DP_HTTP_TIMED_OUT,       /* no progress within a timeout */
@@ -42,6 +47,9 @@
   struct event_base *base;
   const char *address; /* IP address */
   guint16 port;
+  const char *gateway_address; /* IP address; NULL: connects directly */
+  guint16 gateway_port;
+  const char *target_id; /* tells the gateway where to connect to */
   enum evhttp_cmd_type method;
   const char *path;
   const char *host; /* Host header; NULL: address:port */
@@ -50,7 +58,7 @@
   const void *body; /* copied */
   gsize body_length;
   /* 0: the default */
-  DpUsec connect_timeout;
+  DpUsec connect_timeout;    /* until the request may be sent, through the gateway if any */
   DpUsec first_byte_timeout; /* from first byte of the request sent to first byte of the body */
   DpUsec idle_timeout;       /* between reads of the body */
   gsize response_body_max;   /* bytes; 0: the default */
--- a/tests/raw_peer.c
+++ b/tests/raw_peer.c
@@ -36,6 +36,9 @@
   struct evbuffer_ptr end = evbuffer_search (input, "\r\n\r\n", 4, NULL);
   if (end.pos < 0)
     return;
+  if (peer->received != NULL)
+    g_string_append_len (peer->received, (const char *)evbuffer_pullup (input, -1),
+                         (gssize)evbuffer_get_length (input));
   evbuffer_drain (input, evbuffer_get_length (input));
   if (peer->answer_length == 0 && !peer->stay_open)
     {
--- a/tests/raw_peer.h
+++ b/tests/raw_peer.h
@@ -15,6 +15,7 @@
   gboolean stay_open; /* don't close the connection after the answer */
   const char *repeat; /* NULL, or sent after the answer until the client closes */
   guint requests;     /* number of reads; 0 if no byte was received */
+  GString *received;  /* NULL, or gets the bytes up to the answer */
 } RawPeer;
 
 /* Listens on a free port and sets `listener` and `port`. */
