net: count connections closed by this side and requests read after that

Logs and metrics couldn't tell a caller that left from a connection that this VM had closed, nor say which limits for callers are in force. No logic changes.

--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -15,6 +15,7 @@
   struct sockaddr_storage peer;
   DpUsec idle_since; /* accepted, or finished its last request */
   gboolean busy;     /* a request is in progress */
+  gboolean is_shut;  /* shut down by this side */
 } Connection;
 
 struct DpHttpConnections
@@ -86,6 +87,16 @@
   g_ptr_array_set_size (connections->accepted, 0);
 }
 
+static void
+shut_down (DpHttpConnections *connections, Connection *connection, const char *counter)
+{
+  if (!connection->is_shut)
+    dp_counters_add (connections->options.counters, counter, "listener",
+                     connections->options.name, 1);
+  connection->is_shut = TRUE;
+  shutdown (connection->fd, SHUT_RDWR);
+}
+
 /* Removes closed connections and shuts down those that exceed the request timeout. */
 static void
 on_sweep (evutil_socket_t fd, short what, void *user)
@@ -97,11 +108,11 @@
   g_hash_table_iter_init (&iter, connections->by_fd);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const Connection *connection = value;
+      Connection *connection = value;
       if (!is_still_open (connection))
         g_hash_table_iter_remove (&iter);
       else if (!connection->busy && connection->idle_since < expired_before)
-        shutdown (connection->fd, SHUT_RDWR);
+        shut_down (connections, connection, "dogwoodplank_http_idle_closed_total");
     }
   dp_counters_set (connections->options.counters, "dogwoodplank_http_connections", "listener",
                    connections->options.name, g_hash_table_size (connections->by_fd));
@@ -117,6 +128,10 @@
   Connection *row = g_hash_table_lookup (connections->by_fd, &fd);
   if (row == NULL)
     return;
+  if (busy && row->is_shut)
+    dp_counters_add (connections->options.counters,
+                     "dogwoodplank_http_requests_after_close_total", "listener",
+                     connections->options.name, 1);
   row->busy = busy;
   row->idle_since = g_get_monotonic_time ();
 }
@@ -167,8 +182,8 @@
   g_hash_table_iter_init (&iter, connections->by_fd);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const Connection *connection = value;
+      Connection *connection = value;
       if (!connection->busy && is_still_open (connection))
-        shutdown (connection->fd, SHUT_RDWR);
+        shut_down (connections, connection, "dogwoodplank_http_stop_closed_total");
     }
 }
--- a/node/caller_listener.c
+++ b/node/caller_listener.c
@@ -276,6 +276,18 @@
   return dp_diagnostics_count (diagnostics) == 0;
 }
 
+static void
+log_limits (const DpCallerLimits *limits)
+{
+  char head_bytes[16], body_bytes[16], idle_ms[24];
+  g_snprintf (head_bytes, sizeof head_bytes, "%u", limits->head_bytes);
+  g_snprintf (body_bytes, sizeof body_bytes, "%u", limits->body_bytes);
+  g_snprintf (idle_ms, sizeof idle_ms, "%" G_GINT64_FORMAT,
+              limits->idle_timeout / DP_USEC_PER_MSEC);
+  dp_log (DP_LOG_NOTICE, "caller_limits", "head_bytes", head_bytes, "body_bytes", body_bytes,
+          "idle_ms", idle_ms, NULL);
+}
+
 void
 dp_caller_listener_set_limits (DpNode *node)
 {
@@ -285,6 +297,7 @@
         .body_max = configured->body_bytes,
         .idle_timeout = (DpUsec)((double)configured->idle_timeout * IDLE_FACTOR) };
   dp_http_server_set_limits (node->callers, &limits);
+  log_limits (configured);
 }
 
 void
