net: read nothing more from a connection that is closed

Idle connections were closed by shutdown(), at a stop and by the check for idle time. What the kernel had received by then was still read, parsed and passed on to a target, and its response could not be sent. A connection also counted as idle until a request on it was complete, so one whose body was arriving was cut.

A connection now is idle until the first byte of a request. One that is idle and holds no unread bytes is closed by way of evhttp without another read: a request that crosses the close is reset unread, and its caller may retry. Others are kept until their response was sent; dp_http_server_is_idle() counts them, so that a stopping process waits for them. The time for a request counts from its first byte.

request_that_crosses_a_close_is_answered fails in all 5 rows on ("read, but answered" nothing in the rows with a whole request) and so does idle_server_has_no_request_on_the_way; both pass. net_http, node and entry_shell are green. The counter of requests read after a close is removed: there can be none.

--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -1,29 +1,37 @@
 #include "net/http_connections.h"
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <string.h>
 #include <sys/socket.h>
 
 #define SWEEP_INTERVAL_SECONDS 1
 
+typedef enum ConnectionState
+{
+  CONNECTION_IDLE,
+  CONNECTION_RECEIVING,  /* a part of a request has arrived */
+  CONNECTION_PROCESSING, /* a request was received in full and has no complete response yet */
+} ConnectionState;
+
 /* One accepted connection. evhttp doesn't report when it frees a connection, so the peer
  * address is compared to detect that the descriptor was closed or reused. Inodes can't be used:
  * some kernels give all sockets the same number. */
 typedef struct Connection
 {
-  int fd;
+  struct bufferevent *bev; /* freed by evhttp: only valid while is_open() */
+  int fd;                  /* -1 until evhttp has set it */
   struct sockaddr_storage peer;
-  DpUsec idle_since; /* accepted, or finished its last request */
-  gboolean busy;     /* a request is in progress */
-  gboolean is_shut;  /* shut down by this side */
+  ConnectionState state;
+  DpUsec since; /* of the state */
 } Connection;
 
 struct DpHttpConnections
 {
   DpHttpConnectionsOptions options;
   struct evconnlistener *listener; /* may be NULL */
-  GHashTable *by_fd;               /* descriptor -> Connection */
-  GPtrArray *accepted;             /* struct bufferevent; not in by_fd yet */
+  GHashTable *by_input;            /* struct evbuffer: input -> Connection */
+  GPtrArray *accepted;             /* Connection: descriptor not set yet */
   struct event *accepted_event;
   struct event *sweep;
 };
@@ -41,34 +49,73 @@
 }
 
 static gboolean
-is_still_open (const Connection *connection)
+is_open (const Connection *connection)
 {
+  if (connection->fd < 0)
+    return TRUE;
   struct sockaddr_storage peer = peer_address (connection->fd);
   return peer.ss_family != 0 && memcmp (&peer, &connection->peer, sizeof peer) == 0;
 }
 
+/* TRUE if the kernel holds bytes that were not read yet. */
+static gboolean
+has_unread_bytes (const Connection *connection)
+{
+  char byte;
+  return recv (connection->fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+static gboolean
+is_idle (const Connection *connection)
+{
+  return connection->fd >= 0 && connection->state == CONNECTION_IDLE
+         && !has_unread_bytes (connection);
+}
+
 static void
 update_listener (DpHttpConnections *connections)
 {
   if (connections->listener == NULL)
     return;
-  guint open = g_hash_table_size (connections->by_fd) + connections->accepted->len;
-  if (open < connections->options.max)
+  if (g_hash_table_size (connections->by_input) < connections->options.max)
     evconnlistener_enable (connections->listener);
   else
     evconnlistener_disable (connections->listener);
 }
 
+static void
+set_state (Connection *connection, ConnectionState state)
+{
+  connection->state = state;
+  connection->since = g_get_monotonic_time ();
+}
+
+/* Bytes were read from the connection. */
+static void
+on_input (struct evbuffer *input, const struct evbuffer_cb_info *info, void *user)
+{
+  const DpHttpConnections *connections = user;
+  Connection *connection = g_hash_table_lookup (connections->by_input, input);
+  if (connection != NULL && info->n_added > 0 && connection->state == CONNECTION_IDLE)
+    set_state (connection, CONNECTION_RECEIVING);
+}
+
 /* evhttp assigns the socket to the bufferevent after this callback returns. */
 static struct bufferevent *
 on_accept (struct event_base *base, void *user)
 {
   DpHttpConnections *connections = user;
-  struct bufferevent *bev = bufferevent_socket_new (base, -1, 0);
-  g_ptr_array_add (connections->accepted, bev);
+  Connection *connection = g_new0 (Connection, 1);
+  connection->bev = bufferevent_socket_new (base, -1, 0);
+  connection->fd = -1;
+  set_state (connection, CONNECTION_IDLE);
+  struct evbuffer *input = bufferevent_get_input (connection->bev);
+  evbuffer_add_cb (input, on_input, connections);
+  g_hash_table_replace (connections->by_input, input, connection);
+  g_ptr_array_add (connections->accepted, connection);
   event_active (connections->accepted_event, EV_TIMEOUT, 0);
   update_listener (connections);
-  return bev;
+  return connection->bev;
 }
 
 /* Runs before the loop polls for input again, so that no connection can be closed yet. */
@@ -78,44 +125,52 @@
   DpHttpConnections *connections = user;
   for (guint i = 0; i < connections->accepted->len; i++)
     {
-      Connection *connection = g_new0 (Connection, 1);
-      connection->fd = bufferevent_getfd (g_ptr_array_index (connections->accepted, i));
+      Connection *connection = g_ptr_array_index (connections->accepted, i);
+      connection->fd = bufferevent_getfd (connection->bev);
       connection->peer = peer_address (connection->fd);
-      connection->idle_since = g_get_monotonic_time ();
-      g_hash_table_replace (connections->by_fd, &connection->fd, connection);
     }
   g_ptr_array_set_size (connections->accepted, 0);
 }
 
+/* Closes a connection that has no request in progress. Nothing more is read from it, so that
+ * no request can be processed whose response could not be sent. */
 static void
-shut_down (DpHttpConnections *connections, Connection *connection, const char *counter)
+close_connection (DpHttpConnections *connections, Connection *connection, const char *counter)
+{
+  dp_counters_add (connections->options.counters, counter, "listener",
+                   connections->options.name, 1);
+  bufferevent_trigger_event (connection->bev, BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
+}
+
+static gboolean
+is_overdue (const DpHttpConnections *connections, const Connection *connection, DpUsec now)
 {
-  if (!connection->is_shut)
-    dp_counters_add (connections->options.counters, counter, "listener",
-                     connections->options.name, 1);
-  connection->is_shut = TRUE;
-  shutdown (connection->fd, SHUT_RDWR);
+  if (now - connection->since <= connections->options.request_timeout)
+    return FALSE;
+  return connection->state == CONNECTION_RECEIVING || is_idle (connection);
 }
 
-/* Removes closed connections and shuts down those that exceed the request timeout. */
+/* Removes closed connections and closes those that exceed the request timeout. */
 static void
 on_sweep (evutil_socket_t fd, short what, void *user)
 {
   DpHttpConnections *connections = user;
-  DpUsec expired_before = g_get_monotonic_time () - connections->options.request_timeout;
+  DpUsec now = g_get_monotonic_time ();
   GHashTableIter iter;
   gpointer value;
-  g_hash_table_iter_init (&iter, connections->by_fd);
+  g_hash_table_iter_init (&iter, connections->by_input);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       Connection *connection = value;
-      if (!is_still_open (connection))
-        g_hash_table_iter_remove (&iter);
-      else if (!connection->busy && connection->idle_since < expired_before)
-        shut_down (connections, connection, "dogwoodplank_http_idle_closed_total");
+      gboolean open = is_open (connection);
+      if (open && !is_overdue (connections, connection, now))
+        continue;
+      if (open)
+        close_connection (connections, connection, "dogwoodplank_http_idle_closed_total");
+      g_hash_table_iter_remove (&iter);
     }
   dp_counters_set (connections->options.counters, "dogwoodplank_http_connections", "listener",
-                   connections->options.name, g_hash_table_size (connections->by_fd));
+                   connections->options.name, g_hash_table_size (connections->by_input));
   update_listener (connections);
 }
 
@@ -124,16 +179,16 @@
                               struct evhttp_connection *connection,
                               gboolean busy)
 {
-  int fd = bufferevent_getfd (evhttp_connection_get_bufferevent (connection));
-  Connection *row = g_hash_table_lookup (connections->by_fd, &fd);
+  struct evbuffer *input
+    = bufferevent_get_input (evhttp_connection_get_bufferevent (connection));
+  Connection *row = g_hash_table_lookup (connections->by_input, input);
   if (row == NULL)
     return;
-  if (busy && row->is_shut)
-    dp_counters_add (connections->options.counters,
-                     "dogwoodplank_http_requests_after_close_total", "listener",
-                     connections->options.name, 1);
-  row->busy = busy;
-  row->idle_since = g_get_monotonic_time ();
+  if (busy)
+    set_state (row, CONNECTION_PROCESSING);
+  else
+    /* The next request may have been read already. */
+    set_state (row, evbuffer_get_length (input) > 0 ? CONNECTION_RECEIVING : CONNECTION_IDLE);
 }
 
 DpHttpConnections *
@@ -141,7 +196,7 @@
 {
   DpHttpConnections *connections = g_new0 (DpHttpConnections, 1);
   connections->options = *options;
-  connections->by_fd = g_hash_table_new_full (g_int_hash, g_int_equal, NULL, g_free);
+  connections->by_input = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   connections->accepted = g_ptr_array_new ();
   connections->accepted_event = event_new (options->base, -1, 0, on_accepted, connections);
   connections->sweep = event_new (options->base, -1, EV_PERSIST, on_sweep, connections);
@@ -157,7 +212,7 @@
   event_free (connections->sweep);
   event_free (connections->accepted_event);
   g_ptr_array_unref (connections->accepted);
-  g_hash_table_unref (connections->by_fd);
+  g_hash_table_unref (connections->by_input);
   g_free (connections);
 }
 
@@ -179,11 +234,30 @@
 {
   GHashTableIter iter;
   gpointer value;
-  g_hash_table_iter_init (&iter, connections->by_fd);
+  g_hash_table_iter_init (&iter, connections->by_input);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       Connection *connection = value;
-      if (!connection->busy && is_still_open (connection))
-        shut_down (connections, connection, "dogwoodplank_http_stop_closed_total");
+      gboolean open = is_open (connection);
+      if (open && !is_idle (connection))
+        continue;
+      if (open)
+        close_connection (connections, connection, "dogwoodplank_http_stop_closed_total");
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+gboolean
+dp_http_connections_have_requests (const DpHttpConnections *connections)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, connections->by_input);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Connection *connection = value;
+      if (is_open (connection) && !is_idle (connection))
+        return TRUE;
     }
+  return FALSE;
 }
--- a/net/http_connections.h
+++ b/net/http_connections.h
@@ -19,7 +19,7 @@
   struct evhttp *http;    /* gets its bufferevents from this object */
   const char *name;       /* label of the gauge; must outlive the object */
   guint max;              /* open at once; others wait in the listen backlog */
-  DpUsec request_timeout; /* for a whole request, since the previous one ended */
+  DpUsec request_timeout; /* until the first byte of a request, and then for all of it */
   DpCounters *counters;   /* must outlive the object */
 } DpHttpConnectionsOptions;
 
@@ -39,5 +39,9 @@
 
 void dp_http_connections_set_request_timeout (DpHttpConnections *connections, DpUsec timeout);
 
-/* Closes the connections that have no request in progress. */
+/* Closes the connections on which no part of a request has arrived. */
 void dp_http_connections_close_idle (DpHttpConnections *connections);
+
+/* TRUE if at least a part of a request has arrived on a connection and there is no complete
+ * response to it yet. */
+gboolean dp_http_connections_have_requests (const DpHttpConnections *connections);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -501,7 +501,8 @@
 dp_http_server_is_idle (const DpHttpServer *server)
 {
   return g_hash_table_size (server->exchanges) == 0 && g_hash_table_size (server->sending) == 0
-         && g_hash_table_size (server->closing) == 0;
+         && g_hash_table_size (server->closing) == 0
+         && !dp_http_connections_have_requests (server->connections);
 }
 
 enum evhttp_cmd_type
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -34,7 +34,7 @@
   gsize write_buffer_max; /* bytes of a response buffered for a slow caller */
   guint exchanges_max;    /* open at once; others are rejected with 503 */
   guint connections_max;  /* open at once; others wait in the listen backlog */
-  DpUsec request_timeout; /* for a whole request, since the previous one ended */
+  DpUsec request_timeout; /* until the first byte of a request, and then for all of it */
   DpCounters *counters;   /* the server takes a reference */
   DpHttpHandler handler;
   gpointer user;
@@ -52,7 +52,7 @@
 /* Adds "Connection: close" to all responses; new connections are still accepted. */
 void dp_http_server_close_after_responses (DpHttpServer *server);
 
-/* Closes the connections that have no request in progress. */
+/* Closes the connections on which no part of a request has arrived. */
 void dp_http_server_close_idle (DpHttpServer *server);
 
 /* Limits for subsequent requests; 0 keeps the current value. */
@@ -66,7 +66,7 @@
 
 guint dp_http_server_open_exchanges (const DpHttpServer *server);
 
-/* TRUE if no exchange is open and all responses were passed to the kernel. */
+/* TRUE if no part of a request has arrived whose response was not passed to the kernel. */
 gboolean dp_http_server_is_idle (const DpHttpServer *server);
 
 /* --- request --- */
--- a/tests/test_net_http.c
+++ b/tests/test_net_http.c
@@ -915,6 +915,137 @@
 }
 END_TEST
 
+/* --- requests that arrive while the server closes their connection --- */
+
+#define POST_HEAD "POST /two HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"
+#define POST_BODY "body"
+/* Longer than the interval of the server's check for idle connections. */
+#define SWEEP_MSEC 1300
+
+typedef enum CloseCause
+{
+  CLOSE_STOP,
+  CLOSE_SHORTER_LIMIT,
+} CloseCause;
+
+typedef struct CrossingCase
+{
+  const char *name;
+  CloseCause cause;
+  const char *read_before; /* by the server, before it closes idle connections */
+  const char *unread;      /* sent, but not read by the server at that moment */
+  const char *sent_after;
+} CrossingCase;
+
+static const CrossingCase crossing_cases[] = {
+  { "whole request, stop", CLOSE_STOP, "", GET_KEEP_ALIVE, "" },
+  { "whole request, shorter idle limit", CLOSE_SHORTER_LIMIT, "", GET_KEEP_ALIVE, "" },
+  { "rest of the body, stop", CLOSE_STOP, POST_HEAD, POST_BODY, "" },
+  { "part of the head, stop", CLOSE_STOP, "", "GET /one HT", "TP/1.1\r\nHost: x\r\n\r\n" },
+  { "body still to come, stop", CLOSE_STOP, POST_HEAD, "bo", "dy" },
+};
+
+typedef struct Crossing
+{
+  const Fixture *fixture;
+  const CrossingCase *row;
+  Caller *caller;
+} Crossing;
+
+static void
+send_now (const Caller *caller, const char *text)
+{
+  gsize length = strlen (text);
+  ck_assert_int_eq (send (bufferevent_getfd (caller->bev), text, length, MSG_NOSIGNAL), length);
+}
+
+/* Runs in the loop iteration in which idle connections are closed, before that. */
+static void
+on_crossing (evutil_socket_t fd, short what, void *user)
+{
+  const Crossing *crossing = user;
+  if (crossing->row->unread[0] != '\0')
+    send_now (crossing->caller, crossing->row->unread);
+  if (crossing->row->cause == CLOSE_STOP)
+    dp_http_server_close_idle (crossing->fixture->server);
+}
+
+/* Handles no event of `base` meanwhile. */
+static void
+wait_outside_loop (long milliseconds)
+{
+  struct event_base *base = event_base_new ();
+  const struct timeval interval
+    = { .tv_sec = milliseconds / 1000, .tv_usec = (milliseconds % 1000) * 1000 };
+  event_base_once (base, -1, EV_TIMEOUT, stop_loop, base, &interval);
+  event_base_dispatch (base);
+  event_base_free (base);
+}
+
+static void
+answer_next_request (Fixture *fixture)
+{
+  run_loop (fixture->base);
+  ck_assert_ptr_nonnull (fixture->exchange);
+  dp_http_exchange_reply (fixture->exchange, 200, "ok", 2);
+  fixture->exchange = NULL;
+  run_pending_events (fixture->base);
+}
+
+START_TEST (request_that_crosses_a_close_is_answered)
+{
+  const CrossingCase *row = &crossing_cases[_i];
+  Fixture *fixture = make_fixture ();
+  DpHttpServerLimits limits = { .idle_timeout = 20 * DP_USEC_PER_SEC };
+  dp_http_server_set_limits (fixture->server, &limits);
+  Caller *caller = make_caller (fixture->base, GET_KEEP_ALIVE);
+  answer_next_request (fixture);
+  g_string_set_size (caller->received, 0);
+  if (row->read_before[0] != '\0')
+    send_now (caller, row->read_before);
+  run_pending_events (fixture->base);
+  if (row->cause == CLOSE_SHORTER_LIMIT)
+    {
+      limits.idle_timeout = 100 * DP_USEC_PER_MSEC;
+      dp_http_server_set_limits (fixture->server, &limits);
+      wait_outside_loop (SWEEP_MSEC);
+    }
+  Crossing crossing = { .fixture = fixture, .row = row, .caller = caller };
+  struct event *event = event_new (fixture->base, -1, 0, on_crossing, &crossing);
+  event_active (event, EV_TIMEOUT, 0);
+  event_base_loop (fixture->base, EVLOOP_ONCE);
+  if (row->sent_after[0] != '\0')
+    send_now (caller, row->sent_after);
+  if (fixture->exchange == NULL && !caller->closed)
+    run_loop (fixture->base);
+  ck_assert_msg (fixture->exchange != NULL, "%s: not read", row->name);
+  dp_http_exchange_reply (fixture->exchange, 200, "ok", 2);
+  run_pending_events (fixture->base);
+  ck_assert_msg (g_str_has_suffix (caller->received->str, "ok"),
+                 "%s: read, but answered \"%s\"", row->name, caller->received->str);
+  event_free (event);
+  free_caller (caller);
+  free_fixture (fixture);
+}
+END_TEST
+
+START_TEST (idle_server_has_no_request_on_the_way)
+{
+  Fixture *fixture = make_fixture ();
+  Caller *caller = make_caller (fixture->base, GET_KEEP_ALIVE);
+  answer_next_request (fixture);
+  ck_assert (dp_http_server_is_idle (fixture->server));
+  send_now (caller, GET_KEEP_ALIVE);
+  dp_http_server_stop_accepting (fixture->server);
+  dp_http_server_close_idle (fixture->server);
+  ck_assert (!dp_http_server_is_idle (fixture->server));
+  answer_next_request (fixture);
+  ck_assert (dp_http_server_is_idle (fixture->server));
+  free_caller (caller);
+  free_fixture (fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -947,6 +1078,9 @@
   tcase_add_test (tcase, slowly_sent_request_times_out);
   tcase_add_test (tcase, stopping_server_finishes_open_requests);
   tcase_add_loop_test (tcase, stream_started_before_stop_closes_connection, 0, 2);
+  tcase_add_loop_test (tcase, request_that_crosses_a_close_is_answered, 0,
+                       G_N_ELEMENTS (crossing_cases));
+  tcase_add_test (tcase, idle_server_has_no_request_on_the_way);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
