net: keep the limit of connections that are idle already

A config with a shorter idle timeout closed, at the next check, all connections that had been idle for longer than the new one allows, while their callers go on using them for four fifths of the time that they knew. So closes crossed requests in numbers, beside a config. A longer timeout did not hold for connections that were idle already, either.

Each connection keeps the longest timeout that was in force since it became idle. idle_connection_keeps_its_limit_when_a_shorter_one_is_set and idle_connection_gets_a_longer_limit fail on (the connection was closed) and pass. net_http is green.

--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -23,7 +23,8 @@
   int fd;                  /* -1 until evhttp has set it */
   struct sockaddr_storage peer;
   ConnectionState state;
-  DpUsec since; /* of the state */
+  DpUsec since;   /* of the state */
+  DpUsec timeout; /* of the state; the longest in force since it began */
 } Connection;
 
 struct DpHttpConnections
@@ -84,9 +85,10 @@
 }
 
 static void
-set_state (Connection *connection, ConnectionState state)
+set_state (const DpHttpConnections *connections, Connection *connection, ConnectionState state)
 {
   connection->state = state;
+  connection->timeout = connections->options.request_timeout;
   connection->since = g_get_monotonic_time ();
 }
 
@@ -97,7 +99,7 @@
   const DpHttpConnections *connections = user;
   Connection *connection = g_hash_table_lookup (connections->by_input, input);
   if (connection != NULL && info->n_added > 0 && connection->state == CONNECTION_IDLE)
-    set_state (connection, CONNECTION_RECEIVING);
+    set_state (connections, connection, CONNECTION_RECEIVING);
 }
 
 /* evhttp assigns the socket to the bufferevent after this callback returns. */
@@ -108,7 +110,7 @@
   Connection *connection = g_new0 (Connection, 1);
   connection->bev = bufferevent_socket_new (base, -1, 0);
   connection->fd = -1;
-  set_state (connection, CONNECTION_IDLE);
+  set_state (connections, connection, CONNECTION_IDLE);
   struct evbuffer *input = bufferevent_get_input (connection->bev);
   evbuffer_add_cb (input, on_input, connections);
   g_hash_table_replace (connections->by_input, input, connection);
@@ -143,9 +145,9 @@
 }
 
 static gboolean
-is_overdue (const DpHttpConnections *connections, const Connection *connection, DpUsec now)
+is_overdue (const Connection *connection, DpUsec now)
 {
-  if (now - connection->since <= connections->options.request_timeout)
+  if (now - connection->since <= connection->timeout)
     return FALSE;
   return connection->state == CONNECTION_RECEIVING || is_idle (connection);
 }
@@ -163,7 +165,7 @@
     {
       Connection *connection = value;
       gboolean open = is_open (connection);
-      if (open && !is_overdue (connections, connection, now))
+      if (open && !is_overdue (connection, now))
         continue;
       if (open)
         close_connection (connections, connection, "dogwoodplank_http_idle_closed_total");
@@ -185,10 +187,11 @@
   if (row == NULL)
     return;
   if (busy)
-    set_state (row, CONNECTION_PROCESSING);
+    set_state (connections, row, CONNECTION_PROCESSING);
   else
     /* The next request may have been read already. */
-    set_state (row, evbuffer_get_length (input) > 0 ? CONNECTION_RECEIVING : CONNECTION_IDLE);
+    set_state (connections, row,
+               evbuffer_get_length (input) > 0 ? CONNECTION_RECEIVING : CONNECTION_IDLE);
 }
 
 DpHttpConnections *
@@ -223,10 +226,29 @@
   connections->listener = listener;
 }
 
+/* Callers go on using an idle connection for most of the time that they know, or for most of a
+ * longer one that is set meanwhile. */
+static void
+extend_timeout (Connection *connection, DpUsec timeout)
+{
+  if (timeout <= connection->timeout || !is_open (connection))
+    return;
+  connection->timeout = timeout;
+  const struct timeval tv
+    = { .tv_sec = timeout / DP_USEC_PER_SEC, .tv_usec = timeout % DP_USEC_PER_SEC };
+  if (connection->state == CONNECTION_IDLE)
+    bufferevent_set_timeouts (connection->bev, &tv, NULL);
+}
+
 void
 dp_http_connections_set_request_timeout (DpHttpConnections *connections, DpUsec timeout)
 {
   connections->options.request_timeout = timeout;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, connections->by_input);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    extend_timeout (value, timeout);
 }
 
 void
--- a/net/http_connections.h
+++ b/net/http_connections.h
@@ -37,6 +37,8 @@
                                    struct evhttp_connection *connection,
                                    gboolean busy);
 
+/* Holds for connections that become idle or begin to send a request from now on, and for
+ * others if it is longer than theirs. */
 void dp_http_connections_set_request_timeout (DpHttpConnections *connections, DpUsec timeout);
 
 /* Closes the connections on which no part of a request has arrived. */
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -60,7 +60,8 @@
 {
   gsize head_max;
   gsize body_max;
-  DpUsec idle_timeout; /* for connections without a request */
+  DpUsec idle_timeout; /* for connections without a request; if it is shorter than before, not
+                          for those that are idle already */
 } DpHttpServerLimits;
 void dp_http_server_set_limits (DpHttpServer *server, const DpHttpServerLimits *limits);
 
--- a/tests/test_net_http.c
+++ b/tests/test_net_http.c
@@ -1029,6 +1029,46 @@
 }
 END_TEST
 
+/* Callers go on using a connection for most of the idle time that they know. */
+START_TEST (idle_connection_keeps_its_limit_when_a_shorter_one_is_set)
+{
+  Fixture *fixture = make_fixture ();
+  DpHttpServerLimits limits = { .idle_timeout = 20 * DP_USEC_PER_SEC };
+  dp_http_server_set_limits (fixture->server, &limits);
+  Caller *caller = make_caller (fixture->base, GET_KEEP_ALIVE);
+  answer_next_request (fixture);
+  limits.idle_timeout = 100 * DP_USEC_PER_MSEC;
+  dp_http_server_set_limits (fixture->server, &limits);
+  const struct timeval interval = { .tv_sec = SWEEP_MSEC / 1000 + 1 };
+  event_base_once (fixture->base, -1, EV_TIMEOUT, stop_loop, fixture->base, &interval);
+  run_loop (fixture->base);
+  ck_assert (!caller->closed);
+  /* The shorter limit holds from the next response on. */
+  send_now (caller, GET_KEEP_ALIVE);
+  answer_next_request (fixture);
+  run_loop (fixture->base);
+  ck_assert (caller->closed);
+  free_caller (caller);
+  free_fixture (fixture);
+}
+END_TEST
+
+START_TEST (idle_connection_gets_a_longer_limit)
+{
+  Fixture *fixture = make_fixture ();
+  Caller *caller = make_caller (fixture->base, GET_KEEP_ALIVE);
+  answer_next_request (fixture);
+  const DpHttpServerLimits limits = { .idle_timeout = 20 * DP_USEC_PER_SEC };
+  dp_http_server_set_limits (fixture->server, &limits);
+  const struct timeval interval = { .tv_sec = SWEEP_MSEC / 1000 + 1 };
+  event_base_once (fixture->base, -1, EV_TIMEOUT, stop_loop, fixture->base, &interval);
+  run_loop (fixture->base);
+  ck_assert (!caller->closed);
+  free_caller (caller);
+  free_fixture (fixture);
+}
+END_TEST
+
 START_TEST (idle_server_has_no_request_on_the_way)
 {
   Fixture *fixture = make_fixture ();
@@ -1080,6 +1120,8 @@
   tcase_add_loop_test (tcase, stream_started_before_stop_closes_connection, 0, 2);
   tcase_add_loop_test (tcase, request_that_crosses_a_close_is_answered, 0,
                        G_N_ELEMENTS (crossing_cases));
+  tcase_add_test (tcase, idle_connection_keeps_its_limit_when_a_shorter_one_is_set);
+  tcase_add_test (tcase, idle_connection_gets_a_longer_limit);
   tcase_add_test (tcase, idle_server_has_no_request_on_the_way);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
