net: the idle limit of a config does not bound requests

The limit for idle connections of a config also replaced the timeouts between two reads of a request and for a whole request, so a caller that took longer to send its request than it may leave a connection idle was cut off. The two were one timeout.

Idle time, time between reads and time for a request are three options now; a config sets the first. idle_limit_does_not_bound_a_request fails on (the connection was closed) and passes. net_http is green.

--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -24,7 +24,7 @@
   struct sockaddr_storage peer;
   ConnectionState state;
   DpUsec since;   /* of the state */
-  DpUsec timeout; /* of the state; the longest in force since it began */
+  DpUsec timeout; /* of the state; of an idle connection the longest in force since it began */
 } Connection;
 
 struct DpHttpConnections
@@ -88,7 +88,8 @@
 set_state (const DpHttpConnections *connections, Connection *connection, ConnectionState state)
 {
   connection->state = state;
-  connection->timeout = connections->options.request_timeout;
+  connection->timeout = state == CONNECTION_RECEIVING ? connections->options.request_timeout
+                                                      : connections->options.idle_timeout;
   connection->since = g_get_monotonic_time ();
 }
 
@@ -152,7 +153,7 @@
   return connection->state == CONNECTION_RECEIVING || is_idle (connection);
 }
 
-/* Removes closed connections and closes those that exceed the request timeout. */
+/* Removes closed connections and closes those that exceed their timeout. */
 static void
 on_sweep (evutil_socket_t fd, short what, void *user)
 {
@@ -229,26 +230,34 @@
 /* Callers go on using an idle connection for most of the time that they know, or for most of a
  * longer one that is set meanwhile. */
 static void
-extend_timeout (Connection *connection, DpUsec timeout)
+extend_timeout (const DpHttpConnections *connections, Connection *connection)
 {
-  if (timeout <= connection->timeout || !is_open (connection))
+  DpUsec timeout = connections->options.idle_timeout;
+  if (connection->state != CONNECTION_IDLE || timeout <= connection->timeout
+      || !is_open (connection))
     return;
   connection->timeout = timeout;
+  DpUsec read_timeout = dp_http_connections_read_timeout (connections);
   const struct timeval tv
-    = { .tv_sec = timeout / DP_USEC_PER_SEC, .tv_usec = timeout % DP_USEC_PER_SEC };
-  if (connection->state == CONNECTION_IDLE)
-    bufferevent_set_timeouts (connection->bev, &tv, NULL);
+    = { .tv_sec = read_timeout / DP_USEC_PER_SEC, .tv_usec = read_timeout % DP_USEC_PER_SEC };
+  bufferevent_set_timeouts (connection->bev, &tv, NULL);
+}
+
+DpUsec
+dp_http_connections_read_timeout (const DpHttpConnections *connections)
+{
+  return MAX (connections->options.read_timeout, connections->options.idle_timeout);
 }
 
 void
-dp_http_connections_set_request_timeout (DpHttpConnections *connections, DpUsec timeout)
+dp_http_connections_set_idle_timeout (DpHttpConnections *connections, DpUsec timeout)
 {
-  connections->options.request_timeout = timeout;
+  connections->options.idle_timeout = timeout;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, connections->by_input);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    extend_timeout (value, timeout);
+    extend_timeout (connections, value);
 }
 
 void
--- a/net/http_connections.h
+++ b/net/http_connections.h
@@ -19,7 +19,9 @@
   struct evhttp *http;    /* gets its bufferevents from this object */
   const char *name;       /* label of the gauge; must outlive the object */
   guint max;              /* open at once; others wait in the listen backlog */
-  DpUsec request_timeout; /* until the first byte of a request, and then for all of it */
+  DpUsec idle_timeout;    /* until the first byte of a request */
+  DpUsec read_timeout;    /* between reads of a request */
+  DpUsec request_timeout; /* from the first byte of a request to its end */
   DpCounters *counters;   /* must outlive the object */
 } DpHttpConnectionsOptions;
 
@@ -37,9 +39,13 @@
                                    struct evhttp_connection *connection,
                                    gboolean busy);
 
-/* Holds for connections that become idle or begin to send a request from now on, and for
- * others if it is longer than theirs. */
-void dp_http_connections_set_request_timeout (DpHttpConnections *connections, DpUsec timeout);
+/* Holds for connections that become idle from now on, and for idle ones if it is longer than
+ * theirs. */
+void dp_http_connections_set_idle_timeout (DpHttpConnections *connections, DpUsec timeout);
+
+/* Timeout between reads for evhttp, which has a single one for idle connections and for
+ * requests. */
+DpUsec dp_http_connections_read_timeout (const DpHttpConnections *connections);
 
 /* Closes the connections on which no part of a request has arrived. */
 void dp_http_connections_close_idle (DpHttpConnections *connections);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -139,7 +139,8 @@
   evhttp_connection_set_closecb (connection, NULL, NULL);
   struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
   bufferevent_setwatermark (bev, EV_READ, 0, 0);
-  struct timeval read_timeout = to_timeval (exchange->server->options.read_timeout);
+  struct timeval read_timeout
+    = to_timeval (dp_http_connections_read_timeout (exchange->server->connections));
   struct timeval write_timeout = to_timeval (exchange->server->options.write_timeout);
   bufferevent_set_timeouts (bev, &read_timeout, &write_timeout);
 }
@@ -376,16 +377,30 @@
   return TRUE;
 }
 
+/* For connections that are accepted from now on. */
+static void
+set_read_timeout (DpHttpServer *server)
+{
+  struct timeval timeout = to_timeval (dp_http_connections_read_timeout (server->connections));
+  evhttp_set_timeout_tv (server->http, &timeout);
+}
+
 static void
 make_connections (DpHttpServer *server)
 {
-  const DpHttpConnectionsOptions options = { .base = server->options.base,
+  const DpHttpServerOptions *server_options = &server->options;
+  DpUsec idle_timeout = server_options->idle_timeout > 0 ? server_options->idle_timeout
+                                                         : server_options->read_timeout;
+  const DpHttpConnectionsOptions options = { .base = server_options->base,
                                              .http = server->http,
                                              .name = server->name,
-                                             .max = server->options.connections_max,
-                                             .request_timeout = server->options.request_timeout,
-                                             .counters = server->options.counters };
+                                             .max = server_options->connections_max,
+                                             .idle_timeout = idle_timeout,
+                                             .read_timeout = server_options->read_timeout,
+                                             .request_timeout = server_options->request_timeout,
+                                             .counters = server_options->counters };
   server->connections = dp_http_connections_new (&options);
+  set_read_timeout (server);
 }
 
 DpHttpServer *
@@ -404,8 +419,6 @@
                             (ev_ssize_t)(options->body_max * EVHTTP_BODY_MAX_FACTOR));
   evhttp_set_allowed_methods (server->http, ALL_METHODS);
   evhttp_set_default_content_type (server->http, NULL);
-  struct timeval timeout = to_timeval (options->read_timeout);
-  evhttp_set_timeout_tv (server->http, &timeout);
   evhttp_set_gencb (server->http, on_request, server);
   make_connections (server);
   if (bind_listener (server))
@@ -485,10 +498,8 @@
     }
   if (limits->idle_timeout <= 0)
     return;
-  server->options.read_timeout = limits->idle_timeout;
-  struct timeval timeout = to_timeval (limits->idle_timeout);
-  evhttp_set_timeout_tv (server->http, &timeout);
-  dp_http_connections_set_request_timeout (server->connections, limits->idle_timeout);
+  dp_http_connections_set_idle_timeout (server->connections, limits->idle_timeout);
+  set_read_timeout (server);
 }
 
 guint
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -29,12 +29,13 @@
   const char *name;       /* label of its counters: "callers", "operators" */
   gsize head_max;         /* bytes of request line and headers */
   gsize body_max;         /* bytes; larger bodies are rejected */
-  DpUsec read_timeout;    /* between reads of a request; also for idle connections */
+  DpUsec read_timeout;    /* between reads of a request */
+  DpUsec idle_timeout;    /* until the first byte of a request; 0: as `read_timeout` */
   DpUsec write_timeout;   /* for a caller that doesn't read */
   gsize write_buffer_max; /* bytes of a response buffered for a slow caller */
   guint exchanges_max;    /* open at once; others are rejected with 503 */
   guint connections_max;  /* open at once; others wait in the listen backlog */
-  DpUsec request_timeout; /* until the first byte of a request, and then for all of it */
+  DpUsec request_timeout; /* from the first byte of a request to its end */
   DpCounters *counters;   /* the server takes a reference */
   DpHttpHandler handler;
   gpointer user;
--- a/node/caller_listener.c
+++ b/node/caller_listener.c
@@ -12,6 +12,7 @@
 /* Idle connections are closed later than the configured idle timeout. Callers reuse them for
  * most of that time, and a request must not cross with the close. */
 #define IDLE_FACTOR 1.3
+#define REQUEST_TIMEOUT (20 * DP_USEC_PER_SEC)
 #define WRITE_TIMEOUT (10 * DP_USEC_PER_SEC)
 /* Bytes of an answer buffered for a slow caller. */
 #define UNREAD_MAX ((gsize)1024 * 1024)
@@ -229,12 +230,13 @@
         .name = "callers",
         .head_max = HEAD_BYTES_MAX,
         .body_max = BODY_BYTES_MAX,
-        .read_timeout = (DpUsec)((double)IDLE_TIMEOUT * IDLE_FACTOR),
+        .read_timeout = REQUEST_TIMEOUT,
+        .idle_timeout = (DpUsec)((double)IDLE_TIMEOUT * IDLE_FACTOR),
         .write_timeout = WRITE_TIMEOUT,
         .write_buffer_max = UNREAD_MAX,
         .exchanges_max = EXCHANGES_MAX,
         .connections_max = node->params.connections_max,
-        .request_timeout = (DpUsec)((double)IDLE_TIMEOUT * IDLE_FACTOR),
+        .request_timeout = REQUEST_TIMEOUT,
         .counters = node->counters,
         .handler = on_request,
         .user = node };
--- a/tests/test_net_http.c
+++ b/tests/test_net_http.c
@@ -1069,6 +1069,24 @@
 }
 END_TEST
 
+START_TEST (idle_limit_does_not_bound_a_request)
+{
+  Fixture *fixture = make_fixture ();
+  const DpHttpServerLimits limits = { .idle_timeout = 20 * DP_USEC_PER_MSEC };
+  dp_http_server_set_limits (fixture->server, &limits);
+  Caller *caller = make_caller (fixture->base, POST_HEAD);
+  const struct timeval interval = { .tv_usec = 100000 }; /* shorter than the read timeout */
+  event_base_once (fixture->base, -1, EV_TIMEOUT, stop_loop, fixture->base, &interval);
+  run_loop (fixture->base);
+  ck_assert (!caller->closed);
+  send_now (caller, POST_BODY);
+  answer_next_request (fixture);
+  ck_assert (g_str_has_suffix (caller->received->str, "ok"));
+  free_caller (caller);
+  free_fixture (fixture);
+}
+END_TEST
+
 START_TEST (idle_server_has_no_request_on_the_way)
 {
   Fixture *fixture = make_fixture ();
@@ -1122,6 +1140,7 @@
                        G_N_ELEMENTS (crossing_cases));
   tcase_add_test (tcase, idle_connection_keeps_its_limit_when_a_shorter_one_is_set);
   tcase_add_test (tcase, idle_connection_gets_a_longer_limit);
+  tcase_add_test (tcase, idle_limit_does_not_bound_a_request);
   tcase_add_test (tcase, idle_server_has_no_request_on_the_way);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
