net: handle no event after the process has decided to end

A process that found nothing in progress ended its event loop with event_base_loopexit(), which first handles all events that are active: a request on a kept connection could be read, admitted and passed on to a target in the last iteration, and was lost with the process. The same holds for all programs, and for the forced end of a stop.

The loop ends with the callback that decides. events_of_the_last_iteration_are_not_handled_after_quit fails on the code before and passes; node, entry_shell and scheduler_shell are green.

--- a/net/process.c
+++ b/net/process.c
@@ -534,10 +534,12 @@
   event_base_dispatch (process->base);
 }
 
+/* Events of this iteration that were not handled yet are dropped: a request among them could
+ * not be answered any more. */
 void
 dp_process_quit (DpProcess *process)
 {
-  event_base_loopexit (process->base, NULL);
+  event_base_loopbreak (process->base);
 }
 
 struct event_base *
--- a/net/process.h
+++ b/net/process.h
@@ -125,6 +125,7 @@
 
 /* Runs until dp_process_quit(). */
 void dp_process_run (DpProcess *process);
+/* To be called by a callback of the event loop, which ends after it. */
 void dp_process_quit (DpProcess *process);
 
 struct event_base *dp_process_base (DpProcess *process);
