platform: parse the store's entries one by one

Callers saw VMs that never became ready, or that kept the targets and the config of the moment at which one odd entry appeared in the store, until it was gone.

Cause: a page of a listing, or a watch's reply, was parsed as one JSON text. An entry that json-c does not accept (nested deeper than its 32 levels, malformed) made the whole page malformed; each further listing had the entry again. The class: one bad part fails the whole that it came with, and the retry meets it again. Evidence: node_odd_entry on, 19 of 37 cases fail, with store_entry_refused "page is malformed" six times a second at each VM. A wide entry (300,000 empty objects, 0.9 MB) took json-c 228 MB, more than small VMs have.

Pages are now split into rows, and rows into name, revision and spec, by a scanner that knows strings and nesting only and needs neither stack nor memory. A row whose spec can't be read still has its name, so a target whose entry became odd is removed, and a listing's next page begins after it. Objects in a page are text until then, where a listing held all of them parsed. A page that is cut or followed by other text stays malformed as a whole; one that says that more follows but has no new name is, too (it ended the listing before, which dropped all targets behind it).

Names and strings with a NUL were cut there: "t0\u0000" overwrote entry t0. They are refused. What can't be read is logged once for each revision of an entry instead of at each reading (12 lines before in the new test, at most 4 now), at most 16 for each reading.

Shown before the fix: the new cases of test_node_odd_entry on (19 of 37, and the two of logs and of stored blocks).

--- a/node/node.h
+++ b/node/node.h
@@ -257,12 +257,19 @@
 void dp_store_watch_apply_relay (DpStoreWatch *watch, const DpRelay *relay);
 /* Versions of this VM's data, and the age of the oldest confirmation by the store. */
 DpRelay dp_store_watch_state (const DpStoreWatch *watch);
+/* Logs what can't be read in an entry of the store, once for each of its revisions. */
+void dp_store_watch_log_diagnostics (DpStoreWatch *watch,
+                                     const char *kind,
+                                     guint64 revision,
+                                     const DpDiagnostics *diagnostics);
 /* TRUE if the last call to the store failed for any kind of objects. */
 gboolean dp_store_watch_is_failing (const DpStoreWatch *watch);
 
 /* --- stored_list.c --- */
 
-typedef void (*DpStoredListFunc) (DpNode *node, const DpStoreObject *object);
+typedef void (*DpStoredListFunc) (DpNode *node,
+                                  const DpStoreObject *object,
+                                  DpDiagnostics *diagnostics);
 /* `function` gets each object of the kind; `kind` must outlive the list. */
 DpStoredList *dp_stored_list_new (DpNode *node, const char *kind, DpStoredListFunc function);
 void dp_stored_list_free (DpStoredList *list);
--- a/node/quarantine.c
+++ b/node/quarantine.c
@@ -147,10 +147,10 @@
 }
 
 static void
-on_stored_block (DpNode *node, const DpStoreObject *object)
+on_stored_block (DpNode *node, const DpStoreObject *object, DpDiagnostics *diagnostics)
 {
   DpSuspect state = { .is_blocked = TRUE, .remaining = BLOCK_DURATION };
-  if (!dp_records_read_block (object, &state))
+  if (!dp_records_read_block (object, &state, diagnostics))
     return;
   dp_suspects_merge (node->suspects, &state, dp_node_now ());
   log_state (DP_LOG_NOTICE, "stored_quarantine", &state);
--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -36,6 +36,10 @@
 /* After a restore, entries of targets that are gone expire within EXPIRY_HEARTBEATS and this.
  */
 #define TARGETS_SETTLE_TIME (500 * DP_USEC_PER_MSEC)
+/* Diagnostics of one reading that are logged. */
+#define DIAGNOSTICS_LOGGED_MAX 16
+/* Diagnostics that are not logged again; about 60 bytes each. */
+#define DIAGNOSTICS_KNOWN_MAX 1024
 
 typedef enum Kind
 {
@@ -75,7 +79,8 @@
 {
   DpNode *node;
   ObjectFeed feeds[KIND_COUNT];
-  GHashTable *vms; /* DpName -> DpVm */
+  GHashTable *vms;    /* DpName -> DpVm */
+  GHashTable *logged; /* guint64: hashes of diagnostics */
   guint64 view_version;
   guint64 era; /* highest known of the store; 0: unknown */
 };
@@ -89,14 +94,41 @@
   event_add (event, &tv);
 }
 
-static void
-log_diagnostics (const char *what, DpDiagnostics *diagnostics)
+static guint64
+hash_diagnostic (const DpDiagnostic *diagnostic, const char *kind, guint64 revision)
+{
+  guint64 hash = dp_hash_bytes (kind, strlen (kind) + 1, revision);
+  hash = dp_hash_bytes (diagnostic->file, strlen (diagnostic->file) + 1, hash);
+  hash = dp_hash_bytes (diagnostic->path, strlen (diagnostic->path) + 1, hash);
+  return dp_hash_bytes (diagnostic->message, strlen (diagnostic->message), hash);
+}
+
+/* FALSE if the diagnostic was logged before. */
+static gboolean
+mark_logged (DpStoreWatch *watch, guint64 hash)
+{
+  if (g_hash_table_size (watch->logged) >= DIAGNOSTICS_KNOWN_MAX)
+    g_hash_table_remove_all (watch->logged);
+  return g_hash_table_add (watch->logged, g_memdup2 (&hash, sizeof hash));
+}
+
+void
+dp_store_watch_log_diagnostics (DpStoreWatch *watch,
+                                const char *kind,
+                                guint64 revision,
+                                const DpDiagnostics *diagnostics)
 {
-  for (guint i = 0; i < dp_diagnostics_count (diagnostics); i++)
+  guint count = dp_diagnostics_count (diagnostics);
+  for (guint i = 0; i < MIN (count, DIAGNOSTICS_LOGGED_MAX); i++)
     {
       const DpDiagnostic *diagnostic = dp_diagnostics_get (diagnostics, i);
-      dp_log (DP_LOG_WARNING, "store_entry_refused", "kind", what, "entry", diagnostic->file,
-              "member", diagnostic->path, "message", diagnostic->message, NULL);
+      if (!mark_logged (watch, hash_diagnostic (diagnostic, kind, revision)))
+        continue;
+      char text[24];
+      g_snprintf (text, sizeof text, "%" G_GUINT64_FORMAT, revision);
+      dp_log (DP_LOG_WARNING, "store_entry_refused", "kind", kind, "entry", diagnostic->file,
+              "revision", text, "member", diagnostic->path, "message", diagnostic->message,
+              NULL);
     }
 }
 
@@ -162,15 +194,12 @@
 /* --- config --- */
 
 static void
-set_config (DpStoreWatch *watch, struct json_object *spec, const char *source)
+set_manifest (DpStoreWatch *watch,
+              DpManifest *manifest,
+              struct json_object *spec,
+              const char *source)
 {
   DpNode *node = watch->node;
-  DpDiagnostics *diagnostics = dp_diagnostics_new ();
-  DpManifest *manifest = dp_records_read_config (spec, diagnostics);
-  log_diagnostics ("config", diagnostics);
-  dp_diagnostics_unref (diagnostics);
-  if (manifest == NULL)
-    return;
   char version[24];
   g_snprintf (version, sizeof version, "%" G_GUINT64_FORMAT, manifest->revision);
   if (node->manifest != NULL && manifest->revision <= node->manifest->revision)
@@ -192,23 +221,32 @@
   dp_caller_listener_set_limits (node);
 }
 
+static void
+set_config (DpStoreWatch *watch, const DpJsonSpan *text, guint64 revision, const char *source)
+{
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  struct json_object *spec = dp_records_parse_config (text, diagnostics);
+  DpManifest *manifest = spec != NULL ? dp_records_read_config (spec, diagnostics) : NULL;
+  dp_store_watch_log_diagnostics (watch, "config", revision, diagnostics);
+  dp_diagnostics_unref (diagnostics);
+  if (manifest != NULL)
+    set_manifest (watch, manifest, spec, source);
+  json_object_put (spec);
+}
+
 static void
 apply_config (DpStoreWatch *watch, const DpStoreObject *object, guint64 revision)
 {
   if (!object->is_deleted && strcmp (object->name, DP_CONFIG_NAME) == 0)
-    set_config (watch, object->spec, "store");
+    set_config (watch, &object->spec, object->revision, "store");
 }
 
 void
 dp_store_watch_apply_config_text (DpStoreWatch *watch, GBytes *text)
 {
-  gsize length;
-  const char *data = g_bytes_get_data (text, &length);
-  struct json_tokener *tokener = json_tokener_new ();
-  struct json_object *spec = json_tokener_parse_ex (tokener, data, (int)length);
-  json_tokener_free (tokener);
-  set_config (watch, spec, "another VM");
-  json_object_put (spec);
+  DpJsonSpan spec = { 0 };
+  spec.text = g_bytes_get_data (text, &spec.length);
+  set_config (watch, &spec, 0, "another VM");
 }
 
 /* --- targets --- */
@@ -246,7 +284,7 @@
            && dp_directory_put (node->directory, &record))
     log_change ("target_known", object->name, record.is_draining ? "draining" : "ready",
                 revision);
-  log_diagnostics ("target", diagnostics);
+  dp_store_watch_log_diagnostics (watch, "target", object->revision, diagnostics);
   dp_diagnostics_unref (diagnostics);
 }
 
@@ -330,7 +368,7 @@
       g_hash_table_insert (watch->vms, g_memdup2 (&name, sizeof name),
                            g_memdup2 (&vm, sizeof vm));
     }
-  log_diagnostics ("vm", diagnostics);
+  dp_store_watch_log_diagnostics (watch, "vm", object->revision, diagnostics);
   dp_diagnostics_unref (diagnostics);
 }
 
@@ -583,9 +621,8 @@
   gsize length;
   const char *text = g_bytes_get_data (reply->value, &length);
   DpDiagnostics *diagnostics = dp_diagnostics_new ();
-  DpStorePage *page
-    = dp_records_read_page (text != NULL ? text : "", length, is_watch, diagnostics);
-  log_diagnostics (kind_paths[feed->kind], diagnostics);
+  DpStorePage *page = dp_records_read_page (text, length, is_watch, diagnostics);
+  dp_store_watch_log_diagnostics (feed->watch, kind_paths[feed->kind], 0, diagnostics);
   dp_diagnostics_unref (diagnostics);
   return page;
 }
@@ -605,6 +642,10 @@
     }
   feed->listing_era = reply->era;
   DpStorePage *page = reply->result == DP_PLATFORM_OK ? read_page (feed, reply, FALSE) : NULL;
+  const char *last = page != NULL ? dp_store_page_last_name (page) : NULL;
+  /* Without a further name, nothing tells where the next page begins. */
+  if (page != NULL && !page->is_last && (last == NULL || g_strcmp0 (last, feed->after) == 0))
+    g_clear_pointer (&page, dp_store_page_free);
   if (page == NULL)
     {
       clear_listing (feed);
@@ -614,7 +655,7 @@
   record_success (feed);
   record_confirmation (feed);
   g_ptr_array_add (feed->pages, page);
-  if (page->is_last || page->objects->len == 0)
+  if (page->is_last)
     {
       /* The watch starts at the first page's revision to get changes made between pages. */
       const DpStorePage *first = g_ptr_array_index (feed->pages, 0);
@@ -622,10 +663,8 @@
     }
   else
     {
-      const DpStoreObject *last
-        = &g_array_index (page->objects, DpStoreObject, page->objects->len - 1);
       g_free (feed->after);
-      feed->after = g_strdup (last->name);
+      feed->after = g_strdup (last);
     }
   start_next_call (feed);
 }
@@ -744,6 +783,7 @@
   watch->node = node;
   node->store = make_client (node);
   watch->vms = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  watch->logged = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   for (guint i = 0; i < KIND_COUNT; i++)
     {
       ObjectFeed *feed = &watch->feeds[i];
@@ -803,5 +843,6 @@
       g_free (watch->feeds[i].after);
     }
   g_hash_table_unref (watch->vms);
+  g_hash_table_unref (watch->logged);
   g_free (watch);
 }
--- a/node/stored_list.c
+++ b/node/stored_list.c
@@ -28,7 +28,7 @@
 }
 
 static DpStorePage *
-read_page (const DpPlatformReply *reply)
+read_page (DpStoredList *list, const DpPlatformReply *reply)
 {
   if (reply->result != DP_PLATFORM_OK)
     return NULL;
@@ -36,15 +36,29 @@
   const char *text = g_bytes_get_data (reply->value, &length);
   DpDiagnostics *diagnostics = dp_diagnostics_new ();
   DpStorePage *page = dp_records_read_page (text, length, FALSE, diagnostics);
+  dp_store_watch_log_diagnostics (list->node->store_watch, list->kind, 0, diagnostics);
   dp_diagnostics_unref (diagnostics);
   return page;
 }
 
+static void
+apply_object (DpStoredList *list, const DpStoreObject *object)
+{
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  list->function (list->node, object, diagnostics);
+  dp_store_watch_log_diagnostics (list->node->store_watch, list->kind, object->revision,
+                                  diagnostics);
+  dp_diagnostics_unref (diagnostics);
+}
+
 static void
 on_page (const DpPlatformReply *reply, gpointer data)
 {
   DpStoredList *list = data;
-  DpStorePage *page = read_page (reply);
+  DpStorePage *page = read_page (list, reply);
+  const char *last = page != NULL ? dp_store_page_last_name (page) : NULL;
+  if (page != NULL && !page->is_last && (last == NULL || g_strcmp0 (last, list->after) == 0))
+    g_clear_pointer (&page, dp_store_page_free);
   if (page == NULL)
     {
       dp_log (DP_LOG_INFO, "stored_list_unread", "kind", list->kind, "outcome",
@@ -52,16 +66,12 @@
       schedule (list, RETRY_DELAY);
       return;
     }
-  const DpStoreObject *object = NULL;
   for (guint i = 0; i < page->objects->len; i++)
-    {
-      object = &g_array_index (page->objects, DpStoreObject, i);
-      list->function (list->node, object);
-    }
-  if (!page->is_last && object != NULL)
+    apply_object (list, &g_array_index (page->objects, DpStoreObject, i));
+  if (!page->is_last)
     {
       g_free (list->after);
-      list->after = g_strdup (object->name);
+      list->after = g_strdup (last);
       schedule (list, 0);
     }
   dp_store_page_free (page);
--- a/node/stream_versions.c
+++ b/node/stream_versions.c
@@ -252,11 +252,11 @@
 }
 
 static void
-on_stored (DpNode *node, const DpStoreObject *object)
+on_stored (DpNode *node, const DpStoreObject *object, DpDiagnostics *diagnostics)
 {
   DpStreamVersions *versions = node->stream_versions;
   DpName pool;
-  GPtrArray *texts = dp_records_read_versions (object, &pool);
+  GPtrArray *texts = dp_records_read_versions (object, &pool, diagnostics);
   if (texts == NULL)
     return;
   for (guint i = 0; i < texts->len; i++)
--- a/tests/test_node_odd_entry.c
+++ b/tests/test_node_odd_entry.c
@@ -175,6 +175,38 @@
 }
 END_TEST
 
+static guint
+count_lines (const Cluster *cluster, const char *part)
+{
+  char *text = NULL;
+  ck_assert (g_file_get_contents (cluster->log, &text, NULL, NULL));
+  guint count = 0;
+  for (const char *at = text; (at = strstr (at, part)) != NULL; at++)
+    count++;
+  g_free (text);
+  return count;
+}
+
+START_TEST (an_odd_entry_is_logged_once_for_each_revision)
+{
+  static const OddCase revisions[]
+    = { { "revision 9", "servers", "odd", NAMED ("odd") "{}}", "", 0, "" },
+        { "revision 10", "servers", "odd",
+          "{\"metadata\":{\"name\":\"odd\",\"revision\":10},\"spec\":{}}", "", 0, "" } };
+  Cluster *cluster = cluster_start (build);
+  for (guint i = 0; i < G_N_ELEMENTS (revisions); i++)
+    for (guint readings = 0; readings < VMS + 1; readings++)
+      {
+        put_odd (cluster, &revisions[i]);
+        check_followed (cluster);
+      }
+  guint lines = count_lines (cluster, "event=store_entry_refused kind=target entry=odd ");
+  ck_assert_uint_ge (lines, G_N_ELEMENTS (revisions));
+  ck_assert_uint_le (lines, G_N_ELEMENTS (revisions) * VMS);
+  cluster_free (cluster);
+}
+END_TEST
+
 START_TEST (a_stored_quarantine_is_read_beside_an_odd_one)
 {
   static const OddCase rows[]
@@ -207,6 +239,7 @@
   TCase *tests = tcase_create ("odd_entry");
   tcase_add_loop_test (tests, a_vm_starts_beside_an_odd_entry, 0, G_N_ELEMENTS (odd_cases));
   tcase_add_loop_test (tests, a_watch_gets_past_an_odd_entry, 0, G_N_ELEMENTS (odd_cases));
+  tcase_add_test (tests, an_odd_entry_is_logged_once_for_each_revision);
   tcase_add_test (tests, a_stored_quarantine_is_read_beside_an_odd_one);
   Suite *suite = suite_create ("node_odd_entry");
   suite_add_tcase (suite, tests);
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -64,6 +64,206 @@
 }
 END_TEST
 
+/* --- rows that can't be read, among others --- */
+
+#define DEEP 300
+#define SOUND(name)                                                                            \
+  "{\"metadata\":{\"name\":\"" name "\",\"revision\":7},\"spec\":{\"service\":\"s\","          \
+  "\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":5,\"state\":\"ready\"}}"
+
+typedef struct OddRowCase
+{
+  const char *name;
+  const char *row; /* "%s": DEEP opening brackets, then as many closing ones */
+  gboolean is_named;
+} OddRowCase;
+
+#define NAMED "{\"metadata\":{\"name\":\"odd\",\"revision\":3},"
+
+static const OddRowCase odd_row_cases[] = {
+  { "a spec nested deeply", NAMED "\"spec\":%s}", TRUE },
+  { "a member of the spec nested deeply", NAMED "\"spec\":{\"service\":%s}}", TRUE },
+  { "a status nested deeply", NAMED "\"status\":%s}", TRUE },
+  { "metadata nested deeply", "{\"metadata\":%s}", FALSE },
+  { "a name nested deeply", "{\"metadata\":{\"name\":%s}}", FALSE },
+  { "nested deeply, no object", "%s", FALSE },
+  { "the spec before a name", "{\"spec\":%s,\"metadata\":{\"name\":\"odd\"}}", TRUE },
+  { "bytes that are no text", NAMED "\"spec\":{\"service\":\"\xff\xc0\"}}", TRUE },
+  { "a name that is no text", "{\"metadata\":{\"name\":\"\xff\"},\"spec\":{}}", FALSE },
+  { "a NUL in the name", "{\"metadata\":{\"name\":\"a\\u0000\"},\"spec\":{}}", FALSE },
+  { "an empty name", "{\"metadata\":{\"name\":\"\"},\"spec\":{}}", FALSE },
+  { "no spec", NAMED "\"status\":{}}", TRUE },
+  { "a spec that is null", NAMED "\"spec\":null}", TRUE },
+  { "a spec that is a list", NAMED "\"spec\":[]}", TRUE },
+  { "a number", "17", FALSE },
+  { "a word", "NaN", FALSE },
+  { "a string", "\"odd \\\" ]}\"", FALSE },
+  { "a list", "[[],{}]", FALSE },
+  { "no members", "{}", FALSE },
+  { "brackets that don't match", NAMED "\"spec\":[}}", TRUE },
+  { "a member without a value", NAMED "\"spec\"}", TRUE },
+  { "a member without a name", "{:{},\"metadata\":{\"name\":\"odd\"}}", FALSE },
+  { "a comma too many", NAMED "\"spec\":{\"slots\":5,}}", TRUE },
+  { "members twice", NAMED NAMED "\"spec\":{}}}", TRUE },
+  { "a number that is none", NAMED "\"spec\":{\"slots\":1.2.3}}", TRUE },
+};
+
+static char *
+make_odd_row (const OddRowCase *row)
+{
+  char *nested = g_malloc0 (2 * DEEP + 1);
+  memset (nested, '[', DEEP);
+  memset (nested + DEEP, ']', DEEP);
+  char **parts = g_strsplit (row->row, "%s", 2);
+  char *text = g_strjoinv (nested, parts);
+  g_strfreev (parts);
+  g_free (nested);
+  return text;
+}
+
+static gboolean
+is_sound (const DpStoreObject *object, const char *name)
+{
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  DpTargetRecord target;
+  gboolean ok = dp_records_read_target (object, &target, diagnostics)
+                && strcmp (target.id, name) == 0 && object->revision == 7;
+  dp_diagnostics_unref (diagnostics);
+  return ok;
+}
+
+static void
+check_beside_odd (const OddRowCase *row, const char *text, gboolean is_watch)
+{
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  DpStorePage *page = read_page (text, is_watch, diagnostics);
+  ck_assert_msg (page != NULL, "%s: page not read", row->name);
+  ck_assert_uint_eq (page->revision, 9);
+  ck_assert_msg (page->objects->len == (row->is_named ? 3 : 2), "%s: %u objects", row->name,
+                 page->objects->len);
+  ck_assert_uint_eq (dp_diagnostics_count (diagnostics), row->is_named ? 0 : 1);
+  const DpStoreObject *objects = (const DpStoreObject *)page->objects->data;
+  ck_assert_msg (is_sound (&objects[0], "a"), "%s", row->name);
+  ck_assert_msg (is_sound (&objects[page->objects->len - 1], "b"), "%s", row->name);
+  if (row->is_named)
+    {
+      ck_assert_str_eq (objects[1].name, "odd");
+      ck_assert_msg (!is_sound (&objects[1], "odd"), "%s", row->name);
+    }
+  dp_store_page_free (page);
+  dp_diagnostics_unref (diagnostics);
+}
+
+START_TEST (an_odd_row_spoils_no_other)
+{
+  const OddRowCase *row = &odd_row_cases[_i];
+  char *odd = make_odd_row (row);
+  char *items = g_strdup_printf (
+    "{\"items\":[" SOUND ("a") ",%s," SOUND ("b") "],"
+                                                  "\"has_more\":false,\"store_revision\":9}\n",
+    odd);
+  check_beside_odd (row, items, FALSE);
+  char *events
+    = g_strdup_printf ("{ \"store_revision\" : 9 , \"events\" : [ {\"object\":" SOUND (
+                         "a") "} , {\"object\":%s} , {\"object\":" SOUND ("b") "} ] }",
+                       odd);
+  check_beside_odd (row, events, TRUE);
+  g_free (events);
+  g_free (items);
+  g_free (odd);
+}
+END_TEST
+
+START_TEST (the_removal_of_an_odd_object_is_read)
+{
+  const OddRowCase *row = &odd_row_cases[_i];
+  char *odd = make_odd_row (row);
+  char *text = g_strdup_printf (
+    "{\"events\":[{\"object\":%s,\"deleted\":true}],\"store_revision\":9}", odd);
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  DpStorePage *page = read_page (text, TRUE, diagnostics);
+  ck_assert_ptr_nonnull (page);
+  ck_assert_uint_eq (page->objects->len, row->is_named ? 1 : 0);
+  if (row->is_named)
+    ck_assert (g_array_index (page->objects, DpStoreObject, 0).is_deleted);
+  dp_store_page_free (page);
+  dp_diagnostics_unref (diagnostics);
+  g_free (text);
+  g_free (odd);
+}
+END_TEST
+
+START_TEST (a_cut_page_is_read_in_no_part)
+{
+  const char *text = "{\"items\":[" SOUND ("a") "," SOUND ("b") "],\"store_revision\":19}";
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  for (gsize length = 0; length < strlen (text); length++)
+    {
+      DpStorePage *page = dp_records_read_page (text, length, FALSE, diagnostics);
+      ck_assert_msg (page == NULL, "%u bytes", (guint)length);
+    }
+  static const char *const endings[] = { "x", "{}", "}", ",", " 5" };
+  for (guint i = 0; i < G_N_ELEMENTS (endings); i++)
+    {
+      char *longer = g_strconcat (text, endings[i], NULL);
+      ck_assert_msg (read_page (longer, FALSE, diagnostics) == NULL, "%s", endings[i]);
+      g_free (longer);
+    }
+  dp_diagnostics_unref (diagnostics);
+}
+END_TEST
+
+/* json-c also accepts strings in single quotes. */
+static gboolean
+is_json_object (const char *text, gsize length)
+{
+  struct json_tokener *tokener = json_tokener_new ();
+  json_tokener_set_flags (tokener, JSON_TOKENER_STRICT);
+  struct json_object *object = json_tokener_parse_ex (tokener, text, (int)length);
+  gboolean ok = json_object_is_type (object, json_type_object)
+                && json_tokener_get_parse_end (tokener) == length
+                && memchr (text, '\'', length) == NULL;
+  json_object_put (object);
+  json_tokener_free (tokener);
+  return ok;
+}
+
+#define MUTATIONS 20000
+
+/* Changes up to three bytes of the row between two others. Quotes and brackets outside strings
+ * decide where a row ends, so only a row that is JSON by itself leaves the others as they are.
+ */
+START_TEST (a_mutated_row_spoils_no_other)
+{
+  GRand *random = g_rand_new_with_seed ((guint32)_i);
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  for (guint i = 0; i < MUTATIONS; i++)
+    {
+      char row[] = SOUND ("odd");
+      for (gint32 count = g_rand_int_range (random, 1, 4); count > 0; count--)
+        row[g_rand_int_range (random, 0, sizeof row - 1)] = (char)g_rand_int (random);
+      GString *text = g_string_new ("{\"items\":[" SOUND ("a") ",");
+      g_string_append_len (text, row, sizeof row - 1);
+      g_string_append (text, "," SOUND ("b") "],\"store_revision\":9}");
+      DpStorePage *page = dp_records_read_page (text->str, text->len, FALSE, diagnostics);
+      if (is_json_object (row, sizeof row - 1))
+        {
+          ck_assert_msg (page != NULL, "%s", row);
+          guint last = page->objects->len - 1;
+          ck_assert_msg (last >= 1, "%s", row);
+          ck_assert_msg (is_sound (&g_array_index (page->objects, DpStoreObject, 0), "a"), "%s",
+                         row);
+          ck_assert_msg (is_sound (&g_array_index (page->objects, DpStoreObject, last), "b"),
+                         "%s", row);
+        }
+      dp_store_page_free (page);
+      g_string_free (text, TRUE);
+    }
+  dp_diagnostics_unref (diagnostics);
+  g_rand_free (random);
+}
+END_TEST
+
 /* --- targets --- */
 
 typedef struct TargetCase
@@ -240,14 +440,16 @@
   const WrittenVersionsCase *row = &written_versions_cases[_i];
   DpStorePage *page = read_written (dp_records_write_versions (77, row->versions));
   DpName pool = 0;
-  GPtrArray *versions
-    = dp_records_read_versions (&g_array_index (page->objects, DpStoreObject, 0), &pool);
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  GPtrArray *versions = dp_records_read_versions (
+    &g_array_index (page->objects, DpStoreObject, 0), &pool, diagnostics);
   ck_assert_ptr_nonnull (versions);
   ck_assert_uint_eq (pool, 77);
   ck_assert_uint_eq (versions->len, row->count);
   for (guint i = 0; i < versions->len; i++)
     ck_assert_str_eq (g_ptr_array_index (versions, i), row->versions[i]);
   g_ptr_array_unref (versions);
+  dp_diagnostics_unref (diagnostics);
   dp_store_page_free (page);
 }
 END_TEST
@@ -257,10 +459,13 @@
   const DpSuspect state = { .key = 78, .is_blocked = TRUE, .joint = { 2, { 78, 79 } } };
   DpStorePage *page = read_written (dp_records_write_block (&state));
   DpSuspect read = { 0 };
-  ck_assert (dp_records_read_block (&g_array_index (page->objects, DpStoreObject, 0), &read));
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  ck_assert (dp_records_read_block (&g_array_index (page->objects, DpStoreObject, 0), &read,
+                                    diagnostics));
   ck_assert_uint_eq (read.key, state.key);
   ck_assert_uint_eq (read.joint.count, 2);
   ck_assert_uint_eq (read.joint.keys[1], 79);
+  dp_diagnostics_unref (diagnostics);
   dp_store_page_free (page);
 }
 END_TEST
@@ -274,6 +479,11 @@
                        G_N_ELEMENTS (written_versions_cases));
   tcase_add_test (tests, blocks_are_read_as_written);
   tcase_add_loop_test (tests, pages_are_decoded_or_rejected, 0, G_N_ELEMENTS (page_cases));
+  tcase_add_loop_test (tests, an_odd_row_spoils_no_other, 0, G_N_ELEMENTS (odd_row_cases));
+  tcase_add_loop_test (tests, the_removal_of_an_odd_object_is_read, 0,
+                       G_N_ELEMENTS (odd_row_cases));
+  tcase_add_test (tests, a_cut_page_is_read_in_no_part);
+  tcase_add_loop_test (tests, a_mutated_row_spoils_no_other, 1, 4);
   tcase_add_loop_test (tests, only_valid_objects_become_targets, 0,
                        G_N_ELEMENTS (target_cases));
   tcase_add_loop_test (tests, configs_are_decoded_or_rejected, 0, G_N_ELEMENTS (config_cases));
