--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -40,6 +40,10 @@
   { "an event without an object", "{\"events\":[{\"deleted\":true}],\"store_revision\":5}",
     TRUE, TRUE, 0, 1 },
   { "no revision", "{\"items\":[]}", FALSE, FALSE, 0, 1 },
+  { "a revision too large", "{\"items\":[],\"store_revision\":1e300}", FALSE, FALSE, 0, 1 },
+  { "a revision of many digits", "{\"items\":[],\"store_revision\":99999999999999999999999}",
+    FALSE, FALSE, 0, 1 },
+  { "a negative revision", "{\"items\":[],\"store_revision\":-5}", FALSE, FALSE, 0, 1 },
   { "a revision that is not a number", "{\"items\":[],\"store_revision\":\"5\"}", FALSE, FALSE,
     0, 1 },
   { "no rows", "{\"store_revision\":5}", FALSE, FALSE, 0, 1 },
@@ -295,6 +299,41 @@
   { "a start time as a string", "{" VALID_MEMBERS ",\"born\":\"17\"}", FALSE },
   { "a list", "[]", FALSE },
   { "a string", "\"spec\"", FALSE },
+  { "slots 1e300", "{" VALID_MEMBERS ",\"slots\":1e300}", FALSE },
+  { "slots 1e400", "{" VALID_MEMBERS ",\"slots\":1e400}", FALSE },
+  { "slots that are no number", "{" VALID_MEMBERS ",\"slots\":NaN}", FALSE },
+  { "more slots than an int", "{" VALID_MEMBERS ",\"slots\":4294967295}", FALSE },
+  { "slots of many digits", "{" VALID_MEMBERS ",\"slots\":99999999999999999999999}", FALSE },
+  { "a fraction of a slot", "{" VALID_MEMBERS ",\"slots\":5.5}", FALSE },
+  { "whole slots with a point", "{" VALID_MEMBERS ",\"slots\":5.0}", TRUE },
+  { "a negative port", "{" VALID_MEMBERS ",\"address\":\"10.0.0.1:-1\"}", FALSE },
+  { "a port with an exponent", "{" VALID_MEMBERS ",\"address\":\"10.0.0.1:1e300\"}", FALSE },
+  { "a port with a fraction", "{" VALID_MEMBERS ",\"address\":\"10.0.0.1:80.5\"}", FALSE },
+  { "a port with a space", "{" VALID_MEMBERS ",\"address\":\"10.0.0.1: 80\"}", FALSE },
+  { "no port after the colon", "{" VALID_MEMBERS ",\"address\":\"10.0.0.1:\"}", FALSE },
+  { "an address as a number", "{" VALID_MEMBERS ",\"address\":80}", FALSE },
+  { "an address as a list", "{" VALID_MEMBERS ",\"address\":[\"10.0.0.1:80\"]}", FALSE },
+  { "a host name", "{" VALID_MEMBERS ",\"address\":\"a.example:80\"}", FALSE },
+  { "no address before the port", "{" VALID_MEMBERS ",\"address\":\":80\"}", FALSE },
+  { "an address with a NUL", "{" VALID_MEMBERS ",\"address\":\"10.0.0.1:80\\u0000\"}", FALSE },
+  { "a start time too large", "{" VALID_MEMBERS ",\"born\":1e300}", FALSE },
+  { "a start time before 1970", "{" VALID_MEMBERS ",\"born\":-1}", FALSE },
+  { "a fraction of a start time", "{" VALID_MEMBERS ",\"born\":1.5}", FALSE },
+  { "a start time that is null", "{" VALID_MEMBERS ",\"born\":null}", TRUE },
+  { "a version that is a number", "{" VALID_MEMBERS ",\"version\":1}", FALSE },
+  { "a version that is long",
+    "{" VALID_MEMBERS
+    ",\"version\":\"0123456789012345678901234567890123456789012345678901234567890123456789\"}",
+    TRUE },
+  { "a remaining time as a string", "{" VALID_MEMBERS ",\"cold_remaining_ms\":\"5\"}", FALSE },
+  { "a remaining time too large", "{" VALID_MEMBERS ",\"cold_remaining_ms\":1e300}", FALSE },
+  { "a remaining time with a fraction", "{" VALID_MEMBERS ",\"cold_remaining_ms\":0.5}", TRUE },
+  { "a sequence as a string", "{" VALID_MEMBERS ",\"sequence\":\"5\"}", FALSE },
+  { "a sequence too large", "{" VALID_MEMBERS ",\"sequence\":1e300}", FALSE },
+  { "a negative sequence", "{" VALID_MEMBERS ",\"sequence\":-5}", FALSE },
+  { "a state with a NUL", "{" VALID_MEMBERS ",\"state\":\"ready\\u0000\"}", FALSE },
+  { "models", "{" VALID_MEMBERS ",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]}",
+    TRUE },
 };
 
 START_TEST (only_valid_objects_become_targets)
@@ -323,6 +362,54 @@
 }
 END_TEST
 
+/* --- VMs --- */
+
+typedef struct VmCase
+{
+  const char *name;
+  const char *vm;
+  const char *spec;
+  gboolean is_accepted;
+} VmCase;
+
+#define VM_MEMBERS "\"address\":\"10.0.0.1\",\"data_centre\":\"d\""
+
+static const VmCase vm_cases[] = {
+  { "valid", "front-1.a_b", "{" VM_MEMBERS ",\"weight\":170}", TRUE },
+  { "no weight", "front-1", "{" VM_MEMBERS "}", TRUE },
+  { "a weight too large", "front-1", "{" VM_MEMBERS ",\"weight\":1e300}", FALSE },
+  { "a negative weight", "front-1", "{" VM_MEMBERS ",\"weight\":-1}", FALSE },
+  { "a weight as a string", "front-1", "{" VM_MEMBERS ",\"weight\":\"1\"}", FALSE },
+  { "a host name", "front-1", "{" VM_MEMBERS ",\"address\":\"front-1.example\"}", FALSE },
+  { "an address as a number", "front-1", "{" VM_MEMBERS ",\"address\":7}", FALSE },
+  { "no data centre", "front-1", "{\"address\":\"10.0.0.1\"}", FALSE },
+  { "a name that is another path", "../servers/t0", "{" VM_MEMBERS "}", FALSE },
+  { "a name that is the parent", "..", "{" VM_MEMBERS "}", FALSE },
+  { "a name with a space", "front 1", "{" VM_MEMBERS "}", FALSE },
+  { "a name with a query", "front-1?x=1", "{" VM_MEMBERS "}", FALSE },
+  { "a list", "front-1", "[]", FALSE },
+};
+
+START_TEST (only_valid_objects_become_vms)
+{
+  const VmCase *row = &vm_cases[_i];
+  char *text = g_strdup_printf (
+    "{\"items\":[{\"metadata\":{\"name\":\"%s\"},\"spec\":%s}],\"store_revision\":1}", row->vm,
+    row->spec);
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  DpStorePage *page = read_page (text, FALSE, diagnostics);
+  ck_assert_ptr_nonnull (page);
+  DpVm vm;
+  gboolean is_accepted
+    = dp_records_read_vm (&g_array_index (page->objects, DpStoreObject, 0), &vm, diagnostics);
+  ck_assert_msg (is_accepted == row->is_accepted, "%s", row->name);
+  ck_assert_msg (dp_diagnostics_count (diagnostics) == (is_accepted ? 0 : 1), "%s", row->name);
+  dp_store_page_free (page);
+  dp_diagnostics_unref (diagnostics);
+  g_free (text);
+}
+END_TEST
+
 /* --- config --- */
 
 typedef struct ConfigCase
@@ -364,6 +451,15 @@
     ",\"service\":\"s\"}],\"tenants\":[{\"name\":\"t\","
     "\"rate_per_s\":\"7\",\"api_keys\":[5]}]}",
     TRUE, 1, 2 },
+  { "a version too large", "{\"version\":1e300,\"routes\":[]}", FALSE, 0, 1 },
+  { "a negative version", "{\"version\":-1,\"routes\":[]}", FALSE, 0, 1 },
+  { "a version that is no number", "{\"version\":NaN,\"routes\":[]}", FALSE, 0, 1 },
+  { "a version that is no whole number", "{\"version\":1.5,\"routes\":[]}", FALSE, 0, 1 },
+  { "numbers out of range",
+    "{\"version\":1,\"routes\":[{" ROUTE_MEMBERS ",\"service\":\"s\",\"timeout_ms\":1e300,"
+    "\"priority\":-1e300,\"max_attempts\":NaN}],\"tenants\":[{\"name\":\"t\",\"burst\":1e400,"
+    "\"priority\":-1e300}]}",
+    TRUE, 1, 5 },
   { "numbers missing or null",
     "{\"version\":1,\"routes\":[{" ROUTE_MEMBERS ",\"service\":\"s\",\"timeout_ms\":null}],"
     "\"tenants\":[{\"name\":\"t\"}]}",
@@ -486,6 +582,7 @@
   tcase_add_loop_test (tests, a_mutated_row_spoils_no_other, 1, 4);
   tcase_add_loop_test (tests, only_valid_objects_become_targets, 0,
                        G_N_ELEMENTS (target_cases));
+  tcase_add_loop_test (tests, only_valid_objects_become_vms, 0, G_N_ELEMENTS (vm_cases));
   tcase_add_loop_test (tests, configs_are_decoded_or_rejected, 0, G_N_ELEMENTS (config_cases));
   tcase_add_test (tests, the_longest_prefix_wins);
   suite_add_tcase (suite, tests);
