--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -1,28 +1,38 @@
 #include "net/http_connections.h"
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <string.h>
 #include <sys/socket.h>
 
 #define SWEEP_INTERVAL_SECONDS 1
 
+typedef enum ConnectionState
+{
+  CONNECTION_IDLE,
+  CONNECTION_RECEIVING,  /* a part of a request has arrived */
+  CONNECTION_PROCESSING, /* a request was received in full and has no complete response yet */
+} ConnectionState;
+
 /* One accepted connection. evhttp doesn't report when it frees a connection, so the peer
  * address is compared to detect that the descriptor was closed or reused. Inodes can't be used:
  * some kernels give all sockets the same number. */
 typedef struct Connection
 {
-  int fd;
+  struct bufferevent *bev; /* freed by evhttp: only valid while is_open() */
+  int fd;                  /* -1 until evhttp has set it */
   struct sockaddr_storage peer;
-  DpUsec idle_since; /* accepted, or finished its last request */
-  gboolean busy;     /* a request is in progress */
+  ConnectionState state;
+  DpUsec since;   /* of the state */
+  DpUsec timeout; /* of the state; of an idle connection the longest in force since it began */
 } Connection;
 
 struct DpHttpConnections
 {
   DpHttpConnectionsOptions options;
   struct evconnlistener *listener; /* may be NULL */
-  GHashTable *by_fd;               /* descriptor -> Connection */
-  GPtrArray *accepted;             /* struct bufferevent; not in by_fd yet */
+  GHashTable *by_input;            /* struct evbuffer: input -> Connection */
+  GPtrArray *accepted;             /* Connection: descriptor not set yet */
   struct event *accepted_event;
   struct event *sweep;
 };
@@ -40,34 +50,75 @@
 }
 
 static gboolean
-is_still_open (const Connection *connection)
+is_open (const Connection *connection)
 {
+  if (connection->fd < 0)
+    return TRUE;
   struct sockaddr_storage peer = peer_address (connection->fd);
   return peer.ss_family != 0 && memcmp (&peer, &connection->peer, sizeof peer) == 0;
 }
 
+/* TRUE if the kernel holds bytes that were not read yet. */
+static gboolean
+has_unread_bytes (const Connection *connection)
+{
+  char byte;
+  return recv (connection->fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+static gboolean
+is_idle (const Connection *connection)
+{
+  return connection->fd >= 0 && connection->state == CONNECTION_IDLE
+         && !has_unread_bytes (connection);
+}
+
 static void
 update_listener (DpHttpConnections *connections)
 {
   if (connections->listener == NULL)
     return;
-  guint open = g_hash_table_size (connections->by_fd) + connections->accepted->len;
-  if (open < connections->options.max)
+  if (g_hash_table_size (connections->by_input) < connections->options.max)
     evconnlistener_enable (connections->listener);
   else
     evconnlistener_disable (connections->listener);
 }
 
+static void
+set_state (const DpHttpConnections *connections, Connection *connection, ConnectionState state)
+{
+  connection->state = state;
+  connection->timeout = state == CONNECTION_RECEIVING ? connections->options.request_timeout
+                                                      : connections->options.idle_timeout;
+  connection->since = g_get_monotonic_time ();
+}
+
+/* Bytes were read from the connection. */
+static void
+on_input (struct evbuffer *input, const struct evbuffer_cb_info *info, void *user)
+{
+  const DpHttpConnections *connections = user;
+  Connection *connection = g_hash_table_lookup (connections->by_input, input);
+  if (connection != NULL && info->n_added > 0 && connection->state == CONNECTION_IDLE)
+    set_state (connections, connection, CONNECTION_RECEIVING);
+}
+
 /* evhttp assigns the socket to the bufferevent after this callback returns. */
 static struct bufferevent *
 on_accept (struct event_base *base, void *user)
 {
   DpHttpConnections *connections = user;
-  struct bufferevent *bev = bufferevent_socket_new (base, -1, 0);
-  g_ptr_array_add (connections->accepted, bev);
+  Connection *connection = g_new0 (Connection, 1);
+  connection->bev = bufferevent_socket_new (base, -1, 0);
+  connection->fd = -1;
+  set_state (connections, connection, CONNECTION_IDLE);
+  struct evbuffer *input = bufferevent_get_input (connection->bev);
+  evbuffer_add_cb (input, on_input, connections);
+  g_hash_table_replace (connections->by_input, input, connection);
+  g_ptr_array_add (connections->accepted, connection);
   event_active (connections->accepted_event, EV_TIMEOUT, 0);
   update_listener (connections);
-  return bev;
+  return connection->bev;
 }
 
 /* Runs before the loop polls for input again, so that no connection can be closed yet. */
@@ -77,34 +128,52 @@
   DpHttpConnections *connections = user;
   for (guint i = 0; i < connections->accepted->len; i++)
     {
-      Connection *connection = g_new0 (Connection, 1);
-      connection->fd = bufferevent_getfd (g_ptr_array_index (connections->accepted, i));
+      Connection *connection = g_ptr_array_index (connections->accepted, i);
+      connection->fd = bufferevent_getfd (connection->bev);
       connection->peer = peer_address (connection->fd);
-      connection->idle_since = g_get_monotonic_time ();
-      g_hash_table_replace (connections->by_fd, &connection->fd, connection);
     }
   g_ptr_array_set_size (connections->accepted, 0);
 }
 
-/* Removes closed connections and shuts down those that exceed the request timeout. */
+/* Closes a connection that has no request in progress. Nothing more is read from it, so that
+ * no request can be processed whose response could not be sent. */
+static void
+close_connection (DpHttpConnections *connections, Connection *connection, const char *counter)
+{
+  dp_counters_add (connections->options.counters, counter, "listener",
+                   connections->options.name, 1);
+  bufferevent_trigger_event (connection->bev, BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
+}
+
+static gboolean
+is_overdue (const Connection *connection, DpUsec now)
+{
+  if (now - connection->since <= connection->timeout)
+    return FALSE;
+  return connection->state == CONNECTION_RECEIVING || is_idle (connection);
+}
+
+/* Removes closed connections and closes those that exceed their timeout. */
 static void
 on_sweep (evutil_socket_t fd, short what, void *user)
 {
   DpHttpConnections *connections = user;
-  DpUsec expired_before = g_get_monotonic_time () - connections->options.request_timeout;
+  DpUsec now = g_get_monotonic_time ();
   GHashTableIter iter;
   gpointer value;
-  g_hash_table_iter_init (&iter, connections->by_fd);
+  g_hash_table_iter_init (&iter, connections->by_input);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const Connection *connection = value;
-      if (!is_still_open (connection))
-        g_hash_table_iter_remove (&iter);
-      else if (!connection->busy && connection->idle_since < expired_before)
-        shutdown (connection->fd, SHUT_RDWR);
+      Connection *connection = value;
+      gboolean open = is_open (connection);
+      if (open && !is_overdue (connection, now))
+        continue;
+      if (open)
+        close_connection (connections, connection, "dogwoodplank_http_idle_closed_total");
+      g_hash_table_iter_remove (&iter);
     }
   dp_counters_set (connections->options.counters, "dogwoodplank_http_connections", "listener",
-                   connections->options.name, g_hash_table_size (connections->by_fd));
+                   connections->options.name, g_hash_table_size (connections->by_input));
   update_listener (connections);
 }
 
@@ -113,12 +182,17 @@
                               struct evhttp_connection *connection,
                               gboolean busy)
 {
-  int fd = bufferevent_getfd (evhttp_connection_get_bufferevent (connection));
-  Connection *row = g_hash_table_lookup (connections->by_fd, &fd);
+  struct evbuffer *input
+    = bufferevent_get_input (evhttp_connection_get_bufferevent (connection));
+  Connection *row = g_hash_table_lookup (connections->by_input, input);
   if (row == NULL)
     return;
-  row->busy = busy;
-  row->idle_since = g_get_monotonic_time ();
+  if (busy)
+    set_state (connections, row, CONNECTION_PROCESSING);
+  else
+    /* The next request may have been read already. */
+    set_state (connections, row,
+               evbuffer_get_length (input) > 0 ? CONNECTION_RECEIVING : CONNECTION_IDLE);
 }
 
 DpHttpConnections *
@@ -126,7 +200,7 @@
 {
   DpHttpConnections *connections = g_new0 (DpHttpConnections, 1);
   connections->options = *options;
-  connections->by_fd = g_hash_table_new_full (g_int_hash, g_int_equal, NULL, g_free);
+  connections->by_input = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   connections->accepted = g_ptr_array_new ();
   connections->accepted_event = event_new (options->base, -1, 0, on_accepted, connections);
   connections->sweep = event_new (options->base, -1, EV_PERSIST, on_sweep, connections);
@@ -142,7 +216,7 @@
   event_free (connections->sweep);
   event_free (connections->accepted_event);
   g_ptr_array_unref (connections->accepted);
-  g_hash_table_unref (connections->by_fd);
+  g_hash_table_unref (connections->by_input);
   g_free (connections);
 }
 
@@ -153,10 +227,37 @@
   connections->listener = listener;
 }
 
+/* Callers go on using an idle connection for most of the time that they know, or for most of a
+ * longer one that is set meanwhile. */
+static void
+extend_timeout (const DpHttpConnections *connections, Connection *connection)
+{
+  DpUsec timeout = connections->options.idle_timeout;
+  if (connection->state != CONNECTION_IDLE || timeout <= connection->timeout
+      || !is_open (connection))
+    return;
+  connection->timeout = timeout;
+  DpUsec read_timeout = dp_http_connections_read_timeout (connections);
+  const struct timeval tv
+    = { .tv_sec = read_timeout / DP_USEC_PER_SEC, .tv_usec = read_timeout % DP_USEC_PER_SEC };
+  bufferevent_set_timeouts (connection->bev, &tv, NULL);
+}
+
+DpUsec
+dp_http_connections_read_timeout (const DpHttpConnections *connections)
+{
+  return MAX (connections->options.read_timeout, connections->options.idle_timeout);
+}
+
 void
-dp_http_connections_set_request_timeout (DpHttpConnections *connections, DpUsec timeout)
+dp_http_connections_set_idle_timeout (DpHttpConnections *connections, DpUsec timeout)
 {
-  connections->options.request_timeout = timeout;
+  connections->options.idle_timeout = timeout;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, connections->by_input);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    extend_timeout (connections, value);
 }
 
 void
@@ -164,11 +265,30 @@
 {
   GHashTableIter iter;
   gpointer value;
-  g_hash_table_iter_init (&iter, connections->by_fd);
+  g_hash_table_iter_init (&iter, connections->by_input);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Connection *connection = value;
+      gboolean open = is_open (connection);
+      if (open && !is_idle (connection))
+        continue;
+      if (open)
+        close_connection (connections, connection, "dogwoodplank_http_stop_closed_total");
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+gboolean
+dp_http_connections_have_requests (const DpHttpConnections *connections)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, connections->by_input);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Connection *connection = value;
-      if (!connection->busy && is_still_open (connection))
-        shutdown (connection->fd, SHUT_RDWR);
+      if (is_open (connection) && !is_idle (connection))
+        return TRUE;
     }
+  return FALSE;
 }
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -29,12 +29,13 @@
   const char *name;       /* label of its counters: "callers", "operators" */
   gsize head_max;         /* bytes of request line and headers */
   gsize body_max;         /* bytes; larger bodies are rejected */
-  DpUsec read_timeout;    /* between reads of a request; also for idle connections */
+  DpUsec read_timeout;    /* between reads of a request */
+  DpUsec idle_timeout;    /* until the first byte of a request; 0: as `read_timeout` */
   DpUsec write_timeout;   /* for a caller that doesn't read */
   gsize write_buffer_max; /* bytes of a response buffered for a slow caller */
   guint exchanges_max;    /* open at once; others are rejected with 503 */
   guint connections_max;  /* open at once; others wait in the listen backlog */
-  DpUsec request_timeout; /* for a whole request, since the previous one ended */
+  DpUsec request_timeout; /* from the first byte of a request to its end */
   DpCounters *counters;   /* the server takes a reference */
   DpHttpHandler handler;
   gpointer user;
@@ -52,7 +53,7 @@
 /* Adds "Connection: close" to all responses; new connections are still accepted. */
 void dp_http_server_close_after_responses (DpHttpServer *server);
 
-/* Closes the connections that have no request in progress. */
+/* Closes the connections on which no part of a request has arrived. */
 void dp_http_server_close_idle (DpHttpServer *server);
 
 /* Limits for subsequent requests; 0 keeps the current value. */
@@ -60,13 +61,14 @@
 {
   gsize head_max;
   gsize body_max;
-  DpUsec idle_timeout; /* for connections without a request */
+  DpUsec idle_timeout; /* for connections without a request; if it is shorter than before, not
+                          for those that are idle already */
 } DpHttpServerLimits;
 void dp_http_server_set_limits (DpHttpServer *server, const DpHttpServerLimits *limits);
 
 guint dp_http_server_open_exchanges (const DpHttpServer *server);
 
-/* TRUE if no exchange is open and all responses were passed to the kernel. */
+/* TRUE if no part of a request has arrived whose response was not passed to the kernel. */
 gboolean dp_http_server_is_idle (const DpHttpServer *server);
 
 /* --- request --- */
--- a/node/caller_listener.c
+++ b/node/caller_listener.c
@@ -12,6 +12,7 @@
 /* Idle connections are closed later than the configured idle timeout. Callers reuse them for
  * most of that time, and a request must not cross with the close. */
 #define IDLE_FACTOR 1.3
+#define REQUEST_TIMEOUT (20 * DP_USEC_PER_SEC)
 #define WRITE_TIMEOUT (10 * DP_USEC_PER_SEC)
 /* Bytes of an answer buffered for a slow caller. */
 #define UNREAD_MAX ((gsize)1024 * 1024)
@@ -229,12 +230,13 @@
         .name = "callers",
         .head_max = HEAD_BYTES_MAX,
         .body_max = BODY_BYTES_MAX,
-        .read_timeout = (DpUsec)((double)IDLE_TIMEOUT * IDLE_FACTOR),
+        .read_timeout = REQUEST_TIMEOUT,
+        .idle_timeout = (DpUsec)((double)IDLE_TIMEOUT * IDLE_FACTOR),
         .write_timeout = WRITE_TIMEOUT,
         .write_buffer_max = UNREAD_MAX,
         .exchanges_max = EXCHANGES_MAX,
         .connections_max = node->params.connections_max,
-        .request_timeout = (DpUsec)((double)IDLE_TIMEOUT * IDLE_FACTOR),
+        .request_timeout = REQUEST_TIMEOUT,
         .counters = node->counters,
         .handler = on_request,
         .user = node };
@@ -276,6 +278,18 @@
   return dp_diagnostics_count (diagnostics) == 0;
 }
 
+static void
+log_limits (const DpCallerLimits *limits)
+{
+  char head_bytes[16], body_bytes[16], idle_ms[24];
+  g_snprintf (head_bytes, sizeof head_bytes, "%u", limits->head_bytes);
+  g_snprintf (body_bytes, sizeof body_bytes, "%u", limits->body_bytes);
+  g_snprintf (idle_ms, sizeof idle_ms, "%" G_GINT64_FORMAT,
+              limits->idle_timeout / DP_USEC_PER_MSEC);
+  dp_log (DP_LOG_NOTICE, "caller_limits", "head_bytes", head_bytes, "body_bytes", body_bytes,
+          "idle_ms", idle_ms, NULL);
+}
+
 void
 dp_caller_listener_set_limits (DpNode *node)
 {
@@ -285,6 +299,7 @@
         .body_max = configured->body_bytes,
         .idle_timeout = (DpUsec)((double)configured->idle_timeout * IDLE_FACTOR) };
   dp_http_server_set_limits (node->callers, &limits);
+  log_limits (configured);
 }
 
 void
