--- a/tests/test_net_tunnel.c
+++ b/tests/test_net_tunnel.c
@@ -14,6 +14,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -1045,6 +1046,26 @@
 }
 END_TEST
 
+#define STALL_TIME (300 * DP_USEC_PER_MSEC)
+
+/* Runs the event loop until the kernel has got no byte for the peer for a while. */
+static void
+wait_until_stalled (const Peer *peer)
+{
+  int last = 0;
+  gint64 changed_at = g_get_monotonic_time ();
+  while (g_get_monotonic_time () < changed_at + STALL_TIME)
+    {
+      event_base_loop (peer->base, EVLOOP_NONBLOCK);
+      int queued = 0;
+      ck_assert_int_eq (ioctl (bufferevent_getfd (peer->bev), FIONREAD, &queued), 0);
+      if (queued == last)
+        continue;
+      last = queued;
+      changed_at = g_get_monotonic_time ();
+    }
+}
+
 /* The gateway doesn't read from the requester while the target takes nothing. 0: the call is
  * cancelled; 1: the requester's connection is reset. */
 START_TEST (target_that_does_not_read_is_closed_when_requester_leaves)
@@ -1065,8 +1086,7 @@
   bufferevent_disable (fixture->target->bev, EV_READ);
   if (_i == 1)
     bufferevent_write (requester->bev, bytes, SLOW_BODY_BYTES);
-  for (guint i = 0; i < 1000; i++)
-    event_base_loop (fixture->base, EVLOOP_NONBLOCK);
+  wait_until_stalled (fixture->target);
   if (_i == 0)
     dp_http_call_cancel (call);
   else
@@ -1121,6 +1141,7 @@
       peer_send (second, "ping");
       WAIT_UNTIL (fixture->base, fixture->target->received->len == (gsize)(i + 1) * 4);
     }
+  wait_until_stalled (slow);
   gsize unsent = evbuffer_get_length (bufferevent_get_output (fast->bev));
   ck_assert_uint_ge (unsent, SLOW_BODY_BYTES - BUFFERED_BYTES_MAX);
   bufferevent_enable (slow->bev, EV_READ);
