tests: net_tunnel fills the kernel's buffers before a requester leaves

Without the check of paused connections (has_disconnected() removed) and without a bound of the gateway's buffer, net_tunnel passed: a while of the event loop left room in the kernel's buffers, so reading wasn't paused yet, or the bytes weren't counted yet. The tests now wait until the queue of the peer that doesn't read stands still.

Assertions that hold are not called in loops that wait: Check keeps a message of each, and reading them took 4 minutes.

--- a/tests/test_net_tunnel.c
+++ b/tests/test_net_tunnel.c
@@ -14,6 +14,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -44,7 +45,8 @@
       gint64 wait_end = g_get_monotonic_time () + TEST_TIMEOUT;                                \
       while (!(condition))                                                                     \
         {                                                                                      \
-          ck_assert_msg (g_get_monotonic_time () < wait_end, "%s", #condition);                \
+          if (g_get_monotonic_time () > wait_end)                                              \
+            ck_abort_msg ("%s", #condition);                                                   \
           event_base_loop (base, EVLOOP_ONCE);                                                 \
         }                                                                                      \
       event_free (wait_timer);                                                                 \
@@ -1045,6 +1047,35 @@
 }
 END_TEST
 
+#define STALL_TIME (300 * DP_USEC_PER_MSEC)
+
+typedef struct QueueWatch
+{
+  const Peer *peer;
+  int length;
+  DpUsec changed_at;
+} QueueWatch;
+
+/* TRUE if the kernel has got no byte for the peer for a while. */
+static gboolean
+is_stalled (QueueWatch *watch)
+{
+  int length = 0;
+  if (ioctl (bufferevent_getfd (watch->peer->bev), FIONREAD, &length) != 0)
+    ck_abort_msg ("FIONREAD: %s", g_strerror (errno));
+  DpUsec now = g_get_monotonic_time ();
+  if (length != watch->length || watch->changed_at == 0)
+    *watch = (QueueWatch){ watch->peer, length, now };
+  return now > watch->changed_at + STALL_TIME;
+}
+
+static void
+wait_until_stalled (const Peer *peer)
+{
+  QueueWatch watch = { .peer = peer };
+  WAIT_UNTIL (peer->base, is_stalled (&watch));
+}
+
 /* The gateway doesn't read from the requester while the target takes nothing. 0: the call is
  * cancelled; 1: the requester's connection is reset. */
 START_TEST (target_that_does_not_read_is_closed_when_requester_leaves)
@@ -1065,8 +1096,7 @@
   bufferevent_disable (fixture->target->bev, EV_READ);
   if (_i == 1)
     bufferevent_write (requester->bev, bytes, SLOW_BODY_BYTES);
-  for (guint i = 0; i < 1000; i++)
-    event_base_loop (fixture->base, EVLOOP_NONBLOCK);
+  wait_until_stalled (fixture->target);
   if (_i == 0)
     dp_http_call_cancel (call);
   else
@@ -1121,6 +1151,7 @@
       peer_send (second, "ping");
       WAIT_UNTIL (fixture->base, fixture->target->received->len == (gsize)(i + 1) * 4);
     }
+  wait_until_stalled (slow);
   gsize unsent = evbuffer_get_length (bufferevent_get_output (fast->bev));
   ck_assert_uint_ge (unsent, SLOW_BODY_BYTES - BUFFERED_BYTES_MAX);
   bufferevent_enable (slow->bev, EV_READ);
