node: each VM is a gateway for those that can't reach a target

The node listens at its address and tunnel_port (default agent_bus_port + 1, a port that the platform leaves free) for VMs that need a connection to a target. It opens one to targets of its own directory that may be used, unless memory is short, it is stopping or it reaches no targets itself (dp_reach_is_cut_off(), a stub so far, as dp_reach_record() is). If the port is taken, it logs a warning and serves without. A stopping VM finishes open tunnels within the stop time.

Descriptors: callers and their targets could use all of descriptors_max, with nothing left for links, the store and files. Now an eighth of descriptors_max tunnels with two descriptors each, 200 for the rest, and callers get what is left: with 2,870, 358 tunnels and 961 callers (1,435 before).

--- a/node/caller_listener.c
+++ b/node/caller_listener.c
@@ -307,6 +307,7 @@
   node->is_listener_closed = TRUE;
   dp_http_server_stop_accepting (node->callers);
   dp_http_server_close_idle (node->callers);
+  dp_tunnels_stop_accepting (node->tunnels);
 }
 
 gboolean
@@ -321,5 +322,5 @@
   if (since >= limit)
     return TRUE;
   return since >= BALANCER_DELAY && dp_http_server_is_idle (node->callers)
-         && dp_table_count (node->requests) == 0;
+         && dp_table_count (node->requests) == 0 && dp_tunnels_open (node->tunnels) == 0;
 }
--- a/node/main.c
+++ b/node/main.c
@@ -135,6 +135,7 @@
 {
   g_clear_pointer (&node->callers, dp_http_server_free);
   g_clear_pointer (&node->ready, dp_http_server_free);
+  g_clear_pointer (&node->tunnels, dp_tunnels_free);
   dp_table_unref (node->requests);
   g_hash_table_unref (node->requests_by_attempt);
   g_hash_table_unref (node->pools);
@@ -156,6 +157,7 @@
 static void
 serve (DpNode *node)
 {
+  node->tunnels = dp_tunnels_new (node);
   node->tick = start_tick (node);
   struct event *reload = evsignal_new (node->base, SIGHUP, on_reload, node);
   event_add (reload, NULL);
--- a/node/node.h
+++ b/node/node.h
@@ -18,6 +18,7 @@
  *   caller_listener.c  HTTP listeners: admission, readiness, shutdown
  *   request.c          a request from admission to its final answer
  *   attempt.c          one attempt to send a request to a target
+ *   tunnels.c          gateway for other VMs that can't reach a target
  */
 #pragma once
 
@@ -56,7 +57,8 @@
   char *quota_window_s;
   char *quota_slack;
   char *memory_mb;
-  char *first_start; /* "true": first start of the whole system, no quota was used before */
+  guint16 tunnel_port; /* 0: agent_bus_port + 1 */
+  char *first_start;   /* "true": first start of the whole system, no quota was used before */
 } DpNodeSettings;
 
 /* Parsed values of DpNodeSettings. */
@@ -68,8 +70,11 @@
   guint16 ready_port;
   char store_address[46];
   guint16 store_port;
-  guint weight; /* thousandths of a core */
-  guint connections_max;
+  guint weight;        /* thousandths of a core */
+  guint16 tunnel_port; /* the same on all VMs */
+  /* All descriptors of the process at these maxima don't exceed descriptors_max. */
+  guint connections_max; /* of callers */
+  guint tunnels_max;
   DpUsec target_heartbeat;
   DpUsec stop_time; /* from SIGTERM until the platform sends SIGKILL */
   double retry_ratio;
@@ -94,6 +99,7 @@
 typedef struct DpRegistration DpRegistration;
 typedef struct DpStreamVersions DpStreamVersions;
 typedef struct DpStoredList DpStoredList;
+typedef struct DpTunnels DpTunnels;
 
 /* State of a pool on this VM. */
 typedef struct DpNodePool
@@ -147,6 +153,7 @@
   /* requests */
   DpHttpServer *callers;
   DpHttpServer *ready;
+  DpTunnels *tunnels;
   GHashTable *pools;               /* DpName -> DpNodePool */
   DpTable *requests;               /* DpNodeRequest */
   guint awaiting_quota;            /* number of requests at DP_STAGE_AWAITING_QUOTA */
@@ -458,3 +465,18 @@
 void dp_attempt_cancel (DpNodeRequest *request);
 /* Forwards the target's answer to the caller. */
 void dp_attempt_forward_response (DpNodeRequest *request);
+
+/* --- tunnels.c --- */
+
+/* Without a free port, logs a warning, and this VM is no gateway. */
+DpTunnels *dp_tunnels_new (DpNode *node);
+void dp_tunnels_free (DpTunnels *tunnels);
+/* Open tunnels go on, new ones are refused. */
+void dp_tunnels_stop_accepting (DpTunnels *tunnels);
+/* Number of tunnels that are open or being opened. */
+guint dp_tunnels_open (const DpTunnels *tunnels);
+
+/* TRUE if this VM reaches no targets itself. */
+gboolean dp_reach_is_cut_off (const DpNode *node);
+/* This VM connected to the target, or failed to. */
+void dp_reach_record (DpNode *node, DpName target, gboolean succeeded);
--- a/node/settings.c
+++ b/node/settings.c
@@ -1,6 +1,8 @@
 /* Process settings: names, help texts, defaults and parsing. */
 #include "node/node.h"
 
+#include "net/tunnel_server.h"
+
 #include <math.h>
 #include <string.h>
 
@@ -32,6 +34,11 @@
         "MB",
         "memory limit of the process; new requests are refused well below it",
         FALSE),
+  DP_PORT_SETTING ("tunnel_port",
+                   DpNodeSettings,
+                   tunnel_port,
+                   "port of the gateway, the same on all VMs (agent_bus_port + 1)",
+                   0),
   TEXT (
     first_start, "true", "first start of the whole system: no quota was used before", FALSE),
 };
@@ -50,6 +57,13 @@
 #define QUOTA_WINDOW_S_DEFAULT 8
 #define WEIGHT_PER_CORE 1000
 
+/* The connections to a caller and to its target. */
+#define DESCRIPTORS_PER_REQUEST 2
+/* Files, listeners, links to other VMs and to the store. */
+#define OTHER_DESCRIPTORS 200
+/* At most a quarter of the descriptors is for tunnels. */
+#define DESCRIPTORS_PER_TUNNEL_SLOT 8
+
 static void
 read_endpoint (const char *name,
                const char *text,
@@ -82,6 +96,29 @@
   return fallback;
 }
 
+static void
+share_descriptors (DpNodeParams *params, double descriptors_max)
+{
+  guint all = (guint)CLAMP (descriptors_max, 0, G_MAXINT);
+  params->tunnels_max = MAX (all / DESCRIPTORS_PER_TUNNEL_SLOT, 1);
+  guint reserved = dp_tunnel_server_descriptors_max (params->tunnels_max) + OTHER_DESCRIPTORS;
+  guint left = all > reserved ? all - reserved : 0;
+  params->connections_max = MAX (left / DESCRIPTORS_PER_REQUEST, 2);
+}
+
+static void
+choose_tunnel_port (const DpNodeSettings *settings,
+                    DpNodeParams *params,
+                    DpDiagnostics *diagnostics)
+{
+  guint port = settings->tunnel_port != 0 ? settings->tunnel_port
+                                          : settings->process.agent_bus_port + 1U;
+  if (port > G_MAXUINT16)
+    dp_diagnostics_add (diagnostics, "settings", 0, "tunnel_port",
+                        "is missing; there is no port after agent_bus_port");
+  params->tunnel_port = (guint16)port;
+}
+
 gboolean
 dp_node_parse_settings (const DpNodeSettings *settings,
                         DpNodeParams *params,
@@ -96,11 +133,9 @@
   double share = read_number ("processor_share", settings->processor_share,
                               PROCESSOR_SHARE_DEFAULT, diagnostics);
   params->weight = (guint)MAX (share * WEIGHT_PER_CORE, 1);
-  /* Each request uses two descriptors: the connections to its caller and to its target. */
-  params->connections_max = (guint)MAX (
-    read_number ("descriptors_max", settings->descriptors_max, DESCRIPTORS_DEFAULT, diagnostics)
-      / 2,
-    2);
+  share_descriptors (params, read_number ("descriptors_max", settings->descriptors_max,
+                                          DESCRIPTORS_DEFAULT, diagnostics));
+  choose_tunnel_port (settings, params, diagnostics);
   params->target_heartbeat
     = (DpUsec)read_number ("target_heartbeat_ms", settings->target_heartbeat_ms,
                            HEARTBEAT_MS_DEFAULT, diagnostics)
--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -247,6 +247,7 @@
         .address = vm->address,
         .data_centre = vm->data_centre,
         .bus_port = SOAK_BUS_PORT,
+        .tunnel_port = SOAK_TUNNEL_PORT,
         .operator_port = SOAK_OPERATOR_PORT,
         .caller_port = SOAK_CALLER_PORT,
         .ready_port = SOAK_READY_PORT,
--- a/tests/node_cluster.c
+++ b/tests/node_cluster.c
@@ -97,19 +97,21 @@
   char name[8];
   g_snprintf (name, sizeof name, "vm%u", vm);
   char *seeds = g_strdup_printf ("%s:1,%s:1", cluster->address[0], cluster->address[1]);
-  const NodeKitVm settings = { .build = cluster->build,
-                               .folder = cluster->folder,
-                               .log = cluster->log,
-                               .name = name,
-                               .address = cluster->address[vm],
-                               .data_centre = "a",
-                               .bus_port = cluster->bus_port,
-                               .operator_port = cluster->operator_port,
-                               .caller_port = cluster->caller_port[vm],
-                               .ready_port = cluster->ready_port[vm],
-                               .store = store_of (cluster),
-                               .seeds = seeds,
-                               .first_start = !cluster->was_started };
+  const NodeKitVm settings
+    = { .build = cluster->build,
+        .folder = cluster->folder,
+        .log = cluster->log,
+        .name = name,
+        .address = cluster->address[vm],
+        .data_centre = "a",
+        .bus_port = cluster->bus_port,
+        .tunnel_port = cluster->tunnel_port,
+        .operator_port = cluster->operator_port,
+        .caller_port = cluster->caller_port[vm],
+        .ready_port = cluster->ready_port[vm],
+        .store = cluster->vm_store[vm].port != 0 ? cluster->vm_store[vm] : store_of (cluster),
+        .seeds = seeds,
+        .first_start = !cluster->was_started };
   cluster->node[vm] = node_kit_start (&settings);
   ck_assert (wait_for_port (cluster->address[vm], cluster->ready_port[vm], WAIT));
   g_free (seeds);
@@ -132,6 +134,7 @@
   cluster->store = find_free_port (cluster->address[0]);
   cluster->store_control = find_free_port (cluster->address[0]);
   cluster->bus_port = find_free_port (cluster->address[0]);
+  cluster->tunnel_port = find_free_port (cluster->address[0]);
   cluster->operator_port = find_free_port (cluster->address[0]);
   for (guint i = 0; i < TARGETS; i++)
     {
@@ -166,15 +169,21 @@
   return FALSE;
 }
 
-Cluster *
-cluster_start (const char *build)
+void
+cluster_start_nodes (Cluster *cluster)
 {
-  Cluster *cluster = cluster_new (build);
   fill_store (cluster);
   for (guint i = 0; i < VMS; i++)
     start_node (cluster, i);
   for (guint i = 0; i < VMS; i++)
     ck_assert (wait_ready (cluster, i));
+}
+
+Cluster *
+cluster_start (const char *build)
+{
+  Cluster *cluster = cluster_new (build);
+  cluster_start_nodes (cluster);
   return cluster;
 }
 
--- a/tests/node_cluster.h
+++ b/tests/node_cluster.h
@@ -24,7 +24,9 @@
   guint16 caller_port[VMS];
   guint16 ready_port[VMS];
   guint16 bus_port;
+  guint16 tunnel_port;
   guint16 operator_port;
+  NodeKitStore vm_store[VMS]; /* store's address for this VM; port 0: the store itself */
   Process *store_process;
   Process *target_process[TARGETS];
   Process *node[VMS];
@@ -32,6 +34,8 @@
 
 /* Starts the store and the targets. */
 Cluster *cluster_new (const char *build);
+/* Fills the store, starts all nodes and waits until they are ready. */
+void cluster_start_nodes (Cluster *cluster);
 /* Starts the whole system and waits until all nodes are ready. */
 Cluster *cluster_start (const char *build);
 void cluster_free (Cluster *cluster);
--- a/tests/node_kit.h
+++ b/tests/node_kit.h
@@ -35,6 +35,7 @@
   const char *address;
   const char *data_centre;
   guint16 bus_port;
+  guint16 tunnel_port;
   guint16 operator_port;
   guint16 caller_port;
   guint16 ready_port;
