tests: proxy that changes the targets' addresses for one VM

All processes of a test connect from 127.0.0.1, so a target can't tell VMs apart and no VM can lose only its own links. store_rewriter stands between one VM and the stand-in store and replaces the addresses of targets by dead ones of the same length, from a moment that the test chooses; a text that is split over reads is found.

--- a/tests/test_node_tunnels.c
+++ b/tests/test_node_tunnels.c
@@ -1,6 +1,7 @@
 /* Tests the node as a gateway for other VMs, as a real process between stand-ins for the users'
  * platform. */
 #include "tests/node_cluster.h"
+#include "tests/store_rewriter.h"
 
 #include <arpa/inet.h>
 #include <check.h>
@@ -195,6 +196,113 @@
 }
 END_TEST
 
+/* --- proxy in front of the store --- */
+
+typedef struct RewriteCase
+{
+  const char *pieces[4]; /* sent by the server one by one; NULL: no more */
+  const char *received;
+} RewriteCase;
+
+static const RewriteCase rewrite_cases[] = {
+  { { "a 127.0.0.1: b" }, "a 127.0.0.9: b" },
+  { { "127.0.0.1:127.0.0.1:" }, "127.0.0.9:127.0.0.9:" },
+  { { "127.0.0.12:" }, "127.0.0.12:" },
+  { { "127.", "0.0.1:", "x" }, "127.0.0.9:x" },
+  { { "127.", "127.", "0.0.1:" }, "127.127.0.0.9:" },
+  { { "1", "2", "7.0.0.1:" }, "127.0.0.9:" },
+  { { "127.0.0.1", "7" }, "127.0.0.17" },
+  { { "x", "127.0.0" }, "x127.0.0" },
+};
+
+/* Sends the pieces of a case, each once the previous one has left the proxy or waits there. */
+static void
+send_pieces (int fd, const RewriteCase *row)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (row->pieces) && row->pieces[i] != NULL; i++)
+    {
+      send_text (fd, row->pieces[i]);
+      g_usleep (20000);
+    }
+}
+
+START_TEST (rewriter_finds_text_split_over_reads)
+{
+  const RewriteCase *row = &rewrite_cases[_i % G_N_ELEMENTS (rewrite_cases)];
+  gboolean is_active = _i < (int)G_N_ELEMENTS (rewrite_cases);
+  int server = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  struct sockaddr_in name = socket_address ("127.0.0.1", 0);
+  socklen_t length = sizeof name;
+  ck_assert_int_eq (bind (server, (struct sockaddr *)&name, sizeof name), 0);
+  ck_assert_int_eq (listen (server, 1), 0);
+  getsockname (server, (struct sockaddr *)&name, &length);
+  const StoreRewriterOptions options = { .address = "127.0.0.1",
+                                         .store_address = "127.0.0.1",
+                                         .store_port = ntohs (name.sin_port),
+                                         .from = "127.0.0.1:",
+                                         .to = "127.0.0.9:" };
+  StoreRewriter *rewriter = store_rewriter_start (&options);
+  store_rewriter_set_active (rewriter, is_active);
+  int client = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  name = socket_address ("127.0.0.1", store_rewriter_port (rewriter));
+  ck_assert_int_eq (connect (client, (struct sockaddr *)&name, sizeof name), 0);
+  int accepted = accept (server, NULL, NULL);
+  send_pieces (accepted, row);
+  close (accepted);
+  GString *received = g_string_new (NULL);
+  char byte;
+  while (recv (client, &byte, 1, 0) == 1)
+    g_string_append_c (received, byte);
+  char *sent = g_strjoinv ("", (char **)row->pieces);
+  ck_assert_str_eq (received->str, is_active ? row->received : sent);
+  g_free (sent);
+  g_string_free (received, TRUE);
+  close (client);
+  close (server);
+  store_rewriter_free (rewriter);
+}
+END_TEST
+
+/* Only the targets' addresses are followed by a port in the store. */
+START_TEST (one_vm_gets_other_addresses_of_targets)
+{
+  Cluster *cluster = cluster_new (build);
+  char *from = g_strdup_printf ("%s:", cluster->address[0]);
+  char *to = g_strdup (from);
+  to[strlen (to) - 2] = '9';
+  const StoreRewriterOptions options = { .address = cluster->address[0],
+                                         .store_address = cluster->address[0],
+                                         .store_port = cluster->store,
+                                         .from = from,
+                                         .to = to };
+  StoreRewriter *rewriter = store_rewriter_start (&options);
+  cluster->vm_store[0]
+    = (NodeKitStore){ .address = cluster->address[0], .port = store_rewriter_port (rewriter) };
+  cluster_start_nodes (cluster);
+  ck_assert_int_eq (get_status (cluster, 0, "/look/1"), 200);
+  store_rewriter_set_active (rewriter, TRUE);
+  for (guint i = 0; i < TARGETS; i++)
+    put_target (cluster, i, "PUT", "ready");
+  char *text = http_exchange ("GET", cluster->address[0], store_rewriter_port (rewriter),
+                              "/objects/servers", NULL, NULL, NULL);
+  ck_assert_ptr_null (strstr (text, from));
+  ck_assert_ptr_nonnull (strstr (text, to));
+  /* Both VMs know the targets from their start; for one of them they have moved. */
+  for (guint i = 0; i < TARGETS; i++)
+    {
+      char *known = g_strdup_printf ("event=target_known name=t%u", i);
+      wait_for_lines (cluster, known, VMS + 1);
+      g_free (known);
+    }
+  ck_assert_int_eq (get_status (cluster, 1, "/look/1"), 200);
+  g_free (text);
+  cluster_free (cluster);
+  store_rewriter_free (rewriter);
+  g_free (from);
+  g_free (to);
+}
+END_TEST
+
 int
 main (int argc, char **argv)
 {
@@ -209,6 +317,9 @@
   tcase_add_test (tests, gateway_connects_to_usable_targets_only);
   tcase_add_loop_test (tests, stopping_gateway_waits_for_open_tunnels, 0, 2);
   tcase_add_test (tests, vm_whose_tunnel_port_is_taken_serves);
+  tcase_add_loop_test (tests, rewriter_finds_text_split_over_reads, 0,
+                       2 * G_N_ELEMENTS (rewrite_cases));
+  tcase_add_test (tests, one_vm_gets_other_addresses_of_targets);
   suite_add_tcase (suite, tests);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
