--- a/node/node.h
+++ b/node/node.h
@@ -18,6 +18,8 @@
  *   caller_listener.c  HTTP listeners: admission, readiness, shutdown
  *   request.c          a request from admission to its final answer
  *   attempt.c          one attempt to send a request to a target
+ *   paths.c            how attempts reach their target: directly or through another VM
+ *   tunnels.c          gateway for other VMs that can't reach a target
  */
 #pragma once
 
@@ -27,6 +29,7 @@
 #include "core/owners.h"
 #include "core/prune.h"
 #include "core/quota.h"
+#include "core/reach.h"
 #include "core/retry.h"
 #include "core/shed.h"
 #include "core/suspects.h"
@@ -56,7 +59,8 @@
   char *quota_window_s;
   char *quota_slack;
   char *memory_mb;
-  char *first_start; /* "true": first start of the whole system, no quota was used before */
+  guint16 tunnel_port; /* 0: agent_bus_port + 1 */
+  char *first_start;   /* "true": first start of the whole system, no quota was used before */
 } DpNodeSettings;
 
 /* Parsed values of DpNodeSettings. */
@@ -68,8 +72,11 @@
   guint16 ready_port;
   char store_address[46];
   guint16 store_port;
-  guint weight; /* thousandths of a core */
-  guint connections_max;
+  guint weight;        /* thousandths of a core */
+  guint16 tunnel_port; /* the same on all VMs */
+  /* All descriptors of the process at these maxima don't exceed descriptors_max. */
+  guint connections_max; /* of callers */
+  guint tunnels_max;
   DpUsec target_heartbeat;
   DpUsec stop_time; /* from SIGTERM until the platform sends SIGKILL */
   double retry_ratio;
@@ -94,6 +101,7 @@
 typedef struct DpRegistration DpRegistration;
 typedef struct DpStreamVersions DpStreamVersions;
 typedef struct DpStoredList DpStoredList;
+typedef struct DpTunnels DpTunnels;
 
 /* State of a pool on this VM. */
 typedef struct DpNodePool
@@ -144,9 +152,12 @@
   GHashTable *block_writes; /* those in progress, see quarantine.c */
   DpUsec quarantine_announced_at;
   DpLimitClient *limit_client;
+  DpReach *reach;
+  gboolean was_cut_off; /* as last reported to the owners */
   /* requests */
   DpHttpServer *callers;
   DpHttpServer *ready;
+  DpTunnels *tunnels;
   GHashTable *pools;               /* DpName -> DpNodePool */
   DpTable *requests;               /* DpNodeRequest */
   guint awaiting_quota;            /* number of requests at DP_STAGE_AWAITING_QUOTA */
@@ -218,6 +229,9 @@
   DpName target;
   DpName target_version; /* hash of its software version */
   char target_text[DP_TARGET_TEXT_BYTES];
+  char target_address[46];
+  guint16 target_port;
+  DpPathSearch paths; /* to the target */
   DpUsec sent_at;
   DpUsec last_event_at;    /* last complete event of this attempt; 0: none yet */
   DpUsec first_byte_after; /* time from sending to the first event or byte; 0: none yet */
@@ -347,6 +361,8 @@
 /* Sends a message about the pool to the VM that owns it, even if it is not shared yet. */
 void dp_placement_send_to_owner (DpNode *node, DpName pool, const DpMessage *message);
 void dp_placement_on_message (DpNode *node, DpName from, const DpMessage *message);
+/* Reports to all owners at once. */
+void dp_placement_report (DpNode *node);
 void dp_placement_tick (DpNode *node, DpUsec now, gboolean was_paused);
 void dp_placement_pool_free (gpointer data);
 
@@ -456,6 +472,22 @@
                                  DpReason reason,
                                  DpUsec retry_after);
 
+/* --- paths.c --- */
+
+void dp_paths_init (DpNode *node);
+/* Sets the path that the request's attempt tries first. */
+void dp_paths_begin (DpNodeRequest *request, const DpDirectoryRow *target);
+/* The VM to connect through; NULL: none, or it is unknown by now. */
+const DpVm *dp_paths_gateway (const DpNodeRequest *request);
+/* The current path failed before a byte was sent. Returns FALSE if there is no other. */
+gboolean dp_paths_next (DpNodeRequest *request, DpPathFailure failure);
+/* The target's response was received. */
+void dp_paths_succeeded (const DpNodeRequest *request);
+/* Result of a connection that this VM opened as another one's gateway. */
+void dp_paths_record_direct (DpNode *node, DpName target, gboolean succeeded);
+/* TRUE if the attempt's own connection is one of those that this VM has lost. */
+gboolean dp_paths_is_lost (const DpNodeRequest *request);
+
 /* --- attempt.c --- */
 
 void dp_attempt_start (DpNodeRequest *request, const DpDirectoryRow *target);
@@ -465,3 +497,13 @@
 void dp_attempt_cancel (DpNodeRequest *request);
 /* Forwards the target's answer to the caller. */
 void dp_attempt_forward_response (DpNodeRequest *request);
+
+/* --- tunnels.c --- */
+
+/* Without a free port, logs a warning, and this VM is no gateway. */
+DpTunnels *dp_tunnels_new (DpNode *node);
+void dp_tunnels_free (DpTunnels *tunnels);
+/* Open tunnels go on, new ones are refused. */
+void dp_tunnels_stop_accepting (DpTunnels *tunnels);
+/* Number of tunnels that are open or being opened. */
+guint dp_tunnels_open (const DpTunnels *tunnels);
