core: place streams that have begun before new requests

A stream whose target failed midway, or sent no event for too long, waited for another target like a new request: behind those that could still be on time, refused after 1.5 s or two fifths of its time, and displaced first when the queue was full.

A request for a grant says whether its answer has begun. Such requests rank first, are not displaced, and are refused only at their deadline, or if no target of their version is in service.

Rows of a_freed_slot_goes_to_the_first_in_rank, a_begun_stream_waits_longer_than_a_new_one and a_begun_stream_is_not_displaced fail with the field and the logic before, and pass. dispatcher, overload, net_codec, target_limits and versions are green.

--- a/core/dispatcher_queue.c
+++ b/core/dispatcher_queue.c
@@ -21,18 +21,20 @@
 /* Maximum queue length per slot; with more, requests would wait longer than any caller does. */
 #define WAITING_PER_SLOT 4
 
-/* Lower ranks go first. */
+/* Lower ranks go first. An answer that has begun would be cut off if it could not go on. */
 static guint
 rank (const DpDispatcher *dispatcher,
       const DpDispatchRequest *request,
       const DpDispatchTarget *target)
 {
+  if (request->ask.has_begun)
+    return 0;
   DpUsec first = dp_latency_model_expected (&dispatcher->latency_model,
                                             request->ask.prompt_tokens, target->pace);
   gboolean on_time = dispatcher->now + (DpUsec)((double)first * ON_TIME_MARGIN) + TRANSPORT_USEC
                      <= request->objective_at;
   guint urgency = request->ask.urgency;
-  return on_time ? 2 * urgency : 2 * (urgency + LATE_TIERS) + 1;
+  return 1 + (on_time ? 2 * urgency : 2 * (urgency + LATE_TIERS) + 1);
 }
 
 /* TRUE if `a` goes before `b`, given equal ranks. */
@@ -126,6 +128,8 @@
   DpUsec now = dispatcher->now;
   if (!is_version_served (dispatcher, &request->ask))
     return DP_REASON_VERSION_GONE;
+  if (request->ask.has_begun)
+    return now >= request->deadline ? DP_REASON_DEADLINE_PASSED : DP_REASON_NONE;
   DpUsec first = dp_dispatch_fastest_first_event (dispatcher, request->ask.prompt_tokens);
   if (now + first >= request->deadline)
     return DP_REASON_DEADLINE_UNREACHABLE;
@@ -138,7 +142,8 @@
 dp_dispatch_exceeds_wait_limit (const DpDispatcher *dispatcher,
                                 const DpDispatchRequest *request)
 {
-  return dp_dispatch_estimate_wait (dispatcher, request->ask.urgency) > wait_limit (request);
+  return !request->ask.has_begun
+         && dp_dispatch_estimate_wait (dispatcher, request->ask.urgency) > wait_limit (request);
 }
 
 DpDispatchRequest *
@@ -151,6 +156,8 @@
   for (guint i = 0; i < dispatcher->waiting->len; i++)
     {
       DpDispatchRequest *request = g_ptr_array_index (dispatcher->waiting, i);
+      if (request->ask.has_begun)
+        continue;
       if (last == NULL || request->ask.urgency > last->ask.urgency
           || (request->ask.urgency == last->ask.urgency
               && request->arrived_at > last->arrived_at))
--- a/core/message.h
+++ b/core/message.h
@@ -128,6 +128,7 @@
   guint64 session;       /* hash of the last part of the prompt; 0: none */
   DpName data_centre;    /* of the sender; 0: not known */
   DpName version;        /* of the software that began the stream; 0: any */
+  gboolean has_begun;    /* the caller has got a part of the answer */
 } DpGrantAsk;
 
 typedef struct DpGrantGiven
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -78,6 +78,7 @@
   UINT64 (15, DpMessage, grant_ask.session),
   UINT64 (16, DpMessage, grant_ask.data_centre),
   UINT64 (17, DpMessage, grant_ask.version),
+  FLAG (18, DpMessage, grant_ask.has_begun),
 };
 
 static const DpField grant_progress_fields[] = {
--- a/node/placement.c
+++ b/node/placement.c
@@ -280,6 +280,7 @@
   grant_request->urgency = request->urgency;
   grant_request->session = request->caller.session;
   grant_request->version = request->version;
+  grant_request->has_begun = request->head_sent;
   grant_request->data_centre = dp_name (node->settings->process.data_centre);
   grant_request->excluded_count = request->excluded_count;
   for (guint i = 0; i < request->excluded_count; i++)
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -64,6 +64,7 @@
   guint tier;
   DpUsec objective_left;
   DpUsec remaining;
+  gboolean has_begun;
 } Request;
 
 static void
@@ -76,6 +77,7 @@
                                     .remaining = row.remaining,
                                     .objective_left = row.objective_left,
                                     .urgency = row.tier,
+                                    .has_begun = row.has_begun,
                                     .repeatable = TRUE };
   receive (fixture, &message);
 }
@@ -153,6 +155,11 @@
       { 12, 2, 400 * MSEC, 4 * DP_USEC_PER_SEC },
       { 13, 2, 500 * MSEC, 4 * DP_USEC_PER_SEC } },
     11 },
+  { "a begun stream before new ones on time",
+    { { 11, 0, 400 * MSEC, 4 * DP_USEC_PER_SEC },
+      { 12, 2, 0, 4 * DP_USEC_PER_SEC, TRUE },
+      { 13, 1, 500 * MSEC, 4 * DP_USEC_PER_SEC } },
+    12 },
 };
 
 START_TEST (a_freed_slot_goes_to_the_first_in_rank)
@@ -392,6 +399,48 @@
 }
 END_TEST
 
+START_TEST (a_begun_stream_waits_longer_than_a_new_one)
+{
+  Fixture fixture;
+  set_up (&fixture);
+  send_request (&fixture, (Request){ 1, 0, 0, 15 * DP_USEC_PER_SEC, TRUE });
+  tick (&fixture, 2 * DP_USEC_PER_SEC);
+  ck_assert_ptr_null (find_sent (&fixture, DP_MESSAGE_GRANT_REFUSED, 1));
+  add_target (&fixture, "a", 1, FALSE);
+  ck_assert_ptr_nonnull (find_sent (&fixture, DP_MESSAGE_GRANT_GIVEN, 1));
+  tear_down (&fixture);
+}
+END_TEST
+
+START_TEST (a_begun_stream_is_refused_at_its_deadline)
+{
+  Fixture fixture;
+  set_up (&fixture);
+  send_request (&fixture, (Request){ 1, 0, 0, 1 * DP_USEC_PER_SEC, TRUE });
+  tick (&fixture, 1 * DP_USEC_PER_SEC);
+  ck_assert_ptr_nonnull (find_sent (&fixture, DP_MESSAGE_GRANT_REFUSED, 1));
+  tear_down (&fixture);
+}
+END_TEST
+
+/* More new requests than the queue holds. */
+START_TEST (a_begun_stream_is_not_displaced)
+{
+  Fixture fixture;
+  set_up (&fixture);
+  add_target (&fixture, "a", 1, FALSE);
+  for (guint64 id = 1; id <= WINDOW; id++)
+    send_request (&fixture, (Request){ id, 0, 500 * MSEC, 4 * DP_USEC_PER_SEC });
+  send_request (&fixture, (Request){ 11, DP_URGENCY_LEVELS - 1, 0, 4 * DP_USEC_PER_SEC, TRUE });
+  for (guint64 id = 100; id < 140; id++)
+    send_request (&fixture, (Request){ id, 0, 500 * MSEC, 15 * DP_USEC_PER_SEC });
+  send_request (&fixture, (Request){ 12, DP_URGENCY_LEVELS - 1, 0, 4 * DP_USEC_PER_SEC, TRUE });
+  ck_assert_ptr_null (find_sent (&fixture, DP_MESSAGE_GRANT_REFUSED, 11));
+  ck_assert_ptr_null (find_sent (&fixture, DP_MESSAGE_GRANT_REFUSED, 12));
+  tear_down (&fixture);
+}
+END_TEST
+
 /* --- lost links between data centres --- */
 
 static void
@@ -538,6 +587,9 @@
   tcase_add_test (tests, a_repeated_grant_request_is_counted_once);
   tcase_add_test (tests, a_refusal_for_a_close_deadline_is_no_overload);
   tcase_add_test (tests, a_request_is_refused_before_its_deadline);
+  tcase_add_test (tests, a_begun_stream_waits_longer_than_a_new_one);
+  tcase_add_test (tests, a_begun_stream_is_refused_at_its_deadline);
+  tcase_add_test (tests, a_begun_stream_is_not_displaced);
   tcase_add_test (tests, a_lost_link_is_detected_and_tried_again);
   tcase_add_loop_test (tests, a_paused_target_gets_no_requests, 0, G_N_ELEMENTS (policies));
   suite_add_tcase (suite, tests);
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -47,7 +47,8 @@
                                      .urgency = DP_URGENCY_LEVELS - 1,
                                      .objective_left = 14,
                                      .session = 15,
-                                     .data_centre = 16 } };
+                                     .data_centre = 16,
+                                     .has_begun = TRUE } };
 }
 
 static DpMessage
@@ -237,6 +238,7 @@
   ck_assert_uint_eq (decoded.grant_ask.prefix[2], 11);
   ck_assert_uint_eq (decoded.grant_ask.excluded_count, 2);
   ck_assert_uint_eq (decoded.grant_ask.excluded[1], 13);
+  ck_assert (decoded.grant_ask.has_begun);
   g_byte_array_unref (frame);
 
   message = make_message (DP_MESSAGE_VIEW);
