tests: callers use their connections until a stopped VM has closed them

The soak judges no VM that got a signal within ten seconds, and no test used a kept connection during a stop.

node_stop plays stops with 60 and 200 callers, also with the processor taken away in slices, beside configs and SIGHUPs. A request that the VM has read must be answered. The loop handles 32 ready connections at a time, and the check for idle ones came in between.

--- /dev/null
+++ b/tests/test_node_stop.c
@@ -0,0 +1,282 @@
+/* A VM that is stopped while callers go on using their connections to it until they close. */
+#include "tests/node_cluster.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <errno.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define CALLERS_MAX 200
+#define STOPPED_WAIT (12 * DP_USEC_PER_SEC)
+
+static const char *build;
+
+typedef struct Caller
+{
+  int fd; /* -1: closed */
+  guint sent;
+  char id[24];   /* of the last request */
+  gboolean open; /* that request has no complete response */
+  GString *input;
+} Caller;
+
+/* Requests by what their callers saw. */
+typedef struct Outcomes
+{
+  GHashTable *answered; /* ids */
+  GHashTable *cut;      /* ids: the connection was closed without a complete response */
+} Outcomes;
+
+typedef struct StopCase
+{
+  const char *name;
+  guint callers;
+  gboolean keeps_sending; /* each caller sends the next request after each response */
+  /* Milliseconds after SIGTERM in which the process gets no processor time, and the part of
+   * each 100 ms in which it gets none. */
+  gint64 paused_from;
+  gint64 paused_to;
+  gint64 slice_paused;
+  gboolean has_configs; /* new ones, and SIGHUPs, all the time */
+} StopCase;
+
+/* Idle connections are closed 2.6 s after SIGTERM. */
+static const StopCase stop_cases[] = {
+  { "requests on idle connections as they are closed", 200, FALSE, 1500, 2900, 0, FALSE },
+  { "busy callers", 60, TRUE, 0, 0, 0, FALSE },
+  { "busy callers, processor in slices", 60, TRUE, 0, 0, 60, FALSE },
+  { "busy callers, configs and SIGHUPs, processor in slices", 60, TRUE, 0, 0, 60, TRUE },
+};
+
+static const char *const paths[] = { "/book/1", "/look/1", "/draft/1", "/letter/1" };
+
+static gboolean
+connect_caller (const Cluster *cluster, Caller *caller)
+{
+  struct sockaddr_in name
+    = { .sin_family = AF_INET, .sin_port = htons (cluster->caller_port[0]) };
+  inet_pton (AF_INET, cluster->address[0], &name.sin_addr);
+  caller->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  ck_assert_int_ge (caller->fd, 0);
+  if (connect (caller->fd, (struct sockaddr *)&name, sizeof name) == 0)
+    return TRUE;
+  close (caller->fd);
+  caller->fd = -1;
+  return FALSE;
+}
+
+static void
+close_caller (Caller *caller, const Outcomes *outcomes)
+{
+  close (caller->fd);
+  caller->fd = -1;
+  if (caller->open)
+    g_hash_table_add (outcomes->cut, g_strdup (caller->id));
+  caller->open = FALSE;
+  g_string_truncate (caller->input, 0);
+}
+
+static void
+send_request (Caller *caller, guint index, const Outcomes *outcomes)
+{
+  const char *path = paths[(index + caller->sent) % G_N_ELEMENTS (paths)];
+  gboolean is_look = g_str_has_prefix (path, "/look/");
+  gboolean is_stream
+    = g_str_has_prefix (path, "/draft/") || g_str_has_prefix (path, "/letter/");
+  g_snprintf (caller->id, sizeof caller->id, "s%u-%u", index, ++caller->sent);
+  const NodeKitRequest request = { .method = is_look ? "GET" : "POST",
+                                   .path = path,
+                                   .id = caller->id,
+                                   .body = is_look ? "" : caller->id,
+                                   .timeout_ms = 2500,
+                                   .is_stream = is_stream };
+  char *text = node_kit_format_request (&request);
+  caller->open = TRUE;
+  if (send (caller->fd, text, strlen (text), MSG_NOSIGNAL) < 0)
+    close_caller (caller, outcomes);
+  g_free (text);
+}
+
+static gboolean
+is_complete (const GString *input)
+{
+  const char *body = strstr (input->str, "\r\n\r\n");
+  if (body == NULL)
+    return FALSE;
+  if (strstr (input->str, "chunked") != NULL)
+    return g_str_has_suffix (input->str, "\r\n0\r\n\r\n");
+  const char *length = strstr (input->str, "Content-Length: ");
+  return length != NULL && strlen (body + 4) >= (gsize)g_ascii_strtoull (length + 16, NULL, 10);
+}
+
+static void
+read_response (Caller *caller, const Outcomes *outcomes)
+{
+  char bytes[8192];
+  gssize length = recv (caller->fd, bytes, sizeof bytes, MSG_DONTWAIT);
+  if (length < 0 && errno == EAGAIN)
+    return;
+  if (length <= 0)
+    {
+      close_caller (caller, outcomes);
+      return;
+    }
+  ck_assert_ptr_nonnull (caller->input);
+  g_string_append_len (caller->input, bytes, length);
+  if (!is_complete (caller->input))
+    return;
+  g_hash_table_add (outcomes->answered, g_strdup (caller->id));
+  caller->open = FALSE;
+  gboolean closes = strstr (caller->input->str, "Connection: close") != NULL;
+  g_string_truncate (caller->input, 0);
+  if (closes)
+    close_caller (caller, outcomes);
+}
+
+static void
+read_responses (Caller *callers, guint count, const Outcomes *outcomes)
+{
+  struct pollfd fds[CALLERS_MAX];
+  for (guint i = 0; i < count; i++)
+    fds[i] = (struct pollfd){ .fd = callers[i].fd, .events = POLLIN };
+  poll (fds, count, 5);
+  for (guint i = 0; i < count; i++)
+    if (fds[i].fd >= 0 && fds[i].revents != 0)
+      read_response (&callers[i], outcomes);
+}
+
+/* --- one stop --- */
+
+typedef struct Stop
+{
+  const StopCase *row;
+  Cluster *cluster;
+  gint64 started_at; /* SIGTERM; monotonic microseconds */
+  gboolean is_paused;
+  guint configs;
+} Stop;
+
+static void
+set_paused (Stop *stop, gboolean is_paused)
+{
+  if (stop->is_paused != is_paused)
+    process_signal (stop->cluster->node[0], is_paused ? SIGSTOP : SIGCONT);
+  stop->is_paused = is_paused;
+}
+
+static void
+disturb (Stop *stop)
+{
+  const StopCase *row = stop->row;
+  gint64 ms = (g_get_monotonic_time () - stop->started_at) / DP_USEC_PER_MSEC;
+  set_paused (stop,
+              (ms >= row->paused_from && ms < row->paused_to) || ms % 100 < row->slice_paused);
+  if (!row->has_configs || ms / 400 <= stop->configs)
+    return;
+  put_config (stop->cluster, 2 + stop->configs++, "");
+  process_signal (stop->cluster->node[0], SIGHUP);
+}
+
+static void
+send_more (const Stop *stop, Caller *callers, const Outcomes *outcomes)
+{
+  for (guint i = 0; i < stop->row->callers; i++)
+    {
+      Caller *caller = &callers[i];
+      gboolean is_first = caller->sent == 1 && stop->is_paused;
+      if (caller->open || (!stop->row->keeps_sending && !is_first))
+        continue;
+      if (caller->fd >= 0 || (!is_first && connect_caller (stop->cluster, caller)))
+        send_request (caller, i, outcomes);
+    }
+}
+
+/* Ids of the requests that the VM has read and whose connection it has closed. */
+static char *
+find_lost (const Cluster *cluster, const Outcomes *outcomes)
+{
+  GString *lost = g_string_new (NULL);
+  char *log = NULL;
+  ck_assert (g_file_get_contents (cluster->log, &log, NULL, NULL));
+  GHashTableIter iter;
+  gpointer id;
+  g_hash_table_iter_init (&iter, outcomes->cut);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    {
+      char *field = g_strdup_printf (" request=%s ", (const char *)id);
+      if (strstr (log, field) != NULL)
+        g_string_append_printf (lost, "%s ", (const char *)id);
+      g_free (field);
+    }
+  g_free (log);
+  return g_string_free (lost, FALSE);
+}
+
+START_TEST (no_request_is_lost_around_a_stop)
+{
+  const StopCase *row = &stop_cases[_i];
+  Cluster *cluster = cluster_start (build);
+  const Outcomes outcomes
+    = { .answered = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
+        .cut = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL) };
+  Caller callers[CALLERS_MAX] = { 0 };
+  for (guint i = 0; i < row->callers; i++)
+    {
+      Caller *caller = &callers[i];
+      caller->input = g_string_new (NULL);
+      ck_assert (connect_caller (cluster, caller));
+      send_request (caller, i, &outcomes);
+      while (caller->open)
+        read_responses (caller, 1, &outcomes);
+    }
+  Stop stop = { .row = row, .cluster = cluster, .started_at = g_get_monotonic_time () };
+  process_signal (cluster->node[0], SIGTERM);
+  gint64 end = stop.started_at + STOPPED_WAIT;
+  while (process_is_running (cluster->node[0]) && g_get_monotonic_time () < end)
+    {
+      disturb (&stop);
+      send_more (&stop, callers, &outcomes);
+      read_responses (callers, row->callers, &outcomes);
+    }
+  int status;
+  ck_assert (process_wait (cluster->node[0], 0, &status));
+  ck_assert_msg (WIFEXITED (status) && WEXITSTATUS (status) == 0, "%s: %d", row->name, status);
+  read_responses (callers, row->callers, &outcomes);
+  char *lost = find_lost (cluster, &outcomes);
+  guint answered = g_hash_table_size (outcomes.answered);
+  ck_assert_uint_gt (answered, row->callers);
+  ck_assert_msg (lost[0] == '\0', "%s: read and not answered, of %u answered and %u cut: %s",
+                 row->name, answered, g_hash_table_size (outcomes.cut), lost);
+  g_free (lost);
+  for (guint i = 0; i < row->callers; i++)
+    {
+      if (callers[i].fd >= 0)
+        close (callers[i].fd);
+      g_string_free (callers[i].input, TRUE);
+    }
+  g_hash_table_unref (outcomes.answered);
+  g_hash_table_unref (outcomes.cut);
+  cluster_free (cluster);
+}
+END_TEST
+
+int
+main (int argc, char **argv)
+{
+  signal (SIGPIPE, SIG_IGN);
+  build = argc > 1 ? argv[1] : ".";
+  Suite *suite = suite_create ("node_stop");
+  TCase *tcase = tcase_create ("stop");
+  tcase_add_loop_test (tcase, no_request_is_lost_around_a_stop, 0, G_N_ELEMENTS (stop_cases));
+  suite_add_tcase (suite, tcase);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
