soak: a VM that stops must answer what has run

A request that ran and whose connection was closed without a response was only judged if its VM had got no signal within ten seconds, so no stop, SIGHUP or pause was ever judged. Only a SIGKILL since the request was sent excuses it now, which is stricter for all cases.

--- a/soak/caller.c
+++ b/soak/caller.c
@@ -61,6 +61,7 @@
     return;
   request->outcome = outcome;
   request->ended_at = g_get_monotonic_time ();
+  request->vm_was_killed = cluster->vms[request->vm].killed_at >= request->sent_at;
   cluster->outcome_counts[outcome]++;
   if (outcome == SOAK_SERVED)
     cluster->consecutive_served++;
--- a/soak/checker.c
+++ b/soak/checker.c
@@ -100,17 +100,14 @@
     }
 }
 
-/* A VM that was not disturbed around the time of a request must respond if the request ran. */
+/* Unless it is killed, a VM must respond to each request that ran, also while it stops. */
 static void
 check_closed (SoakCluster *cluster, const char *id, const SoakRequest *request, guint runs)
 {
-  const SoakVm *vm = &cluster->vms[request->vm];
-  gboolean was_disturbed = request->incarnation != vm->incarnation
-                           || (vm->disturbed_at > request->sent_at - 10 * DP_USEC_PER_SEC
-                               && vm->disturbed_at < request->ended_at + DP_USEC_PER_SEC);
-  if (request->outcome == SOAK_CLOSED && runs > 0 && !was_disturbed)
+  if (request->outcome == SOAK_CLOSED && runs > 0 && !request->vm_was_killed)
     soak_cluster_add_violation (cluster,
-                                "%s: ran, but its connection closed without a response", id);
+                                "%s: ran, but its connection to %s closed without a response",
+                                id, cluster->vms[request->vm].name);
 }
 
 void
--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -270,6 +270,7 @@
   switch (number)
     {
     case SIGKILL:
+      vm->killed_at = g_get_monotonic_time ();
       g_clear_pointer (&vm->process, process_free);
       return;
     case SIGSTOP:
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -64,6 +64,7 @@
   Process *process;
   guint incarnation;    /* number of starts */
   gint64 disturbed_at;  /* last start or signal; monotonic, microseconds */
+  gint64 killed_at;     /* last SIGKILL; monotonic, microseconds */
   GArray *disturbances; /* gint64: all of them; monotonic, milliseconds */
   gboolean is_paused;
   gboolean is_stopping;       /* SIGTERM was sent */
@@ -210,9 +211,10 @@
   SoakRequestKind kind;
   SoakOutcome outcome;
   guint vm;
-  guint config_version; /* newest when the request was sent; names the new route */
-  guint incarnation;    /* of the VM */
-  gint64 sent_at;       /* monotonic, microseconds */
+  guint config_version;   /* newest when the request was sent; names the new route */
+  guint incarnation;      /* of the VM */
+  gboolean vm_was_killed; /* before the request ended */
+  gint64 sent_at;         /* monotonic, microseconds */
   gint64 ended_at;
 } SoakRequest;
 
