--- a/tests/test_node_stop.c
+++ b/tests/test_node_stop.c
@@ -18,7 +18,8 @@
 
 typedef struct Caller
 {
-  int fd; /* -1: closed */
+  int fd;   /* -1: closed */
+  guint vm; /* 0 is stopped */
   guint sent;
   char id[24];   /* of the last request */
   gboolean open; /* that request has no complete response */
@@ -36,6 +37,7 @@
 {
   const char *name;
   guint callers;
+  guint vms;              /* that the callers use */
   gboolean keeps_sending; /* each caller sends the next request after each response */
   /* Milliseconds after SIGTERM in which the process gets no processor time, and the part of
    * each 100 ms in which it gets none. */
@@ -47,10 +49,11 @@
 
 /* Idle connections are closed 2.6 s after SIGTERM. */
 static const StopCase stop_cases[] = {
-  { "requests on idle connections as they are closed", 200, FALSE, 1500, 2900, 0, FALSE },
-  { "busy callers", 60, TRUE, 0, 0, 0, FALSE },
-  { "busy callers, processor in slices", 60, TRUE, 0, 0, 60, FALSE },
-  { "busy callers, configs and SIGHUPs, processor in slices", 60, TRUE, 0, 0, 60, TRUE },
+  { "requests on idle connections as they are closed", 200, 1, FALSE, 1500, 2900, 0, FALSE },
+  { "busy callers", 60, 1, TRUE, 0, 0, 0, FALSE },
+  { "busy callers, processor in slices", 60, 1, TRUE, 0, 0, 60, FALSE },
+  { "busy callers, configs and SIGHUPs, processor in slices", 60, 1, TRUE, 0, 0, 60, TRUE },
+  { "busy callers of two VMs, configs and SIGHUPs", 60, 2, TRUE, 0, 0, 0, TRUE },
 };
 
 static const char *const paths[] = { "/book/1", "/look/1", "/draft/1", "/letter/1" };
@@ -59,8 +62,8 @@
 connect_caller (const Cluster *cluster, Caller *caller)
 {
   struct sockaddr_in name
-    = { .sin_family = AF_INET, .sin_port = htons (cluster->caller_port[0]) };
-  inet_pton (AF_INET, cluster->address[0], &name.sin_addr);
+    = { .sin_family = AF_INET, .sin_port = htons (cluster->caller_port[caller->vm]) };
+  inet_pton (AF_INET, cluster->address[caller->vm], &name.sin_addr);
   caller->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   ck_assert_int_ge (caller->fd, 0);
   if (connect (caller->fd, (struct sockaddr *)&name, sizeof name) == 0)
@@ -229,6 +232,7 @@
     {
       Caller *caller = &callers[i];
       caller->input = g_string_new (NULL);
+      caller->vm = i % row->vms;
       ck_assert (connect_caller (cluster, caller));
       send_request (caller, i, &outcomes);
       while (caller->open)
