platform, node: Server-Brittle is decoded, logged and shown

Nothing read the header in which targets say that they crash with more than so many rejected requests a second. It is decoded (a whole number up to 10^9; anything else is logged as target_limit_ignored and ignored) and kept in the directory by each VM, as the latest response says. The first brittle target makes the others of its pool brittle until their own responses say otherwise, and a target that starts is as brittle as its pool: it tells nobody before its first response, and restarted ones crash again.

target_brittle lines, rejections_max in request_sent, dogwoodplank_brittle_targets and dogwoodplank_brittle_rejections_total show what a VM knew. Requests are placed as before. The message of limits has room for it; frames of older releases say nothing about it. The stand-in target has slots, a queue, and falls over.

--- a/core/directory.c
+++ b/core/directory.c
@@ -13,6 +13,7 @@
   GHashTable *by_name; /* DpName -> DpHandle */
   GHashTable *drained; /* DpName -> guint64: `started` of the newest draining incarnation */
   GHashTable *gone;    /* DpName -> guint64: `started` of removed rows */
+  GHashTable *brittle_pools; /* DpName -> DpTargetBrittleness, for new targets */
   guint64 version;
   DpUsec last_contact_at; /* 0: never */
   DpUsec grace_until;     /* rows that go missing before this are kept */
@@ -27,6 +28,8 @@
   directory->by_name = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   directory->drained = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   directory->gone = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  directory->brittle_pools
+    = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   return directory;
 }
 
@@ -39,6 +42,7 @@
   g_hash_table_unref (directory->by_name);
   g_hash_table_unref (directory->drained);
   g_hash_table_unref (directory->gone);
+  g_hash_table_unref (directory->brittle_pools);
   g_free (directory);
 }
 
@@ -104,11 +108,22 @@
          && strcmp (a->version, b->version) == 0;
 }
 
+/* A target that starts is as brittle as its pool. */
+static void
+begin_incarnation (const DpDirectory *directory, DpDirectoryRow *row, DpName pool)
+{
+  const DpTargetBrittleness *brittle = g_hash_table_lookup (directory->brittle_pools, &pool);
+  row->paused_until = 0;
+  row->limit = (DpTargetLimit){ 0 };
+  row->brittle = brittle != NULL ? *brittle : (DpTargetBrittleness){ 0 };
+}
+
 gboolean
 dp_directory_put (DpDirectory *directory, const DpTargetRecord *record)
 {
   DpName name = dp_name (record->id);
   DpDirectoryRow *row = find (directory, name);
+  gboolean is_new = row == NULL || row->record.started != record->started;
   if (row != NULL && record->started < row->record.started)
     return FALSE;
   g_hash_table_remove (directory->gone, &name);
@@ -121,13 +136,10 @@
     return FALSE;
   if (row == NULL)
     row = add_row (directory, name);
-  if (row->record.started != updated.started)
-    {
-      row->paused_until = 0;
-      row->limit = (DpTargetLimit){ 0 };
-    }
   row->record = updated;
   row->pool = dp_name (updated.pool);
+  if (is_new)
+    begin_incarnation (directory, row, row->pool);
   row->data_centre = dp_name (updated.data_centre);
   row->version = dp_name (updated.version);
   row->is_listed = TRUE;
@@ -263,6 +275,66 @@
   return !is_same;
 }
 
+static gboolean
+has_brittle_target (const DpDirectory *directory, DpName pool)
+{
+  DpHandle at = 0;
+  const DpDirectoryRow *row;
+  while ((row = dp_directory_next (directory, &at)) != NULL)
+    if (row->pool == pool && row->brittle.is_set)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+record_brittle_pool (DpDirectory *directory, const DpDirectoryRow *row)
+{
+  if (row->brittle.is_set)
+    g_hash_table_insert (directory->brittle_pools, g_memdup2 (&row->pool, sizeof row->pool),
+                         g_memdup2 (&row->brittle, sizeof row->brittle));
+  else if (!has_brittle_target (directory, row->pool))
+    g_hash_table_remove (directory->brittle_pools, &row->pool);
+}
+
+/* Takes all other targets of the pool for brittle unless later responses are known. */
+static void
+spread_brittle (DpDirectory *directory, const DpDirectoryRow *source)
+{
+  for (DpHandle at = dp_table_next (directory->rows, 0); at != 0;
+       at = dp_table_next (directory->rows, at))
+    {
+      DpDirectoryRow *row = dp_table_get (directory->rows, at);
+      if (row->pool == source->pool && !row->brittle.is_set
+          && row->brittle.observed_at <= source->brittle.observed_at)
+        row->brittle = source->brittle;
+    }
+}
+
+gboolean
+dp_directory_record_brittle (DpDirectory *directory, const DpBrittleReport *report, DpUsec now)
+{
+  DpDirectoryRow *row = find (directory, report->target);
+  if (row == NULL || row->record.started != report->started
+      || report->observed_at < row->brittle.observed_at)
+    return FALSE;
+  DpTargetBrittleness *brittle = &row->brittle;
+  gboolean was_set = brittle->is_set;
+  guint previous = brittle->rejections_max;
+  gboolean is_first = report->is_set && !was_set && !has_brittle_target (directory, row->pool);
+  if (was_set != report->is_set)
+    brittle->changed_at = now;
+  brittle->is_set = report->is_set;
+  brittle->rejections_max = report->is_set ? report->rejections_max : 0;
+  brittle->observed_at = report->observed_at;
+  record_brittle_pool (directory, row);
+  if (is_first)
+    spread_brittle (directory, row);
+  gboolean is_same = was_set == brittle->is_set && previous == brittle->rejections_max;
+  if (!is_same)
+    directory->version++;
+  return !is_same;
+}
+
 gboolean
 dp_directory_may_use (const DpDirectory *directory, DpName name, DpUsec now)
 {
--- a/core/directory.h
+++ b/core/directory.h
@@ -41,6 +41,16 @@
   DpUsec changed_at;  /* when this VM learned of a limit, or of its end; 0: never */
 } DpTargetLimit;
 
+/* A brittle target crashes if it rejects too many requests. Targets of which no response is
+ * known yet are taken for brittle if others of their pool are. */
+typedef struct DpTargetBrittleness
+{
+  gboolean is_set;
+  guint rejections_max; /* in a second, from all VMs together */
+  DpUsec observed_at;   /* as in DpTargetLimit */
+  DpUsec changed_at;
+} DpTargetBrittleness;
+
 typedef struct DpDirectoryRow
 {
   DpHandle self;
@@ -51,6 +61,7 @@
   DpTargetRecord record;
   DpUsec paused_until; /* the target refuses this VM's requests until then */
   DpTargetLimit limit;
+  DpTargetBrittleness brittle;
   gboolean is_listed; /* FALSE: expired at the platform, kept for the grace period */
 } DpDirectoryRow;
 
@@ -108,6 +119,21 @@
 gboolean
 dp_directory_record_limit (DpDirectory *directory, const DpLimitReport *report, DpUsec now);
 
+typedef struct DpBrittleReport
+{
+  DpName target;
+  guint64 started;      /* identifies the target's incarnation */
+  gboolean is_set;      /* FALSE: the target is not brittle any more */
+  guint rejections_max; /* if set */
+  DpUsec observed_at;   /* time of the response */
+} DpBrittleReport;
+
+/* Records whether a target is brittle unless a later response is known. The first brittle
+ * target makes all others of its pool brittle until their own responses say otherwise. Returns
+ * TRUE if a target changed. */
+gboolean
+dp_directory_record_brittle (DpDirectory *directory, const DpBrittleReport *report, DpUsec now);
+
 /* Time of the last contact with the platform; 0 if there was none. */
 DpUsec dp_directory_last_contact_at (const DpDirectory *directory);
 
--- a/core/message.h
+++ b/core/message.h
@@ -441,14 +441,21 @@
 } DpTargetLeaving;
 
 /* Limit that a target states in its responses. */
+/* Age of a row whose sender knows no response about a limit. */
+#define DP_LIMIT_AGE_NONE ((DpUsec)1 << 50)
+
 typedef struct DpLimitRow
 {
   DpName target;
-  guint64 started;   /* start of the target's incarnation, Unix milliseconds */
-  gboolean is_set;   /* FALSE: the target has no limit any more */
-  guint64 milli;     /* thousandths of a request per second, from all VMs together */
-  DpUsec age;        /* time since the response */
-  gboolean is_query; /* the owner needs to know what each node has sent to the target */
+  guint64 started;      /* start of the target's incarnation, Unix milliseconds */
+  gboolean is_set;      /* FALSE: the target has no limit any more */
+  guint64 milli;        /* thousandths of a request per second, from all VMs together */
+  DpUsec age;           /* time since the response */
+  gboolean is_query;    /* the owner needs to know what each node has sent to the target */
+  gboolean has_brittle; /* FALSE: nothing is said about it, the fields below are not set */
+  gboolean is_brittle;
+  guint rejections_max; /* if brittle: in a second, from all VMs together */
+  DpUsec brittle_age;   /* time since the response */
 } DpLimitRow;
 
 typedef struct DpTargetLimits
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -327,9 +327,16 @@
 };
 
 static const DpField limit_row_fields[] = {
-  UINT64 (1, DpLimitRow, target), UINT64 (2, DpLimitRow, started),
-  FLAG (3, DpLimitRow, is_set),   UINT64 (4, DpLimitRow, milli),
-  USEC (5, DpLimitRow, age),      FLAG (6, DpLimitRow, is_query),
+  UINT64 (1, DpLimitRow, target),
+  UINT64 (2, DpLimitRow, started),
+  FLAG (3, DpLimitRow, is_set),
+  UINT64 (4, DpLimitRow, milli),
+  USEC (5, DpLimitRow, age),
+  FLAG (6, DpLimitRow, is_query),
+  FLAG (7, DpLimitRow, has_brittle),
+  FLAG (8, DpLimitRow, is_brittle),
+  UINT (9, DpLimitRow, rejections_max, G_MAXUINT),
+  USEC (10, DpLimitRow, brittle_age),
 };
 static const DpFieldTable limit_row_table = TABLE (DpLimitRow, limit_row_fields);
 
--- a/node/request.c
+++ b/node/request.c
@@ -72,10 +72,12 @@
 log_sent (const DpNodeRequest *request, const DpDirectoryRow *target)
 {
   char per_second[G_ASCII_DTOSTR_BUF_SIZE], limit_age[16], age[16], left[16];
+  char rejections_max[16];
   const DpTargetLimit *limit = &target->limit;
   DpUsec now = dp_node_now ();
   g_ascii_formatd (per_second, sizeof per_second, "%.3f", limit->per_second);
   format_ms (limit_age, now - limit->changed_at);
+  g_snprintf (rejections_max, sizeof rejections_max, "%u", target->brittle.rejections_max);
   format_ms (age, now - request->arrived);
   format_ms (left, request->deadline - now);
   if (limit->is_set)
@@ -86,7 +88,8 @@
           "version", target->record.version, "reason", dp_reason_name (DP_REASON_NONE),
           "age_ms", age, "left_ms", left, "after", after, "continues",
           request->caller.continues, "target_limit", limit->is_set ? per_second : NULL,
-          "limit_known_ms", limit->is_set ? limit_age : NULL, NULL);
+          "limit_known_ms", limit->is_set ? limit_age : NULL, "rejections_max",
+          target->brittle.is_set ? rejections_max : NULL, NULL);
 }
 
 void
--- a/node/target_limits.c
+++ b/node/target_limits.c
@@ -1,5 +1,5 @@
 /* Limits that targets state in their responses: how many requests a second they accept from all
- * VMs together.
+ * VMs together, and with how many rejected ones a brittle target crashes.
  *
  * A VM that learns of a limit, or of its end, reports it to the pool's owner. The owner's
  * dispatcher announces it to all VMs and keeps it. While a target of a pool has a limit, all
@@ -32,15 +32,44 @@
           "source", source, "age_ms", age, NULL);
 }
 
+static void
+format_rejections_max (const DpTargetBrittleness *brittle, char text[16])
+{
+  if (brittle->is_set)
+    g_snprintf (text, 16, "%u", brittle->rejections_max);
+  else
+    g_strlcpy (text, "none", 16);
+}
+
+static void
+log_brittle (DpNode *node,
+             const DpDirectoryRow *row,
+             const DpTargetBrittleness *previous,
+             const char *source)
+{
+  char rejections_max[16], before[16], age[24];
+  format_rejections_max (&row->brittle, rejections_max);
+  format_rejections_max (previous, before);
+  g_snprintf (age, sizeof age, "%" G_GINT64_FORMAT,
+              (dp_node_now () - row->brittle.observed_at) / DP_USEC_PER_MSEC);
+  dp_log (DP_LOG_NOTICE, "target_brittle", "target", row->record.id, "rejections_max",
+          rejections_max, "before", before, "source", source, "age_ms", age, NULL);
+}
+
 static void
 count_limited (DpNode *node)
 {
   guint limited = 0;
+  guint brittle = 0;
   DpHandle at = 0;
   const DpDirectoryRow *row;
   while ((row = dp_directory_next (node->directory, &at)) != NULL)
-    limited += row->limit.is_set;
+    {
+      limited += row->limit.is_set;
+      brittle += row->brittle.is_set;
+    }
   dp_counters_set (node->counters, "dogwoodplank_limited_targets", NULL, NULL, limited);
+  dp_counters_set (node->counters, "dogwoodplank_brittle_targets", NULL, NULL, brittle);
 }
 
 /* Returns TRUE if the limit changed. */
@@ -58,18 +87,32 @@
   return TRUE;
 }
 
+/* Returns TRUE if it changed whether the target is brittle. */
+static gboolean
+record_brittle (DpNode *node, const DpBrittleReport *report, const char *source)
+{
+  const DpDirectoryRow *row = dp_directory_find (node->directory, report->target);
+  if (row == NULL)
+    return FALSE;
+  const DpTargetBrittleness previous = row->brittle;
+  if (!dp_directory_record_brittle (node->directory, report, dp_node_now ()))
+    return FALSE;
+  log_brittle (node, row, &previous, source);
+  count_limited (node);
+  return TRUE;
+}
+
 /* --- reports to the owner --- */
 
 /* The end of a limit shows in a successful response to a request that was sent after the limit
  * was known: responses to earlier requests may have left the target before it set the limit,
  * and an error may come from something in front of it. */
 static gboolean
-is_unlimited (const DpNodeRequest *request, const DpDirectoryRow *row)
+shows_end (const DpNodeRequest *request, DpResponseNumber stated, DpUsec known_since)
 {
   const DpTargetResponse *answer = &request->answer;
-  return row->limit.is_set && answer->limit == DP_RESPONSE_LIMIT_NONE && answer->is_authentic
-         && answer->status >= 200 && answer->status < 300
-         && request->sent_at > row->limit.changed_at;
+  return stated == DP_RESPONSE_NUMBER_NONE && answer->is_authentic && answer->status >= 200
+         && answer->status < 300 && request->sent_at > known_since;
 }
 
 static void
@@ -100,27 +143,69 @@
   return message;
 }
 
-void
-dp_target_limits_on_response (const DpNodeRequest *request)
+static gboolean
+apply_limit (const DpNodeRequest *request, const DpDirectoryRow *row)
 {
-  DpNode *node = request->node;
   const DpTargetResponse *answer = &request->answer;
-  const DpDirectoryRow *row = dp_directory_find (node->directory, request->target);
-  if (answer->limit == DP_RESPONSE_LIMIT_INVALID)
-    {
-      dp_counters_add (node->counters, "dogwoodplank_invalid_limits_total", NULL, NULL, 1);
-      dp_log (DP_LOG_INFO, "target_limit_ignored", "request", request->id, "target",
-              request->target_text, "reason", "not a decimal number", NULL);
-    }
-  gboolean is_stated = answer->limit == DP_RESPONSE_LIMIT_STATED;
-  if (row == NULL || (!is_stated && !is_unlimited (request, row)))
-    return;
+  gboolean is_stated = answer->limit == DP_RESPONSE_NUMBER_STATED;
+  if (!is_stated
+      && !(row->limit.is_set && shows_end (request, answer->limit, row->limit.changed_at)))
+    return FALSE;
   const DpLimitReport report = { .target = request->target,
                                  .started = row->record.started,
                                  .is_set = is_stated,
                                  .per_second = round (answer->limit_per_second * MILLI) / MILLI,
                                  .observed_at = dp_node_now () };
-  if (!record (node, &report, "target response"))
+  return record (request->node, &report, "target response");
+}
+
+static gboolean
+apply_brittle (const DpNodeRequest *request, const DpDirectoryRow *row)
+{
+  const DpTargetResponse *answer = &request->answer;
+  gboolean is_stated = answer->brittle == DP_RESPONSE_NUMBER_STATED;
+  if (!is_stated
+      && !(row->brittle.is_set
+           && shows_end (request, answer->brittle, row->brittle.changed_at)))
+    return FALSE;
+  const DpBrittleReport report = { .target = request->target,
+                                   .started = row->record.started,
+                                   .is_set = is_stated,
+                                   .rejections_max = answer->rejections_max,
+                                   .observed_at = dp_node_now () };
+  return record_brittle (request->node, &report, "target response");
+}
+
+static void
+reject_invalid (const DpNodeRequest *request, DpResponseNumber stated, const char *reason)
+{
+  if (stated != DP_RESPONSE_NUMBER_INVALID)
+    return;
+  dp_counters_add (request->node->counters, "dogwoodplank_invalid_limits_total", NULL, NULL, 1);
+  dp_log (DP_LOG_INFO, "target_limit_ignored", "request", request->id, "target",
+          request->target_text, "reason", reason, NULL);
+}
+
+static void
+count_rejection (const DpNodeRequest *request, const DpDirectoryRow *row)
+{
+  if (row->brittle.is_set && request->answer.is_declined)
+    dp_counters_add (request->node->counters, "dogwoodplank_brittle_rejections_total", NULL,
+                     NULL, 1);
+}
+
+void
+dp_target_limits_on_response (const DpNodeRequest *request)
+{
+  DpNode *node = request->node;
+  const DpDirectoryRow *row = dp_directory_find (node->directory, request->target);
+  reject_invalid (request, request->answer.limit, "not a decimal number");
+  reject_invalid (request, request->answer.brittle, "not a whole number of rejections");
+  if (row == NULL)
+    return;
+  count_rejection (request, row);
+  gboolean has_changed = apply_limit (request, row);
+  if (!apply_brittle (request, row) && !has_changed)
     return;
   dp_placement_set_targets (node);
   const DpMessage message = make_report (node, row);
--- a/standins/target.c
+++ b/standins/target.c
@@ -41,6 +41,10 @@
   gint64 leaving;      /* 1: responses have Server-Leaving */
   gint64 retry_after;  /* Retry-After in seconds of refused requests */
   char *limit;         /* Server-Limit of responses */
+  char *brittle;       /* Server-Brittle of responses; with more rejections a second, crashes */
+  gint64 slots;        /* requests run at a time; others wait or are rejected; off: no limit */
+  gint64 queue;        /* requests that wait for a slot; off: none */
+  gint64 down_ms;      /* time until it is back after it has crashed for rejections */
   char *crash_part;    /* crashes on requests with this part, unless it is the prompt's last */
 } TargetFaults;
 
@@ -55,9 +59,14 @@
 {
   struct event_base *base;
   const char *id;
-  GHashTable *runs;  /* Request-Id -> number of runs */
-  GHashTable *open;  /* Run: not answered yet */
-  GString *arrivals; /* a line per request: monotonic milliseconds and Request-Id */
+  GHashTable *runs; /* Request-Id -> number of runs */
+  GHashTable *open; /* Run: not answered yet */
+  GQueue waiting;   /* Run: of these, without a slot */
+  StandinServer *server;
+  struct event *restart_timer;
+  GArray *rejections; /* monotonic time of each, in microseconds */
+  guint falls;        /* crashes for rejections */
+  GString *arrivals;  /* a line per request: monotonic milliseconds and Request-Id */
   guint total;
   guint declined;
   guint crashes;
@@ -83,6 +92,10 @@
   { "leaving", .number = &target.faults.leaving },
   { "retry_after", .number = &target.faults.retry_after },
   { "limit", .text = &target.faults.limit },
+  { "brittle", .text = &target.faults.brittle },
+  { "slots", .number = &target.faults.slots },
+  { "queue", .number = &target.faults.queue },
+  { "down_ms", .number = &target.faults.down_ms },
   { "crash_part", .text = &target.faults.crash_part },
 };
 
@@ -100,6 +113,8 @@
     add_header (req, "Server-Leaving", "1");
   if (target.faults.limit != NULL)
     add_header (req, "Server-Limit", target.faults.limit);
+  if (target.faults.brittle != NULL)
+    add_header (req, "Server-Brittle", target.faults.brittle);
 }
 
 /* Adds the headers that show that the request ran: its id and a signature. */
@@ -185,12 +200,29 @@
 
 /* --- streams --- */
 
+static void start_run (Run *run);
+
+static guint
+count_running (void)
+{
+  return g_hash_table_size (target.open) - target.waiting.length;
+}
+
+static gboolean
+has_slot (void)
+{
+  return target.faults.slots == FAULT_OFF || count_running () < target.faults.slots;
+}
+
 static void
 run_free (Run *run)
 {
   g_hash_table_remove (target.open, run);
+  g_queue_remove (&target.waiting, run);
   event_free (run->timer);
   g_free (run);
+  if (target.waiting.length > 0 && has_slot ())
+    start_run (g_queue_pop_head (&target.waiting));
 }
 
 static void
@@ -318,6 +350,7 @@
 crash (struct evhttp_request *req)
 {
   target.crashes++;
+  g_queue_clear (&target.waiting);
   GList *runs = g_hash_table_get_keys (target.open);
   for (GList *at = runs; at != NULL; at = at->next)
     {
@@ -339,6 +372,52 @@
                           g_get_monotonic_time () / 1000, id != NULL ? id : "");
 }
 
+/* --- slots --- */
+
+static void
+on_restart_timer (evutil_socket_t fd, short what, void *data)
+{
+  standin_server_refuse (target.server, FALSE);
+}
+
+/* Rejects the request for lack of room; crashes if it is one too many. */
+static void
+reject (struct evhttp_request *req)
+{
+  gint64 now = g_get_monotonic_time ();
+  g_array_append_val (target.rejections, now);
+  while (g_array_index (target.rejections, gint64, 0) <= now - G_USEC_PER_SEC)
+    g_array_remove_index (target.rejections, 0);
+  if (target.faults.brittle == NULL
+      || target.rejections->len <= strtoul (target.faults.brittle, NULL, 10))
+    {
+      decline (req, 503);
+      return;
+    }
+  target.declined++;
+  target.falls++;
+  g_array_set_size (target.rejections, 0);
+  standin_server_refuse (target.server, TRUE);
+  crash (req);
+  gint64 down = MAX (target.faults.down_ms, 0);
+  const struct timeval time = { .tv_sec = down / 1000, .tv_usec = down % 1000 * 1000 };
+  event_add (target.restart_timer, &time);
+}
+
+static gboolean
+is_full (void)
+{
+  return !has_slot () && target.waiting.length >= MAX (target.faults.queue, 0);
+}
+
+static void
+start_run (Run *run)
+{
+  gint64 wait = MAX (target.faults.wait_ms, 0);
+  const struct timeval time = { .tv_sec = wait / 1000, .tv_usec = wait % 1000 * 1000 };
+  event_add (run->timer, &time);
+}
+
 static void
 on_request (struct evhttp_request *req, gpointer data)
 {
@@ -359,6 +438,11 @@
       decline (req, 503);
       return;
     }
+  if (is_full ())
+    {
+      reject (req);
+      return;
+    }
   record_run (req);
   if (crashes_on (req))
     {
@@ -372,10 +456,12 @@
   if (standin_request_header (req, "Token-Count") != NULL)
     run->next = resume != NULL ? atoi (resume) + 1 : 1;
   run->timer = evtimer_new (target.base, on_run_timer, run);
-  gint64 wait = MAX (target.faults.wait_ms, 0);
-  const struct timeval time = { .tv_sec = wait / 1000, .tv_usec = wait % 1000 * 1000 };
-  event_add (run->timer, &time);
   standin_watch_close (req, on_run_closed, run);
+  /* The run itself is among the open ones already. */
+  if (target.faults.slots == FAULT_OFF || count_running () <= target.faults.slots)
+    start_run (run);
+  else
+    g_queue_push_tail (&target.waiting, run);
 }
 
 /* --- control --- */
@@ -389,9 +475,10 @@
   g_hash_table_iter_init (&iter, target.runs);
   while (g_hash_table_iter_next (&iter, NULL, &count))
     max_runs = MAX (max_runs, GPOINTER_TO_UINT (count));
-  char text[96];
-  g_snprintf (text, sizeof text, "{\"runs\":%u,\"most\":%u,\"declined\":%u,\"crashes\":%u}\n",
-              target.total, max_runs, target.declined, target.crashes);
+  char text[128];
+  g_snprintf (text, sizeof text,
+              "{\"runs\":%u,\"most\":%u,\"declined\":%u,\"crashes\":%u,\"falls\":%u}\n",
+              target.total, max_runs, target.declined, target.crashes, target.falls);
   standin_reply (req, 200, "application/json", text);
 }
 
@@ -438,6 +525,8 @@
   target.runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   target.arrivals = g_string_new (NULL);
   target.open = g_hash_table_new (NULL, NULL);
+  target.rejections = g_array_new (FALSE, FALSE, sizeof (gint64));
+  target.restart_timer = evtimer_new (target.base, on_restart_timer, NULL);
   target.fault_table
     = (FaultTable){ .switches = fault_switches, .count = G_N_ELEMENTS (fault_switches) };
   fault_clear (&target.fault_table);
@@ -448,7 +537,8 @@
                                          .body_max = BODY_MAX,
                                          .handle = on_request,
                                          .control = on_control_request };
-  if (standin_server_new (&options) == NULL)
+  target.server = standin_server_new (&options);
+  if (target.server == NULL)
     return EXIT_FAILURE;
   standin_run (target.base);
   g_free (address);
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -168,9 +168,13 @@
       message.target_leaving = (DpTargetLeaving){ 1, 2, 3 };
       break;
     case DP_MESSAGE_TARGET_LIMITS:
-      message.target_limits = (DpTargetLimits){
-        1, TRUE, 2, { { 1, 2, TRUE, 3, 4, TRUE }, { 5, 6, FALSE, 0, 7, FALSE } }
-      };
+      message.target_limits
+        = (DpTargetLimits){ 1,
+                            TRUE,
+                            3,
+                            { { 1, 2, TRUE, 3, 4, TRUE, FALSE, FALSE, 0, 0 },
+                              { 5, 6, FALSE, 0, 7, FALSE, TRUE, TRUE, 8, 9 },
+                              { 5, 6, FALSE, 0, 7, FALSE, TRUE, FALSE, 0, 9 } } };
       break;
     case DP_MESSAGE_TARGET_SENT:
       message.target_sent = (DpTargetSent){ 1, 2, 3, 3, { 4, 5, 6 } };
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -260,6 +260,42 @@
 }
 END_TEST
 
+typedef struct StatedBrittleCase
+{
+  const char *value;
+  gboolean is_valid;
+} StatedBrittleCase;
+
+static const StatedBrittleCase stated_brittle_cases[] = {
+  { "7", TRUE },    { "0", TRUE },  { "-1", FALSE },
+  { "1.5", FALSE }, { "x", FALSE }, { "99999999999999999999", FALSE },
+};
+
+#define BRITTLE "dogwoodplank_brittle_targets"
+
+START_TEST (the_rejections_of_a_brittle_target_are_a_whole_number)
+{
+  const StatedBrittleCase *row = &stated_brittle_cases[_i];
+  Cluster *cluster = cluster_start (build);
+  char *fault = g_strdup_printf ("{\"brittle\":\"%s\"}", row->value);
+  for (guint i = 0; i < TARGETS; i++)
+    set_fault (cluster, cluster->target_control[i], fault);
+  ck_assert_int_eq (get_status (cluster, 0, "/look/1"), 200);
+  /* One brittle target speaks for its pool. */
+  ck_assert_msg (wait_for_number (cluster->address[0], cluster->operator_port, "/metrics",
+                                  row->is_valid ? BRITTLE : INVALID,
+                                  row->is_valid ? TARGETS : 1, WAIT),
+                 "%s", row->value);
+  char *metrics = http_exchange ("GET", cluster->address[0], cluster->operator_port, "/metrics",
+                                 NULL, NULL, NULL);
+  ck_assert_msg (find_number (metrics, row->is_valid ? INVALID : BRITTLE) <= 0, "%s",
+                 row->value);
+  g_free (metrics);
+  g_free (fault);
+  cluster_free (cluster);
+}
+END_TEST
+
 START_TEST (a_limit_ends_with_a_success_only)
 {
   Cluster *cluster = cluster_start (build);
@@ -931,6 +967,8 @@
   tcase_add_test (tests, statement_of_another_target_is_ignored);
   tcase_add_loop_test (tests, a_limit_is_a_decimal_number, 0,
                        G_N_ELEMENTS (stated_limit_cases));
+  tcase_add_loop_test (tests, the_rejections_of_a_brittle_target_are_a_whole_number, 0,
+                       G_N_ELEMENTS (stated_brittle_cases));
   tcase_add_test (tests, a_limit_ends_with_a_success_only);
   tcase_add_test (tests, requests_without_route_or_key_are_refused);
   tcase_add_test (tests, ambiguous_requests_reach_no_target);
--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -387,6 +387,137 @@
 }
 END_TEST
 
+/* --- brittle targets --- */
+
+typedef enum BrittleEventType
+{
+  BRITTLE_END,
+  BRITTLE_STATED,
+  BRITTLE_OVER,   /* a response without a statement */
+  BRITTLE_LISTED, /* as a new incarnation */
+  BRITTLE_REMOVED,
+} BrittleEventType;
+
+typedef struct BrittleEvent
+{
+  BrittleEventType type;
+  const char *target;
+  guint rejections_max;
+  DpUsec observed_at;
+  gboolean is_no_change;
+} BrittleEvent;
+
+typedef struct BrittleCase
+{
+  const char *name;
+  BrittleEvent events[5]; /* after the listing of targets t and u of one pool */
+  int t;                  /* rejections_max afterwards; -1: not brittle, -2: no such target */
+  int u;
+} BrittleCase;
+
+static const BrittleCase brittle_cases[] = {
+  { "the first brittle target speaks for its pool", { { BRITTLE_STATED, "t", 3, SEC } }, 3, 3 },
+  { "one that accepts no rejection", { { BRITTLE_STATED, "t", 0, SEC } }, 0, 0 },
+  { "stated again",
+    { { BRITTLE_STATED, "t", 3, SEC }, { BRITTLE_STATED, "t", 3, 2 * SEC, TRUE } },
+    3,
+    3 },
+  { "changed", { { BRITTLE_STATED, "t", 3, SEC }, { BRITTLE_STATED, "t", 5, 2 * SEC } }, 5, 3 },
+  { "over at one",
+    { { BRITTLE_STATED, "t", 3, SEC }, { BRITTLE_OVER, "u", 0, 2 * SEC } },
+    3,
+    -1 },
+  { "stated again after it was over at another",
+    { { BRITTLE_STATED, "t", 3, SEC },
+      { BRITTLE_OVER, "u", 0, 2 * SEC },
+      { BRITTLE_STATED, "t", 3, 3 * SEC, TRUE } },
+    3,
+    -1 },
+  { "an older end arrives late",
+    { { BRITTLE_STATED, "t", 3, 2 * SEC }, { BRITTLE_OVER, "t", 0, SEC, TRUE } },
+    3,
+    3 },
+  { "an older statement arrives late",
+    { { BRITTLE_STATED, "t", 3, SEC },
+      { BRITTLE_OVER, "t", 0, 3 * SEC },
+      { BRITTLE_STATED, "t", 3, 2 * SEC, TRUE } },
+    -1,
+    3 },
+  { "a target is back after a fall",
+    { { BRITTLE_STATED, "t", 3, SEC }, { BRITTLE_LISTED, "t" } },
+    3,
+    3 },
+  { "both are back after falls, which nobody saw between",
+    { { BRITTLE_STATED, "t", 3, SEC },
+      { BRITTLE_REMOVED, "t" },
+      { BRITTLE_REMOVED, "u" },
+      { BRITTLE_LISTED, "t" },
+      { BRITTLE_LISTED, "u" } },
+    3,
+    3 },
+  { "a target that starts after the end",
+    { { BRITTLE_STATED, "t", 3, SEC },
+      { BRITTLE_OVER, "t", 0, 2 * SEC },
+      { BRITTLE_OVER, "u", 0, 2 * SEC },
+      { BRITTLE_LISTED, "t" } },
+    -1,
+    -1 },
+  { "removed", { { BRITTLE_STATED, "t", 3, SEC }, { BRITTLE_REMOVED, "u" } }, 3, -2 },
+};
+
+static void
+put_incarnation (DpDirectory *directory, const char *target, guint64 started)
+{
+  DpTargetRecord record = { .pool = "pool", .started = started };
+  g_strlcpy (record.id, target, sizeof record.id);
+  dp_directory_put (directory, &record);
+}
+
+static void
+apply_brittle_event (DpDirectory *directory, const BrittleCase *row, const BrittleEvent *event)
+{
+  static guint64 started = 10;
+  const DpDirectoryRow *target = dp_directory_find (directory, dp_name (event->target));
+  const DpBrittleReport report = { .target = dp_name (event->target),
+                                   .started = target != NULL ? target->record.started : 0,
+                                   .is_set = event->type == BRITTLE_STATED,
+                                   .rejections_max = event->rejections_max,
+                                   .observed_at = event->observed_at };
+  if (event->type == BRITTLE_LISTED)
+    put_incarnation (directory, event->target, ++started);
+  else if (event->type == BRITTLE_REMOVED)
+    dp_directory_remove (directory, dp_name (event->target), START);
+  else
+    ck_assert_msg (dp_directory_record_brittle (directory, &report, START)
+                     == !event->is_no_change,
+                   "%s", row->name);
+}
+
+static int
+rejections_max_of (const DpDirectory *directory, const char *target)
+{
+  const DpDirectoryRow *row = dp_directory_find (directory, dp_name (target));
+  if (row == NULL)
+    return -2;
+  return row->brittle.is_set ? (int)row->brittle.rejections_max : -1;
+}
+
+START_TEST (the_latest_response_determines_whether_a_target_is_brittle)
+{
+  const BrittleCase *row = &brittle_cases[_i];
+  DpDirectory *directory = dp_directory_new ();
+  put_incarnation (directory, "t", 5);
+  put_incarnation (directory, "u", 5);
+  for (guint i = 0; i < G_N_ELEMENTS (row->events) && row->events[i].type != BRITTLE_END; i++)
+    apply_brittle_event (directory, row, &row->events[i]);
+  ck_assert_msg (rejections_max_of (directory, "t") == row->t
+                   && rejections_max_of (directory, "u") == row->u,
+                 "%s: %d, %d", row->name, rejections_max_of (directory, "t"),
+                 rejections_max_of (directory, "u"));
+  dp_directory_free (directory);
+}
+END_TEST
+
 START_TEST (a_targets_own_report_overrides_its_listing)
 {
   const TargetEventCase *row = &target_event_cases[_i];
@@ -870,6 +1001,8 @@
   tcase_add_test (tests, a_restored_store_removes_no_live_target);
   tcase_add_loop_test (tests, the_latest_response_determines_a_targets_limit, 0,
                        G_N_ELEMENTS (limit_cases));
+  tcase_add_loop_test (tests, the_latest_response_determines_whether_a_target_is_brittle, 0,
+                       G_N_ELEMENTS (brittle_cases));
   tcase_add_loop_test (tests, a_lapsed_target_is_dropped_in_time, 0,
                        G_N_ELEMENTS (lapse_cases));
   tcase_add_test (tests, all_vms_choose_the_same_owner);
