core, node: brittle targets get only what they can run

Cause: the rejections of targets were counted nowhere, for no VM. The owner of an engine pool assigns one request more than a target has slots, which is rejected if nothing may wait, and tries again after 30 ms; each VM places the requests of a plain service for itself, without any limit; a request that was given up or revoked freed its slot at once; owners that change or are two fill the same slots; a restarted target was taken for sound.

Change, next to the limits of targets and by their messages: the pool's owner gives a brittle target no more than its slots, and counts as running there what other owners assigned (VMs tell it), what was given up, and what was revoked until its VM says how it ended. After a rejection the target gets nothing until it completes a request or 250 ms have passed, and for 1.2 s no more is risked than half of what it survives. Plain services go through their owner meanwhile. Owners that hear each other divide the targets, one cut off from VMs uses its part of the slots, a new one asks all VMs first. Reports list requests at targets before those that wait: only 64 fit, and a new owner needs the former. GRANT_DONE says whether the target itself rejected the request; frames of older releases don't.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -51,6 +51,7 @@
   dispatcher->sessions = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   dispatcher->waiting = g_ptr_array_new ();
   dispatcher->links = dp_dispatch_links_new ();
+  dispatcher->other_owners = dp_dispatch_other_owners_new ();
   dp_latency_model_init (&dispatcher->latency_model);
   for (guint i = 0; i < DP_URGENCY_LEVELS; i++)
     dispatcher->slot_ms[i] = SLOT_TIME_INITIAL_MS;
@@ -70,6 +71,7 @@
   g_hash_table_unref (dispatcher->sessions);
   g_ptr_array_unref (dispatcher->waiting);
   g_array_unref (dispatcher->links);
+  g_array_unref (dispatcher->other_owners);
   dp_counters_unref (dispatcher->options.counters);
   g_free (dispatcher);
 }
@@ -284,7 +286,11 @@
                                              .group = dispatcher->options.pool,
                                              .reason = reason };
   count (dispatcher, "dogwoodplank_grants_revoked_total", reason);
-  dp_dispatch_remove_request (dispatcher, request);
+  /* A brittle target may go on with it until its entry says otherwise. */
+  const DpDispatchTarget *target = dp_table_get (dispatcher->targets, request->target);
+  request->was_revoked = TRUE;
+  if (target == NULL || target->brittle == NULL)
+    dp_dispatch_remove_request (dispatcher, request);
 }
 
 /* --- messages --- */
@@ -413,6 +419,8 @@
   else if (target != NULL && is_target_failure (done->reason)
            && !is_link_failure (dispatcher, request, target, done->reason))
     dp_dispatch_record_failure (dispatcher, target, done->reason);
+  if (target != NULL)
+    dp_dispatch_record_brittle_end (dispatcher, target, request, done);
   if (request == NULL)
     return;
   if (target != NULL && done->reason == DP_REASON_NONE)
@@ -453,7 +461,10 @@
       assign_waiting (dispatcher);
       break;
     case DP_MESSAGE_TARGET_LIMITS:
-      dp_dispatch_on_limit_report (dispatcher);
+      if (message->target_limits.is_owner)
+        dp_dispatch_on_other_owner (dispatcher, from, &message->target_limits);
+      else
+        dp_dispatch_on_limit_report (dispatcher);
       break;
     case DP_MESSAGE_TARGET_SENT:
       dp_dispatch_apply_sent (dispatcher, &message->target_sent);
@@ -500,6 +511,7 @@
 {
   DpHandle handle = target->self;
   dispatcher->limited -= target->limiter != NULL;
+  dispatcher->brittle -= target->brittle != NULL;
   g_hash_table_remove (dispatcher->target_by_name, &target->name);
   dp_table_remove (dispatcher->targets, handle);
 }
@@ -595,7 +607,8 @@
   DpDispatcherStatus status = { .targets = dp_table_count (dispatcher->targets),
                                 .waiting = dispatcher->waiting->len,
                                 .running = dispatcher->running,
-                                .limited = dispatcher->limited };
+                                .limited = dispatcher->limited,
+                                .brittle = dispatcher->brittle };
   for (DpHandle at = dp_table_next (dispatcher->targets, 0); at != 0;
        at = dp_table_next (dispatcher->targets, at))
     {
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -31,6 +31,7 @@
 
 typedef struct DpDispatcherOptions
 {
+  DpName self; /* this VM */
   DpName pool;
   guint64 seed;
   DpDispatchPolicy policy;
@@ -67,8 +68,9 @@
 /* Fraction of all VMs that this VM can reach, initially 1: its part of the targets' limits. */
 void dp_dispatcher_set_reach (DpDispatcher *dispatcher, double fraction);
 
-/* Handles GRANT_ASK, GRANT_PROGRESS, GRANT_DONE, GRANT_HELD, TARGET_LIMITS or TARGET_SENT from
- * VM `from`. The limits themselves come from the directory. Other types are ignored. */
+/* Handles GRANT_ASK, GRANT_PROGRESS, GRANT_DONE, GRANT_HELD, TARGET_LIMITS (reports, and
+ * announcements of other owners) or TARGET_SENT from VM `from`. The limits themselves come from
+ * the directory. Other types are ignored. */
 void dp_dispatcher_receive (
   DpDispatcher *dispatcher, DpName from, const DpMessage *message, DpUsec now, GArray *outbox);
 
@@ -84,6 +86,7 @@
   guint waiting;
   guint running;
   guint limited; /* targets with a limit */
+  guint brittle;
 } DpDispatcherStatus;
 
 DpDispatcherStatus dp_dispatcher_status (const DpDispatcher *dispatcher);
--- a/core/dispatcher_limits.c
+++ b/core/dispatcher_limits.c
@@ -1,7 +1,10 @@
-/* Limits that targets state for all VMs together. The pool's owner keeps them, since it assigns
- * all requests; see core/target_limiter.h. An owner that begins to do so asks all VMs for the
- * requests that they have sent. Then, it announces itself regularly, and VMs tell it of
- * requests that another owner has assigned. */
+/* Limits that targets state for all VMs together, and brittle targets. The pool's owner keeps
+ * them, since it assigns all requests; see core/target_limiter.h and core/brittle_target.h. An
+ * owner that begins to do so asks all VMs for the requests that they have sent. Then, it
+ * announces itself regularly, and VMs tell it of requests that another owner has assigned.
+ *
+ * While several owners announce themselves, each assigns to a part of the brittle targets only:
+ * at once, two would fill the same slots. */
 #include "core/dispatcher_private.h"
 
 #include <math.h>
@@ -10,8 +13,29 @@
 #define ANNOUNCE_INTERVAL (2 * DP_USEC_PER_SEC)
 /* The same after a VM has reported a limit: it may not know that this VM keeps it. */
 #define REPORTED_INTERVAL (100 * DP_USEC_PER_MSEC)
+/* While targets are brittle, messages without limits follow, so that owners soon learn of each
+ * other. */
+#define PRESENCE_INTERVAL (500 * DP_USEC_PER_MSEC)
+/* Another owner counts until this long after its last announcement. */
+#define OTHER_OWNER_AGE_MAX (1200 * DP_USEC_PER_MSEC)
+/* An owner that was not asked for this long has no requests to assign. */
+#define OWNER_IDLE_MAX (300 * DP_USEC_PER_MSEC)
+/* Requests that were given up count for this multiple of the average time in a slot. */
+#define ABANDONED_FACTOR 2
 #define MILLI 1000.0
 
+typedef struct OtherOwner
+{
+  DpName vm;
+  DpUsec heard_at;
+} OtherOwner;
+
+GArray *
+dp_dispatch_other_owners_new (void)
+{
+  return g_array_new (FALSE, FALSE, sizeof (OtherOwner));
+}
+
 /* TRUE if VMs lately used this dispatcher as the pool's owner. */
 static gboolean
 is_owner (const DpDispatcher *dispatcher)
@@ -20,6 +44,18 @@
          && dispatcher->now - dispatcher->asked_at < DP_LIMIT_WINDOW;
 }
 
+static DpMessage *
+send_announcement (DpDispatcher *dispatcher)
+{
+  DpMessage *message
+    = dp_dispatch_send (dispatcher, DP_DISPATCH_ALL_VMS, DP_MESSAGE_TARGET_LIMITS);
+  message->target_limits.pool = dispatcher->options.pool;
+  message->target_limits.is_owner = TRUE;
+  message->target_limits.idle = dispatcher->now - dispatcher->asked_at;
+  dispatcher->present_at = dispatcher->now;
+  return message;
+}
+
 static void
 append_row (DpDispatcher *dispatcher,
             DpMessage **message,
@@ -27,11 +63,7 @@
             gboolean is_query)
 {
   if (*message == NULL || (*message)->target_limits.count == DP_LIMIT_ROWS_MAX)
-    {
-      *message = dp_dispatch_send (dispatcher, DP_DISPATCH_ALL_VMS, DP_MESSAGE_TARGET_LIMITS);
-      (*message)->target_limits.pool = dispatcher->options.pool;
-      (*message)->target_limits.is_owner = TRUE;
-    }
+    *message = send_announcement (dispatcher);
   DpTargetLimits *limits = &(*message)->target_limits;
   limits->rows[limits->count++] = (DpLimitRow){
     .target = target->name,
@@ -39,11 +71,31 @@
     .is_set = target->limiter != NULL,
     .milli
     = target->limiter != NULL ? (guint64)llround (target->limiter->per_second * MILLI) : 0,
-    .age = MAX (dispatcher->now - target->limit_observed_at, 0),
+    .age = target->limit_observed_at != 0 ? MAX (dispatcher->now - target->limit_observed_at, 0)
+                                          : DP_LIMIT_AGE_NONE,
     .is_query = is_query,
+    .has_brittle = target->brittle_observed_at != 0,
+    .is_brittle = target->brittle != NULL,
+    .rejections_max = target->rejections_max,
+    .brittle_age = MAX (dispatcher->now - target->brittle_observed_at, 0),
   };
 }
 
+/* Begins to collect what VMs have sent to the target. Returns TRUE if they have to be asked. */
+static gboolean
+collect (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
+{
+  gboolean for_limit
+    = target->limiter != NULL && dp_target_limiter_is_unprepared (target->limiter);
+  gboolean for_brittle
+    = target->brittle != NULL && dp_brittle_target_is_unprepared (target->brittle);
+  if (for_limit)
+    dp_target_limiter_collect (target->limiter, dispatcher->now);
+  if (for_brittle)
+    dp_brittle_target_collect (target->brittle, dispatcher->now);
+  return for_limit || for_brittle;
+}
+
 /* Announces the limits that are new here or have ended, and all of them if `all`. */
 static void
 announce (DpDispatcher *dispatcher, gboolean all)
@@ -53,17 +105,35 @@
        at = dp_table_next (dispatcher->targets, at))
     {
       DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
-      DpTargetLimiter *limiter = target->limiter;
-      gboolean is_query = limiter != NULL && dp_target_limiter_is_unprepared (limiter);
-      if (!is_query && !target->has_limit_news && !(all && limiter != NULL))
+      gboolean is_kept = target->limiter != NULL || target->brittle != NULL;
+      gboolean is_query = collect (dispatcher, target);
+      if (!is_query && !target->has_limit_news && !(all && is_kept))
         continue;
-      if (is_query)
-        dp_target_limiter_collect (limiter, dispatcher->now);
       target->has_limit_news = FALSE;
       append_row (dispatcher, &message, target, is_query);
     }
 }
 
+static void
+set_brittle (DpDispatcher *dispatcher, DpDispatchTarget *target, const DpDirectoryRow *row)
+{
+  const DpTargetBrittleness *brittle = &row->brittle;
+  gboolean was_set = target->brittle != NULL;
+  gboolean has_started = target->started != row->record.started;
+  if (brittle->is_set && !was_set)
+    target->brittle = dp_brittle_target_new (dispatcher->now);
+  else if (!brittle->is_set)
+    g_clear_pointer (&target->brittle, dp_brittle_target_free);
+  if (target->brittle != NULL && has_started)
+    dp_brittle_target_open (target->brittle);
+  target->has_limit_news
+    |= brittle->is_set != was_set || target->rejections_max != brittle->rejections_max;
+  target->rejections_max = brittle->rejections_max;
+  target->brittle_observed_at = brittle->observed_at;
+  dispatcher->brittle += brittle->is_set;
+  dispatcher->brittle -= was_set;
+}
+
 void
 dp_dispatch_set_limit (DpDispatcher *dispatcher,
                        DpDispatchTarget *target,
@@ -71,6 +141,7 @@
 {
   const DpTargetLimit *limit = &row->limit;
   gboolean was_set = target->limiter != NULL;
+  set_brittle (dispatcher, target, row);
   target->started = row->record.started;
   target->limit_observed_at = limit->observed_at;
   if (limit->is_set && !was_set)
@@ -89,7 +160,7 @@
 {
   gboolean was_owner = is_owner (dispatcher);
   dispatcher->asked_at = dispatcher->now;
-  if (was_owner || dispatcher->limited == 0)
+  if (was_owner || dispatcher->limited + dispatcher->brittle == 0)
     return;
   for (DpHandle at = dp_table_next (dispatcher->targets, 0); at != 0;
        at = dp_table_next (dispatcher->targets, at))
@@ -97,6 +168,8 @@
       DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
       if (target->limiter != NULL)
         dp_target_limiter_reset (target->limiter, dispatcher->now);
+      if (target->brittle != NULL)
+        dp_brittle_target_reset (target->brittle);
     }
 }
 
@@ -113,14 +186,16 @@
   if (!is_owner (dispatcher))
     return;
   DpUsec interval = dispatcher->was_limit_reported ? REPORTED_INTERVAL : ANNOUNCE_INTERVAL;
-  gboolean is_due
-    = dispatcher->limited > 0 && dispatcher->now - dispatcher->announced_at >= interval;
+  gboolean is_due = dispatcher->limited + dispatcher->brittle > 0
+                    && dispatcher->now - dispatcher->announced_at >= interval;
   if (is_due)
     {
       dispatcher->announced_at = dispatcher->now;
       dispatcher->was_limit_reported = FALSE;
     }
   announce (dispatcher, is_due);
+  if (dispatcher->brittle > 0 && dispatcher->now - dispatcher->present_at >= PRESENCE_INTERVAL)
+    send_announcement (dispatcher);
 }
 
 void
@@ -141,3 +216,121 @@
   return target->limiter == NULL
          || dp_target_limiter_may_send (target->limiter, dispatcher->reach, dispatcher->now);
 }
+
+/* --- other owners --- */
+
+static void
+forget_other_owner (DpDispatcher *dispatcher, DpName vm)
+{
+  for (guint i = dispatcher->other_owners->len; i > 0; i--)
+    {
+      const OtherOwner *other = &g_array_index (dispatcher->other_owners, OtherOwner, i - 1);
+      if (other->vm == vm || dispatcher->now - other->heard_at > OTHER_OWNER_AGE_MAX)
+        g_array_remove_index_fast (dispatcher->other_owners, i - 1);
+    }
+}
+
+void
+dp_dispatch_on_other_owner (DpDispatcher *dispatcher, DpName vm, const DpTargetLimits *limits)
+{
+  forget_other_owner (dispatcher, vm);
+  const OtherOwner other = { .vm = vm, .heard_at = dispatcher->now };
+  if (limits->idle <= OWNER_IDLE_MAX)
+    g_array_append_val (dispatcher->other_owners, other);
+  /* It has just begun, and must not wait for the next announcement to know of this one. */
+  for (guint i = 0; i < MIN (limits->count, DP_LIMIT_ROWS_MAX); i++)
+    if (limits->rows[i].is_query)
+      dispatcher->present_at = 0;
+}
+
+/* TRUE if no other owner assigns requests to the target. */
+static gboolean
+is_assigned_here (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
+{
+  DpName own = dp_name_pair (target->name, dispatcher->options.self);
+  for (guint i = 0; i < dispatcher->other_owners->len; i++)
+    {
+      const OtherOwner *other = &g_array_index (dispatcher->other_owners, OtherOwner, i);
+      if (dispatcher->now - other->heard_at <= OTHER_OWNER_AGE_MAX
+          && dp_name_pair (target->name, other->vm) > own)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* --- brittle targets --- */
+
+/* The part of the slots that corresponds to the VMs that this one reaches. The parts of two
+ * owners that don't reach each other are never more than all slots. */
+static guint
+reachable_slots (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
+{
+  double slots = ceil (target->slots * dispatcher->reach - 0.5);
+  return slots > 1 ? (guint)slots : 1;
+}
+
+guint
+dp_dispatch_brittle_capacity (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
+{
+  if (target->brittle == NULL)
+    return G_MAXUINT;
+  if (!is_assigned_here (dispatcher, target))
+    return 0;
+  DpBrittleLoad load = { .rejections_max = target->rejections_max,
+                         .slots = reachable_slots (dispatcher, target),
+                         .assigned = target->requests->len };
+  for (guint i = 0; i < target->requests->len; i++)
+    load.unstarted
+      += !((const DpDispatchRequest *)g_ptr_array_index (target->requests, i))->started;
+  return dp_brittle_target_capacity (target->brittle, &load, dispatcher->now);
+}
+
+/* TRUE if the target may still run a request that ended for this reason. */
+static gboolean
+may_run_on (DpReason reason)
+{
+  switch (reason)
+    {
+    case DP_REASON_CALLER_GONE:
+    case DP_REASON_DEADLINE_PASSED:
+    case DP_REASON_TARGET_SILENT:
+    case DP_REASON_TARGET_BROKE:
+    case DP_REASON_ANSWER_INCOMPLETE:
+      return TRUE;
+    default:
+      return FALSE;
+    }
+}
+
+/* The target may still run the request, which was given up. */
+static void
+record_abandoned (const DpDispatcher *dispatcher,
+                  const DpDispatchTarget *target,
+                  const DpDispatchRequest *request)
+{
+  DpUsec slot_time
+    = (DpUsec)(dispatcher->slot_ms[request->ask.urgency] * (double)DP_USEC_PER_MSEC);
+  DpUsec until
+    = MAX (request->granted_at + ABANDONED_FACTOR * slot_time, dispatcher->now + slot_time);
+  /* Targets end what runs at its deadline. */
+  if (request->deadline > 0)
+    until = MIN (until, request->deadline);
+  dp_brittle_target_record_abandoned (target->brittle, until);
+}
+
+void
+dp_dispatch_record_brittle_end (DpDispatcher *dispatcher,
+                                const DpDispatchTarget *target,
+                                const DpDispatchRequest *request,
+                                const DpGrantDone *done)
+{
+  if (target->brittle == NULL)
+    return;
+  if (done->is_rejection)
+    dp_brittle_target_record_rejection (target->brittle, dispatcher->now);
+  else if (done->reason == DP_REASON_NONE || done->reason == DP_REASON_TARGET_ERROR)
+    dp_brittle_target_record_end (target->brittle);
+  else if (request != NULL && request->state == DP_DISPATCH_REQUEST_RUNNING
+           && may_run_on (done->reason))
+    record_abandoned (dispatcher, target, request);
+}
--- a/core/dispatcher_private.h
+++ b/core/dispatcher_private.h
@@ -1,6 +1,7 @@
 /* Internal state of the dispatcher, shared by core/dispatcher*.c. */
 #pragma once
 
+#include "core/brittle_target.h"
 #include "core/dispatcher.h"
 #include "core/latency_model.h"
 #include "core/target_limiter.h"
@@ -31,8 +32,11 @@
   DpTargetLimiter *limiter; /* NULL: the target has stated no limit */
   guint64 started;          /* Unix milliseconds, identifies the incarnation */
   DpUsec limit_observed_at; /* time of the latest response about the limit */
-  gboolean has_limit_news;  /* a limit was set or has ended, and was not announced yet */
-  guint64 skipped_round;    /* last assign_round in which no waiting request could use it */
+  DpBrittleTarget *brittle; /* NULL: the target is not brittle */
+  guint rejections_max;     /* if brittle */
+  DpUsec brittle_observed_at;
+  gboolean has_limit_news; /* one of these has changed, and was not announced yet */
+  guint64 skipped_round;   /* last assign_round in which no waiting request could use it */
 } DpDispatchTarget;
 
 typedef enum DpDispatchRequestState
@@ -58,6 +62,7 @@
   DpUsec expected_first_event; /* after granted_at */
   gboolean started;            /* first event received */
   gboolean was_adopted;        /* known only from an entry's report */
+  gboolean was_revoked;        /* the entry was told to end it */
 };
 
 typedef struct DpDispatchEntry
@@ -94,10 +99,13 @@
   guint waiting_by_urgency[DP_URGENCY_LEVELS];
   guint running;
   guint limited;               /* number of targets with a limit */
+  guint brittle;               /* number of brittle targets */
+  GArray *other_owners;        /* lately heard, see dispatcher_limits.c */
   double reach;                /* see dp_dispatcher_set_reach() */
   DpUsec asked_at;             /* last use as the owner of a shared pool */
   DpUsec announced_at;         /* last announcement of all limits */
   gboolean was_limit_reported; /* since then */
+  DpUsec present_at;           /* last announcement, also of none */
   guint64 random;              /* state of the random number generator */
 };
 
@@ -143,6 +151,9 @@
 void dp_dispatch_set_limit (DpDispatcher *dispatcher,
                             DpDispatchTarget *target,
                             const DpDirectoryRow *row);
+/* Another VM has announced that it assigns requests to the pool's targets. */
+void
+dp_dispatch_on_other_owner (DpDispatcher *dispatcher, DpName vm, const DpTargetLimits *limits);
 /* A VM uses this dispatcher as the pool's owner. */
 void dp_dispatch_record_use_as_owner (DpDispatcher *dispatcher);
 /* A VM has reported a limit to this VM as the pool's owner. */
@@ -152,6 +163,16 @@
 void dp_dispatch_apply_sent (DpDispatcher *dispatcher, const DpTargetSent *sent);
 gboolean dp_dispatch_limit_allows (const DpDispatcher *dispatcher,
                                    const DpDispatchTarget *target);
+GArray *dp_dispatch_other_owners_new (void);
+/* Number of additional requests that a brittle target surely runs; G_MAXUINT for others. */
+guint dp_dispatch_brittle_capacity (const DpDispatcher *dispatcher,
+                                    const DpDispatchTarget *target);
+/* Updates a brittle target after one of its requests has ended; `request` is NULL if it is not
+ * known any more. */
+void dp_dispatch_record_brittle_end (DpDispatcher *dispatcher,
+                                     const DpDispatchTarget *target,
+                                     const DpDispatchRequest *request,
+                                     const DpGrantDone *done);
 
 /* --- dispatcher_links.c: reachability between data centres --- */
 
@@ -211,5 +232,5 @@
 
 /* Appends a message to the outbox, for the caller to fill in. */
 DpMessage *dp_dispatch_send (DpDispatcher *dispatcher, DpName to, DpMessageType type);
-/* Revokes a running request's grant and removes the request. */
+/* Revokes a running request's grant. Removes the request unless its target is brittle. */
 void dp_dispatch_revoke (DpDispatcher *dispatcher, DpDispatchRequest *request, DpReason reason);
--- a/core/dispatcher_targets.c
+++ b/core/dispatcher_targets.c
@@ -34,6 +34,7 @@
   DpDispatchTarget *target = row;
   g_clear_pointer (&target->requests, g_ptr_array_unref);
   g_clear_pointer (&target->limiter, g_free);
+  g_clear_pointer (&target->brittle, dp_brittle_target_free);
 }
 
 gboolean
@@ -54,7 +55,8 @@
     return 0;
   if (target->is_suspect || target->failure_rate > FAILURE_RATE_MAX)
     window = 1;
-  return window > target->requests->len ? window - target->requests->len : 0;
+  guint capacity = window > target->requests->len ? window - target->requests->len : 0;
+  return MIN (capacity, dp_dispatch_brittle_capacity (dispatcher, target));
 }
 
 gboolean
@@ -106,8 +108,8 @@
   return total_cost;
 }
 
-/* Returns the less loaded of two random targets, regardless of their health. Limits are kept.
- */
+/* Returns the less loaded of two random targets, regardless of their health. Limits are kept,
+ * and brittle targets get no more than they can run. */
 static DpDispatchTarget *
 choose_of_two (DpDispatcher *dispatcher, const DpDispatchRequest *request)
 {
@@ -118,6 +120,7 @@
       DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
       if (dp_dispatch_is_accepting (dispatcher, target)
           && dp_dispatch_limit_allows (dispatcher, target)
+          && dp_dispatch_brittle_capacity (dispatcher, target) > 0
           && (request == NULL || dp_dispatch_may_use (dispatcher, &request->ask, target)))
         g_ptr_array_add (candidates, target);
     }
@@ -233,7 +236,7 @@
 static gboolean
 is_overdue (const DpDispatcher *dispatcher, const DpDispatchRequest *request)
 {
-  if (request->started || request->was_adopted)
+  if (request->started || request->was_adopted || request->was_revoked)
     return FALSE;
   return dispatcher->now - request->granted_at > dp_latency_model_overdue_after (
            &dispatcher->latency_model, request->expected_first_event);
--- a/core/limit_client.c
+++ b/core/limit_client.c
@@ -80,6 +80,18 @@
   return FALSE;
 }
 
+void
+dp_limit_client_other_keepers (
+  const DpLimitClient *client, DpName pool, DpName owner, DpUsec now, GArray *owners)
+{
+  for (guint i = 0; i < client->owners->len; i++)
+    {
+      const Owner *row = &g_array_index (client->owners, Owner, i);
+      if (row->pool == pool && row->vm != owner && now - row->announced_at <= DP_LIMIT_WINDOW)
+        g_array_append_val (owners, row->vm);
+    }
+}
+
 static void
 expire_sends (DpLimitClient *client, DpUsec now)
 {
@@ -104,13 +116,8 @@
   const Send row = { .target = send->target, .at = now };
   g_array_append_val (client->sends, row);
   expire_sends (client, now);
-  for (guint i = 0; send->is_limited && i < client->owners->len; i++)
-    {
-      const Owner *owner = &g_array_index (client->owners, Owner, i);
-      if (owner->pool == send->pool && owner->vm != send->assigned_by
-          && now - owner->announced_at <= DP_LIMIT_WINDOW)
-        g_array_append_val (owners, owner->vm);
-    }
+  if (send->is_limited)
+    dp_limit_client_other_keepers (client, send->pool, send->assigned_by, now, owners);
 }
 
 void
--- a/core/limit_client.h
+++ b/core/limit_client.h
@@ -28,6 +28,10 @@
 gboolean
 dp_limit_client_is_keeper (const DpLimitClient *client, DpName pool, DpName owner, DpUsec now);
 
+/* Appends the owners (DpName) other than `owner` that have announced themselves lately. */
+void dp_limit_client_other_keepers (
+  const DpLimitClient *client, DpName pool, DpName owner, DpUsec now, GArray *owners);
+
 typedef struct DpLimitSend
 {
   DpName pool;
--- a/core/message.h
+++ b/core/message.h
@@ -185,6 +185,7 @@
   DpUsec time_to_first_token; /* from dispatch; 0: no token */
   DpUsec duration;            /* from dispatch */
   DpUsec pause;               /* for which the target asked to get no requests */
+  gboolean is_rejection;      /* the target itself rejected the request */
 } DpGrantDone;
 
 /* A grant that an entry holds, or a pending grant request. */
@@ -462,6 +463,7 @@
 {
   DpName pool;
   gboolean is_owner; /* the sender assigns requests to the pool's targets */
+  DpUsec idle;       /* if so: time since it was last asked to assign one */
   guint count;
   DpLimitRow rows[DP_LIMIT_ROWS_MAX];
 } DpTargetLimits;
--- a/core/target_limiter.c
+++ b/core/target_limiter.c
@@ -4,8 +4,6 @@
 #define RATE_MIN 0.25
 /* Unused tokens are kept for this time, but always one. */
 #define BURST_DURATION (250 * DP_USEC_PER_MSEC)
-/* Enough for a round trip to all VMs. */
-#define COLLECT_DURATION (100 * DP_USEC_PER_MSEC)
 
 DpTargetLimiter *
 dp_target_limiter_new (double per_second, DpUsec now)
@@ -25,7 +23,7 @@
 void
 dp_target_limiter_collect (DpTargetLimiter *limiter, DpUsec now)
 {
-  limiter->opens_at = now + COLLECT_DURATION;
+  limiter->opens_at = now + DP_LIMIT_COLLECT_DURATION;
 }
 
 void
--- a/core/target_limiter.h
+++ b/core/target_limiter.h
@@ -12,6 +12,9 @@
  * limit is checked. */
 #define DP_LIMIT_WINDOW (5 * DP_USEC_PER_SEC)
 
+/* Enough for a round trip to all VMs. */
+#define DP_LIMIT_COLLECT_DURATION (100 * DP_USEC_PER_MSEC)
+
 typedef struct DpTargetLimiter
 {
   double per_second;
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -96,6 +96,7 @@
   USEC (8, DpMessage, grant_done.time_to_first_token),
   USEC (9, DpMessage, grant_done.duration),
   USEC (10, DpMessage, grant_done.pause),
+  FLAG (11, DpMessage, grant_done.is_rejection),
 };
 
 static const DpField held_grant_fields[] = {
@@ -350,6 +351,7 @@
                 target_limits.count,
                 DP_LIMIT_ROWS_MAX,
                 &limit_row_table),
+  USEC (4, DpMessage, target_limits.idle),
 };
 
 static const DpField target_sent_fields[] = {
--- a/node/main.c
+++ b/node/main.c
@@ -76,6 +76,7 @@
       json_object_object_add (object, "waiting", json_object_new_int64 (row.waiting));
       json_object_object_add (object, "running", json_object_new_int64 (row.running));
       json_object_object_add (object, "limited", json_object_new_int64 (row.limited));
+      json_object_object_add (object, "brittle", json_object_new_int64 (row.brittle));
       json_object_object_add (status, pool->text, object);
     }
 }
--- a/node/node.h
+++ b/node/node.h
@@ -101,10 +101,11 @@
   DpName name;
   char *text; /* the name as written in the config */
   DpPoolKind kind;
-  /* One VM owns dispatch for all: for pools of engines, and while a target has a limit.
-   * Otherwise each VM dispatches its own requests. */
+  /* One VM owns dispatch for all: for pools of engines, and while a target has a limit or is
+   * brittle. Otherwise each VM dispatches its own requests. */
   gboolean is_shared;
-  gboolean has_limits; /* a target has a limit */
+  gboolean has_limits; /* a target has a limit or is brittle */
+  gboolean is_brittle; /* a target is */
   DpDispatcher *dispatcher;
   DpName owner;       /* last chosen owner; 0: none yet */
   DpUsec reported_at; /* last report of held grants to the owner */
@@ -339,6 +340,11 @@
 void dp_placement_target_leaving (DpNode *node, DpName target);
 /* Sends a message about the pool to the VM that owns it, even if it is not shared yet. */
 void dp_placement_send_to_owner (DpNode *node, DpName pool, const DpMessage *message);
+/* Sends the owner all requests that this VM has sent to the pool's targets, whoever assigned
+ * them. */
+void dp_placement_report_sent (DpNode *node, DpName pool, DpName owner);
+/* The request is sent to its target. */
+void dp_placement_on_send (const DpNodeRequest *request);
 void dp_placement_on_message (DpNode *node, DpName from, const DpMessage *message);
 void dp_placement_tick (DpNode *node, DpUsec now, gboolean was_paused);
 void dp_placement_pool_free (gpointer data);
--- a/node/placement.c
+++ b/node/placement.c
@@ -53,7 +53,8 @@
   pool->kind = row->kind;
   pool->is_shared = row->kind == DP_POOL_ENGINES;
   const DpDispatcherOptions options
-    = { .pool = row->name,
+    = { .self = node->self,
+        .pool = row->name,
         .seed = node->random,
         .policy = pool->is_shared ? DP_DISPATCH_QUEUE : DP_DISPATCH_TWO_CHOICES,
         .is_shared = pool->is_shared,
@@ -86,21 +87,25 @@
   dp_placement_set_targets (node);
 }
 
-static gboolean
-has_limited_target (const DpNode *node, const DpNodePool *pool)
+static void
+set_pool_limits (const DpNode *node, DpNodePool *pool)
 {
+  pool->has_limits = FALSE;
+  pool->is_brittle = FALSE;
   DpHandle at = 0;
   const DpDirectoryRow *row;
   while ((row = dp_directory_next (node->directory, &at)) != NULL)
-    if (row->pool == pool->name && row->limit.is_set)
-      return TRUE;
-  return FALSE;
+    if (row->pool == pool->name)
+      {
+        pool->has_limits = pool->has_limits || row->limit.is_set || row->brittle.is_set;
+        pool->is_brittle = pool->is_brittle || row->brittle.is_set;
+      }
 }
 
 static void
 set_pool_targets (DpNode *node, DpNodePool *pool)
 {
-  pool->has_limits = has_limited_target (node, pool);
+  set_pool_limits (node, pool);
   pool->is_shared = pool->kind == DP_POOL_ENGINES || pool->has_limits;
   GArray *outbox = dp_dispatch_outbox_new ();
   /* While the targets are set, the pool is shared if it was or will be: an owner announces the
@@ -154,39 +159,97 @@
                        g_memdup2 (&request->self, sizeof (DpHandle)));
 }
 
-/* Sends the owner a list of the pool's requests that it places; an empty one if the VM has left
- * it for another owner. */
-static void
-send_report (DpNode *node, DpNodePool *pool, DpName owner, gboolean has_left)
+static DpMessage
+make_report (const DpNode *node, const DpNodePool *pool)
 {
   DpMessage message = { .type = DP_MESSAGE_GRANT_HELD };
-  DpGrantHeld *report = &message.grant_held;
-  report->group = pool->name;
-  report->incarnation = dp_process_incarnation (node->process);
-  report->last = TRUE;
-  report->has_left = has_left;
-  for (DpHandle at = dp_table_next (node->requests, 0); at != 0 && !has_left;
+  message.grant_held.group = pool->name;
+  message.grant_held.incarnation = dp_process_incarnation (node->process);
+  return message;
+}
+
+static void
+append_held (DpGrantHeld *report, const DpNodeRequest *request)
+{
+  report->held[report->count++]
+    = (DpHeldGrant){ .attempt = request->attempt,
+                     .target = request->stage == DP_STAGE_SENT ? request->target : 0,
+                     .started = request->first_byte_after > 0 };
+}
+
+/* Appends the pool's requests that were sent to a target, or those that were not, if the owner
+ * placed them (0: any owner). Returns FALSE if there are too many. */
+static gboolean
+append_requests (
+  DpNode *node, const DpNodePool *pool, DpName owner, gboolean is_sent, DpGrantHeld *report)
+{
+  for (DpHandle at = dp_table_next (node->requests, 0); at != 0;
        at = dp_table_next (node->requests, at))
     {
       const DpNodeRequest *request = dp_table_get (node->requests, at);
-      if (request->pool != pool || request->owner != owner || dp_id_is_none (request->attempt))
+      if (request->pool != pool || (owner != 0 && request->owner != owner)
+          || dp_id_is_none (request->attempt) || (request->stage == DP_STAGE_SENT) != is_sent)
         continue;
       if (report->count == DP_HELD_GRANTS_MAX)
-        {
-          /* The owner drops missing attempts only after a complete report. */
-          report->last = FALSE;
-          break;
-        }
-      report->held[report->count++]
-        = (DpHeldGrant){ .attempt = request->attempt,
-                         .target = request->stage == DP_STAGE_SENT ? request->target : 0,
-                         .started = request->first_byte_after > 0 };
+        return FALSE;
+      append_held (report, request);
     }
+  return TRUE;
+}
+
+/* Sends the owner a list of the pool's requests that it places; an empty one if the VM has left
+ * it for another owner. What runs at brittle targets counts for each owner, whoever placed it.
+ */
+static void
+send_report (DpNode *node, DpNodePool *pool, DpName owner, gboolean has_left)
+{
+  DpMessage message = make_report (node, pool);
+  DpGrantHeld *report = &message.grant_held;
+  report->has_left = has_left && !pool->is_brittle;
+  /* The owner drops missing attempts only after a complete report. */
+  report->last = report->has_left
+                 || (append_requests (node, pool, pool->is_brittle ? 0 : owner, TRUE, report)
+                     && append_requests (node, pool, owner, FALSE, report));
   pool->reported_at = dp_node_now ();
   if (report->count > 0 || has_left)
     send_to_owner (node, pool, owner, &message);
 }
 
+void
+dp_placement_report_sent (DpNode *node, DpName pool_name, DpName owner)
+{
+  DpNodePool *pool = g_hash_table_lookup (node->pools, &pool_name);
+  if (pool == NULL)
+    return;
+  DpMessage message = make_report (node, pool);
+  append_requests (node, pool, 0, TRUE, &message.grant_held);
+  if (message.grant_held.count > 0)
+    send_to_owner (node, pool, owner, &message);
+}
+
+/* Sends a message about a request at a brittle target to the owners that did not assign it. */
+static void
+send_to_other_keepers (const DpNodeRequest *request, const DpMessage *message)
+{
+  DpNode *node = request->node;
+  if (!request->pool->is_brittle || request->stage != DP_STAGE_SENT)
+    return;
+  GArray *owners = g_array_new (FALSE, FALSE, sizeof (DpName));
+  dp_limit_client_other_keepers (node->limit_client, request->pool->name, request->owner,
+                                 dp_node_now (), owners);
+  for (guint i = 0; i < owners->len; i++)
+    send_to_owner (node, request->pool, g_array_index (owners, DpName, i), message);
+  g_array_unref (owners);
+}
+
+void
+dp_placement_on_send (const DpNodeRequest *request)
+{
+  DpMessage message = make_report (request->node, request->pool);
+  append_held (&message.grant_held, request);
+  send_to_other_keepers (request, &message);
+}
+
 static const char *
 vm_text (const DpNode *node, DpName name)
 {
@@ -300,8 +363,12 @@
                      .reason = reason,
                      .time_to_first_token = request->first_byte_after,
                      .duration = MAX (dp_node_now () - request->sent_at, 0),
-                     .pause = request->answer.pause };
+                     .pause = request->answer.pause,
+                     .is_rejection = reason == DP_REASON_NO_TARGET
+                                     && request->stage == DP_STAGE_SENT
+                                     && request->answer.is_declined };
   DpName owner = request->owner;
+  send_to_other_keepers (request, &message);
   clear_attempt (request);
   send_to_owner (request->node, request->pool, owner, &message);
 }
@@ -394,7 +461,7 @@
   message.grant_done = (DpGrantDone){ .attempt = given->attempt,
                                       .group = given->group,
                                       .target = given->target,
-                                      .reason = DP_REASON_CALLER_GONE };
+                                      .reason = DP_REASON_NO_OWNER };
   send_to_owner (node, pool, from, &message);
 }
 
@@ -501,7 +568,7 @@
   if (message->type == DP_MESSAGE_TARGET_LIMITS)
     {
       dp_target_limits_on_message (node, from, &message->target_limits);
-      if (message->target_limits.is_owner)
+      if (message->target_limits.is_owner && from == node->self)
         return;
     }
   DpName name = message_pool (message);
--- a/node/request.c
+++ b/node/request.c
@@ -336,6 +336,7 @@
   request->target = target;
   request->sent_at = now;
   request->first_byte_after = 0;
+  request->answer = (DpTargetResponse){ 0 };
   request->stage = DP_STAGE_SENT;
   if (now >= request->deadline)
     {
@@ -359,6 +360,7 @@
   g_strlcpy (request->target_text, row->record.id, sizeof request->target_text);
   log_sent (request, row);
   dp_target_limits_on_send (request, row);
+  dp_placement_on_send (request);
   dp_attempt_start (request, row);
 }
 
--- a/node/target_limits.c
+++ b/node/target_limits.c
@@ -124,7 +124,13 @@
                       .started = row->record.started,
                       .is_set = row->limit.is_set,
                       .milli = (guint64)llround (row->limit.per_second * MILLI),
-                      .age = dp_node_now () - row->limit.observed_at };
+                      .age = row->limit.observed_at != 0
+                               ? dp_node_now () - row->limit.observed_at
+                               : DP_LIMIT_AGE_NONE,
+                      .has_brittle = row->brittle.observed_at != 0,
+                      .is_brittle = row->brittle.is_set,
+                      .rejections_max = row->brittle.rejections_max,
+                      .brittle_age = MAX (dp_node_now () - row->brittle.observed_at, 0) };
 }
 
 /* Returns a report of the target's limit and of all others of its pool: once the owner keeps
@@ -138,7 +144,8 @@
   DpHandle at = 0;
   const DpDirectoryRow *row;
   while ((row = dp_directory_next (node->directory, &at)) != NULL)
-    if (row != target && row->pool == target->pool && row->limit.is_set)
+    if (row != target && row->pool == target->pool
+        && (row->limit.is_set || row->brittle.is_set))
       add_row (&message.target_limits, row);
   return message;
 }
@@ -216,7 +223,7 @@
 dp_target_limits_accepts_grant (const DpNodeRequest *request, const DpDirectoryRow *row)
 {
   DpNode *node = request->node;
-  if (!row->limit.is_set
+  if (!(row->limit.is_set || row->brittle.is_set)
       || dp_limit_client_is_keeper (node->limit_client, row->pool, request->owner,
                                     dp_node_now ()))
     return TRUE;
@@ -281,7 +288,14 @@
                                      .is_set = row->is_set,
                                      .per_second = (double)row->milli / MILLI,
                                      .observed_at = dp_node_now () - row->age };
+      const DpBrittleReport brittle = { .target = row->target,
+                                        .started = row->started,
+                                        .is_set = row->is_brittle,
+                                        .rejections_max = row->rejections_max,
+                                        .observed_at = dp_node_now () - row->brittle_age };
       has_changed = record (node, &report, "another VM") || has_changed;
+      if (row->has_brittle)
+        has_changed = record_brittle (node, &brittle, "another VM") || has_changed;
     }
   if (has_changed)
     dp_placement_set_targets (node);
@@ -291,9 +305,16 @@
 on_announcement (DpNode *node, DpName owner, const DpTargetLimits *limits)
 {
   dp_limit_client_on_announcement (node->limit_client, limits->pool, owner, dp_node_now ());
+  gboolean is_brittle = FALSE;
   for (guint i = 0; i < MIN (limits->count, DP_LIMIT_ROWS_MAX); i++)
-    if (limits->rows[i].is_query)
-      answer_query (node, owner, limits->pool, limits->rows[i].target);
+    {
+      const DpLimitRow *row = &limits->rows[i];
+      is_brittle = is_brittle || (row->is_query && row->is_brittle);
+      if (row->is_query && row->is_set)
+        answer_query (node, owner, limits->pool, row->target);
+    }
+  if (is_brittle)
+    dp_placement_report_sent (node, limits->pool, owner);
 }
 
 void
