core, node: a pool stays with its owner while all its brittle targets are down

A plain service went through its owner while one of its targets was brittle. When all were down and removed, there was none: each VM placed its requests itself, and they waited in its own dispatcher for the first target that came back.

Whether a pool is brittle is now asked of the directory, which remembers it for targets to come.

--- a/core/directory.c
+++ b/core/directory.c
@@ -335,6 +335,12 @@
   return !is_same;
 }
 
+gboolean
+dp_directory_is_pool_brittle (const DpDirectory *directory, DpName pool)
+{
+  return g_hash_table_contains (directory->brittle_pools, &pool);
+}
+
 gboolean
 dp_directory_may_use (const DpDirectory *directory, DpName name, DpUsec now)
 {
--- a/core/directory.h
+++ b/core/directory.h
@@ -134,6 +134,9 @@
 gboolean
 dp_directory_record_brittle (DpDirectory *directory, const DpBrittleReport *report, DpUsec now);
 
+/* TRUE if targets of the pool are brittle, or were when they were last seen. */
+gboolean dp_directory_is_pool_brittle (const DpDirectory *directory, DpName pool);
+
 /* Time of the last contact with the platform; 0 if there was none. */
 DpUsec dp_directory_last_contact_at (const DpDirectory *directory);
 
--- a/node/placement.c
+++ b/node/placement.c
@@ -90,16 +90,13 @@
 static void
 set_pool_limits (const DpNode *node, DpNodePool *pool)
 {
-  pool->has_limits = FALSE;
-  pool->is_brittle = FALSE;
+  pool->is_brittle = dp_directory_is_pool_brittle (node->directory, pool->name);
+  pool->has_limits = pool->is_brittle;
   DpHandle at = 0;
   const DpDirectoryRow *row;
   while ((row = dp_directory_next (node->directory, &at)) != NULL)
-    if (row->pool == pool->name)
-      {
-        pool->has_limits = pool->has_limits || row->limit.is_set || row->brittle.is_set;
-        pool->is_brittle = pool->is_brittle || row->brittle.is_set;
-      }
+    if (row->pool == pool->name && row->limit.is_set)
+      pool->has_limits = TRUE;
 }
 
 static void
--- a/tests/test_brittle_targets.c
+++ b/tests/test_brittle_targets.c
@@ -448,11 +448,8 @@
 apply_targets (Fleet *fleet, guint index)
 {
   Vm *vm = &fleet->vms[index];
-  vm->is_shared = !fleet->row->is_plain;
-  DpHandle at = 0;
-  const DpDirectoryRow *row;
-  while ((row = dp_directory_next (vm->directory, &at)) != NULL)
-    vm->is_shared = vm->is_shared || row->brittle.is_set;
+  vm->is_shared
+    = !fleet->row->is_plain || dp_directory_is_pool_brittle (vm->directory, dp_name (POOL));
   GArray *outbox = dp_dispatch_outbox_new ();
   if (vm->is_shared)
     dp_dispatcher_set_shared (vm->dispatcher, TRUE);
@@ -520,12 +517,7 @@
 static gboolean
 is_brittle (const Fleet *fleet, guint vm)
 {
-  DpHandle at = 0;
-  const DpDirectoryRow *row;
-  while ((row = dp_directory_next (fleet->vms[vm].directory, &at)) != NULL)
-    if (row->brittle.is_set)
-      return TRUE;
-  return FALSE;
+  return dp_directory_is_pool_brittle (fleet->vms[vm].directory, dp_name (POOL));
 }
 
 static gboolean
--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -413,6 +413,7 @@
   BrittleEvent events[5]; /* after the listing of targets t and u of one pool */
   int t;                  /* rejections_max afterwards; -1: not brittle, -2: no such target */
   int u;
+  gboolean was_brittle; /* when its targets were last seen */
 } BrittleCase;
 
 static const BrittleCase brittle_cases[] = {
@@ -462,6 +463,11 @@
       { BRITTLE_LISTED, "t" } },
     -1,
     -1 },
+  { "all removed",
+    { { BRITTLE_STATED, "t", 3, SEC }, { BRITTLE_REMOVED, "t" }, { BRITTLE_REMOVED, "u" } },
+    -2,
+    -2,
+    TRUE },
   { "removed", { { BRITTLE_STATED, "t", 3, SEC }, { BRITTLE_REMOVED, "u" } }, 3, -2 },
 };
 
@@ -510,6 +516,9 @@
   put_incarnation (directory, "u", 5);
   for (guint i = 0; i < G_N_ELEMENTS (row->events) && row->events[i].type != BRITTLE_END; i++)
     apply_brittle_event (directory, row, &row->events[i]);
+  ck_assert_msg (dp_directory_is_pool_brittle (directory, dp_name ("pool"))
+                   == (row->t >= 0 || row->u >= 0 || row->was_brittle),
+                 "%s", row->name);
   ck_assert_msg (rejections_max_of (directory, "t") == row->t
                    && rejections_max_of (directory, "u") == row->u,
                  "%s: %d, %d", row->name, rejections_max_of (directory, "t"),
