core: a brittle target's room shrinks after a rejection and grows again

Cause: the slots were taken as the room for certain, so that each rejection repeated. The room is now what was assigned and not rejected, and grows by one request each 1.2 s, so growing too far costs one rejection in a second; for a target of which one rejection is more than half of what it survives, each 5 s. What was rejected in the last 1.2 s still closes the target, from more than half of that number on.

--- a/core/brittle_target.c
+++ b/core/brittle_target.c
@@ -6,13 +6,20 @@
 #define REJECTION_WINDOW (1200 * DP_USEC_PER_MSEC)
 /* After a rejection the target gets nothing until it completes a request, or for this long. */
 #define CLOSED_DURATION (250 * DP_USEC_PER_MSEC)
-/* Part of the rejections that the target survives for which requests are risked. */
-#define RISKED_PART 2
+/* The target gets nothing while it has rejected more than this part of what it survives. */
+#define REJECTED_PART_MAX 0.5
+/* After a rejection the room shrinks to what was not rejected, and grows by one request after
+ * this time: seldom enough that growing too far costs one rejection in a second. */
+#define GROWTH_INTERVAL (1200 * DP_USEC_PER_MSEC)
+/* The same for a target that gets nothing after a single rejection. */
+#define GROWTH_INTERVAL_STRICT (5 * DP_USEC_PER_SEC)
 
 struct DpBrittleTarget
 {
   DpUsec opens_at;     /* until then VMs report what they sent */
   DpUsec closed_until; /* after a rejection */
+  guint room;          /* requests; as many as there are slots until one was rejected */
+  DpUsec grown_at;
   DpUseWindow rejected;
   GArray *abandoned; /* DpUsec: until when each may run */
 };
@@ -22,6 +29,7 @@
 {
   DpBrittleTarget *brittle = g_new0 (DpBrittleTarget, 1);
   brittle->opens_at = G_MAXINT64;
+  brittle->room = G_MAXUINT;
   brittle->abandoned = g_array_new (FALSE, FALSE, sizeof (DpUsec));
   dp_use_window_init (&brittle->rejected, REJECTION_WINDOW, now);
   return brittle;
@@ -59,12 +67,15 @@
 {
   brittle->opens_at = 0;
   brittle->closed_until = 0;
+  brittle->room = G_MAXUINT;
   g_array_set_size (brittle->abandoned, 0);
 }
 
 void
-dp_brittle_target_record_rejection (DpBrittleTarget *brittle, DpUsec now)
+dp_brittle_target_record_rejection (DpBrittleTarget *brittle, guint assigned, DpUsec now)
 {
+  brittle->room = MIN (brittle->room, MAX (assigned, 1));
+  brittle->grown_at = now;
   brittle->closed_until = now + CLOSED_DURATION;
   dp_use_window_add (&brittle->rejected, 1, now, now);
 }
@@ -90,23 +101,29 @@
   return brittle->abandoned->len;
 }
 
-/* After a rejection, requests without output may all be rejected as well. */
+static gboolean
+is_risky (const DpBrittleLoad *load, double rejected)
+{
+  return rejected > load->rejections_max * REJECTED_PART_MAX;
+}
+
 static guint
-count_risks_left (DpBrittleTarget *brittle, const DpBrittleLoad *load, DpUsec now)
+grow_room (DpBrittleTarget *brittle, const DpBrittleLoad *load, DpUsec now)
 {
-  guint rejected = (guint)dp_use_window_sum (&brittle->rejected, now);
-  guint risks = load->rejections_max / RISKED_PART;
-  guint taken = rejected + load->unstarted;
-  if (rejected == 0)
-    return G_MAXUINT;
-  return risks > taken ? risks - taken : 0;
+  DpUsec interval = is_risky (load, 1) ? GROWTH_INTERVAL_STRICT : GROWTH_INTERVAL;
+  for (; brittle->room < load->slots && now - brittle->grown_at >= interval;
+       brittle->grown_at += interval)
+    brittle->room++;
+  return MIN (brittle->room, load->slots);
 }
 
 guint
 dp_brittle_target_capacity (DpBrittleTarget *brittle, const DpBrittleLoad *load, DpUsec now)
 {
   guint used = load->assigned + count_abandoned (brittle, now);
-  if (now < brittle->opens_at || now < brittle->closed_until || used >= load->slots)
+  guint room = grow_room (brittle, load, now);
+  if (now < brittle->opens_at || now < brittle->closed_until
+      || is_risky (load, dp_use_window_sum (&brittle->rejected, now)))
     return 0;
-  return MIN (load->slots - used, count_risks_left (brittle, load, now));
+  return room > used ? room - used : 0;
 }
--- a/core/brittle_target.h
+++ b/core/brittle_target.h
@@ -22,8 +22,8 @@
 /* The target has just started, so that nothing runs there. */
 void dp_brittle_target_open (DpBrittleTarget *brittle);
 
-/* The target rejected a request for lack of room. */
-void dp_brittle_target_record_rejection (DpBrittleTarget *brittle, DpUsec now);
+/* The target rejected a request for lack of room; `assigned`: without it. */
+void dp_brittle_target_record_rejection (DpBrittleTarget *brittle, guint assigned, DpUsec now);
 /* The target has completed a request, which frees a slot. */
 void dp_brittle_target_record_end (DpBrittleTarget *brittle);
 /* A request was given up that the target may still run, until then at the latest. */
@@ -33,8 +33,7 @@
 {
   guint rejections_max; /* in a second, as stated by the target */
   guint slots;
-  guint assigned;  /* requests */
-  guint unstarted; /* of these, without output */
+  guint assigned; /* requests */
 } DpBrittleLoad;
 
 /* Number of additional requests that can be assigned now. */
--- a/core/dispatcher_limits.c
+++ b/core/dispatcher_limits.c
@@ -276,12 +276,9 @@
     return G_MAXUINT;
   if (!is_assigned_here (dispatcher, target))
     return 0;
-  DpBrittleLoad load = { .rejections_max = target->rejections_max,
-                         .slots = reachable_slots (dispatcher, target),
-                         .assigned = target->requests->len };
-  for (guint i = 0; i < target->requests->len; i++)
-    load.unstarted
-      += !((const DpDispatchRequest *)g_ptr_array_index (target->requests, i))->started;
+  const DpBrittleLoad load = { .rejections_max = target->rejections_max,
+                               .slots = reachable_slots (dispatcher, target),
+                               .assigned = target->requests->len };
   return dp_brittle_target_capacity (target->brittle, &load, dispatcher->now);
 }
 
@@ -326,11 +323,13 @@
 {
   if (target->brittle == NULL)
     return;
+  gboolean is_running = request != NULL && request->state == DP_DISPATCH_REQUEST_RUNNING;
   if (done->is_rejection)
-    dp_brittle_target_record_rejection (target->brittle, dispatcher->now);
+    dp_brittle_target_record_rejection (
+      target->brittle, target->requests->len - (is_running && target->requests->len > 0),
+      dispatcher->now);
   else if (done->reason == DP_REASON_NONE || done->reason == DP_REASON_TARGET_ERROR)
     dp_brittle_target_record_end (target->brittle);
-  else if (request != NULL && request->state == DP_DISPATCH_REQUEST_RUNNING
-           && may_run_on (done->reason))
+  else if (is_running && may_run_on (done->reason))
     record_abandoned (dispatcher, target, request);
 }
--- a/tests/test_brittle_targets.c
+++ b/tests/test_brittle_targets.c
@@ -52,6 +52,7 @@
   DISTURB_CUT,           /* a third of the VMs is cut off from the others, not from targets */
   DISTURB_LATE,          /* messages of a third of the VMs take 300 ms */
   DISTURB_CALLERS_LEAVE, /* a fifth of them, while their requests run */
+  DISTURB_SLOT_TAKEN,    /* one slot of each target, half of the time */
 } Disturbance;
 
 typedef struct Case
@@ -90,6 +91,9 @@
   { "late messages", FALSE, 15, 18, 5, 2, DISTURB_LATE, LATE_USED_MIN },
   { "service, late messages", TRUE, 15, 4, 6, 2, DISTURB_LATE, LATE_USED_MIN },
   { "callers leave", FALSE, 15, 18, 5, 3, DISTURB_CALLERS_LEAVE, 0.6 },
+  { "a slot is taken", FALSE, 15, 18, 5, 3, DISTURB_SLOT_TAKEN, 0.6 },
+  { "a slot is taken, one may be rejected", FALSE, 15, 18, 5, 1, DISTURB_SLOT_TAKEN, 0.6 },
+  { "service, a slot is taken", TRUE, 15, 4, 6, 3, DISTURB_SLOT_TAKEN, 0.6 },
   { "service, callers leave", TRUE, 15, 4, 6, 3, DISTURB_CALLERS_LEAVE, 0.6 },
 };
 
@@ -333,6 +337,15 @@
   crash (fleet, index);
 }
 
+/* Slots that requests can use now. */
+static guint
+count_slots (const Fleet *fleet, guint index)
+{
+  gboolean is_taken
+    = is_disturbed (fleet, DISTURB_SLOT_TAKEN) && (fleet->now / (2 * SEC) + index) % 2 == 0;
+  return fleet->row->slots - is_taken;
+}
+
 static void
 on_arrival (Fleet *fleet, const Event *event)
 {
@@ -341,7 +354,7 @@
   guint queue = fleet->now < SHRUNK_AT || fleet->is_over ? QUEUE : 0;
   if (target->is_down || target->incarnation != event->incarnation)
     respond (fleet, attempt, event->target, DP_REASON_CONNECT_FAILED, FALSE);
-  else if (target->running->len < fleet->row->slots)
+  else if (target->running->len < count_slots (fleet, event->target))
     start_work (fleet, attempt, event->target);
   else if (target->waiting.length < queue)
     g_queue_push_tail (&target->waiting, g_memdup2 (&attempt, sizeof attempt));
@@ -1024,7 +1037,7 @@
       if (fleet->targets[i].is_down)
         continue;
       fleet->used += fleet->targets[i].running->len;
-      fleet->usable += fleet->row->slots;
+      fleet->usable += count_slots (fleet, i);
     }
 }
 
