--- a/node/placement.c
+++ b/node/placement.c
@@ -242,6 +242,8 @@
 void
 dp_placement_on_send (const DpNodeRequest *request)
 {
+  if (!request->pool->is_brittle)
+    return;
   DpMessage message = make_report (request->node, request->pool);
   append_held (&message.grant_held, request);
   send_to_other_keepers (request, &message);
