--- a/core/message.h
+++ b/core/message.h
@@ -186,6 +186,7 @@
   DpUsec time_to_first_token; /* from dispatch; 0: no token */
   DpUsec duration;            /* from dispatch */
   DpUsec pause;               /* for which the target asked to get no requests */
+  gboolean is_rejection;      /* the target itself rejected the request */
 } DpGrantDone;
 
 /* A grant that an entry holds, or a pending grant request. */
@@ -443,20 +444,28 @@
 } DpTargetLeaving;
 
 /* Limit that a target states in its responses. */
+/* Age of a row whose sender knows no response about a limit. */
+#define DP_LIMIT_AGE_NONE ((DpUsec)1 << 50)
+
 typedef struct DpLimitRow
 {
   DpName target;
-  guint64 started;   /* start of the target's incarnation, Unix milliseconds */
-  gboolean is_set;   /* FALSE: the target has no limit any more */
-  guint64 milli;     /* thousandths of a request per second, from all VMs together */
-  DpUsec age;        /* time since the response */
-  gboolean is_query; /* the owner needs to know what each node has sent to the target */
+  guint64 started;      /* start of the target's incarnation, Unix milliseconds */
+  gboolean is_set;      /* FALSE: the target has no limit any more */
+  guint64 milli;        /* thousandths of a request per second, from all VMs together */
+  DpUsec age;           /* time since the response */
+  gboolean is_query;    /* the owner needs to know what each node has sent to the target */
+  gboolean has_brittle; /* FALSE: nothing is said about it, the fields below are not set */
+  gboolean is_brittle;
+  guint rejections_max; /* if brittle: in a second, from all VMs together */
+  DpUsec brittle_age;   /* time since the response */
 } DpLimitRow;
 
 typedef struct DpTargetLimits
 {
   DpName pool;
   gboolean is_owner; /* the sender assigns requests to the pool's targets */
+  DpUsec idle;       /* if so: time since it was last asked to assign one */
   guint count;
   DpLimitRow rows[DP_LIMIT_ROWS_MAX];
 } DpTargetLimits;
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -97,6 +97,7 @@
   USEC (8, DpMessage, grant_done.time_to_first_token),
   USEC (9, DpMessage, grant_done.duration),
   USEC (10, DpMessage, grant_done.pause),
+  FLAG (11, DpMessage, grant_done.is_rejection),
 };
 
 static const DpField held_grant_fields[] = {
@@ -329,9 +330,16 @@
 };
 
 static const DpField limit_row_fields[] = {
-  UINT64 (1, DpLimitRow, target), UINT64 (2, DpLimitRow, started),
-  FLAG (3, DpLimitRow, is_set),   UINT64 (4, DpLimitRow, milli),
-  USEC (5, DpLimitRow, age),      FLAG (6, DpLimitRow, is_query),
+  UINT64 (1, DpLimitRow, target),
+  UINT64 (2, DpLimitRow, started),
+  FLAG (3, DpLimitRow, is_set),
+  UINT64 (4, DpLimitRow, milli),
+  USEC (5, DpLimitRow, age),
+  FLAG (6, DpLimitRow, is_query),
+  FLAG (7, DpLimitRow, has_brittle),
+  FLAG (8, DpLimitRow, is_brittle),
+  UINT (9, DpLimitRow, rejections_max, G_MAXUINT),
+  USEC (10, DpLimitRow, brittle_age),
 };
 static const DpFieldTable limit_row_table = TABLE (DpLimitRow, limit_row_fields);
 
@@ -345,6 +353,7 @@
                 target_limits.count,
                 DP_LIMIT_ROWS_MAX,
                 &limit_row_table),
+  USEC (4, DpMessage, target_limits.idle),
 };
 
 static const DpField target_sent_fields[] = {
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -93,7 +93,8 @@
       message.grant_progress = (DpGrantProgress){ id, 1 };
       break;
     case DP_MESSAGE_GRANT_DONE:
-      message.grant_done = (DpGrantDone){ id, 1, 2, DP_REASON_TARGET_BROKE, 3, 4, 5, 6, 7, 8 };
+      message.grant_done
+        = (DpGrantDone){ id, 1, 2, DP_REASON_TARGET_BROKE, 3, 4, 5, 6, 7, 8, TRUE };
       break;
     case DP_MESSAGE_GRANT_HELD:
       return make_grant_held ();
@@ -169,9 +170,14 @@
       message.target_leaving = (DpTargetLeaving){ 1, 2, 3 };
       break;
     case DP_MESSAGE_TARGET_LIMITS:
-      message.target_limits = (DpTargetLimits){
-        1, TRUE, 2, { { 1, 2, TRUE, 3, 4, TRUE }, { 5, 6, FALSE, 0, 7, FALSE } }
-      };
+      message.target_limits
+        = (DpTargetLimits){ 1,
+                            TRUE,
+                            2,
+                            3,
+                            { { 1, 2, TRUE, 3, 4, TRUE, FALSE, FALSE, 0, 0 },
+                              { 5, 6, FALSE, 0, 7, FALSE, TRUE, TRUE, 8, 9 },
+                              { 5, 6, FALSE, 0, 7, FALSE, TRUE, FALSE, 0, 9 } } };
       break;
     case DP_MESSAGE_TARGET_SENT:
       message.target_sent = (DpTargetSent){ 1, 2, 3, 3, { 4, 5, 6 } };
