--- a/standins/target.c
+++ b/standins/target.c
@@ -41,6 +41,7 @@
   gint64 leaving;      /* 1: responses have Server-Leaving */
   gint64 retry_after;  /* Retry-After in seconds of refused requests */
   char *limit;         /* Server-Limit of responses */
+  char *reply;         /* bytes to send instead of a response; "{id}": the request's id */
   char *crash_part;    /* crashes on requests with this part, unless it is the prompt's last */
 } TargetFaults;
 
@@ -83,6 +84,7 @@
   { "leaving", .number = &target.faults.leaving },
   { "retry_after", .number = &target.faults.retry_after },
   { "limit", .text = &target.faults.limit },
+  { "reply", .text = &target.faults.reply },
   { "crash_part", .text = &target.faults.crash_part },
 };
 
@@ -102,12 +104,19 @@
     add_header (req, "Server-Limit", target.faults.limit);
 }
 
+static void
+add_id_header (struct evhttp_request *req)
+{
+  const char *id = standin_request_header (req, "Request-Id");
+  add_header (req, "Request-Id", target.faults.wrong_id == 1 || id == NULL ? "other" : id);
+}
+
 /* Adds the headers that show that the request ran: its id and a signature. */
 static void
 add_run_headers (struct evhttp_request *req)
 {
   const char *id = standin_request_header (req, "Request-Id");
-  add_header (req, "Request-Id", target.faults.wrong_id == 1 || id == NULL ? "other" : id);
+  add_id_header (req);
   char *signature = g_strdup_printf ("signature.%s.%s", target.id, id != NULL ? id : "");
   if (target.faults.no_signature != 1)
     add_header (req, "Response-Seal", signature);
@@ -120,6 +129,7 @@
 {
   target.declined++;
   add_header (req, "Not-Executed", "1");
+  add_id_header (req);
   add_state_headers (req);
   char *retry_after = g_strdup_printf ("%d", (int)target.faults.retry_after);
   if (target.faults.retry_after != FAULT_OFF)
@@ -280,6 +290,16 @@
   evhttp_send_reply_end (req);
 }
 
+static void
+send_reply_bytes (struct evhttp_request *req)
+{
+  const char *id = standin_request_header (req, "Request-Id");
+  GString *bytes = g_string_new (target.faults.reply);
+  g_string_replace (bytes, "{id}", id != NULL ? id : "", 0);
+  standin_send_and_close (req, bytes->str, bytes->len);
+  g_string_free (bytes, TRUE);
+}
+
 static void
 on_run_timer (evutil_socket_t fd, short what, void *data)
 {
@@ -287,7 +307,9 @@
   if (target.faults.silent == 1)
     return;
   standin_unwatch_close (run->req);
-  if (run->next > 0)
+  if (target.faults.reply != NULL)
+    send_reply_bytes (run->req);
+  else if (run->next > 0)
     send_stream (run->req, run->next);
   else
     send_plain_response (run->req);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -31,6 +31,8 @@
 #define ALL_EVENTS "events"
 /* The response must be visibly incomplete. */
 #define NOT_ALL_EVENTS "no end"
+/* As `status`: the connection may also be closed without a response. */
+#define CUT 0
 
 static gboolean
 has_all_events (const char *body)
@@ -107,6 +109,63 @@
     "/letter/1", 502, 1, "unknown" },
 };
 
+#define REPLY(text) "{\"reply\":\"" text "\"}"
+#define CRLF "\\r\\n"
+#define SAME_ID "Request-Id: {id}" CRLF
+#define OTHER_ID "Request-Id: other" CRLF
+#define SEAL "Response-Seal: s" CRLF
+#define NOT_EXECUTED "Not-Executed: 1" CRLF
+#define EMPTY "Content-Length: 0" CRLF CRLF
+#define DONE "Content-Length: 4" CRLF CRLF "done"
+#define REFUSAL "HTTP/1.1 503 Busy" CRLF SAME_ID NOT_EXECUTED EMPTY
+#define OTHER_REFUSAL "HTTP/1.1 503 Busy" CRLF OTHER_ID NOT_EXECUTED EMPTY
+#define ANSWER "HTTP/1.1 200 OK" CRLF SAME_ID SEAL DONE
+#define STREAM "HTTP/1.1 200 OK" CRLF SAME_ID SEAL "Transfer-Encoding: chunked" CRLF CRLF
+#define EVENT(n) "15" CRLF "id: " n "\\ndata: piece " n "\\n\\n" CRLF
+#define BOTH(text) REPLY (text), REPLY (text)
+
+/* Each target has run the request when it sends these bytes. */
+static const FaultCase stated_refusal_cases[] = {
+  { "another request's refusal", BOTH (OTHER_REFUSAL), "/book/1", 502, 1, "unknown" },
+  { "a refusal without an id", BOTH ("HTTP/1.1 503 Busy" CRLF NOT_EXECUTED EMPTY), "/book/1",
+    502, 1, "unknown" },
+  { "another request's 421", BOTH ("HTTP/1.1 421 Other" CRLF OTHER_ID NOT_EXECUTED EMPTY),
+    "/book/1", 502, 1, "unknown" },
+  { "another request's 429", BOTH ("HTTP/1.1 429 Later" CRLF OTHER_ID NOT_EXECUTED EMPTY),
+    "/book/1", 502, 1, "unknown" },
+  { "another request's 400", BOTH ("HTTP/1.1 400 No" CRLF OTHER_ID NOT_EXECUTED EMPTY),
+    "/book/1", 502, 1, "unknown" },
+  { "a 421 that doesn't say so", BOTH ("HTTP/1.1 421 Other" CRLF SAME_ID EMPTY), "/book/1", 502,
+    1, "unknown" },
+  { "a success that says it was not run",
+    BOTH ("HTTP/1.1 200 OK" CRLF SAME_ID SEAL NOT_EXECUTED DONE), "/book/1", 502, 1,
+    "unknown" },
+  { "a failure that says it was not run",
+    BOTH ("HTTP/1.1 500 Failed" CRLF SAME_ID NOT_EXECUTED DONE), "/book/1", 502, 1, "unknown" },
+  { "a time-out that says it was not run",
+    BOTH ("HTTP/1.1 504 Late" CRLF SAME_ID NOT_EXECUTED DONE), "/book/1", 502, 1, "unknown" },
+  { "another request's refusal before the answer", BOTH (OTHER_REFUSAL ANSWER), "/book/1", 502,
+    1, "unknown" },
+  { "a refusal after the answer", BOTH (ANSWER REFUSAL), "/book/1", 200, 1, "done" },
+  { "another request's refusal after the answer", BOTH (ANSWER OTHER_REFUSAL), "/book/1", 200,
+    1, "done" },
+  { "a refusal that is cut",
+    BOTH ("HTTP/1.1 503 Busy" CRLF SAME_ID NOT_EXECUTED "Content-Length: 100" CRLF CRLF "not"),
+    "/book/1", 502, 1, "unknown" },
+  { "look, another request's refusal", REPLY (OTHER_REFUSAL), NULL, "/look/1", 200, 2, "done" },
+  { "draft, another request's refusal", REPLY (OTHER_REFUSAL), NULL, "/draft/1", 200, 2,
+    ALL_EVENTS },
+  { "letter, another request's refusal", BOTH (OTHER_REFUSAL), "/letter/1", 502, 1, "unknown" },
+  { "draft, a refusal within the stream", REPLY (STREAM EVENT ("1") EVENT ("2") REFUSAL), NULL,
+    "/draft/1", 200, 2, ALL_EVENTS },
+  { "letter, a refusal within the stream", BOTH (STREAM EVENT ("1") EVENT ("2") REFUSAL),
+    "/letter/1", CUT, 1, NOT_ALL_EVENTS },
+  { "letter, a refusal after the stream",
+    BOTH (STREAM EVENT ("1") EVENT ("2") EVENT ("3") EVENT ("4")
+            EVENT ("5") "0" CRLF CRLF REFUSAL),
+    "/letter/1", 200, 1, ALL_EVENTS },
+};
+
 /* One at each VM: after two failures a target is not used for a while. */
 #define REQUESTS_PER_CASE VMS
 
@@ -124,9 +183,11 @@
   char *body = http_exchange (is_look ? "GET" : "POST", cluster->address[vm],
                               cluster->caller_port[vm], row->path, headers, NULL, &status);
   gint64 runs = sum_target_counter (cluster, "runs") - before;
-  ck_assert_msg (status == row->status, "%s: status %d", row->name, status);
+  int wanted = row->status == CUT && status != 0 ? 200 : row->status;
+  ck_assert_msg (status == wanted, "%s: status %d", row->name, status);
   ck_assert_msg (runs <= row->runs_max, "%s: %d runs", row->name, (int)runs);
-  ck_assert_msg (body_matches (body, row->in_body), "%s: body %s", row->name, body);
+  if (status != 0)
+    ck_assert_msg (body_matches (body, row->in_body), "%s: body %s", row->name, body);
   g_free (body);
   g_free (headers);
 }
@@ -144,6 +205,19 @@
 }
 END_TEST
 
+START_TEST (only_a_refusal_of_this_request_shows_that_it_was_not_run)
+{
+  const FaultCase *row = &stated_refusal_cases[_i];
+  Cluster *cluster = cluster_start (build);
+  set_fault (cluster, cluster->target_control[0], row->first_faults);
+  if (row->second_faults != NULL)
+    set_fault (cluster, cluster->target_control[1], row->second_faults);
+  for (guint number = 0; number < REQUESTS_PER_CASE; number++)
+    run_fault_case (cluster, row, number);
+  cluster_free (cluster);
+}
+END_TEST
+
 /* --- targets that announce in an answer that they stop or are busy --- */
 
 typedef struct StatementCase
@@ -950,6 +1024,15 @@
   return tests;
 }
 
+static TCase *
+refusal_tests (void)
+{
+  TCase *tests = tcase_create ("refusals");
+  tcase_add_loop_test (tests, only_a_refusal_of_this_request_shows_that_it_was_not_run, 0,
+                       G_N_ELEMENTS (stated_refusal_cases));
+  return tests;
+}
+
 static TCase *
 limit_tests (void)
 {
@@ -971,6 +1054,8 @@
   build = argv[1];
   Suite *suite = suite_create (is_limits ? "node_limits" : "node");
   suite_add_tcase (suite, is_limits ? limit_tests () : all_tests ());
+  if (!is_limits)
+    suite_add_tcase (suite, refusal_tests ());
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
   int failed = srunner_ntests_failed (runner);
