net: drop the headers of interim responses

A booking ran at two targets when the first sent, after it ran, 100 with Not-Executed and the request's id and then a 503 that doesn't say so. Cause: evhttp keeps the headers of a 100 and adds those of the final response, so the refusal of one and the status of the other were read as one response. They are cleared before the final head is read.

The new row of test_node (group refusals) gives 2 runs before, 1 after; the new test of test_net_http reads the header of the 100 before. A 100 before a response with a body still ends as failed or complete, depending on when the peer closes, as the existing case of test_net_http says.

--- a/net/http_call.c
+++ b/net/http_call.c
@@ -147,8 +147,14 @@
 {
   DpHttpCall *call = user;
   int status = evhttp_request_get_response_code (request);
-  if (call->finished || status < 200)
+  if (call->finished)
     return 0;
+  if (status < 200)
+    {
+      /* evhttp would add those of the final response. */
+      evhttp_clear_headers (evhttp_request_get_input_headers (request));
+      return 0;
+    }
   call->has_head = TRUE;
   call->callbacks->head (call->user, call, status);
   return 0;
--- a/tests/test_net_http.c
+++ b/tests/test_net_http.c
@@ -342,6 +342,27 @@
 }
 END_TEST
 
+START_TEST (headers_of_an_interim_response_are_not_the_final_ones)
+{
+  const char *answer = "HTTP/1.1 100 Continue\r\nX-Attempt-Id: interim\r\n\r\n"
+                       "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+  struct event_base *base = event_base_new ();
+  RawPeer peer = { .answer = answer, .answer_length = strlen (answer), .stay_open = TRUE };
+  raw_peer_start (&peer, base, ADDRESS);
+  Response response = { .base = base, .body = g_string_new (NULL) };
+  start_call (&response, peer.port);
+  run_loop (base);
+  ck_assert (response.ended);
+  ck_assert_int_eq (response.status, 503);
+  ck_assert_str_eq (response.attempt, "");
+  run_pending_events (base);
+  evconnlistener_free (peer.listener);
+  run_pending_events (base);
+  event_base_free (base);
+  g_string_free (response.body, TRUE);
+}
+END_TEST
+
 START_TEST (response_headers_are_available)
 {
   struct event_base *base = event_base_new ();
@@ -927,6 +948,7 @@
   tcase_add_loop_test (tcase, truncated_responses_are_detected, 0,
                        G_N_ELEMENTS (truncation_cases));
   tcase_add_loop_test (tcase, endless_responses_are_aborted, 0, G_N_ELEMENTS (endless_cases));
+  tcase_add_test (tcase, headers_of_an_interim_response_are_not_the_final_ones);
   tcase_add_test (tcase, response_headers_are_available);
   tcase_add_test (tcase, refused_connection_reports_nothing_sent);
   tcase_add_test (tcase, invalid_address_fails_to_connect);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -149,6 +149,10 @@
   { "a refusal after the answer", BOTH (ANSWER REFUSAL), "/book/1", 200, 1, "done" },
   { "another request's refusal after the answer", BOTH (ANSWER OTHER_REFUSAL), "/book/1", 200,
     1, "done" },
+  { "a refusal in an interim response before one that isn't",
+    BOTH ("HTTP/1.1 100 Continue" CRLF SAME_ID NOT_EXECUTED CRLF
+          "HTTP/1.1 503 Busy" CRLF SAME_ID EMPTY),
+    "/book/1", 502, 1, "unknown" },
   { "a refusal that is cut",
     BOTH ("HTTP/1.1 503 Busy" CRLF SAME_ID NOT_EXECUTED "Content-Length: 100" CRLF CRLF "not"),
     "/book/1", 502, 1, "unknown" },
