--- a/tests/test_platform_client.c
+++ b/tests/test_platform_client.c
@@ -10,6 +10,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
@@ -461,6 +462,184 @@
 }
 END_TEST
 
+/* --- an earlier response, written once more --- */
+
+typedef enum Repeat
+{
+  REPEAT_AT_ONCE,     /* right after the response */
+  REPEAT_WHILE_IDLE,  /* as soon as the client has got the response */
+  REPEAT_BEFORE_NEXT, /* before the next response on the same connection */
+} Repeat;
+
+#define FIRST_404 "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+#define FIRST_412 "HTTP/1.1 412 Failed\r\nContent-Length: 0\r\n\r\n"
+#define FIRST_429 "HTTP/1.1 429 Later\r\nContent-Length: 0\r\n\r\n"
+#define FIRST_503 "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+#define FIRST_200 "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nContent-Length: 3\r\n\r\nold"
+#define SECOND_200 "HTTP/1.1 200 OK\r\nETag: \"17\"\r\nContent-Length: 3\r\n\r\nnew"
+#define SECOND_412 FIRST_412
+
+typedef struct RepeatCase
+{
+  const char *name;
+  DpPlatformCallType first;
+  const char *first_response;
+  DpPlatformCallType second;
+  const char *second_path;
+  const char *second_response;
+  DpPlatformResult result; /* of the second call */
+} RepeatCase;
+
+static const RepeatCase repeat_cases[] = {
+  { "a write after a refused write", DP_PLATFORM_WRITE, FIRST_503, DP_PLATFORM_WRITE, "a/b",
+    SECOND_200, DP_PLATFORM_OK },
+  { "a write after one over the rate", DP_PLATFORM_WRITE, FIRST_429, DP_PLATFORM_WRITE, "a/b",
+    SECOND_200, DP_PLATFORM_OK },
+  { "a write after a conflict", DP_PLATFORM_WRITE, FIRST_412, DP_PLATFORM_WRITE, "a/b",
+    SECOND_200, DP_PLATFORM_OK },
+  { "a conflict after a write", DP_PLATFORM_WRITE, FIRST_200, DP_PLATFORM_WRITE, "a/b",
+    SECOND_412, DP_PLATFORM_CONFLICT },
+  { "a write after a refused read", DP_PLATFORM_READ, FIRST_503, DP_PLATFORM_WRITE, "a/b",
+    SECOND_200, DP_PLATFORM_OK },
+  { "a conflict after a read", DP_PLATFORM_READ, FIRST_200, DP_PLATFORM_WRITE, "a/b",
+    SECOND_412, DP_PLATFORM_CONFLICT },
+  { "a delete after a missing object", DP_PLATFORM_READ, FIRST_404, DP_PLATFORM_DELETE, "a/b",
+    SECOND_200, DP_PLATFORM_OK },
+  { "a read after a refused write", DP_PLATFORM_WRITE, FIRST_503, DP_PLATFORM_READ, "a/b",
+    SECOND_200, DP_PLATFORM_OK },
+  { "a read of another object", DP_PLATFORM_READ, FIRST_404, DP_PLATFORM_READ, "a/c",
+    SECOND_200, DP_PLATFORM_OK },
+};
+
+typedef struct RepeatingServer
+{
+  struct event_base *base;
+  const RepeatCase *row;
+  Repeat repeat;
+  guint requests;
+  struct bufferevent *first; /* connection of the first request; NULL: closed */
+} RepeatingServer;
+
+static void
+on_repeating_event (struct bufferevent *bufferevent, short what, void *data)
+{
+  RepeatingServer *server = data;
+  if (server->first == bufferevent)
+    server->first = NULL;
+  bufferevent_free (bufferevent);
+}
+
+static void
+on_repeating_read (struct bufferevent *bufferevent, void *data)
+{
+  RepeatingServer *server = data;
+  struct evbuffer *input = bufferevent_get_input (bufferevent);
+  if (evbuffer_search (input, "\r\n\r\n", 4, NULL).pos < 0)
+    return;
+  evbuffer_drain (input, evbuffer_get_length (input));
+  const char *first = server->row->first_response;
+  gboolean is_first = server->requests++ == 0;
+  if (is_first)
+    server->first = bufferevent;
+  gboolean repeats = is_first
+                       ? server->repeat == REPEAT_AT_ONCE
+                       : server->repeat == REPEAT_BEFORE_NEXT && server->first == bufferevent;
+  if (repeats)
+    bufferevent_write (bufferevent, first, strlen (first));
+  const char *response = is_first ? first : server->row->second_response;
+  bufferevent_write (bufferevent, response, strlen (response));
+}
+
+static void
+on_repeating_accept (struct evconnlistener *listener,
+                     evutil_socket_t fd,
+                     struct sockaddr *address,
+                     int length,
+                     void *data)
+{
+  RepeatingServer *server = data;
+  struct bufferevent *bufferevent
+    = bufferevent_socket_new (server->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb (bufferevent, on_repeating_read, NULL, on_repeating_event, server);
+  bufferevent_enable (bufferevent, EV_READ | EV_WRITE);
+}
+
+/* A body may arrive after the head of its request: it is sent with it here. */
+static Outcome
+call_repeating (RepeatingServer *server,
+                DpPlatformClient *client,
+                DpPlatformCallType type,
+                const char *path)
+{
+  guint open = 1;
+  Outcome outcome = { .base = server->base, .open = &open };
+  const DpPlatformCall call = { .type = type,
+                                .path = path,
+                                .version = 7,
+                                .value = "new",
+                                .length = type == DP_PLATFORM_WRITE ? 3 : 0 };
+  dp_platform_client_call (client, &call, on_reply, &outcome);
+  event_base_dispatch (server->base);
+  ck_assert (outcome.done);
+  return outcome;
+}
+
+static void
+check_repeat (const RepeatCase *row, Repeat repeat)
+{
+  RepeatingServer server = { .base = event_base_new (), .row = row, .repeat = repeat };
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  ck_assert_int_eq (inet_pton (AF_INET, SERVER_ADDRESS, &address.sin_addr), 1);
+  struct evconnlistener *listener
+    = evconnlistener_new_bind (server.base, on_repeating_accept, &server, LEV_OPT_CLOSE_ON_FREE,
+                               -1, (struct sockaddr *)&address, sizeof address);
+  ck_assert_ptr_nonnull (listener);
+  socklen_t length = sizeof address;
+  getsockname (evconnlistener_get_fd (listener), (struct sockaddr *)&address, &length);
+  DpCounters *counters = dp_counters_new ();
+  DpPlatformClient *client = dp_platform_client_new (&(DpPlatformOptions){
+    .base = server.base,
+    .address = SERVER_ADDRESS,
+    .port = ntohs (address.sin_port),
+    .calls_per_second = 1000,
+    .burst = 20,
+    .in_flight_max = 4,
+    .queue_max = 10,
+    .timeout = CALL_TIMEOUT,
+    .backoff_min = 1,
+    .backoff_max = 1,
+    .seed = 1,
+    .counters = counters,
+  });
+  Outcome first = call_repeating (&server, client, row->first, "a/b");
+  if (repeat == REPEAT_WHILE_IDLE && server.first != NULL)
+    bufferevent_write (server.first, row->first_response, strlen (row->first_response));
+  const struct timeval longer_than_the_backoff = { .tv_usec = 5000 };
+  event_base_loopexit (server.base, &longer_than_the_backoff);
+  event_base_dispatch (server.base);
+  Outcome second = call_repeating (&server, client, row->second, row->second_path);
+  ck_assert_msg (second.result == row->result, "%s, repeat %d: %s", row->name, (int)repeat,
+                 dp_platform_result_name (second.result));
+  ck_assert_msg (second.result != DP_PLATFORM_OK || row->second == DP_PLATFORM_DELETE
+                   || second.version == 17,
+                 "%s, repeat %d: version %u", row->name, (int)repeat, (guint)second.version);
+  g_free (first.value);
+  g_free (second.value);
+  dp_platform_client_unref (client);
+  dp_counters_unref (counters);
+  evconnlistener_free (listener);
+  event_base_loop (server.base, EVLOOP_NONBLOCK);
+  event_base_free (server.base);
+}
+
+START_TEST (a_repeated_response_is_not_the_next_calls)
+{
+  check_repeat (&repeat_cases[_i], REPEAT_AT_ONCE);
+  check_repeat (&repeat_cases[_i], REPEAT_WHILE_IDLE);
+  check_repeat (&repeat_cases[_i], REPEAT_BEFORE_NEXT);
+}
+END_TEST
+
 /* After a failure no call reaches the platform until the backoff has elapsed; one success ends
  * the backoff. */
 START_TEST (client_backs_off_after_a_failure)
@@ -616,6 +795,8 @@
 {
   Suite *suite = suite_create ("platform_client");
   TCase *tcase = tcase_create ("platform_client");
+  tcase_add_loop_test (tcase, a_repeated_response_is_not_the_next_calls, 0,
+                       G_N_ELEMENTS (repeat_cases));
   tcase_add_loop_test (tcase, each_fault_maps_to_its_result, 0, G_N_ELEMENTS (call_cases));
   tcase_add_loop_test (tcase, responses_of_an_older_era_are_dropped, 0,
                        G_N_ELEMENTS (era_cases));
