--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -580,6 +580,67 @@
 }
 END_TEST
 
+/* --- responses on one connection of a caller --- */
+
+typedef struct SequenceCase
+{
+  const char *name;
+  const char *faults; /* of both targets */
+  const char *bytes;  /* the last request closes the connection */
+  const char *statuses;
+} SequenceCase;
+
+#define GET(path, key) "GET " path " HTTP/1.1\r\n" HOST key "\r\n"
+#define LAST(path) "GET " path " HTTP/1.1\r\n" HOST KEY "Connection: close\r\n\r\n"
+
+static const SequenceCase sequence_cases[] = {
+  { "refused and served in turns", "{}",
+    GET ("/nowhere/1", KEY) GET ("/look/1", KEY) GET ("/look/2", "Authorization: Bearer x\r\n")
+      GET ("/look/3", KEY) GET ("/nowhere/2", KEY) LAST ("/look/4"),
+    "404 200 401 200 404 200 " },
+  { "declined by all targets", "{\"decline\":1}",
+    GET ("/look/1", KEY) GET ("/nowhere/1", KEY) GET ("/look/2", KEY) LAST ("/look/3"),
+    "503 404 503 503 " },
+};
+
+static char *
+read_statuses (const Cluster *cluster, const char *bytes)
+{
+  struct sockaddr_in peer
+    = { .sin_family = AF_INET, .sin_port = htons (cluster->caller_port[0]) };
+  const struct timeval timeout = { .tv_sec = 5 };
+  inet_pton (AF_INET, cluster->address[0], &peer.sin_addr);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  ck_assert_int_eq (connect (fd, (const struct sockaddr *)&peer, sizeof peer), 0);
+  ck_assert_int_eq (send (fd, bytes, strlen (bytes), MSG_NOSIGNAL), (int)strlen (bytes));
+  GString *text = g_string_new (NULL);
+  char part[4096];
+  ssize_t got;
+  while ((got = recv (fd, part, sizeof part, 0)) > 0)
+    g_string_append_len (text, part, got);
+  ck_assert_int_eq (got, 0);
+  close (fd);
+  GString *statuses = g_string_new (NULL);
+  for (const char *at = text->str; (at = strstr (at, "HTTP/1.1 ")) != NULL; at++)
+    g_string_append_printf (statuses, "%.3s ", at + strlen ("HTTP/1.1 "));
+  g_string_free (text, TRUE);
+  return g_string_free (statuses, FALSE);
+}
+
+START_TEST (each_request_gets_one_response)
+{
+  const SequenceCase *row = &sequence_cases[_i];
+  Cluster *cluster = cluster_start (build);
+  for (guint i = 0; i < TARGETS; i++)
+    set_fault (cluster, cluster->target_control[i], row->faults);
+  char *statuses = read_statuses (cluster, row->bytes);
+  ck_assert_str_eq (statuses, row->statuses);
+  g_free (statuses);
+  cluster_free (cluster);
+}
+END_TEST
+
 /* --- the store --- */
 
 /* Waits until requests of the path get the status. */
@@ -1034,6 +1095,7 @@
   TCase *tests = tcase_create ("refusals");
   tcase_add_loop_test (tests, only_a_refusal_of_this_request_shows_that_it_was_not_run, 0,
                        G_N_ELEMENTS (stated_refusal_cases));
+  tcase_add_loop_test (tests, each_request_gets_one_response, 0, G_N_ELEMENTS (sequence_cases));
   return tests;
 }
 
