net: bound the durations in messages

A duration of up to 2^63 - 1 us was decoded as it came, and the receiver adds it to its time: a deadline, an age or a pause then overflows, which is undefined and may count as long past. Only quota_server sends such a value, G_MAXINT64 for never, and only compares it.

Longer durations are decoded as an eighth of that, some 36,000 years. Depth, counts, lengths, truncations, flipped bits and random bytes have tests that passed before.

--- a/net/codec.c
+++ b/net/codec.c
@@ -179,6 +179,8 @@
                              field->key);
   if (field->kind == DP_FIELD_UINT)
     *(guint *)out = (guint)number;
+  else if (field->kind == DP_FIELD_USEC)
+    *(DpUsec *)out = (DpUsec)MIN (number, (guint64)DP_CODEC_DURATION_MAX);
   else
     *(guint64 *)out = number;
   return TRUE;
--- a/net/codec.h
+++ b/net/codec.h
@@ -21,6 +21,10 @@
 /* Targets per message. */
 #define DP_CODEC_TARGETS_MAX 4096
 
+/* Longer durations, of which G_MAXINT64 stands for never, are decoded as this: sums with times
+ * stay in range. */
+#define DP_CODEC_DURATION_MAX (G_MAXINT64 / 8)
+
 #define DP_CODEC_ERROR (dp_codec_error_quark ())
 
 typedef enum DpCodecError
--- a/net/codec_fields.h
+++ b/net/codec_fields.h
@@ -10,7 +10,7 @@
 {
   DP_FIELD_UINT, /* guint, enum or gboolean, at most `max` */
   DP_FIELD_UINT64,
-  DP_FIELD_USEC,    /* DpUsec, non-negative */
+  DP_FIELD_USEC,    /* DpUsec from 0 to DP_CODEC_DURATION_MAX */
   DP_FIELD_ID,      /* DpId, as 16 bytes */
   DP_FIELD_STRING,  /* char[max], NUL-terminated */
   DP_FIELD_BYTES,   /* GBytes *, at most `max` bytes */
