--- a/standins/target.c
+++ b/standins/target.c
@@ -45,6 +45,7 @@
   gint64 slots;        /* requests run at a time; others wait or are rejected; off: no limit */
   gint64 queue;        /* requests that wait for a slot; off: none */
   gint64 down_ms;      /* time until it is back after it has crashed for rejections */
+  char *reply;         /* bytes to send instead of a response; "{id}": the request's id */
   char *crash_part;    /* crashes on requests with this part, unless it is the prompt's last */
 } TargetFaults;
 
@@ -96,6 +97,7 @@
   { "slots", .number = &target.faults.slots },
   { "queue", .number = &target.faults.queue },
   { "down_ms", .number = &target.faults.down_ms },
+  { "reply", .text = &target.faults.reply },
   { "crash_part", .text = &target.faults.crash_part },
 };
 
@@ -117,12 +119,19 @@
     add_header (req, "Server-Brittle", target.faults.brittle);
 }
 
+static void
+add_id_header (struct evhttp_request *req)
+{
+  const char *id = standin_request_header (req, "Request-Id");
+  add_header (req, "Request-Id", target.faults.wrong_id == 1 || id == NULL ? "other" : id);
+}
+
 /* Adds the headers that show that the request ran: its id and a signature. */
 static void
 add_run_headers (struct evhttp_request *req)
 {
   const char *id = standin_request_header (req, "Request-Id");
-  add_header (req, "Request-Id", target.faults.wrong_id == 1 || id == NULL ? "other" : id);
+  add_id_header (req);
   char *signature = g_strdup_printf ("signature.%s.%s", target.id, id != NULL ? id : "");
   if (target.faults.no_signature != 1)
     add_header (req, "Response-Seal", signature);
@@ -135,6 +144,7 @@
 {
   target.declined++;
   add_header (req, "Not-Executed", "1");
+  add_id_header (req);
   add_state_headers (req);
   char *retry_after = g_strdup_printf ("%d", (int)target.faults.retry_after);
   if (target.faults.retry_after != FAULT_OFF)
@@ -312,6 +322,16 @@
   evhttp_send_reply_end (req);
 }
 
+static void
+send_reply_bytes (struct evhttp_request *req)
+{
+  const char *id = standin_request_header (req, "Request-Id");
+  GString *bytes = g_string_new (target.faults.reply);
+  g_string_replace (bytes, "{id}", id != NULL ? id : "", 0);
+  standin_send_and_close (req, bytes->str, bytes->len);
+  g_string_free (bytes, TRUE);
+}
+
 static void
 on_run_timer (evutil_socket_t fd, short what, void *data)
 {
@@ -319,7 +339,9 @@
   if (target.faults.silent == 1)
     return;
   standin_unwatch_close (run->req);
-  if (run->next > 0)
+  if (target.faults.reply != NULL)
+    send_reply_bytes (run->req);
+  else if (run->next > 0)
     send_stream (run->req, run->next);
   else
     send_plain_response (run->req);
