--- a/tests/test_net_tunnel.c
+++ b/tests/test_net_tunnel.c
@@ -686,7 +686,7 @@
 END_TEST
 
 /* Less than what the gateway reads before it has connected, and more. */
-static const gsize early_lengths[] = { 1, 8 * 1024 };
+static const gsize early_lengths[] = { 1, 8 * KIB };
 
 START_TEST (bytes_behind_connect_request_are_forwarded)
 {
