node: gateways give up connecting as soon as VMs do

A gateway waited 200 ms for a silent target and the VM behind it 250 ms for both, so a short delay at either made a silent target look like a gateway that failed, and the VM asked further ones. Now 120 ms and 240 ms, from one constant.

--- a/node/attempt.c
+++ b/node/attempt.c
@@ -5,11 +5,8 @@
 
 #include <string.h>
 
-/* Connecting takes a round trip and about 1 ms at the target; a slower target is unreachable or
- * overloaded. Giving up here is safe because the request has not been sent yet. */
-#define CONNECT_TIMEOUT (120 * DP_USEC_PER_MSEC)
-/* A gateway gives up after CONNECT_TIMEOUT, too, and answers. */
-#define GATEWAY_CONNECT_TIMEOUT (250 * DP_USEC_PER_MSEC)
+/* A gateway gives up after DP_CONNECT_TIMEOUT, too, and answers. */
+#define GATEWAY_CONNECT_TIMEOUT (2 * DP_CONNECT_TIMEOUT)
 /* A repeatable stream is stalled after this multiple of the route's pause objective without a
  * complete event; partial events don't count. */
 #define STALL_FACTOR 3
@@ -303,7 +300,7 @@
     .header_count = headers->len,
     .body = body,
     .body_length = length,
-    .connect_timeout = gateway != NULL ? GATEWAY_CONNECT_TIMEOUT : CONNECT_TIMEOUT,
+    .connect_timeout = gateway != NULL ? GATEWAY_CONNECT_TIMEOUT : DP_CONNECT_TIMEOUT,
     /* The dispatcher detects a target that sends no first byte, see
      * dp_request_on_revoked(). */
     .first_byte_timeout = time_left + DP_USEC_PER_SEC,
--- a/node/node.h
+++ b/node/node.h
@@ -496,6 +496,10 @@
 
 /* --- attempt.c --- */
 
+/* Connecting takes a round trip and about 1 ms at the target; a slower target is unreachable or
+ * overloaded. Giving up is safe because the request has not been sent yet. */
+#define DP_CONNECT_TIMEOUT (120 * DP_USEC_PER_MSEC)
+
 void dp_attempt_start (DpNodeRequest *request, const DpDirectoryRow *target);
 /* TRUE if a stream that can be resumed elsewhere has had no event for too long. */
 gboolean dp_attempt_is_stalled (const DpNodeRequest *request, DpUsec now);
--- a/node/tunnels.c
+++ b/node/tunnels.c
@@ -10,8 +10,6 @@
 /* Buffered in each direction of a tunnel. */
 #define BUFFER_BYTES_MAX ((gsize)32 * 1024)
 #define HANDSHAKE_TIMEOUT DP_USEC_PER_SEC
-/* The requester waits for this and for the way to the gateway, see attempt.c. */
-#define CONNECT_TIMEOUT (200 * DP_USEC_PER_MSEC)
 /* Longer than any request may take. */
 #define IDLE_TIMEOUT (90 * DP_USEC_PER_SEC)
 
@@ -124,7 +122,7 @@
                                           .head_max = HEAD_BYTES_MAX,
                                           .buffer_max = BUFFER_BYTES_MAX,
                                           .handshake_timeout = HANDSHAKE_TIMEOUT,
-                                          .connect_timeout = CONNECT_TIMEOUT,
+                                          .connect_timeout = DP_CONNECT_TIMEOUT,
                                           .idle_timeout = IDLE_TIMEOUT,
                                           .counters = node->counters,
                                           .callbacks = &callbacks,
