node: fewer descriptors for tunnels

A quarter of the descriptors left room for 961 callers on a VM with 2,870, and 358 tunnels. With an eighth there are 179 tunnels: a VM that carries the traffic of two others (some 50 requests a second, most shorter than a second) needs fewer, and callers get most of their room back.

--- a/node/settings.c
+++ b/node/settings.c
@@ -61,8 +61,8 @@
 #define DESCRIPTORS_PER_REQUEST 2
 /* Files, listeners, links to other VMs and to the store. */
 #define OTHER_DESCRIPTORS 200
-/* At most a quarter of the descriptors is for tunnels. */
-#define DESCRIPTORS_PER_TUNNEL_SLOT 8
+/* At most an eighth of the descriptors is for tunnels. */
+#define DESCRIPTORS_PER_TUNNEL_SLOT 16
 
 static void
 read_endpoint (const char *name,
