node: a gateway keeps the pauses that targets ask for through it

A target that asks for a pause (503 with Retry-After) means the VM that connected to it. Through a gateway that is the gateway, which only carries bytes and did not learn of it: it went on sending its own requests there and opened tunnels to the target for other VMs (rule BUDGET). The VM that reads the response now tells its gateway.

gateway_keeps_the_pause_that_a_target_asked_for_through_it failed before (2 of 4 pauses known) and passes.

--- a/core/message.c
+++ b/core/message.c
@@ -26,6 +26,7 @@
   [DP_MESSAGE_USE_ASK] = "use_ask",
   [DP_MESSAGE_USE_REPORT] = "use_report",
   [DP_MESSAGE_TARGET_LEAVING] = "target_leaving",
+  [DP_MESSAGE_TARGET_PAUSED] = "target_paused",
   [DP_MESSAGE_TARGET_LIMITS] = "target_limits",
   [DP_MESSAGE_TARGET_SENT] = "target_sent",
   [DP_MESSAGE_SUSPECT] = "suspect",
--- a/core/message.h
+++ b/core/message.h
@@ -101,6 +101,8 @@
   /* node -> nodes that are asked for a stream's version, and answer */
   DP_MESSAGE_STREAM_VERSION,
   DP_MESSAGE_STREAM_VERSION_ASK,
+  /* node -> gateway that carried a target's response */
+  DP_MESSAGE_TARGET_PAUSED,
   DP_MESSAGE_COUNT,
 } DpMessageType;
 
@@ -443,6 +445,13 @@
   guint64 started; /* start of the target's incarnation, Unix milliseconds */
 } DpTargetLeaving;
 
+/* A target has asked a VM for a pause; it takes its gateway for the sender of the request. */
+typedef struct DpTargetPaused
+{
+  DpName target;
+  DpUsec pause;
+} DpTargetPaused;
+
 /* Limit that a target states in its responses. */
 /* Age of a row whose sender knows no response about a limit. */
 #define DP_LIMIT_AGE_NONE ((DpUsec)1 << 50)
@@ -512,6 +521,7 @@
     DpUseAsk use_ask;
     DpUseReport use_report;
     DpTargetLeaving target_leaving;
+    DpTargetPaused target_paused;
     DpTargetLimits target_limits;
     DpTargetSent target_sent;
     DpTargetsAsk targets_ask;
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -375,6 +375,11 @@
   UINT64 (3, DpMessage, target_leaving.started),
 };
 
+static const DpField target_paused_fields[] = {
+  UINT64 (1, DpMessage, target_paused.target),
+  USEC (2, DpMessage, target_paused.pause),
+};
+
 static const DpField targets_ask_fields[] = {
   UINT64 (1, DpMessage, targets_ask.version),
 };
@@ -442,6 +447,7 @@
   [DP_MESSAGE_USE_ASK] = TABLE (DpMessage, use_ask_fields),
   [DP_MESSAGE_USE_REPORT] = TABLE (DpMessage, use_report_fields),
   [DP_MESSAGE_TARGET_LEAVING] = TABLE (DpMessage, target_leaving_fields),
+  [DP_MESSAGE_TARGET_PAUSED] = TABLE (DpMessage, target_paused_fields),
   [DP_MESSAGE_TARGET_LIMITS] = TABLE (DpMessage, target_limits_fields),
   [DP_MESSAGE_TARGET_SENT] = TABLE (DpMessage, target_sent_fields),
 };
--- a/node/attempt.c
+++ b/node/attempt.c
@@ -50,12 +50,7 @@
   dp_target_limits_on_response (request);
   if (request->answer.pause == 0)
     return;
-  char pause_ms[16];
-  g_snprintf (pause_ms, sizeof pause_ms, "%" G_GINT64_FORMAT,
-              request->answer.pause / DP_USEC_PER_MSEC);
-  dp_log (DP_LOG_INFO, "target_paused", "request", request->id, "target", request->target_text,
-          "pause_ms", pause_ms, NULL);
-  dp_directory_pause (node->directory, request->target, dp_node_now () + request->answer.pause);
+  dp_paths_target_paused (request);
 }
 
 static void
--- a/node/node.h
+++ b/node/node.h
@@ -491,6 +491,10 @@
 void dp_paths_succeeded (const DpNodeRequest *request);
 /* Result of a connection that this VM opened as another one's gateway. */
 void dp_paths_record_direct (DpNode *node, DpName target, gboolean succeeded);
+/* The target asked for a pause in its response. Its gateway, if any, must keep it, too. */
+void dp_paths_target_paused (const DpNodeRequest *request);
+/* Returns FALSE if the message is of another type. */
+gboolean dp_paths_on_message (DpNode *node, const DpMessage *message);
 /* TRUE if the attempt's own connection is one of those that this VM has lost. */
 gboolean dp_paths_is_lost (const DpNodeRequest *request);
 
--- a/node/paths.c
+++ b/node/paths.c
@@ -114,3 +114,36 @@
   return request->stage == DP_STAGE_SENT && request->paths.path.kind == DP_PATH_DIRECT
          && dp_reach_is_cut_off (request->node->reach);
 }
+
+/* --- pauses that targets ask for --- */
+
+static void
+record_pause (DpNode *node, const char *request, const DpTargetPaused *paused)
+{
+  const DpDirectoryRow *row = dp_directory_find (node->directory, paused->target);
+  char pause_ms[16];
+  g_snprintf (pause_ms, sizeof pause_ms, "%" G_GINT64_FORMAT, paused->pause / DP_USEC_PER_MSEC);
+  dp_log (DP_LOG_INFO, "target_paused", "request", request, "target",
+          row != NULL ? row->record.id : "unknown", "pause_ms", pause_ms, NULL);
+  dp_directory_pause (node->directory, paused->target, dp_node_now () + paused->pause);
+}
+
+void
+dp_paths_target_paused (const DpNodeRequest *request)
+{
+  DpMessage message = { .type = DP_MESSAGE_TARGET_PAUSED };
+  message.target_paused
+    = (DpTargetPaused){ .target = request->target, .pause = request->answer.pause };
+  record_pause (request->node, request->id, &message.target_paused);
+  if (request->paths.path.kind == DP_PATH_GATEWAY)
+    dp_peers_send (request->node, request->paths.path.gateway, &message);
+}
+
+gboolean
+dp_paths_on_message (DpNode *node, const DpMessage *message)
+{
+  if (message->type != DP_MESSAGE_TARGET_PAUSED)
+    return FALSE;
+  record_pause (node, NULL, &message->target_paused);
+  return TRUE;
+}
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -169,6 +169,9 @@
     case DP_MESSAGE_TARGET_LEAVING:
       message.target_leaving = (DpTargetLeaving){ 1, 2, 3 };
       break;
+    case DP_MESSAGE_TARGET_PAUSED:
+      message.target_paused = (DpTargetPaused){ 1, 2 };
+      break;
     case DP_MESSAGE_TARGET_LIMITS:
       message.target_limits
         = (DpTargetLimits){ 1,
--- a/tests/test_node_stranded.c
+++ b/tests/test_node_stranded.c
@@ -57,12 +57,12 @@
 }
 
 static guint
-count_known (const Fixture *fixture)
+count_in_log (const Fixture *fixture, const char *text)
 {
   char *log = NULL;
   ck_assert (g_file_get_contents (fixture->cluster->log, &log, NULL, NULL));
   guint count = 0;
-  for (const char *at = log; (at = strstr (at, "event=target_known ")) != NULL; at++)
+  for (const char *at = log; (at = strstr (at, text)) != NULL; at++)
     count++;
   g_free (log);
   return count;
@@ -73,11 +73,11 @@
 set_stranded (const Fixture *fixture, gboolean is_stranded)
 {
   store_rewriter_set_active (fixture->rewriter, is_stranded);
-  guint before = count_known (fixture);
+  guint before = count_in_log (fixture, "event=target_known ");
   for (guint i = 0; i < TARGETS; i++)
     put_target_version (fixture->cluster, i, "PUT", is_stranded ? "v2" : "v3");
   for (gint64 end = g_get_monotonic_time () + WAIT;
-       count_known (fixture) < before + TARGETS * VMS;)
+       count_in_log (fixture, "event=target_known ") < before + TARGETS * VMS;)
     ck_assert_msg (g_get_monotonic_time () < end, "targets are not known");
 }
 
@@ -157,6 +157,42 @@
 }
 END_TEST
 
+/* Waits until the log has the text for both targets, from both VMs. */
+static void
+wait_for_pauses (const Fixture *fixture)
+{
+  gint64 end = g_get_monotonic_time () + WAIT;
+  for (guint count = 0; count < TARGETS * VMS;)
+    {
+      ck_assert_msg (g_get_monotonic_time () < end, "%u pauses known", count);
+      count = count_in_log (fixture, "event=target_paused ");
+    }
+}
+
+/* A target counts its refusals by the VM that connects to it. */
+START_TEST (gateway_keeps_the_pause_that_a_target_asked_for_through_it)
+{
+  Fixture *fixture = fixture_new ();
+  const Cluster *cluster = fixture->cluster;
+  set_stranded (fixture, TRUE);
+  for (guint i = 0; i < TARGETS; i++)
+    set_fault (cluster, cluster->target_control[i], "{\"decline\":1,\"retry_after\":20}");
+  int status = 0;
+  g_free (http_exchange ("POST", cluster->address[STRANDED], cluster->caller_port[STRANDED],
+                         "/book/1", HOST KEY "Request-Id: p1\r\nDeadline-Ms: 2500\r\n", NULL,
+                         &status));
+  ck_assert_int_eq (status, 503);
+  ck_assert_int_eq (sum_target_counter (cluster, "declined"), TARGETS);
+  wait_for_pauses (fixture);
+  g_free (http_exchange ("POST", cluster->address[SOUND], cluster->caller_port[SOUND],
+                         "/book/1", HOST KEY "Request-Id: p2\r\nDeadline-Ms: 2500\r\n", NULL,
+                         &status));
+  ck_assert_int_eq (status, 503);
+  ck_assert_int_eq (sum_target_counter (cluster, "declined"), TARGETS);
+  fixture_free (fixture);
+}
+END_TEST
+
 /* Also covers the case that the other VM has lost its links, too: it must not be asked for
  * ever. */
 START_TEST (requests_fail_soon_as_not_run_if_no_vm_reaches_a_target)
@@ -197,6 +233,7 @@
   TCase *tests = tcase_create ("stranded");
   tcase_add_loop_test (tests, callers_of_a_vm_without_links_to_targets_are_served, 0,
                        G_N_ELEMENTS (kinds));
+  tcase_add_test (tests, gateway_keeps_the_pause_that_a_target_asked_for_through_it);
   tcase_add_test (tests, requests_fail_soon_as_not_run_if_no_vm_reaches_a_target);
   suite_add_tcase (suite, tests);
   SRunner *runner = srunner_create (suite);
