node: leave a begun stream at its silent target if no other may go on with it

A stream that had begun and whose target sent nothing for three of the route's pauses was moved to another target, and cut off if that was not allowed: the route's attempts or the retry budget were used up. With all targets silent for a second, each resumable stream was cut off within 1.2 s.

Silence is an end of its own in the decision (core/retry): the request moves if another target may run it, else a begun answer stays where it is, until its target goes on, breaks off, or the time is over. Deciding no longer spends the retry budget unless the step is a retry, since silence is looked at in each tick. A request without a first event fails as before.

Shown: the row "draft, all targets are silent for a second" of target_faults_are_answered_correctly fails on (cut off) and passes; the row with a stream that can't move passes on both. node (73 cases) and node_parts are green.

--- a/core/retry.c
+++ b/core/retry.c
@@ -37,6 +37,10 @@
       if (!facts->answer_started)
         return DP_STEP_FORWARD;
       break;
+    case DP_ATTEMPT_SILENT:
+      if (again && facts->is_repeatable && facts->runs < facts->runs_max)
+        return DP_STEP_RETRY;
+      return facts->answer_started ? DP_STEP_WAIT : DP_STEP_UNKNOWN;
     }
   if (facts->answer_started)
     return DP_STEP_ABORT;
--- a/core/retry.h
+++ b/core/retry.h
@@ -12,6 +12,7 @@
   DP_ATTEMPT_DECLINED, /* the target states that it did not and will not run it */
   DP_ATTEMPT_BROKE,    /* response missing or incomplete; it may have run */
   DP_ATTEMPT_ERROR,    /* complete error response */
+  DP_ATTEMPT_SILENT, /* not ended, but the target has sent nothing for too long; it may go on */
 } DpAttemptEnd;
 
 typedef struct DpAttemptFacts
@@ -35,6 +36,7 @@
   DP_STEP_NOT_RUN, /* refuse: it did not run, the caller may retry */
   DP_STEP_UNKNOWN, /* fail: it may have run */
   DP_STEP_ABORT,   /* end the response so that the caller sees it is truncated */
+  DP_STEP_WAIT,    /* leave the attempt as it is */
 } DpNextStep;
 
 DpNextStep dp_retry_decide (const DpAttemptFacts *facts);
--- a/node/node.h
+++ b/node/node.h
@@ -220,6 +220,7 @@
   char target_text[DP_TARGET_TEXT_BYTES];
   DpUsec sent_at;
   DpUsec last_event_at;    /* last complete event of this attempt; 0: none yet */
+  gboolean is_silent;      /* its target stopped sending and no other one may go on */
   DpUsec first_byte_after; /* time from sending to the first event or byte; 0: none yet */
   DpHttpCall *call;        /* NULL: none open */
   DpTargetResponse answer; /* of this attempt */
--- a/node/request.c
+++ b/node/request.c
@@ -68,6 +68,15 @@
   g_string_free (parts, TRUE);
 }
 
+/* Logs once per attempt that the request stays at its silent target. */
+static void
+log_silence (DpNodeRequest *request)
+{
+  if (!request->is_silent)
+    log_event (request, "target_silent", DP_REASON_TARGET_SILENT);
+  request->is_silent = TRUE;
+}
+
 static void
 log_sent (const DpNodeRequest *request, const DpDirectoryRow *target)
 {
@@ -333,6 +342,7 @@
   request->target = target;
   request->sent_at = now;
   request->first_byte_after = 0;
+  request->is_silent = FALSE;
   request->stage = DP_STAGE_SENT;
   if (now >= request->deadline)
     {
@@ -365,49 +375,56 @@
   fail_request (request, reason, retry_after);
 }
 
-/* Returns whether the retry budget allows another attempt. One that reached no target costs
- * nothing, and neither does a request that can't be retried. */
+/* Returns whether the retry budget allows another attempt; one that reached no target costs
+ * nothing. */
 static gboolean
 spend_budget (DpNodeRequest *request, DpAttemptEnd end, DpUsec now)
 {
-  switch (end)
-    {
-    case DP_ATTEMPT_UNSENT:
-      return TRUE;
-    case DP_ATTEMPT_DECLINED:
-      break;
-    case DP_ATTEMPT_BROKE:
-    case DP_ATTEMPT_ERROR:
-      if (!request->is_repeatable || request->runs >= request->route->attempts_max)
-        return FALSE;
-      break;
-    }
-  return dp_retry_budget_spend (&request->pool->budget, now);
+  return end == DP_ATTEMPT_UNSENT || dp_retry_budget_spend (&request->pool->budget, now);
 }
 
+/* TRUE if the target may have run the request in an attempt that ends so. */
+static gboolean
+may_have_run (DpAttemptEnd end)
+{
+  return end == DP_ATTEMPT_BROKE || end == DP_ATTEMPT_ERROR || end == DP_ATTEMPT_SILENT;
+}
+
+/* Spends the retry budget if the next step is a retry. */
 static DpNextStep
 decide_next_step (DpNodeRequest *request, DpAttemptEnd end)
 {
   DpUsec now = dp_node_now ();
-  const DpAttemptFacts facts = {
+  gboolean has_run = may_have_run (end);
+  DpAttemptFacts facts = {
     .end = end,
     .is_repeatable = request->is_repeatable,
-    .may_have_run = request->may_have_run,
+    .may_have_run = request->may_have_run || has_run,
     .answer_started = request->head_sent,
     .can_resume = request->route->kind == DP_ROUTE_STREAM && request->route->resumable,
-    .runs = request->runs,
+    .runs = request->runs + (has_run ? 1 : 0),
     .runs_max = request->route->attempts_max,
     .attempt_count = request->attempt_count,
-    .within_budget = spend_budget (request, end, now),
+    .within_budget = TRUE,
     .time_left = request->deadline - now,
   };
+  DpNextStep step = dp_retry_decide (&facts);
+  if (step != DP_STEP_RETRY || spend_budget (request, end, now))
+    return step;
+  facts.within_budget = FALSE;
   return dp_retry_decide (&facts);
 }
 
 void
 dp_request_on_attempt_failed (DpNodeRequest *request, DpAttemptEnd end, DpReason reason)
 {
-  if (end == DP_ATTEMPT_BROKE || end == DP_ATTEMPT_ERROR)
+  DpNextStep step = decide_next_step (request, end);
+  if (step == DP_STEP_WAIT)
+    {
+      log_silence (request);
+      return;
+    }
+  if (may_have_run (end))
     {
       request->runs++;
       request->may_have_run = TRUE;
@@ -419,7 +436,6 @@
   if (end == DP_ATTEMPT_BROKE && target_disconnected)
     dp_node_quarantine_record_failure (request);
   /* The response must be forwarded before dp_attempt_cancel() frees it. */
-  DpNextStep step = decide_next_step (request, end);
   if (step == DP_STEP_FORWARD)
     {
       dp_attempt_forward_response (request);
@@ -460,7 +476,7 @@
   if (reason != DP_REASON_TARGET_SILENT || request->first_byte_after > 0
       || !request->is_repeatable)
     return;
-  dp_request_on_attempt_failed (request, DP_ATTEMPT_BROKE, DP_REASON_TARGET_SILENT);
+  dp_request_on_attempt_failed (request, DP_ATTEMPT_SILENT, DP_REASON_TARGET_SILENT);
 }
 
 /* The deadline, set by the caller or the route, has passed. */
@@ -487,6 +503,6 @@
       else if (dp_stream_versions_has_timed_out (request, now))
         dp_request_on_version (request);
       else if (!was_paused && dp_attempt_is_stalled (request, now))
-        dp_request_on_attempt_failed (request, DP_ATTEMPT_BROKE, DP_REASON_TARGET_SILENT);
+        dp_request_on_attempt_failed (request, DP_ATTEMPT_SILENT, DP_REASON_TARGET_SILENT);
     }
 }
--- a/standins/target.c
+++ b/standins/target.c
@@ -24,11 +24,13 @@
 
 typedef struct TargetFaults
 {
-  gint64 decline;      /* 1: refuses requests as not executed */
-  gint64 other;        /* 1: refuses requests with 421, as another target's */
-  gint64 cut_before;   /* 1: closes the connection without running the request */
-  gint64 cut_after;    /* closes the connection after this many events, within the next one */
-  gint64 stall_after;  /* after this many events sends single bytes and never completes */
+  gint64 decline;     /* 1: refuses requests as not executed */
+  gint64 other;       /* 1: refuses requests with 421, as another target's */
+  gint64 cut_before;  /* 1: closes the connection without running the request */
+  gint64 cut_after;   /* closes the connection after this many events, within the next one */
+  gint64 stall_after; /* after this many events sends single bytes and never completes */
+  gint64 pause_after; /* after this many events sends nothing for pause_ms */
+  gint64 pause_ms;
   gint64 silent;       /* 1: runs the request but sends no response */
   gint64 status;       /* HTTP status of the response; the request ran */
   gint64 wrong_id;     /* 1: Request-Id is another request's */
@@ -49,6 +51,7 @@
   struct evhttp_request *req;
   struct event *timer;
   gint64 next; /* id of the next event; 0: the response is a plain body */
+  gint64 sent; /* events sent before a pause */
 } Run;
 
 static struct
@@ -71,6 +74,8 @@
   { "cut_before", .number = &target.faults.cut_before },
   { "cut_after", .number = &target.faults.cut_after },
   { "stall_after", .number = &target.faults.stall_after },
+  { "pause_after", .number = &target.faults.pause_after },
+  { "pause_ms", .number = &target.faults.pause_ms },
   { "silent", .number = &target.faults.silent },
   { "status", .number = &target.faults.status },
   { "wrong_id", .number = &target.faults.wrong_id },
@@ -251,19 +256,19 @@
   g_string_free (raw, TRUE);
 }
 
+static void start_pause (struct evhttp_request *req, gint64 next, gint64 sent);
+
+/* `sent`: number of events sent before; `may_pause`: FALSE after a pause. */
 static void
-send_stream (struct evhttp_request *req, gint64 next)
+send_events (struct evhttp_request *req, gint64 next, gint64 sent, gboolean may_pause)
 {
-  if (target.faults.unframed == 1)
-    {
-      send_unframed_stream (req, next);
-      return;
-    }
-  add_run_headers (req);
-  add_header (req, "Content-Type", "text/event-stream");
-  evhttp_send_reply_start (req, 200, NULL);
-  for (gint64 sent = 0; next <= STREAM_EVENTS; next++, sent++)
+  for (; next <= STREAM_EVENTS; next++, sent++)
     {
+      if (may_pause && sent == target.faults.pause_after)
+        {
+          start_pause (req, next, sent);
+          return;
+        }
       if (sent == target.faults.stall_after)
         {
           start_stall (req);
@@ -280,6 +285,45 @@
   evhttp_send_reply_end (req);
 }
 
+static void
+on_pause_timer (evutil_socket_t fd, short what, void *data)
+{
+  Run *run = data;
+  standin_unwatch_close (run->req);
+  send_events (run->req, run->next, run->sent, FALSE);
+  run_free (run);
+}
+
+static void
+start_pause (struct evhttp_request *req, gint64 next, gint64 sent)
+{
+  Run *run = g_new0 (Run, 1);
+  g_hash_table_add (target.open, run);
+  run->req = req;
+  run->next = next;
+  run->sent = sent;
+  run->timer = event_new (target.base, -1, 0, on_pause_timer, run);
+  gint64 pause = MAX (target.faults.pause_ms, 0);
+  const struct timeval interval
+    = { .tv_sec = pause / 1000, .tv_usec = (suseconds_t)(pause % 1000 * 1000) };
+  event_add (run->timer, &interval);
+  standin_watch_close (req, on_run_closed, run);
+}
+
+static void
+send_stream (struct evhttp_request *req, gint64 next)
+{
+  if (target.faults.unframed == 1)
+    {
+      send_unframed_stream (req, next);
+      return;
+    }
+  add_run_headers (req);
+  add_header (req, "Content-Type", "text/event-stream");
+  evhttp_send_reply_start (req, 200, NULL);
+  send_events (req, next, 0, TRUE);
+}
+
 static void
 on_run_timer (evutil_socket_t fd, short what, void *data)
 {
