--- a/core/dispatcher_limits.c
+++ b/core/dispatcher_limits.c
@@ -3,8 +3,8 @@
  * owner that begins to do so asks all VMs for the requests that they have sent. Then, it
  * announces itself regularly, and VMs tell it of requests that another owner has assigned.
  *
- * While several owners announce themselves, each assigns to a part of the brittle targets only:
- * at once, two would fill the same slots. */
+ * While several owners announce themselves, each fills only a part of the slots of brittle
+ * targets: at once, two would fill the same slot. */
 #include "core/dispatcher_private.h"
 
 #include <math.h>
@@ -243,19 +243,32 @@
       dispatcher->present_at = 0;
 }
 
-/* TRUE if no other owner assigns requests to the target. */
-static gboolean
-is_assigned_here (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
+/* The part of the target's slots that this owner may fill while others fill the rest. */
+static guint
+count_own_slots (const DpDispatcher *dispatcher, const DpDispatchTarget *target, guint slots)
 {
   DpName own = dp_name_pair (target->name, dispatcher->options.self);
+  guint owners = 1;
+  guint rank = 0;
   for (guint i = 0; i < dispatcher->other_owners->len; i++)
     {
       const OtherOwner *other = &g_array_index (dispatcher->other_owners, OtherOwner, i);
-      if (dispatcher->now - other->heard_at <= OTHER_OWNER_AGE_MAX
-          && dp_name_pair (target->name, other->vm) > own)
-        return FALSE;
+      if (dispatcher->now - other->heard_at > OTHER_OWNER_AGE_MAX)
+        continue;
+      owners++;
+      rank += dp_name_pair (target->name, other->vm) > own;
     }
-  return TRUE;
+  return slots / owners + (rank < slots % owners);
+}
+
+/* Number of requests at the target that this owner has assigned. */
+static guint
+count_own_requests (const DpDispatchTarget *target)
+{
+  guint own = 0;
+  for (guint i = 0; i < target->requests->len; i++)
+    own += !((const DpDispatchRequest *)g_ptr_array_index (target->requests, i))->was_adopted;
+  return own;
 }
 
 /* --- brittle targets --- */
@@ -274,12 +287,14 @@
 {
   if (target->brittle == NULL)
     return G_MAXUINT;
-  if (!is_assigned_here (dispatcher, target))
-    return 0;
+  guint slots = reachable_slots (dispatcher, target);
+  guint own_slots = count_own_slots (dispatcher, target, slots);
+  guint own_requests = count_own_requests (target);
   const DpBrittleLoad load = { .rejections_max = target->rejections_max,
-                               .slots = reachable_slots (dispatcher, target),
+                               .slots = slots,
                                .assigned = target->requests->len };
-  return dp_brittle_target_capacity (target->brittle, &load, dispatcher->now);
+  guint capacity = dp_brittle_target_capacity (target->brittle, &load, dispatcher->now);
+  return MIN (capacity, own_slots > own_requests ? own_slots - own_requests : 0);
 }
 
 /* TRUE if the target may still run a request that ended for this reason. */
