core/reach: count failures of a gateway that coincide once

Callers of a VM without links to targets got 503 no_path for up to 8 s after its gateway had paused or restarted once, although the gateway was back.

Cause: each attempt that was waiting for the gateway at that moment counted as one more consecutive failure, and each doubles the time for which the gateway is avoided (500 ms, at most 8 s); five attempts at once are enough. An avoided gateway isn't used even if there is no other, so with one sound VM nothing was left. A pause of the requester itself, after which all handshakes time out at once, did the same for all gateways.

Failures of attempts that began before a gateway is avoided say nothing new and are no longer counted.

--- a/core/reach.c
+++ b/core/reach.c
@@ -243,6 +243,9 @@
 record_gateway_failure (DpReach *reach, DpName vm, DpUsec now)
 {
   drop_kept (reach, vm);
+  /* An attempt from before: the failure was counted. */
+  if (is_avoided (reach->gateways, vm, now))
+    return;
   Failing *row = ensure_failing (reach->gateways, vm);
   DpUsec avoid = AVOID_MIN << MIN (row->failures, 8);
   row->failures++;
--- a/tests/test_reach.c
+++ b/tests/test_reach.c
@@ -338,6 +338,40 @@
 }
 END_TEST
 
+/* --- gateways that fail once --- */
+
+/* Several attempts use the gateway at the same moment, when it pauses or restarts. */
+START_TEST (attempts_that_fail_together_at_a_gateway_count_once)
+{
+  World *world = world_new (2, 16);
+  DpReach *reach = world->vms[0].reach;
+  DpUsec now = START;
+  for (guint i = 0; i < 2; i++)
+    {
+      DpPathSearch search = dp_reach_begin (reach, target_name (i), data_centre_name (0), now);
+      ck_assert_int_eq (search.path.kind, DP_PATH_DIRECT);
+      ck_assert (dp_reach_next (reach, &search, DP_PATH_UNREACHED, now));
+      dp_reach_succeeded (reach, &search, now);
+    }
+  ck_assert (dp_reach_is_cut_off (reach));
+  DpPathSearch searches[12];
+  for (guint i = 0; i < G_N_ELEMENTS (searches); i++)
+    {
+      searches[i] = dp_reach_begin (reach, target_name (i), data_centre_name (0), now);
+      ck_assert_int_eq (searches[i].path.kind, DP_PATH_GATEWAY);
+    }
+  now += GATEWAY_TIMEOUT;
+  for (guint i = 0; i < G_N_ELEMENTS (searches); i++)
+    dp_reach_next (reach, &searches[i], DP_PATH_GATEWAY_FAILED, now);
+  world->vms[0].trouble = HANG;
+  Outcome cut = { 0 }, others = { 0 };
+  run (world, now + DP_USEC_PER_SEC, 3 * DP_USEC_PER_SEC, &cut, &others);
+  ck_assert_msg (cut.served * 50 >= cut.requests * 49, "%u of %u served", cut.served,
+                 cut.requests);
+  world_free (world);
+}
+END_TEST
+
 /* --- a single lost link --- */
 
 START_TEST (a_single_lost_link_is_bypassed_and_tried_again)
@@ -378,6 +412,7 @@
   tcase_add_test (tests, a_target_that_is_down_is_blamed_by_all);
   tcase_add_loop_test (tests, without_other_vms_a_failed_connection_blames_the_target, 0, 2);
   tcase_add_test (tests, without_any_path_requests_fail_at_once);
+  tcase_add_test (tests, attempts_that_fail_together_at_a_gateway_count_once);
   tcase_add_test (tests, a_single_lost_link_is_bypassed_and_tried_again);
   suite_add_tcase (suite, tests);
   return suite;
