core/reach: try another gateway after one that reached no target

Callers of VMs without links to targets were not served, for as long as the cut lasted, where the system has one or two targets: with all VMs of a data centre cut off and connections refused, none of 625 requests; with most VMs cut off and silent, 500 to 999 of 1,125.

Cause: a gateway that has lost its links, too, answers that it doesn't reach the target, and the target is blamed. Nothing was recorded of the gateway. It stops serving only after failures at three targets, so with fewer it went on answering so, and gateways in the own data centre, which share the fate, come first. With more targets the same happened until each had failed at three.

A gateway that has not worked for this VM before is now avoided after the first such answer, one that has after three in a row; a success clears it. So VMs of the data centre are passed over after two, as after other failures. The target is blamed as before.

--- a/core/reach.c
+++ b/core/reach.c
@@ -22,6 +22,9 @@
 /* A gateway that failed is avoided for this long, which doubles with each failure. */
 #define AVOID_MIN (500 * DP_USEC_PER_MSEC)
 #define AVOID_MAX (8 * DP_USEC_PER_SEC)
+/* A gateway that has worked counts as failed after this many connections in a row that it could
+ * not open; any other after the first. */
+#define KEPT_UNREACHED_MAX 3
 /* VMs of a data centre are avoided after this many of them have failed as gateways, since most
  * likely all have lost their links. */
 #define DATA_CENTRE_FAILURES 2
@@ -39,7 +42,8 @@
 /* A VM that has failed as a gateway, or all VMs of a data centre. */
 typedef struct Failing
 {
-  guint failures; /* consecutive */
+  guint failures;  /* consecutive */
+  guint unreached; /* consecutive connections that it could not open */
   DpUsec avoided_until;
 } Failing;
 
@@ -278,6 +282,16 @@
   g_hash_table_remove (reach->data_centres, &data_centre);
 }
 
+/* The target may be down, or the gateway has lost its links and doesn't know it yet. */
+static void
+record_gateway_unreached (DpReach *reach, DpName vm, DpUsec now)
+{
+  Failing *row = ensure_failing (reach->gateways, vm);
+  row->unreached++;
+  if (!is_kept (reach, vm) || row->unreached >= KEPT_UNREACHED_MAX)
+    record_gateway_failure (reach, vm, now);
+}
+
 static gboolean
 is_usable (const DpReach *reach, const DpPathSearch *search, DpName vm, DpUsec now)
 {
@@ -410,9 +424,12 @@
       break;
     case DP_PATH_GATEWAY:
       if (failure == DP_PATH_GATEWAY_FAILED)
-        record_gateway_failure (reach, search->path.gateway, now);
-      else
-        search->is_target_unreached = TRUE;
+        {
+          record_gateway_failure (reach, search->path.gateway, now);
+          break;
+        }
+      search->is_target_unreached = TRUE;
+      record_gateway_unreached (reach, search->path.gateway, now);
       break;
     case DP_PATH_NONE:
       break;
--- a/tests/test_reach.c
+++ b/tests/test_reach.c
@@ -40,12 +40,14 @@
   guint served;
   guint direct; /* connections that were tried directly */
   guint blamed; /* targets that were reported as unreachable */
+  guint down;   /* requests to targets that are down */
   DpUsec time;  /* sum over the served requests */
 } Outcome;
 
 typedef struct World
 {
   guint vm_count;
+  guint target_count;
   Vm vms[VMS_MAX];
   gboolean target_down[TARGETS];
   DpOwners *owners; /* knows nothing: all VMs count as available */
@@ -76,6 +78,7 @@
 {
   World *world = g_new0 (World, 1);
   world->vm_count = vm_count;
+  world->target_count = TARGETS;
   world->random = seed;
   world->owners = dp_owners_new (1, START);
   DpVm rows[VMS_MAX] = { 0 };
@@ -180,6 +183,7 @@
       is_open = try_path (world, vm, &search, target, &now);
     }
   outcome->requests++;
+  outcome->down += world->target_down[target];
   outcome->served += is_open;
   outcome->blamed += search.is_target_unreached;
   if (!is_open)
@@ -197,7 +201,8 @@
       {
         Vm *vm = &world->vms[i];
         if (vm->trouble != DOWN)
-          request (world, vm, draw (world, TARGETS), now + draw (world, REQUEST_INTERVAL),
+          request (world, vm, draw (world, world->target_count),
+                   now + draw (world, REQUEST_INTERVAL),
                    vm->trouble == NO_TROUBLE ? others : troubled);
       }
 }
@@ -211,7 +216,8 @@
   guint cut_share;         /* percent of all VMs, at random */
   gboolean is_data_centre; /* all VMs of one data centre instead */
   Trouble trouble;
-  guint down_share; /* percent of the others that don't respond at all */
+  guint down_share;   /* percent of the others that don't respond at all */
+  guint target_count; /* 0: TARGETS */
 } CutCase;
 
 static const CutCase cut_cases[] = {
@@ -223,7 +229,10 @@
   { "all but one", 15, 93, FALSE, HANG, 0 },
   { "most of a large fleet", 300, 80, FALSE, HANG, 0 },
   { "a data centre of a large fleet", 300, 0, TRUE, HANG, 0 },
-  { "most, and others are dead", 15, 50, FALSE, HANG, 40 },
+  { "most, and others are dead", 15, 50, FALSE, HANG, 40, 0 },
+  { "most, one target", 15, 60, FALSE, HANG, 0, 1 },
+  { "most, two targets", 15, 60, FALSE, HANG, 0, 2 },
+  { "a data centre, two targets, refused", 15, 0, TRUE, REFUSE, 0, 2 },
 };
 
 static void
@@ -261,6 +270,8 @@
 {
   const CutCase *row = &cut_cases[_i / SEEDS];
   World *world = world_new (row->vm_count, 11 + (guint64)_i % SEEDS);
+  if (row->target_count > 0)
+    world->target_count = row->target_count;
   Outcome before = { 0 }, early = { 0 }, cut = { 0 }, others = { 0 };
   run (world, START, DP_USEC_PER_SEC, &before, &before);
   ck_assert_uint_eq (before.served, before.requests);
@@ -302,6 +313,22 @@
 }
 END_TEST
 
+START_TEST (a_target_that_is_down_costs_vms_without_links_no_gateway)
+{
+  const CutCase *row = &cut_cases[_i / SEEDS];
+  World *world = world_new (row->vm_count, 21 + (guint64)_i % SEEDS);
+  Outcome early = { 0 }, cut = { 0 }, others = { 0 };
+  apply_cut (world, row);
+  world->target_down[4] = TRUE;
+  run (world, START, 3 * DP_USEC_PER_SEC, &early, &early);
+  run (world, START + 3 * DP_USEC_PER_SEC, 5 * DP_USEC_PER_SEC, &cut, &others);
+  ck_assert_msg (cut.served * 50 >= (cut.requests - cut.down) * 49, "%s: %u of %u served",
+                 row->name, cut.served, cut.requests - cut.down);
+  ck_assert_uint_eq (others.served, others.requests - others.down);
+  world_free (world);
+}
+END_TEST
+
 START_TEST (without_other_vms_a_failed_connection_blames_the_target)
 {
   const guint vm_counts[] = { 1, 3 };
@@ -410,6 +437,8 @@
   tcase_add_loop_test (tests, callers_of_vms_without_links_are_served_through_others, 0,
                        G_N_ELEMENTS (cut_cases) * SEEDS);
   tcase_add_test (tests, a_target_that_is_down_is_blamed_by_all);
+  tcase_add_loop_test (tests, a_target_that_is_down_costs_vms_without_links_no_gateway, 0,
+                       G_N_ELEMENTS (cut_cases) * SEEDS);
   tcase_add_loop_test (tests, without_other_vms_a_failed_connection_blames_the_target, 0, 2);
   tcase_add_test (tests, without_any_path_requests_fail_at_once);
   tcase_add_test (tests, attempts_that_fail_together_at_a_gateway_count_once);
