net: forget a closed connection as its descriptor is reused

A closed connection stayed in it for up to a second although a new one had its descriptor: closed ones counted towards the limit, so that new ones were not accepted, and a caller that came back from the same port to the same descriptor made the old entry look open, whose bufferevent evhttp had freed.

The table is keyed by descriptor again, and input buffers only find an entry; new connections are entered before the table is used. connections_from_the_same_port_are_told_apart fails on (the last connection was not accepted) and passes; net_http and node_stop are green.

--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -20,7 +20,8 @@
 typedef struct Connection
 {
   struct bufferevent *bev; /* freed by evhttp: only valid while is_open() */
-  int fd;                  /* -1 until evhttp has set it */
+  struct evbuffer *input;  /* of `bev` */
+  int fd;
   struct sockaddr_storage peer;
   ConnectionState state;
   DpUsec since;   /* of the state */
@@ -31,8 +32,9 @@
 {
   DpHttpConnectionsOptions options;
   struct evconnlistener *listener; /* may be NULL */
-  GHashTable *by_input;            /* struct evbuffer: input -> Connection */
-  GPtrArray *accepted;             /* Connection: descriptor not set yet */
+  GHashTable *by_fd;               /* descriptor -> Connection */
+  GHashTable *by_input;            /* struct evbuffer: input -> Connection, not owned */
+  GPtrArray *accepted;             /* Connection: not in by_fd yet */
   struct event *accepted_event;
   struct event *sweep;
 };
@@ -52,8 +54,6 @@
 static gboolean
 is_open (const Connection *connection)
 {
-  if (connection->fd < 0)
-    return TRUE;
   struct sockaddr_storage peer = peer_address (connection->fd);
   return peer.ss_family != 0 && memcmp (&peer, &connection->peer, sizeof peer) == 0;
 }
@@ -69,8 +69,7 @@
 static gboolean
 is_idle (const Connection *connection)
 {
-  return connection->fd >= 0 && connection->state == CONNECTION_IDLE
-         && !has_unread_bytes (connection);
+  return connection->state == CONNECTION_IDLE && !has_unread_bytes (connection);
 }
 
 static void
@@ -78,7 +77,8 @@
 {
   if (connections->listener == NULL)
     return;
-  if (g_hash_table_size (connections->by_input) < connections->options.max)
+  guint open = g_hash_table_size (connections->by_fd) + connections->accepted->len;
+  if (open < connections->options.max)
     evconnlistener_enable (connections->listener);
   else
     evconnlistener_disable (connections->listener);
@@ -110,31 +110,48 @@
   DpHttpConnections *connections = user;
   Connection *connection = g_new0 (Connection, 1);
   connection->bev = bufferevent_socket_new (base, -1, 0);
-  connection->fd = -1;
   set_state (connections, connection, CONNECTION_IDLE);
-  struct evbuffer *input = bufferevent_get_input (connection->bev);
-  evbuffer_add_cb (input, on_input, connections);
-  g_hash_table_replace (connections->by_input, input, connection);
+  connection->input = bufferevent_get_input (connection->bev);
+  evbuffer_add_cb (connection->input, on_input, connections);
+  g_hash_table_insert (connections->by_input, connection->input, connection);
   g_ptr_array_add (connections->accepted, connection);
   event_active (connections->accepted_event, EV_TIMEOUT, 0);
   update_listener (connections);
   return connection->bev;
 }
 
-/* Runs before the loop polls for input again, so that no connection can be closed yet. */
+/* Another connection may have the same input buffer by now. */
 static void
-on_accepted (evutil_socket_t fd, short what, void *user)
+remove_input (DpHttpConnections *connections, const Connection *connection)
+{
+  if (g_hash_table_lookup (connections->by_input, connection->input) == connection)
+    g_hash_table_remove (connections->by_input, connection->input);
+}
+
+/* A connection that had the descriptor of a new one is closed. */
+static void
+register_accepted (DpHttpConnections *connections)
 {
-  DpHttpConnections *connections = user;
   for (guint i = 0; i < connections->accepted->len; i++)
     {
       Connection *connection = g_ptr_array_index (connections->accepted, i);
       connection->fd = bufferevent_getfd (connection->bev);
       connection->peer = peer_address (connection->fd);
+      const Connection *closed = g_hash_table_lookup (connections->by_fd, &connection->fd);
+      if (closed != NULL)
+        remove_input (connections, closed);
+      g_hash_table_replace (connections->by_fd, &connection->fd, connection);
     }
   g_ptr_array_set_size (connections->accepted, 0);
 }
 
+/* Runs before the loop polls for input again, so that no connection can be closed yet. */
+static void
+on_accepted (evutil_socket_t fd, short what, void *user)
+{
+  register_accepted (user);
+}
+
 /* Closes a connection that has no request in progress. Nothing more is read from it, so that
  * no request can be processed whose response could not be sent. */
 static void
@@ -161,7 +178,8 @@
   DpUsec now = g_get_monotonic_time ();
   GHashTableIter iter;
   gpointer value;
-  g_hash_table_iter_init (&iter, connections->by_input);
+  register_accepted (connections);
+  g_hash_table_iter_init (&iter, connections->by_fd);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       Connection *connection = value;
@@ -170,10 +188,11 @@
         continue;
       if (open)
         close_connection (connections, connection, "dogwoodplank_http_idle_closed_total");
+      remove_input (connections, connection);
       g_hash_table_iter_remove (&iter);
     }
   dp_counters_set (connections->options.counters, "dogwoodplank_http_connections", "listener",
-                   connections->options.name, g_hash_table_size (connections->by_input));
+                   connections->options.name, g_hash_table_size (connections->by_fd));
   update_listener (connections);
 }
 
@@ -200,7 +219,8 @@
 {
   DpHttpConnections *connections = g_new0 (DpHttpConnections, 1);
   connections->options = *options;
-  connections->by_input = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  connections->by_fd = g_hash_table_new_full (g_int_hash, g_int_equal, NULL, g_free);
+  connections->by_input = g_hash_table_new (NULL, NULL);
   connections->accepted = g_ptr_array_new ();
   connections->accepted_event = event_new (options->base, -1, 0, on_accepted, connections);
   connections->sweep = event_new (options->base, -1, EV_PERSIST, on_sweep, connections);
@@ -215,8 +235,10 @@
 {
   event_free (connections->sweep);
   event_free (connections->accepted_event);
+  g_ptr_array_set_free_func (connections->accepted, g_free);
   g_ptr_array_unref (connections->accepted);
   g_hash_table_unref (connections->by_input);
+  g_hash_table_unref (connections->by_fd);
   g_free (connections);
 }
 
@@ -255,7 +277,8 @@
   connections->options.idle_timeout = timeout;
   GHashTableIter iter;
   gpointer value;
-  g_hash_table_iter_init (&iter, connections->by_input);
+  register_accepted (connections);
+  g_hash_table_iter_init (&iter, connections->by_fd);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     extend_timeout (connections, value);
 }
@@ -265,7 +288,8 @@
 {
   GHashTableIter iter;
   gpointer value;
-  g_hash_table_iter_init (&iter, connections->by_input);
+  register_accepted (connections);
+  g_hash_table_iter_init (&iter, connections->by_fd);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       Connection *connection = value;
@@ -274,16 +298,18 @@
         continue;
       if (open)
         close_connection (connections, connection, "dogwoodplank_http_stop_closed_total");
+      remove_input (connections, connection);
       g_hash_table_iter_remove (&iter);
     }
 }
 
 gboolean
-dp_http_connections_have_requests (const DpHttpConnections *connections)
+dp_http_connections_have_requests (DpHttpConnections *connections)
 {
   GHashTableIter iter;
   gpointer value;
-  g_hash_table_iter_init (&iter, connections->by_input);
+  register_accepted (connections);
+  g_hash_table_iter_init (&iter, connections->by_fd);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Connection *connection = value;
--- a/net/http_connections.h
+++ b/net/http_connections.h
@@ -52,4 +52,4 @@
 
 /* TRUE if at least a part of a request has arrived on a connection and there is no complete
  * response to it yet. */
-gboolean dp_http_connections_have_requests (const DpHttpConnections *connections);
+gboolean dp_http_connections_have_requests (DpHttpConnections *connections);
--- a/tests/test_net_http.c
+++ b/tests/test_net_http.c
@@ -1087,6 +1087,52 @@
 }
 END_TEST
 
+/* Connects from the given port. Returns the socket. */
+static int
+connect_from (guint16 port)
+{
+  struct sockaddr_in local = { .sin_family = AF_INET, .sin_port = htons (port) };
+  struct sockaddr_in remote = { .sin_family = AF_INET, .sin_port = htons (server_port) };
+  ck_assert_int_eq (inet_pton (AF_INET, ADDRESS, &local.sin_addr), 1);
+  remote.sin_addr = local.sin_addr;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int on = 1;
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&local, sizeof local), 0);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&remote, sizeof remote), 0);
+  return fd;
+}
+
+#define RECONNECTS 8
+
+/* The server gives all these connections the same descriptor. */
+START_TEST (connections_from_the_same_port_are_told_apart)
+{
+  Fixture *fixture = make_fixture ();
+  guint16 port = find_free_port (ADDRESS);
+  const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+  int fd = connect_from (port);
+  for (guint i = 0; i < RECONNECTS; i++)
+    {
+      run_pending_events (fixture->base);
+      setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+      close (fd);
+      run_pending_events (fixture->base);
+      fd = connect_from (port);
+    }
+  run_pending_events (fixture->base);
+  dp_http_server_close_idle (fixture->server);
+  run_pending_events (fixture->base);
+  char byte;
+  ck_assert_int_eq (recv (fd, &byte, 1, MSG_DONTWAIT), 0);
+  ck_assert_uint_eq (dp_counters_get (fixture->counters, "dogwoodplank_http_stop_closed_total",
+                                      "listener", "callers"),
+                     1);
+  close (fd);
+  free_fixture (fixture);
+}
+END_TEST
+
 START_TEST (idle_server_has_no_request_on_the_way)
 {
   Fixture *fixture = make_fixture ();
@@ -1141,6 +1187,7 @@
   tcase_add_test (tcase, idle_connection_keeps_its_limit_when_a_shorter_one_is_set);
   tcase_add_test (tcase, idle_connection_gets_a_longer_limit);
   tcase_add_test (tcase, idle_limit_does_not_bound_a_request);
+  tcase_add_test (tcase, connections_from_the_same_port_are_told_apart);
   tcase_add_test (tcase, idle_server_has_no_request_on_the_way);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
