node/request: don't count a request as run that waits for a connection

Callers of a VM without links to targets got 504 target_silent, outcome "unknown", for requests of which no byte had been sent.

Cause: the owner revokes a repeatable request that has no first byte for 150 ms and a multiple of what is expected. Since targets are reached through gateways, an attempt may take 370 to 620 ms until it has a connection. The revocation ended it as broken: it counted as run, took from the retry budget and from the route's attempts, and was not tried through another gateway.

A revocation for silence is ignored until a byte was sent; connecting has timeouts of its own, after which the attempt ends as not sent.

--- a/net/http_call.c
+++ b/net/http_call.c
@@ -476,6 +476,12 @@
     schedule_free (call);
 }
 
+gboolean
+dp_http_call_has_sent (const DpHttpCall *call)
+{
+  return call->has_sent_byte;
+}
+
 const char *
 dp_http_call_header (const DpHttpCall *call, const char *name)
 {
--- a/net/http_call.h
+++ b/net/http_call.h
@@ -72,6 +72,9 @@
 /* Closes the connection; no further callback runs. */
 void dp_http_call_cancel (DpHttpCall *call);
 
+/* TRUE if a byte of the request may have been sent to the target. */
+gboolean dp_http_call_has_sent (const DpHttpCall *call);
+
 /* Value of a response header, or NULL. Valid once `head` was called. */
 const char *dp_http_call_header (const DpHttpCall *call, const char *name);
 
--- a/node/attempt.c
+++ b/node/attempt.c
@@ -331,6 +331,12 @@
     dp_request_on_attempt_failed (request, DP_ATTEMPT_NO_PATH, DP_REASON_NO_PATH);
 }
 
+gboolean
+dp_attempt_has_sent (const DpNodeRequest *request)
+{
+  return request->call != NULL && dp_http_call_has_sent (request->call);
+}
+
 gboolean
 dp_attempt_is_stalled (const DpNodeRequest *request, DpUsec now)
 {
--- a/node/node.h
+++ b/node/node.h
@@ -497,6 +497,8 @@
 /* --- attempt.c --- */
 
 void dp_attempt_start (DpNodeRequest *request, const DpDirectoryRow *target);
+/* FALSE while the attempt has no connection to its target yet. */
+gboolean dp_attempt_has_sent (const DpNodeRequest *request);
 /* TRUE if a stream that can be resumed elsewhere has had no event for too long. */
 gboolean dp_attempt_is_stalled (const DpNodeRequest *request, DpUsec now);
 /* Closes the connection to the target, which aborts its work. */
--- a/node/request.c
+++ b/node/request.c
@@ -468,6 +468,9 @@
   if (reason != DP_REASON_TARGET_SILENT || request->first_byte_after > 0
       || !request->is_repeatable)
     return;
+  /* The target can't be silent yet; connecting has timeouts of its own. */
+  if (!dp_attempt_has_sent (request))
+    return;
   dp_request_on_attempt_failed (request, DP_ATTEMPT_BROKE, DP_REASON_TARGET_SILENT);
 }
 
--- a/tests/test_node_stranded.c
+++ b/tests/test_node_stranded.c
@@ -3,10 +3,13 @@
 #include "tests/node_cluster.h"
 #include "tests/store_rewriter.h"
 
+#include <arpa/inet.h>
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 static const char *build;
 
@@ -21,14 +24,28 @@
   char *from;
   char *to;
   guint requests;
+  int gateway; /* listener in place of the sound VM's gateway, or -1 */
 } Fixture;
 
+/* Takes the port of the VM's gateway, and answers nothing. */
+static int
+listen_in_place_of_gateway (const Cluster *cluster, guint vm)
+{
+  struct sockaddr_in name = { .sin_family = AF_INET, .sin_port = htons (cluster->tunnel_port) };
+  ck_assert_int_eq (inet_pton (AF_INET, cluster->address[vm], &name.sin_addr), 1);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&name, sizeof name), 0);
+  ck_assert_int_eq (listen (fd, SOMAXCONN), 0);
+  return fd;
+}
+
 static Fixture *
-fixture_new (void)
+fixture_new_with (gboolean is_gateway_silent)
 {
   Fixture *fixture = g_new0 (Fixture, 1);
   Cluster *cluster = cluster_new (build);
   fixture->cluster = cluster;
+  fixture->gateway = is_gateway_silent ? listen_in_place_of_gateway (cluster, SOUND) : -1;
   fixture->from = g_strdup_printf ("%s:", cluster->address[0]);
   fixture->to = g_strdup (fixture->from);
   fixture->to[strlen (fixture->to) - 2] = '9';
@@ -46,9 +63,17 @@
   return fixture;
 }
 
+static Fixture *
+fixture_new (void)
+{
+  return fixture_new_with (FALSE);
+}
+
 static void
 fixture_free (Fixture *fixture)
 {
+  if (fixture->gateway >= 0)
+    close (fixture->gateway);
   cluster_free (fixture->cluster);
   store_rewriter_free (fixture->rewriter);
   g_free (fixture->from);
@@ -184,6 +209,31 @@
 }
 END_TEST
 
+/* The owner revokes repeatable requests without a first byte before the gateway times out. */
+START_TEST (requests_that_wait_for_a_silent_gateway_count_as_not_run)
+{
+  Fixture *fixture = fixture_new_with (TRUE);
+  const Cluster *cluster = fixture->cluster;
+  const Kind *kind = &kinds[0];
+  ck_assert_uint_eq (send_requests (fixture, STRANDED, kind), REQUESTS);
+  gint64 runs = sum_target_counter (cluster, "runs");
+  set_stranded (fixture, TRUE);
+  for (guint i = 0; i < 5; i++)
+    {
+      int status = 0;
+      char *headers = g_strdup_printf (HOST KEY "Request-Id: h%u\r\nDeadline-Ms: 2500\r\n", i);
+      char *body
+        = http_exchange (kind->method, cluster->address[STRANDED],
+                         cluster->caller_port[STRANDED], kind->path, headers, NULL, &status);
+      ck_assert_msg (status == 503, "%u: %d %s", i, status, body);
+      g_free (body);
+      g_free (headers);
+    }
+  ck_assert_int_eq (sum_target_counter (cluster, "runs"), runs);
+  fixture_free (fixture);
+}
+END_TEST
+
 int
 main (int argc, char **argv)
 {
@@ -198,7 +248,10 @@
   tcase_add_loop_test (tests, callers_of_a_vm_without_links_to_targets_are_served, 0,
                        G_N_ELEMENTS (kinds));
   tcase_add_test (tests, requests_fail_soon_as_not_run_if_no_vm_reaches_a_target);
+  TCase *gateway = tcase_create ("gateway");
+  tcase_add_test (gateway, requests_that_wait_for_a_silent_gateway_count_as_not_run);
   suite_add_tcase (suite, tests);
+  suite_add_tcase (suite, gateway);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
   int failed = srunner_ntests_failed (runner);
