tests: the bus's links send no keep-alive probes

Linux ends keep-alive probes after TCP_USER_TIMEOUT, whatever their count, and net/bus sets it through ZMQ_TCP_MAXRT. Read with tcp(7): it bounds how long sent data may stay unacknowledged (3 s); it would cut probes short only where SO_KEEPALIVE is set, and libzmq sets that only if it is told to. So a silent link ends as meant, 3 s after a heartbeat (one each second) that gets no answer, or 3 s after data that isn't acknowledged.

--- a/tests/test_net_bus.c
+++ b/tests/test_net_bus.c
@@ -5,9 +5,12 @@
 #include "tests/raw_relay.h"
 
 #include <check.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <zmq.h>
 
 /* Far longer than any expected event takes. */
@@ -275,6 +278,57 @@
 }
 END_TEST
 
+/* TRUE if the descriptor is a TCP connection to or from a process of the test. */
+static gboolean
+is_link (int fd)
+{
+  struct sockaddr_in peer;
+  socklen_t length = sizeof peer;
+  int type;
+  socklen_t type_length = sizeof type;
+  return getsockopt (fd, SOL_SOCKET, SO_TYPE, &type, &type_length) == 0 && type == SOCK_STREAM
+         && getpeername (fd, (struct sockaddr *)&peer, &length) == 0
+         && (peer.sin_family == AF_INET || peer.sin_family == AF_INET6);
+}
+
+static int
+get_option (int fd, int level, int option)
+{
+  int value = -1;
+  socklen_t length = sizeof value;
+  ck_assert_int_eq (getsockopt (fd, level, option, &value, &length), 0);
+  return value;
+}
+
+/* Linux ends keep-alive probes after TCP_USER_TIMEOUT, whatever their count. */
+START_TEST (links_time_out_by_unacknowledged_data_and_send_no_probes)
+{
+  struct event_base *base = event_base_new ();
+  TestProcess a = make_process (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
+  TestProcess b = make_process (base, "b", DP_ROLE_SCHEDULER, "127.0.1.12");
+  ck_assert (start_process (&a, "127.0.1.11", NULL));
+  ck_assert (start_process (&b, "127.0.1.12", NULL));
+  DpView *view = make_view (2);
+  dp_bus_set_view (a.bus, view);
+  b.expected = 1;
+  send_revision (&a, b.self, 1);
+  run (base);
+  guint links = 0;
+  for (int fd = 0; fd < 256; fd++)
+    if (is_link (fd))
+      {
+        links++;
+        ck_assert_int_eq (get_option (fd, IPPROTO_TCP, TCP_USER_TIMEOUT), 3000);
+        ck_assert_int_eq (get_option (fd, SOL_SOCKET, SO_KEEPALIVE), 0);
+      }
+  ck_assert_uint_eq (links, 2);
+  dp_view_unref (view);
+  clear_process (&a);
+  clear_process (&b);
+  event_base_free (base);
+}
+END_TEST
+
 /* A connection that stalls without being closed, as when a middlebox drops its state, must time
  * out and be replaced. */
 START_TEST (stalled_connection_is_replaced)
@@ -576,6 +630,7 @@
   tcase_add_test (tcase, messages_to_unknown_and_removed_peers_are_counted_as_dropped);
   tcase_add_test (tcase, pending_messages_are_limited);
   tcase_add_test (tcase, messages_to_an_unreachable_peer_expire);
+  tcase_add_test (tcase, links_time_out_by_unacknowledged_data_and_send_no_probes);
   tcase_add_test (tcase, stalled_connection_is_replaced);
   tcase_add_test (tcase, closing_a_connection_with_a_full_queue_does_not_abort);
   tcase_add_test (tcase, address_in_use_is_an_error);
