node: a request whose time is over while it connects has not run

It got 504 with outcome "unknown", as if it had been sent, although no byte had left this VM. It is refused as not run now, and its quota is given back.

requests_that_wait_for_a_silent_gateway_count_as_not_run with a time limit of 150 ms failed before ("504 deadline_passed unknown") and passes.

--- a/node/request.c
+++ b/node/request.c
@@ -494,8 +494,7 @@
 static void
 expire (DpNodeRequest *request)
 {
-  gboolean was_sent = request->stage == DP_STAGE_SENT;
-  if (was_sent)
+  if (dp_attempt_has_sent (request))
     request->may_have_run = TRUE;
   dp_attempt_cancel (request);
   dp_placement_release (request, DP_REASON_DEADLINE_PASSED);
--- a/tests/test_node_stranded.c
+++ b/tests/test_node_stranded.c
@@ -245,6 +245,9 @@
 }
 END_TEST
 
+/* With the shorter one, the request's time is over while it connects. */
+static const guint time_limits_ms[] = { 2500, 150 };
+
 /* The owner revokes repeatable requests without a first byte before the gateway times out. */
 START_TEST (requests_that_wait_for_a_silent_gateway_count_as_not_run)
 {
@@ -257,7 +260,8 @@
   for (guint i = 0; i < 5; i++)
     {
       int status = 0;
-      char *headers = g_strdup_printf (HOST KEY "Request-Id: h%u\r\nDeadline-Ms: 2500\r\n", i);
+      char *headers = g_strdup_printf (HOST KEY "Request-Id: h%u\r\nDeadline-Ms: %u\r\n", i,
+                                       time_limits_ms[_i]);
       char *body
         = http_exchange (kind->method, cluster->address[STRANDED],
                          cluster->caller_port[STRANDED], kind->path, headers, NULL, &status);
@@ -286,7 +290,8 @@
   tcase_add_test (tests, gateway_keeps_the_pause_that_a_target_asked_for_through_it);
   tcase_add_test (tests, requests_fail_soon_as_not_run_if_no_vm_reaches_a_target);
   TCase *gateway = tcase_create ("gateway");
-  tcase_add_test (gateway, requests_that_wait_for_a_silent_gateway_count_as_not_run);
+  tcase_add_loop_test (gateway, requests_that_wait_for_a_silent_gateway_count_as_not_run, 0,
+                       G_N_ELEMENTS (time_limits_ms));
   suite_add_tcase (suite, tests);
   suite_add_tcase (suite, gateway);
   SRunner *runner = srunner_create (suite);
