core/reach: a refused target says nothing of the gateway

While targets were replaced or added, callers of VMs without links to targets got 503 no_path for requests to other targets as well.

Cause: a gateway that doesn't know a target yet, or knows that it is leaving, answers 403. That was taken for a failure of the gateway, which is then avoided for all targets for 500 ms to 8 s, and its data centre after the second; with no other gateway all requests were refused for 250 ms more. VMs learn of targets at different times, so each such target did this to all gateways in turn.

403 is now a result of its own: the attempt tries the next gateway, nothing is recorded, and other requests go on.

--- a/core/reach.c
+++ b/core/reach.c
@@ -410,6 +410,24 @@
   return search;
 }
 
+static void
+record_gateway_end (DpReach *reach, DpPathSearch *search, DpPathFailure failure, DpUsec now)
+{
+  switch (failure)
+    {
+    case DP_PATH_UNREACHED:
+      search->is_target_unreached = TRUE;
+      record_gateway_unreached (reach, search->path.gateway, now);
+      break;
+    case DP_PATH_GATEWAY_FAILED:
+      record_gateway_failure (reach, search->path.gateway, now);
+      break;
+    case DP_PATH_GATEWAY_REFUSED:
+      search->is_target_refused = TRUE;
+      break;
+    }
+}
+
 static void
 record_failure (DpReach *reach, DpPathSearch *search, DpPathFailure failure, DpUsec now)
 {
@@ -423,13 +441,7 @@
         delay_next_try (&reach->all, now);
       break;
     case DP_PATH_GATEWAY:
-      if (failure == DP_PATH_GATEWAY_FAILED)
-        {
-          record_gateway_failure (reach, search->path.gateway, now);
-          break;
-        }
-      search->is_target_unreached = TRUE;
-      record_gateway_unreached (reach, search->path.gateway, now);
+      record_gateway_end (reach, search, failure, now);
       break;
     case DP_PATH_NONE:
       break;
@@ -454,7 +466,8 @@
     }
   /* No other VM can tell. While this one reaches other targets, the target is at fault. */
   search->is_target_unreached = search->direct_failed && dp_reach_may_serve (reach);
-  if (!dp_reach_may_serve (reach) && search->gateway_count < DP_GATEWAY_TRIES_MAX)
+  if (!dp_reach_may_serve (reach) && search->gateway_count < DP_GATEWAY_TRIES_MAX
+      && !search->is_target_refused)
     reach->no_path_until = now + NO_PATH_INTERVAL;
   return FALSE;
 }
--- a/core/reach.h
+++ b/core/reach.h
@@ -30,8 +30,9 @@
 
 typedef enum DpPathFailure
 {
-  DP_PATH_UNREACHED,      /* no connection to the target */
-  DP_PATH_GATEWAY_FAILED, /* the gateway did not open a connection, or didn't answer */
+  DP_PATH_UNREACHED,       /* no connection to the target */
+  DP_PATH_GATEWAY_FAILED,  /* the gateway did not open a connection, or didn't answer */
+  DP_PATH_GATEWAY_REFUSED, /* the gateway doesn't use this target */
 } DpPathFailure;
 
 /* The paths that one attempt has tried, and the current one. */
@@ -43,6 +44,7 @@
   DpUsec started_at;
   gboolean direct_failed;
   gboolean is_target_unreached; /* by a gateway, too, or there is no other VM */
+  gboolean is_target_refused;   /* by a gateway, which may open connections to others */
   guint gateway_count;
   DpName gateways[DP_GATEWAY_TRIES_MAX];
 } DpPathSearch;
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -234,6 +234,7 @@
       break;
     case DP_HTTP_CONNECT_FAILED:
     case DP_HTTP_GATEWAY_FAILED:
+    case DP_HTTP_GATEWAY_REFUSED:
       fail_attempt (attempt, DP_REASON_CONNECT_FAILED, nothing_sent);
       break;
     case DP_HTTP_TIMED_OUT:
--- a/net/http_call.c
+++ b/net/http_call.c
@@ -318,6 +318,9 @@
     case DP_TUNNEL_TARGET_TIMED_OUT:
       finish (call, DP_HTTP_CONNECT_FAILED);
       break;
+    case DP_TUNNEL_UNKNOWN_TARGET:
+      finish (call, DP_HTTP_GATEWAY_REFUSED);
+      break;
     default:
       finish (call, DP_HTTP_GATEWAY_FAILED);
       break;
--- a/net/http_call.h
+++ b/net/http_call.h
@@ -25,6 +25,7 @@
   DP_HTTP_COMPLETE,
   DP_HTTP_CONNECT_FAILED,  /* no connection to the target was established */
   DP_HTTP_GATEWAY_FAILED,  /* the gateway opened no tunnel; says nothing of the target */
+  DP_HTTP_GATEWAY_REFUSED, /* the same, but it may open tunnels to other targets */
   DP_HTTP_FAILED,          /* response truncated, too large or not valid HTTP */
   DP_HTTP_CLOSE_DELIMITED, /* ended only by an orderly close of the connection */
   DP_HTTP_TIMED_OUT,       /* no progress within a timeout */
--- a/node/attempt.c
+++ b/node/attempt.c
@@ -227,13 +227,26 @@
 
 static void start_call (DpNodeRequest *request);
 
+static DpPathFailure
+path_failure (DpHttpCallResult end)
+{
+  switch (end)
+    {
+    case DP_HTTP_GATEWAY_FAILED:
+      return DP_PATH_GATEWAY_FAILED;
+    case DP_HTTP_GATEWAY_REFUSED:
+      return DP_PATH_GATEWAY_REFUSED;
+    default:
+      return DP_PATH_UNREACHED;
+    }
+}
+
 /* No byte of the request was sent on the current path. */
 static void
 on_path_failed (DpNodeRequest *request, DpHttpCallResult end)
 {
   request->call = NULL;
-  if (dp_paths_next (request, end == DP_HTTP_GATEWAY_FAILED ? DP_PATH_GATEWAY_FAILED
-                                                            : DP_PATH_UNREACHED))
+  if (dp_paths_next (request, path_failure (end)))
     start_call (request);
   else
     dp_request_on_attempt_failed (request, DP_ATTEMPT_UNSENT,
--- a/node/paths.c
+++ b/node/paths.c
@@ -86,8 +86,12 @@
 dp_paths_next (DpNodeRequest *request, DpPathFailure failure)
 {
   DpNode *node = request->node;
-  log_path (request, "path_failed",
-            failure == DP_PATH_GATEWAY_FAILED ? "gateway failed" : "target unreached");
+  static const char *const outcomes[] = {
+    [DP_PATH_UNREACHED] = "target unreached",
+    [DP_PATH_GATEWAY_FAILED] = "gateway failed",
+    [DP_PATH_GATEWAY_REFUSED] = "target refused",
+  };
+  log_path (request, "path_failed", outcomes[failure]);
   gboolean has_path = dp_reach_next (node->reach, &request->paths, failure, dp_node_now ());
   report_change (node);
   count_gateway_use (request);
