node: wait for targets that fall silent before their answers

A request that may be repeated got 504 when the first byte of its last allowed attempt was overdue, about 0.2 s after it was sent, although its target answered 1.2 s later. A sound target may fall silent for a second or so; its silence is no reason to end an answer sooner.

If no other attempt may follow, the request now stays at its target until 1.5 s have passed since it was sent. What may be tried elsewhere still is at once.

--- a/core/retry.c
+++ b/core/retry.c
@@ -4,6 +4,8 @@
 #define REMAINING_TIME_MIN (30 * DP_USEC_PER_MSEC)
 /* Attempts per request, declined ones included. */
 #define ATTEMPTS_MAX 4
+/* A sound target may send nothing for a second or so. */
+#define SILENCE_MAX (1500 * DP_USEC_PER_MSEC)
 /* Fraction of the configured budget that is used, since other VMs' counts are not known here.
  */
 #define BUDGET_FRACTION 0.75
@@ -42,7 +44,9 @@
     case DP_ATTEMPT_SILENT:
       if (again && facts->is_repeatable && facts->runs < facts->runs_max)
         return DP_STEP_RETRY;
-      return facts->answer_started ? DP_STEP_WAIT : DP_STEP_UNKNOWN;
+      if (facts->answer_started || facts->silence < SILENCE_MAX)
+        return DP_STEP_WAIT;
+      break;
     }
   if (facts->answer_started)
     return DP_STEP_ABORT;
--- a/core/retry.h
+++ b/core/retry.h
@@ -28,6 +28,7 @@
   guint attempt_count;    /* all attempts, declined ones included */
   gboolean within_budget; /* the retry budget allows another attempt */
   DpUsec time_left;
+  DpUsec silence; /* if DP_ATTEMPT_SILENT: time since the request was sent */
 } DpAttemptFacts;
 
 typedef enum DpNextStep
--- a/node/request.c
+++ b/node/request.c
@@ -413,6 +413,7 @@
     .attempt_count = request->attempt_count,
     .within_budget = TRUE,
     .time_left = request->deadline - now,
+    .silence = now - request->sent_at,
   };
   DpNextStep step = dp_retry_decide (&facts);
   if (step != DP_STEP_RETRY || spend_budget (request, end, now))
@@ -490,6 +491,14 @@
   dp_request_on_attempt_failed (request, DP_ATTEMPT_SILENT, DP_REASON_TARGET_SILENT);
 }
 
+/* TRUE if the request stays at a target that has sent nothing of its answer yet. */
+static gboolean
+awaits_silent_target (const DpNodeRequest *request)
+{
+  return request->stage == DP_STAGE_SENT && request->is_silent
+         && request->first_byte_after == 0;
+}
+
 /* The deadline, set by the caller or the route, has passed. */
 static void
 expire (DpNodeRequest *request)
@@ -512,7 +521,8 @@
         expire (request);
       else if (dp_stream_versions_has_timed_out (request, now))
         dp_request_on_version (request);
-      else if (!was_paused && dp_attempt_is_stalled (request, now))
+      else if (!was_paused
+               && (awaits_silent_target (request) || dp_attempt_is_stalled (request, now)))
         dp_request_on_attempt_failed (request, DP_ATTEMPT_SILENT, DP_REASON_TARGET_SILENT);
     }
 }
