core/reach: ask an idle gateway again after failures at several targets

A VM that had no requests of its own and, as a gateway, had failed to connect to three targets refused all tunnels for good, also after the targets or its links were back. With few VMs in touch their callers were refused (no_path).

Cause: only a successful connection clears such failures, and the VM makes none without requests of its own while it refuses tunnels. They had no age.

Five seconds after the last failure the VM is a gateway again, until the next.

an_idle_gateway_that_failed_at_several_targets_is_asked_again failed before (may_serve was FALSE 10 s later).

--- a/core/reach.c
+++ b/core/reach.c
@@ -5,6 +5,8 @@
 #define CUT_OFF_TARGETS 2
 /* It is no gateway for others after failed connections to this many targets. */
 #define DOUBTFUL_TARGETS 3
+/* After this time without a further failure it is one again, until the next. */
+#define DOUBTFUL_DURATION (5 * DP_USEC_PER_SEC)
 /* A lost link, or all of them, is tried with one attempt after this interval, which doubles
  * with each failure. */
 #define RETRY_INTERVAL_MIN (250 * DP_USEC_PER_MSEC)
@@ -62,6 +64,7 @@
    * them that a gateway reached */
   DpName unreached[DOUBTFUL_TARGETS];
   guint unreached_count;
+  DpUsec doubtful_until; /* if as many as DOUBTFUL_TARGETS were not reached */
   DpName lost[CUT_OFF_TARGETS];
   guint lost_count;
   Link all; /* while this VM is cut off */
@@ -169,6 +172,7 @@
     {
       reach->unreached_count
         = add_name (reach->unreached, reach->unreached_count, DOUBTFUL_TARGETS, target);
+      reach->doubtful_until = now + DOUBTFUL_DURATION;
       return;
     }
   reach->unreached_count = 0;
@@ -184,10 +188,16 @@
   return reach->lost_count == CUT_OFF_TARGETS;
 }
 
+static gboolean
+is_doubtful (const DpReach *reach)
+{
+  return reach->unreached_count >= DOUBTFUL_TARGETS;
+}
+
 gboolean
-dp_reach_may_serve (const DpReach *reach)
+dp_reach_may_serve (const DpReach *reach, DpUsec now)
 {
-  return !dp_reach_is_cut_off (reach) && reach->unreached_count < DOUBTFUL_TARGETS;
+  return !dp_reach_is_cut_off (reach) && (!is_doubtful (reach) || now >= reach->doubtful_until);
 }
 
 /* TRUE if a direct connection is to be tried first. While the link is lost, only one attempt at
@@ -465,8 +475,9 @@
       return TRUE;
     }
   /* No other VM can tell. While this one reaches other targets, the target is at fault. */
-  search->is_target_unreached = search->direct_failed && dp_reach_may_serve (reach);
-  if (!dp_reach_may_serve (reach) && search->gateway_count < DP_GATEWAY_TRIES_MAX
+  gboolean may_be_cut_off = dp_reach_is_cut_off (reach) || is_doubtful (reach);
+  search->is_target_unreached = search->direct_failed && !may_be_cut_off;
+  if (may_be_cut_off && search->gateway_count < DP_GATEWAY_TRIES_MAX
       && !search->is_target_refused)
     reach->no_path_until = now + NO_PATH_INTERVAL;
   return FALSE;
--- a/core/reach.h
+++ b/core/reach.h
@@ -84,5 +84,5 @@
 gboolean dp_reach_is_cut_off (const DpReach *reach);
 
 /* TRUE if this VM may be a gateway. It isn't while its own connections fail at several targets,
- * since it would blame them for its own links. */
-gboolean dp_reach_may_serve (const DpReach *reach);
+ * since it would blame them for its own links; from time to time they are tried again. */
+gboolean dp_reach_may_serve (const DpReach *reach, DpUsec now);
--- a/node/tunnels.c
+++ b/node/tunnels.c
@@ -36,7 +36,7 @@
     return refuse (tunnels, DP_TUNNEL_UNAVAILABLE, "stopping");
   if (node->is_memory_short)
     return refuse (tunnels, DP_TUNNEL_UNAVAILABLE, "memory_short");
-  if (!dp_reach_may_serve (node->reach))
+  if (!dp_reach_may_serve (node->reach, dp_node_now ()))
     return refuse (tunnels, DP_TUNNEL_UNAVAILABLE, "cut_off");
   DpName name = dp_name (target_id);
   const DpDirectoryRow *row = dp_directory_find (node->directory, name);
--- a/tests/test_reach.c
+++ b/tests/test_reach.c
@@ -141,7 +141,7 @@
       return TUNNEL_FAILED;
     }
   *now += TUNNEL_TIME - DIRECT_TIME;
-  if (!dp_reach_may_serve (vm->reach))
+  if (!dp_reach_may_serve (vm->reach, *now))
     return TUNNEL_FAILED;
   if (world->target_unknown[target])
     return TUNNEL_REFUSED;
@@ -448,7 +448,7 @@
   ck_assert_int_eq (search.path.kind, DP_PATH_GATEWAY);
   dp_reach_succeeded (reach, &search, now);
   ck_assert (!dp_reach_is_cut_off (reach));
-  ck_assert (dp_reach_may_serve (reach));
+  ck_assert (dp_reach_may_serve (reach, now));
   search = dp_reach_begin (reach, target_name (0), data_centre_name (0), now + 10 * MSEC);
   ck_assert_int_eq (search.path.kind, DP_PATH_GATEWAY);
   search = dp_reach_begin (reach, target_name (1), data_centre_name (1), now + 20 * MSEC);
@@ -465,6 +465,30 @@
 }
 END_TEST
 
+/* Without requests of its own, only tunnels tell it that targets are back. */
+START_TEST (an_idle_gateway_that_failed_at_several_targets_is_asked_again)
+{
+  World *world = world_new (2, 17);
+  DpReach *reach = world->vms[1].reach;
+  for (guint i = 0; i < 3; i++)
+    {
+      ck_assert (dp_reach_may_serve (reach, START));
+      dp_reach_record_direct (reach, target_name (i), FALSE, START);
+    }
+  DpUsec now = START;
+  for (guint i = 0; i < 5; i++)
+    {
+      ck_assert (!dp_reach_may_serve (reach, now + 400 * MSEC));
+      now += 10 * DP_USEC_PER_SEC;
+      ck_assert (dp_reach_may_serve (reach, now));
+      dp_reach_record_direct (reach, target_name (i), FALSE, now);
+    }
+  dp_reach_record_direct (reach, target_name (0), TRUE, now);
+  ck_assert (dp_reach_may_serve (reach, now));
+  world_free (world);
+}
+END_TEST
+
 static Suite *
 make_suite (void)
 {
@@ -481,6 +505,7 @@
   tcase_add_test (tests, without_any_path_requests_fail_at_once);
   tcase_add_test (tests, attempts_that_fail_together_at_a_gateway_count_once);
   tcase_add_test (tests, a_single_lost_link_is_bypassed_and_tried_again);
+  tcase_add_test (tests, an_idle_gateway_that_failed_at_several_targets_is_asked_again);
   suite_add_tcase (suite, tests);
   return suite;
 }
