--- a/tests/test_net_bus.c
+++ b/tests/test_net_bus.c
@@ -282,7 +282,7 @@
 static gboolean
 is_link (int fd)
 {
-  struct sockaddr_in peer;
+  struct sockaddr_in peer = { 0 };
   socklen_t length = sizeof peer;
   int type;
   socklen_t type_length = sizeof type;
