core/reach: an idle VM that was cut off is asked as a gateway again

A VM that was cut off from all targets and had no requests since, so that it never connected to one again, refused to be a gateway for good. Five seconds after its last failed connection it may be one again, as after failures at several targets.

an_idle_vm_that_was_cut_off_is_asked_as_gateway_again fails before and passes.

--- a/core/reach.c
+++ b/core/reach.c
@@ -5,7 +5,7 @@
 #define CUT_OFF_TARGETS 2
 /* It is no gateway for others after failed connections to this many targets. */
 #define DOUBTFUL_TARGETS 3
-/* After this time without a further failure it is one again, until the next. */
+/* After this time without a further failure it is one again, cut off or not, until the next. */
 #define DOUBTFUL_DURATION (5 * DP_USEC_PER_SEC)
 /* A lost link, or all of them, is tried with one attempt after this interval, which doubles
  * with each failure. */
@@ -64,7 +64,7 @@
    * them that a gateway reached */
   DpName unreached[DOUBTFUL_TARGETS];
   guint unreached_count;
-  DpUsec doubtful_until; /* if as many as DOUBTFUL_TARGETS were not reached */
+  DpUsec doubtful_until; /* after the last failure */
   DpName lost[CUT_OFF_TARGETS];
   guint lost_count;
   Link all; /* while this VM is cut off */
@@ -197,7 +197,8 @@
 gboolean
 dp_reach_may_serve (const DpReach *reach, DpUsec now)
 {
-  return !dp_reach_is_cut_off (reach) && (!is_doubtful (reach) || now >= reach->doubtful_until);
+  gboolean is_sound = !dp_reach_is_cut_off (reach) && !is_doubtful (reach);
+  return is_sound || now >= reach->doubtful_until;
 }
 
 /* TRUE if a direct connection is to be tried first. While the link is lost, only one attempt at
--- a/tests/test_reach.c
+++ b/tests/test_reach.c
@@ -489,6 +489,21 @@
 }
 END_TEST
 
+/* A VM that was cut off and has had no requests since learns of the end by tunnels only. */
+START_TEST (an_idle_vm_that_was_cut_off_is_asked_as_gateway_again)
+{
+  World *world = world_new (3, 18);
+  world->vms[0].trouble = REFUSE;
+  Outcome outcome = { 0 };
+  for (guint i = 0; i < 4; i++)
+    request (world, &world->vms[0], i, START + i * MSEC, &outcome);
+  ck_assert (dp_reach_is_cut_off (world->vms[0].reach));
+  ck_assert (!dp_reach_may_serve (world->vms[0].reach, START + DP_USEC_PER_SEC));
+  ck_assert (dp_reach_may_serve (world->vms[0].reach, START + 10 * DP_USEC_PER_SEC));
+  world_free (world);
+}
+END_TEST
+
 static Suite *
 make_suite (void)
 {
@@ -504,6 +519,7 @@
   tcase_add_loop_test (tests, without_other_vms_a_failed_connection_blames_the_target, 0, 2);
   tcase_add_test (tests, without_any_path_requests_fail_at_once);
   tcase_add_test (tests, attempts_that_fail_together_at_a_gateway_count_once);
+  tcase_add_test (tests, an_idle_vm_that_was_cut_off_is_asked_as_gateway_again);
   tcase_add_test (tests, a_single_lost_link_is_bypassed_and_tried_again);
   tcase_add_test (tests, an_idle_gateway_that_failed_at_several_targets_is_asked_again);
   suite_add_tcase (suite, tests);
