--- a/net/tunnel_server.c
+++ b/net/tunnel_server.c
@@ -20,7 +20,7 @@
 #define SPARE_DESCRIPTORS 32
 #define DESCRIPTORS_PER_TUNNEL 2
 #define SWEEP_INTERVAL_SECONDS 1
-/* For the requester to close its side after the last byte. Closing first could reset the
+/* For the client to close its side after the last byte. Closing first could reset the
  * connection and discard bytes that it has not read yet. */
 #define LINGER_TIMEOUT (2 * DP_USEC_PER_SEC)
 /* Shorter input is copied behind waiting bytes, so that small reads don't each hold a buffer
@@ -44,14 +44,14 @@
   STAGE_HANDSHAKE,  /* reads the CONNECT request */
   STAGE_CONNECTING, /* to the target */
   STAGE_OPEN,
-  STAGE_FLUSHING,  /* the target's side is closed: sends what is left to the requester */
-  STAGE_LINGERING, /* waits for the requester to close */
+  STAGE_FLUSHING,  /* the target's side is closed: sends what is left to the client */
+  STAGE_LINGERING, /* waits for the client to close */
 } Stage;
 
 typedef struct Tunnel
 {
   DpTunnelServer *server;
-  struct bufferevent *requester;
+  struct bufferevent *client;
   struct bufferevent *target; /* NULL: none */
   char *target_id;            /* NULL until the request was read */
   struct event *timer;        /* timeout of the stages that have one */
@@ -61,15 +61,17 @@
   DpUsec accepted_at;
   DpUsec progress_at; /* last time that bytes were read or written */
   guint64 bytes_to_target;
-  guint64 bytes_to_requester;
+  guint64 bytes_to_client;
 } Tunnel;
 
 const char *
 dp_tunnel_end_name (DpTunnelEnd end)
 {
   static const char *const names[] = {
-    [DP_TUNNEL_END_REQUESTER] = "requester",       [DP_TUNNEL_END_TARGET] = "target",
-    [DP_TUNNEL_END_TARGET_RESET] = "target_reset", [DP_TUNNEL_END_IDLE] = "idle",
+    [DP_TUNNEL_END_CLIENT] = "client",
+    [DP_TUNNEL_END_TARGET] = "target",
+    [DP_TUNNEL_END_TARGET_RESET] = "target_reset",
+    [DP_TUNNEL_END_IDLE] = "idle",
     [DP_TUNNEL_END_STOPPED] = "stopped",
   };
   return names[end];
@@ -116,7 +118,7 @@
 {
   Tunnel *tunnel = data;
   close_target (tunnel);
-  bufferevent_free (tunnel->requester);
+  bufferevent_free (tunnel->client);
   event_free (tunnel->timer);
   tunnel->server->descriptors--;
   g_free (tunnel->target_id);
@@ -130,15 +132,15 @@
   const DpTunnelReport report = { .target_id = tunnel->target_id,
                                   .end = end,
                                   .bytes_to_target = tunnel->bytes_to_target,
-                                  .bytes_to_requester = tunnel->bytes_to_requester,
+                                  .bytes_to_client = tunnel->bytes_to_client,
                                   .age = g_get_monotonic_time () - tunnel->accepted_at };
   DpCounters *counters = server->options.counters;
   dp_counters_add (counters, "dogwoodplank_tunnels_ended_total", "end",
                    dp_tunnel_end_name (end), 1);
   dp_counters_add (counters, "dogwoodplank_tunnel_bytes_total", "to", "target",
                    tunnel->bytes_to_target);
-  dp_counters_add (counters, "dogwoodplank_tunnel_bytes_total", "to", "requester",
-                   tunnel->bytes_to_requester);
+  dp_counters_add (counters, "dogwoodplank_tunnel_bytes_total", "to", "client",
+                   tunnel->bytes_to_client);
   server->options.callbacks->ended (server->options.user, &report);
 }
 
@@ -152,15 +154,15 @@
   g_hash_table_remove (tunnel->server->tunnels, tunnel);
 }
 
-/* The requester sees a reset, which it can't take for the orderly end of a response. */
+/* The client sees a reset, which it can't take for the orderly end of a response. */
 static void
 reset_tunnel (Tunnel *tunnel, DpTunnelEnd end)
 {
-  dp_socket_reset_on_close (bufferevent_getfd (tunnel->requester));
+  dp_socket_reset_on_close (bufferevent_getfd (tunnel->client));
   end_tunnel (tunnel, end);
 }
 
-/* Everything was sent to the requester. */
+/* Everything was sent to the client. */
 static void
 finish_flush (Tunnel *tunnel)
 {
@@ -169,7 +171,7 @@
       reset_tunnel (tunnel, tunnel->end);
       return;
     }
-  shutdown (bufferevent_getfd (tunnel->requester), SHUT_WR);
+  shutdown (bufferevent_getfd (tunnel->client), SHUT_WR);
   tunnel->stage = STAGE_LINGERING;
   set_timer (tunnel, LINGER_TIMEOUT);
 }
@@ -180,7 +182,7 @@
   return evbuffer_get_length (bufferevent_get_output (bev));
 }
 
-/* Sends what is left to the requester, and discards what it still sends. */
+/* Sends what is left to the client, and discards what it still sends. */
 static void
 start_flush (Tunnel *tunnel, DpTunnelEnd end)
 {
@@ -188,12 +190,12 @@
   tunnel->end = end;
   close_target (tunnel);
   event_del (tunnel->timer);
-  struct evbuffer *input = bufferevent_get_input (tunnel->requester);
+  struct evbuffer *input = bufferevent_get_input (tunnel->client);
   evbuffer_drain (input, evbuffer_get_length (input));
-  bufferevent_setwatermark (tunnel->requester, EV_READ, 0, 0);
-  bufferevent_setwatermark (tunnel->requester, EV_WRITE, 0, 0);
-  bufferevent_enable (tunnel->requester, EV_READ);
-  if (unsent_bytes (tunnel->requester) == 0)
+  bufferevent_setwatermark (tunnel->client, EV_READ, 0, 0);
+  bufferevent_setwatermark (tunnel->client, EV_WRITE, 0, 0);
+  bufferevent_enable (tunnel->client, EV_READ);
+  if (unsent_bytes (tunnel->client) == 0)
     finish_flush (tunnel);
 }
 
@@ -233,7 +235,7 @@
   count_status (server, status);
   leave_open (tunnel);
   server->options.callbacks->refused (server->options.user, tunnel->target_id, status);
-  evbuffer_add_printf (bufferevent_get_output (tunnel->requester),
+  evbuffer_add_printf (bufferevent_get_output (tunnel->client),
                        "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
                        (int)status, status_text (status));
   start_flush (tunnel, DP_TUNNEL_END_TARGET);
@@ -288,14 +290,14 @@
 on_target_read (struct bufferevent *bev, void *user)
 {
   Tunnel *tunnel = user;
-  tunnel->bytes_to_requester += forward (tunnel, bev, tunnel->requester);
+  tunnel->bytes_to_client += forward (tunnel, bev, tunnel->client);
 }
 
 static void
 on_target_written (struct bufferevent *bev, void *user)
 {
   const Tunnel *tunnel = user;
-  bufferevent_enable (tunnel->requester, EV_READ);
+  bufferevent_enable (tunnel->client, EV_READ);
 }
 
 static void
@@ -307,11 +309,11 @@
   tunnel->stage = STAGE_OPEN;
   tunnel->was_open = TRUE;
   count_status (server, DP_TUNNEL_OPEN);
-  set_watermarks (tunnel, tunnel->requester);
+  set_watermarks (tunnel, tunnel->client);
   set_watermarks (tunnel, tunnel->target);
-  bufferevent_write (tunnel->requester, answer, sizeof answer - 1);
+  bufferevent_write (tunnel->client, answer, sizeof answer - 1);
   bufferevent_enable (tunnel->target, EV_READ);
-  tunnel->bytes_to_target += forward (tunnel, tunnel->requester, tunnel->target);
+  tunnel->bytes_to_target += forward (tunnel, tunnel->client, tunnel->target);
 }
 
 /* --- connection to the target --- */
@@ -480,7 +482,7 @@
 static void
 read_handshake (Tunnel *tunnel)
 {
-  struct evbuffer *input = bufferevent_get_input (tunnel->requester);
+  struct evbuffer *input = bufferevent_get_input (tunnel->client);
   struct evbuffer_ptr end = evbuffer_search (input, HEAD_END, HEAD_END_BYTES, NULL);
   gsize length = end.pos >= 0 ? (gsize)end.pos + HEAD_END_BYTES : evbuffer_get_length (input);
   if (length > tunnel->server->options.head_max)
@@ -498,7 +500,7 @@
 }
 
 static void
-on_requester_read (struct bufferevent *bev, void *user)
+on_client_read (struct bufferevent *bev, void *user)
 {
   Tunnel *tunnel = user;
   struct evbuffer *input = bufferevent_get_input (bev);
@@ -520,7 +522,7 @@
 }
 
 static void
-on_requester_written (struct bufferevent *bev, void *user)
+on_client_written (struct bufferevent *bev, void *user)
 {
   Tunnel *tunnel = user;
   if (tunnel->stage == STAGE_OPEN)
@@ -530,12 +532,12 @@
 }
 
 static void
-on_requester_event (struct bufferevent *bev, short what, void *user)
+on_client_event (struct bufferevent *bev, short what, void *user)
 {
   Tunnel *tunnel = user;
   gboolean is_target_closed
     = tunnel->stage == STAGE_FLUSHING || tunnel->stage == STAGE_LINGERING;
-  end_tunnel (tunnel, is_target_closed ? tunnel->end : DP_TUNNEL_END_REQUESTER);
+  end_tunnel (tunnel, is_target_closed ? tunnel->end : DP_TUNNEL_END_CLIENT);
 }
 
 static void
@@ -581,14 +583,14 @@
   tunnel->accepted_at = g_get_monotonic_time ();
   tunnel->progress_at = tunnel->accepted_at;
   tunnel->timer = evtimer_new (server->options.base, on_timer, tunnel);
-  tunnel->requester = bufferevent_socket_new (server->options.base, fd, BEV_OPT_CLOSE_ON_FREE);
+  tunnel->client = bufferevent_socket_new (server->options.base, fd, BEV_OPT_CLOSE_ON_FREE);
   server->descriptors++;
   g_hash_table_add (server->tunnels, tunnel);
-  bufferevent_setcb (tunnel->requester, on_requester_read, on_requester_written,
-                     on_requester_event, tunnel);
-  evbuffer_add_cb (bufferevent_get_output (tunnel->requester), on_output, tunnel);
-  bufferevent_setwatermark (tunnel->requester, EV_READ, 0, server->options.head_max + 1);
-  bufferevent_enable (tunnel->requester, EV_READ | EV_WRITE);
+  bufferevent_setcb (tunnel->client, on_client_read, on_client_written, on_client_event,
+                     tunnel);
+  evbuffer_add_cb (bufferevent_get_output (tunnel->client), on_output, tunnel);
+  bufferevent_setwatermark (tunnel->client, EV_READ, 0, server->options.head_max + 1);
+  bufferevent_enable (tunnel->client, EV_READ | EV_WRITE);
   set_timer (tunnel, server->options.handshake_timeout);
 }
 
@@ -616,8 +618,8 @@
     return;
   if (now - tunnel->progress_at > tunnel->server->options.idle_timeout)
     reset_tunnel (tunnel, DP_TUNNEL_END_IDLE);
-  else if (has_disconnected (tunnel->requester))
-    end_tunnel (tunnel, DP_TUNNEL_END_REQUESTER);
+  else if (has_disconnected (tunnel->client))
+    end_tunnel (tunnel, DP_TUNNEL_END_CLIENT);
 }
 
 static void
--- a/net/tunnel_server.h
+++ b/net/tunnel_server.h
@@ -3,8 +3,8 @@
  *
  * The request names the target in a "Target" header; its address comes from the `resolve`
  * callback, never from the request line. An orderly close by the target closes the tunnel once
- * everything is forwarded; any other end on the target's side resets the requester's
- * connection. When the requester disconnects, the target's connection closes at once.
+ * everything is forwarded; any other end on the target's side resets the client's
+ * connection. When the client disconnects, the target's connection closes at once.
  */
 #pragma once
 
@@ -29,7 +29,7 @@
 
 typedef enum DpTunnelEnd
 {
-  DP_TUNNEL_END_REQUESTER,    /* the requester disconnected */
+  DP_TUNNEL_END_CLIENT,       /* the client disconnected */
   DP_TUNNEL_END_TARGET,       /* the target closed the connection in an orderly way */
   DP_TUNNEL_END_TARGET_RESET, /* the target's connection failed */
   DP_TUNNEL_END_IDLE,         /* no byte was forwarded for too long */
@@ -44,7 +44,7 @@
   const char *target_id;
   DpTunnelEnd end;
   guint64 bytes_to_target;
-  guint64 bytes_to_requester;
+  guint64 bytes_to_client;
   DpUsec age;
 } DpTunnelReport;
 
--- a/node/tunnels.c
+++ b/node/tunnels.c
@@ -92,15 +92,14 @@
 on_ended (gpointer user, const DpTunnelReport *report)
 {
   char to_target[24];
-  char to_requester[24];
+  char to_client[24];
   char age_ms[24];
   g_snprintf (to_target, sizeof to_target, "%" G_GUINT64_FORMAT, report->bytes_to_target);
-  g_snprintf (to_requester, sizeof to_requester, "%" G_GUINT64_FORMAT,
-              report->bytes_to_requester);
+  g_snprintf (to_client, sizeof to_client, "%" G_GUINT64_FORMAT, report->bytes_to_client);
   g_snprintf (age_ms, sizeof age_ms, "%" G_GINT64_FORMAT, report->age / DP_USEC_PER_MSEC);
   dp_log (DP_LOG_INFO, "tunnel_end", "target", report->target_id, "end",
-          dp_tunnel_end_name (report->end), "bytes_to_target", to_target, "bytes_to_requester",
-          to_requester, "age_ms", age_ms, NULL);
+          dp_tunnel_end_name (report->end), "bytes_to_target", to_target, "bytes_to_client",
+          to_client, "age_ms", age_ms, NULL);
 }
 
 static const DpTunnelCallbacks callbacks = {
--- a/tests/test_net_tunnel.c
+++ b/tests/test_net_tunnel.c
@@ -575,17 +575,17 @@
 #define CONNECT_LINE "CONNECT 192.0.2.1:8080 HTTP/1.1\r\n"
 #define CONNECT_REQUEST CONNECT_LINE "Target: " TARGET_ID "\r\n\r\n"
 
-/* A raw requester whose tunnel is open. */
+/* A raw client whose tunnel is open. */
 static Peer *
 open_tunnel (Fixture *fixture)
 {
-  Peer *requester = peer_connect (fixture->base, fixture->port);
+  Peer *client = peer_connect (fixture->base, fixture->port);
   guint accepted = fixture->target->accepted;
-  peer_send (requester, CONNECT_REQUEST);
+  peer_send (client, CONNECT_REQUEST);
   WAIT_UNTIL (fixture->base, fixture->target->accepted == accepted + 1
-                               && strcmp (requester->received->str, OPEN) == 0);
-  g_string_truncate (requester->received, 0);
-  return requester;
+                               && strcmp (client->received->str, OPEN) == 0);
+  g_string_truncate (client->received, 0);
+  return client;
 }
 
 /* --- whole responses --- */
@@ -626,7 +626,7 @@
   ck_assert (!response.nothing_sent);
   ck_assert_str_eq (response.body->str, c->body);
   WAIT_UNTIL (fixture->base, fixture->ended == 1);
-  ck_assert_uint_eq (fixture->report.bytes_to_requester, strlen (c->answer));
+  ck_assert_uint_eq (fixture->report.bytes_to_client, strlen (c->answer));
   ck_assert_uint_eq (fixture->report.bytes_to_target, fixture->target->received->len);
   ck_assert_uint_eq (fixture->reached, 1);
   ck_assert_uint_eq (dp_tunnel_server_open (fixture->server), 0);
@@ -693,14 +693,14 @@
 {
   gsize length = early_lengths[_i];
   Fixture *fixture = make_fixture ((FixtureOptions){ 0 });
-  Peer *requester = peer_connect (fixture->base, fixture->port);
+  Peer *client = peer_connect (fixture->base, fixture->port);
   char *early = make_bytes (length, 3);
-  peer_send (requester, CONNECT_REQUEST);
-  bufferevent_write (requester->bev, early, length);
+  peer_send (client, CONNECT_REQUEST);
+  bufferevent_write (client->bev, early, length);
   WAIT_UNTIL (fixture->base, ends_with (fixture->target->received, early, length));
   ck_assert_uint_eq (fixture->target->received->len, length);
   g_free (early);
-  peer_free (requester);
+  peer_free (client);
   free_fixture (fixture);
 }
 END_TEST
@@ -861,17 +861,17 @@
   const InvalidRequestCase *c = &invalid_request_cases[_i];
   Fixture *fixture
     = make_fixture ((FixtureOptions){ .handshake_timeout = 200 * DP_USEC_PER_MSEC });
-  Peer *requester = peer_connect (fixture->base, fixture->port);
-  bufferevent_write (requester->bev, c->text, c->length != 0 ? c->length : strlen (c->text));
+  Peer *client = peer_connect (fixture->base, fixture->port);
+  bufferevent_write (client->bev, c->text, c->length != 0 ? c->length : strlen (c->text));
   for (gsize i = 0; i < c->padding; i++)
-    peer_send (requester, "x");
-  WAIT_UNTIL (fixture->base, requester->has_eof || requester->was_reset);
-  ck_assert_msg (g_str_has_prefix (requester->received->str, "HTTP/1.1 400 "), "%s: %s",
-                 c->name, requester->received->str);
+    peer_send (client, "x");
+  WAIT_UNTIL (fixture->base, client->has_eof || client->was_reset);
+  ck_assert_msg (g_str_has_prefix (client->received->str, "HTTP/1.1 400 "), "%s: %s", c->name,
+                 client->received->str);
   ck_assert_uint_eq (fixture->refused, 1);
   ck_assert_int_eq (fixture->refused_status, DP_TUNNEL_BAD_REQUEST);
   ck_assert_uint_eq (fixture->target->accepted, 0);
-  peer_free (requester);
+  peer_free (client);
   free_fixture (fixture);
 }
 END_TEST
@@ -880,16 +880,16 @@
 {
   Fixture *fixture = make_fixture ((FixtureOptions){ 0 });
   Peer *other = peer_listen (fixture->base);
-  Peer *requester = peer_connect (fixture->base, fixture->port);
+  Peer *client = peer_connect (fixture->base, fixture->port);
   char *request = g_strdup_printf ("CONNECT " ADDRESS ":%u HTTP/1.1\r\nHost: " ADDRESS
                                    ":%u\r\nTarget: " TARGET_ID "\r\n\r\n",
                                    other->port, other->port);
-  peer_send (requester, request);
-  WAIT_UNTIL (fixture->base, strcmp (requester->received->str, OPEN) == 0);
+  peer_send (client, request);
+  WAIT_UNTIL (fixture->base, strcmp (client->received->str, OPEN) == 0);
   WAIT_UNTIL (fixture->base, fixture->target->accepted == 1);
   ck_assert_uint_eq (other->accepted, 0);
   g_free (request);
-  peer_free (requester);
+  peer_free (client);
   peer_free (other);
   free_fixture (fixture);
 }
@@ -953,7 +953,7 @@
 {
   const char *name;
   TargetEnd end;
-  gboolean is_orderly; /* as the requester sees it */
+  gboolean is_orderly; /* as the client sees it */
   DpTunnelEnd report;
 } EndCase;
 
@@ -982,20 +982,20 @@
     }
 }
 
-START_TEST (requester_sees_reset_unless_target_closes_orderly)
+START_TEST (client_sees_reset_unless_target_closes_orderly)
 {
   const EndCase *c = &end_cases[_i];
   Fixture *fixture = make_fixture ((FixtureOptions){ 0 });
-  Peer *requester = open_tunnel (fixture);
+  Peer *client = open_tunnel (fixture);
   peer_send (fixture->target, CLOSE_DELIMITED "abcd");
-  WAIT_UNTIL (fixture->base, g_str_has_suffix (requester->received->str, "abcd"));
+  WAIT_UNTIL (fixture->base, g_str_has_suffix (client->received->str, "abcd"));
   end_target (fixture, c->end);
-  WAIT_UNTIL (fixture->base, requester->has_eof || requester->was_reset);
-  ck_assert_msg (requester->has_eof == c->is_orderly, "%s", c->name);
-  peer_close (requester);
+  WAIT_UNTIL (fixture->base, client->has_eof || client->was_reset);
+  ck_assert_msg (client->has_eof == c->is_orderly, "%s", c->name);
+  peer_close (client);
   WAIT_UNTIL (fixture->base, fixture->ended == 1);
   ck_assert_msg (fixture->report.end == c->report, "%s: end %d", c->name, fixture->report.end);
-  peer_free (requester);
+  peer_free (client);
   free_fixture (fixture);
 }
 END_TEST
@@ -1018,21 +1018,21 @@
 }
 END_TEST
 
-/* The requester sees the end before the gateway closes its connection. */
+/* The client sees the end before the gateway closes its connection. */
 START_TEST (bytes_before_target_ends_are_flushed)
 {
   Fixture *fixture = make_fixture ((FixtureOptions){ 0 });
-  Peer *requester = open_tunnel (fixture);
+  Peer *client = open_tunnel (fixture);
   char *bytes = make_bytes (LARGE_BODY_BYTES, 4);
   bufferevent_write (fixture->target->bev, bytes, LARGE_BODY_BYTES);
   WAIT_UNTIL (fixture->base, !has_unsent_bytes (fixture->target));
   peer_close (fixture->target);
-  WAIT_UNTIL (fixture->base, requester->has_eof);
+  WAIT_UNTIL (fixture->base, client->has_eof);
   ck_assert_uint_eq (fixture->ended, 0);
-  ck_assert_uint_eq (requester->received->len, LARGE_BODY_BYTES);
-  ck_assert (ends_with (requester->received, bytes, LARGE_BODY_BYTES));
+  ck_assert_uint_eq (client->received->len, LARGE_BODY_BYTES);
+  ck_assert (ends_with (client->received, bytes, LARGE_BODY_BYTES));
   g_free (bytes);
-  peer_free (requester);
+  peer_free (client);
   free_fixture (fixture);
 }
 END_TEST
@@ -1046,7 +1046,7 @@
   WAIT_UNTIL (fixture->base, g_str_has_suffix (fixture->target->received->str, "{}"));
   dp_http_call_cancel (call);
   WAIT_UNTIL (fixture->base, fixture->target->has_eof);
-  ck_assert_int_eq (fixture->report.end, DP_TUNNEL_END_REQUESTER);
+  ck_assert_int_eq (fixture->report.end, DP_TUNNEL_END_CLIENT);
   ck_assert_uint_eq (dp_tunnel_server_open (fixture->server), 0);
   ck_assert (!response.ended);
   g_string_free (response.body, TRUE);
@@ -1083,68 +1083,68 @@
   WAIT_UNTIL (peer->base, is_stalled (&watch));
 }
 
-/* The gateway doesn't read from the requester while the target takes nothing. 0: the call is
- * cancelled; 1: the requester's connection is reset. */
-START_TEST (target_that_does_not_read_is_closed_when_requester_leaves)
+/* The gateway doesn't read from the client while the target takes nothing. 0: the call is
+ * cancelled; 1: the client's connection is reset. */
+START_TEST (target_that_does_not_read_is_closed_when_client_leaves)
 {
   Fixture *fixture = make_fixture ((FixtureOptions){ 0 });
   char *bytes = make_bytes (SLOW_BODY_BYTES, 5);
   Response response = { 0 };
   DpHttpCall *call = NULL;
-  Peer *requester = NULL;
+  Peer *client = NULL;
   if (_i == 0)
     call = start_call (fixture->base, &response,
                        (CallOptions){ .gateway_port = fixture->port,
                                       .body = bytes,
                                       .body_length = SLOW_BODY_BYTES });
   else
-    requester = open_tunnel (fixture);
+    client = open_tunnel (fixture);
   WAIT_UNTIL (fixture->base, fixture->target->accepted == 1);
   bufferevent_disable (fixture->target->bev, EV_READ);
   if (_i == 1)
-    bufferevent_write (requester->bev, bytes, SLOW_BODY_BYTES);
+    bufferevent_write (client->bev, bytes, SLOW_BODY_BYTES);
   wait_until_stalled (fixture->target);
   if (_i == 0)
     dp_http_call_cancel (call);
   else
-    peer_reset (requester);
+    peer_reset (client);
   WAIT_UNTIL (fixture->base, fixture->ended == 1);
-  ck_assert_int_eq (fixture->report.end, DP_TUNNEL_END_REQUESTER);
+  ck_assert_int_eq (fixture->report.end, DP_TUNNEL_END_CLIENT);
   ck_assert_uint_lt (fixture->report.bytes_to_target, SLOW_BODY_BYTES);
   g_free (bytes);
   if (_i == 0)
     g_string_free (response.body, TRUE);
   else
-    peer_free (requester);
+    peer_free (client);
   free_fixture (fixture);
 }
 END_TEST
 
-START_TEST (requester_that_leaves_while_connecting_frees_tunnel)
+START_TEST (client_that_leaves_while_connecting_frees_tunnel)
 {
   Fixture *fixture = make_fixture ((FixtureOptions){ 0 });
   FullListener full = make_full_listener ();
   fixture->target_port = full.port;
-  Peer *requester = peer_connect (fixture->base, fixture->port);
-  peer_send (requester, CONNECT_REQUEST);
+  Peer *client = peer_connect (fixture->base, fixture->port);
+  peer_send (client, CONNECT_REQUEST);
   WAIT_UNTIL (fixture->base, dp_tunnel_server_open (fixture->server) == 1);
-  peer_close (requester);
+  peer_close (client);
   WAIT_UNTIL (fixture->base, dp_tunnel_server_open (fixture->server) == 0);
   ck_assert_uint_eq (fixture->unreached, 0);
   ck_assert_uint_eq (fixture->refused, 0);
-  peer_free (requester);
+  peer_free (client);
   free_full_listener (&full);
   free_fixture (fixture);
 }
 END_TEST
 
-/* 0: the requester doesn't read; 1: the target doesn't. */
+/* 0: the client doesn't read; 1: the target doesn't. */
 START_TEST (peer_that_does_not_read_stops_only_its_own_tunnel)
 {
   Fixture *fixture = make_fixture ((FixtureOptions){ 0 });
-  Peer *requester = open_tunnel (fixture);
-  Peer *slow = _i == 0 ? requester : peer_new (fixture->base);
-  Peer *fast = _i == 0 ? peer_new (fixture->base) : requester;
+  Peer *client = open_tunnel (fixture);
+  Peer *slow = _i == 0 ? client : peer_new (fixture->base);
+  Peer *fast = _i == 0 ? peer_new (fixture->base) : client;
   /* The fixture's target serves the next tunnel, too. */
   Peer *first_target = _i == 0 ? fast : slow;
   peer_attach (first_target, dup (bufferevent_getfd (fixture->target->bev)));
@@ -1166,7 +1166,7 @@
   ck_assert (ends_with (slow->received, bytes, SLOW_BODY_BYTES));
   g_free (bytes);
   peer_free (first_target);
-  peer_free (requester);
+  peer_free (client);
   peer_free (second);
   free_fixture (fixture);
 }
@@ -1175,11 +1175,11 @@
 START_TEST (idle_tunnel_is_reset)
 {
   Fixture *fixture = make_fixture ((FixtureOptions){ .idle_timeout = DP_USEC_PER_MSEC });
-  Peer *requester = open_tunnel (fixture);
-  WAIT_UNTIL (fixture->base, requester->was_reset);
+  Peer *client = open_tunnel (fixture);
+  WAIT_UNTIL (fixture->base, client->was_reset);
   WAIT_UNTIL (fixture->base, fixture->target->has_eof);
   ck_assert_int_eq (fixture->report.end, DP_TUNNEL_END_IDLE);
-  peer_free (requester);
+  peer_free (client);
   free_fixture (fixture);
 }
 END_TEST
@@ -1250,14 +1250,14 @@
   tcase_add_test (tcase, address_in_request_line_is_not_used);
   tcase_add_test (tcase, tunnels_over_limit_are_refused);
   tcase_add_test (tcase, silent_connections_leave_room_for_tunnels);
-  tcase_add_loop_test (tcase, requester_sees_reset_unless_target_closes_orderly, 0,
+  tcase_add_loop_test (tcase, client_sees_reset_unless_target_closes_orderly, 0,
                        G_N_ELEMENTS (end_cases));
   tcase_add_loop_test (tcase, close_delimited_response_through_tunnel_is_never_complete, 0,
                        G_N_ELEMENTS (end_cases));
   tcase_add_test (tcase, bytes_before_target_ends_are_flushed);
   tcase_add_test (tcase, cancelled_call_closes_connection_to_target);
-  tcase_add_loop_test (tcase, target_that_does_not_read_is_closed_when_requester_leaves, 0, 2);
-  tcase_add_test (tcase, requester_that_leaves_while_connecting_frees_tunnel);
+  tcase_add_loop_test (tcase, target_that_does_not_read_is_closed_when_client_leaves, 0, 2);
+  tcase_add_test (tcase, client_that_leaves_while_connecting_frees_tunnel);
   tcase_add_loop_test (tcase, peer_that_does_not_read_stops_only_its_own_tunnel, 0, 2);
   tcase_add_test (tcase, idle_tunnel_is_reset);
   tcase_add_test (tcase, stopping_gateway_finishes_open_tunnels);
--- a/tests/test_node_tunnels.c
+++ b/tests/test_node_tunnels.c
@@ -142,7 +142,7 @@
   char *head = read_head (fd);
   ck_assert_msg (g_str_has_prefix (head, "HTTP/1.1 "), "%s", head);
   close (fd);
-  wait_for_log (cluster, "event=tunnel_end target=t0 end=requester");
+  wait_for_log (cluster, "event=tunnel_end target=t0 end=client");
   g_free (head);
   cluster_free (cluster);
 }
