node: stay listed until the last request of a stop has ended

Callers of a stopping VM waited 127 to 529 ms for their engine, at each planned stop. The VM deleted its own entry in the store at SIGTERM; the other VMs dropped it within 30 ms and with it their links to it, so that no owner's answer reached it any more. It took them for silent one after the other and assigned engines by itself, without knowledge of their use and limits, for up to 7.3 s; answers about taken-up streams did not reach it either.

Now the entry is deleted when no request is open any more, or when the time for the stop is over, and the process ends once the store has answered, 150 ms before it would be killed at the latest. That the VM is leaving is still announced at SIGTERM, so that it owns nothing for others.

a_stopping_vm_still_gets_grants_from_the_owner failed before (vm0: event=vm_silent vm=vm1).

--- a/node/caller_listener.c
+++ b/node/caller_listener.c
@@ -23,8 +23,10 @@
 /* The balancer polls /ready once a second and removes a VM after two failures. New callers
  * still arrive for this long after a stop was requested. */
 #define BALANCER_DELAY (2600 * DP_USEC_PER_MSEC)
-/* Part of the stop time that is reserved for a clean exit. */
+/* Part of the stop time that is reserved for a clean exit, most of it for the store's answer.
+ */
 #define STOP_RESERVE (700 * DP_USEC_PER_MSEC)
+#define EXIT_RESERVE (150 * DP_USEC_PER_MSEC)
 #define RETRY_AFTER_NOT_READY (500 * DP_USEC_PER_MSEC)
 #define RETRY_AFTER_MEMORY (500 * DP_USEC_PER_MSEC)
 
@@ -309,7 +311,6 @@
   node->stop_requested_at = dp_node_now ();
   dp_http_server_close_after_responses (node->callers);
   dp_peers_announce_leaving (node);
-  dp_registration_delete_own (node->registration);
 }
 
 /* Requests accepted this late could not be answered in time; another VM should take them.
@@ -325,6 +326,13 @@
   dp_tunnels_stop_accepting (node->tunnels);
 }
 
+static gboolean
+has_open_requests (const DpNode *node)
+{
+  return !dp_http_server_is_idle (node->callers) || dp_table_count (node->requests) > 0
+         || dp_tunnels_open (node->tunnels) > 0;
+}
+
 gboolean
 dp_caller_listener_may_exit (DpNode *node, DpUsec now)
 {
@@ -334,8 +342,9 @@
   if (since >= BALANCER_DELAY)
     close_listener (node);
   DpUsec limit = node->params.stop_time - STOP_RESERVE;
-  if (since >= limit)
-    return TRUE;
-  return since >= BALANCER_DELAY && dp_http_server_is_idle (node->callers)
-         && dp_table_count (node->requests) == 0 && dp_tunnels_open (node->tunnels) == 0;
+  if (since < limit && (since < BALANCER_DELAY || has_open_requests (node)))
+    return FALSE;
+  dp_registration_delete_own (node->registration);
+  return dp_registration_is_deleted (node->registration)
+         || since >= node->params.stop_time - EXIT_RESERVE;
 }
--- a/node/node.h
+++ b/node/node.h
@@ -300,8 +300,11 @@
 void dp_registration_on_missing (DpRegistration *registration);
 /* The store was restored from a copy that may lack this VM's entry: writes it again. */
 void dp_registration_on_restored (DpRegistration *registration);
-/* Deletes this VM's entry; it is not written again. */
+/* Deletes this VM's entry; it is not written again. Other VMs then send nothing more to this
+ * one. */
 void dp_registration_delete_own (DpRegistration *registration);
+/* TRUE once the store has answered the deletion, or has not answered in time. */
+gboolean dp_registration_is_deleted (const DpRegistration *registration);
 /* Deletes the entry of a VM that no longer exists. */
 void dp_registration_delete_vm (DpRegistration *registration, DpName vm);
 /* This VM's entry. */
--- a/node/registration.c
+++ b/node/registration.c
@@ -1,5 +1,5 @@
 /* This VM's entry in the store's list of VMs: written at startup and whenever it is found
- * missing, deleted on shutdown. */
+ * missing, deleted at the end of a shutdown. VMs send nothing to one that is not listed. */
 #include "node/node.h"
 
 #include "common/log.h"
@@ -19,7 +19,8 @@
   DpNode *node;
   struct event *timer;
   gboolean is_writing;
-  gboolean is_leaving;
+  gboolean is_deleting; /* nothing is written any more */
+  gboolean is_deleted;  /* or the store did not answer in time */
 };
 
 static void on_written (const DpPlatformReply *reply, gpointer data);
@@ -61,25 +62,38 @@
   g_free (body);
 }
 
+static void
+on_own_deleted (const DpPlatformReply *reply, gpointer data)
+{
+  DpRegistration *registration = data;
+  registration->is_deleted = TRUE;
+  dp_log (DP_LOG_NOTICE, "delisted", "outcome", dp_platform_result_name (reply->result), NULL);
+}
+
+static void
+delete_entry (DpRegistration *registration)
+{
+  DpNode *node = registration->node;
+  char *path = g_strconcat (DP_KIND_VMS "/", node->settings->process.name, NULL);
+  const DpPlatformCall call
+    = { .type = DP_PLATFORM_REMOVE, .path = path, .timeout = CALL_TIMEOUT };
+  dp_platform_client_call (node->store, &call, on_own_deleted, registration);
+  g_free (path);
+}
+
 static void
 on_written (const DpPlatformReply *reply, gpointer data)
 {
   DpRegistration *registration = data;
   registration->is_writing = FALSE;
-  switch (reply->result)
-    {
-    case DP_PLATFORM_OK:
-      dp_log (DP_LOG_NOTICE, "enlisted", "outcome", "ok", NULL);
-      return;
-    case DP_PLATFORM_CONFLICT:
-      if (!registration->is_leaving)
-        write_entry (registration, DP_PLATFORM_REPLACE);
-      return;
-    default:
-      if (!registration->is_leaving)
-        schedule (registration, RETRY_DELAY);
-      return;
-    }
+  if (reply->result == DP_PLATFORM_OK)
+    dp_log (DP_LOG_NOTICE, "enlisted", "outcome", "ok", NULL);
+  if (registration->is_deleting)
+    delete_entry (registration);
+  else if (reply->result == DP_PLATFORM_CONFLICT)
+    write_entry (registration, DP_PLATFORM_REPLACE);
+  else if (reply->result != DP_PLATFORM_OK)
+    schedule (registration, RETRY_DELAY);
 }
 
 static void
@@ -88,16 +102,10 @@
   DpRegistration *registration = user;
   if (registration->is_writing)
     schedule (registration, RETRY_DELAY);
-  else if (!registration->is_leaving)
+  else if (!registration->is_deleting)
     write_entry (registration, DP_PLATFORM_CREATE);
 }
 
-static void
-on_own_deleted (const DpPlatformReply *reply, gpointer data)
-{
-  dp_log (DP_LOG_NOTICE, "delisted", "outcome", dp_platform_result_name (reply->result), NULL);
-}
-
 DpRegistration *
 dp_registration_new (DpNode *node)
 {
@@ -123,14 +131,14 @@
 void
 dp_registration_on_missing (DpRegistration *registration)
 {
-  if (!registration->is_leaving && !registration->is_writing)
+  if (!registration->is_deleting && !registration->is_writing)
     schedule (registration, RETRY_DELAY);
 }
 
 void
 dp_registration_on_restored (DpRegistration *registration)
 {
-  if (!registration->is_leaving)
+  if (!registration->is_deleting)
     schedule (registration, (DpUsec)(dp_process_random () % RESTORE_SPREAD));
 }
 
@@ -157,11 +165,15 @@
 void
 dp_registration_delete_own (DpRegistration *registration)
 {
-  DpNode *node = registration->node;
-  registration->is_leaving = TRUE;
-  char *path = g_strconcat (DP_KIND_VMS "/", node->settings->process.name, NULL);
-  const DpPlatformCall call
-    = { .type = DP_PLATFORM_REMOVE, .path = path, .timeout = CALL_TIMEOUT };
-  dp_platform_client_call (node->store, &call, on_own_deleted, registration);
-  g_free (path);
+  if (registration->is_deleting)
+    return;
+  registration->is_deleting = TRUE;
+  if (!registration->is_writing)
+    delete_entry (registration);
+}
+
+gboolean
+dp_registration_is_deleted (const DpRegistration *registration)
+{
+  return registration->is_deleted;
 }
--- a/tests/test_node_stop.c
+++ b/tests/test_node_stop.c
@@ -269,6 +269,46 @@
 }
 END_TEST
 
+#define STOPPING_REQUESTS 20
+
+static int
+entry_status (const Cluster *cluster, guint vm)
+{
+  char path[48];
+  int status = 0;
+  g_snprintf (path, sizeof path, "/objects/dogwoodplank-vms/vm%u", vm);
+  g_free (
+    http_exchange ("GET", cluster->address[0], cluster->store, path, NULL, NULL, &status));
+  return status;
+}
+
+START_TEST (a_stopping_vm_still_gets_grants_from_the_owner)
+{
+  guint vm = (guint)_i;
+  Cluster *cluster = cluster_start (build);
+  wait_for_metric (cluster, "dogwoodplank_vms", VMS);
+  ck_assert_int_eq (entry_status (cluster, vm), 200);
+  process_signal (cluster->node[vm], SIGTERM);
+  for (guint i = 0; i < STOPPING_REQUESTS; i++)
+    {
+      char path[24];
+      g_snprintf (path, sizeof path, "/look/%u", i);
+      ck_assert_int_eq (get_status (cluster, vm, path), 200);
+    }
+  ck_assert (process_is_running (cluster->node[vm]));
+  char *log = NULL;
+  ck_assert (g_file_get_contents (cluster->log, &log, NULL, NULL));
+  const char *silent = strstr (log, "event=vm_silent");
+  ck_assert_msg (silent == NULL, "vm%u: %.100s", vm, silent);
+  g_free (log);
+  int status;
+  ck_assert (process_wait (cluster->node[vm], STOPPED_WAIT, &status));
+  ck_assert_msg (WIFEXITED (status) && WEXITSTATUS (status) == 0, "vm%u: %d", vm, status);
+  ck_assert_int_eq (entry_status (cluster, vm), 404);
+  cluster_free (cluster);
+}
+END_TEST
+
 int
 main (int argc, char **argv)
 {
@@ -277,6 +317,7 @@
   Suite *suite = suite_create ("node_stop");
   TCase *tcase = tcase_create ("stop");
   tcase_add_loop_test (tcase, no_request_is_lost_around_a_stop, 0, G_N_ELEMENTS (stop_cases));
+  tcase_add_loop_test (tcase, a_stopping_vm_still_gets_grants_from_the_owner, 0, VMS);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
