core/owners: a stopping VM owns nothing while another one responds

An owner that got SIGTERM announced that it leaves, and all other VMs went to the next owner; it went on as the owner of its own requests, for up to 7.3 s of the stop. Two owners fill the same slots of targets, and the old one hears nothing of limits that the new one keeps.

--- a/core/owners.c
+++ b/core/owners.c
@@ -184,6 +184,14 @@
   return peer->timed_out_at != 0 && now - peer->responsive_since < peer->probation;
 }
 
+/* FALSE while this VM starts or stops: another VM knows more, or will be there for longer. */
+static gboolean
+may_own (const DpOwners *owners, DpUsec now)
+{
+  const Peer *self = find_peer (owners, owners->self);
+  return now - owners->started_at >= RESTART_PROBATION && (self == NULL || !self->is_leaving);
+}
+
 /* The first candidates count as responsive until they time out; VMs further down only once a
  * message from them was received. */
 DpName
@@ -196,10 +204,10 @@
   for (guint i = 0; i < names->len; i++)
     {
       DpName vm = g_array_index (names, DpName, i);
-      if (vm == owners->self && now - owners->started_at < RESTART_PROBATION)
-        continue;
-      if (vm == owners->self)
+      if (vm == owners->self && may_own (owners, now))
         break;
+      if (vm == owners->self)
+        continue;
       const Peer *peer = find_peer (owners, vm);
       gboolean was_seen = peer != NULL && peer->last_seen_at != 0;
       if (peer != NULL && (peer->is_leaving || peer->is_unresponsive))
@@ -296,8 +304,10 @@
   for (guint i = 0; i < names->len && responsive < candidates; i++)
     {
       DpName vm = g_array_index (names, DpName, i);
-      if (vm == owners->self)
+      if (vm == owners->self && may_own (owners, now))
         return;
+      if (vm == owners->self)
+        continue;
       Peer *peer = ensure_peer (owners, vm);
       if (check_probe (peer, now))
         {
@@ -341,10 +351,12 @@
       gboolean is_candidate = has_data_centre_relays (owners)
                                 ? vm->data_centre == self->data_centre
                                 : vm->data_centre != last_data_centre || last_data_centre == 0;
-      if (!is_candidate || (peer != NULL && peer->is_leaving))
+      if (!is_candidate)
         continue;
       if (name == owners->self)
         return TRUE;
+      if (peer != NULL && peer->is_leaving)
+        continue;
       last_data_centre = vm->data_centre;
       earlier++;
     }
--- a/core/owners.h
+++ b/core/owners.h
@@ -38,7 +38,8 @@
 /* A message from the VM was received. This does not clear its leaving state: a leaving VM sends
  * messages until it stops. */
 void dp_owners_on_message (DpOwners *owners, DpName vm, DpUsec now);
-/* The VM reported whether it is leaving. */
+/* The VM reported whether it is leaving. For this VM itself: it stops, and owns nothing while
+ * another VM is responsive. */
 void dp_owners_set_leaving (DpOwners *owners, DpName vm, gboolean is_leaving, DpUsec now);
 /* The VM did not answer in time. */
 void dp_owners_on_timeout (DpOwners *owners, DpName vm, DpUsec now);
--- a/node/peers.c
+++ b/node/peers.c
@@ -122,6 +122,7 @@
 void
 dp_peers_announce_leaving (DpNode *node)
 {
+  dp_owners_set_leaving (node->owners, node->self, TRUE, dp_node_now ());
   for (guint i = 0; node->view != NULL && i < node->view->vms->len; i++)
     {
       const DpVm *vm = &g_array_index (node->view->vms, DpVm, i);
--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -937,6 +937,28 @@
 }
 END_TEST
 
+START_TEST (a_stopping_vm_owns_nothing_while_another_responds)
+{
+  DpName self = 1;
+  DpOwners *owners = make_owners (self, OWNER_VMS);
+  DpName key = OWNER_KEY;
+  while (dp_owners_choose (owners, key, START) != self)
+    key++;
+  dp_owners_set_leaving (owners, self, TRUE, START);
+  DpName next = dp_owners_choose (owners, key, START);
+  ck_assert_uint_ne (next, self);
+  GArray *due = g_array_new (FALSE, FALSE, sizeof (DpName));
+  dp_owners_due_probes (owners, key, 1, START, due);
+  ck_assert_uint_eq (due->len, 1);
+  ck_assert_uint_eq (g_array_index (due, DpName, 0), next);
+  g_array_unref (due);
+  for (DpName vm = 2; vm <= OWNER_VMS; vm++)
+    dp_owners_on_timeout (owners, vm, START);
+  ck_assert_uint_eq (dp_owners_choose (owners, key, START), self);
+  dp_owners_free (owners);
+}
+END_TEST
+
 START_TEST (a_vm_accepts_the_owner_again_once_reconnected)
 {
   DpOwners *owners = make_owners (1, OWNER_VMS);
@@ -1060,6 +1082,7 @@
   tcase_add_loop_test (tests, two_vms_per_fleet_or_data_centre_are_relays, 0,
                        G_N_ELEMENTS (relay_cases));
   tcase_add_test (tests, a_vm_that_has_just_started_owns_nothing);
+  tcase_add_test (tests, a_stopping_vm_owns_nothing_while_another_responds);
   tcase_add_test (tests, a_vm_accepts_the_owner_again_once_reconnected);
   tcase_add_loop_test (tests, requests_that_crash_targets_are_quarantined, 0,
                        G_N_ELEMENTS (quarantine_cases));
