--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -13,4 +13,4 @@
 export UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1
 status=0
 meson test -C "$build" --no-rebuild --print-errorlogs || status=$?
-bash scripts/summarize_tests.sh "$build/meson-logs/testlog.json" KNOWN-RED.txt || exit 1
+perl scripts/summarize_tests.pl "$build/meson-logs/testlog.json" KNOWN-RED.txt || exit 1
