net: hold back SIGTERM and SIGHUP until the process handles them

Both are blocked now from the beginning of dp_program_main() until dp_process_new() has set the handlers, in all programs: a stop then goes through the orderly way and a reload is ignored as later.

signals_during_startup_are_not_fatal reads the settings from a FIFO, so that the process stands between main() and its handlers while it gets the signals. Before: both rows with SIGTERM failed with wait status 15. Without SIGHUP in the mask the row with the reload fails.

What no program can help remains: a signal between exec() and main(), in the loader.

--- a/net/process.c
+++ b/net/process.c
@@ -390,6 +390,22 @@
   return event;
 }
 
+static void
+change_signal_mask (int how)
+{
+  sigset_t signals;
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGTERM);
+  sigaddset (&signals, SIGHUP);
+  sigprocmask (how, &signals, NULL);
+}
+
+void
+dp_process_block_signals (void)
+{
+  change_signal_mask (SIG_BLOCK);
+}
+
 static void
 add_events (DpProcess *process)
 {
@@ -401,6 +417,7 @@
   event_add (process->sigint, NULL);
   signal (SIGHUP, SIG_IGN);
   signal (SIGPIPE, SIG_IGN);
+  change_signal_mask (SIG_UNBLOCK);
 }
 
 /* libevent warns about ordinary failures such as refused connections; log these at debug level.
--- a/net/process.h
+++ b/net/process.h
@@ -115,6 +115,9 @@
   gpointer user;
 } DpProcessOptions;
 
+/* Holds back SIGTERM and SIGHUP until dp_process_new() handles them. */
+void dp_process_block_signals (void);
+
 /* Binds all sockets. Returns NULL with diagnostics on failure. */
 DpProcess *dp_process_new (const DpProcessOptions *options, DpDiagnostics *diagnostics);
 void dp_process_free (DpProcess *process);
--- a/net/program.c
+++ b/net/program.c
@@ -23,6 +23,7 @@
 int
 dp_program_main (const DpProgram *program, int argc, char **argv)
 {
+  dp_process_block_signals ();
   const DpSettingsOptions options = {
     .program = program->name,
     .doc = program->doc,
--- a/node/main.c
+++ b/node/main.c
@@ -210,8 +210,6 @@
     .process_offset = G_STRUCT_OFFSET (DpNodeSettings, process),
     .run = run,
   };
-  /* A reload may be requested before the event loop handles the signal, or after. */
-  signal (SIGHUP, SIG_IGN);
   const char *file = getenv (SETTINGS_VARIABLE);
   if (argc > 1 || file == NULL)
     return dp_program_main (&program, argc, argv);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -5,11 +5,13 @@
 
 #include <arpa/inet.h>
 #include <check.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 static const char *build;
@@ -1032,6 +1034,64 @@
 }
 END_TEST
 
+typedef struct StartupSignalCase
+{
+  const char *name;
+  int signals[2];
+} StartupSignalCase;
+
+static const StartupSignalCase startup_signal_cases[] = {
+  { "reload", { SIGHUP } },
+  { "stop", { SIGTERM } },
+  { "reload, then stop", { SIGHUP, SIGTERM } },
+};
+
+/* The node reads its settings from a FIFO, so it waits there until they are written. */
+START_TEST (signals_during_startup_are_not_fatal)
+{
+  const StartupSignalCase *row = &startup_signal_cases[_i];
+  Cluster *cluster = cluster_new (build);
+  fill_store (cluster);
+  start_node (cluster, 0);
+  ck_assert (process_stop (cluster->node[0], WAIT));
+  process_free (cluster->node[0]);
+  char *path = g_strconcat (cluster->folder, "/vm0.json", NULL);
+  char *settings = NULL;
+  gsize length;
+  ck_assert (g_file_get_contents (path, &settings, &length, NULL));
+  ck_assert_int_eq (unlink (path), 0);
+  ck_assert_int_eq (mkfifo (path, 0600), 0);
+  signal (SIGHUP, SIG_DFL);
+  char *program = g_strconcat (build, "/node/dogwoodplank-node", NULL);
+  const char *const argv[] = { program, "--settings", path, NULL };
+  cluster->node[0]
+    = process_start (&(ProcessOptions){ .argv = argv, .log_path = cluster->log });
+  int fifo = open (path, O_WRONLY);
+  ck_assert_int_ge (fifo, 0);
+  gboolean stops = FALSE;
+  for (guint i = 0; i < G_N_ELEMENTS (row->signals) && row->signals[i] != 0; i++)
+    {
+      process_signal (cluster->node[0], row->signals[i]);
+      stops = row->signals[i] == SIGTERM;
+    }
+  ck_assert_int_eq (write (fifo, settings, length), (int)length);
+  close (fifo);
+  if (!stops)
+    {
+      ck_assert_msg (wait_ready (cluster, 0), "%s: not ready", row->name);
+      process_signal (cluster->node[0], SIGTERM);
+    }
+  int status = 0;
+  ck_assert (process_wait (cluster->node[0], WAIT, &status));
+  ck_assert_msg (WIFEXITED (status) && WEXITSTATUS (status) == 0, "%s: wait status %d",
+                 row->name, status);
+  g_free (program);
+  g_free (settings);
+  g_free (path);
+  cluster_free (cluster);
+}
+END_TEST
+
 START_TEST (failed_request_is_explained_from_log)
 {
   Cluster *cluster = cluster_start (build);
@@ -1125,7 +1185,16 @@
   tcase_add_test (tests, requests_get_503_until_there_is_a_config);
   tcase_add_test (tests, draining_target_gets_no_new_requests);
   tcase_add_test (tests, request_that_crashes_targets_is_refused_by_all_vms);
+  return tests;
+}
+
+static TCase *
+process_tests (void)
+{
+  TCase *tests = tcase_create ("process");
   tcase_add_test (tests, stop_completes_open_requests);
+  tcase_add_loop_test (tests, signals_during_startup_are_not_fatal, 0,
+                       G_N_ELEMENTS (startup_signal_cases));
   tcase_add_test (tests, failed_request_is_explained_from_log);
   tcase_add_test (tests, all_invalid_settings_are_reported);
   return tests;
@@ -1163,7 +1232,10 @@
   Suite *suite = suite_create (is_limits ? "node_limits" : "node");
   suite_add_tcase (suite, is_limits ? limit_tests () : all_tests ());
   if (!is_limits)
-    suite_add_tcase (suite, refusal_tests ());
+    {
+      suite_add_tcase (suite, refusal_tests ());
+      suite_add_tcase (suite, process_tests ());
+    }
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
   int failed = srunner_ntests_failed (runner);
