soak: signal a VM only once its program has begun

The soak stopped or reloaded VMs some 10 ms to 4 s after it had started them, and on a busy machine the process was still in the loader then: nothing keeps a signal's default action from ending it there, so the soak reported "wait status 15" or 1 for what no program can do better.

The fault now waits, like one that the store does not accept, until the process blocks, ignores or catches the signal, as /proc tells. Kills and pauses come at any time, as before.

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -87,14 +87,21 @@
   g_free (fault);
 }
 
-static void
+/* FALSE if the VM's program has not begun, to be retried. */
+static gboolean
 begin_vm_fault (Fault *fault, SoakVm *vm)
 {
   static const int signals[] = { [FAULT_VM_KILL] = SIGKILL,
                                  [FAULT_VM_PAUSE] = SIGSTOP,
                                  [FAULT_VM_STOP] = SIGTERM,
                                  [FAULT_VM_RELOAD] = SIGHUP };
-  soak_vm_signal (fault->cluster, vm, signals[fault->kind]);
+  int number = signals[fault->kind];
+  gboolean is_handled = number == SIGTERM || number == SIGHUP;
+  if (is_handled && vm->process != NULL && process_is_running (vm->process)
+      && !process_handles_signal (vm->process, number))
+    return FALSE;
+  soak_vm_signal (fault->cluster, vm, number);
+  return TRUE;
 }
 
 /* FALSE if the VM is still stopping, to be retried. */
@@ -251,7 +258,7 @@
                                                                   : COMPONENT_OPERATOR;
 }
 
-/* FALSE if the store did not accept the change, to be retried. */
+/* FALSE if it can't begin yet, to be retried. */
 static gboolean
 begin_fault (Fault *fault)
 {
@@ -259,8 +266,7 @@
   switch (component_of (fault->kind))
     {
     case COMPONENT_VM:
-      begin_vm_fault (fault, &cluster->vms[fault->index % SOAK_VMS]);
-      return TRUE;
+      return begin_vm_fault (fault, &cluster->vms[fault->index % SOAK_VMS]);
     case COMPONENT_TARGET:
       begin_target_fault (fault, &cluster->targets[fault->index % SOAK_TARGETS]);
       return TRUE;
--- a/tests/process.c
+++ b/tests/process.c
@@ -86,6 +86,25 @@
     kill (process->pid, number);
 }
 
+gboolean
+process_handles_signal (const Process *process, int number)
+{
+  static const char *const names[] = { "\nSigBlk:", "\nSigIgn:", "\nSigCgt:" };
+  char path[32];
+  char *text = NULL;
+  g_snprintf (path, sizeof path, "/proc/%d/status", (int)process->pid);
+  gboolean is_handled = FALSE;
+  if (!process->has_ended && g_file_get_contents (path, &text, NULL, NULL))
+    for (guint i = 0; i < G_N_ELEMENTS (names); i++)
+      {
+        const char *at = strstr (text, names[i]);
+        guint64 signals = at != NULL ? g_ascii_strtoull (at + strlen (names[i]), NULL, 16) : 0;
+        is_handled = is_handled || (signals >> (number - 1) & 1) != 0;
+      }
+  g_free (text);
+  return is_handled;
+}
+
 gboolean
 process_is_running (Process *process)
 {
--- a/tests/process.h
+++ b/tests/process.h
@@ -24,6 +24,9 @@
 void process_free (Process *process);
 
 void process_signal (Process *process, int number);
+/* TRUE if the program blocks, ignores or catches the signal. Before main(), nothing can keep a
+ * signal from ending it. */
+gboolean process_handles_signal (const Process *process, int number);
 gboolean process_is_running (Process *process);
 
 /* Waits until the process exits. FALSE on timeout. `status` is as of waitpid(), may be NULL. */
