soak: a run has recovered only when all VMs are ready

150 requests served in a row counted as recovery "of all VMs".

Recovery asks for /ready of each VM too, within the same 15 s. This is stricter: a VM that does not come back within them is now reported.

--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -296,20 +296,27 @@
          && g_get_monotonic_time () - vm->disturbed_at > duration;
 }
 
+gboolean
+soak_vm_is_ready (const SoakVm *vm)
+{
+  int status = 0;
+  g_free (http_exchange ("GET", vm->address, SOAK_READY_PORT, "/ready", NULL, NULL, &status));
+  return status == 200;
+}
+
 static void
 wait_until_ready (SoakCluster *cluster, const SoakVm *vm)
 {
   gint64 end = g_get_monotonic_time () + PROCESS_START_TIMEOUT;
-  int status = 0;
-  while (status != 200 && g_get_monotonic_time () < end)
+  gboolean is_ready = FALSE;
+  while (!is_ready && g_get_monotonic_time () < end)
     {
       /* The proxies run in this event loop. */
       event_base_loop (cluster->base, EVLOOP_NONBLOCK);
-      g_free (
-        http_exchange ("GET", vm->address, SOAK_READY_PORT, "/ready", NULL, NULL, &status));
+      is_ready = soak_vm_is_ready (vm);
       g_usleep (2000);
     }
-  if (status != 200)
+  if (!is_ready)
     soak_cluster_add_violation (cluster, "%s did not become ready in time", vm->name);
 }
 
--- a/soak/main.c
+++ b/soak/main.c
@@ -11,8 +11,8 @@
 #define FAULTS_DURATION_SECONDS 8.0
 /* The users' limit for the recovery of the whole system after the last fault. */
 #define RECOVERY_TIMEOUT_SECONDS 15.0
-/* The system counts as recovered after this many consecutive requests, sent to all VMs, were
- * served. */
+/* The system counts as recovered when this many consecutive requests were served and all VMs
+ * are ready: callers keep their connections, so they may not have asked each VM. */
 #define RECOVERED_SERVED_COUNT 150
 /* Limit for a config change to be applied by all VMs. */
 #define CONFIG_APPLY_TIMEOUT (3 * DP_USEC_PER_SEC)
@@ -41,6 +41,15 @@
   return TRUE;
 }
 
+static gboolean
+all_vms_are_ready (SoakCluster *cluster)
+{
+  for (guint i = 0; i < SOAK_VMS; i++)
+    if (!soak_vm_is_ready (&cluster->vms[i]))
+      return FALSE;
+  return TRUE;
+}
+
 static void
 wait_for_recovery (SoakCluster *cluster)
 {
@@ -52,7 +61,7 @@
   soak_faults_clear (cluster);
   double start = soak_cluster_elapsed (cluster);
   cluster->consecutive_served = 0;
-  while (cluster->consecutive_served < RECOVERED_SERVED_COUNT)
+  while (cluster->consecutive_served < RECOVERED_SERVED_COUNT || !all_vms_are_ready (cluster))
     {
       if (soak_cluster_elapsed (cluster) - start > RECOVERY_TIMEOUT_SECONDS)
         {
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -145,6 +145,8 @@
 /* TRUE if the VM runs, is not paused, and was not started or signalled during the last
  * `duration` microseconds. */
 gboolean soak_vm_is_undisturbed (const SoakVm *vm, gint64 duration);
+/* TRUE if /ready of the VM answers 200. */
+gboolean soak_vm_is_ready (const SoakVm *vm);
 void soak_target_start (SoakCluster *cluster, SoakTarget *target);
 /* Collects the target's runs, then sends SIGKILL. The target stays listed in the store. */
 void soak_target_kill (SoakCluster *cluster, SoakTarget *target);
