soak: judge a missing response by the time in which the soak had turns

A request counted as sent when it was put into the buffer, so after such a stall its timer had expired before its first byte was written: the VM had never seen it. The proxies between the VMs, their targets and the store stand still as well then.

The 5 s are now counted in the turns of the soak's event loop, at most 100 ms for each of its ticks of 20 ms, and the timer goes on until they have passed. A VM counts as undisturbed if it was so since the request was sent, which is the same on a machine that gives turns.

--- a/soak/caller.c
+++ b/soak/caller.c
@@ -27,6 +27,7 @@
   GString *input_buffer;
   char id[24];          /* of the current request */
   SoakRequest *request; /* NULL: none is open; owned by the cluster */
+  gint64 observed_from; /* cluster's observed time when the request was sent */
   gboolean will_disconnect;
 };
 
@@ -269,6 +270,7 @@
   request->sent_at = g_get_monotonic_time ();
   g_snprintf (caller->id, sizeof caller->id, "c%u-%u", caller->index, ++caller->sent);
   caller->request = request;
+  caller->observed_from = cluster->observed_time;
   caller->will_disconnect = g_random_int_range (0, 100) < DISCONNECT_PERCENT;
   write_request (caller);
   set_timer_ms (caller, caller->will_disconnect ? g_random_int_range (1, DISCONNECT_MAX_MS)
@@ -280,8 +282,14 @@
 abandon_request (SoakCaller *caller)
 {
   const SoakVm *vm = &caller->cluster->vms[caller->vm];
-  if (!caller->will_disconnect && soak_vm_is_undisturbed (vm, RESPONSE_TIMEOUT)
-      && !vm->is_stopping)
+  gint64 elapsed = g_get_monotonic_time () - caller->request->sent_at;
+  gint64 observed = caller->cluster->observed_time - caller->observed_from;
+  if (!caller->will_disconnect && observed < RESPONSE_TIMEOUT)
+    {
+      set_timer_ms (caller, (RESPONSE_TIMEOUT - observed) / DP_USEC_PER_MSEC + 1);
+      return;
+    }
+  if (!caller->will_disconnect && soak_vm_is_undisturbed (vm, elapsed) && !vm->is_stopping)
     soak_cluster_add_violation (caller->cluster, "%s: no response from %s within %d s",
                                 caller->id, vm->name,
                                 (int)(RESPONSE_TIMEOUT / DP_USEC_PER_SEC));
--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -17,6 +17,29 @@
   "\"no_signature\":-1,\"second\":-1,\"unframed\":-1,\"promise_503\":-1,\"silent\":-1,"        \
   "\"wait_ms\":10}"
 
+#define TICK_INTERVAL (20 * DP_USEC_PER_MSEC)
+/* The soak's own proxies and callers stand still between two turns of its event loop. A longer
+ * time between two ticks is no time that a VM has had. */
+#define OBSERVED_PER_TICK_MAX (100 * DP_USEC_PER_MSEC)
+
+static void
+on_tick (evutil_socket_t fd, short what, void *user)
+{
+  SoakCluster *cluster = user;
+  gint64 now = g_get_monotonic_time ();
+  cluster->observed_time += MIN (now - cluster->ticked_at, OBSERVED_PER_TICK_MAX);
+  cluster->ticked_at = now;
+}
+
+static void
+start_tick (SoakCluster *cluster)
+{
+  const struct timeval interval = { .tv_usec = TICK_INTERVAL };
+  cluster->ticked_at = g_get_monotonic_time ();
+  cluster->tick = event_new (cluster->base, -1, EV_PERSIST, on_tick, cluster);
+  event_add (cluster->tick, &interval);
+}
+
 double
 soak_cluster_elapsed (const SoakCluster *cluster)
 {
@@ -401,6 +424,7 @@
   cluster->violations = g_ptr_array_new_with_free_func (g_free);
   assign_addresses (cluster);
   start_all (cluster);
+  start_tick (cluster);
   return cluster;
 }
 
@@ -432,6 +456,7 @@
       soak_proxy_free (cluster->targets[i].proxy);
     }
   process_free (cluster->store);
+  event_free (cluster->tick);
 }
 
 void
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -113,6 +113,9 @@
   char *bus_seeds; /* the nodes' `seeds` setting */
   GRand *random;
   gint64 started_at; /* monotonic, microseconds */
+  struct event *tick;
+  gint64 ticked_at;     /* monotonic, microseconds */
+  gint64 observed_time; /* microseconds in which the event loop had turns */
   Process *store;
   char store_address[SOAK_ADDRESS_BYTES];
   gboolean store_is_available; /* FALSE while a store fault is active */
