node: a request leaves its silent target only for another one

What callers saw: a stream that had begun was cut, and a request without a first event got 502, while their target was only silent for a second or so. The request gave up its target first and asked the owner then; if the owner refused (no target of its version, none in service, no room), nothing was left to go on.

Change: a request at a silent target asks for another one under an attempt of its own (DpTargetSearch) and stays. When the grant is there, the old attempt is cancelled and released, and the request is sent. A refusal leaves it where it is; it asks again after 250 ms at the earliest. If the target goes on, the search ends. An attempt that ends otherwise ends its search, too. The retry budget is spent when the request moves, not when it asks. The 1.5 s bound of requests without a first event holds as before.

--- a/core/retry.c
+++ b/core/retry.c
@@ -91,9 +91,9 @@
 }
 
 gboolean
-dp_retry_budget_spend (DpRetryBudget *budget, DpUsec now)
+dp_retry_budget_allows (DpRetryBudget *budget, DpUsec now)
 {
-  guint newest = advance (budget, now);
+  advance (budget, now);
   guint requests = 0;
   guint retries = 0;
   for (guint i = 0; i < DP_RETRY_BUDGET_SLOTS; i++)
@@ -101,8 +101,14 @@
       requests += budget->requests[i];
       retries += budget->retries[i];
     }
-  if (retries + 1 > requests * budget->ratio + budget->slack)
+  return retries + 1 <= requests * budget->ratio + budget->slack;
+}
+
+gboolean
+dp_retry_budget_spend (DpRetryBudget *budget, DpUsec now)
+{
+  if (!dp_retry_budget_allows (budget, now))
     return FALSE;
-  budget->retries[newest]++;
+  budget->retries[advance (budget, now)]++;
   return TRUE;
 }
--- a/core/retry.h
+++ b/core/retry.h
@@ -60,5 +60,6 @@
  * the first call. */
 void dp_retry_budget_set_slack (DpRetryBudget *budget, double slack, guint vms);
 void dp_retry_budget_count_request (DpRetryBudget *budget, DpUsec now);
+gboolean dp_retry_budget_allows (DpRetryBudget *budget, DpUsec now);
 /* Consumes one retry. Returns FALSE if the budget is exhausted: don't retry. */
 gboolean dp_retry_budget_spend (DpRetryBudget *budget, DpUsec now);
--- a/node/node.h
+++ b/node/node.h
@@ -192,6 +192,15 @@
   DP_STAGE_SENT,
 } DpNodeStage;
 
+/* A request whose target is silent asks for another one, and stays there until it gets it. */
+typedef struct DpTargetSearch
+{
+  DpId attempt; /* none: no search is in progress */
+  DpName owner;
+  DpUsec requested_at;
+  DpUsec again_at; /* the next search may begin */
+} DpTargetSearch;
+
 struct DpNodeRequest
 {
   DpHandle self;
@@ -221,6 +230,7 @@
   DpId attempt;
   DpName owner;
   DpUsec grant_requested_at;
+  DpTargetSearch search;
   guint excluded_count;
   DpName excluded[DP_EXCLUDED_MAX]; /* targets that failed or could not be used */
   /* current attempt, and counts over all attempts */
@@ -247,6 +257,13 @@
   char *last_event_id; /* id of the last event written to the caller */
 };
 
+/* TRUE if the request asks for another target while it stays at its silent one. */
+static inline gboolean
+dp_request_is_searching (const DpNodeRequest *request)
+{
+  return !dp_id_is_none (request->search.attempt);
+}
+
 /* Microseconds of the monotonic clock. */
 static inline DpUsec
 dp_node_now (void)
@@ -356,6 +373,12 @@
 void dp_placement_request (DpNodeRequest *request);
 /* Reports the end of the attempt to the owner, whether it was granted or still waiting. */
 void dp_placement_release (DpNodeRequest *request, DpReason reason);
+/* Requests another target for a request that stays at its silent one. */
+void dp_placement_search (DpNodeRequest *request);
+/* Ends the search, if there is one. */
+void dp_placement_cancel_search (DpNodeRequest *request);
+/* The request, which has left its target, uses the grant of its search. */
+void dp_placement_use_search (DpNodeRequest *request);
 /* Reports the first output of the target to the owner. */
 void dp_placement_report_started (DpNodeRequest *request);
 /* The target announced in an answer that it is stopping. */
@@ -377,9 +400,10 @@
 
 /* The head of a response was received. */
 void dp_target_limits_on_response (const DpNodeRequest *request);
-/* TRUE if the request's owner may assign it to the target. If the owner does not know of the
+/* TRUE if the owner may assign the request to the target. If the owner does not know of the
  * target's limit, or that it is brittle, tells it. */
 gboolean dp_target_limits_accepts_grant (const DpNodeRequest *request,
+                                         DpName owner,
                                          const DpDirectoryRow *row,
                                          const DpGrantGiven *given);
 /* The request is sent to the target. */
@@ -459,6 +483,9 @@
 void dp_request_on_version (DpNodeRequest *request);
 /* The dispatcher refused it. */
 void dp_request_on_refused (DpNodeRequest *request, DpReason reason, DpUsec retry_after);
+/* Its search for another target has ended. */
+void dp_request_on_target_found (DpNodeRequest *request, const DpGrantGiven *given);
+void dp_request_on_search_refused (DpNodeRequest *request, DpReason reason, DpUsec retry_after);
 /* The dispatcher revoked its grant. */
 void dp_request_on_revoked (DpNodeRequest *request, DpReason reason);
 /* The current attempt ended without an answer for the caller. */
--- a/node/placement.c
+++ b/node/placement.c
@@ -144,16 +144,16 @@
   request->attempt = (DpId){ 0 };
 }
 
-static void
-new_attempt (DpNodeRequest *request)
+static DpId
+new_attempt (const DpNodeRequest *request)
 {
   DpNode *node = request->node;
-  clear_attempt (request);
   guint64 parts[3] = { node->self, node->random, ++node->next_attempt };
-  request->attempt.high = dp_hash_bytes (parts, sizeof parts, 1);
-  request->attempt.low = dp_hash_bytes (parts, sizeof parts, 2);
-  g_hash_table_insert (node->requests_by_attempt, g_memdup2 (&request->attempt, sizeof (DpId)),
+  DpId attempt = { .high = dp_hash_bytes (parts, sizeof parts, 1),
+                   .low = dp_hash_bytes (parts, sizeof parts, 2) };
+  g_hash_table_insert (node->requests_by_attempt, g_memdup2 (&attempt, sizeof (DpId)),
                        g_memdup2 (&request->self, sizeof (DpHandle)));
+  return attempt;
 }
 
 static DpMessage
@@ -195,6 +195,24 @@
   return TRUE;
 }
 
+/* The same for searches that the owner was asked for. */
+static gboolean
+append_searches (DpNode *node, const DpNodePool *pool, DpName owner, DpGrantHeld *report)
+{
+  for (DpHandle at = dp_table_next (node->requests, 0); at != 0;
+       at = dp_table_next (node->requests, at))
+    {
+      const DpNodeRequest *request = dp_table_get (node->requests, at);
+      if (request->pool != pool || !dp_request_is_searching (request)
+          || request->search.owner != owner)
+        continue;
+      if (report->count == DP_HELD_GRANTS_MAX)
+        return FALSE;
+      report->held[report->count++] = (DpHeldGrant){ .attempt = request->search.attempt };
+    }
+  return TRUE;
+}
+
 /* Sends the owner a list of the pool's requests that it places; an empty one if the VM has left
  * it for another owner. What runs at brittle targets counts for each owner, whoever placed it.
  */
@@ -207,7 +225,8 @@
   /* The owner drops missing attempts only after a complete report. */
   report->last = report->has_left
                  || (append_requests (node, pool, pool->is_brittle ? 0 : owner, TRUE, report)
-                     && append_requests (node, pool, owner, FALSE, report));
+                     && append_requests (node, pool, owner, FALSE, report)
+                     && append_searches (node, pool, owner, report));
   pool->reported_at = dp_node_now ();
   if (report->count > 0 || has_left)
     send_to_owner (node, pool, owner, &message);
@@ -320,20 +339,13 @@
   return TRUE;
 }
 
-void
-dp_placement_request (DpNodeRequest *request)
+static void
+ask_owner (DpNodeRequest *request, DpName owner, DpId attempt, DpUsec now)
 {
   DpNode *node = request->node;
-  DpUsec now = dp_node_now ();
-  if (shed_if_overloaded (request, now))
-    return;
-  request->stage = DP_STAGE_AWAITING_GRANT;
-  new_attempt (request);
-  request->owner = choose_owner (node, request->pool, now);
-  request->grant_requested_at = now;
   DpMessage message = { .type = DP_MESSAGE_GRANT_ASK };
   DpGrantAsk *grant_request = &message.grant_ask;
-  grant_request->attempt = request->attempt;
+  grant_request->attempt = attempt;
   grant_request->group = request->pool->name;
   grant_request->prompt_tokens = request->caller.prompt_tokens;
   grant_request->output_tokens = request->caller.output_tokens_max;
@@ -348,7 +360,59 @@
   grant_request->excluded_count = request->excluded_count;
   for (guint i = 0; i < request->excluded_count; i++)
     grant_request->excluded[i] = request->excluded[i];
-  send_to_owner (node, request->pool, request->owner, &message);
+  send_to_owner (node, request->pool, owner, &message);
+}
+
+void
+dp_placement_request (DpNodeRequest *request)
+{
+  DpNode *node = request->node;
+  DpUsec now = dp_node_now ();
+  if (shed_if_overloaded (request, now))
+    return;
+  request->stage = DP_STAGE_AWAITING_GRANT;
+  clear_attempt (request);
+  request->attempt = new_attempt (request);
+  request->owner = choose_owner (node, request->pool, now);
+  request->grant_requested_at = now;
+  ask_owner (request, request->owner, request->attempt, now);
+}
+
+void
+dp_placement_search (DpNodeRequest *request)
+{
+  DpUsec now = dp_node_now ();
+  DpTargetSearch *search = &request->search;
+  search->owner = choose_owner (request->node, request->pool, now);
+  search->requested_at = now;
+  search->attempt = new_attempt (request);
+  ask_owner (request, search->owner, search->attempt, now);
+}
+
+void
+dp_placement_cancel_search (DpNodeRequest *request)
+{
+  if (!dp_request_is_searching (request))
+    return;
+  DpTargetSearch *search = &request->search;
+  DpMessage message = { .type = DP_MESSAGE_GRANT_DONE };
+  message.grant_done = (DpGrantDone){ .attempt = search->attempt,
+                                      .group = request->pool->name,
+                                      .reason = DP_REASON_NO_OWNER };
+  g_hash_table_remove (request->node->requests_by_attempt, &search->attempt);
+  search->attempt = (DpId){ 0 };
+  send_to_owner (request->node, request->pool, search->owner, &message);
+}
+
+void
+dp_placement_use_search (DpNodeRequest *request)
+{
+  DpTargetSearch *search = &request->search;
+  clear_attempt (request);
+  request->attempt = search->attempt;
+  request->owner = search->owner;
+  request->grant_requested_at = search->requested_at;
+  search->attempt = (DpId){ 0 };
 }
 
 void
@@ -472,16 +536,15 @@
   DpNodeRequest *request = find_request (node, given->attempt);
   if (request == NULL)
     release_unused_grant (node, from, given);
+  else if (dp_id_equal (given->attempt, request->search.attempt))
+    dp_request_on_target_found (request, given);
   else if (request->stage == DP_STAGE_AWAITING_GRANT)
     dp_request_on_grant (request, given);
 }
 
 static void
-on_refused (DpNode *node, const DpGrantRefused *refused)
+refuse (DpNodeRequest *request, const DpGrantRefused *refused)
 {
-  DpNodeRequest *request = find_request (node, refused->attempt);
-  if (request == NULL || request->stage != DP_STAGE_AWAITING_GRANT)
-    return;
   if (refused->is_overload)
     {
       const DpShedRequest shed_request
@@ -492,10 +555,29 @@
   dp_request_on_refused (request, refused->reason, refused->retry_after);
 }
 
+static void
+on_refused (DpNode *node, const DpGrantRefused *refused)
+{
+  DpNodeRequest *request = find_request (node, refused->attempt);
+  if (request != NULL && dp_id_equal (refused->attempt, request->search.attempt))
+    dp_request_on_search_refused (request, refused->reason, refused->retry_after);
+  else if (request != NULL && request->stage == DP_STAGE_AWAITING_GRANT)
+    refuse (request, refused);
+}
+
+static void
+on_revoked (DpNode *node, const DpGrantRevoked *revoked)
+{
+  DpNodeRequest *request = find_request (node, revoked->attempt);
+  if (request != NULL && dp_id_equal (revoked->attempt, request->search.attempt))
+    dp_placement_cancel_search (request);
+  else if (request != NULL)
+    dp_request_on_revoked (request, revoked->reason);
+}
+
 static void
 on_message_to_entry (DpNode *node, DpName from, const DpMessage *message)
 {
-  DpNodeRequest *request;
   switch (message->type)
     {
     case DP_MESSAGE_GRANT_GIVEN:
@@ -508,9 +590,7 @@
       on_leaving (node, &message->target_leaving);
       break;
     case DP_MESSAGE_GRANT_REVOKED:
-      request = find_request (node, message->grant_revoked.attempt);
-      if (request != NULL)
-        dp_request_on_revoked (request, message->grant_revoked.reason);
+      on_revoked (node, &message->grant_revoked);
       break;
     default:
       break;
@@ -603,35 +683,46 @@
 
 /* --- timers --- */
 
-/* TRUE if the request has waited for OWNER_TIMEOUT without any message from its owner. */
+/* TRUE if OWNER_TIMEOUT has passed without any message from the owner that was asked for a
+ * grant; it counts as unresponsive then. */
 static gboolean
-is_owner_unresponsive (DpNode *node, const DpNodeRequest *request, DpUsec now)
+check_owner (DpNode *node, const DpNodeRequest *request, DpName owner, DpUsec asked_at)
 {
-  if (request->stage != DP_STAGE_AWAITING_GRANT || request->owner == node->self)
-    return FALSE;
-  DpUsec last_seen_at
-    = MAX (dp_owners_last_seen_at (node->owners, request->owner), request->grant_requested_at);
-  return now - last_seen_at > OWNER_TIMEOUT;
+  if (owner == node->self)
+    return TRUE;
+  DpUsec now = dp_node_now ();
+  if (now - MAX (dp_owners_last_seen_at (node->owners, owner), asked_at) > OWNER_TIMEOUT)
+    {
+      if (!dp_owners_is_unresponsive (node->owners, owner))
+        dp_log (DP_LOG_WARNING, "vm_silent", "vm", vm_text (node, owner), "request",
+                request->id, NULL);
+      dp_owners_on_timeout (node->owners, owner, now);
+    }
+  return !dp_owners_is_unresponsive (node->owners, owner);
+}
+
+static void
+check_owner_of_search (DpNode *node, DpNodeRequest *request)
+{
+  const DpTargetSearch *search = &request->search;
+  if (!check_owner (node, request, search->owner, search->requested_at)
+      || (request->pool->is_shared && search->owner != request->pool->owner))
+    dp_placement_cancel_search (request);
 }
 
 /* Places waiting requests again whose owner is unresponsive or has changed. */
 static void
-check_owners (DpNode *node, DpUsec now)
+check_owners (DpNode *node)
 {
   for (DpHandle at = dp_table_next (node->requests, 0); at != 0;
        at = dp_table_next (node->requests, at))
     {
       DpNodeRequest *request = dp_table_get (node->requests, at);
+      if (dp_request_is_searching (request))
+        check_owner_of_search (node, request);
       if (request->stage != DP_STAGE_AWAITING_GRANT || request->pool == NULL)
         continue;
-      if (is_owner_unresponsive (node, request, now))
-        {
-          if (!dp_owners_is_unresponsive (node->owners, request->owner))
-            dp_log (DP_LOG_WARNING, "vm_silent", "vm", vm_text (node, request->owner),
-                    "request", request->id, NULL);
-          dp_owners_on_timeout (node->owners, request->owner, now);
-        }
-      if (dp_owners_is_unresponsive (node->owners, request->owner))
+      if (!check_owner (node, request, request->owner, request->grant_requested_at))
         dp_placement_request (request);
       else if (request->pool->is_shared && request->owner != request->pool->owner)
         {
@@ -670,6 +761,6 @@
 dp_placement_tick (DpNode *node, DpUsec now, gboolean was_paused)
 {
   if (!was_paused)
-    check_owners (node, now);
+    check_owners (node);
   tick_dispatchers (node, now);
 }
--- a/node/request.c
+++ b/node/request.c
@@ -7,6 +7,8 @@
 
 /* For 503 responses without a more precise time. */
 #define RETRY_AFTER_DEFAULT (300 * DP_USEC_PER_MSEC)
+/* Between two searches for another target. */
+#define SEARCH_INTERVAL (250 * DP_USEC_PER_MSEC)
 
 static void
 format_ms (char out[16], DpUsec duration)
@@ -68,7 +70,7 @@
   g_string_free (parts, TRUE);
 }
 
-/* Logs once per attempt that the request stays at its silent target. */
+/* Logs once per attempt. */
 static void
 log_silence (DpNodeRequest *request)
 {
@@ -108,6 +110,8 @@
   dp_attempt_cancel (request);
   if (!dp_id_is_none (request->attempt))
     g_hash_table_remove (request->node->requests_by_attempt, &request->attempt);
+  if (dp_request_is_searching (request))
+    g_hash_table_remove (request->node->requests_by_attempt, &request->search.attempt);
   if (request->stage == DP_STAGE_AWAITING_QUOTA)
     request->node->awaiting_quota--;
   if (request->stage == DP_STAGE_AWAITING_VERSION)
@@ -170,6 +174,7 @@
 static void
 fail_request (DpNodeRequest *request, DpReason reason, DpUsec retry_after)
 {
+  dp_placement_cancel_search (request);
   int status = dp_reason_status (reason);
   /* 503 and 429 tell the caller that the request was not run. */
   if (request->may_have_run && (status == 503 || status == 429))
@@ -212,6 +217,7 @@
       (guint64)((request->sent_at - request->arrived + request->first_byte_after)
                 / DP_USEC_PER_MSEC));
   dp_counters_add (request->node->counters, "dogwoodplank_answers_total", NULL, NULL, 1);
+  dp_placement_cancel_search (request);
   dp_placement_release (request, reason);
   request->exchange = NULL;
   remove_request (request);
@@ -227,6 +233,7 @@
   dp_counters_add (request->node->counters, "dogwoodplank_callers_gone_total", NULL, NULL, 1);
   log_end (request, dp_reason_status (DP_REASON_CALLER_GONE), DP_REASON_CALLER_GONE);
   dp_attempt_cancel (request);
+  dp_placement_cancel_search (request);
   dp_placement_release (request, DP_REASON_CALLER_GONE);
   remove_request (request);
 }
@@ -332,10 +339,24 @@
 static void
 exclude (DpNodeRequest *request, DpName target)
 {
+  for (guint i = 0; i < request->excluded_count; i++)
+    if (request->excluded[i] == target)
+      return;
   if (request->excluded_count < DP_EXCLUDED_MAX)
     request->excluded[request->excluded_count++] = target;
 }
 
+/* FALSE if this VM has newer information about the target than the owner. */
+static gboolean
+accepts_grant (const DpNodeRequest *request, DpName owner, const DpGrantGiven *given)
+{
+  const DpNode *node = request->node;
+  const DpDirectoryRow *row = dp_directory_find (node->directory, given->target);
+  return row != NULL && dp_directory_may_use (node->directory, given->target, dp_node_now ())
+         && (request->version == 0 || row->version == request->version)
+         && dp_target_limits_accepts_grant (request, owner, row, given);
+}
+
 void
 dp_request_on_grant (DpNodeRequest *request, const DpGrantGiven *given)
 {
@@ -355,11 +376,8 @@
       fail_request (request, DP_REASON_DEADLINE_PASSED, 0);
       return;
     }
-  if (row == NULL || !dp_directory_may_use (node->directory, target, now)
-      || (request->version != 0 && row->version != request->version)
-      || !dp_target_limits_accepts_grant (request, row, given))
+  if (row == NULL || !accepts_grant (request, request->owner, given))
     {
-      /* This VM has newer information about the target than the owner. */
       log_event (request, "grant_not_used", DP_REASON_NO_TARGET);
       dp_placement_release (request, DP_REASON_NO_TARGET);
       exclude (request, target);
@@ -397,13 +415,12 @@
   return end == DP_ATTEMPT_BROKE || end == DP_ATTEMPT_ERROR || end == DP_ATTEMPT_SILENT;
 }
 
-/* Spends the retry budget if the next step is a retry. */
-static DpNextStep
-decide_next_step (DpNodeRequest *request, DpAttemptEnd end)
+static DpAttemptFacts
+attempt_facts (const DpNodeRequest *request, DpAttemptEnd end)
 {
   DpUsec now = dp_node_now ();
   gboolean has_run = may_have_run (end);
-  DpAttemptFacts facts = {
+  return (DpAttemptFacts){
     .end = end,
     .is_repeatable = request->is_repeatable,
     .may_have_run = request->may_have_run || has_run,
@@ -416,22 +433,29 @@
     .time_left = request->deadline - now,
     .silence = now - request->sent_at,
   };
+}
+
+/* Spends the retry budget if the next step is a retry. */
+static DpNextStep
+decide_next_step (DpNodeRequest *request, DpAttemptEnd end)
+{
+  DpAttemptFacts facts = attempt_facts (request, end);
   DpNextStep step = dp_retry_decide (&facts);
-  if (step != DP_STEP_RETRY || spend_budget (request, end, now))
+  if (step != DP_STEP_RETRY || spend_budget (request, end, dp_node_now ()))
     return step;
   facts.within_budget = FALSE;
   return dp_retry_decide (&facts);
 }
 
-void
-dp_request_on_attempt_failed (DpNodeRequest *request, DpAttemptEnd end, DpReason reason)
+static DpReason
+release_reason (const DpNodeRequest *request, DpAttemptEnd end, DpReason reason)
+{
+  return may_have_run (end) && dp_paths_is_lost (request) ? DP_REASON_NO_PATH : reason;
+}
+
+static void
+end_attempt (DpNodeRequest *request, DpAttemptEnd end, DpReason reason, DpNextStep step)
 {
-  DpNextStep step = decide_next_step (request, end);
-  if (step == DP_STEP_WAIT)
-    {
-      log_silence (request);
-      return;
-    }
   if (may_have_run (end))
     {
       request->runs++;
@@ -441,8 +465,8 @@
   log_failed (request, reason);
   gboolean target_disconnected
     = reason == DP_REASON_TARGET_BROKE || reason == DP_REASON_ANSWER_INCOMPLETE;
-  gboolean is_path_lost = may_have_run (end) && dp_paths_is_lost (request);
-  if (end == DP_ATTEMPT_BROKE && target_disconnected && !is_path_lost)
+  DpReason released = release_reason (request, end, reason);
+  if (end == DP_ATTEMPT_BROKE && target_disconnected && released != DP_REASON_NO_PATH)
     dp_node_quarantine_record_failure (request);
   /* The response must be forwarded before dp_attempt_cancel() frees it. */
   if (step == DP_STEP_FORWARD)
@@ -451,7 +475,7 @@
       return;
     }
   dp_attempt_cancel (request);
-  dp_placement_release (request, is_path_lost ? DP_REASON_NO_PATH : reason);
+  dp_placement_release (request, released);
   switch (step)
     {
     case DP_STEP_RETRY:
@@ -475,6 +499,123 @@
     }
 }
 
+void
+dp_request_on_attempt_failed (DpNodeRequest *request, DpAttemptEnd end, DpReason reason)
+{
+  dp_placement_cancel_search (request);
+  end_attempt (request, end, reason, decide_next_step (request, end));
+}
+
+/* --- silent targets --- */
+
+static gboolean
+is_target_silent (const DpNodeRequest *request, DpUsec now)
+{
+  if (request->stage != DP_STAGE_SENT)
+    return FALSE;
+  return request->first_byte_after == 0 ? request->is_silent
+                                        : dp_attempt_is_stalled (request, now);
+}
+
+static gboolean
+may_search (const DpNodeRequest *request, DpUsec now)
+{
+  DpUsec remaining = 0;
+  return now >= request->search.again_at && dp_retry_budget_allows (&request->pool->budget, now)
+         && !dp_suspects_blocks (request->node->suspects, &request->suspect_keys, now,
+                                 &remaining);
+}
+
+/* A target may go on after a silence: the request stays there until another one can run it. */
+static void
+on_silence (DpNodeRequest *request)
+{
+  if (dp_request_is_searching (request))
+    return;
+  log_silence (request);
+  DpAttemptFacts facts = attempt_facts (request, DP_ATTEMPT_SILENT);
+  facts.within_budget = may_search (request, dp_node_now ());
+  DpNextStep step = dp_retry_decide (&facts);
+  switch (step)
+    {
+    case DP_STEP_RETRY:
+      exclude (request, request->target);
+      dp_placement_search (request);
+      break;
+    case DP_STEP_WAIT:
+      break;
+    default:
+      end_attempt (request, DP_ATTEMPT_SILENT, DP_REASON_TARGET_SILENT, step);
+      break;
+    }
+}
+
+static void
+check_silence (DpNodeRequest *request, DpUsec now)
+{
+  if (is_target_silent (request, now))
+    {
+      on_silence (request);
+      return;
+    }
+  if (dp_request_is_searching (request))
+    log_event (request, "target_resumed", DP_REASON_NONE);
+  dp_placement_cancel_search (request);
+}
+
+static void
+postpone_search (DpNodeRequest *request, DpUsec delay)
+{
+  request->search.again_at = dp_node_now () + MAX (delay, SEARCH_INTERVAL);
+  dp_placement_cancel_search (request);
+}
+
+/* TRUE if the request may leave its silent target for the one that was found; spends the retry
+ * budget. */
+static gboolean
+may_move (DpNodeRequest *request, const DpGrantGiven *given)
+{
+  DpUsec now = dp_node_now ();
+  DpUsec remaining = 0;
+  if (now >= request->deadline || !is_target_silent (request, now))
+    return FALSE;
+  if (!accepts_grant (request, request->search.owner, given))
+    {
+      log_event (request, "grant_not_used", DP_REASON_NO_TARGET);
+      exclude (request, given->target);
+      return FALSE;
+    }
+  return !dp_node_quarantine_blocks (request, &remaining)
+         && dp_retry_budget_spend (&request->pool->budget, now);
+}
+
+void
+dp_request_on_target_found (DpNodeRequest *request, const DpGrantGiven *given)
+{
+  if (!may_move (request, given))
+    {
+      postpone_search (request, 0);
+      return;
+    }
+  request->runs++;
+  request->may_have_run = TRUE;
+  log_failed (request, DP_REASON_TARGET_SILENT);
+  dp_counters_add (request->node->counters, "dogwoodplank_retries_total", "reason",
+                   dp_reason_name (DP_REASON_TARGET_SILENT), 1);
+  dp_attempt_cancel (request);
+  dp_placement_release (request,
+                        release_reason (request, DP_ATTEMPT_SILENT, DP_REASON_TARGET_SILENT));
+  dp_placement_use_search (request);
+  dp_request_on_grant (request, given);
+}
+
+void
+dp_request_on_search_refused (DpNodeRequest *request, DpReason reason, DpUsec retry_after)
+{
+  log_event (request, "search_refused", reason);
+  postpone_search (request, retry_after);
+}
+
 void
 dp_request_on_revoked (DpNodeRequest *request, DpReason reason)
 {
@@ -489,15 +630,7 @@
   /* The target can't be silent yet; connecting has timeouts of its own. */
   if (!dp_attempt_has_sent (request))
     return;
-  dp_request_on_attempt_failed (request, DP_ATTEMPT_SILENT, DP_REASON_TARGET_SILENT);
-}
-
-/* TRUE if the request stays at a target that has sent nothing of its answer yet. */
-static gboolean
-awaits_silent_target (const DpNodeRequest *request)
-{
-  return request->stage == DP_STAGE_SENT && request->is_silent
-         && request->first_byte_after == 0;
+  on_silence (request);
 }
 
 /* The deadline, set by the caller or the route, has passed. */
@@ -507,6 +640,7 @@
   if (dp_attempt_has_sent (request))
     request->may_have_run = TRUE;
   dp_attempt_cancel (request);
+  dp_placement_cancel_search (request);
   dp_placement_release (request, DP_REASON_DEADLINE_PASSED);
   fail_request (request, DP_REASON_DEADLINE_PASSED, 0);
 }
@@ -522,8 +656,7 @@
         expire (request);
       else if (dp_stream_versions_has_timed_out (request, now))
         dp_request_on_version (request);
-      else if (!was_paused
-               && (awaits_silent_target (request) || dp_attempt_is_stalled (request, now)))
-        dp_request_on_attempt_failed (request, DP_ATTEMPT_SILENT, DP_REASON_TARGET_SILENT);
+      else if (!was_paused)
+        check_silence (request, now);
     }
 }
--- a/node/target_limits.c
+++ b/node/target_limits.c
@@ -221,13 +221,14 @@
 
 gboolean
 dp_target_limits_accepts_grant (const DpNodeRequest *request,
+                                DpName owner,
                                 const DpDirectoryRow *row,
                                 const DpGrantGiven *given)
 {
   DpNode *node = request->node;
-  gboolean keeps_limit = !row->limit.is_set
-                         || dp_limit_client_is_keeper (node->limit_client, row->pool,
-                                                       request->owner, dp_node_now ());
+  gboolean keeps_limit
+    = !row->limit.is_set
+      || dp_limit_client_is_keeper (node->limit_client, row->pool, owner, dp_node_now ());
   /* The owner may have restarted since its last announcement. */
   gboolean keeps_brittle = !row->brittle.is_set || given->is_brittle;
   if (keeps_limit && keeps_brittle)
@@ -235,10 +236,10 @@
   dp_log (DP_LOG_NOTICE, "limit_unknown_to_owner", "request", request->id, "target",
           row->record.id, NULL);
   const DpMessage message = make_report (node, row);
-  if (request->owner == node->self)
+  if (owner == node->self)
     dp_placement_on_message (node, node->self, &message);
   else
-    dp_peers_send (node, request->owner, &message);
+    dp_peers_send (node, owner, &message);
   return FALSE;
 }
 
--- a/tests/test_node_silence.c
+++ b/tests/test_node_silence.c
@@ -7,6 +7,8 @@
 #include <string.h>
 
 #define REQUESTS 4
+/* Until all nodes follow a change in the store. */
+#define APPLY_TIME (500 * DP_USEC_PER_MSEC)
 #define BEFORE "{\"wait_ms\":1200}"
 #define WITHIN "{\"pause_after\":2,\"pause_ms\":1200}"
 #define AFTER_FIRST "{\"pause_after\":1,\"pause_ms\":1200}"
@@ -22,6 +24,9 @@
   const char *method;
   const char *path;
   gint64 runs_max; /* of a request */
+  /* target 1; NULL: as target 0 */
+  const char *second_state;
+  const char *second_version;
 } SilenceCase;
 
 static const SilenceCase silence_cases[] = {
@@ -39,6 +44,13 @@
   { "draft, all targets between events", WITHIN, WITHIN, "POST", "/draft/1", 2 },
   { "draft, all targets after the first event", AFTER_FIRST, AFTER_FIRST, "POST", "/draft/1",
     2 },
+  { "look, the other target drains", BEFORE, NONE, "GET", "/look/1", 1, "draining" },
+  { "draft, before the first event, the other target drains", BEFORE, NONE, "POST", "/draft/1",
+    1, "draining" },
+  { "draft, between events, the other target drains", WITHIN, NONE, "POST", "/draft/1", 1,
+    "draining" },
+  { "draft, between events, the other target has another version", WITHIN, WITHIN, "POST",
+    "/draft/1", 1, NULL, "v2" },
 };
 
 static gboolean
@@ -80,12 +92,24 @@
   g_free (headers);
 }
 
+static void
+set_second_target (const Cluster *cluster, const SilenceCase *row)
+{
+  if (row->second_state != NULL)
+    put_target (cluster, 1, "PUT", row->second_state);
+  if (row->second_version != NULL)
+    put_target_version (cluster, 1, "PUT", row->second_version);
+  if (row->second_state != NULL || row->second_version != NULL)
+    g_usleep (APPLY_TIME);
+}
+
 START_TEST (a_silent_second_loses_no_answer)
 {
   const SilenceCase *row = &silence_cases[_i];
   Cluster *cluster = cluster_start (build);
   set_fault (cluster, cluster->target_control[0], row->first);
   set_fault (cluster, cluster->target_control[1], row->second);
+  set_second_target (cluster, row);
   for (guint i = 0; i < REQUESTS; i++)
     check_answer (cluster, row, i);
   cluster_free (cluster);
