node: what is open at the end of a stop gets a response

What callers saw: "no whole answer around SIGTERM". At the end of its time a stopping process exited with whatever was open: requests that waited for a target got no refusal, though "not run" was true of them; requests at a target were cut without a response; and in the first tick after a pause, what had arrived meanwhile was not even read.

Change: one second before its time is over the process refuses what no target has and what arrives (503, or 502 if an earlier attempt may have run). At 0.7 s, as before, it ends the rest, but with a response: 502 if no answer has begun. It exits when these are sent and no idle connection holds unread bytes, at 0.2 s at the latest, and never in the tick that ended them. After a pause it handles what has arrived first.

Evidence: three rows of requests_complete_before_the_end_of_a_stop_get_a_response and the row "requests on idle connections until the end of the stop" of test_node_stop.

--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -318,3 +318,20 @@
     }
   return FALSE;
 }
+
+gboolean
+dp_http_connections_have_unread (DpHttpConnections *connections)
+{
+  GHashTableIter iter;
+  gpointer value;
+  register_accepted (connections);
+  g_hash_table_iter_init (&iter, connections->by_fd);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Connection *connection = value;
+      if (connection->state != CONNECTION_PROCESSING && is_open (connection)
+          && has_unread_bytes (connection))
+        return TRUE;
+    }
+  return FALSE;
+}
--- a/net/http_connections.h
+++ b/net/http_connections.h
@@ -53,3 +53,7 @@
 /* TRUE if at least a part of a request has arrived on a connection and there is no complete
  * response to it yet. */
 gboolean dp_http_connections_have_requests (DpHttpConnections *connections);
+
+/* TRUE if bytes have arrived on a connection without a request in progress and were not read.
+ */
+gboolean dp_http_connections_have_unread (DpHttpConnections *connections);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -516,6 +516,13 @@
          && !dp_http_connections_have_requests (server->connections);
 }
 
+gboolean
+dp_http_server_is_flushed (const DpHttpServer *server)
+{
+  return g_hash_table_size (server->sending) == 0 && g_hash_table_size (server->closing) == 0
+         && !dp_http_connections_have_unread (server->connections);
+}
+
 enum evhttp_cmd_type
 dp_http_exchange_command (const DpHttpExchange *exchange)
 {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -70,6 +70,8 @@
 
 /* TRUE if no part of a request has arrived whose response was not passed to the kernel. */
 gboolean dp_http_server_is_idle (const DpHttpServer *server);
+/* TRUE if no response is being sent and no bytes of an idle caller are unread. */
+gboolean dp_http_server_is_flushed (const DpHttpServer *server);
 
 /* --- request --- */
 
--- a/node/caller_listener.c
+++ b/node/caller_listener.c
@@ -23,8 +23,13 @@
 /* The balancer polls /ready once a second and removes a VM after two failures. New callers
  * still arrive for this long after a stop was requested. */
 #define BALANCER_DELAY (2600 * DP_USEC_PER_MSEC)
-/* Part of the stop time that is reserved for a clean exit. */
-#define STOP_RESERVE (700 * DP_USEC_PER_MSEC)
+/* Ends of the stages of a stop, before the process is killed: requests that no target has are
+ * refused, all others end, and the process exits once their responses were sent, or anyway. */
+#define REFUSE_RESERVE (1000 * DP_USEC_PER_MSEC)
+#define END_RESERVE (700 * DP_USEC_PER_MSEC)
+#define EXIT_RESERVE (200 * DP_USEC_PER_MSEC)
+/* After a pause, what has arrived meanwhile is handled first. */
+#define AFTER_PAUSE (100 * DP_USEC_PER_MSEC)
 #define RETRY_AFTER_NOT_READY (500 * DP_USEC_PER_MSEC)
 #define RETRY_AFTER_MEMORY (500 * DP_USEC_PER_MSEC)
 
@@ -50,9 +55,19 @@
   return FALSE;
 }
 
+/* Time until a stopping process is killed. */
+static DpUsec
+stop_time_left (const DpNode *node, DpUsec now)
+{
+  return node->stop_requested_at + node->params.stop_time - now;
+}
+
 static gboolean
 check_ready (Admission *admission)
 {
+  const DpNode *node = admission->node;
+  if (node->is_stopping && stop_time_left (node, dp_node_now ()) <= REFUSE_RESERVE)
+    return refuse (admission, DP_REASON_STOPPING, 0);
   if (admission->node->manifest == NULL)
     return refuse (admission, DP_REASON_NOT_READY, RETRY_AFTER_NOT_READY);
   if (admission->node->is_memory_short)
@@ -325,17 +340,34 @@
   dp_tunnels_stop_accepting (node->tunnels);
 }
 
+/* A VM that is paused again and again handles its input all the same. */
+static void
+record_pause (DpNode *node, DpUsec now, gboolean was_paused)
+{
+  if (was_paused && !node->was_paused)
+    node->resumed_at = now;
+  node->was_paused = was_paused;
+}
+
 gboolean
-dp_caller_listener_may_exit (DpNode *node, DpUsec now)
+dp_caller_listener_may_exit (DpNode *node, DpUsec now, gboolean was_paused)
 {
   if (!node->is_stopping)
     return FALSE;
-  DpUsec since = now - node->stop_requested_at;
-  if (since >= BALANCER_DELAY)
+  record_pause (node, now, was_paused);
+  DpUsec left = stop_time_left (node, now);
+  if (now - node->stop_requested_at >= BALANCER_DELAY)
     close_listener (node);
-  DpUsec limit = node->params.stop_time - STOP_RESERVE;
-  if (since >= limit)
+  if (left <= REFUSE_RESERVE)
+    dp_request_refuse_waiting (node);
+  if (node->is_listener_closed && dp_http_server_is_idle (node->callers)
+      && dp_table_count (node->requests) == 0 && dp_tunnels_open (node->tunnels) == 0)
     return TRUE;
-  return since >= BALANCER_DELAY && dp_http_server_is_idle (node->callers)
-         && dp_table_count (node->requests) == 0 && dp_tunnels_open (node->tunnels) == 0;
+  if (left > END_RESERVE || (left > EXIT_RESERVE && now - node->resumed_at < AFTER_PAUSE))
+    return FALSE;
+  dp_request_end_all (node);
+  /* The responses are sent after this tick. */
+  gboolean is_first = !node->is_ending;
+  node->is_ending = TRUE;
+  return !is_first && (left <= EXIT_RESERVE || dp_http_server_is_flushed (node->callers));
 }
--- a/node/node.h
+++ b/node/node.h
@@ -180,6 +180,9 @@
   gboolean is_memory_short; /* new requests are refused */
   gboolean is_stopping;
   DpUsec stop_requested_at;
+  gboolean was_paused;         /* before the last tick, while stopping */
+  DpUsec resumed_at;           /* after the last pause while stopping */
+  gboolean is_ending;          /* its last requests were ended */
   gboolean is_listener_closed; /* no new connections or idle callers while stopping */
 };
 
@@ -470,8 +473,9 @@
 void dp_caller_listener_set_limits (DpNode *node);
 /* Starts an orderly shutdown of the process. */
 void dp_caller_listener_stop (DpNode *node);
-/* TRUE if a stopping process has answered all requests or is out of time. */
-gboolean dp_caller_listener_may_exit (DpNode *node, DpUsec now);
+/* Refuses and ends what is left when a stopping process runs out of time. Returns TRUE if all
+ * requests have their responses, or the time is over. */
+gboolean dp_caller_listener_may_exit (DpNode *node, DpUsec now, gboolean was_paused);
 
 /* --- request.c --- */
 
@@ -497,6 +501,10 @@
 void dp_request_recheck_limited (DpNode *node);
 /* Refuses the requests that wait and are in quarantine now. */
 void dp_request_recheck_quarantine (DpNode *node);
+/* Refuses the requests that wait, except for those whose answer has begun. */
+void dp_request_refuse_waiting (DpNode *node);
+/* Ends all requests: the process is about to exit. */
+void dp_request_end_all (DpNode *node);
 void dp_request_tick (DpNode *node, DpUsec now, gboolean was_paused);
 void dp_request_clear (void *row);
 /* Refuses an exchange that has not become a DpNodeRequest. */
--- a/node/request.c
+++ b/node/request.c
@@ -633,16 +633,36 @@
   on_silence (request);
 }
 
-/* The deadline, set by the caller or the route, has passed. */
+/* Ends the request at whatever stage it is. */
 static void
-expire (DpNodeRequest *request)
+give_up (DpNodeRequest *request, DpReason reason)
 {
   if (dp_attempt_has_sent (request))
     request->may_have_run = TRUE;
   dp_attempt_cancel (request);
   dp_placement_cancel_search (request);
-  dp_placement_release (request, DP_REASON_DEADLINE_PASSED);
-  fail_request (request, DP_REASON_DEADLINE_PASSED, 0);
+  dp_placement_release (request, reason);
+  fail_request (request, reason, 0);
+}
+
+void
+dp_request_refuse_waiting (DpNode *node)
+{
+  for (DpHandle at = dp_table_next (node->requests, 0); at != 0;
+       at = dp_table_next (node->requests, at))
+    {
+      DpNodeRequest *request = dp_table_get (node->requests, at);
+      if (request->stage != DP_STAGE_SENT && !request->head_sent)
+        give_up (request, DP_REASON_STOPPING);
+    }
+}
+
+void
+dp_request_end_all (DpNode *node)
+{
+  for (DpHandle at = dp_table_next (node->requests, 0); at != 0;
+       at = dp_table_next (node->requests, at))
+    give_up (dp_table_get (node->requests, at), DP_REASON_STOPPING);
 }
 
 void
@@ -653,7 +673,7 @@
     {
       DpNodeRequest *request = dp_table_get (node->requests, at);
       if (now >= request->deadline)
-        expire (request);
+        give_up (request, DP_REASON_DEADLINE_PASSED);
       else if (dp_stream_versions_has_timed_out (request, now))
         dp_request_on_version (request);
       else if (!was_paused)
--- a/tests/test_node_stop.c
+++ b/tests/test_node_stop.c
@@ -6,6 +6,7 @@
 #include <errno.h>
 #include <poll.h>
 #include <signal.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -45,10 +46,13 @@
   gint64 paused_to;
   gint64 slice_paused;
   gboolean has_configs; /* new ones, and SIGHUPs, all the time */
+  gboolean answers_all; /* no connection is closed without a response to its request */
 } StopCase;
 
-/* Idle connections are closed 2.6 s after SIGTERM. */
+/* Idle connections are closed 2.6 s after SIGTERM; the process has 8 s. */
 static const StopCase stop_cases[] = {
+  { "requests on idle connections until the end of the stop", 200, 1, FALSE, 1500, 7600, 0,
+    FALSE, TRUE },
   { "requests on idle connections as they are closed", 200, 1, FALSE, 1500, 2900, 0, FALSE },
   { "busy callers", 60, 1, TRUE, 0, 0, 0, FALSE },
   { "busy callers, processor in slices", 60, 1, TRUE, 0, 0, 60, FALSE },
@@ -257,6 +261,9 @@
   ck_assert_msg (lost[0] == '\0', "%s: read and not answered, of %u answered and %u cut: %s",
                  row->name, answered, g_hash_table_size (outcomes.cut), lost);
   g_free (lost);
+  guint cut = g_hash_table_size (outcomes.cut);
+  ck_assert_msg (!row->answers_all || cut == 0, "%s: %u answered, %u cut", row->name, answered,
+                 cut);
   for (guint i = 0; i < row->callers; i++)
     {
       if (callers[i].fd >= 0)
@@ -269,6 +276,76 @@
 }
 END_TEST
 
+/* --- requests that are complete just before the process ends --- */
+
+typedef struct LateCase
+{
+  const char *name;
+  const char *state;  /* of the targets */
+  const char *fault;  /* of the targets */
+  gint64 complete_at; /* milliseconds after SIGTERM */
+  int status;
+  const char *outcome;
+} LateCase;
+
+static const LateCase late_cases[] = {
+  { "waits for a target", "draining", "{}", 6900, 503, "\"outcome\":\"not_run\"" },
+  { "runs at its target", "ready", "{\"wait_ms\":5000}", 6500, 502, "\"outcome\":\"unknown\"" },
+  { "too late to be run", "ready", "{\"wait_ms\":5000}", 7150, 503, "\"outcome\":\"not_run\"" },
+};
+
+static void
+sleep_until (gint64 time)
+{
+  while (g_get_monotonic_time () < time)
+    g_usleep (MAX (time - g_get_monotonic_time (), 1));
+}
+
+static char *
+read_to_end (int fd)
+{
+  GString *text = g_string_new (NULL);
+  char bytes[4096];
+  gssize length;
+  while ((length = recv (fd, bytes, sizeof bytes, 0)) > 0)
+    g_string_append_len (text, bytes, length);
+  return g_string_free (text, FALSE);
+}
+
+START_TEST (requests_complete_before_the_end_of_a_stop_get_a_response)
+{
+  const LateCase *row = &late_cases[_i];
+  Cluster *cluster = cluster_start (build);
+  for (guint i = 0; i < TARGETS; i++)
+    {
+      put_target (cluster, i, "PUT", row->state);
+      set_fault (cluster, cluster->target_control[i], row->fault);
+    }
+  Caller caller = { .vm = 0 };
+  ck_assert (connect_caller (cluster, &caller));
+  const char *head
+    = "POST /book/1 HTTP/1.1\r\n" HOST KEY "Request-Id: late\r\nContent-Length: 4\r\n\r\nla";
+  ck_assert_int_eq (send (caller.fd, head, strlen (head), 0), (gssize)strlen (head));
+  g_usleep (500 * DP_USEC_PER_MSEC);
+  gint64 start = g_get_monotonic_time ();
+  process_signal (cluster->node[0], SIGTERM);
+  sleep_until (start + row->complete_at * DP_USEC_PER_MSEC);
+  ck_assert_int_eq (send (caller.fd, "te", 2, MSG_NOSIGNAL), 2);
+  char *response = read_to_end (caller.fd);
+  int status = 0;
+  ck_assert_msg (sscanf (response, "HTTP/1.1 %d", &status) == 1 && status == row->status,
+                 "%s: %s", row->name, response);
+  ck_assert_msg (strstr (response, row->outcome) != NULL, "%s: %s", row->name, response);
+  int exit_status;
+  ck_assert (process_wait (cluster->node[0], WAIT, &exit_status));
+  ck_assert_msg (WIFEXITED (exit_status) && WEXITSTATUS (exit_status) == 0, "%s", row->name);
+  ck_assert_int_lt (g_get_monotonic_time () - start, 8 * DP_USEC_PER_SEC);
+  g_free (response);
+  close (caller.fd);
+  cluster_free (cluster);
+}
+END_TEST
+
 int
 main (int argc, char **argv)
 {
@@ -278,6 +355,10 @@
   TCase *tcase = tcase_create ("stop");
   tcase_add_loop_test (tcase, no_request_is_lost_around_a_stop, 0, G_N_ELEMENTS (stop_cases));
   suite_add_tcase (suite, tcase);
+  TCase *late = tcase_create ("late");
+  tcase_add_loop_test (late, requests_complete_before_the_end_of_a_stop_get_a_response, 0,
+                       G_N_ELEMENTS (late_cases));
+  suite_add_tcase (suite, late);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
   int failed = srunner_ntests_failed (runner);
