net/http_call: refuse responses whose length is ambiguous

Callers got a 200 with a short body framed as whole when a target's head was whole but stated the length in a way that evhttp reads otherwise: the first of two lengths was taken; a coding other than "chunked", and a length or coding with a space before its colon, counted as none, so that the end of the connection counted as the end of the body, at any byte.

The cause is that the head was not checked beyond what evhttp needs. Such a response fails now, as does one with a status above 599, of which callers got the status line as it was.

--- a/net/http_call.c
+++ b/net/http_call.c
@@ -20,6 +20,7 @@
 /* Input buffered in addition to a chunk of maximum size: its size line and one read. */
 #define CHUNK_OVERHEAD_BYTES_MAX 20480
 #define GATEWAY_HEAD_BYTES_MAX 4096
+#define STATUS_MAX 599
 #define DEFAULT_RESPONSE_BODY_BYTES_MAX ((gsize)64 * 1024 * 1024)
 /* Longer than the call's own timeouts, which are more precise than evhttp's. */
 #define EVHTTP_TIMEOUT_SECONDS 86400
@@ -191,6 +192,44 @@
   event_active (call->timer, EV_TIMEOUT, 0);
 }
 
+static gboolean
+is_token (const char *text)
+{
+  for (const char *at = text; *at != '\0'; at++)
+    if (!g_ascii_isalnum (*at) && strchr ("!#$%&'*+-.^_`|~", *at) == NULL)
+      return FALSE;
+  return text[0] != '\0';
+}
+
+/* evhttp reads other heads, too: it uses the first of several lengths, and for any unknown
+ * coding takes the end of the connection for the end of the body (RFC 9112, 5.1 and 6.3). */
+static gboolean
+is_head_valid (struct evhttp_request *request)
+{
+  const char *length = NULL;
+  const char *coding = NULL;
+  const struct evkeyvalq *headers = evhttp_request_get_input_headers (request);
+  for (const struct evkeyval *row = headers->tqh_first; row != NULL; row = row->next.tqe_next)
+    if (!is_token (row->key))
+      return FALSE;
+    else if (g_ascii_strcasecmp (row->key, "Content-Length") == 0)
+      {
+        gsize digits = strspn (row->value, "0123456789");
+        if (digits == 0 || row->value[digits] != '\0'
+            || (length != NULL && strcmp (row->value, length) != 0))
+          return FALSE;
+        length = row->value;
+      }
+    else if (g_ascii_strcasecmp (row->key, "Transfer-Encoding") == 0)
+      {
+        if (coding != NULL || g_ascii_strcasecmp (row->value, "chunked") != 0)
+          return FALSE;
+        coding = row->value;
+      }
+  return (length == NULL || coding == NULL)
+         && evhttp_request_get_response_code (request) <= STATUS_MAX;
+}
+
 static int
 on_head (struct evhttp_request *request, void *user)
 {
@@ -204,6 +243,11 @@
       evhttp_clear_headers (evhttp_request_get_input_headers (request));
       return 0;
     }
+  if (!is_head_valid (request))
+    {
+      finish (call, DP_HTTP_FAILED);
+      return 0;
+    }
   call->has_head = TRUE;
   call->callbacks->head (call->user, call, status);
   return 0;
