--- a/standins/target.c
+++ b/standins/target.c
@@ -48,6 +48,7 @@
   gint64 queue;        /* requests that wait for a slot; off: none */
   gint64 down_ms;      /* time until it is back after it has crashed for rejections */
   char *reply;         /* bytes to send instead of a response; "{id}": the request's id */
+  char *resume_reply;  /* the same for requests with Last-Event-Id; NULL: `reply` */
   char *crash_part;    /* crashes on requests with this part, unless it is the prompt's last */
 } TargetFaults;
 
@@ -103,6 +104,7 @@
   { "queue", .number = &target.faults.queue },
   { "down_ms", .number = &target.faults.down_ms },
   { "reply", .text = &target.faults.reply },
+  { "resume_reply", .text = &target.faults.resume_reply },
   { "crash_part", .text = &target.faults.crash_part },
 };
 
@@ -327,11 +329,20 @@
   evhttp_send_reply_end (req);
 }
 
+/* Returns the bytes to send instead of a response, NULL if there are none. */
+static const char *
+find_reply (struct evhttp_request *req)
+{
+  gboolean resumes = standin_request_header (req, "Last-Event-Id") != NULL;
+  return resumes && target.faults.resume_reply != NULL ? target.faults.resume_reply
+                                                       : target.faults.reply;
+}
+
 static void
-send_reply_bytes (struct evhttp_request *req)
+send_reply_bytes (struct evhttp_request *req, const char *reply)
 {
   const char *id = standin_request_header (req, "Request-Id");
-  GString *bytes = g_string_new (target.faults.reply);
+  GString *bytes = g_string_new (reply);
   g_string_replace (bytes, "{id}", id != NULL ? id : "", 0);
   standin_send_and_close (req, bytes->str, bytes->len);
   g_string_free (bytes, TRUE);
@@ -383,8 +394,9 @@
   if (target.faults.silent == 1)
     return;
   standin_unwatch_close (run->req);
-  if (target.faults.reply != NULL)
-    send_reply_bytes (run->req);
+  const char *reply = find_reply (run->req);
+  if (reply != NULL)
+    send_reply_bytes (run->req, reply);
   else if (run->next > 0)
     send_stream (run->req, run->next);
   else
