node: forward nothing in a stream but its events

Events of a stream have increasing ids (PROTOCOL.md, Requests). An event without exactly one decimal id, or with a line that is not a field, ends the attempt now as an answer that can't be used; what has not been sent can go on at another target where the route allows.

Log line stream_event_invalid, counter dogwoodplank_invalid_events_total.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -165,24 +165,25 @@
   report_event (attempt, &event, chat);
 }
 
-static void
+static gboolean
 on_stream_event (gpointer user, const char *data, gsize length)
 {
   Attempt *attempt = user;
   DpChatEvent chat;
   if (attempt->removed)
-    return;
+    return FALSE;
   if (!dp_chat_event_parse (data, length, &chat))
     {
       increment_counter (attempt->attempts, "dogwoodplank_malformed_events_total");
       fail_attempt (attempt, DP_REASON_TARGET_BROKE, FALSE);
-      return;
+      return FALSE;
     }
   if (chat.has_usage)
     attempt->usage = chat.usage;
   attempt->tokens += chat.tokens;
   report_chunk (attempt, data, length, &chat);
   dp_chat_event_clear (&chat);
+  return TRUE;
 }
 
 static void
--- a/net/sse.c
+++ b/net/sse.c
@@ -56,7 +56,8 @@
     {
       if (end - start > sse->event_max)
         return FALSE;
-      callback (user, (const char *)sse->buffer->data + start, end - start);
+      if (!callback (user, (const char *)sse->buffer->data + start, end - start))
+        return FALSE;
       start = end;
       sse->is_line_empty = FALSE;
     }
@@ -71,6 +72,61 @@
   return sse->buffer->len == 0;
 }
 
+static gboolean
+read_number (const char *text, gsize length, guint64 *out)
+{
+  char digits[24];
+  if (length >= sizeof digits)
+    return FALSE;
+  memcpy (digits, text, length);
+  digits[length] = '\0';
+  return strlen (digits) == length
+         && g_ascii_string_to_unsigned (digits, 10, 0, G_MAXUINT64, out, NULL);
+}
+
+/* Returns the offset of the colon after the field's name, or -1 if the line is not a field. */
+static gssize
+find_colon (const char *line, gsize length)
+{
+  for (gsize i = 0; i < length; i++)
+    if (line[i] == ':')
+      return (gssize)i;
+    else if (!g_ascii_islower (line[i]) && !g_ascii_isdigit (line[i]) && line[i] != '-'
+             && line[i] != '_')
+      break;
+  return -1;
+}
+
+gboolean
+dp_sse_read_id (const char *event, gsize length, guint64 *id)
+{
+  const char *end = event + length;
+  gboolean has_id = FALSE;
+  for (const char *line = event; line < end;)
+    {
+      const char *line_end = memchr (line, '\n', (gsize)(end - line));
+      if (line_end == NULL)
+        line_end = end;
+      gsize size = (gsize)(line_end - line);
+      if (size > 0 && line[size - 1] == '\r')
+        size--;
+      gssize colon = find_colon (line, size);
+      if (colon < 0 && size > 0)
+        return FALSE;
+      if (colon == 2 && memcmp (line, "id", 2) == 0)
+        {
+          gsize value = 3;
+          if (value < size && line[value] == ' ')
+            value++;
+          if (has_id || !read_number (line + value, size - value, id))
+            return FALSE;
+          has_id = TRUE;
+        }
+      line = line_end + 1;
+    }
+  return has_id;
+}
+
 const char *
 dp_sse_data (const char *event, gsize length, gsize *data_length)
 {
--- a/node/attempt.c
+++ b/node/attempt.c
@@ -81,23 +81,6 @@
   dp_http_exchange_start (request->exchange, request->answer.status);
 }
 
-/* Returns the event's "id" field, or NULL if it has none. Free with g_free(). */
-static char *
-copy_event_id (const char *event, gsize length)
-{
-  const char *end = event + length;
-  for (const char *line = event; line < end;)
-    {
-      const char *line_end = memchr (line, '\n', (gsize)(end - line));
-      if (line_end == NULL)
-        line_end = end;
-      if (line_end - line > 3 && strncmp (line, "id:", 3) == 0)
-        return g_strstrip (g_strndup (line + 3, (gsize)(line_end - line - 3)));
-      line = line_end + 1;
-    }
-  return NULL;
-}
-
 static void
 begin_stream (DpNodeRequest *request)
 {
@@ -107,24 +90,36 @@
   forward_head (request);
 }
 
-/* Only complete events are forwarded, so that another target can resume after any of them. */
 static void
+log_invalid_event (const DpNodeRequest *request, const char *problem)
+{
+  dp_counters_add (request->node->counters, "dogwoodplank_invalid_events_total", "problem",
+                   problem, 1);
+  dp_log (DP_LOG_WARNING, "stream_event_invalid", "request", request->id, "target",
+          request->target_text, "problem", problem, "after", request->last_event_id, NULL);
+}
+
+/* Only complete events are forwarded, so that another target can resume after any of them. */
+static gboolean
 on_event (gpointer user, const char *event, gsize length)
 {
   DpNodeRequest *request = user;
+  guint64 id;
   if (request->exchange == NULL)
-    return;
-  record_first_byte (request);
-  request->last_event_at = dp_node_now ();
-  char *id = copy_event_id (event, length);
-  if (id != NULL)
+    return FALSE;
+  if (!dp_sse_read_id (event, length, &id))
     {
-      g_free (request->last_event_id);
-      request->last_event_id = id;
+      log_invalid_event (request, "not_an_event");
+      return FALSE;
     }
+  record_first_byte (request);
+  request->last_event_at = dp_node_now ();
+  g_free (request->last_event_id);
+  request->last_event_id = g_strdup_printf ("%" G_GUINT64_FORMAT, id);
   if (!request->head_sent)
     begin_stream (request);
   dp_http_exchange_write (request->exchange, event, length);
+  return TRUE;
 }
 
 static void
@@ -140,7 +135,7 @@
       return;
     }
   if (!dp_sse_push (request->sse, data, length, on_event, request))
-    dp_request_on_attempt_failed (request, DP_ATTEMPT_BROKE, DP_REASON_ANSWER_INCOMPLETE);
+    dp_request_on_attempt_failed (request, DP_ATTEMPT_BROKE, DP_REASON_TARGET_ERROR);
 }
 
 /* --- end of the response --- */
--- a/tests/test_net_http.c
+++ b/tests/test_net_http.c
@@ -49,10 +49,11 @@
 
 /* --- server-sent events --- */
 
-static void
+static gboolean
 collect_event (gpointer user, const char *event, gsize length)
 {
   g_ptr_array_add (user, g_strndup (event, length));
+  return TRUE;
 }
 
 typedef struct SseCase
@@ -103,6 +104,44 @@
 }
 END_TEST
 
+typedef struct EventIdCase
+{
+  const char *event;
+  gboolean is_valid;
+  guint64 id;
+} EventIdCase;
+
+static const EventIdCase event_id_cases[] = {
+  { "id: 3\ndata: a\n\n", TRUE, 3 },
+  { "id:3\r\ndata:a\r\n\r\n", TRUE, 3 },
+  { "data: a\nid: 18446744073709551615\n\n", TRUE, G_MAXUINT64 },
+  { "weight-versions: 2\nid: 0\nevent: x\n: y\ndata: {\"A\":1}\n\n", TRUE, 0 },
+  { "\nid: 3\ndata: a\n\n", TRUE, 3 },
+  { "data: a\n\n", FALSE, 0 },
+  { "id: 3\nid: 3\ndata: a\n\n", FALSE, 0 },
+  { "id: \n\n", FALSE, 0 },
+  { "id:  3\n\n", FALSE, 0 },
+  { "id: -3\n\n", FALSE, 0 },
+  { "id: 3x\n\n", FALSE, 0 },
+  { "id: 18446744073709551616\n\n", FALSE, 0 },
+  { "id: 3\ndata\n\n", FALSE, 0 },
+  { "id: 3\ndata: a\nX-A: b\n\n", FALSE, 0 },
+  { "id: 3\nHTTP/1.1 500 x: y\n\n", FALSE, 0 },
+  { "id: 3\n{\"a\":1}\n\n", FALSE, 0 },
+  { "\n\n", FALSE, 0 },
+};
+
+START_TEST (an_event_has_one_id_and_fields_only)
+{
+  const EventIdCase *c = &event_id_cases[_i];
+  guint64 id = 0;
+  gboolean is_valid = dp_sse_read_id (c->event, strlen (c->event), &id);
+  ck_assert_msg (is_valid == c->is_valid, "%s", c->event);
+  if (is_valid)
+    ck_assert_uint_eq (id, c->id);
+}
+END_TEST
+
 START_TEST (oversized_event_is_rejected)
 {
   DpSse *sse = dp_sse_new (KIB);
@@ -1179,6 +1218,8 @@
   TCase *tcase = tcase_create ("http");
   tcase_add_loop_test (tcase, events_do_not_depend_on_read_boundaries, 0,
                        G_N_ELEMENTS (sse_cases));
+  tcase_add_loop_test (tcase, an_event_has_one_id_and_fields_only, 0,
+                       G_N_ELEMENTS (event_id_cases));
   tcase_add_test (tcase, oversized_event_is_rejected);
   tcase_add_loop_test (tcase, truncated_responses_are_detected, 0,
                        G_N_ELEMENTS (truncation_cases));
