node: a stream goes on after its last event only

Callers got events twice when the target with which their stream went on, or with which they came back, ignored Last-Event-Id and began again; or missed some when it began further on. Last-Event-Id was sent and what came was taken for the rest.

Ids are increasing (PROTOCOL.md, Requests): an event whose id is not above the last one that the caller has ends the attempt now. Whether ids may be left out the page doesn't say. Where at least two events came and all ids were consecutive, a further target that leaves ids out lacks events, and its attempt ends, too; a target may leave ids out in its own run.

--- a/node/attempt.c
+++ b/node/attempt.c
@@ -99,6 +99,36 @@
           request->target_text, "problem", problem, "after", request->last_event_id, NULL);
 }
 
+/* Sets `id` to the id of the last event that the caller has. FALSE if there is none. */
+static gboolean
+find_last_event (const DpNodeRequest *request, guint64 *id)
+{
+  const char *text = request->last_event_id;
+  if (text == NULL && request->route->resumable)
+    text = request->caller.resume_after;
+  return text != NULL && g_ascii_string_to_unsigned (text, 10, 0, G_MAXUINT64, id, NULL);
+}
+
+/* Returns what is wrong with the event, or NULL. Ids are increasing. Whether they are
+ * consecutive can only be seen from the events before. */
+static const char *
+find_event_problem (DpNodeRequest *request, const char *event, gsize length, guint64 *id)
+{
+  guint64 last;
+  if (!dp_sse_read_id (event, length, id))
+    return "not_an_event";
+  if (!find_last_event (request, &last))
+    return NULL;
+  if (*id <= last)
+    return "repeated";
+  gboolean is_gap = *id != last + 1 && request->event_count > 0;
+  gboolean is_first = request->last_event_at == 0;
+  if (is_gap && is_first && request->event_count > 1 && !request->has_gaps)
+    return "gap";
+  request->has_gaps = request->has_gaps || is_gap;
+  return NULL;
+}
+
 /* Only complete events are forwarded, so that another target can resume after any of them. */
 static gboolean
 on_event (gpointer user, const char *event, gsize length)
@@ -107,15 +137,17 @@
   guint64 id;
   if (request->exchange == NULL)
     return FALSE;
-  if (!dp_sse_read_id (event, length, &id))
+  const char *problem = find_event_problem (request, event, length, &id);
+  if (problem != NULL)
     {
-      log_invalid_event (request, "not_an_event");
+      log_invalid_event (request, problem);
       return FALSE;
     }
   record_first_byte (request);
   request->last_event_at = dp_node_now ();
   g_free (request->last_event_id);
   request->last_event_id = g_strdup_printf ("%" G_GUINT64_FORMAT, id);
+  request->event_count++;
   if (!request->head_sent)
     begin_stream (request);
   dp_http_exchange_write (request->exchange, event, length);
--- a/node/node.h
+++ b/node/node.h
@@ -245,6 +245,8 @@
   /* answer */
   gboolean head_sent;  /* the head of a stream was sent to the caller */
   char *last_event_id; /* id of the last event written to the caller */
+  guint event_count;   /* events written to the caller */
+  gboolean has_gaps;   /* the ids of these events are not consecutive */
 };
 
 /* Microseconds of the monotonic clock. */
--- a/tests/test_node_stream_errors.c
+++ b/tests/test_node_stream_errors.c
@@ -247,6 +247,38 @@
 }
 END_TEST
 
+typedef struct SparseCase
+{
+  const char *name;
+  const char *begin; /* broken off */
+  const char *rest;
+} SparseCase;
+
+static const SparseCase sparse_cases[] = {
+  { "ids left out from the first target on", CHUNK ("1") CHUNK ("3"), CHUNK ("7") CHUNK ("9") },
+  { "ids left out by one target only", CHUNK ("1") CHUNK ("3"), CHUNK ("4") CHUNK ("9") },
+  { "one id seen before", CHUNK ("1"), CHUNK ("3") CHUNK ("9") },
+};
+
+START_TEST (increasing_ids_need_not_be_consecutive)
+{
+  const SparseCase *row = &sparse_cases[_i];
+  Cluster *cluster = cluster_start (build);
+  char *fault
+    = g_strdup_printf ("{\"reply\":\"" CHUNKED_STREAM "%s\",\"resume_reply\":\"" CHUNKED_STREAM
+                       "%s" LAST_CHUNK "\"}",
+                       row->begin, row->rest);
+  for (guint i = 0; i < TARGETS; i++)
+    set_fault (cluster, cluster->target_control[i], fault);
+  Answer answer = ask (cluster, "/draft/1", "");
+  ck_assert_msg (answer.is_whole && strstr (answer.text->str, "piece 9\n\n") != NULL, "%s: %s",
+                 row->name, answer.text->str);
+  clear_answer (&answer);
+  g_free (fault);
+  cluster_free (cluster);
+}
+END_TEST
+
 /* --- before the first event --- */
 
 typedef struct BeginCase
@@ -338,6 +370,8 @@
   tcase_add_loop_test (tests, a_stream_goes_on_with_the_events_that_are_due, 0,
                        G_N_ELEMENTS (resume_cases));
   tcase_add_test (tests, a_stream_may_go_on_with_its_end);
+  tcase_add_loop_test (tests, increasing_ids_need_not_be_consecutive, 0,
+                       G_N_ELEMENTS (sparse_cases));
   tcase_add_loop_test (tests, a_stream_without_events_is_not_whole, 0,
                        G_N_ELEMENTS (begin_cases));
   tcase_add_loop_test (tests, a_caller_that_comes_back_gets_no_event_twice, 0,
