node: a stream without an event is not whole

Callers got a 200 with an empty body framed as whole, or a proper end after event 2 of 5, when a target's answer on a streaming route ended without an event: an engine that closes right after its head, or that answers with an empty body. No event counted as the whole rest.

An answer without events now is whole only if the caller has an event already (only the end was lost), and it is an event stream of a length that is not known in advance and has its own end. Where the connection's end is the answer's end, an engine that ended can't be told from one that had no more to say, so that is a stream that broke off.

--- a/node/attempt.c
+++ b/node/attempt.c
@@ -190,14 +190,30 @@
   dp_request_complete (request, is_failure ? DP_REASON_TARGET_ERROR : DP_REASON_NONE);
 }
 
+/* TRUE if a response without events is what is left of the stream: its last event has reached
+ * the caller before, and its end hasn't. */
+static gboolean
+may_be_without_events (const DpNodeRequest *request)
+{
+  guint64 last;
+  return find_last_event (request, &last) && request->answer.is_event_stream;
+}
+
 static void
-finish_stream (DpNodeRequest *request)
+finish_stream (DpNodeRequest *request, DpHttpCallResult end)
 {
-  if (!dp_sse_is_empty (request->sse))
+  gboolean has_events = request->last_event_at != 0;
+  if (!dp_sse_is_empty (request->sse) || (!has_events && end == DP_HTTP_CLOSE_DELIMITED))
     {
       dp_request_on_attempt_failed (request, DP_ATTEMPT_BROKE, DP_REASON_ANSWER_INCOMPLETE);
       return;
     }
+  if (!has_events && !may_be_without_events (request))
+    {
+      log_invalid_event (request, "no_event");
+      dp_request_on_attempt_failed (request, DP_ATTEMPT_BROKE, DP_REASON_TARGET_ERROR);
+      return;
+    }
   if (!request->head_sent)
     forward_head (request);
   dp_http_exchange_set_close_callback (request->exchange, NULL, NULL, NULL);
@@ -222,7 +238,7 @@
 
 /* Handles a response whose head was received and whose body has ended. */
 static void
-on_response_end (DpNodeRequest *request)
+on_response_end (DpNodeRequest *request, DpHttpCallResult end)
 {
   const DpTargetResponse *answer = &request->answer;
   gboolean is_stream = is_stream_response (request);
@@ -237,7 +253,7 @@
   else if (is_unusable)
     dp_request_on_attempt_failed (request, DP_ATTEMPT_BROKE, DP_REASON_TARGET_ERROR);
   else if (is_stream)
-    finish_stream (request);
+    finish_stream (request, end);
   else if (answer->status >= 500)
     dp_request_on_attempt_failed (request, DP_ATTEMPT_ERROR, DP_REASON_TARGET_ERROR);
   else
@@ -278,7 +294,7 @@
 {
   DpNodeRequest *request = user;
   if (request->headers != NULL && (end == DP_HTTP_COMPLETE || end == DP_HTTP_CLOSE_DELIMITED))
-    on_response_end (request);
+    on_response_end (request, end);
   else if (nothing_sent)
     on_path_failed (request, end);
   else
