--- a/node/attempt.c
+++ b/node/attempt.c
@@ -81,23 +81,6 @@
   dp_http_exchange_start (request->exchange, request->answer.status);
 }
 
-/* Returns the event's "id" field, or NULL if it has none. Free with g_free(). */
-static char *
-copy_event_id (const char *event, gsize length)
-{
-  const char *end = event + length;
-  for (const char *line = event; line < end;)
-    {
-      const char *line_end = memchr (line, '\n', (gsize)(end - line));
-      if (line_end == NULL)
-        line_end = end;
-      if (line_end - line > 3 && strncmp (line, "id:", 3) == 0)
-        return g_strstrip (g_strndup (line + 3, (gsize)(line_end - line - 3)));
-      line = line_end + 1;
-    }
-  return NULL;
-}
-
 static void
 begin_stream (DpNodeRequest *request)
 {
@@ -107,24 +90,68 @@
   forward_head (request);
 }
 
-/* Only complete events are forwarded, so that another target can resume after any of them. */
 static void
+log_invalid_event (const DpNodeRequest *request, const char *problem)
+{
+  dp_counters_add (request->node->counters, "dogwoodplank_invalid_events_total", "problem",
+                   problem, 1);
+  dp_log (DP_LOG_WARNING, "stream_event_invalid", "request", request->id, "target",
+          request->target_text, "problem", problem, "after", request->last_event_id, NULL);
+}
+
+/* Sets `id` to the id of the last event that the caller has. FALSE if there is none. */
+static gboolean
+find_last_event (const DpNodeRequest *request, guint64 *id)
+{
+  const char *text = request->last_event_id;
+  if (text == NULL && request->route->resumable)
+    text = request->caller.resume_after;
+  return text != NULL && g_ascii_string_to_unsigned (text, 10, 0, G_MAXUINT64, id, NULL);
+}
+
+/* Returns what is wrong with the event, or NULL. Ids are increasing. Whether they are
+ * consecutive can only be seen from the events before. */
+static const char *
+find_event_problem (DpNodeRequest *request, const char *event, gsize length, guint64 *id)
+{
+  guint64 last;
+  if (!dp_sse_read_id (event, length, id))
+    return "not_an_event";
+  if (!find_last_event (request, &last))
+    return NULL;
+  if (*id <= last)
+    return "repeated";
+  gboolean is_gap = *id != last + 1 && request->event_count > 0;
+  gboolean is_first = request->last_event_at == 0;
+  if (is_gap && is_first && request->event_count > 1 && !request->has_gaps)
+    return "gap";
+  request->has_gaps = request->has_gaps || is_gap;
+  return NULL;
+}
+
+/* Only complete events are forwarded, so that another target can resume after any of them. */
+static gboolean
 on_event (gpointer user, const char *event, gsize length)
 {
   DpNodeRequest *request = user;
+  guint64 id;
   if (request->exchange == NULL)
-    return;
-  record_first_byte (request);
-  request->last_event_at = dp_node_now ();
-  char *id = copy_event_id (event, length);
-  if (id != NULL)
+    return FALSE;
+  const char *problem = find_event_problem (request, event, length, &id);
+  if (problem != NULL)
     {
-      g_free (request->last_event_id);
-      request->last_event_id = id;
+      log_invalid_event (request, problem);
+      return FALSE;
     }
+  record_first_byte (request);
+  request->last_event_at = dp_node_now ();
+  g_free (request->last_event_id);
+  request->last_event_id = g_strdup_printf ("%" G_GUINT64_FORMAT, id);
+  request->event_count++;
   if (!request->head_sent)
     begin_stream (request);
   dp_http_exchange_write (request->exchange, event, length);
+  return TRUE;
 }
 
 static void
@@ -140,7 +167,7 @@
       return;
     }
   if (!dp_sse_push (request->sse, data, length, on_event, request))
-    dp_request_on_attempt_failed (request, DP_ATTEMPT_BROKE, DP_REASON_ANSWER_INCOMPLETE);
+    dp_request_on_attempt_failed (request, DP_ATTEMPT_BROKE, DP_REASON_TARGET_ERROR);
 }
 
 /* --- end of the response --- */
@@ -163,14 +190,30 @@
   dp_request_complete (request, is_failure ? DP_REASON_TARGET_ERROR : DP_REASON_NONE);
 }
 
+/* TRUE if a response without events is what is left of the stream: its last event has reached
+ * the caller before, and its end hasn't. */
+static gboolean
+may_be_without_events (const DpNodeRequest *request)
+{
+  guint64 last;
+  return find_last_event (request, &last) && request->answer.is_event_stream;
+}
+
 static void
-finish_stream (DpNodeRequest *request)
+finish_stream (DpNodeRequest *request, DpHttpCallResult end)
 {
-  if (!dp_sse_is_empty (request->sse))
+  gboolean has_events = request->last_event_at != 0;
+  if (!dp_sse_is_empty (request->sse) || (!has_events && end == DP_HTTP_CLOSE_DELIMITED))
     {
       dp_request_on_attempt_failed (request, DP_ATTEMPT_BROKE, DP_REASON_ANSWER_INCOMPLETE);
       return;
     }
+  if (!has_events && !may_be_without_events (request))
+    {
+      log_invalid_event (request, "no_event");
+      dp_request_on_attempt_failed (request, DP_ATTEMPT_BROKE, DP_REASON_TARGET_ERROR);
+      return;
+    }
   if (!request->head_sent)
     forward_head (request);
   dp_http_exchange_set_close_callback (request->exchange, NULL, NULL, NULL);
@@ -195,7 +238,7 @@
 
 /* Handles a response whose head was received and whose body has ended. */
 static void
-on_response_end (DpNodeRequest *request)
+on_response_end (DpNodeRequest *request, DpHttpCallResult end)
 {
   const DpTargetResponse *answer = &request->answer;
   gboolean is_stream = is_stream_response (request);
@@ -210,7 +253,7 @@
   else if (is_unusable)
     dp_request_on_attempt_failed (request, DP_ATTEMPT_BROKE, DP_REASON_TARGET_ERROR);
   else if (is_stream)
-    finish_stream (request);
+    finish_stream (request, end);
   else if (answer->status >= 500)
     dp_request_on_attempt_failed (request, DP_ATTEMPT_ERROR, DP_REASON_TARGET_ERROR);
   else
@@ -251,7 +294,7 @@
 {
   DpNodeRequest *request = user;
   if (request->headers != NULL && (end == DP_HTTP_COMPLETE || end == DP_HTTP_CLOSE_DELIMITED))
-    on_response_end (request);
+    on_response_end (request, end);
   else if (nothing_sent)
     on_path_failed (request, end);
   else
