node: ask the store which versions serve before a stream is taken up

Callers saw streams with events of two software versions: a VM that was cut off from the others and from the store while engines of a new version joined placed the streams of that version that were taken up there at an engine of the old one.

Cause: the VM's list of targets was taken for proof that one version serves if the store had confirmed it within 2.5 s. That shows what had registered then, not what has begun streams since. Other VMs that were asked answered in the same way from their own lists.

The version that began a stream is now known by record (this VM's or that of one that is asked), or shown by a call to the store that begins after the request arrived: a target registers before it begins a stream, and a stream begins before its caller takes it up. Without an answer the request is refused as not run.

--- a/node/node.h
+++ b/node/node.h
@@ -216,6 +216,7 @@
   DpName version;
   guint version_answers_due; /* from other VMs */
   DpUsec version_asked_at;
+  DpUsec version_check_since; /* awaits the store instead; 0: it doesn't */
   /* placement */
   DpNodeStage stage;
   DpId attempt;
@@ -278,6 +279,8 @@
                                      const char *kind,
                                      guint64 revision,
                                      const DpDiagnostics *diagnostics);
+/* TRUE if the targets were listed completely, so that their version is that of a whole list. */
+gboolean dp_store_watch_has_listed_targets (const DpStoreWatch *watch);
 /* TRUE if the last call to the store failed for any kind of objects. */
 gboolean dp_store_watch_is_failing (const DpStoreWatch *watch);
 
@@ -429,8 +432,8 @@
 void dp_stream_versions_record (const DpNodeRequest *request);
 /* Sets the request's version if it takes up a stream. */
 DpVersionLookup dp_stream_versions_find (DpNodeRequest *request);
-/* TRUE if the VMs that were asked for the version have not answered in time. */
-gboolean dp_stream_versions_has_timed_out (const DpNodeRequest *request, DpUsec now);
+/* Evaluates the time-outs of a request that awaits its version. */
+void dp_stream_versions_tick_request (DpNodeRequest *request, DpUsec now);
 /* Returns FALSE if the message is of another type. */
 gboolean dp_stream_versions_on_message (DpNode *node, DpName from, const DpMessage *message);
 
--- a/node/request.c
+++ b/node/request.c
@@ -520,8 +520,8 @@
       DpNodeRequest *request = dp_table_get (node->requests, at);
       if (now >= request->deadline)
         expire (request);
-      else if (dp_stream_versions_has_timed_out (request, now))
-        dp_request_on_version (request);
+      else if (request->stage == DP_STAGE_AWAITING_VERSION)
+        dp_stream_versions_tick_request (request, now);
       else if (!was_paused
                && (awaits_silent_target (request) || dp_attempt_is_stalled (request, now)))
         dp_request_on_attempt_failed (request, DP_ATTEMPT_SILENT, DP_REASON_TARGET_SILENT);
--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -441,6 +441,12 @@
                     .era = watch->era };
 }
 
+gboolean
+dp_store_watch_has_listed_targets (const DpStoreWatch *watch)
+{
+  return watch->feeds[KIND_TARGETS].is_listed;
+}
+
 gboolean
 dp_store_watch_is_failing (const DpStoreWatch *watch)
 {
--- a/node/stream_versions.c
+++ b/node/stream_versions.c
@@ -1,10 +1,12 @@
 /* Software versions that began streams, so that each goes on at the same version.
  *
  * A caller that takes up a broken stream arrives at any VM and names the request that brought
- * its first event. While targets of one version serve the pool, that is the version. Otherwise
- * each VM that forwards the first event of a stream tells two other VMs, chosen by the
- * request's id, which version began it, and the VM where the stream is taken up asks them. A
- * stream whose version nobody knows is refused.
+ * its first event. While targets of several versions serve the pool, each VM that forwards the
+ * first event of a stream tells two other VMs, chosen by the request's id, which version began
+ * it. The VM where the stream is taken up asks them. If they don't know, and this VM knows of a
+ * single version, it asks the store whether others have registered: that the list of targets
+ * was confirmed lately doesn't show that it is still complete. A stream whose version can't be
+ * found out is refused.
  *
  * The pool's owner keeps the list of its recent versions in the store: when all VMs have
  * restarted at once, it shows whether a single version can have begun the streams.
@@ -21,8 +23,11 @@
 G_STATIC_ASSERT (DP_RANKED_VMS > WITNESSES_MAX);
 /* An answer takes a round trip; a VM that was killed sends none. */
 #define ANSWER_TIMEOUT (150 * DP_USEC_PER_MSEC)
-/* Targets may have registered with another version since the store was last heard of. */
-#define TARGETS_AGE_MAX (2500 * DP_USEC_PER_MSEC)
+/* Limits the wait for the store, repeated checks included. */
+#define CHECK_TIMEOUT (600 * DP_USEC_PER_MSEC)
+#define CHECK_INTERVAL (50 * DP_USEC_PER_MSEC)
+/* After a restore, entries of live targets are written again within about two seconds. */
+#define RESTORE_SETTLE_TIME (5 * DP_USEC_PER_SEC)
 /* About 60 bytes each in each of two generations. */
 #define STREAMS_MAX 16384
 #define STREAM_LIFETIME_MIN (30 * DP_USEC_PER_SEC)
@@ -38,6 +43,11 @@
   DpStoredList *stored;
   gboolean is_writing;
   DpUsec ticked_at;
+  DpUsec restored_at; /* the store; 0: never */
+  /* check of the list of targets */
+  gboolean is_checking;
+  DpUsec check_started_at;
+  guint64 check_era;
   DpName written_pool;    /* of the write in progress */
   char *written_text;     /* of the write in progress */
   GHashTable *known_text; /* DpName -> char *: list of a pool's versions in the store */
@@ -53,14 +63,12 @@
 
 /* --- VMs that know a stream --- */
 
-/* Returns the version if a single one can have begun a stream of the pool, else 0. */
+/* Returns the version if this VM knows of a single one that can have begun a stream of the
+ * pool, else 0. */
 static DpName
 single_version (const DpNode *node, DpName pool)
 {
-  DpUsec now = dp_node_now ();
-  if (now - dp_directory_last_contact_at (node->directory) > TARGETS_AGE_MAX)
-    return 0;
-  return dp_versions_single (node->stream_versions->table, pool, now);
+  return dp_versions_single (node->stream_versions->table, pool, dp_node_now ());
 }
 
 void
@@ -86,7 +94,7 @@
     }
 }
 
-/* --- streams that are taken up --- */
+/* --- questions to other VMs --- */
 
 static void
 log_take_up (const DpNodeRequest *request, const char *outcome)
@@ -122,6 +130,106 @@
   return asked;
 }
 
+static void
+resolve (DpNodeRequest *request, DpName version, const char *source)
+{
+  request->version = version;
+  log_take_up (request, version != 0 ? source : "unknown");
+  dp_request_on_version (request);
+}
+
+/* --- check of the list of targets --- */
+
+/* Records the versions of targets that have changed since the list was last updated. */
+static gboolean
+observe_changes (DpStreamVersions *versions, const DpPlatformReply *reply)
+{
+  gsize length;
+  const char *text = g_bytes_get_data (reply->value, &length);
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  DpStorePage *page = dp_records_read_page (text, length, TRUE, diagnostics);
+  for (guint i = 0; page != NULL && i < page->objects->len; i++)
+    {
+      const DpStoreObject *object = &g_array_index (page->objects, DpStoreObject, i);
+      DpTargetRecord record;
+      if (!object->is_deleted && dp_records_read_target (object, &record, diagnostics))
+        dp_versions_observe (versions->table, dp_name (record.pool), record.version,
+                             dp_node_now ());
+    }
+  gboolean ok = page != NULL;
+  dp_store_page_free (page);
+  /* The watch of targets logs them. */
+  dp_diagnostics_unref (diagnostics);
+  return ok;
+}
+
+/* Everything that was registered when the check began is known: decides on the requests that
+ * had arrived by then. */
+static void
+resolve_checked (DpStreamVersions *versions)
+{
+  DpNode *node = versions->node;
+  for (DpHandle at = dp_table_next (node->requests, 0); at != 0 && node->awaiting_version > 0;
+       at = dp_table_next (node->requests, at))
+    {
+      DpNodeRequest *request = dp_table_get (node->requests, at);
+      if (request->stage == DP_STAGE_AWAITING_VERSION && request->version_check_since != 0
+          && request->arrived <= versions->check_started_at)
+        resolve (request, single_version (node, request->pool->name), "single");
+    }
+}
+
+static void
+on_checked (const DpPlatformReply *reply, gpointer data)
+{
+  DpStreamVersions *versions = data;
+  versions->is_checking = FALSE;
+  if (reply->result == DP_PLATFORM_OK && reply->era == versions->check_era
+      && observe_changes (versions, reply))
+    resolve_checked (versions);
+}
+
+static gboolean
+is_list_usable (const DpStreamVersions *versions, DpUsec now)
+{
+  return dp_store_watch_has_listed_targets (versions->node->store_watch)
+         && (versions->restored_at == 0 || now - versions->restored_at > RESTORE_SETTLE_TIME);
+}
+
+/* Asks the store for the changes since this VM's list of targets, unless it was just asked. */
+static void
+start_check (DpStreamVersions *versions, DpUsec now)
+{
+  if (versions->is_checking || now - versions->check_started_at < CHECK_INTERVAL
+      || !is_list_usable (versions, now))
+    return;
+  DpStoreVersion listed = dp_store_watch_state (versions->node->store_watch).targets;
+  versions->is_checking = TRUE;
+  versions->check_started_at = now;
+  versions->check_era = listed.era;
+  const DpPlatformCall call = { .type = DP_PLATFORM_WATCH_KIND,
+                                .path = DP_KIND_TARGETS,
+                                .version = listed.revision,
+                                .watch_time = DP_USEC_PER_MSEC,
+                                .timeout = CALL_TIMEOUT };
+  dp_platform_client_call (versions->node->store, &call, on_checked, versions);
+}
+
+/* Returns FALSE if the check could not show which version began the stream. */
+static gboolean
+await_check (DpNodeRequest *request)
+{
+  DpStreamVersions *versions = request->node->stream_versions;
+  DpUsec now = dp_node_now ();
+  if (single_version (request->node, request->pool->name) == 0)
+    return FALSE;
+  request->version_check_since = now;
+  start_check (versions, now);
+  return TRUE;
+}
+
+/* --- streams that are taken up --- */
+
 DpVersionLookup
 dp_stream_versions_find (DpNodeRequest *request)
 {
@@ -132,42 +240,54 @@
   guint64 stream = stream_of (request);
   if (request->caller.continues != NULL)
     request->version = dp_versions_of_stream (node->stream_versions->table, stream);
-  const char *source = "recorded";
-  if (request->version == 0)
-    {
-      request->version = single_version (node, request->pool->name);
-      source = "single";
-    }
   if (request->version != 0)
     {
-      log_take_up (request, source);
+      log_take_up (request, "recorded");
       return DP_VERSION_KNOWN;
     }
+  request->version_check_since = 0;
+  request->version_asked_at = dp_node_now ();
   if (request->caller.continues != NULL)
     request->version_answers_due = ask (request, stream);
-  request->version_asked_at = dp_node_now ();
-  if (request->version_answers_due > 0)
+  if (request->version_answers_due > 0 || await_check (request))
     return DP_VERSION_ASKED;
   log_take_up (request, "unknown");
   return DP_VERSION_UNKNOWN;
 }
 
-gboolean
-dp_stream_versions_has_timed_out (const DpNodeRequest *request, DpUsec now)
+/* No other VM knows the stream. */
+static void
+on_unknown (DpNodeRequest *request)
 {
-  return request->stage == DP_STAGE_AWAITING_VERSION
-         && now - request->version_asked_at > ANSWER_TIMEOUT;
+  request->version_answers_due = 0;
+  if (!await_check (request))
+    resolve (request, 0, NULL);
+}
+
+void
+dp_stream_versions_tick_request (DpNodeRequest *request, DpUsec now)
+{
+  if (request->version_check_since == 0)
+    {
+      if (now - request->version_asked_at > ANSWER_TIMEOUT)
+        on_unknown (request);
+    }
+  else if (now - request->version_check_since > CHECK_TIMEOUT)
+    resolve (request, 0, NULL);
+  else
+    start_check (request->node->stream_versions, now);
 }
 
 static void
 apply_answer (DpNodeRequest *request, DpName version)
 {
-  request->version_answers_due--;
-  if (version == 0 && request->version_answers_due > 0)
-    return;
-  request->version = version;
-  log_take_up (request, version != 0 ? "told" : "unknown");
-  dp_request_on_version (request);
+  if (version != 0)
+    {
+      resolve (request, version, "told");
+      return;
+    }
+  if (request->version_answers_due > 0 && --request->version_answers_due == 0)
+    on_unknown (request);
 }
 
 static void
@@ -188,11 +308,11 @@
 static void
 on_ask (DpNode *node, DpName from, const DpStreamVersion *message)
 {
-  DpName version = dp_versions_of_stream (node->stream_versions->table, message->stream);
-  if (version == 0)
-    version = single_version (node, message->pool);
   DpMessage answer = { .type = DP_MESSAGE_STREAM_VERSION };
-  answer.stream_version = (DpStreamVersion){ .stream = message->stream, .version = version };
+  answer.stream_version = (DpStreamVersion){
+    .stream = message->stream,
+    .version = dp_versions_of_stream (node->stream_versions->table, message->stream),
+  };
   dp_peers_send (node, from, &answer);
 }
 
@@ -349,6 +469,7 @@
 void
 dp_stream_versions_on_restored (DpNode *node)
 {
+  node->stream_versions->restored_at = dp_node_now ();
   g_hash_table_remove_all (node->stream_versions->known_text);
 }
 
--- a/tests/node_cluster.c
+++ b/tests/node_cluster.c
@@ -104,7 +104,8 @@
         .name = name,
         .address = cluster->address[vm],
         .data_centre = "a",
-        .bus_port = cluster->bus_port,
+        .bus_port
+        = cluster->vm_bus_port[vm] != 0 ? cluster->vm_bus_port[vm] : cluster->bus_port,
         .tunnel_port = cluster->tunnel_port,
         .operator_port = cluster->operator_port,
         .caller_port = cluster->caller_port[vm],
@@ -234,21 +235,25 @@
 }
 
 void
-wait_for_metric (const Cluster *cluster, const char *name, gint64 wanted)
+wait_for_metric_at (const Cluster *cluster, guint vm, const char *name, gint64 wanted)
 {
-  for (guint i = 0; i < VMS; i++)
+  gint64 number = -1;
+  for (gint64 end = g_get_monotonic_time () + WAIT;
+       number != wanted && g_get_monotonic_time () < end;)
     {
-      gint64 number = -1;
-      for (gint64 end = g_get_monotonic_time () + WAIT;
-           number != wanted && g_get_monotonic_time () < end;)
-        {
-          char *text = http_exchange ("GET", cluster->address[i], cluster->operator_port,
-                                      "/metrics", NULL, NULL, NULL);
-          number = find_number (text, name);
-          g_free (text);
-        }
-      ck_assert_msg (number == wanted, "%s is %d at VM %u", name, (int)number, i);
+      char *text = http_exchange ("GET", cluster->address[vm], cluster->operator_port,
+                                  "/metrics", NULL, NULL, NULL);
+      number = find_number (text, name);
+      g_free (text);
     }
+  ck_assert_msg (number == wanted, "%s is %d at VM %u", name, (int)number, vm);
+}
+
+void
+wait_for_metric (const Cluster *cluster, const char *name, gint64 wanted)
+{
+  for (guint i = 0; i < VMS; i++)
+    wait_for_metric_at (cluster, i, name, wanted);
 }
 
 void
--- a/tests/node_cluster.h
+++ b/tests/node_cluster.h
@@ -24,6 +24,7 @@
   guint16 caller_port[VMS];
   guint16 ready_port[VMS];
   guint16 bus_port;
+  guint16 vm_bus_port[VMS]; /* 0: bus_port; VMs with different ports don't reach each other */
   guint16 tunnel_port;
   guint16 operator_port;
   NodeKitStore vm_store[VMS]; /* store's address for this VM; port 0: the store itself */
@@ -60,7 +61,9 @@
 void set_fault (const Cluster *cluster, guint16 control, const char *json);
 /* Sum of a number in GET /runs of all targets. */
 gint64 sum_target_counter (const Cluster *cluster, const char *name);
-/* Waits until all VMs show this number on their metrics address. */
+/* Waits until the VM shows this number on its metrics address. */
+void wait_for_metric_at (const Cluster *cluster, guint vm, const char *name, gint64 wanted);
+/* The same for all VMs. */
 void wait_for_metric (const Cluster *cluster, const char *name, gint64 wanted);
 /* Kills the first `count` nodes and starts them again. */
 void kill_nodes (Cluster *cluster, guint count);
--- a/tests/test_node_versions.c
+++ b/tests/test_node_versions.c
@@ -1,5 +1,7 @@
 /* Streams go on only at targets of the software version that began them. */
+#include "tests/free_port.h"
 #include "tests/node_cluster.h"
+#include "tests/store_rewriter.h"
 
 #include <check.h>
 #include <stdio.h>
@@ -91,18 +93,24 @@
   return runner;
 }
 
-static Cluster *
-start_cluster (const char *const versions[TARGETS])
+static void
+start_vms (Cluster *cluster, const char *const versions[TARGETS], guint targets)
 {
-  Cluster *cluster = cluster_new (build);
   put_config (cluster, 1, CHAT_ROUTE);
-  for (guint i = 0; i < TARGETS; i++)
+  for (guint i = 0; i < targets; i++)
     put_target_version (cluster, i, "POST", versions[i]);
   for (guint i = 0; i < VMS; i++)
     start_node (cluster, i);
   for (guint i = 0; i < VMS; i++)
     ck_assert (wait_ready (cluster, i));
   wait_for_metric (cluster, "dogwoodplank_vms", VMS);
+}
+
+static Cluster *
+start_cluster (const char *const versions[TARGETS])
+{
+  Cluster *cluster = cluster_new (build);
+  start_vms (cluster, versions, TARGETS);
   return cluster;
 }
 
@@ -153,13 +161,12 @@
     }
 }
 
-START_TEST (a_stream_goes_on_only_at_the_version_that_began_it)
+/* Streams that break off after two events, begun at the first VM. */
+static void
+begin_streams (const Cluster *cluster, guint runners[STREAMS])
 {
-  const TakeUpCase *row = &take_up_cases[_i];
-  Cluster *cluster = start_cluster (row->versions);
   for (guint i = 0; i < TARGETS; i++)
     set_fault (cluster, cluster->target_control[i], "{\"cut_after\":2}");
-  guint runners[STREAMS];
   for (guint i = 0; i < STREAMS; i++)
     {
       char id[ID_BYTES];
@@ -170,6 +177,15 @@
     }
   for (guint i = 0; i < TARGETS; i++)
     set_fault (cluster, cluster->target_control[i], "{}");
+}
+
+START_TEST (a_stream_goes_on_only_at_the_version_that_began_it)
+{
+  const TakeUpCase *row = &take_up_cases[_i];
+  Cluster *cluster = cluster_new (build);
+  start_vms (cluster, row->versions, TARGETS);
+  guint runners[STREAMS];
+  begin_streams (cluster, runners);
   play_event (cluster, row->event);
   guint joined = 0;
   for (guint i = 0; i < STREAMS; i++)
@@ -195,6 +211,69 @@
 }
 END_TEST
 
+/* --- a VM that is cut off while the second target joins --- */
+
+typedef struct CutCase
+{
+  const char *name;
+  const char *versions[TARGETS];
+  gboolean from_vms;
+  gboolean from_store;
+  gboolean all_go_on;
+} CutCase;
+
+static const CutCase cut_cases[] = {
+  { "from VMs and store", { "v1", "v2" }, TRUE, TRUE, FALSE },
+  { "from VMs", { "v1", "v2" }, TRUE, FALSE, FALSE },
+  { "from the store", { "v1", "v2" }, FALSE, TRUE, FALSE },
+  { "from VMs, one version", { "v1", "v1" }, TRUE, FALSE, TRUE },
+};
+
+#define CUT_OFF (VMS - 1)
+
+START_TEST (a_cut_off_vm_joins_no_versions)
+{
+  const CutCase *row = &cut_cases[_i];
+  Cluster *cluster = cluster_new (build);
+  const StoreRewriterOptions options = { .address = cluster->address[0],
+                                         .store_address = cluster->address[0],
+                                         .store_port = cluster->store,
+                                         .from = "-",
+                                         .to = "-" };
+  StoreRewriter *proxy = store_rewriter_start (&options);
+  cluster->vm_store[CUT_OFF]
+    = (NodeKitStore){ .address = cluster->address[0], .port = store_rewriter_port (proxy) };
+  if (row->from_vms)
+    cluster->vm_bus_port[CUT_OFF] = find_free_port (cluster->address[CUT_OFF]);
+  start_vms (cluster, row->versions, 1);
+  if (row->from_store)
+    g_clear_pointer (&proxy, store_rewriter_free);
+  put_target_version (cluster, 1, "POST", row->versions[1]);
+  wait_for_metric_at (cluster, 0, "dogwoodplank_targets", TARGETS);
+  guint runners[STREAMS];
+  begin_streams (cluster, runners);
+  guint joined = 0;
+  for (guint i = 0; i < STREAMS; i++)
+    {
+      char id[ID_BYTES];
+      char headers[HEADERS_BYTES];
+      g_snprintf (id, sizeof id, "taken%u", i);
+      g_snprintf (headers, sizeof headers, "Last-Event-Id: 2\r\nResumes: begun%u\r\n", i);
+      int status = post_chat (cluster, CUT_OFF, id, headers);
+      guint runner = find_runner (cluster, id);
+      joined += runner < TARGETS
+                && g_strcmp0 (row->versions[runner], row->versions[runners[i]]) != 0;
+      if (row->all_go_on)
+        ck_assert_msg (status == 200, "%s: stream %u: %d", row->name, i, status);
+      else if (runner == TARGETS)
+        ck_assert_msg (status == 503, "%s: stream %u: %d", row->name, i, status);
+    }
+  ck_assert_msg (joined == 0, "%s: %u streams were joined", row->name, joined);
+  cluster_free (cluster);
+  g_clear_pointer (&proxy, store_rewriter_free);
+}
+END_TEST
+
 /* Within one answer: the first target breaks off after two events. */
 START_TEST (an_answer_is_not_joined_from_two_versions)
 {
@@ -230,6 +309,7 @@
   TCase *tests = tcase_create ("versions");
   tcase_add_loop_test (tests, a_stream_goes_on_only_at_the_version_that_began_it, 0,
                        G_N_ELEMENTS (take_up_cases));
+  tcase_add_loop_test (tests, a_cut_off_vm_joins_no_versions, 0, G_N_ELEMENTS (cut_cases));
   tcase_add_test (tests, an_answer_is_not_joined_from_two_versions);
   Suite *suite = suite_create ("node_versions");
   suite_add_tcase (suite, tests);
