node: tell other VMs which version began a stream while one version serves, too

Callers whose streams had begun before engines of a second version joined could not go on with them at other VMs if the one that began them was killed: nobody else knew the version (503 stream_version_unknown).

Cause: a VM told others only while it knew of several versions itself, but it is at the take-up that they matter.

Each first event of a resumable stream is now told to two VMs.

Test: row "begun before the second version joins, then the VM is killed" of node_versions failed before: 503 for the first of 12 streams.

--- a/node/stream_versions.c
+++ b/node/stream_versions.c
@@ -1,9 +1,9 @@
 /* Software versions that began streams, so that each goes on at the same version.
  *
  * A caller that takes up a broken stream arrives at any VM and names the request that brought
- * its first event. While targets of several versions serve the pool, each VM that forwards the
- * first event of a stream tells two other VMs, chosen by the request's id, which version began
- * it. The VM where the stream is taken up asks them. If they don't know, and this VM knows of a
+ * its first event. Each VM that forwards the first event of a stream tells two other VMs,
+ * chosen by the request's id, which version began it: another version may register at any time.
+ * The VM where the stream is taken up asks them. If they don't know, and this VM knows of a
  * single version, it asks the store whether others have registered: that the list of targets
  * was confirmed lately doesn't show that it is still complete. A stream whose version can't be
  * found out is refused.
@@ -63,14 +63,6 @@
 
 /* --- VMs that know a stream --- */
 
-/* Returns the version if this VM knows of a single one that can have begun a stream of the
- * pool, else 0. */
-static DpName
-single_version (const DpNode *node, DpName pool)
-{
-  return dp_versions_single (node->stream_versions->table, pool, dp_node_now ());
-}
-
 void
 dp_stream_versions_record (const DpNodeRequest *request)
 {
@@ -78,8 +70,6 @@
   guint64 stream = stream_of (request);
   dp_versions_record_stream (node->stream_versions->table, stream, request->version,
                              dp_node_now ());
-  if (single_version (node, request->pool->name) != 0)
-    return;
   DpMessage message = { .type = DP_MESSAGE_STREAM_VERSION };
   message.stream_version = (DpStreamVersion){ .stream = stream, .version = request->version };
   DpName vms[DP_RANKED_VMS];
@@ -140,6 +130,14 @@
 
 /* --- check of the list of targets --- */
 
+/* Returns the version if this VM knows of a single one that can have begun a stream of the
+ * pool, else 0. */
+static DpName
+single_version (const DpNode *node, DpName pool)
+{
+  return dp_versions_single (node->stream_versions->table, pool, dp_node_now ());
+}
+
 /* Records the versions of targets that have changed since the list was last updated. */
 static gboolean
 observe_changes (DpStreamVersions *versions, const DpPlatformReply *reply)
--- a/tests/test_node_versions.c
+++ b/tests/test_node_versions.c
@@ -28,6 +28,7 @@
   EVENT_FIRST_TARGET_GONE,
   EVENT_FIRST_TARGET_GONE_ALL_VMS_KILLED,
   EVENT_FIRST_TARGET_REBORN, /* under the same id, with the second target's version */
+  EVENT_SECOND_TARGET_JOINS_FIRST_VM_KILLED,
 } Event;
 
 typedef struct TakeUpCase
@@ -58,6 +59,11 @@
     EVENT_FIRST_TARGET_REBORN,
     TRUE,
     TRUE },
+  { "begun before the second version joins, then the VM is killed",
+    { "v1", "v2" },
+    EVENT_SECOND_TARGET_JOINS_FIRST_VM_KILLED,
+    TRUE,
+    TRUE },
 };
 
 static int
@@ -115,8 +121,15 @@
 }
 
 static void
-play_event (Cluster *cluster, Event event)
+play_event (Cluster *cluster, const TakeUpCase *row)
 {
+  Event event = row->event;
+  if (event == EVENT_SECOND_TARGET_JOINS_FIRST_VM_KILLED)
+    {
+      put_target_version (cluster, 1, "POST", row->versions[1]);
+      wait_for_metric (cluster, "dogwoodplank_targets", TARGETS);
+      kill_nodes (cluster, 1);
+    }
   if (event == EVENT_FIRST_TARGET_GONE || event == EVENT_FIRST_TARGET_GONE_ALL_VMS_KILLED)
     {
       ck_assert_int_eq (node_kit_remove_target (store_of (cluster), "t0"), 200);
@@ -183,10 +196,11 @@
 {
   const TakeUpCase *row = &take_up_cases[_i];
   Cluster *cluster = cluster_new (build);
-  start_vms (cluster, row->versions, TARGETS);
+  gboolean joins_later = row->event == EVENT_SECOND_TARGET_JOINS_FIRST_VM_KILLED;
+  start_vms (cluster, row->versions, joins_later ? 1 : TARGETS);
   guint runners[STREAMS];
   begin_streams (cluster, runners);
-  play_event (cluster, row->event);
+  play_event (cluster, row);
   guint joined = 0;
   for (guint i = 0; i < STREAMS; i++)
     {
