node: a VM that was out of touch doesn't take the versions it knows for all

Callers saw streams with events of two software versions after a release that was taken back: a VM that had stood still for seconds while engines of the new version joined and left took the old version for the only one that can have begun a stream.

Cause: the versions of a pool were complete from the first listing on, whatever was missed later. A listing, unlike a watch, shows nothing of what came and left since the last one.

If the list of targets was not confirmed for 4 s (a working watch returns every 2 s), the versions are incomplete until the stored list, which the pool's owner keeps, was read again, or for as long as streams last.

--- a/core/versions.c
+++ b/core/versions.c
@@ -103,6 +103,18 @@
   g_array_append_val (pool->observations, row);
 }
 
+void
+dp_versions_begin_gap (DpVersions *versions, DpUsec now)
+{
+  versions->options.started_at = now;
+  versions->options.is_first_start = FALSE;
+  GHashTableIter iter;
+  gpointer pool;
+  g_hash_table_iter_init (&iter, versions->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &pool))
+    ((Pool *)pool)->is_complete = FALSE;
+}
+
 void
 dp_versions_set_complete (DpVersions *versions, DpName pool)
 {
--- a/core/versions.h
+++ b/core/versions.h
@@ -12,7 +12,7 @@
 {
   DpUsec
     stream_lifetime; /* longest time from a stream's first event until its caller gives up */
-  DpUsec started_at;
+  DpUsec started_at; /* versions from before were not observed */
   gboolean is_first_start; /* of the whole system: no stream can have begun before */
   guint streams_max;       /* recorded, at least */
 } DpVersionsOptions;
@@ -25,7 +25,11 @@
 
 /* A target with this version serves the pool, or may have served it until now. */
 void dp_versions_observe (DpVersions *versions, DpName pool, const char *text, DpUsec now);
-/* All versions that served the pool before this process started have been observed. */
+/* Targets may have served and left since the last observations: the lists are incomplete again.
+ */
+void dp_versions_begin_gap (DpVersions *versions, DpUsec now);
+/* All versions that served the pool before this process started, or in the last gap, have been
+ * observed. */
 void dp_versions_set_complete (DpVersions *versions, DpName pool);
 /* Returns the only version that can have begun a stream of the pool; 0 if there may be several.
  */
--- a/node/stored_list.c
+++ b/node/stored_list.c
@@ -1,5 +1,5 @@
-/* Reads all objects of a kind from the store once, when the process starts, and tries again
- * until it succeeds. */
+/* Reads all objects of a kind from the store when the process starts, or on request, and tries
+ * again until it succeeds. */
 #include "node/node.h"
 
 #include "common/log.h"
@@ -102,6 +102,7 @@
 void
 dp_stored_list_start (DpStoredList *list)
 {
+  g_clear_pointer (&list->after, g_free);
   schedule (list, 0);
 }
 
--- a/node/stream_versions.c
+++ b/node/stream_versions.c
@@ -26,6 +26,9 @@
 /* Limits the wait for the store, repeated checks included. */
 #define CHECK_TIMEOUT (600 * DP_USEC_PER_MSEC)
 #define CHECK_INTERVAL (50 * DP_USEC_PER_MSEC)
+/* Without word from the store for longer, targets may have come and left unseen. A working
+ * watch returns every two seconds. */
+#define CONTACT_GAP_MAX (4 * DP_USEC_PER_SEC)
 /* After a restore, entries of live targets are written again within about two seconds. */
 #define RESTORE_SETTLE_TIME (5 * DP_USEC_PER_SEC)
 /* About 60 bytes each in each of two generations. */
@@ -44,6 +47,7 @@
   gboolean is_writing;
   DpUsec ticked_at;
   DpUsec restored_at; /* the store; 0: never */
+  DpUsec contact_at;  /* the list of targets was last confirmed; 0: never */
   /* check of the list of targets */
   gboolean is_checking;
   DpUsec check_started_at;
@@ -128,6 +132,24 @@
   dp_request_on_version (request);
 }
 
+/* --- gaps --- */
+
+/* The list of targets was confirmed: its versions are read from the store again if some may
+ * have been missed since the last time. */
+static void
+record_contact (DpStreamVersions *versions, DpUsec contact_at)
+{
+  DpUsec gap = versions->contact_at != 0 ? contact_at - versions->contact_at : 0;
+  versions->contact_at = MAX (versions->contact_at, contact_at);
+  if (gap <= CONTACT_GAP_MAX)
+    return;
+  char gap_ms[24];
+  g_snprintf (gap_ms, sizeof gap_ms, "%" G_GINT64_FORMAT, gap / DP_USEC_PER_MSEC);
+  dp_log (DP_LOG_NOTICE, "versions_incomplete", "gap_ms", gap_ms, NULL);
+  dp_versions_begin_gap (versions->table, contact_at);
+  dp_stored_list_start (versions->stored);
+}
+
 /* --- check of the list of targets --- */
 
 /* Returns the version if this VM knows of a single one that can have begun a stream of the
@@ -182,9 +204,11 @@
 {
   DpStreamVersions *versions = data;
   versions->is_checking = FALSE;
-  if (reply->result == DP_PLATFORM_OK && reply->era == versions->check_era
-      && observe_changes (versions, reply))
-    resolve_checked (versions);
+  if (reply->result != DP_PLATFORM_OK || reply->era != versions->check_era
+      || !observe_changes (versions, reply))
+    return;
+  record_contact (versions, versions->check_started_at);
+  resolve_checked (versions);
 }
 
 static gboolean
@@ -338,6 +362,7 @@
   DpUsec now = dp_node_now ();
   DpHandle at = 0;
   const DpDirectoryRow *row;
+  record_contact (node->stream_versions, dp_directory_last_contact_at (node->directory));
   while ((row = dp_directory_next (node->directory, &at)) != NULL)
     dp_versions_observe (node->stream_versions->table, row->pool, row->record.version, now);
 }
--- a/tests/test_node_versions.c
+++ b/tests/test_node_versions.c
@@ -4,6 +4,7 @@
 #include "tests/store_rewriter.h"
 
 #include <check.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -244,6 +245,37 @@
 };
 
 #define CUT_OFF (VMS - 1)
+/* Longer than the wait of a watch. */
+#define WATCH_TIME (2500 * G_TIME_SPAN_MILLISECOND)
+#define STANDSTILL (5 * G_TIME_SPAN_SECOND)
+#define RELIST_TIME G_TIME_SPAN_SECOND
+
+/* Takes the streams up at the VM that was cut off. Returns how many went on at another version.
+ */
+static guint
+take_up (const Cluster *cluster,
+         const char *const versions[TARGETS],
+         const guint runners[STREAMS],
+         gboolean all_go_on,
+         const char *name)
+{
+  guint joined = 0;
+  for (guint i = 0; i < STREAMS; i++)
+    {
+      char id[ID_BYTES];
+      char headers[HEADERS_BYTES];
+      g_snprintf (id, sizeof id, "taken%u", i);
+      g_snprintf (headers, sizeof headers, "Last-Event-Id: 2\r\nResumes: begun%u\r\n", i);
+      int status = post_chat (cluster, CUT_OFF, id, headers);
+      guint runner = find_runner (cluster, id);
+      joined += runner < TARGETS && g_strcmp0 (versions[runner], versions[runners[i]]) != 0;
+      if (all_go_on)
+        ck_assert_msg (status == 200, "%s: stream %u: %d", name, i, status);
+      else if (runner == TARGETS)
+        ck_assert_msg (status == 503, "%s: stream %u: %d", name, i, status);
+    }
+  return joined;
+}
 
 START_TEST (a_cut_off_vm_joins_no_versions)
 {
@@ -266,28 +298,39 @@
   wait_for_metric_at (cluster, 0, "dogwoodplank_targets", TARGETS);
   guint runners[STREAMS];
   begin_streams (cluster, runners);
-  guint joined = 0;
-  for (guint i = 0; i < STREAMS; i++)
-    {
-      char id[ID_BYTES];
-      char headers[HEADERS_BYTES];
-      g_snprintf (id, sizeof id, "taken%u", i);
-      g_snprintf (headers, sizeof headers, "Last-Event-Id: 2\r\nResumes: begun%u\r\n", i);
-      int status = post_chat (cluster, CUT_OFF, id, headers);
-      guint runner = find_runner (cluster, id);
-      joined += runner < TARGETS
-                && g_strcmp0 (row->versions[runner], row->versions[runners[i]]) != 0;
-      if (row->all_go_on)
-        ck_assert_msg (status == 200, "%s: stream %u: %d", row->name, i, status);
-      else if (runner == TARGETS)
-        ck_assert_msg (status == 503, "%s: stream %u: %d", row->name, i, status);
-    }
+  guint joined = take_up (cluster, row->versions, runners, row->all_go_on, row->name);
   ck_assert_msg (joined == 0, "%s: %u streams were joined", row->name, joined);
   cluster_free (cluster);
   g_clear_pointer (&proxy, store_rewriter_free);
 }
 END_TEST
 
+/* The VM reaches no other one and learns the store's content from listings only. */
+START_TEST (a_vm_that_missed_a_version_joins_no_streams)
+{
+  const char *const versions[TARGETS] = { "v1", "v2" };
+  Cluster *cluster = cluster_new (build);
+  cluster->vm_bus_port[CUT_OFF] = find_free_port (cluster->address[CUT_OFF]);
+  start_vms (cluster, versions, 1);
+  set_fault (cluster, cluster->store_control, "{\"history_gone\":1}");
+  g_usleep (WATCH_TIME);
+  process_signal (cluster->node[CUT_OFF], SIGSTOP);
+  put_target_version (cluster, 1, "POST", versions[1]);
+  wait_for_metric_at (cluster, 0, "dogwoodplank_targets", TARGETS);
+  guint runners[STREAMS];
+  begin_streams (cluster, runners);
+  g_usleep (STANDSTILL);
+  ck_assert_int_eq (node_kit_remove_target (store_of (cluster), "t1"), 200);
+  wait_for_metric_at (cluster, 0, "dogwoodplank_targets", 1);
+  process_signal (cluster->node[CUT_OFF], SIGCONT);
+  g_usleep (RELIST_TIME);
+  set_fault (cluster, cluster->store_control, "{}");
+  guint joined = take_up (cluster, versions, runners, FALSE, "missed");
+  ck_assert_msg (joined == 0, "%u streams were joined", joined);
+  cluster_free (cluster);
+}
+END_TEST
+
 /* Within one answer: the first target breaks off after two events. */
 START_TEST (an_answer_is_not_joined_from_two_versions)
 {
@@ -324,6 +367,7 @@
   tcase_add_loop_test (tests, a_stream_goes_on_only_at_the_version_that_began_it, 0,
                        G_N_ELEMENTS (take_up_cases));
   tcase_add_loop_test (tests, a_cut_off_vm_joins_no_versions, 0, G_N_ELEMENTS (cut_cases));
+  tcase_add_test (tests, a_vm_that_missed_a_version_joins_no_streams);
   tcase_add_test (tests, an_answer_is_not_joined_from_two_versions);
   Suite *suite = suite_create ("node_versions");
   suite_add_tcase (suite, tests);
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -18,6 +18,7 @@
   STEP_SEEN,
   STEP_STORED, /* the store lists the version */
   STEP_WAIT,   /* seconds */
+  STEP_GAP,    /* targets may have come and left unseen */
 } StepType;
 
 typedef struct HistoryCase
@@ -52,6 +53,29 @@
     FALSE,
     { { STEP_SEEN, "v1", 0 }, { STEP_WAIT, NULL, 31 }, { STEP_SEEN, "v1", 0 } },
     "v1" },
+  { "after a gap",
+    TRUE,
+    { { STEP_SEEN, "v1", 0 }, { STEP_GAP, NULL, 0 }, { STEP_SEEN, "v1", 0 } },
+    NULL },
+  { "after a gap, the store agrees",
+    TRUE,
+    { { STEP_SEEN, "v1", 0 }, { STEP_GAP, NULL, 0 }, { STEP_STORED, "v1", 0 } },
+    "v1" },
+  { "after a gap, another version had come and left",
+    TRUE,
+    { { STEP_SEEN, "v1", 0 },
+      { STEP_GAP, NULL, 0 },
+      { STEP_STORED, "v2", 0 },
+      { STEP_SEEN, "v1", 0 } },
+    NULL },
+  { "after a gap, complete before",
+    FALSE,
+    { { STEP_STORED, "v1", 0 }, { STEP_GAP, NULL, 0 }, { STEP_SEEN, "v1", 0 } },
+    NULL },
+  { "a gap long ago",
+    TRUE,
+    { { STEP_GAP, NULL, 0 }, { STEP_WAIT, NULL, 31 }, { STEP_SEEN, "v1", 0 } },
+    "v1" },
   { "two versions", TRUE, { { STEP_SEEN, "v1", 0 }, { STEP_SEEN, "v2", 0 } }, NULL },
   { "one has just left",
     TRUE,
@@ -80,6 +104,9 @@
       case STEP_SEEN:
         dp_versions_observe (versions, POOL, row->steps[i].version, now);
         break;
+      case STEP_GAP:
+        dp_versions_begin_gap (versions, now);
+        break;
       case STEP_WAIT:
         now += row->steps[i].seconds * SEC;
         break;
