--- a/tests/test_node_versions.c
+++ b/tests/test_node_versions.c
@@ -1,7 +1,10 @@
 /* Streams go on only at targets of the software version that began them. */
+#include "tests/free_port.h"
 #include "tests/node_cluster.h"
+#include "tests/store_rewriter.h"
 
 #include <check.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -26,6 +29,7 @@
   EVENT_FIRST_TARGET_GONE,
   EVENT_FIRST_TARGET_GONE_ALL_VMS_KILLED,
   EVENT_FIRST_TARGET_REBORN, /* under the same id, with the second target's version */
+  EVENT_SECOND_TARGET_JOINS_FIRST_VM_KILLED,
 } Event;
 
 typedef struct TakeUpCase
@@ -56,6 +60,11 @@
     EVENT_FIRST_TARGET_REBORN,
     TRUE,
     TRUE },
+  { "begun before the second version joins, then the VM is killed",
+    { "v1", "v2" },
+    EVENT_SECOND_TARGET_JOINS_FIRST_VM_KILLED,
+    TRUE,
+    TRUE },
 };
 
 static int
@@ -91,24 +100,37 @@
   return runner;
 }
 
-static Cluster *
-start_cluster (const char *const versions[TARGETS])
+static void
+start_vms (Cluster *cluster, const char *const versions[TARGETS], guint targets)
 {
-  Cluster *cluster = cluster_new (build);
   put_config (cluster, 1, CHAT_ROUTE);
-  for (guint i = 0; i < TARGETS; i++)
+  for (guint i = 0; i < targets; i++)
     put_target_version (cluster, i, "POST", versions[i]);
   for (guint i = 0; i < VMS; i++)
     start_node (cluster, i);
   for (guint i = 0; i < VMS; i++)
     ck_assert (wait_ready (cluster, i));
   wait_for_metric (cluster, "dogwoodplank_vms", VMS);
+}
+
+static Cluster *
+start_cluster (const char *const versions[TARGETS])
+{
+  Cluster *cluster = cluster_new (build);
+  start_vms (cluster, versions, TARGETS);
   return cluster;
 }
 
 static void
-play_event (Cluster *cluster, Event event)
+play_event (Cluster *cluster, const TakeUpCase *row)
 {
+  Event event = row->event;
+  if (event == EVENT_SECOND_TARGET_JOINS_FIRST_VM_KILLED)
+    {
+      put_target_version (cluster, 1, "POST", row->versions[1]);
+      wait_for_metric (cluster, "dogwoodplank_targets", TARGETS);
+      kill_nodes (cluster, 1);
+    }
   if (event == EVENT_FIRST_TARGET_GONE || event == EVENT_FIRST_TARGET_GONE_ALL_VMS_KILLED)
     {
       ck_assert_int_eq (node_kit_remove_target (store_of (cluster), "t0"), 200);
@@ -153,13 +175,12 @@
     }
 }
 
-START_TEST (a_stream_goes_on_only_at_the_version_that_began_it)
+/* Streams that break off after two events, begun at the first VM. */
+static void
+begin_streams (const Cluster *cluster, guint runners[STREAMS])
 {
-  const TakeUpCase *row = &take_up_cases[_i];
-  Cluster *cluster = start_cluster (row->versions);
   for (guint i = 0; i < TARGETS; i++)
     set_fault (cluster, cluster->target_control[i], "{\"cut_after\":2}");
-  guint runners[STREAMS];
   for (guint i = 0; i < STREAMS; i++)
     {
       char id[ID_BYTES];
@@ -170,7 +191,17 @@
     }
   for (guint i = 0; i < TARGETS; i++)
     set_fault (cluster, cluster->target_control[i], "{}");
-  play_event (cluster, row->event);
+}
+
+START_TEST (a_stream_goes_on_only_at_the_version_that_began_it)
+{
+  const TakeUpCase *row = &take_up_cases[_i];
+  Cluster *cluster = cluster_new (build);
+  gboolean joins_later = row->event == EVENT_SECOND_TARGET_JOINS_FIRST_VM_KILLED;
+  start_vms (cluster, row->versions, joins_later ? 1 : TARGETS);
+  guint runners[STREAMS];
+  begin_streams (cluster, runners);
+  play_event (cluster, row);
   guint joined = 0;
   for (guint i = 0; i < STREAMS; i++)
     {
@@ -195,6 +226,111 @@
 }
 END_TEST
 
+/* --- a VM that is cut off while the second target joins --- */
+
+typedef struct CutCase
+{
+  const char *name;
+  const char *versions[TARGETS];
+  gboolean from_vms;
+  gboolean from_store;
+  gboolean all_go_on;
+} CutCase;
+
+static const CutCase cut_cases[] = {
+  { "from VMs and store", { "v1", "v2" }, TRUE, TRUE, FALSE },
+  { "from VMs", { "v1", "v2" }, TRUE, FALSE, FALSE },
+  { "from the store", { "v1", "v2" }, FALSE, TRUE, FALSE },
+  { "from VMs, one version", { "v1", "v1" }, TRUE, FALSE, TRUE },
+};
+
+#define CUT_OFF (VMS - 1)
+/* Longer than the wait of a watch. */
+#define WATCH_TIME (2500 * G_TIME_SPAN_MILLISECOND)
+#define STANDSTILL (5 * G_TIME_SPAN_SECOND)
+#define RELIST_TIME G_TIME_SPAN_SECOND
+
+/* Takes the streams up at the VM that was cut off. Returns how many went on at another version.
+ */
+static guint
+take_up (const Cluster *cluster,
+         const char *const versions[TARGETS],
+         const guint runners[STREAMS],
+         gboolean all_go_on,
+         const char *name)
+{
+  guint joined = 0;
+  for (guint i = 0; i < STREAMS; i++)
+    {
+      char id[ID_BYTES];
+      char headers[HEADERS_BYTES];
+      g_snprintf (id, sizeof id, "taken%u", i);
+      g_snprintf (headers, sizeof headers, "Last-Event-Id: 2\r\nResumes: begun%u\r\n", i);
+      int status = post_chat (cluster, CUT_OFF, id, headers);
+      guint runner = find_runner (cluster, id);
+      joined += runner < TARGETS && g_strcmp0 (versions[runner], versions[runners[i]]) != 0;
+      if (all_go_on)
+        ck_assert_msg (status == 200, "%s: stream %u: %d", name, i, status);
+      else if (runner == TARGETS)
+        ck_assert_msg (status == 503, "%s: stream %u: %d", name, i, status);
+    }
+  return joined;
+}
+
+START_TEST (a_cut_off_vm_joins_no_versions)
+{
+  const CutCase *row = &cut_cases[_i];
+  Cluster *cluster = cluster_new (build);
+  const StoreRewriterOptions options = { .address = cluster->address[0],
+                                         .store_address = cluster->address[0],
+                                         .store_port = cluster->store,
+                                         .from = "-",
+                                         .to = "-" };
+  StoreRewriter *proxy = store_rewriter_start (&options);
+  cluster->vm_store[CUT_OFF]
+    = (NodeKitStore){ .address = cluster->address[0], .port = store_rewriter_port (proxy) };
+  if (row->from_vms)
+    cluster->vm_bus_port[CUT_OFF] = find_free_port (cluster->address[CUT_OFF]);
+  start_vms (cluster, row->versions, 1);
+  if (row->from_store)
+    g_clear_pointer (&proxy, store_rewriter_free);
+  put_target_version (cluster, 1, "POST", row->versions[1]);
+  wait_for_metric_at (cluster, 0, "dogwoodplank_targets", TARGETS);
+  guint runners[STREAMS];
+  begin_streams (cluster, runners);
+  guint joined = take_up (cluster, row->versions, runners, row->all_go_on, row->name);
+  ck_assert_msg (joined == 0, "%s: %u streams were joined", row->name, joined);
+  cluster_free (cluster);
+  g_clear_pointer (&proxy, store_rewriter_free);
+}
+END_TEST
+
+/* The VM reaches no other one and learns the store's content from listings only. */
+START_TEST (a_vm_that_missed_a_version_joins_no_streams)
+{
+  const char *const versions[TARGETS] = { "v1", "v2" };
+  Cluster *cluster = cluster_new (build);
+  cluster->vm_bus_port[CUT_OFF] = find_free_port (cluster->address[CUT_OFF]);
+  start_vms (cluster, versions, 1);
+  set_fault (cluster, cluster->store_control, "{\"history_gone\":1}");
+  g_usleep (WATCH_TIME);
+  process_signal (cluster->node[CUT_OFF], SIGSTOP);
+  put_target_version (cluster, 1, "POST", versions[1]);
+  wait_for_metric_at (cluster, 0, "dogwoodplank_targets", TARGETS);
+  guint runners[STREAMS];
+  begin_streams (cluster, runners);
+  g_usleep (STANDSTILL);
+  ck_assert_int_eq (node_kit_remove_target (store_of (cluster), "t1"), 200);
+  wait_for_metric_at (cluster, 0, "dogwoodplank_targets", 1);
+  process_signal (cluster->node[CUT_OFF], SIGCONT);
+  g_usleep (RELIST_TIME);
+  set_fault (cluster, cluster->store_control, "{}");
+  guint joined = take_up (cluster, versions, runners, FALSE, "missed");
+  ck_assert_msg (joined == 0, "%u streams were joined", joined);
+  cluster_free (cluster);
+}
+END_TEST
+
 /* Within one answer: the first target breaks off after two events. */
 START_TEST (an_answer_is_not_joined_from_two_versions)
 {
@@ -230,6 +366,8 @@
   TCase *tests = tcase_create ("versions");
   tcase_add_loop_test (tests, a_stream_goes_on_only_at_the_version_that_began_it, 0,
                        G_N_ELEMENTS (take_up_cases));
+  tcase_add_loop_test (tests, a_cut_off_vm_joins_no_versions, 0, G_N_ELEMENTS (cut_cases));
+  tcase_add_test (tests, a_vm_that_missed_a_version_joins_no_streams);
   tcase_add_test (tests, an_answer_is_not_joined_from_two_versions);
   Suite *suite = suite_create ("node_versions");
   suite_add_tcase (suite, tests);
