core/owners: VMs of the build that keeps the most rules own pools and quotas

While two builds serve side by side, a rule that a pool's owner keeps (limits, brittle targets) held only if the owner by luck was of the newer build.

Owners are taken from the highest level. VMs of level 0 know no levels and rank by the stated weight alone, so newer VMs state 64 times their share of the processor: all builds choose the same owner from the first newer VM on.

--- a/core/message.h
+++ b/core/message.h
@@ -335,6 +335,7 @@
   guint64 manifest_revision;
   guint64 manifest_digest;
   GArray *updates; /* DpVm; owned by the message; may be NULL */
+  guint64 rules;   /* level that the sender keeps, see DP_RULES_LEVEL; between nodes only */
 } DpProbe;
 
 typedef struct DpManifestAsk
--- a/core/owners.c
+++ b/core/owners.c
@@ -9,8 +9,6 @@
 #define PROBE_TIMEOUT (250 * DP_USEC_PER_MSEC)
 /* VMs that use this one as an owner send messages far more often. */
 #define IN_TOUCH_AGE_MAX (2500 * DP_USEC_PER_MSEC)
-/* For VMs without a weight. */
-#define WEIGHT_DEFAULT 100
 /* Small fleets: the first VMs in the ranking of this key are the relays. */
 #define RELAY_KEY "relays"
 /* VMs with at least this fraction of the largest weight are in the strongest class. */
@@ -34,6 +32,8 @@
   DpUsec timed_out_at;     /* last timeout or restart; 0: never */
   DpUsec probation;        /* duration of the probation after it */
   DpUsec responsive_since; /* the probation runs from here */
+  gboolean has_rules;      /* it has sent a message that states them, or would */
+  guint64 rules;
 } Peer;
 
 struct DpOwners
@@ -96,6 +96,7 @@
 typedef struct RankedVm
 {
   DpName vm;
+  guint64 rules;
   guint weight_class;
   guint64 score;
 } RankedVm;
@@ -105,6 +106,8 @@
 {
   const RankedVm *left = a;
   const RankedVm *right = b;
+  if (left->rules != right->rules)
+    return left->rules > right->rules ? -1 : 1;
   if (left->weight_class != right->weight_class)
     return (left->weight_class > right->weight_class)
            - (left->weight_class < right->weight_class);
@@ -114,7 +117,7 @@
 static guint
 effective_weight (const DpVm *vm)
 {
-  return vm->weight > 0 ? vm->weight : WEIGHT_DEFAULT;
+  return vm->weight > 0 ? vm->weight : DP_VM_SHARE_DEFAULT;
 }
 
 /* An owner works for all VMs, so a weak one would be overloaded first. The strongest class
@@ -143,6 +146,22 @@
   return self == NULL || weight_class (effective_weight (self), largest_weight (owners)) == 0;
 }
 
+static guint64
+rules_of (const DpOwners *owners, const DpVm *vm)
+{
+  const Peer *peer = find_peer (owners, vm->name);
+  return peer != NULL && peer->has_rules ? peer->rules : dp_rules_level (vm->rules);
+}
+
+guint64
+dp_owners_rules (const DpOwners *owners, DpName vm)
+{
+  const DpVm *row = owners->view != NULL ? dp_view_find (owners->view, vm) : NULL;
+  return row != NULL ? rules_of (owners, row) : 0;
+}
+
+/* Levels 0 and 1 differ by their weights, which VMs of level 0 rank by, too. So all VMs agree
+ * on the owner, also those that have the list from a VM that doesn't pass levels on. */
 static GArray *
 rank_vms (const DpOwners *owners, DpName key)
 {
@@ -153,6 +172,7 @@
     {
       const DpVm *vm = &g_array_index (owners->view->vms, DpVm, i);
       RankedVm row = { .vm = vm->name,
+                       .rules = MAX (rules_of (owners, vm), 1),
                        .weight_class = weight_class (effective_weight (vm), largest),
                        .score = dp_rendezvous_weight (key, vm->name) };
       g_array_append_val (rows, row);
@@ -224,6 +244,18 @@
   peer->is_unresponsive = FALSE;
 }
 
+void
+dp_owners_set_rules (DpOwners *owners, DpName vm, guint64 rules)
+{
+  Peer *peer = ensure_peer (owners, vm);
+  guint64 level = dp_rules_level (rules);
+  if (peer->has_rules && peer->rules == level)
+    return;
+  peer->has_rules = TRUE;
+  peer->rules = level;
+  g_hash_table_remove_all (owners->rankings);
+}
+
 void
 dp_owners_set_leaving (DpOwners *owners, DpName vm, gboolean is_leaving, DpUsec now)
 {
--- a/core/owners.h
+++ b/core/owners.h
@@ -4,6 +4,9 @@
  * each other's messages agree without an election. A VM that did not answer in time is passed
  * over until it answers a probe. While two VMs disagree on an owner, efficiency suffers, but
  * not safety.
+ *
+ * VMs that keep more rules rank first, so that what an owner keeps holds for the requests of
+ * older VMs, too.
  */
 #pragma once
 
@@ -40,6 +43,10 @@
 void dp_owners_on_message (DpOwners *owners, DpName vm, DpUsec now);
 /* The VM reported whether it is leaving. */
 void dp_owners_set_leaving (DpOwners *owners, DpName vm, gboolean is_leaving, DpUsec now);
+/* The VM reported the level of the rules that it keeps; 0: its message states none. */
+void dp_owners_set_rules (DpOwners *owners, DpName vm, guint64 rules);
+/* Level of the rules that the VM keeps, from its messages or, before the first, its entry. */
+guint64 dp_owners_rules (const DpOwners *owners, DpName vm);
 /* The VM did not answer in time. */
 void dp_owners_on_timeout (DpOwners *owners, DpName vm, DpUsec now);
 gboolean dp_owners_is_unresponsive (const DpOwners *owners, DpName vm);
--- a/core/reach.c
+++ b/core/reach.c
@@ -30,8 +30,6 @@
 /* VMs of a data centre are avoided after this many of them have failed as gateways, since most
  * likely all have lost their links. */
 #define DATA_CENTRE_FAILURES 2
-/* For VMs without a weight. */
-#define WEIGHT_DEFAULT 100
 
 /* A target that this VM doesn't reach directly. */
 typedef struct Link
@@ -342,9 +340,9 @@
       if (class < best_class)
         total = 0;
       best_class = class;
-      guint weight = vm->weight > 0 ? vm->weight : WEIGHT_DEFAULT;
-      total += weight;
-      if (next_random (reach) % total < weight)
+      guint share = dp_vm_share (vm);
+      total += share;
+      if (next_random (reach) % total < share)
         chosen = vm->name;
     }
   return chosen;
--- a/core/view.c
+++ b/core/view.c
@@ -2,6 +2,27 @@
 
 #include <string.h>
 
+guint
+dp_vm_stated_weight (guint share)
+{
+  return (guint)MIN ((guint64)share * DP_VM_WEIGHT_FACTOR, DP_VM_WEIGHT_MAX);
+}
+
+guint
+dp_vm_share (const DpVm *vm)
+{
+  if (vm->weight == 0)
+    return DP_VM_SHARE_DEFAULT;
+  return dp_rules_level (vm->rules) > 0 ? MAX (vm->weight / DP_VM_WEIGHT_FACTOR, 1)
+                                        : vm->weight;
+}
+
+guint64
+dp_rules_level (guint64 stated)
+{
+  return stated <= DP_RULES_LEVEL_MAX ? stated : 0;
+}
+
 static int
 compare_vms (gconstpointer a, gconstpointer b)
 {
--- a/core/view.h
+++ b/core/view.h
@@ -9,6 +9,19 @@
 
 #include <glib.h>
 
+/* Number of the rules that this build keeps, see docs/design-platform.md, "Two builds side by
+ * side". It rises with each release that adds a rule; 0: a build that states none. */
+#define DP_RULES_LEVEL 1
+/* A larger number is taken for 0. */
+#define DP_RULES_LEVEL_MAX 1000
+/* The weight that a VM states is this multiple of its share of the processor. VMs of level 0
+ * state the share, and choose owners by the weights alone. */
+#define DP_VM_WEIGHT_FACTOR 64
+/* Builds of level 0 ignore an entry with a larger weight. */
+#define DP_VM_WEIGHT_MAX 1000000
+/* Share of a VM that states no weight. */
+#define DP_VM_SHARE_DEFAULT 100
+
 typedef enum DpVmState
 {
   DP_VM_LIVE,
@@ -26,7 +39,8 @@
   DpVmState state;
   guint64 incarnation;  /* grows with each start of the VM's entry; 0: unknown */
   guint64 announcement; /* grows with each announcement of the VM's agent; orders updates */
-  guint weight;         /* in 1/1000 CPU cores, for the choice of owners; 0: unknown */
+  guint weight;         /* for the choice of owners; 0: unknown */
+  guint64 rules;        /* level of the rules that its build keeps, as stated by the VM */
 } DpVm;
 
 typedef struct DpView
@@ -36,6 +50,13 @@
   GArray *vms;     /* DpVm, sorted by name */
 } DpView;
 
+/* Weight that a VM of this build states; `share` is in 1/1000 CPU cores. */
+guint dp_vm_stated_weight (guint share);
+/* Share of the processor that the VM's weight stands for. */
+guint dp_vm_share (const DpVm *vm);
+/* `stated`, or 0 if it is out of range. */
+guint64 dp_rules_level (guint64 stated);
+
 /* Copies the VMs and sorts them by name. */
 DpView *dp_view_new (guint64 version, const DpVm *vms, guint count);
 DpView *dp_view_ref (DpView *view);
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -244,6 +244,7 @@
   UINT64 (6, DpVm, incarnation),
   UINT64 (7, DpVm, announcement),
   UINT (8, DpVm, weight, G_MAXUINT),
+  UINT64 (9, DpVm, rules),
 };
 static const DpFieldTable vm_table = TABLE (DpVm, vm_fields);
 
@@ -260,6 +261,7 @@
   UINT64 (4, DpMessage, probe.manifest_revision),
   UINT64 (5, DpMessage, probe.manifest_digest),
   GARRAY (6, DpMessage, probe.updates, DP_CODEC_VMS_MAX, &vm_table),
+  UINT64 (7, DpMessage, probe.rules),
 };
 
 static const DpField manifest_ask_fields[] = {
--- a/net/frame_check.h
+++ b/net/frame_check.h
@@ -9,7 +9,7 @@
 #include <glib.h>
 
 #define DP_FRAME_DEPTH_MAX 8
-/* Values per frame, including nested ones; a view of up to 3854 VMs fits. */
+/* Values per frame, including nested ones; a view of up to 3448 VMs fits. */
 #define DP_FRAME_VALUES_MAX 65536
 
 /* Returns whether `data` is exactly one well-formed MessagePack value without extension types,
--- a/node/main.c
+++ b/node/main.c
@@ -63,6 +63,7 @@
 add_status (gpointer user, struct json_object *status)
 {
   const DpNode *node = user;
+  dp_builds_add_status (node, status);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, node->pools);
@@ -165,7 +166,8 @@
   struct event *reload = evsignal_new (node->base, SIGHUP, on_reload, node);
   event_add (reload, NULL);
   dp_log (DP_LOG_NOTICE, "started", "vm", node->settings->process.name, "data_centre",
-          node->settings->process.data_centre, "version", DP_VERSION, NULL);
+          node->settings->process.data_centre, "version", DP_VERSION, "rules",
+          G_STRINGIFY (DP_RULES_LEVEL), NULL);
   dp_store_watch_start (node->store_watch);
   dp_stream_versions_start (node->stream_versions);
   dp_node_quarantine_start (node);
--- a/node/node.h
+++ b/node/node.h
@@ -9,6 +9,7 @@
  *   registration.c     this VM's entry in the store
  *   peer_sync.c        exchanges store data with other VMs
  *   peers.c            other VMs: probes, messages, removal of dead ones
+ *   builds.c           which rules the builds of the other VMs keep
  *   limits.c           rate limits of workspaces
  *   placement.c        choice of a request's target: owners, grants, dispatchers
  *   target_limits.c    limits that targets state in their responses
@@ -114,6 +115,7 @@
   gboolean is_shared;
   gboolean has_limits; /* a target has a limit or is brittle */
   gboolean is_brittle; /* a target is */
+  gboolean is_unkept;  /* it was logged that older VMs may break the rule */
   DpDispatcher *dispatcher;
   DpName owner;       /* last chosen owner; 0: none yet */
   DpUsec reported_at; /* last report of held grants to the owner */
@@ -121,6 +123,14 @@
   DpShed shed;
 } DpNodePool;
 
+/* Levels of the rules that the builds of all VMs keep. */
+typedef struct DpBuilds
+{
+  guint64 lowest;
+  guint64 highest;
+  guint older; /* VMs of a lower level than the highest */
+} DpBuilds;
+
 struct DpNode
 {
   const DpNodeSettings *settings;
@@ -146,6 +156,8 @@
   /* other VMs */
   DpOwners *owners;
   guint64 probe_sequence;
+  DpUsec builds_checked_at;
+  DpBuilds builds; /* as last logged */
   DpQuotaClient *quota_client;
   DpQuotaServer *quota_server;
   DpSuspectTable *suspects;
@@ -264,7 +276,7 @@
 /* Apply data received from another VM; ignored if this VM's own is newer. */
 void dp_store_watch_apply_config_text (DpStoreWatch *watch, GBytes *text);
 void dp_store_watch_apply_targets (DpStoreWatch *watch, const DpTargetRows *targets);
-/* `version` NULL: adds missing VMs only, removes none. */
+/* `version` NULL, or not newer: adds missing VMs only, removes none. */
 void dp_store_watch_apply_vms (DpStoreWatch *watch,
                                const GArray *vms,
                                const DpStoreVersion *version);
@@ -336,6 +348,13 @@
 /* Number of VMs, this one included; at least 1. */
 guint dp_peers_vm_count (const DpNode *node);
 
+/* --- builds.c --- */
+
+/* The VM stated the level of the rules that its build keeps. */
+void dp_builds_record (DpNode *node, DpName vm, guint64 rules);
+void dp_builds_tick (DpNode *node, DpUsec now);
+void dp_builds_add_status (const DpNode *node, struct json_object *status);
+
 /* --- limits.c --- */
 
 /* Limit of the workspace; `per_second` is 0 if it has none or `workspace` is NULL. */
--- a/node/peers.c
+++ b/node/peers.c
@@ -85,6 +85,7 @@
   message.probe.sequence = sequence;
   message.probe.incarnation = dp_process_incarnation (node->process);
   message.probe.leaving = node->is_stopping;
+  message.probe.rules = DP_RULES_LEVEL;
   message.probe.manifest_revision = node->manifest != NULL ? node->manifest->revision : 0;
   dp_peers_send (node, vm, &message);
 }
@@ -152,12 +153,14 @@
     case DP_MESSAGE_PROBE:
       record_received (node, from.vm);
       dp_owners_set_leaving (node->owners, from.vm, message->probe.leaving, dp_node_now ());
+      dp_builds_record (node, from.vm, message->probe.rules);
       dp_peer_sync_on_revision (node, from.vm, message->probe.manifest_revision);
       send_probe (node, from.vm, DP_MESSAGE_PROBE_ACK, message->probe.sequence);
       break;
     case DP_MESSAGE_PROBE_ACK:
       record_received (node, from.vm);
       dp_owners_set_leaving (node->owners, from.vm, message->probe.leaving, dp_node_now ());
+      dp_builds_record (node, from.vm, message->probe.rules);
       dp_peer_sync_on_revision (node, from.vm, message->probe.manifest_revision);
       break;
     case DP_MESSAGE_CREDIT_ASK:
@@ -213,5 +216,6 @@
   dp_limits_tick (node, now);
   dp_peer_sync_tick (node, now);
   dp_node_quarantine_tick (node, now);
+  dp_builds_tick (node, now);
   prune (node, now);
 }
--- a/node/registration.c
+++ b/node/registration.c
@@ -30,7 +30,8 @@
   DpVm vm = { .name = node->self,
               .data_centre = dp_name (node->settings->process.data_centre),
               .state = DP_VM_LIVE,
-              .weight = node->params.weight };
+              .weight = dp_vm_stated_weight (node->params.weight),
+              .rules = DP_RULES_LEVEL };
   g_strlcpy (vm.text, node->settings->process.name, sizeof vm.text);
   g_strlcpy (vm.address, node->settings->process.address, sizeof vm.address);
   return vm;
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -19,8 +19,9 @@
 make_two_vms (void)
 {
   GArray *vms = g_array_new (FALSE, TRUE, sizeof (DpVm));
-  DpVm first = { 5, 6, "vm-a", "127.0.1.1", DP_VM_LEAVING, 7, 8, 170 };
-  DpVm second = { G_MAXUINT64, 1, "vm-b", "127.0.1.2", DP_VM_DEAD, G_MAXUINT64, 9, 500 };
+  DpVm first = { 5, 6, "vm-a", "127.0.1.1", DP_VM_LEAVING, 7, 8, 170, 1 };
+  DpVm second
+    = { G_MAXUINT64, 1, "vm-b", "127.0.1.2", DP_VM_DEAD, G_MAXUINT64, 9, 500, G_MAXUINT64 };
   g_array_append_val (vms, first);
   g_array_append_val (vms, second);
   return vms;
@@ -76,7 +77,7 @@
 static DpMessage
 make_probe (DpMessageType type)
 {
-  return (DpMessage){ .type = type, .probe = { 1, 2, TRUE, 3, 4, make_two_vms () } };
+  return (DpMessage){ .type = type, .probe = { 1, 2, TRUE, 3, 4, make_two_vms (), 5 } };
 }
 
 /* Returns a message of that type with all members set. */
--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -745,6 +745,130 @@
   return owners;
 }
 
+/* --- builds side by side --- */
+
+enum
+{
+  BUILD_VMS = 12,
+  BUILD_KEYS = 60,
+};
+
+/* The VMs, of which the first `newer` are of this build. VMs of level 0 pass lists on without
+ * levels. */
+static DpOwners *
+make_mixed_owners (guint newer, gboolean has_levels)
+{
+  DpVm vms[BUILD_VMS] = { 0 };
+  for (guint i = 0; i < BUILD_VMS; i++)
+    {
+      guint share = i % 3 == 0 ? 84 : 170;
+      vms[i] = (DpVm){ .name = i + 1, .weight = share };
+      if (i < newer)
+        vms[i].weight = dp_vm_stated_weight (share);
+      if (i < newer && has_levels)
+        vms[i].rules = DP_RULES_LEVEL;
+    }
+  DpView *view = dp_view_new (1, vms, BUILD_VMS);
+  DpOwners *owners = dp_owners_new (BUILD_VMS + 1, 0);
+  dp_owners_set_view (owners, view);
+  dp_view_unref (view);
+  for (DpName vm = 1; vm <= BUILD_VMS; vm++)
+    dp_owners_on_message (owners, vm, START);
+  return owners;
+}
+
+/* All builds of level 0 rank by the class of the stated weight, so the choice without levels is
+ * theirs. */
+START_TEST (owners_are_of_the_newest_build_for_vms_of_all_builds)
+{
+  guint newer = (guint)_i;
+  DpOwners *owners = make_mixed_owners (newer, TRUE);
+  DpOwners *older = make_mixed_owners (newer, FALSE);
+  for (DpName key = 1; key <= BUILD_KEYS; key++)
+    {
+      DpName owner = dp_owners_choose (owners, key, START);
+      ck_assert_msg (newer == 0 || owner <= newer, "VM %u of %u", (guint)owner, newer);
+      ck_assert_uint_eq (owner, dp_owners_choose (older, key, START));
+    }
+  dp_owners_free (owners);
+  dp_owners_free (older);
+}
+END_TEST
+
+/* The owner as one VM after the other is replaced: each change is to the VM that has just been
+ * replaced, or away from the VM of the older build that is. In reverse, for a rollback, each is
+ * away from the VM that is taken back. */
+START_TEST (replacing_vms_one_by_one_does_not_make_owners_flap)
+{
+  for (DpName key = 1; key <= BUILD_KEYS; key++)
+    {
+      DpName previous = 0;
+      for (guint newer = 1; newer <= BUILD_VMS; newer++)
+        {
+          DpOwners *owners = make_mixed_owners (newer, TRUE);
+          DpName owner = dp_owners_choose (owners, key, START);
+          dp_owners_free (owners);
+          ck_assert_msg (previous == 0 || owner == previous || owner == newer,
+                         "key %u: from VM %u to VM %u as VM %u is replaced", (guint)key,
+                         (guint)previous, (guint)owner, newer);
+          previous = owner;
+        }
+    }
+}
+END_TEST
+
+typedef struct RulesCase
+{
+  const char *name;
+  guint64 in_entry;
+  guint64 in_message;
+  gboolean has_message;
+  guint64 rules;
+} RulesCase;
+
+static const RulesCase rules_cases[] = {
+  { "an entry without", 0, 0, FALSE, 0 },
+  { "an entry alone", 1, 0, FALSE, 1 },
+  { "a list from an older VM", 0, 1, TRUE, 1 },
+  { "taken back, the entry is still that of the newer build", 1, 0, TRUE, 0 },
+  { "a newer build", 1, 2, TRUE, 2 },
+  { "an entry out of range", DP_RULES_LEVEL_MAX + 1, 0, FALSE, 0 },
+  { "a message out of range", 0, G_MAXUINT64, TRUE, 0 },
+};
+
+START_TEST (the_level_of_a_vm_is_what_it_stated_last)
+{
+  const RulesCase *row = &rules_cases[_i];
+  const DpVm vms[2] = { { .name = 1, .rules = row->in_entry }, { .name = 2, .rules = 1 } };
+  DpView *view = dp_view_new (1, vms, G_N_ELEMENTS (vms));
+  DpOwners *owners = dp_owners_new (3, 0);
+  dp_owners_set_view (owners, view);
+  dp_owners_choose (owners, OWNER_KEY, START);
+  if (row->has_message)
+    dp_owners_set_rules (owners, 1, row->in_message);
+  ck_assert_msg (dp_owners_rules (owners, 1) == row->rules, "%s", row->name);
+  ck_assert_msg (row->rules <= 1 || dp_owners_choose (owners, OWNER_KEY, START) == 1, "%s",
+                 row->name);
+  dp_view_unref (view);
+  dp_owners_free (owners);
+}
+END_TEST
+
+START_TEST (a_stated_weight_keeps_the_share)
+{
+  static const guint shares[] = { 1, 84, 170, 4000, 15000 };
+  for (guint i = 0; i < G_N_ELEMENTS (shares); i++)
+    {
+      const DpVm older = { .weight = shares[i] };
+      const DpVm vm = { .weight = dp_vm_stated_weight (shares[i]), .rules = DP_RULES_LEVEL };
+      ck_assert_uint_eq (dp_vm_share (&older), shares[i]);
+      ck_assert_uint_eq (dp_vm_share (&vm), shares[i]);
+      ck_assert_uint_le (vm.weight, DP_VM_WEIGHT_MAX);
+    }
+  ck_assert_uint_eq (dp_vm_stated_weight (G_MAXUINT), DP_VM_WEIGHT_MAX);
+}
+END_TEST
+
 START_TEST (all_vms_choose_the_same_owner)
 {
   DpOwners *owners = make_owners (1, OWNER_VMS);
@@ -1053,6 +1177,12 @@
                        G_N_ELEMENTS (brittle_cases));
   tcase_add_loop_test (tests, a_lapsed_target_is_dropped_in_time, 0,
                        G_N_ELEMENTS (lapse_cases));
+  tcase_add_loop_test (tests, owners_are_of_the_newest_build_for_vms_of_all_builds, 0,
+                       BUILD_VMS + 1);
+  tcase_add_test (tests, replacing_vms_one_by_one_does_not_make_owners_flap);
+  tcase_add_loop_test (tests, the_level_of_a_vm_is_what_it_stated_last, 0,
+                       G_N_ELEMENTS (rules_cases));
+  tcase_add_test (tests, a_stated_weight_keeps_the_share);
   tcase_add_test (tests, all_vms_choose_the_same_owner);
   tcase_add_test (tests, the_strongest_vm_owns_all_keys);
   tcase_add_loop_test (tests, an_unresponsive_owner_is_passed_over, 0,
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -410,6 +410,69 @@
 }
 END_TEST
 
+typedef struct VmRulesCase
+{
+  const char *name;
+  const char *member;
+  guint64 rules;
+  guint diagnostics;
+} VmRulesCase;
+
+static const VmRulesCase vm_rules_cases[] = {
+  { "of an older build", "", 0, 0 },
+  { "of this build", ",\"rules\":1", 1, 0 },
+  { "of a newer build, with a member that this one doesn't know", ",\"rules\":2,\"mood\":[{}]",
+    2, 0 },
+  { "out of range", ",\"rules\":1e300", 0, 1 },
+  { "negative", ",\"rules\":-1", 0, 1 },
+  { "a fraction", ",\"rules\":1.5", 0, 1 },
+  { "a string", ",\"rules\":\"1\"", 0, 1 },
+  { "null", ",\"rules\":null", 0, 0 },
+};
+
+START_TEST (a_vm_is_known_whatever_rules_it_states)
+{
+  const VmRulesCase *row = &vm_rules_cases[_i];
+  char *text
+    = g_strdup_printf ("{\"items\":[{\"metadata\":{\"name\":\"front-1\"},\"spec\":{" VM_MEMBERS
+                       "%s}}],\"store_revision\":1}",
+                       row->member);
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  DpStorePage *page = read_page (text, FALSE, diagnostics);
+  ck_assert_ptr_nonnull (page);
+  DpVm vm;
+  ck_assert_msg (
+    dp_records_read_vm (&g_array_index (page->objects, DpStoreObject, 0), &vm, diagnostics),
+    "%s", row->name);
+  ck_assert_msg (vm.rules == row->rules, "%s: %u", row->name, (guint)vm.rules);
+  ck_assert_msg (dp_diagnostics_count (diagnostics) == row->diagnostics, "%s", row->name);
+  dp_store_page_free (page);
+  dp_diagnostics_unref (diagnostics);
+  g_free (text);
+}
+END_TEST
+
+START_TEST (a_written_vm_is_read_back)
+{
+  const DpVm vm = { .text = "front-1", .address = "10.0.0.1", .weight = 10880, .rules = 1 };
+  char *body = dp_records_write_vm (&vm, "d");
+  char *text = g_strdup_printf ("{\"items\":[%s],\"store_revision\":1}", body);
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  DpStorePage *page = read_page (text, FALSE, diagnostics);
+  ck_assert_ptr_nonnull (page);
+  DpVm read;
+  ck_assert (
+    dp_records_read_vm (&g_array_index (page->objects, DpStoreObject, 0), &read, diagnostics));
+  ck_assert_str_eq (read.text, vm.text);
+  ck_assert_uint_eq (read.weight, vm.weight);
+  ck_assert_uint_eq (read.rules, vm.rules);
+  dp_store_page_free (page);
+  dp_diagnostics_unref (diagnostics);
+  g_free (text);
+  g_free (body);
+}
+END_TEST
+
 /* --- config --- */
 
 typedef struct ConfigCase
@@ -582,6 +645,9 @@
   tcase_add_loop_test (tests, a_mutated_row_spoils_no_other, 1, 4);
   tcase_add_loop_test (tests, only_valid_objects_become_targets, 0,
                        G_N_ELEMENTS (target_cases));
+  tcase_add_loop_test (tests, a_vm_is_known_whatever_rules_it_states, 0,
+                       G_N_ELEMENTS (vm_rules_cases));
+  tcase_add_test (tests, a_written_vm_is_read_back);
   tcase_add_loop_test (tests, only_valid_objects_become_vms, 0, G_N_ELEMENTS (vm_cases));
   tcase_add_loop_test (tests, configs_are_decoded_or_rejected, 0, G_N_ELEMENTS (config_cases));
   tcase_add_test (tests, the_longest_prefix_wins);
