node/store_watch: a newer list of VMs replaces known entries

A VM that is killed and started again under its name, with another address, weight or level of rules, was known by its old entry at all VMs that hear of the store from a relay only: entries from relays were added and removed, never replaced. They then chose owners by a build or weight that no longer served.

a_vm_that_is_replaced_under_its_name_is_known_anew (node_builds) failed before: 'dogwoodplank_older_vms is 0 at VM 0'.

--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -401,23 +401,34 @@
   return g_hash_table_size (watch->vms) != count_before;
 }
 
+/* A VM of level 0 passes an entry on without its level, which is no change. */
+static gboolean
+has_vm_changed (const DpVm *known, const DpVm *vm)
+{
+  return known->weight != vm->weight || strcmp (known->address, vm->address) != 0
+         || (vm->rules != 0 && known->rules != vm->rules);
+}
+
 void
 dp_store_watch_apply_vms (DpStoreWatch *watch, const GArray *vms, const DpStoreVersion *version)
 {
   ObjectFeed *feed = &watch->feeds[KIND_VMS];
   if (version != NULL)
     apply_era (watch, version->era, "another VM");
+  gboolean is_newer = version != NULL && dp_store_version_compare (*version, feed->version) > 0;
   gboolean changed = FALSE;
   for (guint i = 0; i < vms->len; i++)
     {
       const DpVm *vm = &g_array_index (vms, DpVm, i);
-      if (g_hash_table_contains (watch->vms, &vm->name))
+      const DpVm *known = g_hash_table_lookup (watch->vms, &vm->name);
+      if (known != NULL
+          && (!is_newer || vm->name == watch->node->self || !has_vm_changed (known, vm)))
         continue;
       g_hash_table_insert (watch->vms, g_memdup2 (&vm->name, sizeof vm->name),
                            g_memdup2 (vm, sizeof *vm));
       changed = TRUE;
     }
-  if (version != NULL && dp_store_version_compare (*version, feed->version) > 0)
+  if (is_newer)
     {
       set_version (feed, *version);
       changed |= drop_absent_vms (watch, vms);
--- a/tests/test_node_builds.c
+++ b/tests/test_node_builds.c
@@ -85,6 +85,23 @@
 }
 END_TEST
 
+/* With the entry ranking first, one of the nodes is the other relay, and the second node hears
+ * of changes from that alone. */
+START_TEST (a_vm_that_is_replaced_under_its_name_is_known_anew)
+{
+  Cluster *cluster = cluster_start (build);
+  write_vm (cluster, "POST", SPEC ("\"weight\":900000,\"rules\":1"));
+  wait_for_metric (cluster, "dogwoodplank_vms", VMS + 1);
+  g_usleep ((gulong)PASSED_OVER_MS * 1000);
+  write_vm (cluster, "PUT", SPEC ("\"weight\":900000,\"rules\":2"));
+  wait_for_metric (cluster, "dogwoodplank_older_vms", VMS);
+  write_vm (cluster, "PUT", SPEC ("\"weight\":100"));
+  wait_for_metric (cluster, "dogwoodplank_older_vms", 1);
+  check_served (cluster, "taken back");
+  cluster_free (cluster);
+}
+END_TEST
+
 int
 main (int argc, char **argv)
 {
@@ -97,6 +114,7 @@
   TCase *tests = tcase_create ("builds");
   tcase_add_loop_test (tests, a_vm_of_another_build_is_known_and_logged_once, 0,
                        G_N_ELEMENTS (build_cases));
+  tcase_add_test (tests, a_vm_that_is_replaced_under_its_name_is_known_anew);
   Suite *suite = suite_create ("node_builds");
   suite_add_tcase (suite, tests);
   SRunner *runner = srunner_create (suite);
