--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -240,14 +240,14 @@
 soak_vm_start (SoakCluster *cluster, SoakVm *vm)
 {
   const NodeKitVm settings
-    = { .build = cluster->build,
+    = { .build = vm->build,
         .folder = cluster->log_folder,
         .log = cluster->log_path,
         .name = vm->name,
         .address = vm->address,
         .data_centre = vm->data_centre,
         .bus_port = SOAK_BUS_PORT,
-        .tunnel_port = SOAK_TUNNEL_PORT,
+        .tunnel_port = vm->build == cluster->older_build ? 0 : SOAK_TUNNEL_PORT,
         .operator_port = SOAK_OPERATOR_PORT,
         .caller_port = SOAK_CALLER_PORT,
         .ready_port = SOAK_READY_PORT,
@@ -380,11 +380,18 @@
 }
 
 SoakCluster *
-soak_cluster_new (struct event_base *base, const char *build, guint32 seed)
+soak_cluster_new (struct event_base *base, const SoakOptions *options, guint32 seed)
 {
   SoakCluster *cluster = g_new0 (SoakCluster, 1);
   cluster->base = base;
-  cluster->build = build;
+  cluster->build = options->build;
+  cluster->older_build = options->older_build;
+  for (guint i = 0; i < SOAK_VMS; i++)
+    {
+      gboolean is_older
+        = options->older_build != NULL && (!options->is_half_older || i % 2 == 0);
+      cluster->vms[i].build = is_older ? options->older_build : options->build;
+    }
   cluster->log_folder = g_dir_make_tmp ("dp-soak-XXXXXX", NULL);
   cluster->log_path = g_strconcat (cluster->log_folder, "/log", NULL);
   cluster->random = g_rand_new_with_seed (seed);
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -11,6 +11,9 @@
 /* Delay before the beginning or end of a fault is retried, such as while the store is
  * unavailable. */
 #define RETRY_SECONDS 0.2
+/* One of so many VMs that are replaced is killed. */
+#define KILLED_PART 4
+#define REPLACE_SECONDS 0.3
 
 typedef enum FaultKind
 {
@@ -29,9 +32,10 @@
   FAULT_STORE_RESTORE, /* at its end, from a copy made at its beginning */
   FAULT_CONFIG,
   FAULT_KINDS,
+  FAULT_VM_REPLACE = FAULT_KINDS, /* not drawn with the others */
 } FaultKind;
 
-static const char *const kind_names[FAULT_KINDS] = {
+static const char *const kind_names[] = {
   [FAULT_VM_KILL] = "vm_kill",
   [FAULT_VM_PAUSE] = "vm_pause",
   [FAULT_VM_STOP] = "vm_stop",
@@ -46,6 +50,7 @@
   [FAULT_STORE_LINK] = "store_link",
   [FAULT_STORE_RESTORE] = "store_restore",
   [FAULT_CONFIG] = "config",
+  [FAULT_VM_REPLACE] = "vm_replace",
 };
 
 static const char *const target_faults[] = {
@@ -90,11 +95,18 @@
 static void
 begin_vm_fault (Fault *fault, SoakVm *vm)
 {
+  SoakCluster *cluster = fault->cluster;
+  if (fault->kind == FAULT_VM_REPLACE)
+    {
+      vm->build = vm->build == cluster->build ? cluster->older_build : cluster->build;
+      soak_vm_signal (cluster, vm, fault->choice % KILLED_PART == 0 ? SIGKILL : SIGTERM);
+      return;
+    }
   static const int signals[] = { [FAULT_VM_KILL] = SIGKILL,
                                  [FAULT_VM_PAUSE] = SIGSTOP,
                                  [FAULT_VM_STOP] = SIGTERM,
                                  [FAULT_VM_RELOAD] = SIGHUP };
-  soak_vm_signal (fault->cluster, vm, signals[fault->kind]);
+  soak_vm_signal (cluster, vm, signals[fault->kind]);
 }
 
 /* FALSE if the VM is still stopping, to be retried. */
@@ -104,7 +116,8 @@
   SoakCluster *cluster = fault->cluster;
   if (fault->kind == FAULT_VM_PAUSE)
     soak_vm_signal (cluster, vm, SIGCONT);
-  if (fault->kind == FAULT_VM_STOP && vm->process != NULL && vm->is_stopping)
+  if ((fault->kind == FAULT_VM_STOP || fault->kind == FAULT_VM_REPLACE) && vm->process != NULL
+      && vm->is_stopping)
     {
       if (process_is_running (vm->process))
         return FALSE;
@@ -243,7 +256,7 @@
 static FaultComponent
 component_of (FaultKind kind)
 {
-  if (kind <= FAULT_VM_RELOAD)
+  if (kind <= FAULT_VM_RELOAD || kind == FAULT_VM_REPLACE)
     return COMPONENT_VM;
   if (kind <= FAULT_TARGET_LINK)
     return COMPONENT_TARGET;
@@ -334,6 +347,23 @@
     }
 }
 
+void
+soak_faults_schedule_replacements (SoakCluster *cluster, double duration)
+{
+  for (guint i = 0; i < SOAK_VMS; i++)
+    {
+      Fault *fault = g_new0 (Fault, 1);
+      fault->cluster = cluster;
+      cluster->pending_faults++;
+      fault->kind = FAULT_VM_REPLACE;
+      fault->index = i;
+      fault->choice = (guint)g_rand_int_range (cluster->random, 0, 1000);
+      fault->duration = REPLACE_SECONDS;
+      fault->event = evtimer_new (cluster->base, on_fault, fault);
+      schedule (fault, duration * (i + 0.5) / SOAK_VMS);
+    }
+}
+
 void
 soak_faults_clear (SoakCluster *cluster)
 {
--- a/soak/main.c
+++ b/soak/main.c
@@ -1,11 +1,14 @@
-/* Usage: dogwoodplank-soak BUILD_FOLDER SEED...
+/* Usage: dogwoodplank-soak BUILD_FOLDER [--older FOLDER [--half]] SEED...
  *
- * Makes one run per seed. The exit code is 1 if any run had violations. */
+ * Makes one run per seed. The exit code is 1 if any run had violations. With --older the VMs
+ * begin with the programs of that build folder, are replaced one by one, and taken back; with
+ * --half every second VM runs it for the whole run. */
 #include "soak/soak.h"
 
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* Faults are scheduled within this time. */
 #define FAULTS_DURATION_SECONDS 8.0
@@ -106,23 +109,48 @@
     }
 }
 
+/* One series of faults, and the checks after it. */
+static void
+run_faults (SoakCluster *cluster, gboolean replaces_vms)
+{
+  soak_faults_schedule (cluster, FAULTS_DURATION_SECONDS);
+  if (replaces_vms)
+    soak_faults_schedule_replacements (cluster, FAULTS_DURATION_SECONDS);
+  soak_limits_choose (cluster);
+  run_loop (cluster, FAULTS_DURATION_SECONDS);
+  wait_for_recovery (cluster);
+  check_config (cluster);
+  check_entries (cluster);
+}
+
+/* VMs of this build must say in their log that another one serves beside them. */
+static void
+check_mixed_is_logged (SoakCluster *cluster)
+{
+  char *text = NULL;
+  if (g_file_get_contents (cluster->log_path, &text, NULL, NULL)
+      && strstr (text, "event=builds_mixed") == NULL)
+    soak_cluster_add_violation (cluster, "no VM logged that two builds serve");
+  g_free (text);
+}
+
 static guint
-run_seed (const char *build, guint32 seed)
+run_seed (const SoakOptions *options, guint32 seed)
 {
   printf ("seed %u\n", seed);
   fflush (stdout);
   struct event_base *base = event_base_new ();
   g_random_set_seed (seed);
-  SoakCluster *cluster = soak_cluster_new (base, build, seed);
+  SoakCluster *cluster = soak_cluster_new (base, options, seed);
   SoakCaller *callers[SOAK_CALLERS];
   for (guint i = 0; i < SOAK_CALLERS; i++)
     callers[i] = soak_caller_new (cluster, i);
-  soak_faults_schedule (cluster, FAULTS_DURATION_SECONDS);
-  soak_limits_choose (cluster);
-  run_loop (cluster, FAULTS_DURATION_SECONDS);
-  wait_for_recovery (cluster);
-  check_config (cluster);
-  check_entries (cluster);
+  gboolean replaces_vms = options->older_build != NULL && !options->is_half_older;
+  run_faults (cluster, replaces_vms);
+  if (replaces_vms)
+    run_faults (cluster, TRUE);
+  if (options->older_build != NULL)
+    check_mixed_is_logged (cluster);
   for (guint i = 0; i < SOAK_CALLERS; i++)
     soak_caller_free (callers[i]);
   for (guint i = 0; i < SOAK_TARGETS; i++)
@@ -147,30 +175,37 @@
 }
 
 /* A Check test, since tests/node_kit.c and tests/process.c report errors through Check. */
-static const char *build_folder;
+static SoakOptions options;
 static char **seeds;
 
 START_TEST (a_run_has_no_violations)
 {
-  ck_assert_uint_eq (run_seed (build_folder, (guint32)g_ascii_strtoull (seeds[_i], NULL, 10)),
-                     0);
+  ck_assert_uint_eq (run_seed (&options, (guint32)g_ascii_strtoull (seeds[_i], NULL, 10)), 0);
 }
 END_TEST
 
 int
 main (int argc, char **argv)
 {
-  if (argc < 3)
+  int first = 2;
+  if (argc > 3 && strcmp (argv[2], "--older") == 0)
+    {
+      options.older_build = argv[3];
+      options.is_half_older = argc > 4 && strcmp (argv[4], "--half") == 0;
+      first = options.is_half_older ? 5 : 4;
+    }
+  if (argc <= first)
     {
-      fprintf (stderr, "usage: dogwoodplank-soak BUILD_FOLDER SEED...\n");
+      fprintf (stderr,
+               "usage: dogwoodplank-soak BUILD_FOLDER [--older FOLDER [--half]] SEED...\n");
       return EXIT_FAILURE;
     }
-  build_folder = argv[1];
-  seeds = argv + 2;
+  options.build = argv[1];
+  seeds = argv + first;
   Suite *suite = suite_create ("soak");
   TCase *runs = tcase_create ("runs");
   tcase_set_timeout (runs, 0);
-  tcase_add_loop_test (runs, a_run_has_no_violations, 0, argc - 2);
+  tcase_add_loop_test (runs, a_run_has_no_violations, 0, argc - first);
   suite_add_tcase (suite, runs);
   SRunner *runner = srunner_create (suite);
   srunner_set_fork_status (runner, CK_NOFORK);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -23,8 +23,9 @@
 #define SOAK_CALLER_PORT 7000
 #define SOAK_READY_PORT 7001
 #define SOAK_BUS_PORT 7002
-#define SOAK_OPERATOR_PORT 7003
-#define SOAK_TUNNEL_PORT 7004
+/* After the bus port: the default of the setting, which older builds don't have. */
+#define SOAK_TUNNEL_PORT 7003
+#define SOAK_OPERATOR_PORT 7004
 #define SOAK_SERVER_PORT 8000
 #define SOAK_CONTROL_PORT 8001
 
@@ -58,6 +59,7 @@
 typedef struct SoakVm
 {
   char name[8];
+  const char *build; /* folder of the programs that its next start runs */
   char address[SOAK_ADDRESS_BYTES];
   const char *data_centre;
   char store_proxy_address[SOAK_ADDRESS_BYTES];
@@ -108,6 +110,7 @@
 {
   struct event_base *base;
   const char *build;
+  const char *older_build; /* VMs run it at first; NULL: all run `build` */
   char *log_folder;
   char *log_path;
   char *bus_seeds; /* the nodes' `seeds` setting */
@@ -127,7 +130,15 @@
   GPtrArray *violations;    /* char * */
 } SoakCluster;
 
-SoakCluster *soak_cluster_new (struct event_base *base, const char *build, guint32 seed);
+typedef struct SoakOptions
+{
+  const char *build;
+  const char *older_build; /* NULL: none */
+  gboolean is_half_older;  /* every second VM runs the older build for the whole run */
+} SoakOptions;
+
+SoakCluster *
+soak_cluster_new (struct event_base *base, const SoakOptions *options, guint32 seed);
 /* Stops all processes. Nodes get SIGTERM and must exit with status 0. */
 void soak_cluster_stop (SoakCluster *cluster);
 /* Keeps the log folder if there were violations. */
@@ -170,6 +181,8 @@
 /* Generates the faults of a run and schedules them to end within `duration` seconds. Changes
  * that the operator has to retry may end later. */
 void soak_faults_schedule (SoakCluster *cluster, double duration);
+/* Schedules VM after VM to be stopped or killed, and started again with the other build. */
+void soak_faults_schedule_replacements (SoakCluster *cluster, double duration);
 /* Clears all faults that are still active. */
 void soak_faults_clear (SoakCluster *cluster);
 
--- a/tests/node_kit.h
+++ b/tests/node_kit.h
@@ -35,7 +35,7 @@
   const char *address;
   const char *data_centre;
   guint16 bus_port;
-  guint16 tunnel_port;
+  guint16 tunnel_port; /* 0: not set, as for builds without that setting */
   guint16 operator_port;
   guint16 caller_port;
   guint16 ready_port;
