--- a/core/message.h
+++ b/core/message.h
@@ -139,6 +139,7 @@
   DpName group;
   DpName target;
   gboolean is_brittle; /* the owner knows that the target is brittle */
+  gboolean is_limited; /* the owner knows that the target has a limit; since level 1 */
 } DpGrantGiven;
 
 typedef struct DpGrantQueued
@@ -335,6 +336,7 @@
   guint64 manifest_revision;
   guint64 manifest_digest;
   GArray *updates; /* DpVm; owned by the message; may be NULL */
+  guint64 rules;   /* level that the sender keeps, see DP_RULES_LEVEL; between nodes only */
 } DpProbe;
 
 typedef struct DpManifestAsk
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -125,10 +125,9 @@
 };
 
 static const DpField grant_given_fields[] = {
-  ID (1, DpMessage, grant_given.attempt),
-  UINT64 (2, DpMessage, grant_given.group),
-  UINT64 (3, DpMessage, grant_given.target),
-  FLAG (4, DpMessage, grant_given.is_brittle),
+  ID (1, DpMessage, grant_given.attempt),      UINT64 (2, DpMessage, grant_given.group),
+  UINT64 (3, DpMessage, grant_given.target),   FLAG (4, DpMessage, grant_given.is_brittle),
+  FLAG (5, DpMessage, grant_given.is_limited),
 };
 
 static const DpField grant_queued_fields[] = {
@@ -244,6 +243,7 @@
   UINT64 (6, DpVm, incarnation),
   UINT64 (7, DpVm, announcement),
   UINT (8, DpVm, weight, G_MAXUINT),
+  UINT64 (9, DpVm, rules),
 };
 static const DpFieldTable vm_table = TABLE (DpVm, vm_fields);
 
@@ -260,6 +260,7 @@
   UINT64 (4, DpMessage, probe.manifest_revision),
   UINT64 (5, DpMessage, probe.manifest_digest),
   GARRAY (6, DpMessage, probe.updates, DP_CODEC_VMS_MAX, &vm_table),
+  UINT64 (7, DpMessage, probe.rules),
 };
 
 static const DpField manifest_ask_fields[] = {
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -11,6 +11,9 @@
 /* Delay before the beginning or end of a fault is retried, such as while the store is
  * unavailable. */
 #define RETRY_SECONDS 0.2
+/* One of so many VMs that are replaced is killed. */
+#define KILLED_PART 4
+#define REPLACE_SECONDS 0.3
 
 typedef enum FaultKind
 {
@@ -29,9 +32,10 @@
   FAULT_STORE_RESTORE, /* at its end, from a copy made at its beginning */
   FAULT_CONFIG,
   FAULT_KINDS,
+  FAULT_VM_REPLACE = FAULT_KINDS, /* not drawn with the others */
 } FaultKind;
 
-static const char *const kind_names[FAULT_KINDS] = {
+static const char *const kind_names[] = {
   [FAULT_VM_KILL] = "vm_kill",
   [FAULT_VM_PAUSE] = "vm_pause",
   [FAULT_VM_STOP] = "vm_stop",
@@ -46,6 +50,7 @@
   [FAULT_STORE_LINK] = "store_link",
   [FAULT_STORE_RESTORE] = "store_restore",
   [FAULT_CONFIG] = "config",
+  [FAULT_VM_REPLACE] = "vm_replace",
 };
 
 static const char *const target_faults[] = {
@@ -87,20 +92,31 @@
   g_free (fault);
 }
 
-/* FALSE if the VM's program has not begun, to be retried. */
-static gboolean
-begin_vm_fault (Fault *fault, SoakVm *vm)
+static int
+signal_of (const Fault *fault)
 {
   static const int signals[] = { [FAULT_VM_KILL] = SIGKILL,
                                  [FAULT_VM_PAUSE] = SIGSTOP,
                                  [FAULT_VM_STOP] = SIGTERM,
                                  [FAULT_VM_RELOAD] = SIGHUP };
-  int number = signals[fault->kind];
+  if (fault->kind == FAULT_VM_REPLACE)
+    return fault->choice % KILLED_PART == 0 ? SIGKILL : SIGTERM;
+  return signals[fault->kind];
+}
+
+/* FALSE if the VM's program has not begun, to be retried. */
+static gboolean
+begin_vm_fault (Fault *fault, SoakVm *vm)
+{
+  SoakCluster *cluster = fault->cluster;
+  int number = signal_of (fault);
   gboolean is_handled = number == SIGTERM || number == SIGHUP;
   if (is_handled && vm->process != NULL && process_is_running (vm->process)
       && !process_handles_signal (vm->process, number))
     return FALSE;
-  soak_vm_signal (fault->cluster, vm, number);
+  if (fault->kind == FAULT_VM_REPLACE)
+    vm->build = vm->build == cluster->build ? cluster->older_build : cluster->build;
+  soak_vm_signal (cluster, vm, number);
   return TRUE;
 }
 
@@ -111,7 +127,8 @@
   SoakCluster *cluster = fault->cluster;
   if (fault->kind == FAULT_VM_PAUSE)
     soak_vm_signal (cluster, vm, SIGCONT);
-  if (fault->kind == FAULT_VM_STOP && vm->process != NULL && vm->is_stopping)
+  if ((fault->kind == FAULT_VM_STOP || fault->kind == FAULT_VM_REPLACE) && vm->process != NULL
+      && vm->is_stopping)
     {
       if (process_is_running (vm->process))
         return FALSE;
@@ -250,7 +267,7 @@
 static FaultComponent
 component_of (FaultKind kind)
 {
-  if (kind <= FAULT_VM_RELOAD)
+  if (kind <= FAULT_VM_RELOAD || kind == FAULT_VM_REPLACE)
     return COMPONENT_VM;
   if (kind <= FAULT_TARGET_LINK)
     return COMPONENT_TARGET;
@@ -340,6 +357,23 @@
     }
 }
 
+void
+soak_faults_schedule_replacements (SoakCluster *cluster, double duration)
+{
+  for (guint i = 0; i < SOAK_VMS; i++)
+    {
+      Fault *fault = g_new0 (Fault, 1);
+      fault->cluster = cluster;
+      cluster->pending_faults++;
+      fault->kind = FAULT_VM_REPLACE;
+      fault->index = i;
+      fault->choice = (guint)g_rand_int_range (cluster->random, 0, 1000);
+      fault->duration = REPLACE_SECONDS;
+      fault->event = evtimer_new (cluster->base, on_fault, fault);
+      schedule (fault, duration * (i + 0.5) / SOAK_VMS);
+    }
+}
+
 void
 soak_faults_clear (SoakCluster *cluster)
 {
