--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -416,6 +416,40 @@
 }
 END_TEST
 
+static gint64
+get_counter (const Cluster *cluster, guint vm, const char *name)
+{
+  char *text = http_exchange ("GET", cluster->address[vm], cluster->operator_port, "/metrics",
+                              NULL, NULL, NULL);
+  gint64 value = find_number (text, name);
+  g_free (text);
+  return value;
+}
+
+#define OWNER_CHANGES "dogwoodplank_owner_changes_total"
+
+/* VM 0 becomes the owner when it joins, and learns the limits from VM 1 then. */
+START_TEST (a_target_whose_limit_is_new_to_the_owner_is_used_for_a_retry)
+{
+  Cluster *cluster = cluster_new (build);
+  fill_store (cluster);
+  for (guint i = 0; i < TARGETS; i++)
+    set_fault (cluster, cluster->target_control[i], "{\"limit\":\"1000\"}");
+  start_node (cluster, 1);
+  ck_assert (wait_ready (cluster, 1));
+  gint64 end = g_get_monotonic_time () + WAIT;
+  while (get_counter (cluster, 1, LIMITED) < TARGETS && g_get_monotonic_time () < end)
+    ck_assert_int_eq (get_status (cluster, 1, "/look/1"), 200);
+  set_fault (cluster, cluster->target_control[1], "{\"status\":500}");
+  start_node (cluster, 0);
+  ck_assert (wait_ready (cluster, 0));
+  while (get_counter (cluster, 1, OWNER_CHANGES) < 1 && g_get_monotonic_time () < end)
+    ck_assert_int_eq (get_status (cluster, 1, "/look/1"), 200);
+  ck_assert_int_eq (get_counter (cluster, 1, OWNER_CHANGES), 1);
+  cluster_free (cluster);
+}
+END_TEST
+
 /* --- limits of targets over all VMs --- */
 
 /* Accepted by the platform's rules in any window: one and a half times the limit, and some. */
@@ -1172,7 +1206,6 @@
                        G_N_ELEMENTS (stated_limit_cases));
   tcase_add_loop_test (tests, the_rejections_of_a_brittle_target_are_a_whole_number, 0,
                        G_N_ELEMENTS (stated_brittle_cases));
-  tcase_add_test (tests, a_limit_ends_with_a_success_only);
   tcase_add_test (tests, requests_without_route_or_key_are_refused);
   tcase_add_test (tests, ambiguous_requests_reach_no_target);
   tcase_add_loop_test (tests, config_change_takes_effect_despite_store_faults, 0,
@@ -1188,6 +1221,15 @@
   return tests;
 }
 
+static TCase *
+stated_limit_tests (void)
+{
+  TCase *tests = tcase_create ("stated limits");
+  tcase_add_test (tests, a_limit_ends_with_a_success_only);
+  tcase_add_test (tests, a_target_whose_limit_is_new_to_the_owner_is_used_for_a_retry);
+  return tests;
+}
+
 static TCase *
 process_tests (void)
 {
@@ -1234,6 +1276,7 @@
   if (!is_limits)
     {
       suite_add_tcase (suite, refusal_tests ());
+      suite_add_tcase (suite, stated_limit_tests ());
       suite_add_tcase (suite, process_tests ());
     }
   SRunner *runner = srunner_create (suite);
