node: a target whose limit was new to the owner stays usable

A VM doesn't use a grant from an owner that does not keep the target's limit: it tells the owner and asks again. It excluded the target from the request as well, for good. When the target that it got next failed, the retry had none left.

The target is now excluded when the same happens to it a second time in one request, which bounds the exchange with an owner that never keeps limits. The limit goes to the owner before the next grant request on the same link, so the first repetition finds an owner that keeps it.

--- a/node/node.h
+++ b/node/node.h
@@ -223,6 +223,8 @@
   DpUsec grant_requested_at;
   guint excluded_count;
   DpName excluded[DP_EXCLUDED_MAX]; /* targets that failed or could not be used */
+  guint limit_told_count;
+  DpName limit_told[DP_EXCLUDED_MAX]; /* targets whose limit an owner was told of */
   /* current attempt, and counts over all attempts */
   guint attempt_count;
   guint runs; /* attempts in which the target may have run the request */
--- a/node/request.c
+++ b/node/request.c
@@ -336,6 +336,20 @@
     request->excluded[request->excluded_count++] = target;
 }
 
+/* Returns TRUE if the target's owner was told of its limit for the first time, so that the next
+ * grant may name the target again. */
+static gboolean
+record_limit_told (DpNodeRequest *request, DpName target)
+{
+  for (guint i = 0; i < request->limit_told_count; i++)
+    if (request->limit_told[i] == target)
+      return FALSE;
+  if (request->limit_told_count == DP_EXCLUDED_MAX)
+    return FALSE;
+  request->limit_told[request->limit_told_count++] = target;
+  return TRUE;
+}
+
 void
 dp_request_on_grant (DpNodeRequest *request, const DpGrantGiven *given)
 {
@@ -355,14 +369,15 @@
       fail_request (request, DP_REASON_DEADLINE_PASSED, 0);
       return;
     }
-  if (row == NULL || !dp_directory_may_use (node->directory, target, now)
-      || (request->version != 0 && row->version != request->version)
-      || !dp_target_limits_accepts_grant (request, row, given))
+  gboolean is_usable = row != NULL && dp_directory_may_use (node->directory, target, now)
+                       && (request->version == 0 || row->version == request->version);
+  if (!is_usable || !dp_target_limits_accepts_grant (request, row, given))
     {
       /* This VM has newer information about the target than the owner. */
       log_event (request, "grant_not_used", DP_REASON_NO_TARGET);
       dp_placement_release (request, DP_REASON_NO_TARGET);
-      exclude (request, target);
+      if (!is_usable || !record_limit_told (request, target))
+        exclude (request, target);
       dp_placement_request (request);
       return;
     }
