--- a/node/request.c
+++ b/node/request.c
@@ -346,15 +346,36 @@
     request->excluded[request->excluded_count++] = target;
 }
 
-/* FALSE if this VM has newer information about the target than the owner. */
+/* Returns TRUE if the target's owner was told of its limit for the first time, so that the next
+ * grant may name the target again. */
 static gboolean
-accepts_grant (const DpNodeRequest *request, DpName owner, const DpGrantGiven *given)
+record_limit_told (DpNodeRequest *request, DpName target)
+{
+  for (guint i = 0; i < request->limit_told_count; i++)
+    if (request->limit_told[i] == target)
+      return FALSE;
+  if (request->limit_told_count == DP_EXCLUDED_MAX)
+    return FALSE;
+  request->limit_told[request->limit_told_count++] = target;
+  return TRUE;
+}
+
+/* Returns FALSE if this VM has newer information about the target than the owner; the next
+ * grant names another target then, unless the owner has just been told. */
+static gboolean
+accepts_grant (DpNodeRequest *request, DpName owner, const DpGrantGiven *given)
 {
   const DpNode *node = request->node;
   const DpDirectoryRow *row = dp_directory_find (node->directory, given->target);
-  return row != NULL && dp_directory_may_use (node->directory, given->target, dp_node_now ())
-         && (request->version == 0 || row->version == request->version)
-         && dp_target_limits_accepts_grant (request, owner, row, given);
+  gboolean is_usable = row != NULL
+                       && dp_directory_may_use (node->directory, given->target, dp_node_now ())
+                       && (request->version == 0 || row->version == request->version);
+  if (is_usable && dp_target_limits_accepts_grant (request, owner, row, given))
+    return TRUE;
+  log_event (request, "grant_not_used", DP_REASON_NO_TARGET);
+  if (!is_usable || !record_limit_told (request, given->target))
+    exclude (request, given->target);
+  return FALSE;
 }
 
 void
@@ -376,11 +397,9 @@
       fail_request (request, DP_REASON_DEADLINE_PASSED, 0);
       return;
     }
-  if (row == NULL || !accepts_grant (request, request->owner, given))
+  if (!accepts_grant (request, request->owner, given))
     {
-      log_event (request, "grant_not_used", DP_REASON_NO_TARGET);
       dp_placement_release (request, DP_REASON_NO_TARGET);
-      exclude (request, target);
       dp_placement_request (request);
       return;
     }
@@ -580,11 +599,7 @@
   if (now >= request->deadline || !is_target_silent (request, now))
     return FALSE;
   if (!accepts_grant (request, request->search.owner, given))
-    {
-      log_event (request, "grant_not_used", DP_REASON_NO_TARGET);
-      exclude (request, given->target);
-      return FALSE;
-    }
+    return FALSE;
   return !dp_node_quarantine_blocks (request, &remaining)
          && dp_retry_budget_spend (&request->pool->budget, now);
 }
