node: connections that wait to be accepted are accepted before the listener closes

What callers saw: a connection that was complete in the kernel, with a whole request on it, was reset when a stopping VM closed its listener. A turn of the loop handles as many ready connections as one poll returns (32 at first), so the listener's queue may be full at that moment.

Change: the listener stays open while a poll of it shows waiting connections, for 0.2 s at most.

Evidence: row "new connections behind requests on others as the listener closes" of test_node_stop. A connection that completes between the poll and the close is reset still.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -12,6 +12,7 @@
 #include <event2/util.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -470,6 +471,16 @@
   server->bound_socket = NULL;
 }
 
+gboolean
+dp_http_server_has_unaccepted (const DpHttpServer *server)
+{
+  if (server->bound_socket == NULL)
+    return FALSE;
+  struct pollfd listener
+    = { .fd = evhttp_bound_socket_get_fd (server->bound_socket), .events = POLLIN };
+  return poll (&listener, 1, 0) > 0;
+}
+
 void
 dp_http_server_close_after_responses (DpHttpServer *server)
 {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -49,6 +49,8 @@
 
 /* Closes the listener. Existing connections stay open and close after their next response. */
 void dp_http_server_stop_accepting (DpHttpServer *server);
+/* TRUE if connections wait to be accepted. */
+gboolean dp_http_server_has_unaccepted (const DpHttpServer *server);
 
 /* Adds "Connection: close" to all responses; new connections are still accepted. */
 void dp_http_server_close_after_responses (DpHttpServer *server);
--- a/node/caller_listener.c
+++ b/node/caller_listener.c
@@ -23,6 +23,8 @@
 /* The balancer polls /ready once a second and removes a VM after two failures. New callers
  * still arrive for this long after a stop was requested. */
 #define BALANCER_DELAY (2600 * DP_USEC_PER_MSEC)
+/* For connections that wait to be accepted when the listener is to be closed. */
+#define ACCEPT_TIME (200 * DP_USEC_PER_MSEC)
 /* Ends of the stages of a stop, before the process is killed: requests that no target has are
  * refused, all others end, and the process exits once their responses were sent, or anyway. */
 #define REFUSE_RESERVE (1000 * DP_USEC_PER_MSEC)
@@ -327,12 +329,24 @@
   dp_registration_delete_own (node->registration);
 }
 
+/* A VM that is paused again and again handles its input all the same. */
+static void
+record_pause (DpNode *node, DpUsec now, gboolean was_paused)
+{
+  if (was_paused && !node->was_paused)
+    node->resumed_at = now;
+  node->was_paused = was_paused;
+}
+
 /* Requests accepted this late could not be answered in time; another VM should take them.
- * Callers retry immediately when a connection closes before their request was read. */
+ * Callers retry immediately when a connection closes before their request was read. Connections
+ * that wait to be accepted would be reset, so they are accepted first. */
 static void
-close_listener (DpNode *node)
+close_listener (DpNode *node, DpUsec now)
 {
-  if (node->is_listener_closed)
+  DpUsec due_at = MAX (node->stop_requested_at + BALANCER_DELAY, node->resumed_at);
+  if (node->is_listener_closed
+      || (now - due_at < ACCEPT_TIME && dp_http_server_has_unaccepted (node->callers)))
     return;
   node->is_listener_closed = TRUE;
   dp_http_server_stop_accepting (node->callers);
@@ -340,15 +354,6 @@
   dp_tunnels_stop_accepting (node->tunnels);
 }
 
-/* A VM that is paused again and again handles its input all the same. */
-static void
-record_pause (DpNode *node, DpUsec now, gboolean was_paused)
-{
-  if (was_paused && !node->was_paused)
-    node->resumed_at = now;
-  node->was_paused = was_paused;
-}
-
 gboolean
 dp_caller_listener_may_exit (DpNode *node, DpUsec now, gboolean was_paused)
 {
@@ -357,7 +362,7 @@
   record_pause (node, now, was_paused);
   DpUsec left = stop_time_left (node, now);
   if (now - node->stop_requested_at >= BALANCER_DELAY)
-    close_listener (node);
+    close_listener (node, now);
   if (left <= REFUSE_RESERVE)
     dp_request_refuse_waiting (node);
   if (node->is_listener_closed && dp_http_server_is_idle (node->callers)
--- a/tests/test_node_stop.c
+++ b/tests/test_node_stop.c
@@ -45,14 +45,17 @@
   gint64 paused_from;
   gint64 paused_to;
   gint64 slice_paused;
-  gboolean has_configs; /* new ones, and SIGHUPs, all the time */
-  gboolean answers_all; /* no connection is closed without a response to its request */
+  gboolean has_configs;  /* new ones, and SIGHUPs, all the time */
+  gboolean answers_all;  /* no connection is closed without a response to its request */
+  guint new_connections; /* callers that connect again during the pause */
 } StopCase;
 
 /* Idle connections are closed 2.6 s after SIGTERM; the process has 8 s. */
 static const StopCase stop_cases[] = {
   { "requests on idle connections until the end of the stop", 200, 1, FALSE, 1500, 7600, 0,
     FALSE, TRUE },
+  { "new connections behind requests on others as the listener closes", 200, 1, FALSE, 1500,
+    2900, 0, FALSE, TRUE, 50 },
   { "requests on idle connections as they are closed", 200, 1, FALSE, 1500, 2900, 0, FALSE },
   { "busy callers", 60, 1, TRUE, 0, 0, 0, FALSE },
   { "busy callers, processor in slices", 60, 1, TRUE, 0, 0, 60, FALSE },
@@ -198,6 +201,11 @@
       gboolean is_first = caller->sent == 1 && stop->is_paused;
       if (caller->open || (!stop->row->keeps_sending && !is_first))
         continue;
+      if (is_first && i >= stop->row->callers - stop->row->new_connections)
+        {
+          close_caller (caller, outcomes);
+          connect_caller (stop->cluster, caller);
+        }
       if (caller->fd >= 0 || (!is_first && connect_caller (stop->cluster, caller)))
         send_request (caller, i, outcomes);
     }
