--- a/net/http_server.c
+++ b/net/http_server.c
@@ -685,6 +685,12 @@
   event_active (exchange->close_event, EV_TIMEOUT, 0);
 }
 
+gboolean
+dp_http_exchange_is_disconnecting (const DpHttpExchange *exchange)
+{
+  return exchange->close_event != NULL;
+}
+
 void
 dp_http_exchange_finish (DpHttpExchange *exchange)
 {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -124,3 +124,5 @@
 /* Closes the connection on the next loop iteration and then calls the close callback, unless
  * the exchange has ended by then. Data written until then is discarded. */
 void dp_http_exchange_disconnect (DpHttpExchange *exchange);
+/* TRUE after dp_http_exchange_disconnect(), also by the server if the caller doesn't read. */
+gboolean dp_http_exchange_is_disconnecting (const DpHttpExchange *exchange);
--- a/node/request.c
+++ b/node/request.c
@@ -16,14 +16,26 @@
   g_snprintf (out, 16, "%" G_GINT64_FORMAT, duration / DP_USEC_PER_MSEC);
 }
 
-/* Logs the outcome of the request and what determined it; the last line of each request. */
+/* Time for which the request's target has sent nothing that was forwarded. */
+static DpUsec
+target_silence (const DpNodeRequest *request, DpUsec now)
+{
+  if (request->stage != DP_STAGE_SENT)
+    return 0;
+  return now - MAX (request->sent_at, request->last_event_at);
+}
+
+/* Logs the outcome of the request and what determined it; the last line of each request.
+ * `closed_by` NULL: the response is complete. */
 static void
-log_end (const DpNodeRequest *request, int status, DpReason reason)
+log_end (const DpNodeRequest *request, int status, DpReason reason, const char *closed_by)
 {
   DpNode *node = request->node;
   DpUsec now = dp_node_now ();
   char status_text[8], total[16], first[16], attempt_count[8], config_age[16], targets_age[16];
-  char version[24], charged[24];
+  char version[24], charged[24], left[16], silence[16];
+  gboolean is_caller_deadline
+    = request->caller.timeout > 0 && request->caller.timeout < request->route->timeout;
   g_snprintf (charged, sizeof charged, "%.0f",
               request->quota.charged != 0 ? request->quota.cost : 0);
   g_snprintf (status_text, sizeof status_text, "%d", status);
@@ -31,14 +43,19 @@
   g_snprintf (version, sizeof version, "%" G_GUINT64_FORMAT, request->manifest->revision);
   format_ms (total, now - request->arrived);
   format_ms (first, request->first_byte_after);
+  format_ms (left, request->deadline - now);
+  format_ms (silence, target_silence (request, now));
   format_ms (config_age, now - node->manifest_confirmed_at);
   format_ms (targets_age, now - dp_directory_last_contact_at (node->directory));
   dp_log (DP_LOG_INFO, "request_end", "request", request->id, "route", request->route->text,
           "workspace", request->workspace != NULL ? request->workspace->text : NULL, "status",
           status_text, "reason", dp_reason_name (reason), "may_have_run",
           request->may_have_run ? "yes" : "no", "sendings", attempt_count, "target",
-          request->target_text, "first_ms", first, "total_ms", total, "charged", charged,
-          "config", version, "config_age_ms", config_age, "targets_age_ms", targets_age, NULL);
+          request->target_text, "first_ms", first, "total_ms", total, "left_ms", left,
+          "deadline_of", is_caller_deadline ? "caller" : "route", "begun",
+          request->head_sent ? "yes" : "no", "silent_ms", silence, "closed_by", closed_by,
+          "charged", charged, "config", version, "config_age_ms", config_age, "targets_age_ms",
+          targets_age, NULL);
 }
 
 static void
@@ -184,7 +201,7 @@
   if (status == 503 && retry_after == 0)
     retry_after = RETRY_AFTER_DEFAULT;
   count_refusal (request->node, reason);
-  log_end (request, status, reason);
+  log_end (request, status, reason, request->head_sent ? "vm" : NULL);
   DpHttpExchange *exchange = request->exchange;
   if (exchange != NULL)
     {
@@ -205,7 +222,7 @@
 void
 dp_request_complete (DpNodeRequest *request, DpReason reason)
 {
-  log_end (request, request->answer.status, reason);
+  log_end (request, request->answer.status, reason, NULL);
   if (request->answer.status < 500)
     dp_node_quarantine_record_response (request);
   DpUsec total = dp_node_now () - request->arrived;
@@ -229,9 +246,11 @@
 on_caller_gone (gpointer user)
 {
   DpNodeRequest *request = user;
+  const char *closed_by
+    = dp_http_exchange_is_disconnecting (request->exchange) ? "vm" : "caller";
   request->exchange = NULL;
   dp_counters_add (request->node->counters, "dogwoodplank_callers_gone_total", NULL, NULL, 1);
-  log_end (request, dp_reason_status (DP_REASON_CALLER_GONE), DP_REASON_CALLER_GONE);
+  log_end (request, dp_reason_status (DP_REASON_CALLER_GONE), DP_REASON_CALLER_GONE, closed_by);
   dp_attempt_cancel (request);
   dp_placement_cancel_search (request);
   dp_placement_release (request, DP_REASON_CALLER_GONE);
