--- a/net/http_server.h
+++ b/net/http_server.h
@@ -49,6 +49,8 @@
 
 /* Closes the listener. Existing connections stay open and close after their next response. */
 void dp_http_server_stop_accepting (DpHttpServer *server);
+/* TRUE if connections wait to be accepted. */
+gboolean dp_http_server_has_unaccepted (const DpHttpServer *server);
 
 /* Adds "Connection: close" to all responses; new connections are still accepted. */
 void dp_http_server_close_after_responses (DpHttpServer *server);
@@ -122,3 +124,5 @@
 /* Closes the connection on the next loop iteration and then calls the close callback, unless
  * the exchange has ended by then. Data written until then is discarded. */
 void dp_http_exchange_disconnect (DpHttpExchange *exchange);
+/* TRUE after dp_http_exchange_disconnect(), also by the server if the caller doesn't read. */
+gboolean dp_http_exchange_is_disconnecting (const DpHttpExchange *exchange);
--- a/node/caller_listener.c
+++ b/node/caller_listener.c
@@ -23,6 +23,8 @@
 /* The balancer polls /ready once a second and removes a VM after two failures. New callers
  * still arrive for this long after a stop was requested. */
 #define BALANCER_DELAY (2600 * DP_USEC_PER_MSEC)
+/* For connections that wait to be accepted when the listener is to be closed. */
+#define ACCEPT_TIME (200 * DP_USEC_PER_MSEC)
 /* Ends of the stages of a stop, before the process is killed: requests that no target has are
  * refused, all others end, and the process exits once their responses were sent, or anyway. */
 #define REFUSE_RESERVE (1000 * DP_USEC_PER_MSEC)
@@ -326,19 +328,6 @@
   dp_peers_announce_leaving (node);
 }
 
-/* Requests accepted this late could not be answered in time; another VM should take them.
- * Callers retry immediately when a connection closes before their request was read. */
-static void
-close_listener (DpNode *node)
-{
-  if (node->is_listener_closed)
-    return;
-  node->is_listener_closed = TRUE;
-  dp_http_server_stop_accepting (node->callers);
-  dp_http_server_close_idle (node->callers);
-  dp_tunnels_stop_accepting (node->tunnels);
-}
-
 static gboolean
 has_open_requests (const DpNode *node)
 {
@@ -355,6 +344,22 @@
   node->was_paused = was_paused;
 }
 
+/* Requests accepted this late could not be answered in time; another VM should take them.
+ * Callers retry immediately when a connection closes before their request was read. Connections
+ * that wait to be accepted would be reset, so they are accepted first. */
+static void
+close_listener (DpNode *node, DpUsec now)
+{
+  DpUsec due_at = MAX (node->stop_requested_at + BALANCER_DELAY, node->resumed_at);
+  if (node->is_listener_closed
+      || (now - due_at < ACCEPT_TIME && dp_http_server_has_unaccepted (node->callers)))
+    return;
+  node->is_listener_closed = TRUE;
+  dp_http_server_stop_accepting (node->callers);
+  dp_http_server_close_idle (node->callers);
+  dp_tunnels_stop_accepting (node->tunnels);
+}
+
 /* Refuses and ends what is left as the time for the stop runs out. Returns TRUE once there is
  * nothing left. */
 static gboolean
@@ -381,7 +386,7 @@
     return FALSE;
   record_pause (node, now, was_paused);
   if (now - node->stop_requested_at >= BALANCER_DELAY)
-    close_listener (node);
+    close_listener (node, now);
   if (!end_requests (node, now))
     return FALSE;
   dp_registration_delete_own (node->registration);
