common: measure time by a clock that counts a suspend

Callers' requests were sent to engines after their deadline: a VM whose machine was suspended for seconds took everything it knew for as fresh as before, the time left of requests as well as ages, leases and time-outs.

Cause: all of them were measured by g_get_monotonic_time(), and CLOCK_MONOTONIC stands still while the machine is suspended. Class: a process that was paused acts on a permission that has run out.

dp_clock_now() reads CLOCK_BOOTTIME and replaces every such call in the programs; check_core.sh keeps it so. Timers of the event loop still don't count a suspend; what they start checks times itself.

Test: node_suspend runs nodes under a clock_gettime() of the test, by which CLOCK_MONOTONIC stands still for 3 s. No machine was suspended for real.

--- a/agent/orders.c
+++ b/agent/orders.c
@@ -1,6 +1,7 @@
 #include "agent/orders.h"
 
 #include "agent/orders_text.h"
+#include "common/clock.h"
 #include "common/log.h"
 #include "net/http_call.h"
 
@@ -39,12 +40,6 @@
 
 static void handle_event (DpOrdersShell *shell, DpOrdersEvent *event);
 
-static DpUsec
-clock_now (void)
-{
-  return g_get_monotonic_time ();
-}
-
 /* --- lease --- */
 
 static DpStoreResult
@@ -265,7 +260,7 @@
 static void
 handle_event (DpOrdersShell *shell, DpOrdersEvent *event)
 {
-  event->now = clock_now ();
+  event->now = dp_clock_now ();
   GArray *actions = g_array_new (FALSE, TRUE, sizeof (DpOrdersAction));
   dp_orders_handle (shell->core, event, actions);
   for (guint i = 0; i < actions->len; i++)
--- a/common/log.c
+++ b/common/log.c
@@ -1,5 +1,7 @@
 #include "common/log.h"
 
+#include "common/clock.h"
+
 #include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -81,7 +83,7 @@
 {
   if (level < DP_LOG_INFO || log_options.lines_per_second == 0)
     return TRUE;
-  gint64 now = g_get_monotonic_time ();
+  gint64 now = dp_clock_now ();
   double elapsed_seconds = (double)(now - log_rate_updated_at) / G_USEC_PER_SEC;
   log_rate_updated_at = now;
   log_rate_tokens = MIN (log_rate_tokens + elapsed_seconds * log_options.lines_per_second,
--- a/net/bus.c
+++ b/net/bus.c
@@ -1,5 +1,6 @@
 #include "net/bus.h"
 
+#include "common/clock.h"
 #include "net/codec.h"
 
 #include <errno.h>
@@ -373,17 +374,11 @@
 
 /* --- maintenance --- */
 
-static DpUsec
-monotonic_now (void)
-{
-  return g_get_monotonic_time ();
-}
-
 static void
 on_maintenance_timer (evutil_socket_t fd, short what, void *user)
 {
   DpBus *bus = user;
-  DpUsec now = monotonic_now ();
+  DpUsec now = dp_clock_now ();
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, bus->links);
@@ -545,7 +540,7 @@
       return;
     }
   GByteArray *frame = dp_codec_encode (bus->self, message);
-  link->last_sent_at = monotonic_now ();
+  link->last_sent_at = dp_clock_now ();
   if (g_queue_get_length (&link->pending) >= PENDING_MESSAGES_MAX
       || link->pending_bytes + frame->len > PENDING_BYTES_MAX)
     {
--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -1,5 +1,7 @@
 #include "net/http_connections.h"
 
+#include "common/clock.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <string.h>
@@ -90,7 +92,7 @@
   connection->state = state;
   connection->timeout = state == CONNECTION_RECEIVING ? connections->options.request_timeout
                                                       : connections->options.idle_timeout;
-  connection->since = g_get_monotonic_time ();
+  connection->since = dp_clock_now ();
 }
 
 /* Bytes were read from the connection. */
@@ -175,7 +177,7 @@
 on_sweep (evutil_socket_t fd, short what, void *user)
 {
   DpHttpConnections *connections = user;
-  DpUsec now = g_get_monotonic_time ();
+  DpUsec now = dp_clock_now ();
   GHashTableIter iter;
   gpointer value;
   register_accepted (connections);
--- a/net/process.c
+++ b/net/process.c
@@ -1,5 +1,6 @@
 #include "net/process.h"
 
+#include "common/clock.h"
 #include "common/log.h"
 #include "net/bus.h"
 #include "net/http_server.h"
@@ -48,7 +49,7 @@
 DpUsec
 dp_process_now (void)
 {
-  return g_get_monotonic_time ();
+  return dp_clock_now ();
 }
 
 DpUsec
--- a/net/process.h
+++ b/net/process.h
@@ -146,6 +146,6 @@
 /* Cryptographically secure; for seeds. */
 guint64 dp_process_random (void);
 
-/* Monotonic and wall clock. */
+/* common/clock.h, and the wall clock. */
 DpUsec dp_process_now (void);
 DpUsec dp_process_wall_time (void);
--- a/net/tunnel_server.c
+++ b/net/tunnel_server.c
@@ -1,5 +1,6 @@
 #include "net/tunnel_server.h"
 
+#include "common/clock.h"
 #include "net/socket_options.h"
 
 #include <errno.h>
@@ -133,7 +134,7 @@
                                   .end = end,
                                   .bytes_to_target = tunnel->bytes_to_target,
                                   .bytes_to_client = tunnel->bytes_to_client,
-                                  .age = g_get_monotonic_time () - tunnel->accepted_at };
+                                  .age = dp_clock_now () - tunnel->accepted_at };
   DpCounters *counters = server->options.counters;
   dp_counters_add (counters, "dogwoodplank_tunnels_ended_total", "end",
                    dp_tunnel_end_name (end), 1);
@@ -263,7 +264,7 @@
 static gsize
 forward (Tunnel *tunnel, struct bufferevent *from, struct bufferevent *to)
 {
-  tunnel->progress_at = g_get_monotonic_time ();
+  tunnel->progress_at = dp_clock_now ();
   gsize length = move_bytes (bufferevent_get_input (from), bufferevent_get_output (to));
   if (unsent_bytes (to) >= tunnel->server->options.buffer_max)
     bufferevent_disable (from, EV_READ);
@@ -275,7 +276,7 @@
 {
   Tunnel *tunnel = user;
   if (info->n_deleted > 0)
-    tunnel->progress_at = g_get_monotonic_time ();
+    tunnel->progress_at = dp_clock_now ();
 }
 
 /* The write callback runs once less than half of the buffer is in use. */
@@ -580,7 +581,7 @@
   dp_socket_enable_keepalive (fd);
   Tunnel *tunnel = g_new0 (Tunnel, 1);
   tunnel->server = server;
-  tunnel->accepted_at = g_get_monotonic_time ();
+  tunnel->accepted_at = dp_clock_now ();
   tunnel->progress_at = tunnel->accepted_at;
   tunnel->timer = evtimer_new (server->options.base, on_timer, tunnel);
   tunnel->client = bufferevent_socket_new (server->options.base, fd, BEV_OPT_CLOSE_ON_FREE);
@@ -628,7 +629,7 @@
   DpTunnelServer *server = user;
   if (server->listener != NULL)
     evconnlistener_enable (server->listener);
-  DpUsec now = g_get_monotonic_time ();
+  DpUsec now = dp_clock_now ();
   GList *tunnels = g_hash_table_get_keys (server->tunnels);
   for (GList *at = tunnels; at != NULL; at = at->next)
     check_tunnel (at->data, now);
--- a/node/node.h
+++ b/node/node.h
@@ -248,7 +248,7 @@
   char *last_event_id; /* id of the last event written to the caller */
 };
 
-/* Microseconds of the monotonic clock. */
+/* See common/clock.h. */
 static inline DpUsec
 dp_node_now (void)
 {
--- a/scripts/check_core.sh
+++ b/scripts/check_core.sh
@@ -10,4 +10,8 @@
   echo "core/ reads a clock or draws randomness"
   exit 1
 fi
+if grep -rnE '\bg_get_monotonic_time *\(' agent common core ctl entry manifest net node platform scheduler --include=*.[ch]; then
+  echo "the programs read the time from common/clock.h, which counts a suspend"
+  exit 1
+fi
 echo "core is free of I/O, clock and randomness"
--- a/tests/node_cluster.c
+++ b/tests/node_cluster.c
@@ -99,6 +99,7 @@
   char *seeds = g_strdup_printf ("%s:1,%s:1", cluster->address[0], cluster->address[1]);
   const NodeKitVm settings
     = { .build = cluster->build,
+        .program = cluster->node_program,
         .folder = cluster->folder,
         .log = cluster->log,
         .name = name,
--- a/tests/node_cluster.h
+++ b/tests/node_cluster.h
@@ -12,8 +12,9 @@
 
 typedef struct Cluster
 {
-  const char *build;    /* build directory */
-  gboolean was_started; /* nodes are not told of a first start of the whole system */
+  const char *build;        /* build directory */
+  const char *node_program; /* in the build directory; NULL: the node's */
+  gboolean was_started;     /* nodes are not told of a first start of the whole system */
   char *folder;
   char *log;
   char address[VMS][16];
--- a/tests/node_kit.c
+++ b/tests/node_kit.c
@@ -113,7 +113,8 @@
     vm->store.port, vm->seeds, vm->first_start ? "true" : "false");
   char *path = g_strdup_printf ("%s/%s.json", vm->folder, vm->name);
   ck_assert (g_file_set_contents (path, text, -1, NULL));
-  char *program = g_strconcat (vm->build, "/node/dogwoodplank-node", NULL);
+  char *program = g_strconcat (
+    vm->build, vm->program != NULL ? vm->program : "/node/dogwoodplank-node", NULL);
   const char *const argv[] = { program, "--settings", path, NULL };
   Process *process = process_start (&(ProcessOptions){ .argv = argv, .log_path = vm->log });
   g_free (program);
--- a/tests/node_kit.h
+++ b/tests/node_kit.h
@@ -28,8 +28,9 @@
 
 typedef struct NodeKitVm
 {
-  const char *build;  /* build directory */
-  const char *folder; /* for the settings file */
+  const char *build;   /* build directory */
+  const char *program; /* in the build directory; NULL: the node's */
+  const char *folder;  /* for the settings file */
   const char *log;
   const char *name;
   const char *address;
