--- a/node/node.h
+++ b/node/node.h
@@ -284,7 +284,7 @@
   return !dp_id_is_none (request->search.attempt);
 }
 
-/* Microseconds of the monotonic clock. */
+/* See common/clock.h. */
 static inline DpUsec
 dp_node_now (void)
 {
