--- a/scripts/upgrade.sh
+++ b/scripts/upgrade.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Two builds side by side: starts a system of an earlier COMMIT of the history on loopback,
 # replaces its VMs one by one with the tree at hand under the faults and checks of the soak, and
-# takes them back. Without COMMIT: the last landing, seed 1; where the history is missing, that
+# takes them back; then lets brittle targets be used by VMs of both. Without COMMIT: the last landing, seed 1; where the history is missing, that
 # is said, and nothing runs. Builds of earlier commits are kept in build-older/.
 #
 # Usage: scripts/upgrade.sh [COMMIT [SEED...]]
@@ -44,12 +44,17 @@
 
 build=build-test
 [ -d "$build" ] || meson setup "$build" -Db_sanitize=address,undefined -Db_lundef=false --werror >/dev/null
-ninja -C "$build" --quiet node/dogwoodplank-node standins/standin-store standins/standin-target soak/dogwoodplank-soak
+ninja -C "$build" --quiet node/dogwoodplank-node standins/standin-store standins/standin-target \
+  soak/dogwoodplank-soak tests/test_node_brittle
 
 half=()
 [ -z "${HALF:-}" ] || half=(--half)
 echo "upgrade: from $commit, seeds: ${seeds[*]}${HALF:+, every second VM stays}"
 export ASAN_OPTIONS=detect_leaks=1:abort_on_error=1
 export UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1
+status=0
 printf '%s\n' "${seeds[@]}" | xargs -P "${JOBS:-2}" -I SEED \
-  "$build/soak/dogwoodplank-soak" "$build" --older "$older" ${half[@]+"${half[@]}"} SEED
+  "$build/soak/dogwoodplank-soak" "$build" --older "$older" ${half[@]+"${half[@]}"} SEED || status=1
+# Brittle targets with one VM of each build, whichever owns the pool.
+CK_DEFAULT_TIMEOUT=0 CK_MAX_MSG_SIZE=262144 "$build/tests/test_node_brittle" "$build" "$older" || status=1
+exit $status
--- a/tests/node_cluster.c
+++ b/tests/node_cluster.c
@@ -96,16 +96,17 @@
 {
   char name[8];
   g_snprintf (name, sizeof name, "vm%u", vm);
+  gboolean is_older = cluster->older_build != NULL && vm == cluster->older_vm;
   char *seeds = g_strdup_printf ("%s:1,%s:1", cluster->address[0], cluster->address[1]);
   const NodeKitVm settings
-    = { .build = cluster->build,
+    = { .build = is_older ? cluster->older_build : cluster->build,
         .folder = cluster->folder,
         .log = cluster->log,
         .name = name,
         .address = cluster->address[vm],
         .data_centre = "a",
         .bus_port = cluster->bus_port,
-        .tunnel_port = cluster->tunnel_port,
+        .tunnel_port = is_older ? 0 : cluster->tunnel_port,
         .operator_port = cluster->operator_port,
         .caller_port = cluster->caller_port[vm],
         .ready_port = cluster->ready_port[vm],
--- a/tests/test_node_brittle.c
+++ b/tests/test_node_brittle.c
@@ -22,6 +22,7 @@
 #define USED_MIN_KILLED 0.25
 
 static const char *build;
+static const char *older_build; /* of one of the VMs; NULL: none */
 
 typedef struct BrittleCase
 {
@@ -30,11 +31,12 @@
   const char *path;
   guint rejections_max;
   gboolean kills_vms; /* one after the other, so that the owner is among them */
+  gboolean is_mixed;  /* played with an older build, too: its requests go through the owner */
 } BrittleCase;
 
 static const BrittleCase cases[] = {
-  { "pool with an owner", "app", "/look/1", 3 },
-  { "pool with an owner, none may be rejected", "app", "/look/1", 0 },
+  { "pool with an owner", "app", "/look/1", 3, .is_mixed = TRUE },
+  { "pool with an owner, none may be rejected", "app", "/look/1", 0, .is_mixed = TRUE },
   { "pool without an owner", "desk", "/desk/1", 3 },
   { "pool without an owner, none may be rejected", "desk", "/desk/1", 0 },
   { "pool with an owner, VMs are killed", "app", "/look/1", 3, TRUE },
@@ -62,9 +64,11 @@
 }
 
 static Cluster *
-start_cluster (const BrittleCase *row)
+start_cluster (const BrittleCase *row, guint older_vm)
 {
   Cluster *cluster = cluster_new (build);
+  cluster->older_build = older_build;
+  cluster->older_vm = older_vm;
   put_config (cluster, 1,
               ",{\"name\":\"desk\",\"host\":\"site.example\",\"path_prefix\":\"/desk/\","
               "\"kind\":\"safe\",\"timeout_ms\":1500,\"service\":\"desk\"}");
@@ -101,10 +105,12 @@
     }
 }
 
-START_TEST (brittle_targets_seldom_fall)
+static void
+play (const BrittleCase *row, guint older_vm)
 {
-  const BrittleCase *row = &cases[_i];
-  Cluster *cluster = start_cluster (row);
+  Cluster *cluster = start_cluster (row, older_vm);
+  if (older_build != NULL)
+    g_usleep ((gulong)CONTACT_MS * 1000);
   char *faults = g_strdup_printf ("{\"brittle\":\"%u\",\"slots\":%d,\"queue\":1000,"
                                   "\"wait_ms\":%d,\"down_ms\":1000}",
                                   row->rejections_max, SLOTS, WORK_MS);
@@ -145,6 +151,20 @@
   g_free (faults);
   cluster_free (cluster);
 }
+
+START_TEST (brittle_targets_seldom_fall)
+{
+  play (&cases[_i], 0);
+}
+END_TEST
+
+/* Whichever VM would own the pool among VMs of one build. */
+START_TEST (brittle_targets_seldom_fall_beside_an_older_build)
+{
+  const BrittleCase *row = &cases[_i / VMS];
+  if (row->is_mixed)
+    play (row, (guint)_i % VMS);
+}
 END_TEST
 
 int
@@ -152,13 +172,18 @@
 {
   if (argc < 2)
     {
-      fprintf (stderr, "usage: test_node_brittle BUILD_FOLDER\n");
+      fprintf (stderr, "usage: test_node_brittle BUILD_FOLDER [OLDER_BUILD_FOLDER]\n");
       return EXIT_FAILURE;
     }
   build = argv[1];
+  older_build = argc > 2 ? argv[2] : NULL;
   Suite *suite = suite_create ("node_brittle");
   TCase *tests = tcase_create ("node_brittle");
-  tcase_add_loop_test (tests, brittle_targets_seldom_fall, 0, G_N_ELEMENTS (cases));
+  if (older_build == NULL)
+    tcase_add_loop_test (tests, brittle_targets_seldom_fall, 0, G_N_ELEMENTS (cases));
+  else
+    tcase_add_loop_test (tests, brittle_targets_seldom_fall_beside_an_older_build, 0,
+                         G_N_ELEMENTS (cases) * VMS);
   suite_add_tcase (suite, tests);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
