--- a/tests/node_cluster.c
+++ b/tests/node_cluster.c
@@ -96,9 +96,10 @@
 {
   char name[8];
   g_snprintf (name, sizeof name, "vm%u", vm);
+  gboolean is_older = cluster->older_build != NULL && vm == cluster->older_vm;
   char *seeds = g_strdup_printf ("%s:1,%s:1", cluster->address[0], cluster->address[1]);
   const NodeKitVm settings
-    = { .build = cluster->build,
+    = { .build = is_older ? cluster->older_build : cluster->build,
         .program = cluster->node_program,
         .folder = cluster->folder,
         .log = cluster->log,
@@ -107,7 +108,7 @@
         .data_centre = "a",
         .bus_port
         = cluster->vm_bus_port[vm] != 0 ? cluster->vm_bus_port[vm] : cluster->bus_port,
-        .tunnel_port = cluster->tunnel_port,
+        .tunnel_port = is_older ? 0 : cluster->tunnel_port,
         .operator_port = cluster->operator_port,
         .caller_port = cluster->caller_port[vm],
         .ready_port = cluster->ready_port[vm],
