core/owners: stopping VMs don't take up the places of candidates

What callers would see: when all first candidates of a pool stop at once (4 of a small fleet, 8 of a large one), every other VM that has not heard of those further down takes itself for the owner for the rest of the stop, up to 7 s: targets are assigned by several owners that don't know of each other's use.

Cause: since a stopping VM stays listed until it ends. dp_owners_choose() passed it over but counted its place, so that the successor was beyond the candidates that count as responsive unseen; and dp_owners_due_probes() counted it as a responsive candidate, so that the successor wasn't probed either.

Change: both count only VMs that don't leave. These are still probed, to hear when they are back.

vms_agree_on_the_owner_while_all_first_candidates_stop failed before (VM 1 chose itself, not 8).

--- a/core/owners.c
+++ b/core/owners.c
@@ -212,8 +212,8 @@
   return now - owners->started_at >= RESTART_PROBATION && (self == NULL || !self->is_leaving);
 }
 
-/* The first candidates count as responsive until they time out; VMs further down only once a
- * message from them was received. */
+/* The first candidates that don't leave count as responsive until they time out; VMs further
+ * down only once a message from them was received. */
 DpName
 dp_owners_choose (DpOwners *owners, DpName key, DpUsec now)
 {
@@ -221,20 +221,22 @@
   gboolean is_large = names->len > DP_RELAY_SHARED_FLEET_MAX;
   guint candidates = is_large ? DP_OWNER_CANDIDATES_LARGE : DP_OWNER_CANDIDATES;
   DpName first_on_probation = 0;
+  guint staying = 0;
   for (guint i = 0; i < names->len; i++)
     {
       DpName vm = g_array_index (names, DpName, i);
+      const Peer *peer = find_peer (owners, vm);
+      if (peer != NULL && peer->is_leaving)
+        continue;
+      staying++;
       if (vm == owners->self && may_own (owners, now))
         break;
-      if (vm == owners->self)
+      if (vm == owners->self || (peer != NULL && peer->is_unresponsive))
         continue;
-      const Peer *peer = find_peer (owners, vm);
       gboolean was_seen = peer != NULL && peer->last_seen_at != 0;
-      if (peer != NULL && (peer->is_leaving || peer->is_unresponsive))
-        continue;
       if (peer != NULL && is_on_probation (peer, now))
         first_on_probation = first_on_probation != 0 ? first_on_probation : vm;
-      else if (was_seen || i < candidates)
+      else if (was_seen || staying <= candidates)
         return vm;
     }
   /* If all others timed out, most likely this VM was cut off. */
@@ -346,7 +348,7 @@
           peer->probed_at = now;
           g_array_append_val (out, vm);
         }
-      if (!peer->is_unresponsive)
+      if (!peer->is_unresponsive && !peer->is_leaving)
         responsive++;
     }
 }
--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -1147,6 +1147,45 @@
 }
 END_TEST
 
+/* Collects the first VMs of the key's ranking, as a VM that is not listed sees them. */
+static void
+rank_first (DpName *ranked, guint count)
+{
+  DpOwners *owners = make_owners (OWNER_VMS + 1, OWNER_VMS);
+  for (guint i = 0; i < count; i++)
+    {
+      ranked[i] = dp_owners_choose (owners, OWNER_KEY, START);
+      dp_owners_set_leaving (owners, ranked[i], TRUE, START);
+      for (DpName vm = 1; vm <= OWNER_VMS; vm++)
+        dp_owners_on_message (owners, vm, START);
+    }
+  dp_owners_free (owners);
+}
+
+/* No VM has heard of those further down the ranking before. */
+START_TEST (vms_agree_on_the_owner_while_all_first_candidates_stop)
+{
+  DpName ranked[DP_OWNER_CANDIDATES + 1];
+  rank_first (ranked, G_N_ELEMENTS (ranked));
+  DpName next = ranked[DP_OWNER_CANDIDATES];
+  for (DpName self = 1; self <= OWNER_VMS; self++)
+    {
+      DpOwners *owners = make_owners (self, OWNER_VMS);
+      for (guint i = 0; i < DP_OWNER_CANDIDATES; i++)
+        dp_owners_set_leaving (owners, ranked[i], TRUE, START);
+      ck_assert_uint_eq (dp_owners_choose (owners, OWNER_KEY, START), next);
+      GArray *due = g_array_new (FALSE, FALSE, sizeof (DpName));
+      dp_owners_due_probes (owners, OWNER_KEY, 1, START, due);
+      gboolean is_probed = self == next;
+      for (guint i = 0; i < due->len; i++)
+        is_probed = is_probed || g_array_index (due, DpName, i) == next;
+      ck_assert (is_probed);
+      g_array_unref (due);
+      dp_owners_free (owners);
+    }
+}
+END_TEST
+
 START_TEST (a_vm_without_peers_owns_all_keys)
 {
   DpOwners *owners = make_owners (1, OWNER_VMS);
@@ -1213,6 +1252,7 @@
                        G_N_ELEMENTS (relay_cases));
   tcase_add_test (tests, a_vm_that_has_just_started_owns_nothing);
   tcase_add_test (tests, a_stopping_vm_owns_nothing_while_another_responds);
+  tcase_add_test (tests, vms_agree_on_the_owner_while_all_first_candidates_stop);
   tcase_add_test (tests, a_vm_accepts_the_owner_again_once_reconnected);
   tcase_add_loop_test (tests, requests_that_crash_targets_are_quarantined, 0,
                        G_N_ELEMENTS (quarantine_cases));
