node/stream_versions: tell VMs that stay which version began a stream

What callers would see: a caller that takes up its stream is refused (version_unknown) while two versions serve, if both VMs that were told of it have ended meanwhile: in a restart of the VMs one after another, streams that begin while one of the two stops depend on the other alone.

Found by reading; not seen in a run.

Change: of the three VMs that a take-up asks, the two that are told are the first that neither leave nor are unresponsive, if there are two. Whom a take-up asks is unchanged, so VMs that disagree on who leaves still find the version.

available_vms_are_told_of_a_stream_first tests the order, and fails without it (mutation leaving_vm_told_of_streams). That the order is used isn't shown by processes: clusters of tests have two VMs.

--- a/core/owners.c
+++ b/core/owners.c
@@ -312,6 +312,21 @@
   return peer == NULL || (!peer->is_unresponsive && !peer->is_leaving);
 }
 
+void
+dp_owners_prefer_available (const DpOwners *owners, DpName *vms, guint count)
+{
+  guint available = 0;
+  for (guint i = 0; i < count; i++)
+    {
+      DpName vm = vms[i];
+      if (!dp_owners_is_available (owners, vm))
+        continue;
+      for (guint j = i; j > available; j--)
+        vms[j] = vms[j - 1];
+      vms[available++] = vm;
+    }
+}
+
 DpUsec
 dp_owners_last_seen_at (const DpOwners *owners, DpName vm)
 {
--- a/core/owners.h
+++ b/core/owners.h
@@ -53,6 +53,8 @@
 gboolean dp_owners_is_unresponsive (const DpOwners *owners, DpName vm);
 /* FALSE if the VM is unresponsive or leaving, as far as is known here. */
 gboolean dp_owners_is_available (const DpOwners *owners, DpName vm);
+/* Moves the VMs that leave or are unresponsive to the end; the order is kept otherwise. */
+void dp_owners_prefer_available (const DpOwners *owners, DpName *vms, guint count);
 /* Time of the last message from the VM; 0: none. */
 DpUsec dp_owners_last_seen_at (const DpOwners *owners, DpName vm);
 
--- a/node/stream_versions.c
+++ b/node/stream_versions.c
@@ -78,6 +78,7 @@
   message.stream_version = (DpStreamVersion){ .stream = stream, .version = request->version };
   DpName vms[DP_RANKED_VMS];
   guint count = dp_peers_rank (node, stream, vms);
+  dp_owners_prefer_available (node->owners, vms, count);
   guint told = 0;
   for (guint i = 0; i < count && told < WITNESSES_MAX; i++)
     {
--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -1186,6 +1186,43 @@
 }
 END_TEST
 
+typedef struct AvailableCase
+{
+  const char *name;
+  DpName vms[4];
+  guint count;
+  DpName leaving[2];
+  DpName unresponsive;
+  DpName expected[4];
+} AvailableCase;
+
+static const AvailableCase available_cases[] = {
+  { "none", { 0 }, 0, { 2 }, 0, { 0 } },
+  { "all available", { 3, 2, 4 }, 3, { 0 }, 0, { 3, 2, 4 } },
+  { "the first leaves", { 3, 2, 4 }, 3, { 3 }, 0, { 2, 4, 3 } },
+  { "the second leaves", { 3, 2, 4 }, 3, { 2 }, 0, { 3, 4, 2 } },
+  { "the last leaves", { 3, 2, 4 }, 3, { 4 }, 0, { 3, 2, 4 } },
+  { "the first two leave", { 3, 2, 4, 5 }, 4, { 3, 2 }, 0, { 4, 5, 3, 2 } },
+  { "one leaves, one is unresponsive", { 3, 2, 4, 5 }, 4, { 2 }, 4, { 3, 5, 2, 4 } },
+};
+
+START_TEST (available_vms_are_told_of_a_stream_first)
+{
+  const AvailableCase *row = &available_cases[_i];
+  DpOwners *owners = make_owners (1, OWNER_VMS);
+  for (guint i = 0; i < G_N_ELEMENTS (row->leaving); i++)
+    if (row->leaving[i] != 0)
+      dp_owners_set_leaving (owners, row->leaving[i], TRUE, START);
+  if (row->unresponsive != 0)
+    dp_owners_on_timeout (owners, row->unresponsive, START);
+  DpName vms[G_N_ELEMENTS (row->vms)];
+  memcpy (vms, row->vms, sizeof vms);
+  dp_owners_prefer_available (owners, vms, row->count);
+  ck_assert_msg (memcmp (vms, row->expected, sizeof vms) == 0, "%s", row->name);
+  dp_owners_free (owners);
+}
+END_TEST
+
 START_TEST (a_vm_without_peers_owns_all_keys)
 {
   DpOwners *owners = make_owners (1, OWNER_VMS);
@@ -1253,6 +1290,8 @@
   tcase_add_test (tests, a_vm_that_has_just_started_owns_nothing);
   tcase_add_test (tests, a_stopping_vm_owns_nothing_while_another_responds);
   tcase_add_test (tests, vms_agree_on_the_owner_while_all_first_candidates_stop);
+  tcase_add_loop_test (tests, available_vms_are_told_of_a_stream_first, 0,
+                       G_N_ELEMENTS (available_cases));
   tcase_add_test (tests, a_vm_accepts_the_owner_again_once_reconnected);
   tcase_add_loop_test (tests, requests_that_crash_targets_are_quarantined, 0,
                        G_N_ELEMENTS (quarantine_cases));
