--- a/tests/test_node_stop.c
+++ b/tests/test_node_stop.c
@@ -316,6 +316,33 @@
 }
 END_TEST
 
+/* No VM is left to own anything, and no entry can be deleted. */
+START_TEST (all_vms_stop_while_the_store_is_away)
+{
+  Cluster *cluster = cluster_start (build);
+  wait_for_metric (cluster, "dogwoodplank_vms", VMS);
+  process_signal (cluster->store_process, SIGSTOP);
+  gint64 start = g_get_monotonic_time ();
+  for (guint vm = 0; vm < VMS; vm++)
+    process_signal (cluster->node[vm], SIGTERM);
+  for (guint i = 0; i < STOPPING_REQUESTS; i++)
+    {
+      char path[24];
+      g_snprintf (path, sizeof path, "/look/%u", i);
+      ck_assert_int_eq (get_status (cluster, i % VMS, path), 200);
+    }
+  for (guint vm = 0; vm < VMS; vm++)
+    {
+      int status;
+      ck_assert (process_wait (cluster->node[vm], STOPPED_WAIT, &status));
+      ck_assert_msg (WIFEXITED (status) && WEXITSTATUS (status) == 0, "vm%u: %d", vm, status);
+    }
+  ck_assert_int_lt (g_get_monotonic_time () - start, 8 * DP_USEC_PER_SEC);
+  process_signal (cluster->store_process, SIGCONT);
+  cluster_free (cluster);
+}
+END_TEST
+
 /* --- requests that are complete just before the process ends --- */
 
 typedef struct LateCase
@@ -396,6 +423,9 @@
   tcase_add_loop_test (tcase, no_request_is_lost_around_a_stop, 0, G_N_ELEMENTS (stop_cases));
   tcase_add_loop_test (tcase, a_stopping_vm_still_gets_grants_from_the_owner, 0, VMS);
   suite_add_tcase (suite, tcase);
+  TCase *all = tcase_create ("all");
+  tcase_add_test (all, all_vms_stop_while_the_store_is_away);
+  suite_add_tcase (suite, all);
   TCase *late = tcase_create ("late");
   tcase_add_loop_test (late, requests_complete_before_the_end_of_a_stop_get_a_response, 0,
                        G_N_ELEMENTS (late_cases));
