node: the config's limit of the time for a request's head

header_timeout_ms of the config, one of the four limits of callers, was not read: a caller that sent its head byte by byte held a connection for 20 s. It is decoded, logged (head_ms of caller_limits) and bounds the time from a request's first byte to the empty line after its head, times 1.3 as for idle connections; the rest of the request keeps the bound of a whole request. Bytes that wait to be read (after a pause) keep it open.

--- a/manifest/manifest.h
+++ b/manifest/manifest.h
@@ -153,6 +153,7 @@
 {
   guint head_bytes;
   guint body_bytes;
+  DpUsec head_timeout; /* to send the head of a request */
   DpUsec idle_timeout; /* of keep-alive connections */
 } DpCallerLimits;
 
--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -6,11 +6,13 @@
 #include <sys/socket.h>
 
 #define SWEEP_INTERVAL_SECONDS 1
+#define SCAN_BYTES 512
 
 typedef enum ConnectionState
 {
   CONNECTION_IDLE,
-  CONNECTION_RECEIVING,  /* a part of a request has arrived */
+  CONNECTION_RECEIVING_HEAD,
+  CONNECTION_RECEIVING,  /* the head of a request has arrived */
   CONNECTION_PROCESSING, /* a request was received in full and has no complete response yet */
 } ConnectionState;
 
@@ -24,7 +26,8 @@
   int fd;
   struct sockaddr_storage peer;
   ConnectionState state;
-  DpUsec since;   /* of the state */
+  gsize line_length; /* of the head's last line, while it is received */
+  DpUsec since;      /* of the state; of a request its first byte */
   DpUsec timeout; /* of the state; of an idle connection the longest in force since it began */
 } Connection;
 
@@ -84,23 +87,82 @@
     evconnlistener_disable (connections->listener);
 }
 
+static DpUsec
+state_timeout (const DpHttpConnections *connections, ConnectionState state)
+{
+  const DpHttpConnectionsOptions *options = &connections->options;
+  switch (state)
+    {
+    case CONNECTION_RECEIVING_HEAD:
+      return options->head_timeout > 0 ? MIN (options->head_timeout, options->request_timeout)
+                                       : options->request_timeout;
+    case CONNECTION_RECEIVING:
+      return options->request_timeout;
+    default:
+      return options->idle_timeout;
+    }
+}
+
 static void
 set_state (const DpHttpConnections *connections, Connection *connection, ConnectionState state)
 {
   connection->state = state;
-  connection->timeout = state == CONNECTION_RECEIVING ? connections->options.request_timeout
-                                                      : connections->options.idle_timeout;
+  connection->line_length = 0;
+  connection->timeout = state_timeout (connections, state);
   connection->since = g_get_monotonic_time ();
 }
 
+/* TRUE if the last `length` bytes of the input end the request's head: by an empty line. */
+static gboolean
+ends_head (Connection *connection, struct evbuffer *input, gsize length)
+{
+  char bytes[SCAN_BYTES];
+  struct evbuffer_ptr at;
+  gsize start = evbuffer_get_length (input) - length;
+  while (length > 0 && evbuffer_ptr_set (input, &at, start, EVBUFFER_PTR_SET) == 0)
+    {
+      ev_ssize_t copied = evbuffer_copyout_from (input, &at, bytes, MIN (length, sizeof bytes));
+      if (copied <= 0)
+        return FALSE;
+      for (ev_ssize_t i = 0; i < copied; i++)
+        {
+          if (bytes[i] == '\n' && connection->line_length == 0)
+            return TRUE;
+          if (bytes[i] == '\n')
+            connection->line_length = 0;
+          else if (bytes[i] != '\r')
+            connection->line_length++;
+        }
+      start += (gsize)copied;
+      length -= (gsize)copied;
+    }
+  return FALSE;
+}
+
+/* The last `length` bytes of the input belong to a request that is not complete. */
+static void
+receive (const DpHttpConnections *connections,
+         Connection *connection,
+         struct evbuffer *input,
+         gsize length)
+{
+  if (connection->state != CONNECTION_RECEIVING_HEAD || !ends_head (connection, input, length))
+    return;
+  connection->state = CONNECTION_RECEIVING;
+  connection->timeout = state_timeout (connections, CONNECTION_RECEIVING);
+}
+
 /* Bytes were read from the connection. */
 static void
 on_input (struct evbuffer *input, const struct evbuffer_cb_info *info, void *user)
 {
   const DpHttpConnections *connections = user;
   Connection *connection = g_hash_table_lookup (connections->by_input, input);
-  if (connection != NULL && info->n_added > 0 && connection->state == CONNECTION_IDLE)
-    set_state (connections, connection, CONNECTION_RECEIVING);
+  if (connection == NULL || info->n_added == 0)
+    return;
+  if (connection->state == CONNECTION_IDLE)
+    set_state (connections, connection, CONNECTION_RECEIVING_HEAD);
+  receive (connections, connection, input, info->n_added);
 }
 
 /* evhttp assigns the socket to the bufferevent after this callback returns. */
@@ -167,7 +229,16 @@
 {
   if (now - connection->since <= connection->timeout)
     return FALSE;
-  return connection->state == CONNECTION_RECEIVING || is_idle (connection);
+  switch (connection->state)
+    {
+    case CONNECTION_RECEIVING_HEAD:
+      /* After a pause of the process, the rest may have arrived in time. */
+      return !has_unread_bytes (connection);
+    case CONNECTION_RECEIVING:
+      return TRUE;
+    default:
+      return is_idle (connection);
+    }
 }
 
 /* Removes closed connections and closes those that exceed their timeout. */
@@ -206,12 +277,16 @@
   Connection *row = g_hash_table_lookup (connections->by_input, input);
   if (row == NULL)
     return;
+  gsize read_ahead = evbuffer_get_length (input);
   if (busy)
     set_state (connections, row, CONNECTION_PROCESSING);
+  else if (read_ahead == 0)
+    set_state (connections, row, CONNECTION_IDLE);
   else
-    /* The next request may have been read already. */
-    set_state (connections, row,
-               evbuffer_get_length (input) > 0 ? CONNECTION_RECEIVING : CONNECTION_IDLE);
+    {
+      set_state (connections, row, CONNECTION_RECEIVING_HEAD);
+      receive (connections, row, input, read_ahead);
+    }
 }
 
 DpHttpConnections *
@@ -283,6 +358,12 @@
     extend_timeout (connections, value);
 }
 
+void
+dp_http_connections_set_head_timeout (DpHttpConnections *connections, DpUsec timeout)
+{
+  connections->options.head_timeout = timeout;
+}
+
 void
 dp_http_connections_close_idle (DpHttpConnections *connections)
 {
--- a/net/http_connections.h
+++ b/net/http_connections.h
@@ -21,6 +21,7 @@
   guint max;              /* open at once; others wait in the listen backlog */
   DpUsec idle_timeout;    /* until the first byte of a request */
   DpUsec read_timeout;    /* between reads of a request */
+  DpUsec head_timeout;    /* from the first byte of a request to the end of its head; 0: none */
   DpUsec request_timeout; /* from the first byte of a request to its end */
   DpCounters *counters;   /* must outlive the object */
 } DpHttpConnectionsOptions;
@@ -43,6 +44,9 @@
  * theirs. */
 void dp_http_connections_set_idle_timeout (DpHttpConnections *connections, DpUsec timeout);
 
+/* Holds for requests that begin from now on. */
+void dp_http_connections_set_head_timeout (DpHttpConnections *connections, DpUsec timeout);
+
 /* Timeout between reads for evhttp, which has a single one for idle connections and for
  * requests. */
 DpUsec dp_http_connections_read_timeout (const DpHttpConnections *connections);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -507,6 +507,8 @@
       evhttp_set_max_body_size (server->http,
                                 (ev_ssize_t)(limits->body_max * EVHTTP_BODY_MAX_FACTOR));
     }
+  if (limits->head_timeout > 0)
+    dp_http_connections_set_head_timeout (server->connections, limits->head_timeout);
   if (limits->idle_timeout <= 0)
     return;
   dp_http_connections_set_idle_timeout (server->connections, limits->idle_timeout);
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -63,6 +63,7 @@
 {
   gsize head_max;
   gsize body_max;
+  DpUsec head_timeout; /* from the first byte of a request to the end of its head */
   DpUsec idle_timeout; /* for connections without a request; if it is shorter than before, not
                           for those that are idle already */
 } DpHttpServerLimits;
--- a/node/caller_listener.c
+++ b/node/caller_listener.c
@@ -9,9 +9,9 @@
 #define HEAD_BYTES_MAX 16384
 #define BODY_BYTES_MAX ((gsize)4 * 1024 * 1024)
 #define IDLE_TIMEOUT (15 * DP_USEC_PER_SEC)
-/* Idle connections are closed later than the configured idle timeout. Callers reuse them for
+/* Connections are closed later than the configured timeouts say. Callers reuse idle ones for
  * most of that time, and a request must not cross with the close. */
-#define IDLE_FACTOR 1.3
+#define TIMEOUT_FACTOR 1.3
 #define REQUEST_TIMEOUT (20 * DP_USEC_PER_SEC)
 #define WRITE_TIMEOUT (10 * DP_USEC_PER_SEC)
 /* Bytes of an answer buffered for a slow caller. */
@@ -248,7 +248,7 @@
         .head_max = HEAD_BYTES_MAX,
         .body_max = BODY_BYTES_MAX,
         .read_timeout = REQUEST_TIMEOUT,
-        .idle_timeout = (DpUsec)((double)IDLE_TIMEOUT * IDLE_FACTOR),
+        .idle_timeout = (DpUsec)((double)IDLE_TIMEOUT * TIMEOUT_FACTOR),
         .write_timeout = WRITE_TIMEOUT,
         .write_buffer_max = UNREAD_MAX,
         .exchanges_max = EXCHANGES_MAX,
@@ -298,13 +298,15 @@
 static void
 log_limits (const DpCallerLimits *limits)
 {
-  char head_bytes[16], body_bytes[16], idle_ms[24];
+  char head_bytes[16], body_bytes[16], head_ms[24], idle_ms[24];
   g_snprintf (head_bytes, sizeof head_bytes, "%u", limits->head_bytes);
   g_snprintf (body_bytes, sizeof body_bytes, "%u", limits->body_bytes);
+  g_snprintf (head_ms, sizeof head_ms, "%" G_GINT64_FORMAT,
+              limits->head_timeout / DP_USEC_PER_MSEC);
   g_snprintf (idle_ms, sizeof idle_ms, "%" G_GINT64_FORMAT,
               limits->idle_timeout / DP_USEC_PER_MSEC);
   dp_log (DP_LOG_NOTICE, "caller_limits", "head_bytes", head_bytes, "body_bytes", body_bytes,
-          "idle_ms", idle_ms, NULL);
+          "head_ms", head_ms, "idle_ms", idle_ms, NULL);
 }
 
 void
@@ -314,7 +316,8 @@
   const DpHttpServerLimits limits
     = { .head_max = configured->head_bytes,
         .body_max = configured->body_bytes,
-        .idle_timeout = (DpUsec)((double)configured->idle_timeout * IDLE_FACTOR) };
+        .head_timeout = (DpUsec)((double)configured->head_timeout * TIMEOUT_FACTOR),
+        .idle_timeout = (DpUsec)((double)configured->idle_timeout * TIMEOUT_FACTOR) };
   dp_http_server_set_limits (node->callers, &limits);
   log_limits (configured);
 }
--- a/tests/test_net_http.c
+++ b/tests/test_net_http.c
@@ -527,7 +527,7 @@
 }
 
 static Fixture *
-make_fixture (void)
+make_fixture_with (DpUsec request_timeout)
 {
   Fixture *fixture = g_new0 (Fixture, 1);
   fixture->base = event_base_new ();
@@ -544,7 +544,7 @@
                                   .write_buffer_max = 64 * KIB,
                                   .exchanges_max = 2,
                                   .connections_max = 4,
-                                  .request_timeout = 600 * DP_USEC_PER_MSEC,
+                                  .request_timeout = request_timeout,
                                   .counters = fixture->counters,
                                   .handler = on_exchange,
                                   .user = fixture };
@@ -565,6 +565,12 @@
   g_free (fixture);
 }
 
+static Fixture *
+make_fixture (void)
+{
+  return make_fixture_with (600 * DP_USEC_PER_MSEC);
+}
+
 static void
 on_caller_read (struct bufferevent *bev, void *user)
 {
@@ -892,6 +898,41 @@
 }
 END_TEST
 
+typedef struct HeadLimitCase
+{
+  const char *name;
+  const char *text; /* followed by single bytes */
+  gboolean is_answered;
+} HeadLimitCase;
+
+static const HeadLimitCase head_limit_cases[] = {
+  { "slow head", "GET /", FALSE },
+  { "slow body",
+    "POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 50\r\n\r\n", TRUE },
+};
+
+/* The bound of a whole request, 10 s, is far above the time that the test takes. */
+START_TEST (head_limit_bounds_the_head_only)
+{
+  const HeadLimitCase *c = &head_limit_cases[_i];
+  Fixture *fixture = make_fixture_with (10 * DP_USEC_PER_SEC);
+  const DpHttpServerLimits limits = { .head_timeout = 100 * DP_USEC_PER_MSEC };
+  dp_http_server_set_limits (fixture->server, &limits);
+  gint64 start = g_get_monotonic_time ();
+  Caller *caller = make_caller (fixture->base, c->text);
+  struct event *timer = event_new (fixture->base, -1, EV_PERSIST, send_one_byte, caller);
+  const struct timeval interval = { .tv_usec = 50000 }; /* shorter than the read timeout */
+  event_add (timer, &interval);
+  run_loop (fixture->base);
+  ck_assert_msg ((fixture->exchange != NULL) == c->is_answered, "%s", c->name);
+  ck_assert_msg (caller->closed != c->is_answered, "%s", c->name);
+  ck_assert_int_lt (g_get_monotonic_time () - start, 8 * DP_USEC_PER_SEC);
+  event_free (timer);
+  free_caller (caller);
+  free_fixture (fixture);
+}
+END_TEST
+
 START_TEST (stopping_server_finishes_open_requests)
 {
   Fixture *fixture = make_fixture ();
@@ -1202,6 +1243,8 @@
   tcase_add_test (tcase, exchanges_over_limit_are_rejected);
   tcase_add_test (tcase, connections_over_limit_wait_for_free_slot);
   tcase_add_test (tcase, slowly_sent_request_times_out);
+  tcase_add_loop_test (tcase, head_limit_bounds_the_head_only, 0,
+                       G_N_ELEMENTS (head_limit_cases));
   tcase_add_test (tcase, stopping_server_finishes_open_requests);
   tcase_add_loop_test (tcase, stream_started_before_stop_closes_connection, 0, 2);
   tcase_add_loop_test (tcase, request_that_crosses_a_close_is_answered, 0,
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -482,6 +482,26 @@
 }
 END_TEST
 
+START_TEST (all_limits_of_callers_are_read)
+{
+  struct json_object *spec = json_tokener_parse (
+    "{\"version\":1,\"routes\":[],\"limits\":{\"max_header_bytes\":1000,"
+    "\"max_body_bytes\":2000,\"header_timeout_ms\":3000,\"idle_timeout_ms\":4000}}");
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  DpManifest *manifest = dp_records_read_config (spec, diagnostics);
+  ck_assert_ptr_nonnull (manifest);
+  const DpCallerLimits *limits = &manifest->caller_limits;
+  ck_assert_uint_eq (limits->head_bytes, 1000);
+  ck_assert_uint_eq (limits->body_bytes, 2000);
+  ck_assert_int_eq (limits->head_timeout, 3000 * DP_USEC_PER_MSEC);
+  ck_assert_int_eq (limits->idle_timeout, 4000 * DP_USEC_PER_MSEC);
+  ck_assert_uint_eq (dp_diagnostics_count (diagnostics), 0);
+  dp_manifest_unref (manifest);
+  dp_diagnostics_unref (diagnostics);
+  json_object_put (spec);
+}
+END_TEST
+
 START_TEST (the_longest_prefix_wins)
 {
   struct json_object *spec = json_tokener_parse (
@@ -584,6 +604,7 @@
                        G_N_ELEMENTS (target_cases));
   tcase_add_loop_test (tests, only_valid_objects_become_vms, 0, G_N_ELEMENTS (vm_cases));
   tcase_add_loop_test (tests, configs_are_decoded_or_rejected, 0, G_N_ELEMENTS (config_cases));
+  tcase_add_test (tests, all_limits_of_callers_are_read);
   tcase_add_test (tests, the_longest_prefix_wins);
   suite_add_tcase (suite, tests);
   SRunner *runner = srunner_create (suite);
