net: connections are closed behind a response, not reset, while the caller still sends

What callers saw: a connection that is closed with unread bytes is reset by the kernel; what the caller has not read of an early refusal (413, 400), or of a response behind which more bytes had arrived, may be lost, and a caller that writes first gets an error instead of the response.

It begins when a response is written while a request is still being received (evhttp's own refusals and the server's), and behind a response with Connection: close if bytes are left. A stop waits for these connections.

--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -1,5 +1,7 @@
 #include "net/http_connections.h"
 
+#include "net/http_linger.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <string.h>
@@ -7,6 +9,8 @@
 
 #define SWEEP_INTERVAL_SECONDS 1
 #define SCAN_BYTES 512
+/* "HTTP/1.1 100" */
+#define INTERIM_BYTES 12
 
 typedef enum ConnectionState
 {
@@ -23,8 +27,10 @@
 {
   struct bufferevent *bev; /* freed by evhttp: only valid while is_open() */
   struct evbuffer *input;  /* of `bev` */
+  struct evbuffer *output; /* of `bev` */
   int fd;
   struct sockaddr_storage peer;
+  gboolean is_rejected; /* it is closed behind the response */
   ConnectionState state;
   gsize line_length; /* of the head's last line, while it is received */
   DpUsec since;      /* of the state; of a request its first byte */
@@ -36,8 +42,9 @@
   DpHttpConnectionsOptions options;
   struct evconnlistener *listener; /* may be NULL */
   GHashTable *by_fd;               /* descriptor -> Connection */
-  GHashTable *by_input;            /* struct evbuffer: input -> Connection, not owned */
-  GPtrArray *accepted;             /* Connection: not in by_fd yet */
+  GHashTable *by_buffer; /* struct evbuffer: input or output -> Connection, not owned */
+  DpHttpLinger *linger;
+  GPtrArray *accepted; /* Connection: not in by_fd yet */
   struct event *accepted_event;
   struct event *sweep;
 };
@@ -157,7 +164,7 @@
 on_input (struct evbuffer *input, const struct evbuffer_cb_info *info, void *user)
 {
   const DpHttpConnections *connections = user;
-  Connection *connection = g_hash_table_lookup (connections->by_input, input);
+  Connection *connection = g_hash_table_lookup (connections->by_buffer, input);
   if (connection == NULL || info->n_added == 0)
     return;
   if (connection->state == CONNECTION_IDLE)
@@ -165,6 +172,32 @@
   receive (connections, connection, input, info->n_added);
 }
 
+/* TRUE if the output begins with "100 Continue", behind which the request goes on. */
+static gboolean
+is_interim (struct evbuffer *output)
+{
+  char start[INTERIM_BYTES];
+  return evbuffer_copyout (output, start, sizeof start) == sizeof start
+         && memcmp (start + sizeof start - 3, "100", 3) == 0;
+}
+
+/* evhttp, or the server, rejects a request that may not be complete, and closes the connection
+ * behind the response. */
+static void
+on_output (struct evbuffer *output, const struct evbuffer_cb_info *info, void *user)
+{
+  DpHttpConnections *connections = user;
+  Connection *connection = g_hash_table_lookup (connections->by_buffer, output);
+  if (connection == NULL || connection->is_rejected || info->n_added == 0)
+    return;
+  gboolean is_receiving = connection->state == CONNECTION_RECEIVING_HEAD
+                          || connection->state == CONNECTION_RECEIVING;
+  if (!is_receiving || is_interim (output))
+    return;
+  connection->is_rejected = TRUE;
+  dp_http_linger_add (connections->linger, bufferevent_getfd (connection->bev));
+}
+
 /* evhttp assigns the socket to the bufferevent after this callback returns. */
 static struct bufferevent *
 on_accept (struct event_base *base, void *user)
@@ -175,19 +208,24 @@
   set_state (connections, connection, CONNECTION_IDLE);
   connection->input = bufferevent_get_input (connection->bev);
   evbuffer_add_cb (connection->input, on_input, connections);
-  g_hash_table_insert (connections->by_input, connection->input, connection);
+  connection->output = bufferevent_get_output (connection->bev);
+  evbuffer_add_cb (connection->output, on_output, connections);
+  g_hash_table_insert (connections->by_buffer, connection->input, connection);
+  g_hash_table_insert (connections->by_buffer, connection->output, connection);
   g_ptr_array_add (connections->accepted, connection);
   event_active (connections->accepted_event, EV_TIMEOUT, 0);
   update_listener (connections);
   return connection->bev;
 }
 
-/* Another connection may have the same input buffer by now. */
+/* Another connection may have the same buffers by now. */
 static void
-remove_input (DpHttpConnections *connections, const Connection *connection)
+remove_buffers (DpHttpConnections *connections, const Connection *connection)
 {
-  if (g_hash_table_lookup (connections->by_input, connection->input) == connection)
-    g_hash_table_remove (connections->by_input, connection->input);
+  if (g_hash_table_lookup (connections->by_buffer, connection->input) == connection)
+    g_hash_table_remove (connections->by_buffer, connection->input);
+  if (g_hash_table_lookup (connections->by_buffer, connection->output) == connection)
+    g_hash_table_remove (connections->by_buffer, connection->output);
 }
 
 /* A connection that had the descriptor of a new one is closed. */
@@ -201,7 +239,7 @@
       connection->peer = peer_address (connection->fd);
       const Connection *closed = g_hash_table_lookup (connections->by_fd, &connection->fd);
       if (closed != NULL)
-        remove_input (connections, closed);
+        remove_buffers (connections, closed);
       g_hash_table_replace (connections->by_fd, &connection->fd, connection);
     }
   g_ptr_array_set_size (connections->accepted, 0);
@@ -259,7 +297,7 @@
         continue;
       if (open)
         close_connection (connections, connection, "dogwoodplank_http_idle_closed_total");
-      remove_input (connections, connection);
+      remove_buffers (connections, connection);
       g_hash_table_iter_remove (&iter);
     }
   dp_counters_set (connections->options.counters, "dogwoodplank_http_connections", "listener",
@@ -274,7 +312,7 @@
 {
   struct evbuffer *input
     = bufferevent_get_input (evhttp_connection_get_bufferevent (connection));
-  Connection *row = g_hash_table_lookup (connections->by_input, input);
+  Connection *row = g_hash_table_lookup (connections->by_buffer, input);
   if (row == NULL)
     return;
   gsize read_ahead = evbuffer_get_length (input);
@@ -295,8 +333,9 @@
   DpHttpConnections *connections = g_new0 (DpHttpConnections, 1);
   connections->options = *options;
   connections->by_fd = g_hash_table_new_full (g_int_hash, g_int_equal, NULL, g_free);
-  connections->by_input = g_hash_table_new (NULL, NULL);
+  connections->by_buffer = g_hash_table_new (NULL, NULL);
   connections->accepted = g_ptr_array_new ();
+  connections->linger = dp_http_linger_new (options->base);
   connections->accepted_event = event_new (options->base, -1, 0, on_accepted, connections);
   connections->sweep = event_new (options->base, -1, EV_PERSIST, on_sweep, connections);
   const struct timeval interval = { .tv_sec = SWEEP_INTERVAL_SECONDS };
@@ -312,8 +351,9 @@
   event_free (connections->accepted_event);
   g_ptr_array_set_free_func (connections->accepted, g_free);
   g_ptr_array_unref (connections->accepted);
-  g_hash_table_unref (connections->by_input);
+  g_hash_table_unref (connections->by_buffer);
   g_hash_table_unref (connections->by_fd);
+  dp_http_linger_free (connections->linger);
   g_free (connections);
 }
 
@@ -379,7 +419,7 @@
         continue;
       if (open)
         close_connection (connections, connection, "dogwoodplank_http_stop_closed_total");
-      remove_input (connections, connection);
+      remove_buffers (connections, connection);
       g_hash_table_iter_remove (&iter);
     }
 }
@@ -416,3 +456,20 @@
     }
   return FALSE;
 }
+
+void
+dp_http_connections_linger (DpHttpConnections *connections,
+                            struct evhttp_connection *connection)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
+  const Connection *row
+    = g_hash_table_lookup (connections->by_buffer, bufferevent_get_input (bev));
+  if (row != NULL && (evbuffer_get_length (row->input) > 0 || has_unread_bytes (row)))
+    dp_http_linger_add (connections->linger, bufferevent_getfd (bev));
+}
+
+guint
+dp_http_connections_lingering (const DpHttpConnections *connections)
+{
+  return dp_http_linger_count (connections->linger);
+}
--- a/net/http_connections.h
+++ b/net/http_connections.h
@@ -61,3 +61,10 @@
 /* TRUE if bytes have arrived on a connection without a request in progress and were not read.
  */
 gboolean dp_http_connections_have_unread (DpHttpConnections *connections);
+
+/* The connection is about to be closed after a response: if bytes are left, reads them before,
+ * see net/http_linger.h. */
+void dp_http_connections_linger (DpHttpConnections *connections,
+                                 struct evhttp_connection *connection);
+/* Number of closed connections of which bytes are still read. */
+guint dp_http_connections_lingering (const DpHttpConnections *connections);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -146,6 +146,13 @@
   bufferevent_set_timeouts (bev, &read_timeout, &write_timeout);
 }
 
+static gboolean
+has_close_header (const struct evkeyvalq *headers)
+{
+  const char *value = evhttp_find_header (headers, "Connection");
+  return value != NULL && g_ascii_strcasecmp (value, "close") == 0;
+}
+
 static void
 on_sent (struct evhttp_request *request, void *user)
 {
@@ -153,6 +160,9 @@
   struct evhttp_connection *connection = evhttp_request_get_connection (request);
   if (connection != NULL)
     {
+      if (has_close_header (evhttp_request_get_output_headers (request))
+          || has_close_header (evhttp_request_get_input_headers (request)))
+        dp_http_connections_linger (exchange->server->connections, connection);
       evhttp_connection_set_closecb (connection, NULL, NULL);
       dp_http_connections_set_busy (exchange->server->connections, connection, FALSE);
     }
@@ -526,6 +536,7 @@
 {
   return g_hash_table_size (server->exchanges) == 0 && g_hash_table_size (server->sending) == 0
          && g_hash_table_size (server->closing) == 0
+         && dp_http_connections_lingering (server->connections) == 0
          && !dp_http_connections_have_requests (server->connections);
 }
 
@@ -533,6 +544,7 @@
 dp_http_server_is_flushed (const DpHttpServer *server)
 {
   return g_hash_table_size (server->sending) == 0 && g_hash_table_size (server->closing) == 0
+         && dp_http_connections_lingering (server->connections) == 0
          && !dp_http_connections_have_unread (server->connections);
 }
 
--- a/tests/test_net_http.c
+++ b/tests/test_net_http.c
@@ -487,6 +487,7 @@
   struct bufferevent *bev;
   GString *received;
   gboolean closed;
+  gboolean failed; /* by an error, such as a reset */
 } Caller;
 
 typedef struct Fixture
@@ -588,6 +589,7 @@
   if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
     return;
   caller->closed = TRUE;
+  caller->failed = (what & BEV_EVENT_ERROR) != 0;
   event_base_loopbreak (caller->base);
 }
 
@@ -824,6 +826,43 @@
 }
 END_TEST
 
+#define FAR_TOO_LARGE (4096 * KIB)
+
+static const InvalidRequestCase long_request_cases[] = {
+  { "body too large", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4194304\r\n\r\n",
+    FAR_TOO_LARGE, " 413 " },
+  { "body too large, in a chunk",
+    "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n400000\r\n", FAR_TOO_LARGE,
+    " 413 " },
+  { "endless header", "GET / HTTP/1.1\r\nX: ", FAR_TOO_LARGE, " 400 " },
+  { "more than one request", GET_CLOSE, FAR_TOO_LARGE, " 200 " },
+};
+
+START_TEST (response_reaches_a_caller_that_is_still_sending)
+{
+  const InvalidRequestCase *c = &long_request_cases[_i];
+  Fixture *fixture = make_fixture ();
+  GString *text = g_string_new (c->text);
+  for (gsize i = 0; i < c->padding; i++)
+    g_string_append_c (text, 'x');
+  Caller *caller = make_caller (fixture->base, text->str);
+  run_loop (fixture->base);
+  if (fixture->exchange != NULL)
+    {
+      dp_http_exchange_reply (fixture->exchange, 200, "ok", 2);
+      run_loop (fixture->base);
+    }
+  ck_assert (caller->closed);
+  ck_assert_msg (!caller->failed, "%s: reset after %s", c->name, caller->received->str);
+  char *line = g_strndup (caller->received->str, strcspn (caller->received->str, "\r"));
+  ck_assert_msg (strstr (line, c->status) != NULL, "%s: %s", c->name, line);
+  g_free (line);
+  g_string_free (text, TRUE);
+  free_caller (caller);
+  free_fixture (fixture);
+}
+END_TEST
+
 START_TEST (exchanges_over_limit_are_rejected)
 {
   Fixture *fixture = make_fixture ();
@@ -1054,6 +1093,25 @@
   run_pending_events (fixture->base);
 }
 
+START_TEST (interim_response_is_followed_by_the_body)
+{
+  Fixture *fixture = make_fixture ();
+  Caller *caller = make_caller (fixture->base, "POST / HTTP/1.1\r\nHost: x\r\n"
+                                               "Expect: 100-continue\r\n"
+                                               "Content-Length: 4\r\n\r\n");
+  while (strstr (caller->received->str, " 100 ") == NULL)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+  send_now (caller, "bo");
+  run_pending_events (fixture->base);
+  send_now (caller, "dy");
+  answer_next_request (fixture);
+  ck_assert_str_eq (fixture->body, "body");
+  ck_assert (g_str_has_suffix (caller->received->str, "ok"));
+  free_caller (caller);
+  free_fixture (fixture);
+}
+END_TEST
+
 START_TEST (request_that_crosses_a_close_is_answered)
 {
   const CrossingCase *row = &crossing_cases[_i];
@@ -1240,6 +1298,8 @@
   tcase_add_test (tcase, disconnected_stream_has_no_final_chunk);
   tcase_add_loop_test (tcase, invalid_request_is_rejected_or_closes_connection, 0,
                        G_N_ELEMENTS (invalid_request_cases));
+  tcase_add_loop_test (tcase, response_reaches_a_caller_that_is_still_sending, 0,
+                       G_N_ELEMENTS (long_request_cases));
   tcase_add_test (tcase, exchanges_over_limit_are_rejected);
   tcase_add_test (tcase, connections_over_limit_wait_for_free_slot);
   tcase_add_test (tcase, slowly_sent_request_times_out);
@@ -1247,6 +1307,7 @@
                        G_N_ELEMENTS (head_limit_cases));
   tcase_add_test (tcase, stopping_server_finishes_open_requests);
   tcase_add_loop_test (tcase, stream_started_before_stop_closes_connection, 0, 2);
+  tcase_add_test (tcase, interim_response_is_followed_by_the_body);
   tcase_add_loop_test (tcase, request_that_crosses_a_close_is_answered, 0,
                        G_N_ELEMENTS (crossing_cases));
   tcase_add_test (tcase, idle_connection_keeps_its_limit_when_a_shorter_one_is_set);
