--- a/tests/test_net_http.c
+++ b/tests/test_net_http.c
@@ -526,6 +526,7 @@
   struct bufferevent *bev;
   GString *received;
   gboolean closed;
+  gboolean failed; /* by an error, such as a reset */
 } Caller;
 
 typedef struct Fixture
@@ -566,7 +567,7 @@
 }
 
 static Fixture *
-make_fixture (void)
+make_fixture_with (DpUsec request_timeout)
 {
   Fixture *fixture = g_new0 (Fixture, 1);
   fixture->base = event_base_new ();
@@ -583,7 +584,7 @@
                                   .write_buffer_max = 64 * KIB,
                                   .exchanges_max = 2,
                                   .connections_max = 4,
-                                  .request_timeout = 600 * DP_USEC_PER_MSEC,
+                                  .request_timeout = request_timeout,
                                   .counters = fixture->counters,
                                   .handler = on_exchange,
                                   .user = fixture };
@@ -604,6 +605,12 @@
   g_free (fixture);
 }
 
+static Fixture *
+make_fixture (void)
+{
+  return make_fixture_with (600 * DP_USEC_PER_MSEC);
+}
+
 static void
 on_caller_read (struct bufferevent *bev, void *user)
 {
@@ -621,6 +628,7 @@
   if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
     return;
   caller->closed = TRUE;
+  caller->failed = (what & BEV_EVENT_ERROR) != 0;
   event_base_loopbreak (caller->base);
 }
 
@@ -857,6 +865,43 @@
 }
 END_TEST
 
+#define FAR_TOO_LARGE (4096 * KIB)
+
+static const InvalidRequestCase long_request_cases[] = {
+  { "body too large", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4194304\r\n\r\n",
+    FAR_TOO_LARGE, " 413 " },
+  { "body too large, in a chunk",
+    "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n400000\r\n", FAR_TOO_LARGE,
+    " 413 " },
+  { "endless header", "GET / HTTP/1.1\r\nX: ", FAR_TOO_LARGE, " 400 " },
+  { "more than one request", GET_CLOSE, FAR_TOO_LARGE, " 200 " },
+};
+
+START_TEST (response_reaches_a_caller_that_is_still_sending)
+{
+  const InvalidRequestCase *c = &long_request_cases[_i];
+  Fixture *fixture = make_fixture ();
+  GString *text = g_string_new (c->text);
+  for (gsize i = 0; i < c->padding; i++)
+    g_string_append_c (text, 'x');
+  Caller *caller = make_caller (fixture->base, text->str);
+  run_loop (fixture->base);
+  if (fixture->exchange != NULL)
+    {
+      dp_http_exchange_reply (fixture->exchange, 200, "ok", 2);
+      run_loop (fixture->base);
+    }
+  ck_assert (caller->closed);
+  ck_assert_msg (!caller->failed, "%s: reset after %s", c->name, caller->received->str);
+  char *line = g_strndup (caller->received->str, strcspn (caller->received->str, "\r"));
+  ck_assert_msg (strstr (line, c->status) != NULL, "%s: %s", c->name, line);
+  g_free (line);
+  g_string_free (text, TRUE);
+  free_caller (caller);
+  free_fixture (fixture);
+}
+END_TEST
+
 START_TEST (exchanges_over_limit_are_rejected)
 {
   Fixture *fixture = make_fixture ();
@@ -931,6 +976,41 @@
 }
 END_TEST
 
+typedef struct HeadLimitCase
+{
+  const char *name;
+  const char *text; /* followed by single bytes */
+  gboolean is_answered;
+} HeadLimitCase;
+
+static const HeadLimitCase head_limit_cases[] = {
+  { "slow head", "GET /", FALSE },
+  { "slow body",
+    "POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 50\r\n\r\n", TRUE },
+};
+
+/* The bound of a whole request, 10 s, is far above the time that the test takes. */
+START_TEST (head_limit_bounds_the_head_only)
+{
+  const HeadLimitCase *c = &head_limit_cases[_i];
+  Fixture *fixture = make_fixture_with (10 * DP_USEC_PER_SEC);
+  const DpHttpServerLimits limits = { .head_timeout = 100 * DP_USEC_PER_MSEC };
+  dp_http_server_set_limits (fixture->server, &limits);
+  gint64 start = g_get_monotonic_time ();
+  Caller *caller = make_caller (fixture->base, c->text);
+  struct event *timer = event_new (fixture->base, -1, EV_PERSIST, send_one_byte, caller);
+  const struct timeval interval = { .tv_usec = 50000 }; /* shorter than the read timeout */
+  event_add (timer, &interval);
+  run_loop (fixture->base);
+  ck_assert_msg ((fixture->exchange != NULL) == c->is_answered, "%s", c->name);
+  ck_assert_msg (caller->closed != c->is_answered, "%s", c->name);
+  ck_assert_int_lt (g_get_monotonic_time () - start, 8 * DP_USEC_PER_SEC);
+  event_free (timer);
+  free_caller (caller);
+  free_fixture (fixture);
+}
+END_TEST
+
 START_TEST (stopping_server_finishes_open_requests)
 {
   Fixture *fixture = make_fixture ();
@@ -1052,6 +1132,25 @@
   run_pending_events (fixture->base);
 }
 
+START_TEST (interim_response_is_followed_by_the_body)
+{
+  Fixture *fixture = make_fixture ();
+  Caller *caller = make_caller (fixture->base, "POST / HTTP/1.1\r\nHost: x\r\n"
+                                               "Expect: 100-continue\r\n"
+                                               "Content-Length: 4\r\n\r\n");
+  while (strstr (caller->received->str, " 100 ") == NULL)
+    event_base_loop (fixture->base, EVLOOP_ONCE);
+  send_now (caller, "bo");
+  run_pending_events (fixture->base);
+  send_now (caller, "dy");
+  answer_next_request (fixture);
+  ck_assert_str_eq (fixture->body, "body");
+  ck_assert (g_str_has_suffix (caller->received->str, "ok"));
+  free_caller (caller);
+  free_fixture (fixture);
+}
+END_TEST
+
 START_TEST (request_that_crosses_a_close_is_answered)
 {
   const CrossingCase *row = &crossing_cases[_i];
@@ -1240,11 +1339,16 @@
   tcase_add_test (tcase, disconnected_stream_has_no_final_chunk);
   tcase_add_loop_test (tcase, invalid_request_is_rejected_or_closes_connection, 0,
                        G_N_ELEMENTS (invalid_request_cases));
+  tcase_add_loop_test (tcase, response_reaches_a_caller_that_is_still_sending, 0,
+                       G_N_ELEMENTS (long_request_cases));
   tcase_add_test (tcase, exchanges_over_limit_are_rejected);
   tcase_add_test (tcase, connections_over_limit_wait_for_free_slot);
   tcase_add_test (tcase, slowly_sent_request_times_out);
+  tcase_add_loop_test (tcase, head_limit_bounds_the_head_only, 0,
+                       G_N_ELEMENTS (head_limit_cases));
   tcase_add_test (tcase, stopping_server_finishes_open_requests);
   tcase_add_loop_test (tcase, stream_started_before_stop_closes_connection, 0, 2);
+  tcase_add_test (tcase, interim_response_is_followed_by_the_body);
   tcase_add_loop_test (tcase, request_that_crosses_a_close_is_answered, 0,
                        G_N_ELEMENTS (crossing_cases));
   tcase_add_test (tcase, idle_connection_keeps_its_limit_when_a_shorter_one_is_set);
