tests: take-ups at VMs that stand still, start or stop while a version joins

Twelve cases of a_disturbed_vm_joins_no_versions (node_versions): standstills of 1, 2.4 and 3 s, a start, a stop, each in touch and cut off from the other VM; limited and brittle targets.

--- a/tests/test_node_versions.c
+++ b/tests/test_node_versions.c
@@ -228,20 +228,27 @@
 
 /* --- a VM that is cut off while the second target joins --- */
 
+typedef enum TakeUp
+{
+  TAKE_UP_ALL,        /* go on */
+  TAKE_UP_OR_REFUSED, /* as not run */
+  TAKE_UP_ANY,
+} TakeUp;
+
 typedef struct CutCase
 {
   const char *name;
   const char *versions[TARGETS];
   gboolean from_vms;
   gboolean from_store;
-  gboolean all_go_on;
+  TakeUp wanted;
 } CutCase;
 
 static const CutCase cut_cases[] = {
-  { "from VMs and store", { "v1", "v2" }, TRUE, TRUE, FALSE },
-  { "from VMs", { "v1", "v2" }, TRUE, FALSE, FALSE },
-  { "from the store", { "v1", "v2" }, FALSE, TRUE, FALSE },
-  { "from VMs, one version", { "v1", "v1" }, TRUE, FALSE, TRUE },
+  { "from VMs and store", { "v1", "v2" }, TRUE, TRUE, TAKE_UP_OR_REFUSED },
+  { "from VMs", { "v1", "v2" }, TRUE, FALSE, TAKE_UP_OR_REFUSED },
+  { "from the store", { "v1", "v2" }, FALSE, TRUE, TAKE_UP_OR_REFUSED },
+  { "from VMs, one version", { "v1", "v1" }, TRUE, FALSE, TAKE_UP_ALL },
 };
 
 #define CUT_OFF (VMS - 1)
@@ -250,13 +257,12 @@
 #define STANDSTILL (5 * G_TIME_SPAN_SECOND)
 #define RELIST_TIME G_TIME_SPAN_SECOND
 
-/* Takes the streams up at the VM that was cut off. Returns how many went on at another version.
- */
+/* Takes the streams up at the second VM. Returns how many went on at another version. */
 static guint
 take_up (const Cluster *cluster,
          const char *const versions[TARGETS],
          const guint runners[STREAMS],
-         gboolean all_go_on,
+         TakeUp wanted,
          const char *name)
 {
   guint joined = 0;
@@ -269,9 +275,9 @@
       int status = post_chat (cluster, CUT_OFF, id, headers);
       guint runner = find_runner (cluster, id);
       joined += runner < TARGETS && g_strcmp0 (versions[runner], versions[runners[i]]) != 0;
-      if (all_go_on)
+      if (wanted == TAKE_UP_ALL)
         ck_assert_msg (status == 200, "%s: stream %u: %d", name, i, status);
-      else if (runner == TARGETS)
+      else if (wanted == TAKE_UP_OR_REFUSED && runner == TARGETS)
         ck_assert_msg (status == 503, "%s: stream %u: %d", name, i, status);
     }
   return joined;
@@ -298,13 +304,81 @@
   wait_for_metric_at (cluster, 0, "dogwoodplank_targets", TARGETS);
   guint runners[STREAMS];
   begin_streams (cluster, runners);
-  guint joined = take_up (cluster, row->versions, runners, row->all_go_on, row->name);
+  guint joined = take_up (cluster, row->versions, runners, row->wanted, row->name);
   ck_assert_msg (joined == 0, "%s: %u streams were joined", row->name, joined);
   cluster_free (cluster);
   g_clear_pointer (&proxy, store_rewriter_free);
 }
 END_TEST
 
+/* --- a VM that is disturbed while the second target joins --- */
+
+typedef enum Disturbance
+{
+  DISTURBANCE_NONE,
+  DISTURBANCE_STANDSTILL,
+  DISTURBANCE_RESTART, /* takes the streams up as soon as it accepts connections */
+  DISTURBANCE_STOP,    /* receives SIGTERM just before the streams are taken up */
+} Disturbance;
+
+typedef struct DisturbedCase
+{
+  const char *name;
+  Disturbance disturbance;
+  guint standstill_ms;
+  gboolean is_cut_off; /* from the other VM */
+  const char *fault;   /* of the targets when the streams are taken up */
+} DisturbedCase;
+
+static const DisturbedCase disturbed_cases[] = {
+  { "stands still for 1 s", DISTURBANCE_STANDSTILL, 1000, FALSE, "{}" },
+  { "stands still for 2.4 s", DISTURBANCE_STANDSTILL, 2400, FALSE, "{}" },
+  { "stands still for 3 s", DISTURBANCE_STANDSTILL, 3000, FALSE, "{}" },
+  { "stands still for 1 s, cut off", DISTURBANCE_STANDSTILL, 1000, TRUE, "{}" },
+  { "stands still for 2.4 s, cut off", DISTURBANCE_STANDSTILL, 2400, TRUE, "{}" },
+  { "stands still for 3 s, cut off", DISTURBANCE_STANDSTILL, 3000, TRUE, "{}" },
+  { "is started", DISTURBANCE_RESTART, 0, FALSE, "{}" },
+  { "is started, cut off", DISTURBANCE_RESTART, 0, TRUE, "{}" },
+  { "is stopping", DISTURBANCE_STOP, 0, FALSE, "{}" },
+  { "is stopping, cut off", DISTURBANCE_STOP, 0, TRUE, "{}" },
+  { "limited targets", DISTURBANCE_NONE, 0, FALSE, "{\"limit\":\"3\"}" },
+  { "brittle targets", DISTURBANCE_NONE, 0, FALSE, "{\"brittle\":\"1\"}" },
+};
+
+START_TEST (a_disturbed_vm_joins_no_versions)
+{
+  const DisturbedCase *row = &disturbed_cases[_i];
+  const char *const versions[TARGETS] = { "v1", "v2" };
+  Cluster *cluster = cluster_new (build);
+  if (row->is_cut_off)
+    cluster->vm_bus_port[CUT_OFF] = find_free_port (cluster->address[CUT_OFF]);
+  start_vms (cluster, versions, 1);
+  if (row->disturbance == DISTURBANCE_STANDSTILL)
+    process_signal (cluster->node[CUT_OFF], SIGSTOP);
+  if (row->disturbance == DISTURBANCE_RESTART)
+    g_clear_pointer (&cluster->node[CUT_OFF], process_free);
+  gint64 end = g_get_monotonic_time () + row->standstill_ms * G_TIME_SPAN_MILLISECOND;
+  put_target_version (cluster, 1, "POST", versions[1]);
+  wait_for_metric_at (cluster, 0, "dogwoodplank_targets", TARGETS);
+  guint runners[STREAMS];
+  begin_streams (cluster, runners);
+  for (guint i = 0; i < TARGETS; i++)
+    set_fault (cluster, cluster->target_control[i], row->fault);
+  if (end > g_get_monotonic_time ())
+    g_usleep ((gulong)(end - g_get_monotonic_time ()));
+  cluster->was_started = TRUE;
+  if (row->disturbance == DISTURBANCE_STANDSTILL)
+    process_signal (cluster->node[CUT_OFF], SIGCONT);
+  if (row->disturbance == DISTURBANCE_RESTART)
+    start_node (cluster, CUT_OFF);
+  if (row->disturbance == DISTURBANCE_STOP)
+    process_signal (cluster->node[CUT_OFF], SIGTERM);
+  guint joined = take_up (cluster, versions, runners, TAKE_UP_ANY, row->name);
+  ck_assert_msg (joined == 0, "%s: %u streams were joined", row->name, joined);
+  cluster_free (cluster);
+}
+END_TEST
+
 /* The VM reaches no other one and learns the store's content from listings only. */
 START_TEST (a_vm_that_missed_a_version_joins_no_streams)
 {
@@ -325,7 +399,7 @@
   process_signal (cluster->node[CUT_OFF], SIGCONT);
   g_usleep (RELIST_TIME);
   set_fault (cluster, cluster->store_control, "{}");
-  guint joined = take_up (cluster, versions, runners, FALSE, "missed");
+  guint joined = take_up (cluster, versions, runners, TAKE_UP_OR_REFUSED, "missed");
   ck_assert_msg (joined == 0, "%u streams were joined", joined);
   cluster_free (cluster);
 }
@@ -367,6 +441,8 @@
   tcase_add_loop_test (tests, a_stream_goes_on_only_at_the_version_that_began_it, 0,
                        G_N_ELEMENTS (take_up_cases));
   tcase_add_loop_test (tests, a_cut_off_vm_joins_no_versions, 0, G_N_ELEMENTS (cut_cases));
+  tcase_add_loop_test (tests, a_disturbed_vm_joins_no_versions, 0,
+                       G_N_ELEMENTS (disturbed_cases));
   tcase_add_test (tests, a_vm_that_missed_a_version_joins_no_streams);
   tcase_add_test (tests, an_answer_is_not_joined_from_two_versions);
   Suite *suite = suite_create ("node_versions");
