tests: VMs that are cut off from a silent store, or from the store alone

Three rows of a_cut_off_vm_joins_no_versions (node_versions): connections to the store stay open and nothing comes; one version serves and streams go on by what other VMs know.

--- a/tests/store_rewriter.c
+++ b/tests/store_rewriter.c
@@ -16,7 +16,8 @@
   GThread *thread;
   int stop_pipe[2]; /* closing the second end stops the thread */
   guint16 port;
-  gint is_active; /* atomic */
+  gint is_active;  /* atomic */
+  gint is_stalled; /* atomic */
   char *from;
   char *to;
   gsize length;
@@ -69,6 +70,8 @@
 {
   const Connection *connection = user;
   StoreRewriter *rewriter = connection->rewriter;
+  if (g_atomic_int_get (&rewriter->is_stalled))
+    return;
   struct evbuffer *input = bufferevent_get_input (bev);
   gsize length = evbuffer_get_length (input);
   if (g_atomic_int_get (&rewriter->is_active))
@@ -84,6 +87,8 @@
 on_client_read (struct bufferevent *bev, void *user)
 {
   const Connection *connection = user;
+  if (g_atomic_int_get (&connection->rewriter->is_stalled))
+    return;
   evbuffer_add_buffer (bufferevent_get_output (connection->store), bufferevent_get_input (bev));
 }
 
@@ -218,3 +223,9 @@
 {
   g_atomic_int_set (&rewriter->is_active, is_active);
 }
+
+void
+store_rewriter_stall (StoreRewriter *rewriter)
+{
+  g_atomic_int_set (&rewriter->is_stalled, TRUE);
+}
--- a/tests/store_rewriter.h
+++ b/tests/store_rewriter.h
@@ -24,3 +24,6 @@
 
 /* Takes effect with the next bytes that the server sends. */
 void store_rewriter_set_active (StoreRewriter *rewriter, gboolean is_active);
+
+/* Connections stay open, new ones too, but nothing is forwarded any more. */
+void store_rewriter_stall (StoreRewriter *rewriter);
--- a/tests/test_node_versions.c
+++ b/tests/test_node_versions.c
@@ -241,14 +241,18 @@
   const char *versions[TARGETS];
   gboolean from_vms;
   gboolean from_store;
+  gboolean is_store_silent; /* instead of refusing connections */
   TakeUp wanted;
 } CutCase;
 
 static const CutCase cut_cases[] = {
-  { "from VMs and store", { "v1", "v2" }, TRUE, TRUE, TAKE_UP_OR_REFUSED },
-  { "from VMs", { "v1", "v2" }, TRUE, FALSE, TAKE_UP_OR_REFUSED },
-  { "from the store", { "v1", "v2" }, FALSE, TRUE, TAKE_UP_OR_REFUSED },
-  { "from VMs, one version", { "v1", "v1" }, TRUE, FALSE, TAKE_UP_ALL },
+  { "from VMs and store", { "v1", "v2" }, TRUE, TRUE, FALSE, TAKE_UP_OR_REFUSED },
+  { "from VMs and a silent store", { "v1", "v2" }, TRUE, TRUE, TRUE, TAKE_UP_OR_REFUSED },
+  { "from VMs", { "v1", "v2" }, TRUE, FALSE, FALSE, TAKE_UP_OR_REFUSED },
+  { "from the store", { "v1", "v2" }, FALSE, TRUE, FALSE, TAKE_UP_OR_REFUSED },
+  { "from VMs, one version", { "v1", "v1" }, TRUE, FALSE, FALSE, TAKE_UP_ALL },
+  { "from the store, one version", { "v1", "v1" }, FALSE, TRUE, FALSE, TAKE_UP_ALL },
+  { "from a silent store, one version", { "v1", "v1" }, FALSE, TRUE, TRUE, TAKE_UP_ALL },
 };
 
 #define CUT_OFF (VMS - 1)
@@ -298,7 +302,9 @@
   if (row->from_vms)
     cluster->vm_bus_port[CUT_OFF] = find_free_port (cluster->address[CUT_OFF]);
   start_vms (cluster, row->versions, 1);
-  if (row->from_store)
+  if (row->from_store && row->is_store_silent)
+    store_rewriter_stall (proxy);
+  else if (row->from_store)
     g_clear_pointer (&proxy, store_rewriter_free);
   put_target_version (cluster, 1, "POST", row->versions[1]);
   wait_for_metric_at (cluster, 0, "dogwoodplank_targets", TARGETS);
