node/store_watch: don't use a reply that is older than what is known

All requests got 503 after the store had sent an earlier reply once more on a kept connection: it had targets as removed that have started again under their ids, and a target that was removed is not used again in its lifetime.

A read may follow another of the same path on a connection, so the response to the first, repeated, is taken for that to the second. The store's revision only rises: a reply to a watch below the revision that was asked for, and a page of a listing below what was known of the same era or below the page before, are of earlier calls. A store without eras that lists an older revision more than three times in a row was restored from a copy, and is believed.

Green as well: test_node, test_node_odd_entry, test_node_versions.

--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -29,6 +29,8 @@
 #define CALLS_BURST 40
 #define CALLS_IN_FLIGHT 8
 #define CALLS_QUEUED 32
+/* A store without eras that keeps listing an older revision was restored from an older copy. */
+#define OLD_LISTINGS_MAX 3
 /* A target's entry expires after this many missed heartbeats. */
 #define EXPIRY_HEARTBEATS 3
 /* After a restore, entries of VMs are written again within two seconds. */
@@ -64,7 +66,8 @@
   gboolean is_listed;  /* listing complete: watch from `version` */
   gboolean is_relayed; /* no calls: a relay sends the changes */
   DpStoreVersion version;
-  guint failures; /* consecutive */
+  guint failures;     /* consecutive */
+  guint old_listings; /* consecutive */
   /* The store was restored: the next listing may lack entries that will be written again, and
    * have ones that are out of date. */
   gboolean is_restored;
@@ -587,6 +590,7 @@
   publish (feed);
   feed->is_listed = TRUE;
   feed->version = (DpStoreVersion){ .era = feed->listing_era, .revision = revision };
+  feed->old_listings = 0;
   schedule_relisting (feed);
   clear_listing (feed);
 }
@@ -627,6 +631,32 @@
   return page;
 }
 
+static void
+count_old_reply (const ObjectFeed *feed)
+{
+  dp_counters_add (feed->watch->node->counters, "dogwoodplank_store_old_replies_total", "kind",
+                   kind_paths[feed->kind], 1);
+}
+
+/* TRUE if the page is older than what was known when it was asked for: a response to an earlier
+ * call that the store has sent once more. */
+static gboolean
+is_old_listing (ObjectFeed *feed, const DpStorePage *page)
+{
+  guint64 known = feed->version.era == feed->listing_era ? feed->version.revision : 0;
+  if (feed->pages->len > 0)
+    {
+      const DpStorePage *before = g_ptr_array_index (feed->pages, feed->pages->len - 1);
+      known = MAX (known, before->revision);
+    }
+  if (page->revision >= known
+      || (feed->listing_era == 0 && feed->old_listings >= OLD_LISTINGS_MAX))
+    return FALSE;
+  feed->old_listings++;
+  count_old_reply (feed);
+  return TRUE;
+}
+
 static void
 on_listed (const DpPlatformReply *reply, gpointer data)
 {
@@ -646,10 +676,13 @@
   /* Without a further name, nothing tells where the next page begins. */
   if (page != NULL && !page->is_last && (last == NULL || g_strcmp0 (last, feed->after) == 0))
     g_clear_pointer (&page, dp_store_page_free);
+  gboolean is_old = page != NULL && is_old_listing (feed, page);
+  if (is_old)
+    g_clear_pointer (&page, dp_store_page_free);
   if (page == NULL)
     {
       clear_listing (feed);
-      record_failure (feed, dp_platform_result_name (reply->result));
+      record_failure (feed, is_old ? "old_reply" : dp_platform_result_name (reply->result));
       return;
     }
   record_success (feed);
@@ -697,6 +730,14 @@
       record_failure (feed, dp_platform_result_name (reply->result));
       return;
     }
+  if (page->revision < feed->version.revision)
+    {
+      dp_store_page_free (page);
+      count_old_reply (feed);
+      feed->is_listed = FALSE;
+      record_failure (feed, "old_reply");
+      return;
+    }
   record_success (feed);
   record_confirmation (feed);
   apply_page (feed, page);
--- a/standins/store.c
+++ b/standins/store.c
@@ -28,6 +28,7 @@
   gint64 history_gone; /* 1: watches get 410 */
   gint64 page;         /* maximum objects in a listing; 0: PAGE_DEFAULT */
   gint64 broken;       /* 1: responses are truncated JSON */
+  gint64 as_of;        /* listings and watches get what they would have got at this revision */
   char *era;           /* Store-Era of all responses instead of the number of the era */
 } StoreFaults;
 
@@ -76,6 +77,7 @@
   { "history_gone", .number = &store.faults.history_gone },
   { "page", .number = &store.faults.page },
   { "broken", .number = &store.faults.broken },
+  { "as_of", .number = &store.faults.as_of },
   { "era", .text = &store.faults.era },
 };
 
@@ -122,6 +124,13 @@
 
 /* --- watches --- */
 
+/* The revision that responses show. */
+static guint64
+shown_revision (void)
+{
+  return store.faults.as_of > 0 ? (guint64)store.faults.as_of : store.revision;
+}
+
 static struct json_object *
 collect_events (const char *kind, guint64 after)
 {
@@ -129,7 +138,8 @@
   for (guint i = 0; i < store.changes->len; i++)
     {
       const Object *change = g_ptr_array_index (store.changes, i);
-      if (change->revision <= after || strcmp (change->kind, kind) != 0)
+      if (change->revision <= after || change->revision > shown_revision ()
+          || strcmp (change->kind, kind) != 0)
         continue;
       struct json_object *event = json_object_new_object ();
       json_object_object_add (event, "deleted", json_object_new_boolean (change->is_deleted));
@@ -144,7 +154,7 @@
 {
   struct json_object *body = json_object_new_object ();
   json_object_object_add (body, "events", events);
-  json_object_object_add (body, "store_revision", json_object_new_uint64 (store.revision));
+  json_object_object_add (body, "store_revision", json_object_new_uint64 (shown_revision ()));
   reply_json (req, 200, body);
 }
 
@@ -200,7 +210,7 @@
       reply_status (req, 410);
       return;
     }
-  struct json_object *events = collect_events (kind, revision);
+  struct json_object *events = collect_events (kind, store.faults.as_of > 0 ? 0 : revision);
   if (json_object_array_length (events) > 0 || wait_ms == 0)
     {
       reply_events (req, events);
@@ -229,6 +239,30 @@
   return strcmp (left->name, right->name);
 }
 
+/* Returns a new table "KIND/NAME" -> Object of the objects at the revision that is shown. */
+static GHashTable *
+shown_objects (void)
+{
+  if (store.faults.as_of <= 0)
+    return g_hash_table_ref (store.objects);
+  GHashTable *objects = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (guint i = 0; i < store.changes->len; i++)
+    {
+      Object *change = g_ptr_array_index (store.changes, i);
+      char *key = g_strconcat (change->kind, "/", change->name, NULL);
+      if (change->revision > shown_revision ())
+        g_free (key);
+      else if (change->is_deleted)
+        {
+          g_hash_table_remove (objects, key);
+          g_free (key);
+        }
+      else
+        g_hash_table_insert (objects, key, change);
+    }
+  return objects;
+}
+
 static void
 list_kind (struct evhttp_request *req, const char *kind)
 {
@@ -236,7 +270,8 @@
   GPtrArray *rows = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer value;
-  g_hash_table_iter_init (&iter, store.objects);
+  GHashTable *objects = shown_objects ();
+  g_hash_table_iter_init (&iter, objects);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Object *object = value;
@@ -253,8 +288,9 @@
   struct json_object *body = json_object_new_object ();
   json_object_object_add (body, "items", items);
   json_object_object_add (body, "has_more", json_object_new_boolean (rows->len > page));
-  json_object_object_add (body, "store_revision", json_object_new_uint64 (store.revision));
+  json_object_object_add (body, "store_revision", json_object_new_uint64 (shown_revision ()));
   reply_json (req, 200, body);
+  g_hash_table_unref (objects);
   g_ptr_array_unref (rows);
   g_free (after);
 }
