--- a/tests/node_cluster.c
+++ b/tests/node_cluster.c
@@ -123,6 +123,9 @@
 {
   Cluster *cluster = g_new0 (Cluster, 1);
   cluster->build = build;
+  const char *older_vm = g_getenv (OLDER_VM_VARIABLE);
+  cluster->older_build = g_getenv (OLDER_BUILD_VARIABLE);
+  cluster->older_vm = older_vm != NULL ? (guint)g_ascii_strtoull (older_vm, NULL, 10) : 0;
   cluster->folder = g_dir_make_tmp ("dp-node-XXXXXX", NULL);
   cluster->log = g_strconcat (cluster->folder, "/log", NULL);
   guint net = (guint)getpid () % 200;
--- a/tests/node_cluster.h
+++ b/tests/node_cluster.h
@@ -5,6 +5,9 @@
 
 #define TARGETS 2
 #define VMS 2
+/* Let one VM, given by its number, run the node of an older build folder. */
+#define OLDER_BUILD_VARIABLE "DP_OLDER_BUILD"
+#define OLDER_VM_VARIABLE "DP_OLDER_VM"
 #define WAIT (10 * DP_USEC_PER_SEC)
 #define HOST "Host: site.example\r\n"
 #define KEY "Authorization: Bearer letmein\r\n"
