--- a/tests/test_node_builds.c
+++ b/tests/test_node_builds.c
@@ -9,6 +9,8 @@
 #define REQUESTS 10
 /* A VM that does not respond is passed over by then. */
 #define PASSED_OVER_MS 1500
+/* Rules are checked each second, and a new process owns nothing for two. */
+#define RULE_WATCHED (4 * DP_USEC_PER_SEC)
 
 static const char *build;
 
@@ -102,6 +104,41 @@
 }
 END_TEST
 
+static void
+send_for (const Cluster *cluster, DpUsec duration)
+{
+  for (gint64 end = g_get_monotonic_time () + duration; g_get_monotonic_time () < end;)
+    for (guint i = 0; i < VMS; i++)
+      get_status (cluster, i, "/desk/1");
+}
+
+/* A plain service whose targets are brittle goes through its owner, but not from older VMs. */
+START_TEST (a_rule_that_older_vms_may_break_is_logged_once)
+{
+  Cluster *cluster = cluster_new (build);
+  put_config (cluster, 1,
+              ",{\"name\":\"desk\",\"host\":\"site.example\",\"path_prefix\":\"/desk/\","
+              "\"kind\":\"safe\",\"timeout_ms\":1500,\"service\":\"desk\"}");
+  for (guint i = 0; i < TARGETS; i++)
+    {
+      put_target_of (cluster, i, "POST", "ready", "desk");
+      set_fault (cluster, cluster->target_control[i], "{\"brittle\":\"3\"}");
+    }
+  for (guint i = 0; i < VMS; i++)
+    start_node (cluster, i);
+  for (guint i = 0; i < VMS; i++)
+    ck_assert (wait_ready (cluster, i));
+  wait_for_metric (cluster, "dogwoodplank_vms", VMS);
+  send_for (cluster, RULE_WATCHED);
+  ck_assert_uint_eq (count_lines (cluster, "event=rule_not_kept"), 0);
+  write_vm (cluster, "POST", SPEC ("\"weight\":100"));
+  wait_for_metric (cluster, "dogwoodplank_older_vms", 1);
+  send_for (cluster, RULE_WATCHED);
+  ck_assert_uint_eq (count_lines (cluster, "event=rule_not_kept pool=desk older_vms=1"), 1);
+  cluster_free (cluster);
+}
+END_TEST
+
 int
 main (int argc, char **argv)
 {
@@ -114,6 +151,7 @@
   TCase *tests = tcase_create ("builds");
   tcase_add_loop_test (tests, a_vm_of_another_build_is_known_and_logged_once, 0,
                        G_N_ELEMENTS (build_cases));
+  tcase_add_test (tests, a_rule_that_older_vms_may_break_is_logged_once);
   tcase_add_test (tests, a_vm_that_is_replaced_under_its_name_is_known_anew);
   Suite *suite = suite_create ("node_builds");
   suite_add_tcase (suite, tests);
