--- a/node/builds.c
+++ b/node/builds.c
@@ -41,17 +41,18 @@
 {
   DpBuilds builds = { .lowest = DP_RULES_LEVEL, .highest = DP_RULES_LEVEL };
   guint count = node->view != NULL ? node->view->vms->len : 0;
+  guint newest = 0;
   for (guint i = 0; i < count; i++)
     {
-      guint64 rules
-        = dp_owners_rules (node->owners, g_array_index (node->view->vms, DpVm, i).name);
+      DpName vm = g_array_index (node->view->vms, DpVm, i).name;
+      guint64 rules = dp_owners_rules (node->owners, vm);
+      if (rules > builds.highest)
+        newest = 0;
       builds.lowest = MIN (builds.lowest, rules);
       builds.highest = MAX (builds.highest, rules);
+      newest += rules == builds.highest;
     }
-  for (guint i = 0; i < count; i++)
-    builds.older
-      += dp_owners_rules (node->owners, g_array_index (node->view->vms, DpVm, i).name)
-         < builds.highest;
+  builds.older = count - newest;
   return builds;
 }
 
