net: a link that comes up during a send carries the message at once

libzmq reports once that a connection is up, to whoever reads the socket's events next. flush_link() read them after a send that failed with EAGAIN and threw the answer away: if the connection came up between the two, the pending messages stood until the maintenance timer, up to 1 s, which is most of the time of a request that waits for its grant. Between the two are microseconds on a free machine and a time slice on a busy one.

flush_link() goes on while the socket is writable. The test replaces zmq_send() in its program: a send that fails starts the peer and waits for the socket's event before it returns.

--- a/net/bus.c
+++ b/net/bus.c
@@ -183,19 +183,28 @@
   free_pending_frame (pending);
 }
 
-/* Sends pending messages until the socket accepts no more. */
+/* FALSE if the socket does not accept the first pending message now. */
+static gboolean
+send_first_pending_frame (Link *link)
+{
+  const PendingFrame *pending = g_queue_peek_head (&link->pending);
+  const GByteArray *frame = pending->frame;
+  if (zmq_send (link->socket, frame->data, frame->len, ZMQ_DONTWAIT) < 0)
+    return FALSE;
+  count_message (link->bus, "sent", frame->len);
+  drop_first_pending_frame (link);
+  return TRUE;
+}
+
+/* Sends pending messages until the socket accepts no more. If it becomes writable between a
+ * send and the read of its events, that read is the only one to report it. */
 static void
 flush_link (Link *link)
 {
-  while (!g_queue_is_empty (&link->pending))
-    {
-      const PendingFrame *pending = g_queue_peek_head (&link->pending);
-      const GByteArray *frame = pending->frame;
-      if (zmq_send (link->socket, frame->data, frame->len, ZMQ_DONTWAIT) < 0)
-        break;
-      count_message (link->bus, "sent", frame->len);
-      drop_first_pending_frame (link);
-    }
+  gboolean is_writable = TRUE;
+  while (!g_queue_is_empty (&link->pending) && is_writable)
+    is_writable = send_first_pending_frame (link)
+                  || (errno == EAGAIN && (get_socket_events (link->socket) & ZMQ_POLLOUT) != 0);
   get_socket_events (link->socket);
 }
 
--- a/tests/test_net_bus.c
+++ b/tests/test_net_bus.c
@@ -5,6 +5,8 @@
 #include "tests/raw_relay.h"
 
 #include <check.h>
+#include <dlfcn.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -194,6 +196,51 @@
 }
 END_TEST
 
+/* If set, the next zmq_send() that fails with EAGAIN starts this process and waits until its
+ * socket has an event before it returns. */
+static TestProcess *started_during_send;
+
+/* Replaces libzmq's function in this program. */
+int
+zmq_send (void *socket, const void *data, size_t length, int flags)
+{
+  int (*real_send) (void *, const void *, size_t, int) = dlsym (RTLD_NEXT, "zmq_send");
+  int sent = real_send (socket, data, length, flags);
+  int error = zmq_errno ();
+  if (sent < 0 && error == EAGAIN && started_during_send != NULL)
+    {
+      ck_assert (start_process (started_during_send, "127.0.1.12", NULL));
+      started_during_send = NULL;
+      struct pollfd event = { .events = POLLIN };
+      size_t size = sizeof event.fd;
+      ck_assert_int_eq (zmq_getsockopt (socket, ZMQ_FD, &event.fd, &size), 0);
+      ck_assert_int_eq (poll (&event, 1, TIMEOUT_SECONDS * 1000), 1);
+    }
+  errno = error;
+  return sent;
+}
+
+/* The event that the link is up is not reported a second time. */
+START_TEST (link_that_comes_up_during_a_send_is_used_at_once)
+{
+  struct event_base *base = event_base_new ();
+  TestProcess a = make_process (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
+  TestProcess b = make_process (base, "b", DP_ROLE_SCHEDULER, "127.0.1.12");
+  ck_assert (start_process (&a, "127.0.1.11", NULL));
+  DpView *view = make_view (2);
+  dp_bus_set_view (a.bus, view);
+  started_during_send = &b;
+  send_revision (&a, b.self, 1);
+  ck_assert_ptr_null (started_during_send);
+  ck_assert_uint_eq (
+    dp_counters_get (a.counters, "dogwoodplank_bus_messages_total", "direction", "sent"), 1);
+  dp_view_unref (view);
+  clear_process (&a);
+  clear_process (&b);
+  event_base_free (base);
+}
+END_TEST
+
 START_TEST (messages_to_unknown_and_removed_peers_are_counted_as_dropped)
 {
   struct event_base *base = event_base_new ();
@@ -627,6 +674,7 @@
   tcase_add_test (tcase, messages_arrive_in_order_including_the_first);
   tcase_add_test (tcase, peers_on_the_same_vm_need_no_view);
   tcase_add_test (tcase, messages_wait_for_a_peer_that_starts_later);
+  tcase_add_test (tcase, link_that_comes_up_during_a_send_is_used_at_once);
   tcase_add_test (tcase, messages_to_unknown_and_removed_peers_are_counted_as_dropped);
   tcase_add_test (tcase, pending_messages_are_limited);
   tcase_add_test (tcase, messages_to_an_unreachable_peer_expire);
