tests: an older VM is replaced while brittle targets are in use

Both VMs are of an older build at first; from contact_ms after one is replaced, the falls and runs count.

--- a/tests/node_cluster.c
+++ b/tests/node_cluster.c
@@ -96,7 +96,7 @@
 {
   char name[8];
   g_snprintf (name, sizeof name, "vm%u", vm);
-  gboolean is_older = cluster->older_build != NULL && vm == cluster->older_vm;
+  gboolean is_older = cluster->older_build != NULL && cluster->is_older[vm];
   char *seeds = g_strdup_printf ("%s:1,%s:1", cluster->address[0], cluster->address[1]);
   const NodeKitVm settings
     = { .build = is_older ? cluster->older_build : cluster->build,
@@ -123,9 +123,9 @@
 {
   Cluster *cluster = g_new0 (Cluster, 1);
   cluster->build = build;
-  const char *older_vm = g_getenv (OLDER_VM_VARIABLE);
   cluster->older_build = g_getenv (OLDER_BUILD_VARIABLE);
-  cluster->older_vm = older_vm != NULL ? (guint)g_ascii_strtoull (older_vm, NULL, 10) : 0;
+  for (guint i = 0; i < VMS; i++)
+    cluster->is_older[i] = g_strcmp0 (g_getenv (OLDER_VM_VARIABLE), i == 0 ? "0" : "1") == 0;
   cluster->folder = g_dir_make_tmp ("dp-node-XXXXXX", NULL);
   cluster->log = g_strconcat (cluster->folder, "/log", NULL);
   guint net = (guint)getpid () % 200;
--- a/tests/node_cluster.h
+++ b/tests/node_cluster.h
@@ -16,9 +16,9 @@
 typedef struct Cluster
 {
   const char *build;       /* build directory */
-  const char *older_build; /* of the VM `older_vm`; NULL: none */
-  guint older_vm;
-  gboolean was_started; /* nodes are not told of a first start of the whole system */
+  const char *older_build; /* NULL: none */
+  gboolean is_older[VMS];  /* the next start runs `older_build` */
+  gboolean was_started;    /* nodes are not told of a first start of the whole system */
   char *folder;
   char *log;
   char address[VMS][16];
--- a/tests/test_node_brittle.c
+++ b/tests/test_node_brittle.c
@@ -29,13 +29,16 @@
   const char *service;
   const char *path;
   guint rejections_max;
-  gboolean kills_vms; /* one after the other, so that the owner is among them */
-  gboolean is_mixed;  /* played with an older build, too: its requests go through the owner */
+  gboolean kills_vms;  /* one after the other, so that the owner is among them */
+  gboolean is_upgrade; /* all VMs are of the older build until one is replaced */
+  gboolean is_mixed;   /* played with an older build, too: its requests go through the owner */
 } BrittleCase;
 
 static const BrittleCase cases[] = {
   { "pool with an owner", "app", "/look/1", 3, .is_mixed = TRUE },
   { "pool with an owner, none may be rejected", "app", "/look/1", 0, .is_mixed = TRUE },
+  { "pool with an owner, an older VM is replaced", "app", "/look/1", 3, .is_mixed = TRUE,
+    .is_upgrade = TRUE },
   { "pool without an owner", "desk", "/desk/1", 3 },
   { "pool without an owner, none may be rejected", "desk", "/desk/1", 0 },
   { "pool with an owner, VMs are killed", "app", "/look/1", 3, TRUE },
@@ -66,6 +69,8 @@
 start_cluster (const BrittleCase *row)
 {
   Cluster *cluster = cluster_new (build);
+  for (guint i = 0; i < VMS; i++)
+    cluster->is_older[i] = cluster->is_older[i] || row->is_upgrade;
   put_config (cluster, 1,
               ",{\"name\":\"desk\",\"host\":\"site.example\",\"path_prefix\":\"/desk/\","
               "\"kind\":\"safe\",\"timeout_ms\":1500,\"service\":\"desk\"}");
@@ -102,11 +107,21 @@
     }
 }
 
+static void
+replace_vm (Cluster *cluster, guint vm)
+{
+  cluster->was_started = TRUE;
+  cluster->is_older[vm] = FALSE;
+  process_free (cluster->node[vm]);
+  start_node (cluster, vm);
+  g_usleep ((gulong)CONTACT_MS * 1000);
+}
+
 START_TEST (brittle_targets_seldom_fall)
 {
   const BrittleCase *row = &cases[_i];
   gboolean is_mixed = g_getenv (OLDER_BUILD_VARIABLE) != NULL;
-  if (is_mixed && !row->is_mixed)
+  if (is_mixed ? !row->is_mixed : row->is_upgrade)
     return;
   Cluster *cluster = start_cluster (row);
   if (is_mixed)
@@ -128,6 +143,9 @@
     }
   g_usleep ((gulong)NOTICE_MS * 1000);
   set_faults (cluster, "{\"queue\":0}");
+  if (row->is_upgrade)
+    replace_vm (cluster, g_strcmp0 (g_getenv (OLDER_VM_VARIABLE), "0") == 0 ? 1 : 0);
+  gint64 falls = sum_target_counter (cluster, "falls");
   gint64 runs = sum_target_counter (cluster, "runs");
   gint64 start = g_get_monotonic_time ();
   if (row->kills_vms)
@@ -135,7 +153,7 @@
   else
     g_usleep ((gulong)DURATION_MS * 1000);
   gint64 duration_ms = (g_get_monotonic_time () - start) / 1000;
-  gint64 falls = sum_target_counter (cluster, "falls");
+  falls = sum_target_counter (cluster, "falls") - (row->is_upgrade ? falls : 0);
   runs = sum_target_counter (cluster, "runs") - runs;
   gint64 declined = sum_target_counter (cluster, "declined");
   g_atomic_int_set (&is_stopped, 1);
