node/stream_versions: an older VM's guess is no record of a stream

The first answer with a version decided, and was recorded for later take-ups, over what was known before.

Change: the answer of a VM of level 0 decides only once all answers are there or given up, if no VM of a higher level knows the stream and no other one of level 0 says otherwise. It is recorded only for a stream that isn't known here and that no request awaits.

A lone guess still counts, since a lone record of an older VM looks the same.

--- a/core/versions.c
+++ b/core/versions.c
@@ -173,3 +173,31 @@
 {
   return dp_recent_map_get (versions->streams, stream);
 }
+
+/* --- answers --- */
+
+gboolean
+dp_version_answers_add (DpVersionAnswers *answers,
+                        DpName version,
+                        gboolean is_recorded,
+                        DpName *found)
+{
+  *found = is_recorded ? version : 0;
+  if (*found != 0)
+    return TRUE;
+  if (version != 0 && answers->guessed != 0 && version != answers->guessed)
+    answers->is_disputed = TRUE;
+  if (version != 0)
+    answers->guessed = version;
+  if (answers->due == 0 || --answers->due > 0)
+    return FALSE;
+  *found = dp_version_answers_end (answers);
+  return TRUE;
+}
+
+DpName
+dp_version_answers_end (DpVersionAnswers *answers)
+{
+  answers->due = 0;
+  return answers->is_disputed ? 0 : answers->guessed;
+}
--- a/core/versions.h
+++ b/core/versions.h
@@ -43,3 +43,21 @@
 dp_versions_record_stream (DpVersions *versions, guint64 stream, DpName version, DpUsec now);
 /* Returns 0 if it is not known. */
 DpName dp_versions_of_stream (const DpVersions *versions, guint64 stream);
+
+/* Answers of the VMs that were asked for a stream's version. */
+typedef struct DpVersionAnswers
+{
+  guint due;
+  DpName guessed; /* 0: none */
+  gboolean is_disputed;
+} DpVersionAnswers;
+
+/* `is_recorded` FALSE: the sender may have taken the version for the stream's because it knows
+ * of no other. Returns TRUE once all answers are there, or a recorded version; `found` is 0 if
+ * the version can't be told. */
+gboolean dp_version_answers_add (DpVersionAnswers *answers,
+                                 DpName version,
+                                 gboolean is_recorded,
+                                 DpName *found);
+/* No further answers are expected. Returns 0 if the version can't be told. */
+DpName dp_version_answers_end (DpVersionAnswers *answers);
--- a/node/node.h
+++ b/node/node.h
@@ -238,7 +238,7 @@
   /* Hash of the software version that began the stream, which may go on only there; 0: it has
    * not begun. */
   DpName version;
-  guint version_answers_due; /* from other VMs */
+  DpVersionAnswers version_answers; /* of other VMs */
   DpUsec version_asked_at;
   DpUsec version_check_since; /* awaits the store instead; 0: it doesn't */
   /* placement */
--- a/node/stream_versions.c
+++ b/node/stream_versions.c
@@ -271,19 +271,20 @@
   request->version_check_since = 0;
   request->version_asked_at = dp_node_now ();
   if (request->caller.continues != NULL)
-    request->version_answers_due = ask (request, stream);
-  if (request->version_answers_due > 0 || await_check (request))
+    request->version_answers = (DpVersionAnswers){ .due = ask (request, stream) };
+  if (request->version_answers.due > 0 || await_check (request))
     return DP_VERSION_ASKED;
   log_take_up (request, "unknown");
   return DP_VERSION_UNKNOWN;
 }
 
-/* No other VM knows the stream. */
+/* `version` is 0 if no other VM knows the stream. */
 static void
-on_unknown (DpNodeRequest *request)
+apply_answers (DpNodeRequest *request, DpName version)
 {
-  request->version_answers_due = 0;
-  if (!await_check (request))
+  if (version != 0)
+    resolve (request, version, "told");
+  else if (!await_check (request))
     resolve (request, 0, NULL);
 }
 
@@ -293,7 +294,7 @@
   if (request->version_check_since == 0)
     {
       if (now - request->version_asked_at > ANSWER_TIMEOUT)
-        on_unknown (request);
+        apply_answers (request, dp_version_answers_end (&request->version_answers));
     }
   else if (now - request->version_check_since > CHECK_TIMEOUT)
     resolve (request, 0, NULL);
@@ -301,31 +302,36 @@
     start_check (request->node->stream_versions, now);
 }
 
-static void
-apply_answer (DpNodeRequest *request, DpName version)
+/* A VM of level 0 that doesn't know the stream answers with the version that serves, if it
+ * knows of a single one. Returns TRUE if a request awaits the version. */
+static gboolean
+apply_answer (DpNode *node, const DpStreamVersion *message, gboolean is_recorded)
 {
-  if (version != 0)
+  gboolean is_awaited = FALSE;
+  for (DpHandle at = dp_table_next (node->requests, 0); at != 0 && node->awaiting_version > 0;
+       at = dp_table_next (node->requests, at))
     {
-      resolve (request, version, "told");
-      return;
+      DpNodeRequest *request = dp_table_get (node->requests, at);
+      if (request->stage != DP_STAGE_AWAITING_VERSION || stream_of (request) != message->stream)
+        continue;
+      is_awaited = TRUE;
+      DpName found;
+      if (dp_version_answers_add (&request->version_answers, message->version, is_recorded,
+                                  &found))
+        apply_answers (request, found);
     }
-  if (request->version_answers_due > 0 && --request->version_answers_due == 0)
-    on_unknown (request);
+  return is_awaited;
 }
 
 static void
-on_version (DpNode *node, const DpStreamVersion *message)
+on_version (DpNode *node, DpName from, const DpStreamVersion *message)
 {
-  if (message->version != 0)
-    dp_versions_record_stream (node->stream_versions->table, message->stream, message->version,
-                               dp_node_now ());
-  for (DpHandle at = dp_table_next (node->requests, 0); at != 0 && node->awaiting_version > 0;
-       at = dp_table_next (node->requests, at))
-    {
-      DpNodeRequest *request = dp_table_get (node->requests, at);
-      if (request->stage == DP_STAGE_AWAITING_VERSION && stream_of (request) == message->stream)
-        apply_answer (request, message->version);
-    }
+  DpVersions *table = node->stream_versions->table;
+  gboolean is_recorded = dp_owners_rules (node->owners, from) > 0;
+  gboolean is_new = dp_versions_of_stream (table, message->stream) == 0;
+  gboolean is_awaited = apply_answer (node, message, is_recorded);
+  if (message->version != 0 && (is_recorded || (is_new && !is_awaited)))
+    dp_versions_record_stream (table, message->stream, message->version, dp_node_now ());
 }
 
 static void
@@ -345,7 +351,7 @@
   switch (message->type)
     {
     case DP_MESSAGE_STREAM_VERSION:
-      on_version (node, &message->stream_version);
+      on_version (node, from, &message->stream_version);
       return TRUE;
     case DP_MESSAGE_STREAM_VERSION_ASK:
       on_ask (node, from, &message->stream_version);
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -202,6 +202,55 @@
 }
 END_TEST
 
+typedef struct AnswerCase
+{
+  const char *name;
+  guint due;
+  struct
+  {
+    DpName version;
+    gboolean is_recorded;
+  } answers[3];
+  guint decided_after; /* answers; 0: not before the others are given up */
+  DpName found;
+} AnswerCase;
+
+static const AnswerCase answer_cases[] = {
+  { "nobody knows", 3, { { 0, TRUE }, { 0, TRUE }, { 0, FALSE } }, 3, 0 },
+  { "the first knows", 3, { { 2, TRUE } }, 1, 2 },
+  { "the last knows", 3, { { 0, TRUE }, { 0, TRUE }, { 2, TRUE } }, 3, 2 },
+  { "a guess comes first", 3, { { 1, FALSE }, { 0, TRUE }, { 2, TRUE } }, 3, 2 },
+  { "a guess comes first, one is missing", 3, { { 1, FALSE }, { 2, TRUE } }, 2, 2 },
+  { "guesses only", 2, { { 1, FALSE }, { 1, FALSE } }, 2, 1 },
+  { "guesses differ", 3, { { 1, FALSE }, { 2, FALSE }, { 1, FALSE } }, 3, 0 },
+  { "one guess, one is missing", 2, { { 1, FALSE } }, 0, 1 },
+  { "guesses differ, one is missing", 3, { { 1, FALSE }, { 2, FALSE } }, 0, 0 },
+  { "no answer", 3, { { 0 } }, 0, 0 },
+};
+
+START_TEST (a_guess_of_an_older_vm_does_not_outweigh_a_record)
+{
+  const AnswerCase *row = &answer_cases[_i];
+  DpVersionAnswers answers = { .due = row->due };
+  DpName found = 0;
+  guint count = 0;
+  gboolean is_decided = FALSE;
+  while (!is_decided && count < G_N_ELEMENTS (row->answers)
+         && (row->answers[count].version != 0 || count < row->decided_after))
+    {
+      is_decided = dp_version_answers_add (&answers, row->answers[count].version,
+                                           row->answers[count].is_recorded, &found);
+      count++;
+    }
+  ck_assert_msg (is_decided == (row->decided_after != 0), "%s", row->name);
+  if (is_decided)
+    ck_assert_msg (count == row->decided_after, "%s: after %u", row->name, count);
+  else
+    found = dp_version_answers_end (&answers);
+  ck_assert_msg (found == row->found, "%s: %d", row->name, (int)found);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -211,6 +260,8 @@
   tcase_add_test (tests, versions_of_streams_are_kept_for_their_lifetime);
   tcase_add_loop_test (tests, a_stream_is_placed_at_its_version_only, 0,
                        G_N_ELEMENTS (placement_cases));
+  tcase_add_loop_test (tests, a_guess_of_an_older_vm_does_not_outweigh_a_record, 0,
+                       G_N_ELEMENTS (answer_cases));
   Suite *suite = suite_create ("versions");
   suite_add_tcase (suite, tests);
   SRunner *runner = srunner_create (suite);
