core/dispatcher: what a stop cuts may still run at a brittle target

What callers would see: at the end of a stop, requests that run at a brittle target are ended and reported to the pool's owner, which gave their slots to others at once. A target that goes on with them rejects these, and crashes if it rejects too many.

Cause: since a stopping VM ends its last requests by itself, with the reason "stopping", which was not among the reasons after which a target may run on. Before, the owner counted them until the VM's reports had been missing for some time.

Change: "stopping" counts as an abandoned request, as a caller that is gone does.

--- a/core/dispatcher_limits.c
+++ b/core/dispatcher_limits.c
@@ -305,6 +305,7 @@
     {
     case DP_REASON_CALLER_GONE:
     case DP_REASON_DEADLINE_PASSED:
+    case DP_REASON_STOPPING:
     case DP_REASON_TARGET_SILENT:
     case DP_REASON_TARGET_BROKE:
     case DP_REASON_ANSWER_INCOMPLETE:
--- a/tests/test_brittle_targets.c
+++ b/tests/test_brittle_targets.c
@@ -1226,6 +1226,87 @@
 }
 END_TEST
 
+/* --- the end of a request --- */
+
+typedef struct EndCase
+{
+  const char *name;
+  DpReason reason;
+  gboolean is_free; /* the request's slot */
+} EndCase;
+
+static const EndCase end_cases[] = {
+  { "answered", DP_REASON_NONE, TRUE },
+  { "failed", DP_REASON_TARGET_ERROR, TRUE },
+  { "another owner assigns it", DP_REASON_NO_OWNER, TRUE },
+  { "the caller is gone", DP_REASON_CALLER_GONE, FALSE },
+  { "the deadline has passed", DP_REASON_DEADLINE_PASSED, FALSE },
+  { "the VM stops", DP_REASON_STOPPING, FALSE },
+};
+
+static void
+ask_for_grant (DpDispatcher *dispatcher, guint64 number, DpUsec now, GArray *outbox)
+{
+  DpMessage message = { .type = DP_MESSAGE_GRANT_ASK };
+  message.grant_ask = (DpGrantAsk){ .attempt = { 1, number },
+                                    .group = dp_name (POOL),
+                                    .remaining = 10 * SEC,
+                                    .objective_left = SEC,
+                                    .repeatable = TRUE };
+  g_array_set_size (outbox, 0);
+  dp_dispatcher_receive (dispatcher, 9, &message, now, outbox);
+}
+
+static gboolean
+is_granted (const GArray *outbox)
+{
+  for (guint i = 0; i < outbox->len; i++)
+    if (g_array_index (outbox, DpDispatchMessage, i).message.type == DP_MESSAGE_GRANT_GIVEN)
+      return TRUE;
+  return FALSE;
+}
+
+START_TEST (a_brittle_targets_slot_is_not_free_while_it_may_run_on)
+{
+  const EndCase *row = &end_cases[_i];
+  DpCounters *counters = dp_counters_new ();
+  DpDirectory *directory = dp_directory_new ();
+  const DpTargetRecord record = { .id = "t0", .pool = POOL, .slots = 1 };
+  const DpBrittleReport report
+    = { .target = dp_name ("t0"), .is_set = TRUE, .rejections_max = 5, .observed_at = START };
+  dp_directory_put (directory, &record);
+  ck_assert (dp_directory_record_brittle (directory, &report, START));
+  const DpDispatcherOptions options
+    = { .pool = dp_name (POOL), .seed = 1, .is_shared = TRUE, .counters = counters };
+  DpDispatcher *dispatcher = dp_dispatcher_new (&options);
+  GArray *outbox = dp_dispatch_outbox_new ();
+  dp_dispatcher_set_reach (dispatcher, 1);
+  DpUsec now = START;
+  dp_dispatcher_set_targets (dispatcher, directory, now, outbox);
+  ask_for_grant (dispatcher, 1, now, outbox);
+  while (!is_granted (outbox) && now < START + 5 * SEC)
+    {
+      now += 10 * MSEC;
+      g_array_set_size (outbox, 0);
+      dp_dispatcher_tick (dispatcher, now, outbox);
+    }
+  ck_assert (is_granted (outbox));
+  DpMessage done = { .type = DP_MESSAGE_GRANT_DONE };
+  done.grant_done = (DpGrantDone){ .attempt = { 1, 1 },
+                                   .group = dp_name (POOL),
+                                   .target = dp_name ("t0"),
+                                   .reason = row->reason,
+                                   .duration = 10 * MSEC };
+  dp_dispatcher_receive (dispatcher, 9, &done, now + 10 * MSEC, outbox);
+  ask_for_grant (dispatcher, 2, now + 20 * MSEC, outbox);
+  ck_assert_msg (is_granted (outbox) == row->is_free, "%s", row->name);
+  g_array_unref (outbox);
+  dp_dispatcher_free (dispatcher);
+  dp_directory_free (directory);
+  dp_counters_unref (counters);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -1236,6 +1317,10 @@
   tcase_add_loop_test (tests, targets_are_used_as_before_when_they_are_not_brittle_any_more, 0,
                        2);
   suite_add_tcase (suite, tests);
+  TCase *ends = tcase_create ("ends");
+  tcase_add_loop_test (ends, a_brittle_targets_slot_is_not_free_while_it_may_run_on, 0,
+                       G_N_ELEMENTS (end_cases));
+  suite_add_tcase (suite, ends);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
   int failed = srunner_ntests_failed (runner);
