net: make the time-out of pending messages an option of the bus

net_bus once saw "no event within 20 s" in messages_arrive_in_order_including_the_first beside load. Messages that wait for a connection expire after one second, as they should; the test sends 300 before the connection is up and relied on a machine that connects two processes within that second. Made reliable: with the peer started 2.2 s later the case fails with the same line.

The test's processes now take a time-out as long as the test's own, and messages_to_an_unreachable_peer_expire the default. As strict: all 300 have to arrive, in order and with the first, on a connection that comes up at any time; a queue that is emptied from its end fails it (mutation by hand).

--- a/net/bus.c
+++ b/net/bus.c
@@ -22,7 +22,7 @@
  * queues none before it is up. */
 #define PENDING_MESSAGES_MAX 512
 #define PENDING_BYTES_MAX ((gsize)4 * 1024 * 1024)
-#define PENDING_TIMEOUT DP_USEC_PER_SEC
+#define PENDING_TIMEOUT_DEFAULT DP_USEC_PER_SEC
 /* Links on which nothing is sent for this long are closed. */
 #define LINK_IDLE_TIMEOUT (10 * DP_USEC_PER_SEC)
 /* Messages handled per callback, so that other events aren't delayed. */
@@ -57,6 +57,7 @@
   char *address;
   guint16 ports[DP_ROLE_COUNT];
   DpCounters *counters;
+  DpUsec pending_timeout;
   DpBusReceiveFunc receive;
   gpointer user;
   gboolean has_keys;
@@ -222,7 +223,7 @@
   const PendingFrame *pending;
   while ((pending = g_queue_peek_head (&link->pending)) != NULL)
     {
-      if (now - pending->queued_at < PENDING_TIMEOUT)
+      if (now - pending->queued_at < link->bus->pending_timeout)
         break;
       count_dropped (link->bus, "unreachable");
       drop_first_pending_frame (link);
@@ -501,6 +502,8 @@
   bus->address = g_strdup (options->address);
   memcpy (bus->ports, options->ports, sizeof bus->ports);
   bus->counters = dp_counters_ref (options->counters);
+  bus->pending_timeout
+    = options->pending_timeout != 0 ? options->pending_timeout : PENDING_TIMEOUT_DEFAULT;
   bus->receive = options->receive;
   bus->user = options->user;
   bus->links = g_hash_table_new_full (peer_hash, peer_equal, NULL, free_link);
--- a/net/bus.h
+++ b/net/bus.h
@@ -42,6 +42,7 @@
   guint16 ports[DP_ROLE_COUNT]; /* indexed by DpRole; the same on all VMs */
   DpCounters *counters;         /* a reference is taken */
   const DpBusKeys *keys;        /* NULL: no CURVE */
+  DpUsec pending_timeout;       /* for messages that wait for a connection; 0: one second */
   DpBusReceiveFunc receive;
   gpointer user;
 } DpBusOptions;
--- a/tests/test_net_bus.c
+++ b/tests/test_net_bus.c
@@ -39,6 +39,7 @@
   DpPeer from;
   GArray *revisions;     /* guint64, in order of arrival */
   const DpBusKeys *keys; /* NULL: no CURVE */
+  DpUsec pending_timeout;
 } TestProcess;
 
 static void
@@ -57,6 +58,8 @@
 {
   return (TestProcess){ .base = base,
                         .counters = dp_counters_new (),
+                        /* A busy machine may take long to connect two processes. */
+                        .pending_timeout = TIMEOUT_SECONDS * DP_USEC_PER_SEC,
                         .self = { dp_name (name), role },
                         .revisions = g_array_new (FALSE, FALSE, sizeof (guint64)) };
 }
@@ -70,6 +73,7 @@
                            .ports = { ports[0], ports[1], ports[2] },
                            .counters = process->counters,
                            .keys = process->keys,
+                           .pending_timeout = process->pending_timeout,
                            .receive = on_message,
                            .user = process };
   process->bus = dp_bus_new (&options, error);
@@ -299,6 +303,7 @@
 {
   struct event_base *base = event_base_new ();
   TestProcess a = make_process (base, "a", DP_ROLE_ENTRY, "127.0.1.11");
+  a.pending_timeout = 0;
   ck_assert (start_process (&a, "127.0.1.11", NULL));
   DpView *view = make_view (2);
   dp_bus_set_view (a.bus, view);
