node/store_watch: list again after a change without a readable name

A target whose entry another writer had replaced by one whose name can't be read stayed in use: a watch says only that something changed, the row was skipped, and the listing that would lack the target came only after a failure.

Such a change makes the kind be listed again after 2 s, once for all that come until then, so that a writer that goes on costs a listing every few seconds.

tests/test_node_odd_entry: the three cases of a_target_whose_name_can_not_be_read_any_more_is_removed failed before. Green as well: test_node, test_records, test_node_old_replies.

--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -31,6 +31,9 @@
 #define CALLS_QUEUED 32
 /* A store without eras that keeps listing an older revision was restored from an older copy. */
 #define OLD_LISTINGS_MAX 3
+/* A change without a readable name may be of a known object: a listing shows which one is left
+ * out. Another writer may make such changes again and again. */
+#define UNNAMED_DELAY (2 * DP_USEC_PER_SEC)
 /* A target's entry expires after this many missed heartbeats. */
 #define EXPIRY_HEARTBEATS 3
 /* After a restore, entries of VMs are written again within two seconds. */
@@ -71,7 +74,7 @@
   /* The store was restored: the next listing may lack entries that will be written again, and
    * have ones that are out of date. */
   gboolean is_restored;
-  DpUsec relist_at; /* when such a listing is repeated; 0: never */
+  DpUsec relist_at; /* when the listing is repeated; 0: never */
   /* listing in progress */
   guint64 listing_era;
   GPtrArray *pages; /* DpStorePage */
@@ -745,6 +748,8 @@
   apply_page (feed, page);
   if (page->objects->len > 0)
     publish (feed);
+  if (page->unnamed > 0 && feed->relist_at == 0)
+    feed->relist_at = dp_node_now () + UNNAMED_DELAY;
   feed->version.revision = MAX (feed->version.revision, page->revision);
   gboolean had_changes = page->objects->len > 0;
   dp_store_page_free (page);
--- a/tests/test_node_odd_entry.c
+++ b/tests/test_node_odd_entry.c
@@ -227,6 +227,29 @@
 }
 END_TEST
 
+/* --- a name that can't be read --- */
+
+static const OddCase unnamed_cases[] = {
+  { "a number", "servers", "t1", "{\"metadata\":{\"name\":7},\"spec\":{}}", "", 0, "" },
+  { "no metadata", "servers", "t1", "{\"spec\":{}}", "", 0, "" },
+  { "no object", "servers", "t1", "17", "", 0, "" },
+};
+
+START_TEST (a_target_whose_name_can_not_be_read_any_more_is_removed)
+{
+  const OddCase *row = &unnamed_cases[_i];
+  Cluster *cluster = cluster_start (build);
+  wait_for_metric (cluster, "dogwoodplank_targets", TARGETS);
+  put_odd (cluster, row);
+  wait_for_metric (cluster, "dogwoodplank_targets", TARGETS - 1);
+  check_served (cluster, row);
+  ck_assert_int_eq (node_kit_remove_target (store_of (cluster), "t1"), 200);
+  put_target (cluster, 1, "POST", "ready");
+  wait_for_metric (cluster, "dogwoodplank_targets", TARGETS);
+  cluster_free (cluster);
+}
+END_TEST
+
 /* --- a VM's own entry --- */
 
 static const OddCase own_cases[] = {
@@ -310,6 +333,8 @@
   tcase_add_loop_test (tests, a_vm_starts_beside_an_odd_entry, 0, G_N_ELEMENTS (odd_cases));
   tcase_add_loop_test (tests, a_watch_gets_past_an_odd_entry, 0, G_N_ELEMENTS (odd_cases));
   tcase_add_test (tests, an_odd_entry_is_logged_once_for_each_revision);
+  tcase_add_loop_test (tests, a_target_whose_name_can_not_be_read_any_more_is_removed, 0,
+                       G_N_ELEMENTS (unnamed_cases));
   tcase_add_loop_test (tests, a_vm_writes_its_own_entry_again, 0, G_N_ELEMENTS (own_cases));
   tcase_add_test (tests, an_entry_that_is_spoiled_again_and_again_is_seldom_written);
   tcase_add_test (tests, a_stored_quarantine_is_read_beside_an_odd_one);
