--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 
 
 async def case(folder, trouble):
-    site = Site(folder, "127.61.1", ["lj-a", "lj-b", "kr-a"])
+    site = Site(os.path.join(folder, "record.txt"), "127.61.1", ["lj-a", "lj-b", "kr-a"])
     record = site.record
     for zone in ("lj-a", "lj-b", "kr-a", "nm-a"):
         site.add_engine("app", zone)
--- a/review/kit/kit.py
+++ b/review/kit/kit.py
@@ -25,10 +25,10 @@
 
 
 class Record:
-    """record.txt: what was sent, answered and run."""
+    """The file that says what was sent, answered and run."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
 
     def __call__(self, *words):
         line = "%8.3f  %s" % (time.monotonic() - STARTED, " ".join(str(w) for w in words))
@@ -372,8 +372,8 @@
 class Site:
     """A small site as in SYSTEM.md: nodes, the store, engines of services."""
 
-    def __init__(self, folder, net, zones, memory_mb=96):
-        self.record = Record(folder)
+    def __init__(self, record_path, net, zones, memory_mb=96):
+        self.record = Record(record_path)
         self.work = tempfile.mkdtemp(prefix="review-")
         FOLDERS.append(self.work)
         self.net = net
