net: reject requests that aren't delimited by RFC 9112 alone

Cause: evhttp accepts much that RFC 9112 forbids, and is_ambiguous() only listed some of it. A name that isn't a token is another field for evhttp, so that the request has no body and its body is the next request.

Change: net/http_framing, a strict parser that each byte received by a listener passes before evhttp. What it rejects gets 400 at once and the connection closes, so nothing behind it is read as a request. A request is handled only if both parsers end it at the same byte. Trailers are no longer merged into header fields.

--- a/net/http_call.c
+++ b/net/http_call.c
@@ -1,5 +1,6 @@
 #include "net/http_call.h"
 
+#include "net/http_framing.h"
 #include "net/socket_options.h"
 #include "net/tunnel_server.h"
 
@@ -192,15 +193,6 @@
   event_active (call->timer, EV_TIMEOUT, 0);
 }
 
-static gboolean
-is_token (const char *text)
-{
-  for (const char *at = text; *at != '\0'; at++)
-    if (!g_ascii_isalnum (*at) && strchr ("!#$%&'*+-.^_`|~", *at) == NULL)
-      return FALSE;
-  return text[0] != '\0';
-}
-
 /* evhttp reads other heads, too: it uses the first of several lengths, and for any unknown
  * coding takes the end of the connection for the end of the body (RFC 9112, 5.1 and 6.3). */
 static gboolean
@@ -210,7 +202,7 @@
   const char *coding = NULL;
   const struct evkeyvalq *headers = evhttp_request_get_input_headers (request);
   for (const struct evkeyval *row = headers->tqh_first; row != NULL; row = row->next.tqe_next)
-    if (!is_token (row->key))
+    if (!dp_http_is_token (row->key) || !dp_http_is_field_value (row->value))
       return FALSE;
     else if (g_ascii_strcasecmp (row->key, "Content-Length") == 0)
       {
--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -33,9 +33,13 @@
   struct sockaddr_storage peer;
   gboolean is_rejected; /* it is closed behind the response */
   ConnectionState state;
-  gsize line_length; /* of the head's last line, while it is received */
-  DpUsec since;      /* of the state; of a request its first byte */
+  DpHttpFraming framing; /* of the request that is being received */
+  gsize read_ahead;      /* bytes received behind that request */
+  DpUsec since;          /* of the state; of a request its first byte */
   DpUsec timeout; /* of the state; of an idle connection the longest in force since it began */
+  /* evhttp's callback, while the response to an invalid request is sent */
+  bufferevent_event_cb on_event;
+  void *arg;
 } Connection;
 
 struct DpHttpConnections
@@ -47,6 +51,8 @@
   DpHttpLinger *linger;
   GPtrArray *accepted; /* Connection: not in by_fd yet */
   struct event *accepted_event;
+  GPtrArray *invalid; /* Connection: its request is to be rejected */
+  struct event *invalid_event;
   struct event *sweep;
 };
 
@@ -115,62 +121,141 @@
 set_state (const DpHttpConnections *connections, Connection *connection, ConnectionState state)
 {
   connection->state = state;
-  connection->line_length = 0;
+  connection->framing = (DpHttpFraming){ 0 };
+  connection->read_ahead = 0;
   connection->timeout = state_timeout (connections, state);
   connection->since = dp_clock_now ();
 }
 
-/* TRUE if the last `length` bytes of the input end the request's head: by an empty line. */
-static gboolean
-ends_head (Connection *connection, struct evbuffer *input, gsize length)
+/* The last `length` bytes of the input belong to a request that is not complete, or follow it.
+ */
+static void
+receive (const DpHttpConnections *connections,
+         Connection *connection,
+         struct evbuffer *input,
+         gsize length)
 {
+  DpHttpFraming *framing = &connection->framing;
   char bytes[SCAN_BYTES];
   struct evbuffer_ptr at;
   gsize start = evbuffer_get_length (input) - length;
-  while (length > 0 && evbuffer_ptr_set (input, &at, start, EVBUFFER_PTR_SET) == 0)
+  while (length > 0 && framing->stage != DP_HTTP_STAGE_COMPLETE
+         && framing->stage != DP_HTTP_STAGE_INVALID)
     {
-      ev_ssize_t copied = evbuffer_copyout_from (input, &at, bytes, MIN (length, sizeof bytes));
-      if (copied <= 0)
-        return FALSE;
-      for (ev_ssize_t i = 0; i < copied; i++)
+      gsize read = dp_http_framing_skip (framing, length);
+      if (read == 0)
         {
-          if (bytes[i] == '\n' && connection->line_length == 0)
-            return TRUE;
-          if (bytes[i] == '\n')
-            connection->line_length = 0;
-          else if (bytes[i] != '\r')
-            connection->line_length++;
+          evbuffer_ptr_set (input, &at, start, EVBUFFER_PTR_SET);
+          ev_ssize_t copied
+            = evbuffer_copyout_from (input, &at, bytes, MIN (length, sizeof bytes));
+          read = dp_http_framing_read (framing, bytes, (gsize)MAX (copied, 0));
         }
-      start += (gsize)copied;
-      length -= (gsize)copied;
+      start += read;
+      length -= read;
     }
-  return FALSE;
+  connection->read_ahead += length;
+  if (connection->state != CONNECTION_RECEIVING_HEAD || !dp_http_framing_has_head (framing))
+    return;
+  connection->state = CONNECTION_RECEIVING;
+  connection->timeout = state_timeout (connections, CONNECTION_RECEIVING);
 }
 
-/* The last `length` bytes of the input belong to a request that is not complete. */
+/* --- invalid requests --- */
+
+/* Lets evhttp free the connection. */
 static void
-receive (const DpHttpConnections *connections,
-         Connection *connection,
-         struct evbuffer *input,
-         gsize length)
+end_rejection (Connection *connection)
 {
-  if (connection->state != CONNECTION_RECEIVING_HEAD || !ends_head (connection, input, length))
-    return;
-  connection->state = CONNECTION_RECEIVING;
-  connection->timeout = state_timeout (connections, CONNECTION_RECEIVING);
+  struct bufferevent *bev = connection->bev;
+  bufferevent_setcb (bev, NULL, NULL, connection->on_event, connection->arg);
+  bufferevent_trigger_event (bev, BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
+}
+
+static void
+on_rejection_written (struct bufferevent *bev, void *user)
+{
+  end_rejection (user);
+}
+
+static void
+on_rejection_event (struct bufferevent *bev, short what, void *user)
+{
+  end_rejection (user);
 }
 
+/* evhttp gets nothing more of the connection, of which it may have read a part of the request.
+ */
+static void
+reject (DpHttpConnections *connections, Connection *connection)
+{
+  struct bufferevent *bev = connection->bev;
+  bufferevent_disable (bev, EV_READ);
+  bufferevent_getcb (bev, NULL, NULL, &connection->on_event, &connection->arg);
+  bufferevent_setcb (bev, NULL, on_rejection_written, on_rejection_event, connection);
+  struct evbuffer *response = evbuffer_new ();
+  connections->options.on_invalid (connections->options.user, connection->framing.fault,
+                                   response);
+  bufferevent_write_buffer (bev, response);
+  bufferevent_enable (bev, EV_WRITE);
+  evbuffer_free (response);
+}
+
+static gboolean
+is_receiving (const Connection *connection)
+{
+  return connection->state == CONNECTION_RECEIVING_HEAD
+         || connection->state == CONNECTION_RECEIVING;
+}
+
+/* For requests that had been read ahead, while evhttp still sent the response before. */
+static void
+on_invalid (evutil_socket_t fd, short what, void *user)
+{
+  DpHttpConnections *connections = user;
+  for (guint i = 0; i < connections->invalid->len; i++)
+    {
+      Connection *connection = g_ptr_array_index (connections->invalid, i);
+      if (is_open (connection) && is_receiving (connection) && !connection->is_rejected)
+        reject (connections, connection);
+    }
+  g_ptr_array_set_size (connections->invalid, 0);
+}
+
+DpHttpFault
+dp_http_connections_check_request (DpHttpConnections *connections,
+                                   struct evhttp_connection *connection,
+                                   guint *field_count)
+{
+  struct evbuffer *input
+    = bufferevent_get_input (evhttp_connection_get_bufferevent (connection));
+  const Connection *row = g_hash_table_lookup (connections->by_buffer, input);
+  if (row == NULL)
+    return DP_HTTP_FAULT_END;
+  *field_count = row->framing.field_count;
+  if (row->framing.stage == DP_HTTP_STAGE_INVALID)
+    return row->framing.fault;
+  gboolean is_same_end = row->framing.stage == DP_HTTP_STAGE_COMPLETE
+                         && row->read_ahead == evbuffer_get_length (input);
+  return is_same_end ? DP_HTTP_FAULT_NONE : DP_HTTP_FAULT_END;
+}
+
+/* --- input and output --- */
+
 /* Bytes were read from the connection. */
 static void
 on_input (struct evbuffer *input, const struct evbuffer_cb_info *info, void *user)
 {
-  const DpHttpConnections *connections = user;
+  DpHttpConnections *connections = user;
   Connection *connection = g_hash_table_lookup (connections->by_buffer, input);
-  if (connection == NULL || info->n_added == 0)
+  if (connection == NULL || connection->is_rejected || info->n_added == 0)
     return;
   if (connection->state == CONNECTION_IDLE)
     set_state (connections, connection, CONNECTION_RECEIVING_HEAD);
+  if (!is_receiving (connection))
+    return;
   receive (connections, connection, input, info->n_added);
+  if (connection->framing.stage == DP_HTTP_STAGE_INVALID)
+    reject (connections, connection);
 }
 
 /* TRUE if the output begins with "100 Continue", behind which the request goes on. */
@@ -191,9 +276,7 @@
   Connection *connection = g_hash_table_lookup (connections->by_buffer, output);
   if (connection == NULL || connection->is_rejected || info->n_added == 0)
     return;
-  gboolean is_receiving = connection->state == CONNECTION_RECEIVING_HEAD
-                          || connection->state == CONNECTION_RECEIVING;
-  if (!is_receiving || is_interim (output))
+  if (!is_receiving (connection) || is_interim (output))
     return;
   connection->is_rejected = TRUE;
   dp_http_linger_add (connections->linger, bufferevent_getfd (connection->bev));
@@ -219,10 +302,12 @@
   return connection->bev;
 }
 
-/* Another connection may have the same buffers by now. */
+/* Removes what refers to a connection that is closed or about to be. Another one may have the
+ * same buffers by now. */
 static void
-remove_buffers (DpHttpConnections *connections, const Connection *connection)
+forget_connection (DpHttpConnections *connections, Connection *connection)
 {
+  g_ptr_array_remove (connections->invalid, connection);
   if (g_hash_table_lookup (connections->by_buffer, connection->input) == connection)
     g_hash_table_remove (connections->by_buffer, connection->input);
   if (g_hash_table_lookup (connections->by_buffer, connection->output) == connection)
@@ -238,9 +323,9 @@
       Connection *connection = g_ptr_array_index (connections->accepted, i);
       connection->fd = bufferevent_getfd (connection->bev);
       connection->peer = peer_address (connection->fd);
-      const Connection *closed = g_hash_table_lookup (connections->by_fd, &connection->fd);
+      Connection *closed = g_hash_table_lookup (connections->by_fd, &connection->fd);
       if (closed != NULL)
-        remove_buffers (connections, closed);
+        forget_connection (connections, closed);
       g_hash_table_replace (connections->by_fd, &connection->fd, connection);
     }
   g_ptr_array_set_size (connections->accepted, 0);
@@ -298,7 +383,7 @@
         continue;
       if (open)
         close_connection (connections, connection, "dogwoodplank_http_idle_closed_total");
-      remove_buffers (connections, connection);
+      forget_connection (connections, connection);
       g_hash_table_iter_remove (&iter);
     }
   dp_counters_set (connections->options.counters, "dogwoodplank_http_connections", "listener",
@@ -325,6 +410,10 @@
     {
       set_state (connections, row, CONNECTION_RECEIVING_HEAD);
       receive (connections, row, input, read_ahead);
+      if (row->framing.stage != DP_HTTP_STAGE_INVALID)
+        return;
+      g_ptr_array_add (connections->invalid, row);
+      event_active (connections->invalid_event, EV_TIMEOUT, 0);
     }
 }
 
@@ -338,6 +427,8 @@
   connections->accepted = g_ptr_array_new ();
   connections->linger = dp_http_linger_new (options->base);
   connections->accepted_event = event_new (options->base, -1, 0, on_accepted, connections);
+  connections->invalid = g_ptr_array_new ();
+  connections->invalid_event = event_new (options->base, -1, 0, on_invalid, connections);
   connections->sweep = event_new (options->base, -1, EV_PERSIST, on_sweep, connections);
   const struct timeval interval = { .tv_sec = SWEEP_INTERVAL_SECONDS };
   event_add (connections->sweep, &interval);
@@ -350,6 +441,8 @@
 {
   event_free (connections->sweep);
   event_free (connections->accepted_event);
+  event_free (connections->invalid_event);
+  g_ptr_array_unref (connections->invalid);
   g_ptr_array_set_free_func (connections->accepted, g_free);
   g_ptr_array_unref (connections->accepted);
   g_hash_table_unref (connections->by_buffer);
@@ -420,7 +513,7 @@
         continue;
       if (open)
         close_connection (connections, connection, "dogwoodplank_http_stop_closed_total");
-      remove_buffers (connections, connection);
+      forget_connection (connections, connection);
       g_hash_table_iter_remove (&iter);
     }
 }
--- a/net/http_connections.h
+++ b/net/http_connections.h
@@ -5,7 +5,9 @@
 
 #include "common/counters.h"
 #include "common/id.h"
+#include "net/http_framing.h"
 
+#include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/listener.h>
@@ -13,6 +15,9 @@
 
 typedef struct DpHttpConnections DpHttpConnections;
 
+/* Writes the response to an invalid request, head and body. */
+typedef void (*DpHttpInvalidFunc) (gpointer user, DpHttpFault fault, struct evbuffer *response);
+
 typedef struct DpHttpConnectionsOptions
 {
   struct event_base *base;
@@ -23,7 +28,9 @@
   DpUsec read_timeout;    /* between reads of a request */
   DpUsec head_timeout;    /* from the first byte of a request to the end of its head; 0: none */
   DpUsec request_timeout; /* from the first byte of a request to its end */
-  DpCounters *counters;   /* must outlive the object */
+  DpHttpInvalidFunc on_invalid; /* the connection is closed behind its response */
+  gpointer user;
+  DpCounters *counters; /* must outlive the object */
 } DpHttpConnectionsOptions;
 
 DpHttpConnections *dp_http_connections_new (const DpHttpConnectionsOptions *options);
@@ -40,6 +47,12 @@
                                    struct evhttp_connection *connection,
                                    gboolean busy);
 
+/* Checks a request that evhttp has just received in full: returns what is wrong with it, or
+ * DP_HTTP_FAULT_NONE and the number of its header fields, behind which trailers follow. */
+DpHttpFault dp_http_connections_check_request (DpHttpConnections *connections,
+                                               struct evhttp_connection *connection,
+                                               guint *field_count);
+
 /* Holds for connections that become idle from now on, and for idle ones if it is longer than
  * theirs. */
 void dp_http_connections_set_idle_timeout (DpHttpConnections *connections, DpUsec timeout);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -1,5 +1,6 @@
 #include "net/http_server.h"
 
+#include "common/log.h"
 #include "core/reason.h"
 #include "net/http_connections.h"
 
@@ -46,6 +47,7 @@
 {
   DpHttpServer *server;
   struct evhttp_request *request;
+  guint field_count; /* header fields; evhttp adds trailers behind them */
   gsize body_length;
   DpHttpClosedFunc on_closed;
   gpointer user;
@@ -251,6 +253,16 @@
   return is_keyed && dp_reason_may_retry (reason) ? DP_OUTCOME_UNKNOWN : DP_OUTCOME_NOT_RUN;
 }
 
+static void
+add_problem (struct evbuffer *body, DpReason reason, DpOutcome outcome)
+{
+  const char *name = dp_reason_name (reason);
+  evbuffer_add_printf (body,
+                       "{\"type\":\"urn:dogwoodplank:problem:%s\",\"title\":\"%s\","
+                       "\"status\":%d,\"reason\":\"%s\",\"outcome\":\"%s\",\"sent\":false}\n",
+                       name, name, dp_reason_status (reason), name, dp_outcome_name (outcome));
+}
+
 /* Rejects a request without calling the handler. */
 static void
 reject (struct evhttp_request *request, DpReason reason)
@@ -259,14 +271,31 @@
   evhttp_add_header (headers, "Content-Type", "application/problem+json");
   evhttp_add_header (headers, "Connection", "close");
   struct evbuffer *body = evbuffer_new ();
-  const char *name = dp_reason_name (reason);
-  int status = dp_reason_status (reason);
-  evbuffer_add_printf (body,
-                       "{\"type\":\"urn:dogwoodplank:problem:%s\",\"title\":\"%s\","
-                       "\"status\":%d,\"reason\":\"%s\",\"outcome\":\"%s\",\"sent\":false}\n",
-                       name, name, status, name,
-                       dp_outcome_name (rejection_outcome (request, reason)));
-  evhttp_send_reply (request, status, NULL, body);
+  add_problem (body, reason, rejection_outcome (request, reason));
+  evhttp_send_reply (request, dp_reason_status (reason), NULL, body);
+  evbuffer_free (body);
+}
+
+static void
+record_invalid (DpHttpServer *server, DpHttpFault fault)
+{
+  increment (server, "dogwoodplank_http_invalid_total");
+  dp_log (DP_LOG_INFO, "request_invalid", "listener", server->name, "problem",
+          dp_http_fault_name (fault), NULL);
+}
+
+static void
+on_invalid (gpointer user, DpHttpFault fault, struct evbuffer *response)
+{
+  DpHttpServer *server = user;
+  struct evbuffer *body = evbuffer_new ();
+  record_invalid (server, fault);
+  add_problem (body, DP_REASON_BAD_REQUEST, DP_OUTCOME_NOT_RUN);
+  evbuffer_add_printf (response,
+                       "HTTP/1.1 %d Bad Request\r\nContent-Type: application/problem+json\r\n"
+                       "Connection: close\r\nContent-Length: %zu\r\n\r\n",
+                       dp_reason_status (DP_REASON_BAD_REQUEST), evbuffer_get_length (body));
+  evbuffer_add_buffer (response, body);
   evbuffer_free (body);
 }
 
@@ -281,55 +310,18 @@
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
-/* TRUE if another HTTP parser could take a part of the request for the next one (request
- * smuggling): several lengths, a length with chunks, another transfer coding, or a body where
- * evhttp expects none. */
-static gboolean
-is_ambiguous (struct evhttp_request *request)
-{
-  const struct evkeyvalq *headers = evhttp_request_get_input_headers (request);
-  guint lengths = 0;
-  guint codings = 0;
-  gboolean has_body = FALSE;
-  for (const struct evkeyval *row = headers->tqh_first; row != NULL; row = row->next.tqe_next)
-    {
-      if (g_ascii_strcasecmp (row->key, "Content-Length") == 0)
-        {
-          lengths++;
-          has_body |= strcmp (row->value, "0") != 0;
-          if (row->value[strspn (row->value, "0123456789")] != '\0')
-            return TRUE;
-        }
-      else if (g_ascii_strcasecmp (row->key, "Transfer-Encoding") == 0)
-        {
-          codings++;
-          has_body = TRUE;
-          if (g_ascii_strcasecmp (row->value, "chunked") != 0)
-            return TRUE;
-        }
-    }
-  if (lengths + codings > 1)
-    return TRUE;
-  switch (evhttp_request_get_command (request))
-    {
-    case EVHTTP_REQ_POST:
-    case EVHTTP_REQ_PUT:
-    case EVHTTP_REQ_PATCH:
-      return FALSE;
-    default:
-      return has_body;
-    }
-}
-
 static void
 on_request (struct evhttp_request *request, void *user)
 {
   DpHttpServer *server = user;
   increment (server, "dogwoodplank_http_requests_total");
   disable_nagle (request);
-  if (is_ambiguous (request))
+  guint field_count = 0;
+  DpHttpFault fault = dp_http_connections_check_request (
+    server->connections, evhttp_request_get_connection (request), &field_count);
+  if (fault != DP_HTTP_FAULT_NONE)
     {
-      increment (server, "dogwoodplank_http_ambiguous_total");
+      record_invalid (server, fault);
       reject (request, DP_REASON_BAD_REQUEST);
       return;
     }
@@ -350,6 +342,7 @@
   DpHttpExchange *exchange = g_new0 (DpHttpExchange, 1);
   exchange->server = server;
   exchange->request = request;
+  exchange->field_count = field_count;
   exchange->body_length = evbuffer_get_length (input);
   evbuffer_add (input, "", 1);
   g_hash_table_add (server->exchanges, exchange);
@@ -409,6 +402,8 @@
                                              .idle_timeout = idle_timeout,
                                              .read_timeout = server_options->read_timeout,
                                              .request_timeout = server_options->request_timeout,
+                                             .on_invalid = on_invalid,
+                                             .user = server,
                                              .counters = server_options->counters };
   server->connections = dp_http_connections_new (&options);
   set_read_timeout (server);
@@ -584,20 +579,40 @@
   return evhttp_request_get_uri (exchange->request);
 }
 
-const char *
-dp_http_exchange_header (const DpHttpExchange *exchange, const char *name)
-{
-  return evhttp_find_header (evhttp_request_get_input_headers (exchange->request), name);
-}
-
+/* Trailers are not merged into the header fields (RFC 9110, 6.5.1). */
 void
 dp_http_exchange_each_header (const DpHttpExchange *exchange,
                               DpHttpHeaderFunc function,
                               gpointer user)
 {
-  const struct evkeyvalq *headers = evhttp_request_get_input_headers (exchange->request);
-  for (const struct evkeyval *row = headers->tqh_first; row != NULL; row = row->next.tqe_next)
-    function (user, row->key, row->value);
+  const struct evkeyval *row = evhttp_request_get_input_headers (exchange->request)->tqh_first;
+  for (guint i = 0; i < exchange->field_count && row != NULL; i++)
+    {
+      function (user, row->key, row->value);
+      row = row->next.tqe_next;
+    }
+}
+
+typedef struct HeaderSearch
+{
+  const char *name;
+  const char *value; /* of the first one; NULL: none */
+} HeaderSearch;
+
+static void
+match_header (gpointer user, const char *name, const char *value)
+{
+  HeaderSearch *search = user;
+  if (search->value == NULL && g_ascii_strcasecmp (name, search->name) == 0)
+    search->value = value;
+}
+
+const char *
+dp_http_exchange_header (const DpHttpExchange *exchange, const char *name)
+{
+  HeaderSearch search = { .name = name };
+  dp_http_exchange_each_header (exchange, match_header, &search);
+  return search.value;
 }
 
 const char *
--- a/net/tunnel_server.c
+++ b/net/tunnel_server.c
@@ -1,6 +1,7 @@
 #include "net/tunnel_server.h"
 
 #include "common/clock.h"
+#include "net/http_framing.h"
 #include "net/socket_options.h"
 
 #include <errno.h>
@@ -438,7 +439,9 @@
 static char *
 parse_head (const char *head, gsize length)
 {
-  if (strlen (head) != length)
+  DpHttpFraming framing = { 0 };
+  if (dp_http_framing_read (&framing, head, length) != length
+      || framing.stage != DP_HTTP_STAGE_COMPLETE)
     return NULL;
   char **lines = g_strsplit (head, "\r\n", -1);
   char *target = is_connect_line (lines[0]) ? find_target (lines + 1) : NULL;
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -613,6 +613,10 @@
   { "chunked body", POST_HEAD "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
     "HTTP/1.1 200", 1 },
   { "not HTTP", "hello\r\n\r\n", "HTTP/1.1 400", 0 },
+  { "space before the colon of a length", POST_HEAD "Content-Length : 95\r\n\r\n" SMUGGLED,
+    "HTTP/1.1 400", 0 },
+  { "space before the colon of a workspace",
+    POST_HEAD "Tenant-Id : other\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 400", 0 },
 };
 
 /* Sends the bytes and stores the beginning of the response in `out`. */
