platform: reject requests whose fields contradict

What callers may do: send Token-Count, Request-Id, Authorization or Host twice. This process read the first, and both reached the target, which may read the last: more tokens than the workspace's limit was charged for, or another model.

Cause: fields were copied as they came; nothing said which of them may stand once only.

Change: 400 if a field that decides what is run, for whom or until when stands twice.

Test: five rows of ambiguous_requests_reach_no_target in tests/test_node, real processes. Without the change: "two hosts: HTTP/1.1 200 OK" (the case ends with its first bad row); with it, node is green.

--- a/node/caller_listener.c
+++ b/node/caller_listener.c
@@ -208,14 +208,17 @@
 on_request (gpointer user, DpHttpExchange *exchange)
 {
   Admission admission = { .node = user, .exchange = exchange };
-  dp_wire_read_request (exchange, &admission.caller);
-  if (check_ready (&admission) && find_route (&admission) && check_key (&admission)
-      && check_limit (&admission))
-    begin_request (&admission);
-  else
-    dp_request_refuse_exchange (admission.node, exchange, admission.caller.id,
-                                admission.workspace != NULL ? admission.workspace->text : NULL,
-                                admission.refusal, admission.retry_after);
+  if (!dp_wire_read_request (exchange, &admission.caller))
+    refuse (&admission, DP_REASON_BAD_REQUEST, 0);
+  else if (check_ready (&admission) && find_route (&admission) && check_key (&admission)
+           && check_limit (&admission))
+    {
+      begin_request (&admission);
+      return;
+    }
+  dp_request_refuse_exchange (admission.node, exchange, admission.caller.id,
+                              admission.workspace != NULL ? admission.workspace->text : NULL,
+                              admission.refusal, admission.retry_after);
 }
 
 /* --- readiness --- */
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -617,6 +617,14 @@
     "HTTP/1.1 400", 0 },
   { "space before the colon of a workspace",
     POST_HEAD "Tenant-Id : other\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 400", 0 },
+  { "two hosts", POST_HEAD HOST "Content-Length: 0\r\n\r\n", "HTTP/1.1 400", 0 },
+  { "two keys", POST_HEAD KEY "Content-Length: 0\r\n\r\n", "HTTP/1.1 400", 0 },
+  { "two ids", POST_HEAD "request-id: y\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 400", 0 },
+  { "two numbers of tokens",
+    POST_HEAD "Token-Count: 1,1\r\nToken-Count: 9,9\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 400", 0 },
+  { "other headers may stand twice",
+    POST_HEAD "Accept: a\r\nAccept: b\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200", 1 },
 };
 
 /* Sends the bytes and stores the beginning of the response in `out`. */
