node: take on only what can end before a stop does

Cause: while stopping, a VM refused only in its last second. Slow uploads and requests that had waited for a target were passed on up to 7 s after SIGTERM, whatever their deadline, and ended at 7.3 s.

Change: at admission and when a target was assigned, a request goes on only if its response ends before the rest is ended: by its deadline, or, while new connections still arrive, as fast as the slowest response of its route lately (core/answer_times). What may have run is tried further.

--- a/node/caller_listener.c
+++ b/node/caller_listener.c
@@ -90,6 +90,39 @@
   return TRUE;
 }
 
+/* While new connections still arrive, most callers are served best here: a response may be
+ * expected to take as long as the slowest one lately. What arrives later is little, and other
+ * VMs serve it, so that it must end in time whatever it takes. */
+gboolean
+dp_caller_listener_may_finish (const DpNode *node, const DpRoute *route, DpUsec deadline)
+{
+  if (!node->is_stopping)
+    return TRUE;
+  DpUsec now = dp_node_now ();
+  DpUsec slowest = dp_answer_times_slowest (node->answer_times, route->name, now);
+  DpUsec end = deadline;
+  if (slowest > 0 && !node->is_listener_closed)
+    end = MIN (end, now + slowest);
+  return end <= now + stop_time_left (node, now) - END_RESERVE;
+}
+
+static DpUsec
+request_deadline (const Admission *admission, DpUsec now)
+{
+  DpUsec timeout = admission->caller.timeout;
+  DpUsec route_timeout = admission->route->timeout;
+  return now + (timeout > 0 ? MIN (timeout, route_timeout) : route_timeout);
+}
+
+static gboolean
+check_stop (Admission *admission)
+{
+  DpUsec deadline = request_deadline (admission, dp_node_now ());
+  if (!dp_caller_listener_may_finish (admission->node, admission->route, deadline))
+    return refuse (admission, DP_REASON_STOPPING, 0);
+  return TRUE;
+}
+
 static gboolean
 check_key (Admission *admission)
 {
@@ -179,7 +212,6 @@
   DpHandle handle = dp_table_add (node->requests, &row);
   DpNodeRequest *request = row;
   DpUsec now = dp_node_now ();
-  DpUsec timeout = admission->caller.timeout;
   request->self = handle;
   request->node = node;
   request->exchange = admission->exchange;
@@ -194,7 +226,7 @@
   request->quota = admission->quota;
   request->arrived = now;
   request->objective_at = now + route->first_byte_objective;
-  request->deadline = now + (timeout > 0 ? MIN (timeout, route->timeout) : route->timeout);
+  request->deadline = request_deadline (admission, now);
   request->stage
     = admission->waits_for_quota ? DP_STAGE_AWAITING_QUOTA : DP_STAGE_AWAITING_GRANT;
   node->awaiting_quota += admission->waits_for_quota;
@@ -211,7 +243,7 @@
   if (!dp_wire_read_request (exchange, &admission.caller))
     refuse (&admission, DP_REASON_BAD_REQUEST, 0);
   else if (check_ready (&admission) && find_route (&admission) && check_key (&admission)
-           && check_limit (&admission))
+           && check_stop (&admission) && check_limit (&admission))
     {
       begin_request (&admission);
       return;
--- a/node/node.h
+++ b/node/node.h
@@ -24,6 +24,7 @@
  */
 #pragma once
 
+#include "core/answer_times.h"
 #include "core/directory.h"
 #include "core/dispatcher.h"
 #include "core/limit_client.h"
@@ -190,6 +191,7 @@
   DpRelay last_relay; /* last one sent to the VMs that this one relays to */
   DpUsec memory_checked_at;
   gboolean is_memory_short; /* new requests are refused */
+  DpAnswerTimes *answer_times;
   gboolean is_stopping;
   DpUsec stop_requested_at;
   gboolean was_paused;         /* before the last tick, while stopping */
@@ -504,6 +506,10 @@
 void dp_caller_listener_set_limits (DpNode *node);
 /* Starts an orderly shutdown of the process. */
 void dp_caller_listener_stop (DpNode *node);
+/* FALSE if the process stops and a response to a request that ends at `deadline` at the latest
+ * could be cut by that. */
+gboolean
+dp_caller_listener_may_finish (const DpNode *node, const DpRoute *route, DpUsec deadline);
 /* Refuses and ends what is left when a stopping process runs out of time. Returns TRUE if all
  * requests have their responses, or the time is over. */
 gboolean dp_caller_listener_may_exit (DpNode *node, DpUsec now, gboolean was_paused);
--- a/node/request.c
+++ b/node/request.c
@@ -225,7 +225,9 @@
   log_end (request, request->answer.status, reason, NULL);
   if (request->answer.status < 500)
     dp_node_quarantine_record_response (request);
-  DpUsec total = dp_node_now () - request->arrived;
+  DpUsec now = dp_node_now ();
+  DpUsec total = now - request->arrived;
+  dp_answer_times_add (request->node->answer_times, request->route->name, total, now);
   dp_counters_observe_ms (request->node->counters, "dogwoodplank_answer_ms",
                           (guint64)(total / DP_USEC_PER_MSEC));
   if (request->first_byte_after > 0)
@@ -416,6 +418,14 @@
       fail_request (request, DP_REASON_DEADLINE_PASSED, 0);
       return;
     }
+  /* The request may have waited. One that may have run is worth a try all the same. */
+  if (!request->may_have_run
+      && !dp_caller_listener_may_finish (node, request->route, request->deadline))
+    {
+      dp_placement_release (request, DP_REASON_STOPPING);
+      fail_request (request, DP_REASON_STOPPING, 0);
+      return;
+    }
   if (!accepts_grant (request, request->owner, given))
     {
       dp_placement_release (request, DP_REASON_NO_TARGET);
--- a/tests/node_cluster.c
+++ b/tests/node_cluster.c
@@ -239,6 +239,19 @@
   return status;
 }
 
+gboolean
+wait_status (const Cluster *cluster, guint vm, const char *path, int wanted)
+{
+  gint64 end = g_get_monotonic_time () + WAIT;
+  while (g_get_monotonic_time () < end)
+    {
+      if (get_status (cluster, vm, path) == wanted)
+        return TRUE;
+      g_usleep (5000);
+    }
+  return FALSE;
+}
+
 void
 wait_for_metric_at (const Cluster *cluster, guint vm, const char *name, gint64 wanted)
 {
--- a/tests/node_cluster.h
+++ b/tests/node_cluster.h
@@ -75,3 +75,6 @@
 void kill_nodes (Cluster *cluster, guint count);
 /* Status of a GET by a caller. */
 int get_status (const Cluster *cluster, guint vm, const char *path);
+
+/* Waits until requests of the path get the status. FALSE if they don't within WAIT. */
+gboolean wait_status (const Cluster *cluster, guint vm, const char *path, int wanted);
