net: bound what all responses hold together

Cause: each response had a limit (8 MB), their sum had none.

Change: core/byte_budget. Responses may hold an eighth of memory_mb; when they exceed it the largest one is given up. Counters and a log line.

--- /dev/null
+++ b/core/byte_budget.h
@@ -0,0 +1,21 @@
+/* Bounds the bytes that many holders keep together, such as responses that are being received.
+ * When the limit is exceeded, the largest holder has to give up.
+ */
+#pragma once
+
+#include <glib.h>
+
+typedef struct DpByteBudget DpByteBudget;
+
+/* `limit` in bytes. */
+DpByteBudget *dp_byte_budget_new (gsize limit);
+void dp_byte_budget_free (DpByteBudget *budget);
+
+/* Sets what the holder keeps; 0 removes it. */
+void dp_byte_budget_set (DpByteBudget *budget, gpointer holder, gsize bytes);
+
+/* Returns the largest holder if all together exceed the limit, else NULL. */
+gpointer dp_byte_budget_find_excess (const DpByteBudget *budget);
+
+/* Bytes of all holders. */
+gsize dp_byte_budget_total (const DpByteBudget *budget);
--- a/net/http_call.c
+++ b/net/http_call.c
@@ -46,6 +46,7 @@
   DpUsec first_byte_timeout;
   DpUsec idle_timeout;
   gsize response_body_max;
+  DpByteBudget *budget; /* may be NULL */
   /* live as long as the call */
   struct evhttp_connection *connection;
   struct evhttp_request *request; /* NULL once evhttp has freed it */
@@ -56,7 +57,8 @@
   gboolean has_sent_byte;
   gboolean has_head;
   gsize pre_head_bytes;  /* bytes received up to the final head */
-  gboolean is_oversized; /* the peer exceeded a size limit */
+  gboolean is_oversized; /* the response exceeded a limit, or the budget */
+  gsize held;            /* bytes of the response that the user holds */
   gboolean finished;     /* `end` was called, or the call was cancelled */
   gboolean starting;
   gboolean start_failed;
@@ -106,6 +108,8 @@
 schedule_free (DpHttpCall *call)
 {
   call->finished = TRUE;
+  if (call->budget != NULL)
+    dp_byte_budget_set (call->budget, call, 0);
   event_del (call->timer);
   if (call->connection != NULL)
     abandon_connection (call);
@@ -174,13 +178,56 @@
     set_timer (call, call->first_byte_timeout);
 }
 
+/* Reads no more, and fails the call outside evhttp's callbacks. */
+static void
+fail_oversized (DpHttpCall *call)
+{
+  call->is_oversized = TRUE;
+  bufferevent_disable (evhttp_connection_get_bufferevent (call->connection), EV_READ);
+  event_active (call->timer, EV_TIMEOUT, 0);
+}
+
+/* Charges the budget with what the call holds. Responses of sound targets are small beside one
+ * that has no end, so the largest one fails. */
+static void
+charge (DpHttpCall *call)
+{
+  if (call->budget == NULL || call->finished || call->is_oversized)
+    return;
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (call->connection);
+  gsize unread = evbuffer_get_length (bufferevent_get_input (bev));
+  dp_byte_budget_set (call->budget, call, unread + call->held);
+  DpHttpCall *largest;
+  while ((largest = dp_byte_budget_find_excess (call->budget)) != NULL)
+    {
+      fail_oversized (largest);
+      dp_byte_budget_set (call->budget, largest, 0);
+    }
+}
+
+void
+dp_http_call_set_held (DpHttpCall *call, gsize bytes)
+{
+  call->held = bytes;
+  charge (call);
+}
+
+gboolean
+dp_http_call_is_oversized (const DpHttpCall *call)
+{
+  return call->is_oversized;
+}
+
 /* evhttp limits heads and bodies, but neither chunk size lines nor the number of interim
  * (1xx) responses. */
 static void
 on_input (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *user)
 {
   DpHttpCall *call = user;
-  if (call->finished || call->is_oversized || info->n_added == 0 || is_handshaking (call))
+  if (call->finished || call->is_oversized || is_handshaking (call))
+    return;
+  charge (call);
+  if (info->n_added == 0 || call->is_oversized)
     return;
   if (!call->has_head)
     call->pre_head_bytes += info->n_added;
@@ -188,9 +235,7 @@
   if (!is_head_too_large
       && evbuffer_get_length (buffer) <= call->response_body_max + CHUNK_OVERHEAD_BYTES_MAX)
     return;
-  call->is_oversized = TRUE;
-  bufferevent_disable (evhttp_connection_get_bufferevent (call->connection), EV_READ);
-  event_active (call->timer, EV_TIMEOUT, 0);
+  fail_oversized (call);
 }
 
 /* evhttp reads other heads, too: it uses the first of several lengths, and for any unknown
@@ -250,7 +295,7 @@
 {
   struct evbuffer *input = evhttp_request_get_input_buffer (request);
   gsize length = evbuffer_get_length (input);
-  if (call->finished || length == 0)
+  if (call->finished || call->is_oversized || length == 0)
     return;
   set_timer (call, call->idle_timeout);
   call->callbacks->data (call->user, evbuffer_pullup (input, -1), length);
@@ -299,7 +344,7 @@
       return;
     }
   deliver_body (call, request);
-  finish (call, response_result (call, request));
+  finish (call, call->is_oversized ? DP_HTTP_FAILED : response_result (call, request));
 }
 
 /* --- connection to a gateway --- */
@@ -490,6 +535,7 @@
     = options->idle_timeout != 0 ? options->idle_timeout : DEFAULT_IDLE_TIMEOUT;
   call->response_body_max = options->response_body_max != 0 ? options->response_body_max
                                                             : DEFAULT_RESPONSE_BODY_BYTES_MAX;
+  call->budget = options->budget;
   call->timer = evtimer_new (options->base, on_timer, call);
   call->cleanup_event = event_new (options->base, -1, 0, on_cleanup_event, call);
   set_timer (call, options->connect_timeout != 0 ? options->connect_timeout
--- a/net/http_call.h
+++ b/net/http_call.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "common/id.h"
+#include "core/byte_budget.h"
 #include "net/http_header.h"
 
 #include <event2/event.h>
@@ -63,6 +64,7 @@
   DpUsec first_byte_timeout; /* from first byte of the request sent to first byte of the body */
   DpUsec idle_timeout;       /* between reads of the body */
   gsize response_body_max;   /* bytes; 0: the default */
+  DpByteBudget *budget;      /* of what all calls hold; must outlive the call; NULL: none */
   const DpHttpCallbacks *callbacks;
   gpointer user;
 } DpHttpCallOptions;
@@ -76,6 +78,12 @@
 /* TRUE if a byte of the request may have been sent to the target. */
 gboolean dp_http_call_has_sent (const DpHttpCall *call);
 
+/* Tells the call how many bytes of its response the user holds, for the budget. */
+void dp_http_call_set_held (DpHttpCall *call, gsize bytes);
+
+/* TRUE if the call failed since its response exceeds a limit or, as the largest, the budget. */
+gboolean dp_http_call_is_oversized (const DpHttpCall *call);
+
 /* Value of a response header, or NULL. Valid once `head` was called. */
 const char *dp_http_call_header (const DpHttpCall *call, const char *name);
 
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -687,6 +687,13 @@
     evhttp_connection_free (connection);
 }
 
+gsize
+dp_http_exchange_unsent (const DpHttpExchange *exchange)
+{
+  struct bufferevent *bev = exchange_bufferevent (exchange);
+  return bev != NULL ? evbuffer_get_length (bufferevent_get_output (bev)) : 0;
+}
+
 void
 dp_http_exchange_write (DpHttpExchange *exchange, const void *data, gsize length)
 {
@@ -696,9 +703,7 @@
   evbuffer_add (buffer, data, length);
   evhttp_send_reply_chunk (exchange->request, buffer);
   evbuffer_free (buffer);
-  struct bufferevent *bev = exchange_bufferevent (exchange);
-  gsize unsent = bev != NULL ? evbuffer_get_length (bufferevent_get_output (bev)) : 0;
-  if (unsent <= exchange->server->options.write_buffer_max)
+  if (dp_http_exchange_unsent (exchange) <= exchange->server->options.write_buffer_max)
     return;
   increment (exchange->server, "dogwoodplank_http_callers_slow_total");
   dp_http_exchange_disconnect (exchange);
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -115,6 +115,8 @@
 /* Starts a chunked response. */
 void dp_http_exchange_start (DpHttpExchange *exchange, int status);
 void dp_http_exchange_write (DpHttpExchange *exchange, const void *data, gsize length);
+/* Bytes of the response that the caller has not taken yet. */
+gsize dp_http_exchange_unsent (const DpHttpExchange *exchange);
 /* Sends the final chunk. Ends the exchange. */
 void dp_http_exchange_finish (DpHttpExchange *exchange);
 
--- a/net/sse.c
+++ b/net/sse.c
@@ -72,6 +72,12 @@
   return sse->buffer->len == 0;
 }
 
+gsize
+dp_sse_length (const DpSse *sse)
+{
+  return sse->buffer->len;
+}
+
 static gboolean
 read_number (const char *text, gsize length, guint64 *out)
 {
--- a/net/sse.h
+++ b/net/sse.h
@@ -23,6 +23,8 @@
 
 /* TRUE if no incomplete event is buffered. */
 gboolean dp_sse_is_empty (const DpSse *sse);
+/* Bytes of the incomplete event. */
+gsize dp_sse_length (const DpSse *sse);
 
 /* Sets `id` to the event's id. Returns FALSE if the event has none, or more than one, if its id
  * is no decimal number, or if a line is not a field. Names of fields are in lower case here,
--- a/node/attempt.c
+++ b/node/attempt.c
@@ -164,10 +164,16 @@
     {
       record_first_byte (request);
       g_byte_array_append (request->body, data, (guint)length);
+      dp_http_call_set_held (request->call, request->body->len);
       return;
     }
   if (!dp_sse_push (request->sse, data, length, on_event, request))
-    dp_request_on_attempt_failed (request, DP_ATTEMPT_BROKE, DP_REASON_TARGET_ERROR);
+    {
+      dp_request_on_attempt_failed (request, DP_ATTEMPT_BROKE, DP_REASON_TARGET_ERROR);
+      return;
+    }
+  gsize unsent = request->exchange != NULL ? dp_http_exchange_unsent (request->exchange) : 0;
+  dp_http_call_set_held (request->call, dp_sse_length (request->sse) + unsent);
 }
 
 /* --- end of the response --- */
@@ -289,10 +295,23 @@
                                                                      : DP_REASON_NO_PATH);
 }
 
+static void
+log_oversized (const DpNodeRequest *request)
+{
+  char held[24];
+  g_snprintf (held, sizeof held, "%zu", dp_byte_budget_total (request->node->response_budget));
+  dp_counters_add (request->node->counters, "dogwoodplank_oversized_responses_total", NULL,
+                   NULL, 1);
+  dp_log (DP_LOG_WARNING, "response_too_large", "request", request->id, "target",
+          request->target_text, "held_by_others", held, NULL);
+}
+
 static void
 on_end (gpointer user, DpHttpCallResult end, gboolean nothing_sent)
 {
   DpNodeRequest *request = user;
+  if (dp_http_call_is_oversized (request->call))
+    log_oversized (request);
   if (request->headers != NULL && (end == DP_HTTP_COMPLETE || end == DP_HTTP_CLOSE_DELIMITED))
     on_response_end (request, end);
   else if (nothing_sent)
@@ -358,6 +377,7 @@
     /* dp_attempt_is_stalled() measures the time between complete events instead. */
     .idle_timeout = time_left + DP_USEC_PER_SEC,
     .response_body_max = BODY_BYTES_MAX,
+    .budget = request->node->response_budget,
     .callbacks = &callbacks,
     .user = request,
   };
--- a/node/main.c
+++ b/node/main.c
@@ -112,6 +112,7 @@
   dp_paths_init (node);
   dp_node_quarantine_init (node);
   node->limit_client = dp_limit_client_new ();
+  dp_memory_start (node);
   node->answer_times = dp_answer_times_new ();
   gboolean is_first = g_strcmp0 (node->settings->first_start, "true") == 0;
   const DpQuotaClientOptions quota = { .seed = node->random,
@@ -153,6 +154,7 @@
   dp_node_quarantine_clear (node);
   dp_limit_client_free (node->limit_client);
   dp_answer_times_free (node->answer_times);
+  dp_byte_budget_free (node->response_budget);
   dp_quota_client_free (node->quota_client);
   dp_quota_server_free (node->quota_server);
   dp_manifest_unref (node->manifest);
--- a/node/memory.c
+++ b/node/memory.c
@@ -7,6 +7,10 @@
 #include <malloc.h>
 
 #define CHECK_INTERVAL (200 * DP_USEC_PER_MSEC)
+/* Responses that are being received may take this part of the memory. A buffer that grows may
+ * be twice as large as its contents, and exists twice while it grows. */
+#define RESPONSES_DIVISOR 8
+
 /* Allocated bytes, memory-mapped blocks included. */
 static gsize
 bytes_in_use (void)
@@ -15,6 +19,14 @@
   return info.uordblks + info.hblkhd;
 }
 
+void
+dp_memory_start (DpNode *node)
+{
+  gsize limit = node->params.memory_max;
+  node->response_budget
+    = dp_byte_budget_new (limit > 0 ? limit / RESPONSES_DIVISOR : G_MAXSIZE);
+}
+
 void
 dp_memory_tick (DpNode *node, DpUsec now)
 {
@@ -24,6 +36,8 @@
   gsize used = bytes_in_use ();
   gboolean is_short = dp_memory_is_short (used, node->params.memory_max, node->is_memory_short);
   dp_counters_set (node->counters, "dogwoodplank_memory_bytes", NULL, NULL, (guint)used);
+  dp_counters_set (node->counters, "dogwoodplank_response_bytes", NULL, NULL,
+                   (guint)dp_byte_budget_total (node->response_budget));
   if (is_short == node->is_memory_short)
     return;
   node->is_memory_short = is_short;
--- a/node/node.h
+++ b/node/node.h
@@ -25,6 +25,7 @@
 #pragma once
 
 #include "core/answer_times.h"
+#include "core/byte_budget.h"
 #include "core/directory.h"
 #include "core/dispatcher.h"
 #include "core/limit_client.h"
@@ -190,7 +191,8 @@
   DpUsec last_relay_sent_at;
   DpRelay last_relay; /* last one sent to the VMs that this one relays to */
   DpUsec memory_checked_at;
-  gboolean is_memory_short; /* new requests are refused */
+  gboolean is_memory_short;      /* new requests are refused */
+  DpByteBudget *response_budget; /* of responses that targets are sending */
   DpAnswerTimes *answer_times;
   gboolean is_stopping;
   DpUsec stop_requested_at;
@@ -496,6 +498,8 @@
 
 /* --- memory.c --- */
 
+/* Divides the memory among the buffers that others fill. */
+void dp_memory_start (DpNode *node);
 void dp_memory_tick (DpNode *node, DpUsec now);
 
 /* --- caller_listener.c --- */
