net: reject bodies for which there is no room before they are received

Change: the length is known with the head, or a chunk's size, and reserved of a sixth of memory_mb until the response was sent. What doesn't fit gets 503 "not run" with Retry-After at once; what is over max_body_bytes gets 413 at its head. Bodies up to 16 KiB are always received.

--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -12,6 +12,8 @@
 #define SCAN_BYTES 512
 /* "HTTP/1.1 100" */
 #define INTERIM_BYTES 12
+/* Shorter bodies are received even if longer ones have used up the budget. */
+#define SHORT_BODY_BYTES 16384
 
 typedef enum ConnectionState
 {
@@ -37,7 +39,8 @@
   gsize read_ahead;      /* bytes received behind that request */
   DpUsec since;          /* of the state; of a request its first byte */
   DpUsec timeout; /* of the state; of an idle connection the longest in force since it began */
-  /* evhttp's callback, while the response to an invalid request is sent */
+  DpReason rejection; /* of the request that is being received; DP_REASON_NONE: none */
+  /* evhttp's callback, while the response to a rejected request is sent */
   bufferevent_event_cb on_event;
   void *arg;
 } Connection;
@@ -51,8 +54,8 @@
   DpHttpLinger *linger;
   GPtrArray *accepted; /* Connection: not in by_fd yet */
   struct event *accepted_event;
-  GPtrArray *invalid; /* Connection: its request is to be rejected */
-  struct event *invalid_event;
+  GPtrArray *rejected; /* Connection: to be rejected */
+  struct event *rejected_event;
   struct event *sweep;
 };
 
@@ -117,16 +120,42 @@
     }
 }
 
+static void
+release_body (const DpHttpConnections *connections, Connection *connection)
+{
+  if (connections->options.bodies != NULL)
+    dp_byte_budget_set (connections->options.bodies, connection, 0);
+}
+
 static void
 set_state (const DpHttpConnections *connections, Connection *connection, ConnectionState state)
 {
+  if (state != CONNECTION_PROCESSING)
+    release_body (connections, connection);
   connection->state = state;
   connection->framing = (DpHttpFraming){ 0 };
   connection->read_ahead = 0;
+  connection->rejection = DP_REASON_NONE;
   connection->timeout = state_timeout (connections, state);
   connection->since = dp_clock_now ();
 }
 
+/* Reserves the announced length, so that a body which was begun is received in full. */
+static DpReason
+reserve_body (const DpHttpConnections *connections, Connection *connection)
+{
+  const DpHttpConnectionsOptions *options = &connections->options;
+  guint64 length = connection->framing.body_length;
+  if (length > options->body_max)
+    return DP_REASON_BODY_TOO_LARGE;
+  if (options->bodies == NULL)
+    return DP_REASON_NONE;
+  dp_byte_budget_set (options->bodies, connection, (gsize)length);
+  if (length <= SHORT_BODY_BYTES || dp_byte_budget_find_excess (options->bodies) == NULL)
+    return DP_REASON_NONE;
+  return DP_REASON_OVERLOADED_ENTRY;
+}
+
 /* The last `length` bytes of the input belong to a request that is not complete, or follow it.
  */
 static void
@@ -154,13 +183,16 @@
       length -= read;
     }
   connection->read_ahead += length;
+  connection->rejection = framing->stage == DP_HTTP_STAGE_INVALID
+                            ? DP_REASON_BAD_REQUEST
+                            : reserve_body (connections, connection);
   if (connection->state != CONNECTION_RECEIVING_HEAD || !dp_http_framing_has_head (framing))
     return;
   connection->state = CONNECTION_RECEIVING;
   connection->timeout = state_timeout (connections, CONNECTION_RECEIVING);
 }
 
-/* --- invalid requests --- */
+/* --- rejected requests --- */
 
 /* Lets evhttp free the connection. */
 static void
@@ -193,8 +225,9 @@
   bufferevent_getcb (bev, NULL, NULL, &connection->on_event, &connection->arg);
   bufferevent_setcb (bev, NULL, on_rejection_written, on_rejection_event, connection);
   struct evbuffer *response = evbuffer_new ();
-  connections->options.on_invalid (connections->options.user, connection->framing.fault,
-                                   response);
+  release_body (connections, connection);
+  connections->options.on_reject (connections->options.user, connection->rejection,
+                                  connection->framing.fault, response);
   bufferevent_write_buffer (bev, response);
   bufferevent_enable (bev, EV_WRITE);
   evbuffer_free (response);
@@ -209,16 +242,16 @@
 
 /* For requests that had been read ahead, while evhttp still sent the response before. */
 static void
-on_invalid (evutil_socket_t fd, short what, void *user)
+on_rejected (evutil_socket_t fd, short what, void *user)
 {
   DpHttpConnections *connections = user;
-  for (guint i = 0; i < connections->invalid->len; i++)
+  for (guint i = 0; i < connections->rejected->len; i++)
     {
-      Connection *connection = g_ptr_array_index (connections->invalid, i);
+      Connection *connection = g_ptr_array_index (connections->rejected, i);
       if (is_open (connection) && is_receiving (connection) && !connection->is_rejected)
         reject (connections, connection);
     }
-  g_ptr_array_set_size (connections->invalid, 0);
+  g_ptr_array_set_size (connections->rejected, 0);
 }
 
 DpHttpFault
@@ -254,7 +287,7 @@
   if (!is_receiving (connection))
     return;
   receive (connections, connection, input, info->n_added);
-  if (connection->framing.stage == DP_HTTP_STAGE_INVALID)
+  if (connection->rejection != DP_REASON_NONE)
     reject (connections, connection);
 }
 
@@ -307,7 +340,8 @@
 static void
 forget_connection (DpHttpConnections *connections, Connection *connection)
 {
-  g_ptr_array_remove (connections->invalid, connection);
+  g_ptr_array_remove (connections->rejected, connection);
+  release_body (connections, connection);
   if (g_hash_table_lookup (connections->by_buffer, connection->input) == connection)
     g_hash_table_remove (connections->by_buffer, connection->input);
   if (g_hash_table_lookup (connections->by_buffer, connection->output) == connection)
@@ -410,10 +444,10 @@
     {
       set_state (connections, row, CONNECTION_RECEIVING_HEAD);
       receive (connections, row, input, read_ahead);
-      if (row->framing.stage != DP_HTTP_STAGE_INVALID)
+      if (row->rejection == DP_REASON_NONE)
         return;
-      g_ptr_array_add (connections->invalid, row);
-      event_active (connections->invalid_event, EV_TIMEOUT, 0);
+      g_ptr_array_add (connections->rejected, row);
+      event_active (connections->rejected_event, EV_TIMEOUT, 0);
     }
 }
 
@@ -427,8 +461,8 @@
   connections->accepted = g_ptr_array_new ();
   connections->linger = dp_http_linger_new (options->base);
   connections->accepted_event = event_new (options->base, -1, 0, on_accepted, connections);
-  connections->invalid = g_ptr_array_new ();
-  connections->invalid_event = event_new (options->base, -1, 0, on_invalid, connections);
+  connections->rejected = g_ptr_array_new ();
+  connections->rejected_event = event_new (options->base, -1, 0, on_rejected, connections);
   connections->sweep = event_new (options->base, -1, EV_PERSIST, on_sweep, connections);
   const struct timeval interval = { .tv_sec = SWEEP_INTERVAL_SECONDS };
   event_add (connections->sweep, &interval);
@@ -441,8 +475,8 @@
 {
   event_free (connections->sweep);
   event_free (connections->accepted_event);
-  event_free (connections->invalid_event);
-  g_ptr_array_unref (connections->invalid);
+  event_free (connections->rejected_event);
+  g_ptr_array_unref (connections->rejected);
   g_ptr_array_set_free_func (connections->accepted, g_free);
   g_ptr_array_unref (connections->accepted);
   g_hash_table_unref (connections->by_buffer);
@@ -492,6 +526,23 @@
     extend_timeout (connections, value);
 }
 
+void
+dp_http_connections_set_body_max (DpHttpConnections *connections, gsize body_max)
+{
+  connections->options.body_max = body_max;
+}
+
+void
+dp_http_connections_release_body (DpHttpConnections *connections,
+                                  struct evhttp_connection *connection)
+{
+  struct evbuffer *input
+    = bufferevent_get_input (evhttp_connection_get_bufferevent (connection));
+  Connection *row = g_hash_table_lookup (connections->by_buffer, input);
+  if (row != NULL)
+    release_body (connections, row);
+}
+
 void
 dp_http_connections_set_head_timeout (DpHttpConnections *connections, DpUsec timeout)
 {
--- a/net/http_connections.h
+++ b/net/http_connections.h
@@ -5,6 +5,8 @@
 
 #include "common/counters.h"
 #include "common/id.h"
+#include "core/byte_budget.h"
+#include "core/reason.h"
 #include "net/http_framing.h"
 
 #include <event2/buffer.h>
@@ -15,8 +17,12 @@
 
 typedef struct DpHttpConnections DpHttpConnections;
 
-/* Writes the response to an invalid request, head and body. */
-typedef void (*DpHttpInvalidFunc) (gpointer user, DpHttpFault fault, struct evbuffer *response);
+/* Writes the response to a request that is rejected before it was received in full, head and
+ * body. `fault` says what is wrong with an invalid request. */
+typedef void (*DpHttpRejectFunc) (gpointer user,
+                                  DpReason reason,
+                                  DpHttpFault fault,
+                                  struct evbuffer *response);
 
 typedef struct DpHttpConnectionsOptions
 {
@@ -28,7 +34,11 @@
   DpUsec read_timeout;    /* between reads of a request */
   DpUsec head_timeout;    /* from the first byte of a request to the end of its head; 0: none */
   DpUsec request_timeout; /* from the first byte of a request to its end */
-  DpHttpInvalidFunc on_invalid; /* the connection is closed behind its response */
+  gsize body_max;         /* bytes of a request's body */
+  /* Bytes of the bodies of all requests that have no response yet; must outlive the object.
+   * NULL: no limit. */
+  DpByteBudget *bodies;
+  DpHttpRejectFunc on_reject; /* the connection is closed behind its response */
   gpointer user;
   DpCounters *counters; /* must outlive the object */
 } DpHttpConnectionsOptions;
@@ -57,6 +67,13 @@
  * theirs. */
 void dp_http_connections_set_idle_timeout (DpHttpConnections *connections, DpUsec timeout);
 
+/* Holds for bodies that begin from now on. */
+void dp_http_connections_set_body_max (DpHttpConnections *connections, gsize body_max);
+
+/* The connection closes while a request is in progress, whose body is no longer needed. */
+void dp_http_connections_release_body (DpHttpConnections *connections,
+                                       struct evhttp_connection *connection);
+
 /* Holds for requests that begin from now on. */
 void dp_http_connections_set_head_timeout (DpHttpConnections *connections, DpUsec timeout);
 
--- a/net/http_framing.c
+++ b/net/http_framing.c
@@ -198,6 +198,7 @@
 static void
 end_head (DpHttpFraming *framing)
 {
+  framing->body_length = framing->remaining;
   if (!framing->has_body && (framing->is_chunked || framing->remaining > 0))
     fail (framing, DP_HTTP_FAULT_BODY);
   else if (framing->is_chunked)
@@ -211,8 +212,10 @@
 static void
 end_chunk_size (DpHttpFraming *framing)
 {
+  gboolean overflows = framing->remaining > G_MAXUINT64 - framing->body_length;
+  framing->body_length += framing->remaining;
   framing->is_in_trailers = framing->remaining == 0;
-  if (framing->digits == 0)
+  if (framing->digits == 0 || overflows)
     fail (framing, DP_HTTP_FAULT_CHUNK);
   else
     start (framing,
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -22,6 +22,8 @@
 #define EVHTTP_BODY_MAX_FACTOR 2
 /* Bytes read from a caller beyond the request in progress. */
 #define READ_AHEAD_BYTES 16384
+/* Long bodies are received within some tenths of a second. */
+#define RETRY_AFTER_BODIES "Retry-After: 0.25\r\n"
 /* The kernel may enforce a lower limit. */
 #define LISTEN_BACKLOG 4096
 #define ALL_METHODS                                                                            \
@@ -103,6 +105,7 @@
 on_connection_closed (struct evhttp_connection *connection, void *user)
 {
   DpHttpExchange *exchange = user;
+  dp_http_connections_release_body (exchange->server->connections, connection);
   if (evhttp_request_get_connection (exchange->request) == NULL)
     evhttp_request_free (exchange->request);
   exchange->request = NULL;
@@ -175,6 +178,7 @@
 on_closed_while_sending (struct evhttp_connection *connection, void *user)
 {
   DpHttpExchange *exchange = user;
+  dp_http_connections_release_body (exchange->server->connections, connection);
   increment (exchange->server, "dogwoodplank_http_callers_gone_total");
   g_hash_table_remove (exchange->server->sending, exchange);
 }
@@ -276,25 +280,47 @@
   evbuffer_free (body);
 }
 
+/* Counts a request that is rejected before it was received in full. */
 static void
-record_invalid (DpHttpServer *server, DpHttpFault fault)
+record_rejected (DpHttpServer *server, DpReason reason, DpHttpFault fault)
 {
-  increment (server, "dogwoodplank_http_invalid_total");
-  dp_log (DP_LOG_INFO, "request_invalid", "listener", server->name, "problem",
-          dp_http_fault_name (fault), NULL);
+  if (reason == DP_REASON_BODY_TOO_LARGE)
+    increment (server, "dogwoodplank_http_bodies_too_large_total");
+  else if (reason == DP_REASON_OVERLOADED_ENTRY)
+    increment (server, "dogwoodplank_http_bodies_refused_total");
+  else
+    increment (server, "dogwoodplank_http_invalid_total");
+  dp_log (DP_LOG_INFO, "request_rejected", "listener", server->name, "reason",
+          dp_reason_name (reason), "problem", dp_http_fault_name (fault), NULL);
+}
+
+static const char *
+status_text (DpReason reason)
+{
+  switch (reason)
+    {
+    case DP_REASON_BODY_TOO_LARGE:
+      return "Payload Too Large";
+    case DP_REASON_OVERLOADED_ENTRY:
+      return "Service Unavailable";
+    default:
+      return "Bad Request";
+    }
 }
 
 static void
-on_invalid (gpointer user, DpHttpFault fault, struct evbuffer *response)
+on_reject (gpointer user, DpReason reason, DpHttpFault fault, struct evbuffer *response)
 {
   DpHttpServer *server = user;
   struct evbuffer *body = evbuffer_new ();
-  record_invalid (server, fault);
-  add_problem (body, DP_REASON_BAD_REQUEST, DP_OUTCOME_NOT_RUN);
+  record_rejected (server, reason, fault);
+  add_problem (body, reason, DP_OUTCOME_NOT_RUN);
   evbuffer_add_printf (response,
-                       "HTTP/1.1 %d Bad Request\r\nContent-Type: application/problem+json\r\n"
+                       "HTTP/1.1 %d %s\r\nContent-Type: application/problem+json\r\n%s"
                        "Connection: close\r\nContent-Length: %zu\r\n\r\n",
-                       dp_reason_status (DP_REASON_BAD_REQUEST), evbuffer_get_length (body));
+                       dp_reason_status (reason), status_text (reason),
+                       reason == DP_REASON_OVERLOADED_ENTRY ? RETRY_AFTER_BODIES : "",
+                       evbuffer_get_length (body));
   evbuffer_add_buffer (response, body);
   evbuffer_free (body);
 }
@@ -321,7 +347,7 @@
     server->connections, evhttp_request_get_connection (request), &field_count);
   if (fault != DP_HTTP_FAULT_NONE)
     {
-      record_invalid (server, fault);
+      record_rejected (server, DP_REASON_BAD_REQUEST, fault);
       reject (request, DP_REASON_BAD_REQUEST);
       return;
     }
@@ -402,7 +428,9 @@
                                              .idle_timeout = idle_timeout,
                                              .read_timeout = server_options->read_timeout,
                                              .request_timeout = server_options->request_timeout,
-                                             .on_invalid = on_invalid,
+                                             .body_max = server_options->body_max,
+                                             .bodies = server_options->bodies,
+                                             .on_reject = on_reject,
                                              .user = server,
                                              .counters = server_options->counters };
   server->connections = dp_http_connections_new (&options);
@@ -509,6 +537,7 @@
   if (limits->body_max > 0)
     {
       server->options.body_max = limits->body_max;
+      dp_http_connections_set_body_max (server->connections, limits->body_max);
       evhttp_set_max_body_size (server->http,
                                 (ev_ssize_t)(limits->body_max * EVHTTP_BODY_MAX_FACTOR));
     }
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -9,6 +9,7 @@
 
 #include "common/counters.h"
 #include "common/id.h"
+#include "core/byte_budget.h"
 #include "net/http_header.h"
 
 #include <event2/event.h>
@@ -26,9 +27,12 @@
   struct event_base *base;
   const char *address;
   guint16 port;
-  const char *name;       /* label of its counters: "callers", "operators" */
-  gsize head_max;         /* bytes of request line and headers */
-  gsize body_max;         /* bytes; larger bodies are rejected */
+  const char *name; /* label of its counters: "callers", "operators" */
+  gsize head_max;   /* bytes of request line and headers */
+  gsize body_max;   /* bytes; larger bodies are rejected */
+  /* Bytes of the bodies of all requests that have no response yet; what exceeds it is rejected
+   * with 503 before its body is received. Must outlive the server; NULL: no limit. */
+  DpByteBudget *bodies;
   DpUsec read_timeout;    /* between reads of a request */
   DpUsec idle_timeout;    /* until the first byte of a request; 0: as `read_timeout` */
   DpUsec write_timeout;   /* for a caller that doesn't read */
--- a/node/caller_listener.c
+++ b/node/caller_listener.c
@@ -282,6 +282,7 @@
         .name = "callers",
         .head_max = HEAD_BYTES_MAX,
         .body_max = BODY_BYTES_MAX,
+        .bodies = node->body_budget,
         .read_timeout = REQUEST_TIMEOUT,
         .idle_timeout = (DpUsec)((double)IDLE_TIMEOUT * TIMEOUT_FACTOR),
         .write_timeout = WRITE_TIMEOUT,
--- a/node/memory.c
+++ b/node/memory.c
@@ -10,6 +10,8 @@
 /* Responses that are being received may take this part of the memory. A buffer that grows may
  * be twice as large as its contents, and exists twice while it grows. */
 #define RESPONSES_DIVISOR 8
+/* Bodies of requests, of which calls to targets hold a copy. */
+#define BODIES_DIVISOR 6
 
 /* Allocated bytes, memory-mapped blocks included. */
 static gsize
@@ -25,6 +27,7 @@
   gsize limit = node->params.memory_max;
   node->response_budget
     = dp_byte_budget_new (limit > 0 ? limit / RESPONSES_DIVISOR : G_MAXSIZE);
+  node->body_budget = dp_byte_budget_new (limit > 0 ? limit / BODIES_DIVISOR : G_MAXSIZE);
 }
 
 void
@@ -38,6 +41,8 @@
   dp_counters_set (node->counters, "dogwoodplank_memory_bytes", NULL, NULL, (guint)used);
   dp_counters_set (node->counters, "dogwoodplank_response_bytes", NULL, NULL,
                    (guint)dp_byte_budget_total (node->response_budget));
+  dp_counters_set (node->counters, "dogwoodplank_body_bytes", NULL, NULL,
+                   (guint)dp_byte_budget_total (node->body_budget));
   if (is_short == node->is_memory_short)
     return;
   node->is_memory_short = is_short;
--- a/node/node.h
+++ b/node/node.h
@@ -193,6 +193,7 @@
   DpUsec memory_checked_at;
   gboolean is_memory_short;      /* new requests are refused */
   DpByteBudget *response_budget; /* of responses that targets are sending */
+  DpByteBudget *body_budget;     /* of requests that have no response yet */
   DpAnswerTimes *answer_times;
   gboolean is_stopping;
   DpUsec stop_requested_at;
--- a/tests/test_net_http_framing.c
+++ b/tests/test_net_http_framing.c
@@ -17,7 +17,8 @@
 #define ADDRESS "127.0.1.28"
 #define TEST_TIMEOUT_SECONDS 20
 #define KIB ((gsize)1024)
-#define BODY_MAX (16 * KIB)
+#define BODY_MAX (64 * KIB)
+#define BODIES_MAX (100 * KIB)
 
 /* In the rows, "$N" stands for the length of INNER, "$H" for the same in hexadecimal digits,
  * "$I" for INNER itself and "$0" for a NUL. */
@@ -174,6 +175,7 @@
 {
   struct event_base *base;
   DpCounters *counters;
+  DpByteBudget *bodies;
   DpHttpServer *server;
   guint16 port;
   GString *seen;
@@ -212,6 +214,7 @@
 {
   fixture->base = event_base_new ();
   fixture->counters = dp_counters_new ();
+  fixture->bodies = dp_byte_budget_new (BODIES_MAX);
   fixture->port = find_free_port (ADDRESS);
   fixture->seen = g_string_new (NULL);
   const DpHttpServerOptions options
@@ -221,6 +224,7 @@
         .name = "test",
         .head_max = 4 * KIB,
         .body_max = BODY_MAX,
+        .bodies = fixture->bodies,
         .read_timeout = TEST_TIMEOUT_SECONDS * DP_USEC_PER_SEC,
         .write_timeout = TEST_TIMEOUT_SECONDS * DP_USEC_PER_SEC,
         .write_buffer_max = KIB,
@@ -238,6 +242,7 @@
 fixture_free (Fixture *fixture)
 {
   dp_http_server_free (fixture->server);
+  dp_byte_budget_free (fixture->bodies);
   dp_counters_unref (fixture->counters);
   event_base_loop (fixture->base, EVLOOP_NONBLOCK);
   event_base_free (fixture->base);
@@ -368,6 +373,64 @@
 }
 END_TEST
 
+/* --- bodies that don't fit --- */
+
+typedef struct BodyCase
+{
+  const char *name;
+  gboolean is_full;  /* another connection has announced a body of BODY_MAX */
+  const char *bytes; /* no bytes of bodies that are to be rejected */
+  const char *statuses;
+} BodyCase;
+
+#define CLOSING "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+
+static const BodyCase body_cases[] = {
+  { "longer than allowed", FALSE, CLOSING "Content-Length: 65537\r\n\r\n", "413 " },
+  { "chunk longer than allowed", FALSE, CLOSING "Transfer-Encoding: chunked\r\n\r\n10001\r\n",
+    "413 " },
+  { "second chunk longer than allowed", FALSE,
+    CLOSING "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n10000\r\n", "413 " },
+  { "no room", TRUE, CLOSING "Content-Length: 40000\r\n\r\n", "503 " },
+  { "no room for a chunk", TRUE, CLOSING "Transfer-Encoding: chunked\r\n\r\n9c40\r\n", "503 " },
+  { "no room behind another request", TRUE, LINE "\r\n" CLOSING "Content-Length: 40000\r\n\r\n",
+    "200 503 " },
+  { "short", TRUE, CLOSING "Content-Length: 3\r\n\r\nabc", "200 " },
+  { "short chunks", TRUE, CLOSING "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+    "200 " },
+};
+
+/* Guards against bodies that together exceed the memory of the process. */
+START_TEST (a_body_without_room_is_rejected_before_it_is_received)
+{
+  const BodyCase *row = &body_cases[_i];
+  Fixture fixture;
+  fixture_start (&fixture);
+  int other = -1;
+  if (row->is_full)
+    {
+      GString *head = g_string_new (LINE "Content-Length: 65536\r\n\r\n");
+      other = connect_client (&fixture);
+      send_pieces (&fixture, other, head, head->len, 1);
+      while (dp_byte_budget_total (fixture.bodies) != BODY_MAX)
+        event_base_loop (fixture.base, EVLOOP_ONCE);
+      g_string_free (head, TRUE);
+    }
+  GString *bytes = g_string_new (row->bytes);
+  int fd = connect_client (&fixture);
+  send_pieces (&fixture, fd, bytes, bytes->len, 1);
+  char *statuses = receive_statuses (&fixture, fd);
+  ck_assert_msg (strcmp (statuses, row->statuses) == 0, "%s: %s", row->name, statuses);
+  ck_assert_uint_eq (dp_byte_budget_total (fixture.bodies), row->is_full ? BODY_MAX : 0);
+  close (fd);
+  if (other >= 0)
+    close (other);
+  g_free (statuses);
+  g_string_free (bytes, TRUE);
+  fixture_free (&fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -376,6 +439,8 @@
   TCase *tests = tcase_create ("framing");
   tcase_add_loop_test (tests, a_request_is_delimited_strictly_or_rejected, 0,
                        G_N_ELEMENTS (framing_cases));
+  tcase_add_loop_test (tests, a_body_without_room_is_rejected_before_it_is_received, 0,
+                       G_N_ELEMENTS (body_cases));
   suite_add_tcase (suite, tests);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
