net: let idle connections make room for new ones

Cause: at the limit the listener was disabled, whatever the connections did; readiness didn't ask whether a connection would be accepted.

Change: at the limit the connections that are idle longest are closed, never one with a request or a part of one.

--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -9,6 +9,10 @@
 #include <sys/socket.h>
 
 #define SWEEP_INTERVAL_SECONDS 1
+/* At the limit, this part of the connections is closed if they are idle for longer than
+ * IDLE_MIN: callers that reuse a connection at once keep it. */
+#define ROOM_DIVISOR 32
+#define IDLE_MIN (500 * DP_USEC_PER_MSEC)
 #define SCAN_BYTES 512
 /* "HTTP/1.1 100" */
 #define INTERIM_BYTES 12
@@ -92,13 +96,19 @@
   return connection->state == CONNECTION_IDLE && !has_unread_bytes (connection);
 }
 
+gboolean
+dp_http_connections_have_room (const DpHttpConnections *connections)
+{
+  guint open = g_hash_table_size (connections->by_fd) + connections->accepted->len;
+  return open < connections->options.max;
+}
+
 static void
 update_listener (DpHttpConnections *connections)
 {
   if (connections->listener == NULL)
     return;
-  guint open = g_hash_table_size (connections->by_fd) + connections->accepted->len;
-  if (open < connections->options.max)
+  if (dp_http_connections_have_room (connections))
     evconnlistener_enable (connections->listener);
   else
     evconnlistener_disable (connections->listener);
@@ -365,13 +375,6 @@
   g_ptr_array_set_size (connections->accepted, 0);
 }
 
-/* Runs before the loop polls for input again, so that no connection can be closed yet. */
-static void
-on_accepted (evutil_socket_t fd, short what, void *user)
-{
-  register_accepted (user);
-}
-
 /* Closes a connection that has no request in progress. Nothing more is read from it, so that
  * no request can be processed whose response could not be sent. */
 static void
@@ -382,6 +385,66 @@
   bufferevent_trigger_event (connection->bev, BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
 }
 
+static gint
+compare_since (gconstpointer a, gconstpointer b)
+{
+  const Connection *first = *(Connection *const *)a;
+  const Connection *second = *(Connection *const *)b;
+  return first->since < second->since ? -1 : first->since > second->since;
+}
+
+/* Connections that are idle for longer than IDLE_MIN, the longest first. */
+static GPtrArray *
+find_idle (DpHttpConnections *connections)
+{
+  GPtrArray *idle = g_ptr_array_new ();
+  DpUsec now = dp_clock_now ();
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, connections->by_fd);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Connection *connection = value;
+      if (connection->state == CONNECTION_IDLE && now - connection->since > IDLE_MIN)
+        g_ptr_array_add (idle, value);
+    }
+  g_ptr_array_sort (idle, compare_since);
+  return idle;
+}
+
+/* At the limit, idle connections make room for new ones: their callers can connect again, while
+ * new callers would get no response. */
+static void
+make_room (DpHttpConnections *connections)
+{
+  guint max = connections->options.max;
+  if (g_hash_table_size (connections->by_fd) < max)
+    return;
+  guint wanted = max - MAX (max / ROOM_DIVISOR, 1);
+  GPtrArray *idle = find_idle (connections);
+  for (guint i = 0; i < idle->len && g_hash_table_size (connections->by_fd) > wanted; i++)
+    {
+      Connection *connection = g_ptr_array_index (idle, i);
+      gboolean open = is_open (connection);
+      if (open && !is_idle (connection))
+        continue;
+      if (open)
+        close_connection (connections, connection, "dogwoodplank_http_displaced_total");
+      forget_connection (connections, connection);
+      g_hash_table_remove (connections->by_fd, &connection->fd);
+    }
+  g_ptr_array_unref (idle);
+  update_listener (connections);
+}
+
+/* Runs before the loop polls for input again, so that no connection can be closed yet. */
+static void
+on_accepted (evutil_socket_t fd, short what, void *user)
+{
+  register_accepted (user);
+  make_room (user);
+}
+
 static gboolean
 is_overdue (const Connection *connection, DpUsec now)
 {
@@ -420,6 +483,7 @@
       forget_connection (connections, connection);
       g_hash_table_iter_remove (&iter);
     }
+  make_room (connections);
   dp_counters_set (connections->options.counters, "dogwoodplank_http_connections", "listener",
                    connections->options.name, g_hash_table_size (connections->by_fd));
   update_listener (connections);
--- a/net/http_connections.h
+++ b/net/http_connections.h
@@ -27,9 +27,9 @@
 typedef struct DpHttpConnectionsOptions
 {
   struct event_base *base;
-  struct evhttp *http;    /* gets its bufferevents from this object */
-  const char *name;       /* label of the gauge; must outlive the object */
-  guint max;              /* open at once; others wait in the listen backlog */
+  struct evhttp *http; /* gets its bufferevents from this object */
+  const char *name;    /* label of the gauge; must outlive the object */
+  guint max; /* open at once; idle ones make room, else others wait in the listen backlog */
   DpUsec idle_timeout;    /* until the first byte of a request */
   DpUsec read_timeout;    /* between reads of a request */
   DpUsec head_timeout;    /* from the first byte of a request to the end of its head; 0: none */
@@ -52,6 +52,9 @@
 void dp_http_connections_set_listener (DpHttpConnections *connections,
                                        struct evconnlistener *listener);
 
+/* TRUE if a new connection would be accepted. */
+gboolean dp_http_connections_have_room (const DpHttpConnections *connections);
+
 /* `busy`: TRUE while a request is being processed, FALSE once its response was sent. */
 void dp_http_connections_set_busy (DpHttpConnections *connections,
                                    struct evhttp_connection *connection,
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -504,6 +504,12 @@
   server->bound_socket = NULL;
 }
 
+gboolean
+dp_http_server_has_room (const DpHttpServer *server)
+{
+  return server->bound_socket != NULL && dp_http_connections_have_room (server->connections);
+}
+
 gboolean
 dp_http_server_has_unaccepted (const DpHttpServer *server)
 {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -38,7 +38,7 @@
   DpUsec write_timeout;   /* for a caller that doesn't read */
   gsize write_buffer_max; /* bytes of a response buffered for a slow caller */
   guint exchanges_max;    /* open at once; others are rejected with 503 */
-  guint connections_max;  /* open at once; others wait in the listen backlog */
+  guint connections_max;  /* open at once; idle ones make room for others, else they wait */
   DpUsec request_timeout; /* from the first byte of a request to its end */
   DpCounters *counters;   /* the server takes a reference */
   DpHttpHandler handler;
@@ -53,6 +53,8 @@
 
 /* Closes the listener. Existing connections stay open and close after their next response. */
 void dp_http_server_stop_accepting (DpHttpServer *server);
+/* TRUE if a new connection would be accepted. */
+gboolean dp_http_server_has_room (const DpHttpServer *server);
 /* TRUE if connections wait to be accepted. */
 gboolean dp_http_server_has_unaccepted (const DpHttpServer *server);
 
--- a/node/caller_listener.c
+++ b/node/caller_listener.c
@@ -259,7 +259,7 @@
 is_ready (const DpNode *node)
 {
   return !node->is_stopping && node->manifest != NULL
-         && dp_directory_count (node->directory) > 0;
+         && dp_directory_count (node->directory) > 0 && dp_http_server_has_room (node->callers);
 }
 
 static void
