net: receive a body in full once its length was reserved

What callers could see: a body over 16 KiB that had room at its head was rejected with 503 midway if others used up the budget meanwhile.

Cause: the budget was asked again with each read.

Change: it is asked when the announced length grows. Test a_body_that_was_begun_is_received_in_full: 503 before, 200 since.

--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -41,6 +41,7 @@
   ConnectionState state;
   DpHttpFraming framing; /* of the request that is being received */
   gsize read_ahead;      /* bytes received behind that request */
+  guint64 reserved;      /* bytes of its body that were found room for */
   DpUsec since;          /* of the state; of a request its first byte */
   DpUsec timeout; /* of the state; of an idle connection the longest in force since it began */
   DpReason rejection; /* of the request that is being received; DP_REASON_NONE: none */
@@ -145,6 +146,7 @@
   connection->state = state;
   connection->framing = (DpHttpFraming){ 0 };
   connection->read_ahead = 0;
+  connection->reserved = 0;
   connection->rejection = DP_REASON_NONE;
   connection->timeout = state_timeout (connections, state);
   connection->since = dp_clock_now ();
@@ -158,9 +160,10 @@
   guint64 length = connection->framing.body_length;
   if (length > options->body_max)
     return DP_REASON_BODY_TOO_LARGE;
-  if (options->bodies == NULL)
+  if (options->bodies == NULL || length == connection->reserved)
     return DP_REASON_NONE;
   dp_byte_budget_set (options->bodies, connection, (gsize)length);
+  connection->reserved = length;
   if (length <= SHORT_BODY_BYTES || dp_byte_budget_find_excess (options->bodies) == NULL)
     return DP_REASON_NONE;
   return DP_REASON_OVERLOADED_ENTRY;
@@ -188,6 +191,7 @@
           ev_ssize_t copied
             = evbuffer_copyout_from (input, &at, bytes, MIN (length, sizeof bytes));
           read = dp_http_framing_read (framing, bytes, (gsize)MAX (copied, 0));
+          g_return_if_fail (read > 0);
         }
       start += read;
       length -= read;
--- a/tests/test_net_http_framing.c
+++ b/tests/test_net_http_framing.c
@@ -431,6 +431,32 @@
 }
 END_TEST
 
+START_TEST (a_body_that_was_begun_is_received_in_full)
+{
+  Fixture fixture;
+  fixture_start (&fixture);
+  GString *head = g_string_new (CLOSING "Content-Length: 65536\r\n\r\n");
+  GString *body = g_string_new (NULL);
+  g_string_set_size (body, BODY_MAX);
+  memset (body->str, 'x', body->len);
+  int fd = connect_client (&fixture);
+  send_pieces (&fixture, fd, head, head->len, 1);
+  while (dp_byte_budget_total (fixture.bodies) != BODY_MAX)
+    event_base_loop (fixture.base, EVLOOP_ONCE);
+  int others;
+  dp_byte_budget_set (fixture.bodies, &others, BODIES_MAX);
+  send_pieces (&fixture, fd, body, 1, KIB);
+  char *statuses = receive_statuses (&fixture, fd);
+  ck_assert_str_eq (statuses, "200 ");
+  ck_assert_uint_eq (dp_byte_budget_total (fixture.bodies), BODIES_MAX);
+  close (fd);
+  g_free (statuses);
+  g_string_free (body, TRUE);
+  g_string_free (head, TRUE);
+  fixture_free (&fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -441,6 +467,7 @@
                        G_N_ELEMENTS (framing_cases));
   tcase_add_loop_test (tests, a_body_without_room_is_rejected_before_it_is_received, 0,
                        G_N_ELEMENTS (body_cases));
+  tcase_add_test (tests, a_body_that_was_begun_is_received_in_full);
   suite_add_tcase (suite, tests);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
