core: don't let a gateway blame the only target for its own lost link

Cause: a VM is cut off after it lost two targets, and no gateway after three failures. With a single target neither can happen, so it went on to serve as a gateway and passed its own failure on as the target's.

--- a/core/reach.c
+++ b/core/reach.c
@@ -199,6 +199,13 @@
   return is_sound || now >= reach->doubtful_until;
 }
 
+gboolean
+dp_reach_has_lost_link (const DpReach *reach, DpName target, DpUsec now)
+{
+  const Link *link = g_hash_table_lookup (reach->links, &target);
+  return link != NULL && now - link->failed_at <= LINK_AGE_MAX;
+}
+
 /* TRUE if a direct connection is to be tried first. While the link is lost, only one attempt at
  * a time does so. */
 static gboolean
--- a/core/reach.h
+++ b/core/reach.h
@@ -86,3 +86,8 @@
 /* TRUE if this VM may be a gateway. It isn't while its own connections fail at several targets,
  * since it would blame them for its own links; from time to time they are tried again. */
 gboolean dp_reach_may_serve (const DpReach *reach, DpUsec now);
+
+/* TRUE if this VM's link to the target is lost while others reach the target. As a gateway it
+ * would blame the target for its own link, also where a pool has a single target and the VM
+ * can't tell that it is cut off. */
+gboolean dp_reach_has_lost_link (const DpReach *reach, DpName target, DpUsec now);
--- a/node/tunnels.c
+++ b/node/tunnels.c
@@ -44,6 +44,8 @@
     return refuse (tunnels, DP_TUNNEL_UNKNOWN_TARGET, "unknown_target");
   if (!dp_directory_may_use (node->directory, name, dp_node_now ()))
     return refuse (tunnels, DP_TUNNEL_UNKNOWN_TARGET, "target_not_usable");
+  if (dp_reach_has_lost_link (node->reach, name, dp_node_now ()))
+    return refuse (tunnels, DP_TUNNEL_UNAVAILABLE, "link_lost");
   g_strlcpy (address, row->record.address, 46);
   *port = (guint16)row->record.port_number;
   return DP_TUNNEL_OPEN;
--- a/tests/test_reach.c
+++ b/tests/test_reach.c
@@ -9,7 +9,7 @@
 #define VMS_MAX 300
 #define TARGETS 18
 #define DATA_CENTRES 3
-#define SEEDS 5
+#define SEEDS 20
 /* Between two requests of a VM. */
 #define REQUEST_INTERVAL (40 * MSEC)
 /* Round trips and timeouts of connections. */
@@ -145,6 +145,8 @@
     return TUNNEL_FAILED;
   if (world->target_unknown[target])
     return TUNNEL_REFUSED;
+  if (dp_reach_has_lost_link (vm->reach, target_name (target), *now))
+    return TUNNEL_FAILED;
   gboolean is_open = connect_directly (world, vm, target, now);
   dp_reach_record_direct (vm->reach, target_name (target), is_open, *now);
   return is_open ? TUNNEL_OPEN : TUNNEL_UNREACHED;
