core: refuse what waits in vain, and recognize callers that come back

Cause: requests that had become late waited behind all that arrived on time, and the estimated wait left out the more urgent work that keeps arriving. Callers that came back passed for new ones and took slots from requests that could be on time.

Late requests are refused once slots go to others only, waits count the inflow of more urgent work, and a request that was refused before is recognized by session and lengths and counts as late, first among the late.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -52,6 +52,7 @@
   dispatcher->waiting = g_ptr_array_new ();
   dispatcher->links = dp_dispatch_links_new ();
   dispatcher->other_owners = dp_dispatch_other_owners_new ();
+  dispatcher->returns = dp_returns_new ();
   dp_latency_model_init (&dispatcher->latency_model);
   for (guint i = 0; i < DP_URGENCY_LEVELS; i++)
     dispatcher->slot_ms[i] = SLOT_TIME_INITIAL_MS;
@@ -72,6 +73,7 @@
   g_ptr_array_unref (dispatcher->waiting);
   g_array_unref (dispatcher->links);
   g_array_unref (dispatcher->other_owners);
+  dp_returns_free (dispatcher->returns);
   dp_counters_unref (dispatcher->options.counters);
   g_free (dispatcher);
 }
@@ -212,6 +214,9 @@
 {
   dequeue (dispatcher, request);
   dp_dispatch_assign (dispatcher, request, target);
+  dispatcher->granted_at = dispatcher->now;
+  if (dispatcher->now > request->objective_at || request->has_returned)
+    dispatcher->late_granted_at[request->ask.urgency] = dispatcher->now;
   request->expected_first_event = dp_latency_model_expected (
     &dispatcher->latency_model, request->ask.prompt_tokens, target->pace);
   record_session (dispatcher, request, target->name);
@@ -277,6 +282,7 @@
                         .retry_after = choose_retry_after (dispatcher, request),
                         .is_overload = is_overload };
   count (dispatcher, "dogwoodplank_grants_refused_total", reason);
+  dp_returns_expect (dispatcher->returns, &request->ask, request->deadline, dispatcher->now);
   dp_dispatch_remove_request (dispatcher, request);
 }
 
@@ -338,6 +344,12 @@
   request->ask.urgency = MIN (ask->urgency, DP_URGENCY_LEVELS - 1);
   request->objective_at = dispatcher->now + ask->objective_left;
   request->deadline = dispatcher->now + ask->remaining;
+  request->has_returned = dp_returns_take (dispatcher->returns, ask, dispatcher->now);
+  if (request->has_returned)
+    dp_counters_add (dispatcher->options.counters, "dogwoodplank_returned_requests_total", NULL,
+                     NULL, 1);
+  dp_inflow_add (&dispatcher->inflow, request->ask.urgency,
+                 dispatcher->slot_ms[request->ask.urgency], dispatcher->now);
   enqueue (dispatcher, request);
   assign_waiting (dispatcher);
   if (request->state == DP_DISPATCH_REQUEST_WAITING)
--- a/core/dispatcher_private.h
+++ b/core/dispatcher_private.h
@@ -1,6 +1,7 @@
 /* Internal state of the dispatcher, shared by core/dispatcher*.c. */
 #pragma once
 
+#include "core/admission/admission.h"
 #include "core/brittle_target.h"
 #include "core/dispatcher.h"
 #include "core/latency_model.h"
@@ -55,7 +56,8 @@
   DpUsec arrived_at;
   DpUsec objective_at; /* a later first byte misses the latency objective */
   DpUsec deadline;
-  guint waiting_index; /* in DpDispatcher.waiting */
+  gboolean has_returned; /* its caller was refused before and has come back */
+  guint waiting_index;   /* in DpDispatcher.waiting */
   /* running */
   DpHandle target;
   DpUsec granted_at;
@@ -98,6 +100,10 @@
   DpLatencyModel latency_model;
   double slot_ms[DP_URGENCY_LEVELS]; /* moving average of the time in a slot, by urgency */
   guint waiting_by_urgency[DP_URGENCY_LEVELS];
+  DpUsec late_granted_at[DP_URGENCY_LEVELS]; /* last grant to a request that was late by then */
+  DpUsec granted_at;                         /* last grant to any request */
+  DpInflow inflow;
+  DpReturns *returns;
   guint running;
   guint limited;               /* number of targets with a limit */
   guint brittle;               /* number of brittle targets */
--- a/core/dispatcher_queue.c
+++ b/core/dispatcher_queue.c
@@ -20,6 +20,11 @@
 #define WAIT_MAX (1500 * DP_USEC_PER_MSEC)
 /* Maximum queue length per slot; with more, requests would wait longer than any caller does. */
 #define WAITING_PER_SLOT 4
+/* A request that is late already goes on waiting for this long after the last grant to a late
+ * one of its urgency: while none gets a slot, what arrives on time takes them all. */
+#define LATE_WAIT_MAX (250 * DP_USEC_PER_MSEC)
+/* Part of the slots that is expected to remain for less urgent requests at least. */
+#define FREE_SHARE_MIN 0.05
 
 /* Lower ranks go first. An answer that has begun would be cut off if it could not go on. */
 static guint
@@ -31,8 +36,10 @@
     return 0;
   DpUsec first = dp_latency_model_expected (&dispatcher->latency_model,
                                             request->ask.prompt_tokens, target->pace);
-  gboolean on_time = dispatcher->now + (DpUsec)((double)first * ON_TIME_MARGIN) + TRANSPORT_USEC
-                     <= request->objective_at;
+  gboolean on_time
+    = !request->has_returned
+      && dispatcher->now + (DpUsec)((double)first * ON_TIME_MARGIN) + TRANSPORT_USEC
+           <= request->objective_at;
   guint urgency = request->ask.urgency;
   return 1 + (on_time ? 2 * urgency : 2 * (urgency + LATE_TIERS) + 1);
 }
@@ -41,6 +48,8 @@
 static gboolean
 precedes (const DpDispatchRequest *a, const DpDispatchRequest *b)
 {
+  if (a->has_returned != b->has_returned)
+    return a->has_returned;
   return a->objective_at != b->objective_at ? a->objective_at < b->objective_at
                                             : a->arrived_at < b->arrived_at;
 }
@@ -95,7 +104,19 @@
 {
   guint count;
   double work_ms = sum_waiting_work (dispatcher, urgency, &count);
-  return (DpUsec)(work_ms / usable_slots (dispatcher, urgency) * (double)DP_USEC_PER_MSEC);
+  double slots = usable_slots (dispatcher, urgency);
+  double taken = dp_inflow_slots_above (&dispatcher->inflow, urgency, dispatcher->now);
+  double left = MAX (slots - taken, slots * FREE_SHARE_MIN);
+  return (DpUsec)(work_ms / left * (double)DP_USEC_PER_MSEC);
+}
+
+/* TRUE if the request is late, and slots are given to others, but to no late request of its
+ * urgency. One that has come back has no further try: it waits on. */
+static gboolean
+waits_in_vain (const DpDispatcher *dispatcher, const DpDispatchRequest *request)
+{
+  DpUsec since = MAX (request->objective_at, dispatcher->late_granted_at[request->ask.urgency]);
+  return !request->has_returned && dispatcher->granted_at - since > LATE_WAIT_MAX;
 }
 
 static DpUsec
@@ -133,7 +154,7 @@
   DpUsec first = dp_dispatch_fastest_first_event (dispatcher, request->ask.prompt_tokens);
   if (now + first >= request->deadline)
     return DP_REASON_DEADLINE_UNREACHABLE;
-  if (now - request->arrived_at > wait_limit (request))
+  if (now - request->arrived_at > wait_limit (request) || waits_in_vain (dispatcher, request))
     return DP_REASON_DEADLINE_UNREACHABLE;
   return DP_REASON_NONE;
 }
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -20,6 +20,8 @@
 #define VMS 12
 #define DELAY_MS 2
 #define DURATION_MS 12000
+/* A late request that gets no slot for so long has no use of waiting on. */
+#define LATE_WAIT_MAX_MS 400
 #define REQUESTS_MAX 60000
 
 /* Kinds of requests in the users' workload, most urgent first. */
@@ -54,6 +56,9 @@
   guint kind;
   guint vm;
   guint arrived_at; /* ms */
+  guint session;
+  gboolean has_returned;  /* its caller was refused before */
+  guint first_arrived_at; /* ms, of its caller's first request */
   Stage stage;
   guint engine;
   guint sent_at;        /* ms */
@@ -84,6 +89,8 @@
   guint late[KINDS];
   guint refused;
   guint64 refused_after; /* sum, ms */
+  guint refused_late;    /* first requests that waited in vain for long after their objective */
+  guint refused_again;   /* requests of callers that came back */
   guint messages_to_owner;
   double value;
   double value_offered;
@@ -92,7 +99,9 @@
 typedef struct Simulation
 {
   DpDispatchPolicy policy;
-  double load; /* during the burst, as a multiple of the engines' capacity */
+  double load;                  /* during the burst, as a multiple of the engines' capacity */
+  gboolean callers_return;      /* once, after Retry-After or a third of the time left */
+  GArray *returns[DURATION_MS]; /* indices of requests whose callers come back then */
   DpDispatcher *dispatcher;
   DpDirectory *directory;
   DpCounters *counters;
@@ -188,11 +197,32 @@
 }
 
 static void
-refuse (Simulation *simulation, Request *request)
+plan_return (Simulation *simulation, const Request *request, DpUsec retry_after)
+{
+  guint left = kinds[request->kind].deadline_ms - (simulation->now - request->arrived_at);
+  guint at = simulation->now + MIN ((guint)(retry_after / MSEC), left / 3) + 1;
+  guint index = (guint)(request - simulation->requests);
+  if (at >= DURATION_MS)
+    return;
+  if (simulation->returns[at] == NULL)
+    simulation->returns[at] = g_array_new (FALSE, FALSE, sizeof (guint));
+  g_array_append_val (simulation->returns[at], index);
+}
+
+static void
+refuse (Simulation *simulation, Request *request, DpUsec retry_after)
 {
+  Result *result = &simulation->result;
+  guint wait = simulation->now - request->arrived_at;
   request->stage = STAGE_ENDED;
-  simulation->result.refused++;
-  simulation->result.refused_after += simulation->now - request->arrived_at;
+  result->refused++;
+  result->refused_after += wait;
+  result->refused_again += request->has_returned;
+  if (request->has_returned)
+    return;
+  result->refused_late += wait > kinds[request->kind].objective_ms + LATE_WAIT_MAX_MS;
+  if (simulation->callers_return)
+    plan_return (simulation, request, retry_after);
 }
 
 static void
@@ -210,7 +240,7 @@
     {
       request->first_event_at = simulation->now;
       report_done (simulation, request, DP_REASON_NO_TARGET);
-      refuse (simulation, request);
+      refuse (simulation, request, 0);
     }
 }
 
@@ -220,7 +250,7 @@
   Result *result = &simulation->result;
   const RequestKind *kind = &kinds[request->kind];
   Engine *engine = &simulation->engines[request->engine];
-  gboolean on_time = request->first_event_at - request->arrived_at <= kind->objective_ms;
+  gboolean on_time = request->first_event_at - request->first_arrived_at <= kind->objective_ms;
   request->stage = STAGE_ENDED;
   if (on_time)
     result->on_time[request->kind]++;
@@ -256,7 +286,7 @@
   if (simulation->policy == DP_DISPATCH_QUEUE
       && dp_shed_check (shed, &similar, now_usec (simulation), &retry_after) != DP_REASON_NONE)
     {
-      refuse (simulation, request);
+      refuse (simulation, request, retry_after);
       return;
     }
   DpMessage message = { .type = DP_MESSAGE_GRANT_ASK };
@@ -266,6 +296,7 @@
                     .prompt_tokens = kind->prompt_ms * 100,
                     .remaining = (DpUsec)kind->deadline_ms * MSEC,
                     .objective_left = objective_left,
+                    .session = request->session,
                     .urgency = request->kind };
   request->stage = STAGE_WAITING;
   send_message (simulation, TRUE, request->vm, &message);
@@ -297,7 +328,7 @@
           dp_shed_record_refusal (&simulation->sheds[delivery->vm], &similar, refused->reason,
                                   refused->retry_after, now_usec (simulation));
         }
-      refuse (simulation, request);
+      refuse (simulation, request, refused->retry_after);
       break;
     default:
       break;
@@ -348,12 +379,34 @@
   Request *request = &simulation->requests[simulation->count++];
   *request = (Request){ .kind = kind,
                         .vm = (guint)(random_fraction (simulation) * VMS),
-                        .arrived_at = simulation->now };
+                        .arrived_at = simulation->now,
+                        .session = simulation->count,
+                        .first_arrived_at = simulation->now };
   simulation->result.offered[kind]++;
   simulation->result.value_offered += kinds[kind].value;
   send_request (simulation, request);
 }
 
+/* The callers whose time to come back is now. */
+static void
+add_returns (Simulation *simulation)
+{
+  GArray *returns = simulation->returns[simulation->now];
+  for (guint i = 0; returns != NULL && i < returns->len && simulation->count < REQUESTS_MAX;
+       i++)
+    {
+      const Request *refused = &simulation->requests[g_array_index (returns, guint, i)];
+      Request *request = &simulation->requests[simulation->count++];
+      *request = (Request){ .kind = refused->kind,
+                            .vm = (refused->vm + 1) % VMS,
+                            .arrived_at = simulation->now,
+                            .session = refused->session,
+                            .has_returned = TRUE,
+                            .first_arrived_at = refused->first_arrived_at };
+      send_request (simulation, request);
+    }
+}
+
 static void
 add_arrivals (Simulation *simulation)
 {
@@ -373,6 +426,7 @@
 step (Simulation *simulation)
 {
   add_arrivals (simulation);
+  add_returns (simulation);
   while (simulation->deliveries.length > 0
          && ((Delivery *)g_queue_peek_head (&simulation->deliveries))->due_at
               <= simulation->now)
@@ -411,11 +465,12 @@
 }
 
 static Result
-simulate (DpDispatchPolicy policy, double load)
+simulate (DpDispatchPolicy policy, double load, gboolean callers_return)
 {
   Simulation *simulation = g_new0 (Simulation, 1);
   simulation->policy = policy;
   simulation->load = load;
+  simulation->callers_return = callers_return;
   simulation->random = 1;
   simulation->requests = g_new0 (Request, REQUESTS_MAX);
   simulation->counters = dp_counters_new ();
@@ -433,6 +488,8 @@
   g_queue_clear_full (&simulation->deliveries, g_free);
   for (guint i = 0; i < ENGINES; i++)
     g_queue_clear (&simulation->engines[i].queue);
+  for (guint i = 0; i < DURATION_MS; i++)
+    g_clear_pointer (&simulation->returns[i], g_array_unref);
   g_free (simulation->requests);
   g_free (simulation);
   return result;
@@ -504,8 +561,8 @@
 START_TEST (a_burst_affects_the_least_urgent_requests_first)
 {
   const BurstCase *row = &bursts[_i];
-  Result queue = simulate (DP_DISPATCH_QUEUE, row->load);
-  Result baseline = simulate (DP_DISPATCH_TWO_CHOICES, row->load);
+  Result queue = simulate (DP_DISPATCH_QUEUE, row->load, FALSE);
+  Result baseline = simulate (DP_DISPATCH_TWO_CHOICES, row->load, FALSE);
   print ("queue", &queue);
   print ("two choices", &baseline);
   double urgent = (double)queue.on_time[0] / queue.offered[0];
@@ -521,6 +578,41 @@
 }
 END_TEST
 
+typedef struct ReturnCase
+{
+  const char *name;
+  double load; /* as a multiple of the engines' capacity */
+  double urgent_min;
+  double value_min;      /* of what was offered */
+  double late_share_max; /* refused long after their objective, of all that were refused */
+} ReturnCase;
+
+/* Refused callers come back once. What is refused must be refused while its caller can still
+ * make use of the time: not after it has waited in vain behind requests that arrived later. */
+static const ReturnCase returns[] = {
+  { "1.6 times capacity", 1.6, 0.95, 0.9, 0.02 },
+  { "3 times capacity", 3.0, 0.9, 0.75, 0.02 },
+  { "5 times capacity, with more urgent load than capacity", 5.0, 0.65, 0.55, 0.02 },
+};
+
+START_TEST (callers_that_come_back_displace_none_on_time)
+{
+  const ReturnCase *row = &returns[_i];
+  Result result = simulate (DP_DISPATCH_QUEUE, row->load, TRUE);
+  print ("callers return", &result);
+  double urgent = (double)result.on_time[0] / result.offered[0];
+  double late_share = (double)result.refused_late / MAX (result.refused, 1);
+  printf ("refused long after the objective %.3f, again %u\n", late_share,
+          result.refused_again);
+  ck_assert_msg (urgent >= row->urgent_min, "%s: %.3f of the most urgent kind on time",
+                 row->name, urgent);
+  ck_assert_msg (result.value >= row->value_min * result.value_offered, "%s: value %.3f",
+                 row->name, result.value / result.value_offered);
+  ck_assert_msg (late_share <= row->late_share_max, "%s: %.3f refused late", row->name,
+                 late_share);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -528,6 +620,8 @@
   TCase *tests = tcase_create ("overload");
   tcase_add_loop_test (tests, a_burst_affects_the_least_urgent_requests_first, 0,
                        G_N_ELEMENTS (bursts));
+  tcase_add_loop_test (tests, callers_that_come_back_displace_none_on_time, 0,
+                       G_N_ELEMENTS (returns));
   tcase_add_loop_test (tests, similar_requests_are_refused_for_a_while, 0,
                        G_N_ELEMENTS (shed_cases));
   suite_add_tcase (suite, tests);
