net: refuse status lines that aren't three digits

A target in trouble may send a status that HTTP doesn't know. evhttp reads "0200" and "200x" as 200, so callers got such a response as complete. The first status line of a response is checked before evhttp removes it.

--- a/net/http_call.c
+++ b/net/http_call.c
@@ -22,6 +22,8 @@
 #define CHUNK_OVERHEAD_BYTES_MAX 20480
 #define GATEWAY_HEAD_BYTES_MAX 4096
 #define STATUS_MAX 599
+/* "HTTP/1.1 200" and the byte behind it */
+#define STATUS_LINE_BYTES 13
 #define DEFAULT_RESPONSE_BODY_BYTES_MAX ((gsize)64 * 1024 * 1024)
 /* Longer than the call's own timeouts, which are more precise than evhttp's. */
 #define EVHTTP_TIMEOUT_SECONDS 86400
@@ -56,6 +58,8 @@
   /* state */
   gboolean has_sent_byte;
   gboolean has_head;
+  gboolean has_status_line; /* its code was received and checked */
+  gboolean has_bad_status;
   gsize pre_head_bytes;  /* bytes received up to the final head */
   gboolean is_oversized; /* the response exceeded a limit, or the budget */
   gsize held;            /* bytes of the response that the user holds */
@@ -218,6 +222,32 @@
   return call->is_oversized;
 }
 
+/* Returns the status code of a response head, or 0 if it isn't valid. */
+static int
+parse_status (const char *head)
+{
+  if (!g_str_has_prefix (head, "HTTP/1.") || !g_ascii_isdigit (head[7]) || head[8] != ' ')
+    return 0;
+  const char *code = head + 9;
+  if (strspn (code, "0123456789") != 3 || strchr (" \r\n", code[3]) == NULL)
+    return 0;
+  return (int)g_ascii_strtoll (code, NULL, 10);
+}
+
+/* evhttp reads "0200" and "200x" as 200, too (RFC 9112, 4). Checks the first status line,
+ * before evhttp removes it. */
+static void
+check_status_line (DpHttpCall *call, struct evbuffer *buffer)
+{
+  char line[STATUS_LINE_BYTES + 1];
+  if (call->has_status_line || evbuffer_get_length (buffer) < STATUS_LINE_BYTES)
+    return;
+  evbuffer_copyout (buffer, line, STATUS_LINE_BYTES);
+  line[STATUS_LINE_BYTES] = '\0';
+  call->has_status_line = TRUE;
+  call->has_bad_status = parse_status (line) == 0;
+}
+
 /* evhttp limits heads and bodies, but neither chunk size lines nor the number of interim
  * (1xx) responses. */
 static void
@@ -230,7 +260,10 @@
   if (info->n_added == 0 || call->is_oversized)
     return;
   if (!call->has_head)
-    call->pre_head_bytes += info->n_added;
+    {
+      call->pre_head_bytes += info->n_added;
+      check_status_line (call, buffer);
+    }
   gboolean is_head_too_large = !call->has_head && call->pre_head_bytes > PRE_HEAD_BYTES_MAX;
   if (!is_head_too_large
       && evbuffer_get_length (buffer) <= call->response_body_max + CHUNK_OVERHEAD_BYTES_MAX)
@@ -280,7 +313,7 @@
       evhttp_clear_headers (evhttp_request_get_input_headers (request));
       return 0;
     }
-  if (!is_head_valid (request))
+  if (call->has_bad_status || !is_head_valid (request))
     {
       finish (call, DP_HTTP_FAILED);
       return 0;
@@ -349,25 +382,15 @@
 
 /* --- connection to a gateway --- */
 
-/* Returns the status code of a response head, or 0 if it isn't valid. */
-static int
-parse_status (const char *head)
-{
-  if (!g_str_has_prefix (head, "HTTP/1.") || !g_ascii_isdigit (head[7]) || head[8] != ' ')
-    return 0;
-  const char *code = head + 9;
-  if (strspn (code, "0123456789") != 3 || (code[3] != ' ' && code[3] != '\r'))
-    return 0;
-  return (int)g_ascii_strtoll (code, NULL, 10);
-}
-
 /* Lets evhttp send the request through the tunnel. */
 static void
 finish_handshake (DpHttpCall *call, struct bufferevent *bev)
 {
   Handshake *handshake = call->handshake;
   handshake->in_progress = FALSE;
-  call->pre_head_bytes = evbuffer_get_length (bufferevent_get_input (bev));
+  struct evbuffer *input = bufferevent_get_input (bev);
+  call->pre_head_bytes = evbuffer_get_length (input);
+  check_status_line (call, input);
   bufferevent_setcb (bev, handshake->on_read, handshake->on_write, handshake->on_event,
                      handshake->arg);
   handshake->on_event (bev, BEV_EVENT_CONNECTED, handshake->arg);
