--- a/tests/node_kit.h
+++ b/tests/node_kit.h
@@ -43,6 +43,7 @@
   NodeKitStore store;
   const char *seeds;
   gboolean first_start;
+  const char *more_settings; /* members of the settings, each with a comma behind it; or NULL */
 } NodeKitVm;
 
 /* Each writes to the store and returns the HTTP status, 0 if there was no answer. `more_routes`
--- a/tests/process.c
+++ b/tests/process.c
@@ -86,6 +86,39 @@
     kill (process->pid, number);
 }
 
+gint64
+process_status_number (const Process *process, const char *name)
+{
+  char path[32];
+  char *text = NULL;
+  g_snprintf (path, sizeof path, "/proc/%d/status", (int)process->pid);
+  gint64 number = -1;
+  if (!process->has_ended && g_file_get_contents (path, &text, NULL, NULL))
+    {
+      char *line = g_strdup_printf ("\n%s:", name);
+      const char *at = strstr (text, line);
+      number = at != NULL ? g_ascii_strtoll (at + strlen (line), NULL, 10) : -1;
+      g_free (line);
+    }
+  g_free (text);
+  return number;
+}
+
+gint
+process_count_descriptors (const Process *process)
+{
+  char path[32];
+  g_snprintf (path, sizeof path, "/proc/%d/fd", (int)process->pid);
+  GDir *folder = process->has_ended ? NULL : g_dir_open (path, 0, NULL);
+  if (folder == NULL)
+    return -1;
+  gint count = 0;
+  while (g_dir_read_name (folder) != NULL)
+    count++;
+  g_dir_close (folder);
+  return count;
+}
+
 gboolean
 process_handles_signal (const Process *process, int number)
 {
--- a/tests/process.h
+++ b/tests/process.h
@@ -24,6 +24,10 @@
 void process_free (Process *process);
 
 void process_signal (Process *process, int number);
+/* A number in /proc/PID/status, such as "VmHWM" in kB; -1 if there is none. */
+gint64 process_status_number (const Process *process, const char *name);
+/* Open file descriptors; -1 if the process has ended. */
+gint process_count_descriptors (const Process *process);
 /* TRUE if the program blocks, ignores or catches the signal. Before main(), nothing can keep a
  * signal from ending it. */
 gboolean process_handles_signal (const Process *process, int number);
