net: cost of a request beyond its bytes

Cause: evhttp keeps a header field of 5 bytes in about 110 and handles each chunk and read on its own, so that limits on bytes bound neither memory nor work.

--- a/core/byte_budget.c
+++ b/core/byte_budget.c
@@ -56,6 +56,13 @@
   return largest;
 }
 
+gboolean
+dp_byte_budget_admits (const DpByteBudget *budget, gpointer holder)
+{
+  gsize bytes = GPOINTER_TO_SIZE (g_hash_table_lookup (budget->holders, holder));
+  return budget->total <= budget->limit && bytes <= budget->limit - budget->total;
+}
+
 gsize
 dp_byte_budget_total (const DpByteBudget *budget)
 {
--- a/core/byte_budget.h
+++ b/core/byte_budget.h
@@ -17,5 +17,9 @@
 /* Returns the largest holder if all together exceed the limit, else NULL. */
 gpointer dp_byte_budget_find_excess (const DpByteBudget *budget);
 
+/* TRUE if the holder keeps no more than what is left beside all holders: the fuller the budget,
+ * the less a single holder may keep, and room is left for small ones. */
+gboolean dp_byte_budget_admits (const DpByteBudget *budget, gpointer holder);
+
 /* Bytes of all holders. */
 gsize dp_byte_budget_total (const DpByteBudget *budget);
--- a/net/http_framing.c
+++ b/net/http_framing.c
@@ -176,6 +176,7 @@
   gboolean is_length = is_equal (framing->name, framing->name_length, "Content-Length");
   gboolean is_coding = is_equal (framing->name, framing->name_length, "Transfer-Encoding");
   framing->field_count += !framing->is_in_trailers;
+  framing->trailer_count += framing->is_in_trailers;
   framing->framing_fields += is_length || is_coding;
   if (framing->is_in_trailers && (is_length || is_coding))
     fail (framing, DP_HTTP_FAULT_LENGTH);
@@ -214,6 +215,7 @@
 {
   gboolean overflows = framing->remaining > G_MAXUINT64 - framing->body_length;
   framing->body_length += framing->remaining;
+  framing->chunk_count++;
   framing->is_in_trailers = framing->remaining == 0;
   if (framing->digits == 0 || overflows)
     fail (framing, DP_HTTP_FAULT_CHUNK);
--- a/net/http_framing.h
+++ b/net/http_framing.h
@@ -56,10 +56,12 @@
   gboolean is_in_trailers;
   gboolean is_old_version; /* HTTP/1.0 */
   guint field_count;       /* header fields, without trailers */
-  guint framing_fields;    /* Content-Length and Transfer-Encoding */
-  guint digits;            /* of the chunk size */
-  guint64 remaining;       /* bytes of the body or the chunk */
-  guint64 body_length;     /* as announced so far: the length, or the sum of the chunks */
+  guint trailer_count;
+  guint chunk_count;
+  guint framing_fields; /* Content-Length and Transfer-Encoding */
+  guint digits;         /* of the chunk size */
+  guint64 remaining;    /* bytes of the body or the chunk */
+  guint64 body_length;  /* as announced so far: the length, or the sum of the chunks */
   /* the text that is being received: method, version, name, value */
   char word[DP_HTTP_WORD_MAX];
   gsize word_length; /* may exceed DP_HTTP_WORD_MAX */
