net: bound what clients make a process hold

Cause: evhttp reads without a bound while it sends a response, stores partial heads in many times their size, and keeps a block of 1 KB and more for each read that ends with a chunk's data. At the limit of connections, clients that had stopped half-way kept all others out.

Change: reading stops from the end of a request until its response has been passed to the kernel. evhttp gets a head as a whole and chunked bodies in parts of 4 KB. Of requests in very small chunks, two are received at a time; very small reads are joined. At the limit, the slowest of stalled connections make room behind idle ones; readers below 1 KB/s for 20 s are disconnected.

--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -1,6 +1,7 @@
 #include "net/http_connections.h"
 
 #include "common/clock.h"
+#include "common/log.h"
 #include "net/http_linger.h"
 
 #include <event2/buffer.h>
@@ -18,6 +19,24 @@
 #define INTERIM_BYTES 12
 /* Shorter bodies are received even if longer ones have used up the budget. */
 #define SHORT_BODY_BYTES 16384
+/* Bytes read from a caller beyond the request in progress, besides those of one read. */
+#define READ_AHEAD_BYTES 1024
+/* evhttp handles a chunked body in parts of at least this size. It keeps a whole block of its
+ * input, of 1 KB and more, for each read that ends with a chunk's data. */
+#define PART_BYTES 4096
+/* Requests with very small chunks that are received at a time. */
+#define TINY_CHUNK_REQUESTS_MAX 2
+/* Reading pauses for this long after each very small read, so that the kernel joins them. */
+#define PAUSE (20 * DP_USEC_PER_MSEC)
+/* At the limit, requests that are incomplete and responses that are unread for longer make room
+ * when there are too few idle connections. */
+#define STALLED_MIN DP_USEC_PER_SEC
+/* A caller whose buffers are full for SLOW_READER_TIME must have read this much in a second. */
+#define SLOW_READER_TIME (20 * DP_USEC_PER_SEC)
+#define SLOW_READER_BYTES 1024
+/* Of outputs that are smaller, the budget takes no notice. */
+#define SMALL_OUTPUT_BYTES 1024
+#define LIMITS_LOG_INTERVAL (10 * DP_USEC_PER_SEC)
 
 typedef enum ConnectionState
 {
@@ -32,6 +51,7 @@
  * some kernels give all sockets the same number. */
 typedef struct Connection
 {
+  DpHttpConnections *owner;
   struct bufferevent *bev; /* freed by evhttp: only valid while is_open() */
   struct evbuffer *input;  /* of `bev` */
   struct evbuffer *output; /* of `bev` */
@@ -39,12 +59,21 @@
   struct sockaddr_storage peer;
   gboolean is_rejected; /* it is closed behind the response */
   ConnectionState state;
-  DpHttpFraming framing; /* of the request that is being received */
-  gsize read_ahead;      /* bytes received behind that request */
-  guint64 reserved;      /* bytes of its body that were found room for */
-  DpUsec since;          /* of the state; of a request its first byte */
+  DpHttpFraming framing;    /* of the request that is being received */
+  DpHttpCost cost;          /* of that request */
+  gsize read_ahead;         /* bytes received behind that request */
+  guint64 reserved;         /* bytes of its body that were found room for */
+  gsize head_reserved;      /* bytes of its head that were found room for */
+  gboolean has_tiny_chunks; /* counted in `tiny_chunk_requests` */
+  gboolean is_withheld;     /* evhttp doesn't get the input yet */
+  gboolean is_paused;
+  DpUsec unread_since; /* of the output; 0: all was passed to the kernel */
+  gsize taken;         /* bytes of the output that the caller has read since then */
+  DpHttpLimit closing; /* it is closed for that; DP_HTTP_LIMIT_NONE: it isn't */
+  DpUsec since;        /* of the state; of a request its first byte */
   DpUsec timeout; /* of the state; of an idle connection the longest in force since it began */
   DpReason rejection; /* of the request that is being received; DP_REASON_NONE: none */
+  DpHttpLimit limit;  /* that it exceeds */
   /* evhttp's callback, while the response to a rejected request is sent */
   bufferevent_event_cb on_event;
   void *arg;
@@ -61,6 +90,13 @@
   struct event *accepted_event;
   GPtrArray *rejected; /* Connection: to be rejected */
   struct event *rejected_event;
+  GPtrArray *closing; /* Connection: to be closed for a limit */
+  struct event *closing_event;
+  GPtrArray *paused; /* Connection: not read for a moment */
+  struct event *paused_event;
+  guint tiny_chunk_requests;
+  guint exceeded[DP_HTTP_LIMITS]; /* since the last log line */
+  DpUsec logged_at;
   struct event *sweep;
 };
 
@@ -131,48 +167,113 @@
     }
 }
 
+static void
+set_held (DpByteBudget *budget, Connection *connection, gsize bytes)
+{
+  if (budget != NULL)
+    dp_byte_budget_set (budget, connection, bytes);
+}
+
 static void
 release_body (const DpHttpConnections *connections, Connection *connection)
 {
-  if (connections->options.bodies != NULL)
-    dp_byte_budget_set (connections->options.bodies, connection, 0);
+  set_held (connections->options.budgets.bodies, connection, 0);
+}
+
+/* Releases what a request that has its response held. */
+static void
+release_request (const DpHttpConnections *connections, Connection *connection)
+{
+  release_body (connections, connection);
+  if (connection->head_reserved > 0)
+    set_held (connections->options.budgets.heads, connection, 0);
+  connection->head_reserved = 0;
+  connection->reserved = 0;
 }
 
+/* The request was received, or is given up. */
 static void
-set_state (const DpHttpConnections *connections, Connection *connection, ConnectionState state)
+end_tiny_chunks (DpHttpConnections *connections, Connection *connection)
+{
+  connections->tiny_chunk_requests -= connection->has_tiny_chunks;
+  connection->has_tiny_chunks = FALSE;
+}
+
+static void
+set_state (DpHttpConnections *connections, Connection *connection, ConnectionState state)
 {
   if (state != CONNECTION_PROCESSING)
-    release_body (connections, connection);
+    release_request (connections, connection);
+  end_tiny_chunks (connections, connection);
   connection->state = state;
   connection->framing = (DpHttpFraming){ 0 };
+  connection->cost = (DpHttpCost){ 0 };
+  connection->limit = DP_HTTP_LIMIT_NONE;
   connection->read_ahead = 0;
-  connection->reserved = 0;
   connection->rejection = DP_REASON_NONE;
   connection->timeout = state_timeout (connections, state);
   connection->since = dp_clock_now ();
 }
 
 /* Reserves the announced length, so that a body which was begun is received in full. */
-static DpReason
+static DpHttpLimit
 reserve_body (const DpHttpConnections *connections, Connection *connection)
 {
-  const DpHttpConnectionsOptions *options = &connections->options;
+  DpByteBudget *bodies = connections->options.budgets.bodies;
   guint64 length = connection->framing.body_length;
-  if (length > options->body_max)
-    return DP_REASON_BODY_TOO_LARGE;
-  if (options->bodies == NULL || length == connection->reserved)
-    return DP_REASON_NONE;
-  dp_byte_budget_set (options->bodies, connection, (gsize)length);
+  if (bodies == NULL || length == connection->reserved)
+    return DP_HTTP_LIMIT_NONE;
+  dp_byte_budget_set (bodies, connection, (gsize)length);
   connection->reserved = length;
-  if (length <= SHORT_BODY_BYTES || dp_byte_budget_find_excess (options->bodies) == NULL)
-    return DP_REASON_NONE;
-  return DP_REASON_OVERLOADED_ENTRY;
+  if (length <= SHORT_BODY_BYTES || dp_byte_budget_find_excess (bodies) == NULL)
+    return DP_HTTP_LIMIT_NONE;
+  return DP_HTTP_LIMIT_BODIES;
+}
+
+static DpHttpLimit
+reserve_head (const DpHttpConnections *connections, Connection *connection)
+{
+  DpByteBudget *heads = connections->options.budgets.heads;
+  gsize bytes = dp_http_cost_head (&connection->cost, &connection->framing);
+  if (heads == NULL || bytes == connection->head_reserved)
+    return DP_HTTP_LIMIT_NONE;
+  dp_byte_budget_set (heads, connection, bytes);
+  connection->head_reserved = bytes;
+  return dp_byte_budget_admits (heads, connection) ? DP_HTTP_LIMIT_NONE : DP_HTTP_LIMIT_HEADS;
+}
+
+static DpHttpLimit
+count_tiny_chunks (DpHttpConnections *connections, Connection *connection)
+{
+  if (connection->has_tiny_chunks || !dp_http_cost_has_tiny_chunks (&connection->framing))
+    return DP_HTTP_LIMIT_NONE;
+  connection->has_tiny_chunks = TRUE;
+  return ++connections->tiny_chunk_requests > TINY_CHUNK_REQUESTS_MAX ? DP_HTTP_LIMIT_CHUNKS
+                                                                      : DP_HTTP_LIMIT_NONE;
+}
+
+static DpReason
+check_received (DpHttpConnections *connections, Connection *connection)
+{
+  const DpHttpFraming *framing = &connection->framing;
+  if (framing->stage == DP_HTTP_STAGE_INVALID)
+    return DP_REASON_BAD_REQUEST;
+  if (framing->body_length > connections->options.body_max)
+    return DP_REASON_BODY_TOO_LARGE;
+  connection->limit = reserve_body (connections, connection);
+  if (connection->limit == DP_HTTP_LIMIT_NONE)
+    connection->limit = reserve_head (connections, connection);
+  if (connection->limit == DP_HTTP_LIMIT_NONE)
+    connection->limit = count_tiny_chunks (connections, connection);
+  if (framing->stage == DP_HTTP_STAGE_COMPLETE)
+    end_tiny_chunks (connections, connection);
+  return connection->limit != DP_HTTP_LIMIT_NONE ? DP_REASON_OVERLOADED_ENTRY : DP_REASON_NONE;
 }
 
 /* The last `length` bytes of the input belong to a request that is not complete, or follow it.
  */
 static void
-receive (const DpHttpConnections *connections,
+receive (DpHttpConnections *connections,
          Connection *connection,
          struct evbuffer *input,
          gsize length)
@@ -181,9 +282,12 @@
   char bytes[SCAN_BYTES];
   struct evbuffer_ptr at;
   gsize start = evbuffer_get_length (input) - length;
+  connection->cost.reads++;
+  connection->cost.bytes += length;
   while (length > 0 && framing->stage != DP_HTTP_STAGE_COMPLETE
          && framing->stage != DP_HTTP_STAGE_INVALID)
     {
+      gboolean has_head = dp_http_framing_has_head (framing);
       gsize read = dp_http_framing_skip (framing, length);
       if (read == 0)
         {
@@ -195,17 +299,162 @@
         }
       start += read;
       length -= read;
+      connection->cost.head_bytes += has_head ? 0 : read;
     }
   connection->read_ahead += length;
-  connection->rejection = framing->stage == DP_HTTP_STAGE_INVALID
-                            ? DP_REASON_BAD_REQUEST
-                            : reserve_body (connections, connection);
+  connection->rejection = check_received (connections, connection);
   if (connection->state != CONNECTION_RECEIVING_HEAD || !dp_http_framing_has_head (framing))
     return;
   connection->state = CONNECTION_RECEIVING;
   connection->timeout = state_timeout (connections, CONNECTION_RECEIVING);
 }
 
+/* --- input that evhttp doesn't get yet --- */
+
+/* A head is handed over as a whole, since evhttp stores its fields in many times their size. */
+static gboolean
+may_process (const DpHttpConnections *connections,
+             const Connection *connection,
+             gsize length,
+             gboolean had_head)
+{
+  const DpHttpFraming *framing = &connection->framing;
+  if (framing->stage == DP_HTTP_STAGE_COMPLETE || framing->stage == DP_HTTP_STAGE_INVALID)
+    return TRUE;
+  if (!dp_http_framing_has_head (framing))
+    return connection->cost.head_bytes > connections->options.head_max;
+  return !had_head || !framing->is_chunked || length >= PART_BYTES;
+}
+
+/* evhttp is called by the bufferevent when its input has the size of the low watermark, which
+ * none has. */
+static void
+withhold (Connection *connection, gboolean is_withheld)
+{
+  if (connection->is_withheld == is_withheld)
+    return;
+  connection->is_withheld = is_withheld;
+  bufferevent_setwatermark (connection->bev, EV_READ, is_withheld ? G_MAXSIZE : 0, 0);
+}
+
+static void
+limit_input (Connection *connection)
+{
+  connection->is_withheld = FALSE;
+  bufferevent_setwatermark (connection->bev, EV_READ, 0, READ_AHEAD_BYTES);
+}
+
+void
+dp_http_connections_limit_input (DpHttpConnections *connections,
+                                 struct evhttp_connection *connection)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
+  Connection *row = g_hash_table_lookup (connections->by_buffer, bufferevent_get_input (bev));
+  if (row != NULL)
+    limit_input (row);
+}
+
+/* --- very small reads --- */
+
+static void
+pause_reading (DpHttpConnections *connections, Connection *connection)
+{
+  if (connection->is_paused)
+    return;
+  const struct timeval pause = { .tv_usec = PAUSE };
+  connection->is_paused = TRUE;
+  bufferevent_disable (connection->bev, EV_READ);
+  g_ptr_array_add (connections->paused, connection);
+  if (!event_pending (connections->paused_event, EV_TIMEOUT, NULL))
+    event_add (connections->paused_event, &pause);
+}
+
+static void
+on_pause_end (evutil_socket_t fd, short what, void *user)
+{
+  DpHttpConnections *connections = user;
+  for (guint i = 0; i < connections->paused->len; i++)
+    {
+      Connection *connection = g_ptr_array_index (connections->paused, i);
+      connection->is_paused = FALSE;
+      if (is_open (connection) && !connection->is_rejected)
+        bufferevent_enable (connection->bev, EV_READ);
+    }
+  g_ptr_array_set_size (connections->paused, 0);
+}
+
+/* --- limits of all connections --- */
+
+static void
+count_exceeded (DpHttpConnections *connections, DpHttpLimit limit)
+{
+  connections->exceeded[limit]++;
+  dp_counters_add (connections->options.counters, "dogwoodplank_http_limited_total", "limit",
+                   dp_http_limit_name (limit), 1);
+}
+
+/* One line for all clients that exceeded a limit since the last one. */
+static void
+log_exceeded (DpHttpConnections *connections, DpUsec now)
+{
+  char counts[DP_HTTP_LIMITS][12];
+  guint sum = 0;
+  for (guint i = 0; i < DP_HTTP_LIMITS; i++)
+    {
+      g_snprintf (counts[i], sizeof counts[i], "%u", connections->exceeded[i]);
+      sum += connections->exceeded[i];
+    }
+  if (sum == 0 || now - connections->logged_at < LIMITS_LOG_INTERVAL)
+    return;
+  dp_log (DP_LOG_NOTICE, "clients_limited", "listener", connections->options.name, "bodies",
+          counts[DP_HTTP_LIMIT_BODIES], "heads", counts[DP_HTTP_LIMIT_HEADS], "chunks",
+          counts[DP_HTTP_LIMIT_CHUNKS], "unread", counts[DP_HTTP_LIMIT_UNREAD], "slow",
+          counts[DP_HTTP_LIMIT_SLOW], "room", counts[DP_HTTP_LIMIT_ROOM], NULL);
+  memset (connections->exceeded, 0, sizeof connections->exceeded);
+  connections->logged_at = now;
+}
+
+/* Closes the connection on the next loop iteration, as this may run inside its callbacks. */
+static void
+close_for (Connection *connection, DpHttpLimit limit)
+{
+  DpHttpConnections *connections = connection->owner;
+  if (connection->closing != DP_HTTP_LIMIT_NONE)
+    return;
+  connection->closing = limit;
+  count_exceeded (connections, limit);
+  g_ptr_array_add (connections->closing, connection);
+  event_active (connections->closing_event, EV_TIMEOUT, 0);
+}
+
+static void
+set_unread (const DpHttpConnections *connections, Connection *connection, gsize length)
+{
+  DpByteBudget *unread = connections->options.budgets.unread;
+  if (unread == NULL)
+    return;
+  dp_byte_budget_set (unread, connection, length >= SMALL_OUTPUT_BYTES ? length : 0);
+  Connection *largest;
+  while ((largest = dp_byte_budget_find_excess (unread)) != NULL)
+    {
+      dp_byte_budget_set (unread, largest, 0);
+      close_for (largest, DP_HTTP_LIMIT_UNREAD);
+    }
+}
+
+static void
+on_closing (evutil_socket_t fd, short what, void *user)
+{
+  DpHttpConnections *connections = user;
+  while (connections->closing->len > 0)
+    {
+      Connection *connection = g_ptr_array_index (connections->closing, 0);
+      g_ptr_array_remove_index_fast (connections->closing, 0);
+      if (is_open (connection))
+        bufferevent_trigger_event (connection->bev, BEV_EVENT_WRITING | BEV_EVENT_TIMEOUT, 0);
+    }
+}
+
 /* --- rejected requests --- */
 
 /* Lets evhttp free the connection. */
@@ -239,9 +488,15 @@
   bufferevent_getcb (bev, NULL, NULL, &connection->on_event, &connection->arg);
   bufferevent_setcb (bev, NULL, on_rejection_written, on_rejection_event, connection);
   struct evbuffer *response = evbuffer_new ();
-  release_body (connections, connection);
-  connections->options.on_reject (connections->options.user, connection->rejection,
-                                  connection->framing.fault, response);
+  const DpHttpRejection rejection = { .reason = connection->rejection,
+                                      .fault = connection->framing.fault,
+                                      .limit = connection->limit };
+  if (connection->limit != DP_HTTP_LIMIT_NONE)
+    count_exceeded (connections, connection->limit);
+  release_request (connections, connection);
+  end_tiny_chunks (connections, connection);
+  evbuffer_drain (connection->input, evbuffer_get_length (connection->input));
+  connections->options.on_reject (connections->options.user, &rejection, response);
   bufferevent_write_buffer (bev, response);
   bufferevent_enable (bev, EV_WRITE);
   evbuffer_free (response);
@@ -300,9 +555,19 @@
     set_state (connections, connection, CONNECTION_RECEIVING_HEAD);
   if (!is_receiving (connection))
     return;
+  gboolean had_head = connection->state == CONNECTION_RECEIVING;
   receive (connections, connection, input, info->n_added);
   if (connection->rejection != DP_REASON_NONE)
-    reject (connections, connection);
+    {
+      withhold (connection, FALSE);
+      reject (connections, connection);
+      return;
+    }
+  withhold (connection,
+            !may_process (connections, connection, evbuffer_get_length (input), had_head));
+  if (connection->framing.stage != DP_HTTP_STAGE_COMPLETE
+      && dp_http_cost_has_tiny_reads (&connection->cost))
+    pause_reading (connections, connection);
 }
 
 /* TRUE if the output begins with "100 Continue", behind which the request goes on. */
@@ -314,6 +579,25 @@
          && memcmp (start + sizeof start - 3, "100", 3) == 0;
 }
 
+static void
+record_output (const DpHttpConnections *connections,
+               Connection *connection,
+               struct evbuffer *output,
+               const struct evbuffer_cb_info *info)
+{
+  gsize length = evbuffer_get_length (output);
+  if (length == 0)
+    connection->unread_since = 0;
+  else if (connection->unread_since == 0)
+    {
+      connection->unread_since = dp_clock_now ();
+      connection->taken = 0;
+    }
+  connection->taken += info->n_deleted;
+  if (MAX (length, info->orig_size) >= SMALL_OUTPUT_BYTES)
+    set_unread (connections, connection, length);
+}
+
 /* evhttp, or the server, rejects a request that may not be complete, and closes the connection
  * behind the response. */
 static void
@@ -321,11 +605,14 @@
 {
   DpHttpConnections *connections = user;
   Connection *connection = g_hash_table_lookup (connections->by_buffer, output);
-  if (connection == NULL || connection->is_rejected || info->n_added == 0)
+  if (connection == NULL)
     return;
-  if (!is_receiving (connection) || is_interim (output))
+  record_output (connections, connection, output, info);
+  if (connection->is_rejected || info->n_added == 0 || !is_receiving (connection)
+      || is_interim (output))
     return;
   connection->is_rejected = TRUE;
+  limit_input (connection);
   dp_http_linger_add (connections->linger, bufferevent_getfd (connection->bev));
 }
 
@@ -335,6 +622,7 @@
 {
   DpHttpConnections *connections = user;
   Connection *connection = g_new0 (Connection, 1);
+  connection->owner = connections;
   connection->bev = bufferevent_socket_new (base, -1, 0);
   set_state (connections, connection, CONNECTION_IDLE);
   connection->input = bufferevent_get_input (connection->bev);
@@ -355,7 +643,11 @@
 forget_connection (DpHttpConnections *connections, Connection *connection)
 {
   g_ptr_array_remove (connections->rejected, connection);
-  release_body (connections, connection);
+  g_ptr_array_remove (connections->closing, connection);
+  g_ptr_array_remove (connections->paused, connection);
+  release_request (connections, connection);
+  end_tiny_chunks (connections, connection);
+  set_held (connections->options.budgets.unread, connection, 0);
   if (g_hash_table_lookup (connections->by_buffer, connection->input) == connection)
     g_hash_table_remove (connections->by_buffer, connection->input);
   if (g_hash_table_lookup (connections->by_buffer, connection->output) == connection)
@@ -416,8 +708,70 @@
   return idle;
 }
 
+/* Time for which the connection has taken part in an exchange without completing it; 0 if it
+ * waits for this process. */
+static DpUsec
+stalled_time (const Connection *connection, DpUsec now)
+{
+  if (is_receiving (connection) && !connection->is_rejected)
+    return now - connection->since;
+  return connection->unread_since > 0 ? now - connection->unread_since : 0;
+}
+
+/* Bytes per second of a stalled connection. */
+static double
+stalled_rate (const Connection *connection, DpUsec now)
+{
+  gsize bytes = is_receiving (connection) ? connection->cost.bytes : connection->taken;
+  return (double)bytes / (double)MAX (stalled_time (connection, now), 1);
+}
+
+static gint
+compare_rate (gconstpointer a, gconstpointer b, gpointer user)
+{
+  const DpUsec *now = user;
+  double first = stalled_rate (*(Connection *const *)a, *now);
+  double second = stalled_rate (*(Connection *const *)b, *now);
+  return first < second ? -1 : first > second;
+}
+
+/* Connections that are stalled for longer than STALLED_MIN, the slowest first. */
+static GPtrArray *
+find_stalled (DpHttpConnections *connections)
+{
+  GPtrArray *stalled = g_ptr_array_new ();
+  DpUsec now = dp_clock_now ();
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, connections->by_fd);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (stalled_time (value, now) > STALLED_MIN)
+      g_ptr_array_add (stalled, value);
+  g_ptr_array_sort_with_data (stalled, compare_rate, &now);
+  return stalled;
+}
+
+static void
+close_stalled (DpHttpConnections *connections, guint wanted)
+{
+  GPtrArray *stalled = find_stalled (connections);
+  for (guint i = 0; i < stalled->len && g_hash_table_size (connections->by_fd) > wanted; i++)
+    {
+      Connection *connection = g_ptr_array_index (stalled, i);
+      if (is_open (connection))
+        {
+          count_exceeded (connections, DP_HTTP_LIMIT_ROOM);
+          bufferevent_trigger_event (connection->bev, BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
+        }
+      forget_connection (connections, connection);
+      g_hash_table_remove (connections->by_fd, &connection->fd);
+    }
+  g_ptr_array_unref (stalled);
+}
+
 /* At the limit, idle connections make room for new ones: their callers can connect again, while
- * new callers would get no response. */
+ * new callers would get no response. If they aren't enough, the slowest of those follow whose
+ * clients take long to send a request or to read a response. */
 static void
 make_room (DpHttpConnections *connections)
 {
@@ -438,6 +792,7 @@
       g_hash_table_remove (connections->by_fd, &connection->fd);
     }
   g_ptr_array_unref (idle);
+  close_stalled (connections, wanted);
   update_listener (connections);
 }
 
@@ -466,6 +821,14 @@
     }
 }
 
+static gboolean
+is_slow_reader (const Connection *connection, DpUsec now)
+{
+  DpUsec time = connection->unread_since > 0 ? now - connection->unread_since : 0;
+  return time > SLOW_READER_TIME
+         && connection->taken / SLOW_READER_BYTES < (gsize)(time / DP_USEC_PER_SEC);
+}
+
 /* Removes closed connections and closes those that exceed their timeout. */
 static void
 on_sweep (evutil_socket_t fd, short what, void *user)
@@ -480,6 +843,8 @@
     {
       Connection *connection = value;
       gboolean open = is_open (connection);
+      if (open && is_slow_reader (connection, now))
+        close_for (connection, DP_HTTP_LIMIT_SLOW);
       if (open && !is_overdue (connection, now))
         continue;
       if (open)
@@ -488,6 +853,7 @@
       g_hash_table_iter_remove (&iter);
     }
   make_room (connections);
+  log_exceeded (connections, now);
   dp_counters_set (connections->options.counters, "dogwoodplank_http_connections", "listener",
                    connections->options.name, g_hash_table_size (connections->by_fd));
   update_listener (connections);
@@ -504,6 +870,10 @@
   if (row == NULL)
     return;
   gsize read_ahead = evbuffer_get_length (input);
+  if (busy)
+    limit_input (row);
+  else
+    bufferevent_setwatermark (row->bev, EV_READ, 0, 0);
   if (busy)
     set_state (connections, row, CONNECTION_PROCESSING);
   else if (read_ahead == 0)
@@ -531,6 +901,10 @@
   connections->accepted_event = event_new (options->base, -1, 0, on_accepted, connections);
   connections->rejected = g_ptr_array_new ();
   connections->rejected_event = event_new (options->base, -1, 0, on_rejected, connections);
+  connections->closing = g_ptr_array_new ();
+  connections->closing_event = event_new (options->base, -1, 0, on_closing, connections);
+  connections->paused = g_ptr_array_new ();
+  connections->paused_event = event_new (options->base, -1, 0, on_pause_end, connections);
   connections->sweep = event_new (options->base, -1, EV_PERSIST, on_sweep, connections);
   const struct timeval interval = { .tv_sec = SWEEP_INTERVAL_SECONDS };
   event_add (connections->sweep, &interval);
@@ -544,7 +918,11 @@
   event_free (connections->sweep);
   event_free (connections->accepted_event);
   event_free (connections->rejected_event);
+  event_free (connections->closing_event);
+  event_free (connections->paused_event);
   g_ptr_array_unref (connections->rejected);
+  g_ptr_array_unref (connections->closing);
+  g_ptr_array_unref (connections->paused);
   g_ptr_array_set_free_func (connections->accepted, g_free);
   g_ptr_array_unref (connections->accepted);
   g_hash_table_unref (connections->by_buffer);
@@ -594,6 +972,18 @@
     extend_timeout (connections, value);
 }
 
+void
+dp_http_connections_set_head_max (DpHttpConnections *connections, gsize head_max)
+{
+  connections->options.head_max = head_max;
+}
+
+void
+dp_http_connections_set_budgets (DpHttpConnections *connections, const DpHttpBudgets *budgets)
+{
+  connections->options.budgets = *budgets;
+}
+
 void
 dp_http_connections_set_body_max (DpHttpConnections *connections, gsize body_max)
 {
--- a/net/http_connections.h
+++ b/net/http_connections.h
@@ -7,6 +7,7 @@
 #include "common/id.h"
 #include "core/byte_budget.h"
 #include "core/reason.h"
+#include "net/http_cost.h"
 #include "net/http_framing.h"
 
 #include <event2/buffer.h>
@@ -17,27 +18,42 @@
 
 typedef struct DpHttpConnections DpHttpConnections;
 
-/* Writes the response to a request that is rejected before it was received in full, head and
- * body. `fault` says what is wrong with an invalid request. */
+/* A request that is rejected before it was received in full. */
+typedef struct DpHttpRejection
+{
+  DpReason reason;
+  DpHttpFault fault; /* what is wrong with an invalid request */
+  DpHttpLimit limit; /* what is exceeded by one that is refused */
+} DpHttpRejection;
+
+/* Writes the response to it, head and body. */
 typedef void (*DpHttpRejectFunc) (gpointer user,
-                                  DpReason reason,
-                                  DpHttpFault fault,
+                                  const DpHttpRejection *rejection,
                                   struct evbuffer *response);
 
+/* What all connections of all listeners may hold, in bytes. NULL: no limit. Each must outlive
+ * the connections. */
+typedef struct DpHttpBudgets
+{
+  DpByteBudget *bodies; /* of requests that have no response yet */
+  DpByteBudget *heads;  /* header fields, as they are stored; only of long heads */
+  DpByteBudget *unread; /* responses that callers have not read */
+} DpHttpBudgets;
+
 typedef struct DpHttpConnectionsOptions
 {
   struct event_base *base;
   struct evhttp *http; /* gets its bufferevents from this object */
   const char *name;    /* label of the gauge; must outlive the object */
-  guint max; /* open at once; idle ones make room, else others wait in the listen backlog */
+  /* open at once; idle and slow ones make room, else others wait in the listen backlog */
+  guint max;
   DpUsec idle_timeout;    /* until the first byte of a request */
   DpUsec read_timeout;    /* between reads of a request */
   DpUsec head_timeout;    /* from the first byte of a request to the end of its head; 0: none */
   DpUsec request_timeout; /* from the first byte of a request to its end */
+  gsize head_max;         /* bytes of a request's head */
   gsize body_max;         /* bytes of a request's body */
-  /* Bytes of the bodies of all requests that have no response yet; must outlive the object.
-   * NULL: no limit. */
-  DpByteBudget *bodies;
+  DpHttpBudgets budgets;
   DpHttpRejectFunc on_reject; /* the connection is closed behind its response */
   gpointer user;
   DpCounters *counters; /* must outlive the object */
@@ -70,9 +86,21 @@
  * theirs. */
 void dp_http_connections_set_idle_timeout (DpHttpConnections *connections, DpUsec timeout);
 
+/* Holds for heads that begin from now on. */
+void dp_http_connections_set_head_max (DpHttpConnections *connections, gsize head_max);
+
 /* Holds for bodies that begin from now on. */
 void dp_http_connections_set_body_max (DpHttpConnections *connections, gsize body_max);
 
+/* Call this before there are connections, or with empty budgets after the last use. */
+void dp_http_connections_set_budgets (DpHttpConnections *connections,
+                                      const DpHttpBudgets *budgets);
+
+/* Bounds what is read from a connection until the current request has its whole response; holds
+ * until dp_http_connections_set_busy() with FALSE. */
+void dp_http_connections_limit_input (DpHttpConnections *connections,
+                                      struct evhttp_connection *connection);
+
 /* The connection closes while a request is in progress, whose body is no longer needed. */
 void dp_http_connections_release_body (DpHttpConnections *connections,
                                        struct evhttp_connection *connection);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -20,10 +20,8 @@
 /* evhttp replies to bodies over its own limit with an HTML page. Its limit is therefore higher,
  * so that this server can reject most of them itself. */
 #define EVHTTP_BODY_MAX_FACTOR 2
-/* Bytes read from a caller beyond the request in progress. */
-#define READ_AHEAD_BYTES 16384
-/* Long bodies are received within some tenths of a second. */
-#define RETRY_AFTER_BODIES "Retry-After: 0.25\r\n"
+/* Long bodies and heads are received within some tenths of a second. */
+#define RETRY_AFTER_LIMIT "Retry-After: 0.25\r\n"
 /* The kernel may enforce a lower limit. */
 #define LISTEN_BACKLOG 4096
 #define ALL_METHODS                                                                            \
@@ -128,7 +126,6 @@
   void *arg;
   bufferevent_getcb (bev, NULL, &on_write, &on_event, &arg);
   bufferevent_setcb (bev, NULL, on_write, on_event, arg);
-  bufferevent_setwatermark (bev, EV_READ, 0, READ_AHEAD_BYTES);
   struct timeval write_timeout = to_timeval (exchange->server->options.write_timeout);
   bufferevent_set_timeouts (bev, NULL, &write_timeout);
   bufferevent_enable (bev, EV_READ);
@@ -143,12 +140,17 @@
   if (connection == NULL)
     return;
   evhttp_connection_set_closecb (connection, NULL, NULL);
-  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
-  bufferevent_setwatermark (bev, EV_READ, 0, 0);
+}
+
+/* For the next request. While a response was sent, the client had nothing to send. */
+static void
+set_timeouts (const DpHttpServer *server, struct evhttp_connection *connection)
+{
   struct timeval read_timeout
-    = to_timeval (dp_http_connections_read_timeout (exchange->server->connections));
-  struct timeval write_timeout = to_timeval (exchange->server->options.write_timeout);
-  bufferevent_set_timeouts (bev, &read_timeout, &write_timeout);
+    = to_timeval (dp_http_connections_read_timeout (server->connections));
+  struct timeval write_timeout = to_timeval (server->options.write_timeout);
+  bufferevent_set_timeouts (evhttp_connection_get_bufferevent (connection), &read_timeout,
+                            &write_timeout);
 }
 
 static gboolean
@@ -169,6 +171,7 @@
           || has_close_header (evhttp_request_get_input_headers (request)))
         dp_http_connections_linger (exchange->server->connections, connection);
       evhttp_connection_set_closecb (connection, NULL, NULL);
+      set_timeouts (exchange->server, connection);
       dp_http_connections_set_busy (exchange->server->connections, connection, FALSE);
     }
   g_hash_table_remove (exchange->server->sending, exchange);
@@ -269,8 +272,10 @@
 
 /* Rejects a request without calling the handler. */
 static void
-reject (struct evhttp_request *request, DpReason reason)
+reject (const DpHttpServer *server, struct evhttp_request *request, DpReason reason)
 {
+  dp_http_connections_limit_input (server->connections,
+                                   evhttp_request_get_connection (request));
   struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
   evhttp_add_header (headers, "Content-Type", "application/problem+json");
   evhttp_add_header (headers, "Connection", "close");
@@ -282,16 +287,17 @@
 
 /* Counts a request that is rejected before it was received in full. */
 static void
-record_rejected (DpHttpServer *server, DpReason reason, DpHttpFault fault)
+record_rejected (DpHttpServer *server, const DpHttpRejection *rejection)
 {
-  if (reason == DP_REASON_BODY_TOO_LARGE)
+  if (rejection->reason == DP_REASON_BODY_TOO_LARGE)
     increment (server, "dogwoodplank_http_bodies_too_large_total");
-  else if (reason == DP_REASON_OVERLOADED_ENTRY)
+  else if (rejection->limit == DP_HTTP_LIMIT_BODIES)
     increment (server, "dogwoodplank_http_bodies_refused_total");
-  else
+  else if (rejection->limit == DP_HTTP_LIMIT_NONE)
     increment (server, "dogwoodplank_http_invalid_total");
   dp_log (DP_LOG_INFO, "request_rejected", "listener", server->name, "reason",
-          dp_reason_name (reason), "problem", dp_http_fault_name (fault), NULL);
+          dp_reason_name (rejection->reason), "problem", dp_http_fault_name (rejection->fault),
+          "limit", dp_http_limit_name (rejection->limit), NULL);
 }
 
 static const char *
@@ -309,17 +315,18 @@
 }
 
 static void
-on_reject (gpointer user, DpReason reason, DpHttpFault fault, struct evbuffer *response)
+on_reject (gpointer user, const DpHttpRejection *rejection, struct evbuffer *response)
 {
   DpHttpServer *server = user;
+  DpReason reason = rejection->reason;
   struct evbuffer *body = evbuffer_new ();
-  record_rejected (server, reason, fault);
+  record_rejected (server, rejection);
   add_problem (body, reason, DP_OUTCOME_NOT_RUN);
   evbuffer_add_printf (response,
                        "HTTP/1.1 %d %s\r\nContent-Type: application/problem+json\r\n%s"
                        "Connection: close\r\nContent-Length: %zu\r\n\r\n",
                        dp_reason_status (reason), status_text (reason),
-                       reason == DP_REASON_OVERLOADED_ENTRY ? RETRY_AFTER_BODIES : "",
+                       reason == DP_REASON_OVERLOADED_ENTRY ? RETRY_AFTER_LIMIT : "",
                        evbuffer_get_length (body));
   evbuffer_add_buffer (response, body);
   evbuffer_free (body);
@@ -347,22 +354,23 @@
     server->connections, evhttp_request_get_connection (request), &field_count);
   if (fault != DP_HTTP_FAULT_NONE)
     {
-      record_rejected (server, DP_REASON_BAD_REQUEST, fault);
-      reject (request, DP_REASON_BAD_REQUEST);
+      const DpHttpRejection rejection = { .reason = DP_REASON_BAD_REQUEST, .fault = fault };
+      record_rejected (server, &rejection);
+      reject (server, request, DP_REASON_BAD_REQUEST);
       return;
     }
   struct evbuffer *input = evhttp_request_get_input_buffer (request);
   if (evbuffer_get_length (input) > server->options.body_max)
     {
       increment (server, "dogwoodplank_http_bodies_too_large_total");
-      reject (request, DP_REASON_BODY_TOO_LARGE);
+      reject (server, request, DP_REASON_BODY_TOO_LARGE);
       return;
     }
   if (g_hash_table_size (server->exchanges) >= server->options.exchanges_max)
     {
       increment (server, "dogwoodplank_http_exchanges_refused_total");
       evhttp_add_header (evhttp_request_get_output_headers (request), "Retry-After", "1");
-      reject (request, DP_REASON_OVERLOADED_ENTRY);
+      reject (server, request, DP_REASON_OVERLOADED_ENTRY);
       return;
     }
   DpHttpExchange *exchange = g_new0 (DpHttpExchange, 1);
@@ -428,8 +436,9 @@
                                              .idle_timeout = idle_timeout,
                                              .read_timeout = server_options->read_timeout,
                                              .request_timeout = server_options->request_timeout,
+                                             .head_max = server_options->head_max,
                                              .body_max = server_options->body_max,
-                                             .bodies = server_options->bodies,
+                                             .budgets = server_options->budgets,
                                              .on_reject = on_reject,
                                              .user = server,
                                              .counters = server_options->counters };
@@ -538,6 +547,7 @@
   if (limits->head_max > 0)
     {
       server->options.head_max = limits->head_max;
+      dp_http_connections_set_head_max (server->connections, limits->head_max);
       evhttp_set_max_headers_size (server->http, (ev_ssize_t)limits->head_max);
     }
   if (limits->body_max > 0)
@@ -555,6 +565,12 @@
   set_read_timeout (server);
 }
 
+void
+dp_http_server_set_budgets (DpHttpServer *server, const DpHttpBudgets *budgets)
+{
+  dp_http_connections_set_budgets (server->connections, budgets);
+}
+
 guint
 dp_http_server_open_exchanges (const DpHttpServer *server)
 {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -9,7 +9,7 @@
 
 #include "common/counters.h"
 #include "common/id.h"
-#include "core/byte_budget.h"
+#include "net/http_connections.h"
 #include "net/http_header.h"
 
 #include <event2/event.h>
@@ -30,15 +30,15 @@
   const char *name; /* label of its counters: "callers", "operators" */
   gsize head_max;   /* bytes of request line and headers */
   gsize body_max;   /* bytes; larger bodies are rejected */
-  /* Bytes of the bodies of all requests that have no response yet; what exceeds it is rejected
-   * with 503 before its body is received. Must outlive the server; NULL: no limit. */
-  DpByteBudget *bodies;
+  /* A request that exceeds one is rejected with 503 before it is received; of callers that
+   * don't read, those with the most unread bytes are disconnected. */
+  DpHttpBudgets budgets;
   DpUsec read_timeout;    /* between reads of a request */
   DpUsec idle_timeout;    /* until the first byte of a request; 0: as `read_timeout` */
   DpUsec write_timeout;   /* for a caller that doesn't read */
   gsize write_buffer_max; /* bytes of a response buffered for a slow caller */
   guint exchanges_max;    /* open at once; others are rejected with 503 */
-  guint connections_max;  /* open at once; idle ones make room for others, else they wait */
+  guint connections_max;  /* open at once; idle and slow ones make room for others */
   DpUsec request_timeout; /* from the first byte of a request to its end */
   DpCounters *counters;   /* the server takes a reference */
   DpHttpHandler handler;
@@ -75,6 +75,9 @@
 } DpHttpServerLimits;
 void dp_http_server_set_limits (DpHttpServer *server, const DpHttpServerLimits *limits);
 
+/* Call this before the server has connections, or with empty budgets after its last use. */
+void dp_http_server_set_budgets (DpHttpServer *server, const DpHttpBudgets *budgets);
+
 guint dp_http_server_open_exchanges (const DpHttpServer *server);
 
 /* TRUE if no part of a request has arrived whose response was not passed to the kernel. */
--- a/net/process.c
+++ b/net/process.c
@@ -566,6 +566,12 @@
   return process->base;
 }
 
+void
+dp_process_set_client_budgets (DpProcess *process, const DpHttpBudgets *budgets)
+{
+  dp_http_server_set_budgets (process->operator_server, budgets);
+}
+
 DpCounters *
 dp_process_counters (DpProcess *process)
 {
--- a/net/process.h
+++ b/net/process.h
@@ -11,6 +11,7 @@
 #include "core/view.h"
 #include "manifest/manifest.h"
 #include "manifest/settings.h"
+#include "net/http_connections.h"
 
 #include <event2/event.h>
 #include <glib.h>
@@ -133,6 +134,9 @@
 
 struct event_base *dp_process_base (DpProcess *process);
 DpCounters *dp_process_counters (DpProcess *process);
+/* What clients of the operators' listener may make the process hold, together with others. Call
+ * it before the process runs, and with empty budgets before they are freed. */
+void dp_process_set_client_budgets (DpProcess *process, const DpHttpBudgets *budgets);
 guint64 dp_process_incarnation (const DpProcess *process);
 gboolean dp_process_is_stopping (const DpProcess *process);
 /* The current manifest, owned by the process; NULL if there is none yet. */
--- a/node/main.c
+++ b/node/main.c
@@ -154,8 +154,7 @@
   dp_node_quarantine_clear (node);
   dp_limit_client_free (node->limit_client);
   dp_answer_times_free (node->answer_times);
-  dp_byte_budget_free (node->response_budget);
-  dp_byte_budget_free (node->body_budget);
+  dp_memory_stop (node);
   dp_quota_client_free (node->quota_client);
   dp_quota_server_free (node->quota_server);
   dp_manifest_unref (node->manifest);
--- a/node/node.h
+++ b/node/node.h
@@ -193,7 +193,7 @@
   DpUsec memory_checked_at;
   gboolean is_memory_short;      /* new requests are refused */
   DpByteBudget *response_budget; /* of responses that targets are sending */
-  DpByteBudget *body_budget;     /* of requests that have no response yet */
+  DpHttpBudgets client_budgets;  /* of what clients make this process hold */
   DpAnswerTimes *answer_times;
   gboolean is_stopping;
   DpUsec stop_requested_at;
@@ -501,6 +501,12 @@
 
 /* Divides the memory among the buffers that others fill. */
 void dp_memory_start (DpNode *node);
+/* After the servers that use them. */
+void dp_memory_stop (DpNode *node);
+/* Connections of callers for which there is memory; `memory_max` 0: no limit. */
+guint dp_memory_connections_max (gsize memory_max);
+/* Bytes that a tunnel may buffer in each direction, at most `most`. */
+gsize dp_memory_tunnel_buffer (const DpNodeParams *params, gsize most);
 void dp_memory_tick (DpNode *node, DpUsec now);
 
 /* --- caller_listener.c --- */
--- a/node/settings.c
+++ b/node/settings.c
@@ -156,5 +156,7 @@
   params->quota_slack = read_number ("quota_slack", settings->quota_slack, 0, diagnostics);
   double memory_mb = read_number ("memory_mb", settings->memory_mb, 0, diagnostics);
   params->memory_max = (gsize)(memory_mb * BYTES_PER_MB);
+  params->connections_max
+    = MIN (params->connections_max, dp_memory_connections_max (params->memory_max));
   return dp_diagnostics_count (diagnostics) == 0;
 }
--- a/node/tunnels.c
+++ b/node/tunnels.c
@@ -116,18 +116,19 @@
 {
   DpTunnels *tunnels = g_new0 (DpTunnels, 1);
   tunnels->node = node;
-  const DpTunnelServerOptions options = { .base = node->base,
-                                          .address = node->settings->process.address,
-                                          .port = node->params.tunnel_port,
-                                          .tunnels_max = node->params.tunnels_max,
-                                          .head_max = HEAD_BYTES_MAX,
-                                          .buffer_max = BUFFER_BYTES_MAX,
-                                          .handshake_timeout = HANDSHAKE_TIMEOUT,
-                                          .connect_timeout = DP_CONNECT_TIMEOUT,
-                                          .idle_timeout = IDLE_TIMEOUT,
-                                          .counters = node->counters,
-                                          .callbacks = &callbacks,
-                                          .user = tunnels };
+  const DpTunnelServerOptions options
+    = { .base = node->base,
+        .address = node->settings->process.address,
+        .port = node->params.tunnel_port,
+        .tunnels_max = node->params.tunnels_max,
+        .head_max = HEAD_BYTES_MAX,
+        .buffer_max = dp_memory_tunnel_buffer (&node->params, BUFFER_BYTES_MAX),
+        .handshake_timeout = HANDSHAKE_TIMEOUT,
+        .connect_timeout = DP_CONNECT_TIMEOUT,
+        .idle_timeout = IDLE_TIMEOUT,
+        .counters = node->counters,
+        .callbacks = &callbacks,
+        .user = tunnels };
   tunnels->server = dp_tunnel_server_new (&options);
   char port[8];
   char max[16];
--- a/tests/test_net_http_framing.c
+++ b/tests/test_net_http_framing.c
@@ -224,7 +224,7 @@
         .name = "test",
         .head_max = 4 * KIB,
         .body_max = BODY_MAX,
-        .bodies = fixture->bodies,
+        .budgets.bodies = fixture->bodies,
         .read_timeout = TEST_TIMEOUT_SECONDS * DP_USEC_PER_SEC,
         .write_timeout = TEST_TIMEOUT_SECONDS * DP_USEC_PER_SEC,
         .write_buffer_max = KIB,
