--- a/core/byte_budget.c
+++ b/core/byte_budget.c
@@ -56,6 +56,12 @@
   return largest;
 }
 
+gboolean
+dp_byte_budget_has_reserve (const DpByteBudget *budget)
+{
+  return budget->total <= budget->limit || budget->total - budget->limit <= budget->limit / 4;
+}
+
 gboolean
 dp_byte_budget_admits (const DpByteBudget *budget, gpointer holder)
 {
--- a/core/byte_budget.h
+++ b/core/byte_budget.h
@@ -17,6 +17,10 @@
 /* Returns the largest holder if all together exceed the limit, else NULL. */
 gpointer dp_byte_budget_find_excess (const DpByteBudget *budget);
 
+/* TRUE while the limit is exceeded by no more than a quarter, which is kept for small holders.
+ */
+gboolean dp_byte_budget_has_reserve (const DpByteBudget *budget);
+
 /* TRUE if the holder keeps no more than what is left beside all holders: the fuller the budget,
  * the less a single holder may keep, and room is left for small ones. */
 gboolean dp_byte_budget_admits (const DpByteBudget *budget, gpointer holder);
--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -17,7 +17,7 @@
 #define SCAN_BYTES 512
 /* "HTTP/1.1 100" */
 #define INTERIM_BYTES 12
-/* Shorter bodies are received even if longer ones have used up the budget. */
+/* For shorter bodies there is a reserve beyond what longer ones may use up. */
 #define SHORT_BODY_BYTES 16384
 /* Bytes read from a caller beyond the request in progress, besides those of one read. */
 #define READ_AHEAD_BYTES 1024
@@ -225,9 +225,9 @@
     return DP_HTTP_LIMIT_NONE;
   dp_byte_budget_set (bodies, connection, (gsize)length);
   connection->reserved = length;
-  if (length <= SHORT_BODY_BYTES || dp_byte_budget_find_excess (bodies) == NULL)
-    return DP_HTTP_LIMIT_NONE;
-  return DP_HTTP_LIMIT_BODIES;
+  gboolean has_room = length <= SHORT_BODY_BYTES ? dp_byte_budget_has_reserve (bodies)
+                                                 : dp_byte_budget_find_excess (bodies) == NULL;
+  return has_room ? DP_HTTP_LIMIT_NONE : DP_HTTP_LIMIT_BODIES;
 }
 
 static DpHttpLimit
--- a/node/memory.c
+++ b/node/memory.c
@@ -10,8 +10,9 @@
 /* Responses that are being received may take this part of the memory. A buffer that grows may
  * be twice as large as its contents, and exists twice while it grows. */
 #define RESPONSES_DIVISOR 8
-/* Bodies of requests, of which calls to targets hold a copy. */
-#define BODIES_DIVISOR 6
+/* Bodies of requests, of which calls to targets hold a copy: with the reserve of a quarter for
+ * short ones a sixth. */
+#define BODIES_DIVISOR 7.5
 /* Long heads of requests, with the copy that a call to a target holds. */
 #define HEADS_DIVISOR 12
 /* Responses that callers have not read, outside of the kernel. */
@@ -35,10 +36,10 @@
 }
 
 static DpByteBudget *
-create_budget (const DpNode *node, guint divisor)
+create_budget (const DpNode *node, double divisor)
 {
   gsize limit = node->params.memory_max;
-  return dp_byte_budget_new (limit > 0 ? limit / divisor : G_MAXSIZE);
+  return dp_byte_budget_new (limit > 0 ? (gsize)((double)limit / divisor) : G_MAXSIZE);
 }
 
 void
