core: interface of staged roll-outs

The node's part of roll-outs needs the types and the two calls of the dispatcher before the decision exists.

--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -17,6 +17,7 @@
 #include "common/counters.h"
 #include "core/directory.h"
 #include "core/message.h"
+#include "core/rollout/rollout.h"
 
 #include <glib.h>
 
@@ -74,6 +75,18 @@
 void dp_dispatcher_receive (
   DpDispatcher *dispatcher, DpName from, const DpMessage *message, DpUsec now, GArray *outbox);
 
+/* Sets the order to roll out a version; NULL: none. Calls with the same id update its age and
+ * state only. In states other than RUNNING, SWITCHING and COMPLETED, and in a pool that each VM
+ * dispatches for itself, no grant names a target of the version. */
+void dp_dispatcher_set_rollout (DpDispatcher *dispatcher,
+                                const DpRolloutOptions *options,
+                                const DpRolloutOrder *order,
+                                DpUsec now,
+                                GArray *outbox);
+/* What this VM has decided as the pool's owner, and its counts. Returns FALSE if there is no
+ * order. */
+gboolean dp_dispatcher_rollout_status (const DpDispatcher *dispatcher, DpRolloutStatus *status);
+
 /* Must be called every DP_DISPATCH_TICK_INTERVAL. */
 #define DP_DISPATCH_TICK_INTERVAL (20 * DP_USEC_PER_MSEC)
 void dp_dispatcher_tick (DpDispatcher *dispatcher, DpUsec now, GArray *outbox);
