net: send a request's route with its grant request

The pool's owner compares two versions by route while one is rolled out, and knew only the pool of a request. grant_ask gets the optional member 19; older builds skip it, and 0 means not known.

--- a/core/message.h
+++ b/core/message.h
@@ -131,6 +131,7 @@
   DpName data_centre;    /* of the sender; 0: not known */
   DpName version;        /* of the software that began the stream; 0: any */
   gboolean has_begun;    /* the caller has got a part of the answer */
+  DpName route;          /* that the request matched; 0: not known */
 } DpGrantAsk;
 
 typedef struct DpGrantGiven
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -79,6 +79,7 @@
   UINT64 (16, DpMessage, grant_ask.data_centre),
   UINT64 (17, DpMessage, grant_ask.version),
   FLAG (18, DpMessage, grant_ask.has_begun),
+  UINT64 (19, DpMessage, grant_ask.route),
 };
 
 static const DpField grant_progress_fields[] = {
--- a/node/placement.c
+++ b/node/placement.c
@@ -356,6 +356,7 @@
   grant_request->session = request->caller.session;
   grant_request->version = request->version;
   grant_request->has_begun = request->head_sent;
+  grant_request->route = request->route->name;
   grant_request->data_centre = dp_name (node->settings->process.data_centre);
   grant_request->excluded_count = request->excluded_count;
   for (guint i = 0; i < request->excluded_count; i++)
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -49,7 +49,8 @@
                                      .objective_left = 14,
                                      .session = 15,
                                      .data_centre = 16,
-                                     .has_begun = TRUE } };
+                                     .has_begun = TRUE,
+                                     .route = 17 } };
 }
 
 static DpMessage
@@ -249,6 +250,7 @@
   ck_assert_uint_eq (decoded.grant_ask.excluded_count, 2);
   ck_assert_uint_eq (decoded.grant_ask.excluded[1], 13);
   ck_assert (decoded.grant_ask.has_begun);
+  ck_assert_uint_eq (decoded.grant_ask.route, 17);
   g_byte_array_unref (frame);
 
   message = make_message (DP_MESSAGE_VIEW);
