core/rollout: exposure, sequential test and verdict of a roll-out

An operator's order moves a service to a new version that may be bad, at once or later, under load or on one route.

--- a/core/rollout/rollout.h
+++ b/core/rollout/rollout.h
@@ -90,5 +90,90 @@
   DpUsec age; /* of the order */
 } DpRolloutStatus;
 
+typedef struct DpRollout DpRollout;
+
+DpRollout *
+dp_rollout_new (const DpRolloutOptions *options, const DpRolloutOrder *order, DpUsec now);
+void dp_rollout_free (DpRollout *rollout);
+/* The same order, with a new age and state. */
+void dp_rollout_update (DpRollout *rollout, const DpRolloutOrder *order, DpUsec now);
+DpName dp_rollout_id (const DpRollout *rollout);
+DpName dp_rollout_version (const DpRollout *rollout);
+/* State in force for requests: the stricter of what is known and what this VM wants. */
+DpRolloutState dp_rollout_state (const DpRollout *rollout);
+/* TRUE while only a share of the requests may go to the new version. */
+gboolean dp_rollout_is_limited (const DpRollout *rollout);
+/* FALSE if no request may be sent to that version any more, also to go on with a stream. */
+gboolean dp_rollout_may_resume (const DpRollout *rollout, gboolean on_new);
+
+/* --- exposure --- */
+
+typedef struct DpRolloutTarget
+{
+  DpName name;
+  gboolean is_new;
+  gboolean is_participant; /* set by dp_rollout_choose() */
+} DpRolloutTarget;
+
+/* Chooses the new targets that take part in the current step. */
+void dp_rollout_choose (const DpRollout *rollout, DpRolloutTarget *targets, guint count);
+
+typedef struct DpRolloutRequest
+{
+  DpName route;
+  gboolean is_retry; /* of a request that has failed, or the rest of a stream */
+  gboolean is_bound; /* goes on with a stream of one version */
+} DpRolloutRequest;
+
+/* TRUE if the request may be sent to that version; NULL: if any request may. */
+gboolean
+dp_rollout_allows (DpRollout *rollout, const DpRolloutRequest *request, gboolean on_new);
+
+/* A request was assigned to a target. Returns the number to pass to dp_rollout_uncount(). */
+double
+dp_rollout_record_grant (DpRollout *rollout, const DpRolloutRequest *request, gboolean on_new);
+/* The request will be assigned again or its end is not known: it no longer counts as one of the
+ * requests of which the new version gets a share. */
+void dp_rollout_uncount (DpRollout *rollout, DpName route, double counted);
+
+/* --- answers --- */
+
+typedef enum DpRolloutOutcome
+{
+  DP_ROLLOUT_OUTCOME_COMPLETE,
+  DP_ROLLOUT_OUTCOME_ERROR, /* a failure of this one response */
+  DP_ROLLOUT_OUTCOME_BREAK, /* a failure that one crash causes for many requests */
+  DP_ROLLOUT_OUTCOME_LEFT,  /* the caller or the deadline ended the request */
+} DpRolloutOutcome;
+
+typedef struct DpRolloutAnswer
+{
+  DpName target;
+  gboolean is_new;
+  DpRolloutRequest request;
+  guint prompt_tokens;
+  DpUsec granted_at;
+  DpUsec first_event; /* after the request was sent; 0: none */
+  DpUsec duration;    /* in total */
+  DpRolloutOutcome outcome;
+} DpRolloutAnswer;
+
+void dp_rollout_record_answer (DpRollout *rollout, const DpRolloutAnswer *answer, DpUsec now);
+
+/* --- decision --- */
+
+typedef struct DpRolloutFacts
+{
+  guint old_targets; /* that accept requests */
+  guint new_targets;
+  guint old_slots;
+  guint new_slots; /* of those that don't fail */
+  guint old_running;
+} DpRolloutFacts;
+
+/* Returns TRUE if the wanted state or the step has changed. */
+gboolean dp_rollout_tick (DpRollout *rollout, const DpRolloutFacts *facts, DpUsec now);
+void dp_rollout_get_status (const DpRollout *rollout, DpRolloutStatus *status);
+
 const char *dp_rollout_state_name (DpRolloutState state);
 const char *dp_rollout_cause_name (DpRolloutCause cause);
