core: choose targets by the order to roll out a version

While an order is in force the dispatcher's grants keep to the new version's share, and the ends of requests are its evidence. Estimates of waits count only the slots of the version that serves. Without an order the choice of targets and the random numbers stay the same.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -72,6 +72,7 @@
   g_ptr_array_unref (dispatcher->waiting);
   g_array_unref (dispatcher->links);
   g_array_unref (dispatcher->other_owners);
+  dp_rollout_free (dispatcher->rollout);
   dp_counters_unref (dispatcher->options.counters);
   g_free (dispatcher);
 }
@@ -176,7 +177,10 @@
   if (request->state == DP_DISPATCH_REQUEST_WAITING)
     dequeue (dispatcher, request);
   else
-    release (dispatcher, request);
+    {
+      dp_dispatch_rollout_on_removal (dispatcher, request);
+      release (dispatcher, request);
+    }
   g_hash_table_remove (dispatcher->request_by_attempt, &request->ask.attempt);
   dp_table_remove (dispatcher->requests, request->self);
 }
@@ -216,6 +220,7 @@
     &dispatcher->latency_model, request->ask.prompt_tokens, target->pace);
   record_session (dispatcher, request, target->name);
   dp_dispatch_record_link_use (dispatcher, &request->ask, target);
+  dp_dispatch_rollout_on_grant (dispatcher, request, target);
   send_grant (dispatcher, request, target);
   if (target->is_suspect)
     target->next_probe_at = dispatcher->now + target->probe_interval;
@@ -290,6 +295,9 @@
   count (dispatcher, "dogwoodplank_grants_revoked_total", reason);
   /* A brittle target may go on with it until its entry says otherwise. */
   const DpDispatchTarget *target = dp_table_get (dispatcher->targets, request->target);
+  const DpGrantDone done = { .reason = reason };
+  if (target != NULL && request->state == DP_DISPATCH_REQUEST_RUNNING)
+    dp_dispatch_rollout_on_end (dispatcher, request, target, &done);
   request->was_revoked = TRUE;
   if (target == NULL || target->brittle == NULL)
     dp_dispatch_remove_request (dispatcher, request);
@@ -409,6 +417,7 @@
 {
   DpDispatchRequest *request = dp_dispatch_find_request (dispatcher, done->attempt);
   DpDispatchTarget *target = NULL;
+  gboolean is_link = FALSE;
   if (request != NULL && request->state == DP_DISPATCH_REQUEST_RUNNING)
     target = dp_table_get (dispatcher->targets, request->target);
   /* The request of a revoked grant is already removed, but its outcome still counts. */
@@ -418,8 +427,9 @@
     target->paused_until = MAX (target->paused_until, dispatcher->now + done->pause);
   if (target != NULL && done->reason == DP_REASON_NONE)
     dp_dispatch_record_success (dispatcher, target);
-  else if (target != NULL && is_target_failure (done->reason)
-           && !is_link_failure (dispatcher, request, target, done->reason))
+  else if (target != NULL && is_target_failure (done->reason))
+    is_link = is_link_failure (dispatcher, request, target, done->reason);
+  if (target != NULL && is_target_failure (done->reason) && !is_link)
     dp_dispatch_record_failure (dispatcher, target, done->reason);
   if (target != NULL)
     dp_dispatch_record_brittle_end (dispatcher, target, request, done);
@@ -428,7 +438,11 @@
   if (target != NULL && done->reason == DP_REASON_NONE)
     dp_dispatch_record_link_success (dispatcher, &request->ask, target);
   if (target != NULL && request->state == DP_DISPATCH_REQUEST_RUNNING)
-    update_estimates (dispatcher, request, target, done);
+    {
+      update_estimates (dispatcher, request, target, done);
+      if (!is_link)
+        dp_dispatch_rollout_on_end (dispatcher, request, target, done);
+    }
   dp_dispatch_remove_request (dispatcher, request);
   assign_waiting (dispatcher);
 }
@@ -492,6 +506,20 @@
   dispatcher->reach = fraction;
 }
 
+void
+dp_dispatcher_set_rollout (DpDispatcher *dispatcher,
+                           const DpRolloutOptions *options,
+                           const DpRolloutOrder *order,
+                           DpUsec now,
+                           GArray *outbox)
+{
+  begin_call (dispatcher, now, outbox);
+  if (order == NULL && dispatcher->rollout == NULL)
+    return;
+  dp_dispatch_set_rollout (dispatcher, options, order);
+  assign_waiting (dispatcher);
+}
+
 /* --- targets --- */
 
 static void
@@ -555,6 +583,7 @@
       target->is_draining = row->record.is_draining;
       dp_dispatch_set_limit (dispatcher, target, row);
     }
+  dp_dispatch_update_rollout (dispatcher, TRUE);
   assign_waiting (dispatcher);
   dp_dispatch_announce_limits (dispatcher);
 }
@@ -598,6 +627,7 @@
   begin_call (dispatcher, now, outbox);
   dp_dispatch_expire_entries (dispatcher);
   dp_dispatch_check_timeouts (dispatcher);
+  dp_dispatch_update_rollout (dispatcher, FALSE);
   assign_waiting (dispatcher);
   refuse_timed_out (dispatcher);
   send_adverts (dispatcher);
--- a/core/dispatcher_private.h
+++ b/core/dispatcher_private.h
@@ -36,6 +36,7 @@
   guint rejections_max;     /* if brittle */
   DpUsec brittle_observed_at;
   gboolean has_limit_news; /* one of these has changed, and was not announced yet */
+  gboolean is_participant; /* takes part in the roll-out of its version */
   guint64 skipped_round;   /* last assign_round in which no waiting request could use it */
 } DpDispatchTarget;
 
@@ -63,6 +64,8 @@
   gboolean started;            /* first event received */
   gboolean was_adopted;        /* known only from an entry's report */
   gboolean was_revoked;        /* the entry was told to end it */
+  gboolean is_in_rollout;      /* assigned under the current order */
+  double rollout_counted;      /* see dp_rollout_record_grant() */
 };
 
 typedef struct DpDispatchEntry
@@ -107,6 +110,7 @@
   DpUsec announced_at;         /* last announcement of all limits */
   gboolean was_limit_reported; /* since then */
   DpUsec present_at;           /* last announcement, also of none */
+  DpRollout *rollout;          /* NULL: no order */
   guint64 random;              /* state of the random number generator */
 };
 
@@ -194,6 +198,48 @@
                                           const DpGrantAsk *ask,
                                           const DpDispatchTarget *target);
 
+/* --- dispatcher_rollout.c: staged roll-outs; without an order all targets are allowed --- */
+
+void dp_dispatch_set_rollout (DpDispatcher *dispatcher,
+                              const DpRolloutOptions *options,
+                              const DpRolloutOrder *order);
+/* Called on each tick, and after the pool's targets were set. */
+void dp_dispatch_update_rollout (DpDispatcher *dispatcher, gboolean has_new_targets);
+/* TRUE if the order allows to send the request, or any request if `ask` is NULL, to the target.
+ */
+gboolean dp_dispatch_rollout_allows (const DpDispatcher *dispatcher,
+                                     const DpGrantAsk *ask,
+                                     const DpDispatchTarget *target);
+/* FALSE if the target's version gets no requests any more, not even to go on with a stream. */
+gboolean dp_dispatch_rollout_may_resume (const DpDispatcher *dispatcher,
+                                         const DpDispatchTarget *target);
+/* TRUE if the target's slots are there for all requests. */
+gboolean dp_dispatch_rollout_uses (const DpDispatcher *dispatcher,
+                                   const DpDispatchTarget *target);
+
+typedef enum DpDispatchSide
+{
+  DP_DISPATCH_SIDE_ANY,
+  DP_DISPATCH_SIDE_OLD,
+  DP_DISPATCH_SIDE_NEW,
+} DpDispatchSide;
+
+/* The version that the request should go to if it has a target with free capacity. */
+DpDispatchSide dp_dispatch_rollout_side (const DpDispatcher *dispatcher,
+                                         const DpDispatchRequest *request);
+gboolean dp_dispatch_is_on_side (const DpDispatcher *dispatcher,
+                                 const DpDispatchTarget *target,
+                                 DpDispatchSide side);
+void dp_dispatch_rollout_on_grant (DpDispatcher *dispatcher,
+                                   DpDispatchRequest *request,
+                                   const DpDispatchTarget *target);
+void dp_dispatch_rollout_on_end (DpDispatcher *dispatcher,
+                                 DpDispatchRequest *request,
+                                 const DpDispatchTarget *target,
+                                 const DpGrantDone *done);
+void dp_dispatch_rollout_on_removal (DpDispatcher *dispatcher,
+                                     const DpDispatchRequest *request);
+
 /* --- dispatcher_queue.c: order and refusal of waiting requests --- */
 
 /* Returns the waiting request that the target should run next, or NULL. */
--- a/core/dispatcher_queue.c
+++ b/core/dispatcher_queue.c
@@ -116,6 +116,7 @@
     {
       const DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
       if (target->version == ask->version && !target->is_draining
+          && dp_dispatch_rollout_may_resume (dispatcher, target)
           && !dp_dispatch_is_excluded (ask, target->name))
         return TRUE;
     }
--- a/core/dispatcher_targets.c
+++ b/core/dispatcher_targets.c
@@ -75,6 +75,7 @@
 {
   return !dp_dispatch_is_excluded (ask, target->name)
          && (ask->version == 0 || ask->version == target->version)
+         && dp_dispatch_rollout_allows (dispatcher, ask, target)
          && dp_dispatch_link_is_usable (dispatcher, ask, target);
 }
 
@@ -108,12 +109,25 @@
   return total_cost;
 }
 
+/* Removes the candidates of the other version, unless there are no others. */
+static void
+keep_side (const DpDispatcher *dispatcher, GPtrArray *candidates, DpDispatchSide side)
+{
+  guint count = 0;
+  for (guint i = 0; i < candidates->len; i++)
+    count += dp_dispatch_is_on_side (dispatcher, g_ptr_array_index (candidates, i), side);
+  for (guint i = candidates->len; i > 0 && count > 0; i--)
+    if (!dp_dispatch_is_on_side (dispatcher, g_ptr_array_index (candidates, i - 1), side))
+      g_ptr_array_remove_index (candidates, i - 1);
+}
+
 /* Returns the less loaded of two random targets, regardless of their health. Limits are kept,
  * and brittle targets get no more than they can run. */
 static DpDispatchTarget *
 choose_of_two (DpDispatcher *dispatcher, const DpDispatchRequest *request)
 {
   GPtrArray *candidates = g_ptr_array_new ();
+  DpDispatchSide side = dp_dispatch_rollout_side (dispatcher, request);
   for (DpHandle at = dp_table_next (dispatcher->targets, 0); at != 0;
        at = dp_table_next (dispatcher->targets, at))
     {
@@ -121,9 +135,11 @@
       if (dp_dispatch_is_accepting (dispatcher, target)
           && dp_dispatch_limit_allows (dispatcher, target)
           && dp_dispatch_brittle_capacity (dispatcher, target) > 0
-          && (request == NULL || dp_dispatch_may_use (dispatcher, &request->ask, target)))
+          && (request != NULL ? dp_dispatch_may_use (dispatcher, &request->ask, target)
+                              : dp_dispatch_rollout_allows (dispatcher, NULL, target)))
         g_ptr_array_add (candidates, target);
     }
+  keep_side (dispatcher, candidates, side);
   DpDispatchTarget *best = NULL;
   for (guint i = 0; i < 2 && candidates->len > 0; i++)
     {
@@ -144,6 +160,8 @@
     return choose_of_two (dispatcher, request);
   DpDispatchTarget *best = NULL;
   double best_cost = 0;
+  gboolean is_best_on_side = FALSE;
+  DpDispatchSide side = dp_dispatch_rollout_side (dispatcher, request);
   for (DpHandle at = dp_table_next (dispatcher->targets, 0); at != 0;
        at = dp_table_next (dispatcher->targets, at))
     {
@@ -151,13 +169,17 @@
       if (dp_dispatch_free_capacity (dispatcher, target) == 0)
         continue;
       if (request != NULL ? !dp_dispatch_may_use (dispatcher, &request->ask, target)
-                          : target->skipped_round == dispatcher->assign_round)
+                          : target->skipped_round == dispatcher->assign_round
+                              || !dp_dispatch_rollout_allows (dispatcher, NULL, target))
         continue;
       double found_cost = cost (dispatcher, target, request);
-      if (best != NULL && found_cost >= best_cost)
+      gboolean is_on_side = dp_dispatch_is_on_side (dispatcher, target, side);
+      if (best != NULL
+          && (is_on_side != is_best_on_side ? !is_on_side : found_cost >= best_cost))
         continue;
       best = target;
       best_cost = found_cost;
+      is_best_on_side = is_on_side;
     }
   return best;
 }
@@ -207,6 +229,7 @@
     {
       const DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
       if (dp_dispatch_is_accepting (dispatcher, target) && !target->is_suspect
+          && dp_dispatch_rollout_uses (dispatcher, target)
           && (pace == 0 || target->pace < pace))
         pace = target->pace;
     }
@@ -222,7 +245,8 @@
        at = dp_table_next (dispatcher->targets, at))
     {
       const DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
-      if (!dp_dispatch_is_accepting (dispatcher, target) || target->is_suspect)
+      if (!dp_dispatch_is_accepting (dispatcher, target) || target->is_suspect
+          || !dp_dispatch_rollout_uses (dispatcher, target))
         continue;
       double limit = target->limiter != NULL
                        ? dp_target_limiter_rate (target->limiter, dispatcher->reach) * slot_ms
