core/rollout: compare requests by the moment at which they were sent

Requests and their bad answers now count in the slot of their assignment; a second sum finds large increases sooner; slow answers of a busy machine count once a second; after the switch the old version's worst moment is the reference.

--- a/core/dispatcher_rollout.c
+++ b/core/dispatcher_rollout.c
@@ -2,8 +2,10 @@
  * roll-out learns from requests. The decisions are those of core/rollout/. */
 #include "core/dispatcher_private.h"
 
-/* Participants are preferred up to the average load of the old targets, so that they carry the
- * same. */
+/* Participants are preferred up to this multiple of the old targets' average load, so that they
+ * carry what an old target often carries. */
+#define LOAD_FACTOR 1.5
+
 typedef struct PoolLoad
 {
   double old_load; /* requests per slot */
@@ -175,7 +177,8 @@
   if (!dp_rollout_allows (dispatcher->rollout, &described, TRUE))
     return DP_DISPATCH_SIDE_ANY;
   PoolLoad load = measure_load (dispatcher);
-  return load.new_load <= load.old_load ? DP_DISPATCH_SIDE_NEW : DP_DISPATCH_SIDE_OLD;
+  return load.new_load <= LOAD_FACTOR * load.old_load ? DP_DISPATCH_SIDE_NEW
+                                                      : DP_DISPATCH_SIDE_OLD;
 }
 
 gboolean
@@ -197,8 +200,8 @@
   if (dispatcher->rollout == NULL)
     return;
   const DpRolloutRequest described = describe (&request->ask);
-  request->rollout_counted
-    = dp_rollout_record_grant (dispatcher->rollout, &described, is_new (dispatcher, target));
+  request->rollout_counted = dp_rollout_record_grant (
+    dispatcher->rollout, &described, is_new (dispatcher, target), dispatcher->now);
   request->is_in_rollout = TRUE;
 }
 
--- a/core/rollout/rollout.c
+++ b/core/rollout/rollout.c
@@ -3,6 +3,8 @@
 /* Part of the time to the limit after which all requests go to the new version, if it is good:
  * late enough to see versions that turn bad, early enough for running requests to end. */
 #define SWITCH_PART 0.7
+/* Until then the switch waits for more answers if the test is undecided. */
+#define DOUBT_PART 0.85
 /* The final state is decided this long before the limit, to be written in time. */
 #define FINAL_MARGIN (1500 * DP_USEC_PER_MSEC)
 /* All requests go to the new version for at least this long before the roll-out is completed:
@@ -180,16 +182,20 @@
 {
   if (rollout->facts.new_targets == 0)
     return DP_ROLLOUT_CAUSE_NO_TARGETS;
-  return has_slots (&rollout->facts) ? DP_ROLLOUT_CAUSE_FEW_ANSWERS
-                                     : DP_ROLLOUT_CAUSE_FEW_SLOTS;
+  if (!has_slots (&rollout->facts))
+    return DP_ROLLOUT_CAUSE_FEW_SLOTS;
+  return DP_ROLLOUT_CAUSE_FEW_ANSWERS;
 }
 
 static void
 decide_running (DpRollout *rollout, DpUsec final_at)
 {
   DpUsec switch_after = (DpUsec)((double)rollout->order.duration * SWITCH_PART);
-  gboolean is_ready = has_slots (&rollout->facts)
-                      && (!rollout->saw_old || dp_rollout_test_has_enough (rollout));
+  DpUsec doubt_until = (DpUsec)((double)rollout->order.duration * DOUBT_PART);
+  gboolean is_in_doubt = dp_rollout_test_score (rollout) > DP_ROLLOUT_DOUBT
+                         && rollout->now - rollout->started_at < doubt_until;
+  gboolean is_good = dp_rollout_test_has_enough (rollout) && !is_in_doubt;
+  gboolean is_ready = has_slots (&rollout->facts) && (!rollout->saw_old || is_good);
   if (rollout->now >= final_at)
     want (rollout, DP_ROLLOUT_ROLLED_BACK, missing (rollout), 0);
   else if (is_ready && rollout->order.state != DP_ROLLOUT_UNCERTAIN
--- a/core/rollout/rollout.h
+++ b/core/rollout/rollout.h
@@ -130,8 +130,10 @@
 dp_rollout_allows (DpRollout *rollout, const DpRolloutRequest *request, gboolean on_new);
 
 /* A request was assigned to a target. Returns the number to pass to dp_rollout_uncount(). */
-double
-dp_rollout_record_grant (DpRollout *rollout, const DpRolloutRequest *request, gboolean on_new);
+double dp_rollout_record_grant (DpRollout *rollout,
+                                const DpRolloutRequest *request,
+                                gboolean on_new,
+                                DpUsec now);
 /* The request will be assigned again or its end is not known: it no longer counts as one of the
  * requests of which the new version gets a share. */
 void dp_rollout_uncount (DpRollout *rollout, DpName route, double counted);
--- a/core/rollout/rollout_budget.c
+++ b/core/rollout/rollout_budget.c
@@ -14,9 +14,6 @@
 #define ALLOWANCE_MAX 40.0
 /* A pulse uses this many requests per slot of a participant. */
 #define PULSE_PER_SLOT 2
-/* With less than this part of an old target's load, participants get their requests in pulses.
- */
-#define LOAD_MIN 0.8
 
 /* Next step after this part of the time to the limit if there are enough answers, or later
  * without them. */
@@ -97,7 +94,7 @@
   guint participants = dp_rollout_count_participants (rollout);
   gboolean is_last = rollout->step + 1 == G_N_ELEMENTS (steps);
   if (!is_last || rollout->facts.new_targets == 0
-      || dp_rollout_share (rollout) * rollout->facts.old_targets >= LOAD_MIN * participants)
+      || dp_rollout_share (rollout) * rollout->facts.old_targets >= participants)
     return 1;
   double slots = (double)rollout->facts.new_slots / rollout->facts.new_targets;
   return CLAMP (PULSE_PER_SLOT * slots * participants, 1, ALLOWANCE_MAX / 2);
@@ -128,8 +125,13 @@
 }
 
 double
-dp_rollout_record_grant (DpRollout *rollout, const DpRolloutRequest *request, gboolean on_new)
+dp_rollout_record_grant (DpRollout *rollout,
+                         const DpRolloutRequest *request,
+                         gboolean on_new,
+                         DpUsec now)
 {
+  rollout->now = now;
+  dp_rollout_test_advance (rollout);
   DpRolloutRoute *route = dp_rollout_route (rollout, request->route);
   if (on_new)
     {
@@ -141,6 +143,7 @@
   if (request->is_retry)
     return 0;
   double share = dp_rollout_share (rollout);
+  dp_rollout_test_add_request (rollout, request->route, on_new);
   rollout->counted++;
   route->counted++;
   route->allowance = MIN (route->allowance + share, ALLOWANCE_MAX);
@@ -167,7 +170,7 @@
   gboolean has_answers = rollout->overall.new_answers - rollout->step_answers >= step->answers;
   if (rollout->step + 1 == G_N_ELEMENTS (steps)
       || part < (has_answers ? step->time_min : step->time_max)
-      || dp_rollout_test_score (rollout) > DP_ROLLOUT_THRESHOLD / 2)
+      || dp_rollout_test_score (rollout) > DP_ROLLOUT_DOUBT)
     return FALSE;
   rollout->step++;
   rollout->step_at = rollout->now;
--- a/core/rollout/rollout_private.h
+++ b/core/rollout/rollout_private.h
@@ -10,13 +10,21 @@
 #define DP_ROLLOUT_SLOT (250 * DP_USEC_PER_MSEC)
 /* The old version's rate is taken over 10 s. */
 #define DP_ROLLOUT_SLOTS 40
+/* Sums for a small and for a large increase of the rate, which is found sooner. */
+#define DP_ROLLOUT_SUMS 2
 /* A good version passes it with a probability of at most exp (-12) for each answer that starts
- * a sum: 1 in 80 roll-outs with 1,000 answers, counted twice (overall and by route). */
+ * a sum: 1 in 40 roll-outs with 1,000 answers in two sums each, overall and by route. */
 #define DP_ROLLOUT_THRESHOLD 12.0
+/* With a sum above this, the share is not raised and requests aren't switched: the next answers
+ * decide. A good version has one rarely, and not for long. */
+#define DP_ROLLOUT_DOUBT 4.0
 
+/* Requests and their bad answers count in the slot in which the request was assigned. Counted
+ * when they come, fast failures would outnumber slower good answers for a moment each time that
+ * more requests go to a version. */
 typedef struct DpRolloutSlot
 {
-  guint answers;
+  guint requests;
   guint bad;
 } DpRolloutSlot;
 
@@ -26,12 +34,13 @@
   DpRolloutSlot old_slots[DP_ROLLOUT_SLOTS];
   DpRolloutSlot new_slots[DP_ROLLOUT_SLOTS];
   gint64 slot; /* current one, counted from time 0 */
-  guint64 old_answers;
+  guint64 old_requests;
   guint64 old_bad;
-  guint64 new_answers;
+  guint64 new_answers; /* that have come */
   guint64 new_bad;
-  double expected_bad; /* of new_answers, at the old version's rate */
-  double score;
+  double expected_bad; /* of the new version's requests, at the old version's rate */
+  double old_peak;     /* highest rate of the old version at a moment */
+  double sums[DP_ROLLOUT_SUMS];
 } DpRolloutChart;
 
 /* One route's part of the budget and of the evidence. */
@@ -51,8 +60,9 @@
   gboolean is_new;
   double base; /* low quantile of its times relative to expected ones */
   guint answers;
-  DpUsec broken_at;  /* start of a series of failures; 0: none */
-  DpUsec counted_at; /* last failure of the series that was counted */
+  DpUsec broken_at; /* start of a series of failures; 0: none */
+  DpUsec break_counted_at;
+  DpUsec slow_counted_at;
 } DpRolloutSpeed;
 
 struct DpRollout
@@ -102,6 +112,7 @@
 /* --- rollout_test.c: is the new version worse? --- */
 
 void dp_rollout_test_init (DpRollout *rollout);
+void dp_rollout_test_add_request (DpRollout *rollout, DpName route, gboolean on_new);
 void dp_rollout_test_add (DpRollout *rollout, const DpRolloutAnswer *answer);
 /* Evaluates the slots that are over. */
 void dp_rollout_test_advance (DpRollout *rollout);
--- a/core/rollout/rollout_test.c
+++ b/core/rollout/rollout_test.c
@@ -9,6 +9,9 @@
 
 /* A first event is late after this multiple of what the old version takes. */
 #define SLOW_FACTOR 2.5
+/* Machines that are busy with other work were seen to take 2.5 times as long, and answers
+ * beside others a little more. What takes longer than this is counted also within a series. */
+#define VERY_SLOW_FACTOR 3.5
 /* Added to it: differences in the way to the target matter where answers take few ms. */
 #define SLOW_SLACK (5 * DP_USEC_PER_MSEC)
 /* The speed of a machine is this quantile of its times relative to expected ones: slow answers
@@ -23,23 +26,28 @@
 #define SPEED_RANGE_HIGH 0.9
 #define SPEED_RANGE_INTERVAL DP_USEC_PER_SEC
 /* All requests at a target fail when it crashes, and so do those that are sent to it until that
- * is noticed. Of a series without a good answer, one failure counts in this time. */
+ * is noticed; all are slow while its machine is busy with other work. Such a series is one
+ * event: one bad answer of it counts in this time. */
 #define SERIES_INTERVAL DP_USEC_PER_SEC
 /* Weights of the prior rate, of the total rate in that of the last seconds, and of that one in
- * the rate of a moment, as numbers of answers. */
+ * the rates of three slots and of one, as numbers of answers. */
 #define PRIOR_RATE 0.05
 #define PRIOR_ANSWERS 20
 #define TOTAL_ANSWERS 50
 #define RECENT_ANSWERS 20
+#define OWN_ANSWERS 10
 #define RATE_MIN 0.01
-/* Smallest increase of the rate that makes a version bad: this much, and to twice the rate. */
-#define RATE_INCREASE 0.1
-/* Answers of the old version without which nothing is concluded. */
-#define OLD_ANSWERS_MIN 50
+/* The old version's worst moment is that of so many slots with so many requests. */
+#define PEAK_SLOTS 5
+#define PEAK_REQUESTS 50
+/* Slots that still wait for answers; the current one is the last of them. */
+#define PENDING_SLOTS 3
+/* Requests at the old version without which nothing is concluded. */
+#define OLD_REQUESTS_MIN 50
 /* A rate that is raised by less is found by its total: at least this many bad answers, and
  * this many standard deviations above one and a half times what was expected. */
-#define TOTAL_BAD_MIN 20
-#define TOTAL_DEVIATIONS 5
+#define TOTAL_BAD_MIN 12
+#define TOTAL_DEVIATIONS 4
 /* The same for bad answers with whole series: below the 50 after which a version may get no
  * more requests. */
 #define RAW_BAD_MIN 40
@@ -49,6 +57,13 @@
 #define ROUTE_ANSWERS_MIN 20
 #define BUSY_ROUTE_SHARE 0.05
 
+/* Increases of the old version's rate that make a version bad. */
+static const struct
+{
+  double by;
+  double factor;
+} increases[DP_ROLLOUT_SUMS] = { { 0.1, 2 }, { 0.3, 4 } };
+
 void
 dp_rollout_test_init (DpRollout *rollout)
 {
@@ -136,25 +151,36 @@
   return answer->first_event > 0 ? answer->first_event : answer->duration;
 }
 
-static gboolean
-is_slow (DpRollout *rollout, DpRolloutSpeed *speed, const DpRolloutAnswer *answer)
+typedef enum Grade
+{
+  GRADE_GOOD,
+  GRADE_SLOW,
+  GRADE_VERY_SLOW,
+  GRADE_FAILED,
+} Grade;
+
+static Grade
+grade_time (DpRollout *rollout, DpRolloutSpeed *speed, const DpRolloutAnswer *answer)
 {
   DpRolloutRoute *route = dp_rollout_route (rollout, answer->request.route);
   DpUsec time = waited (answer);
   gboolean is_measured = answer->first_event > 0;
   DpUsec expected = dp_latency_model_expected (&route->old_times, answer->prompt_tokens, 1);
   gboolean is_known = route->old_times_count >= TIMES_ANSWERS;
-  double limit = SLOW_FACTOR * speed_of (rollout, speed) * (double)expected;
+  double usual = speed_of (rollout, speed) * (double)expected;
   if (is_measured && !answer->is_new)
     {
       dp_latency_model_update (&route->old_times, answer->prompt_tokens, 1, time);
       route->old_times_count++;
     }
   if (!is_known)
-    return FALSE;
+    return GRADE_GOOD;
   if (is_measured)
     learn_speed (speed, (double)time / (double)MAX (expected, 1));
-  return (double)time > limit + (double)SLOW_SLACK;
+  double excess = (double)(time - SLOW_SLACK);
+  if (excess > VERY_SLOW_FACTOR * usual)
+    return GRADE_VERY_SLOW;
+  return excess > SLOW_FACTOR * usual ? GRADE_SLOW : GRADE_GOOD;
 }
 
 /* --- charts --- */
@@ -165,21 +191,29 @@
   return (guint)(((slot % DP_ROLLOUT_SLOTS) + DP_ROLLOUT_SLOTS) % DP_ROLLOUT_SLOTS);
 }
 
+static DpRolloutSlot *
+slot_at (DpRolloutChart *chart, gboolean on_new, gint64 slot)
+{
+  return on_new ? &chart->new_slots[slot_index (slot)] : &chart->old_slots[slot_index (slot)];
+}
+
 static void
-add_to_chart (DpRolloutChart *chart, gboolean is_new, gboolean is_bad)
+add_request (DpRolloutChart *chart, gboolean on_new)
 {
-  DpRolloutSlot *slots = is_new ? chart->new_slots : chart->old_slots;
-  DpRolloutSlot *slot = &slots[slot_index (chart->slot)];
-  slot->answers++;
-  slot->bad += is_bad;
-  if (is_new)
-    {
-      chart->new_answers++;
-      chart->new_bad += is_bad;
-      return;
-    }
-  chart->old_answers++;
-  chart->old_bad += is_bad;
+  slot_at (chart, on_new, chart->slot)->requests++;
+  chart->old_requests += !on_new;
+}
+
+/* An answer that comes after its slot was evaluated counts in the next one. */
+static void
+add_answer (DpRolloutChart *chart, const DpRolloutAnswer *answer, gboolean is_bad)
+{
+  gint64 slot = CLAMP (answer->granted_at / DP_ROLLOUT_SLOT, chart->slot - PENDING_SLOTS + 1,
+                       chart->slot);
+  slot_at (chart, answer->is_new, slot)->bad += is_bad;
+  chart->new_answers += answer->is_new;
+  chart->new_bad += answer->is_new && is_bad;
+  chart->old_bad += !answer->is_new && is_bad;
 }
 
 static DpRolloutSlot
@@ -188,7 +222,7 @@
   DpRolloutSlot sum = { 0 };
   for (gint64 slot = first; slot <= last; slot++)
     {
-      sum.answers += chart->old_slots[slot_index (slot)].answers;
+      sum.requests += chart->old_slots[slot_index (slot)].requests;
       sum.bad += chart->old_slots[slot_index (slot)].bad;
     }
   return sum;
@@ -197,38 +231,73 @@
 static double
 mix (const DpRolloutSlot *slot, double prior, double weight)
 {
-  return (slot->bad + weight * prior) / (slot->answers + weight);
+  return (slot->bad + weight * prior) / (slot->requests + weight);
 }
 
-/* The old version's rate at the time of that slot: the higher of the last seconds' and of the
- * slots around. */
+/* The old version's rate at the time of that slot: the highest of the last seconds', of the
+ * slots around and of the slot itself. Without answers around it, as after the switch, the new
+ * version is compared with the old one's worst moment: all targets may be failing just now. */
 static double
-old_rate (const DpRolloutChart *chart, gint64 slot)
+old_rate (DpRolloutChart *chart, gint64 slot)
 {
   double total = ((double)chart->old_bad + PRIOR_RATE * PRIOR_ANSWERS)
-                 / ((double)chart->old_answers + PRIOR_ANSWERS);
+                 / ((double)chart->old_requests + PRIOR_ANSWERS);
   const DpRolloutSlot window = sum_old (chart, chart->slot - DP_ROLLOUT_SLOTS + 1, chart->slot);
+  const DpRolloutSlot own = sum_old (chart, slot, slot);
   const DpRolloutSlot around = sum_old (chart, slot - 1, slot + 1);
+  const DpRolloutSlot second = sum_old (chart, chart->slot - PEAK_SLOTS + 1, chart->slot);
   double recent = mix (&window, total, TOTAL_ANSWERS);
-  return MAX (recent, mix (&around, recent, RECENT_ANSWERS));
+  if (second.requests >= PEAK_REQUESTS)
+    chart->old_peak = MAX (chart->old_peak, mix (&second, recent, RECENT_ANSWERS));
+  if (around.requests < RECENT_ANSWERS)
+    recent = MAX (recent, chart->old_peak);
+  double moment = MAX (mix (&around, recent, RECENT_ANSWERS), mix (&own, recent, OWN_ANSWERS));
+  return MAX (recent, moment);
 }
 
-static void
-evaluate (DpRolloutChart *chart, gint64 slot)
+/* Adds the log likelihood ratios of one slot to the sums. Returns the old version's rate. */
+static double
+add_slot (DpRolloutChart *chart, gint64 slot, double *sums)
 {
-  const DpRolloutSlot *answers = &chart->new_slots[slot_index (slot)];
-  if (answers->answers == 0 || chart->old_answers < OLD_ANSWERS_MIN)
-    return;
+  const DpRolloutSlot *row = &chart->new_slots[slot_index (slot)];
   double rate = old_rate (chart, slot);
   double low = CLAMP (rate, RATE_MIN, 1 - RATE_MIN);
-  double high = MIN (MAX (low + RATE_INCREASE, 2 * low), (1 + low) / 2);
-  double good = answers->answers - answers->bad;
-  chart->expected_bad += answers->answers * rate;
-  chart->score += answers->bad * log (high / low) + good * log ((1 - high) / (1 - low));
-  chart->score = MAX (chart->score, 0);
+  for (guint i = 0; i < DP_ROLLOUT_SUMS; i++)
+    {
+      double raised = MAX (low + increases[i].by, low * increases[i].factor);
+      double high = MIN (raised, (1 + low) / 2);
+      double good = log ((1 - high) / (1 - low));
+      double bad = log (high / low);
+      sums[i] = MAX (sums[i] + row->requests * good + row->bad * (bad - good), 0);
+    }
+  return rate;
+}
+
+static void
+evaluate (DpRolloutChart *chart, gint64 slot)
+{
+  guint requests = chart->new_slots[slot_index (slot)].requests;
+  if (chart->old_requests >= OLD_REQUESTS_MIN)
+    chart->expected_bad += requests * add_slot (chart, slot, chart->sums);
+}
+
+/* Highest sum, with the slots that are not evaluated yet. All their requests are known, but
+ * only the first of their answers: this finds a version that fails at once a little sooner. */
+static double
+chart_score (const DpRolloutChart *chart)
+{
+  DpRolloutChart copy = *chart;
+  double score = 0;
+  if (chart->old_requests < OLD_REQUESTS_MIN)
+    return 0;
+  for (gint64 slot = chart->slot - PENDING_SLOTS + 1; slot <= chart->slot; slot++)
+    add_slot (&copy, slot, copy.sums);
+  for (guint i = 0; i < DP_ROLLOUT_SUMS; i++)
+    score = MAX (score, copy.sums[i]);
+  return score;
 }
 
-/* A slot is evaluated when the next one is over, which the old version's rate includes. */
+/* A slot is evaluated when most of its answers have come. */
 static void
 advance (DpRolloutChart *chart, gint64 slot)
 {
@@ -236,7 +305,7 @@
     chart->slot = slot - DP_ROLLOUT_SLOTS;
   while (chart->slot < slot)
     {
-      evaluate (chart, chart->slot - 1);
+      evaluate (chart, chart->slot - PENDING_SLOTS + 1);
       chart->slot++;
       chart->old_slots[slot_index (chart->slot)] = (DpRolloutSlot){ 0 };
       chart->new_slots[slot_index (chart->slot)] = (DpRolloutSlot){ 0 };
@@ -249,44 +318,72 @@
   gint64 slot = rollout->now / DP_ROLLOUT_SLOT;
   advance (&rollout->overall, slot);
   for (guint i = 0; i < rollout->route_count; i++)
-    advance (&rollout->routes[i].chart, slot);
+    {
+      DpRolloutChart *chart = &rollout->routes[i].chart;
+      /* Routes with few requests have no worst moment of their own. */
+      chart->old_peak = MAX (chart->old_peak, rollout->overall.old_peak);
+      advance (chart, slot);
+    }
   update_speed_range (rollout);
 }
 
 /* --- answers --- */
 
-/* FALSE for a failure of a series that is counted already. */
+/* Failures of a series, which an answer to a later request ends. */
 static gboolean
-counts_in_series (DpRollout *rollout, DpRolloutSpeed *speed, const DpRolloutAnswer *answer)
+counts_break (const DpRollout *rollout, DpRolloutSpeed *speed)
 {
-  if (answer->outcome != DP_ROLLOUT_OUTCOME_BREAK)
-    {
-      if (answer->outcome == DP_ROLLOUT_OUTCOME_COMPLETE
-          && answer->granted_at >= speed->broken_at)
-        speed->broken_at = 0;
-      return TRUE;
-    }
   if (speed->broken_at == 0)
     speed->broken_at = rollout->now;
-  else if (rollout->now - speed->counted_at < SERIES_INTERVAL)
+  else if (rollout->now - speed->break_counted_at < SERIES_INTERVAL)
+    return FALSE;
+  speed->break_counted_at = rollout->now;
+  return TRUE;
+}
+
+static gboolean
+counts_slow (const DpRollout *rollout, DpRolloutSpeed *speed)
+{
+  if (speed->slow_counted_at != 0 && rollout->now - speed->slow_counted_at < SERIES_INTERVAL)
     return FALSE;
-  speed->counted_at = rollout->now;
+  speed->slow_counted_at = rollout->now;
   return TRUE;
 }
 
+/* FALSE for a bad answer of a series of which another one is counted already. */
 static gboolean
-is_failure (DpRolloutOutcome outcome)
+counts_in_series (const DpRollout *rollout,
+                  DpRolloutSpeed *speed,
+                  const DpRolloutAnswer *answer,
+                  Grade grade)
+{
+  if (answer->outcome == DP_ROLLOUT_OUTCOME_BREAK)
+    return counts_break (rollout, speed);
+  if (answer->outcome == DP_ROLLOUT_OUTCOME_COMPLETE && answer->granted_at >= speed->broken_at)
+    speed->broken_at = 0;
+  return grade != GRADE_SLOW || counts_slow (rollout, speed);
+}
+
+static Grade
+grade_answer (DpRollout *rollout, DpRolloutSpeed *speed, const DpRolloutAnswer *answer)
 {
-  switch (outcome)
+  switch (answer->outcome)
     {
     case DP_ROLLOUT_OUTCOME_ERROR:
     case DP_ROLLOUT_OUTCOME_BREAK:
-      return TRUE;
+      return GRADE_FAILED;
     case DP_ROLLOUT_OUTCOME_COMPLETE:
     case DP_ROLLOUT_OUTCOME_LEFT:
-      return FALSE;
+      return grade_time (rollout, speed, answer);
     }
-  return FALSE;
+  return GRADE_GOOD;
+}
+
+void
+dp_rollout_test_add_request (DpRollout *rollout, DpName route, gboolean on_new)
+{
+  add_request (&rollout->overall, on_new);
+  add_request (&dp_rollout_route (rollout, route)->chart, on_new);
 }
 
 void
@@ -294,8 +391,9 @@
 {
   DpRolloutSpeed *speed = get_speed (rollout, answer->target, answer->is_new);
   DpRolloutCounts *counts = answer->is_new ? &rollout->new_version : &rollout->old_version;
-  gboolean is_bad = is_failure (answer->outcome) || is_slow (rollout, speed, answer);
-  gboolean is_counted = counts_in_series (rollout, speed, answer);
+  Grade grade = grade_answer (rollout, speed, answer);
+  gboolean is_bad = grade != GRADE_GOOD;
+  gboolean is_counted = counts_in_series (rollout, speed, answer, grade);
   /* A caller that leaves early says nothing about the target. */
   if (answer->outcome == DP_ROLLOUT_OUTCOME_LEFT && !is_bad)
     return;
@@ -305,9 +403,8 @@
     counts->good++;
   if (!is_counted || answer->request.is_retry)
     return;
-  add_to_chart (&rollout->overall, answer->is_new, is_bad);
-  add_to_chart (&dp_rollout_route (rollout, answer->request.route)->chart, answer->is_new,
-                is_bad);
+  add_answer (&rollout->overall, answer, is_bad);
+  add_answer (&dp_rollout_route (rollout, answer->request.route)->chart, answer, is_bad);
 }
 
 /* --- verdict --- */
@@ -324,12 +421,12 @@
 {
   const DpRolloutChart *overall = &rollout->overall;
   *route = 0;
-  if (overall->old_answers < OLD_ANSWERS_MIN)
+  if (overall->old_requests < OLD_REQUESTS_MIN)
     return DP_ROLLOUT_CAUSE_NONE;
-  if (overall->score > DP_ROLLOUT_THRESHOLD)
+  if (chart_score (overall) > DP_ROLLOUT_THRESHOLD)
     return DP_ROLLOUT_CAUSE_BAD_ANSWERS;
   for (guint i = 0; i < rollout->route_count; i++)
-    if (rollout->routes[i].chart.score > DP_ROLLOUT_THRESHOLD)
+    if (chart_score (&rollout->routes[i].chart) > DP_ROLLOUT_THRESHOLD)
       {
         *route = rollout->routes[i].name;
         return DP_ROLLOUT_CAUSE_BAD_ROUTE;
@@ -344,9 +441,9 @@
 double
 dp_rollout_test_score (const DpRollout *rollout)
 {
-  double score = rollout->overall.score;
+  double score = chart_score (&rollout->overall);
   for (guint i = 0; i < rollout->route_count; i++)
-    score = MAX (score, rollout->routes[i].chart.score);
+    score = MAX (score, chart_score (&rollout->routes[i].chart));
   return score;
 }
 
