--- a/core/rollout/rollout_budget.c
+++ b/core/rollout/rollout_budget.c
@@ -151,14 +151,14 @@
 }
 
 void
-dp_rollout_uncount (DpRollout *rollout, DpName name, double counted)
+dp_rollout_uncount (DpRollout *rollout, DpName route, double counted)
 {
   if (counted <= 0)
     return;
-  DpRolloutRoute *route = dp_rollout_route (rollout, name);
+  DpRolloutRoute *row = dp_rollout_route (rollout, route);
   rollout->counted -= rollout->counted > 0;
-  route->counted -= route->counted > 0;
-  route->allowance -= counted;
+  row->counted -= row->counted > 0;
+  row->allowance -= counted;
 }
 
 gboolean
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -14,7 +14,7 @@
 #define DURATION (30 * SEC)
 #define STEP (10 * MSEC)
 #define TICK (50 * MSEC)
-#define SEEDS 200
+#define SEEDS 200U
 #define VMS 110
 #define VMS_CUT 37
 #define OWNERS 2
