--- a/core/rollout/rollout.c
+++ b/core/rollout/rollout.c
@@ -187,21 +187,36 @@
   return DP_ROLLOUT_CAUSE_FEW_ANSWERS;
 }
 
+/* TRUE if the order's time has passed up to this part of the time to its limit. */
+static gboolean
+has_passed (const DpRollout *rollout, double part)
+{
+  return (double)(rollout->now - rollout->started_at) >= part * (double)rollout->order.duration;
+}
+
+/* All answers that are needed have come. */
+static void
+decide_with_answers (DpRollout *rollout)
+{
+  double score = dp_rollout_test_score (rollout);
+  gboolean is_last = has_passed (rollout, DOUBT_PART);
+  if (is_last && score > DP_ROLLOUT_THRESHOLD_LAST)
+    want (rollout, DP_ROLLOUT_ROLLED_BACK, DP_ROLLOUT_CAUSE_IN_DOUBT, 0);
+  else if (is_last || score < DP_ROLLOUT_DOUBT)
+    want (rollout, DP_ROLLOUT_SWITCHING, DP_ROLLOUT_CAUSE_GOOD, 0);
+}
+
 static void
 decide_running (DpRollout *rollout, DpUsec final_at)
 {
-  DpUsec switch_after = (DpUsec)((double)rollout->order.duration * SWITCH_PART);
-  DpUsec doubt_until = (DpUsec)((double)rollout->order.duration * DOUBT_PART);
-  gboolean is_in_doubt = dp_rollout_test_score (rollout) > DP_ROLLOUT_DOUBT
-                         && rollout->now - rollout->started_at < doubt_until;
-  gboolean is_good = dp_rollout_test_has_enough (rollout) && !is_in_doubt;
-  gboolean is_ready = has_slots (&rollout->facts) && (!rollout->saw_old || is_good);
+  gboolean is_ready = has_passed (rollout, SWITCH_PART) && has_slots (&rollout->facts)
+                      && rollout->order.state != DP_ROLLOUT_UNCERTAIN;
   if (rollout->now >= final_at)
     want (rollout, DP_ROLLOUT_ROLLED_BACK, missing (rollout), 0);
-  else if (is_ready && rollout->order.state != DP_ROLLOUT_UNCERTAIN
-           && rollout->now - rollout->started_at >= switch_after)
-    want (rollout, DP_ROLLOUT_SWITCHING,
-          rollout->saw_old ? DP_ROLLOUT_CAUSE_GOOD : DP_ROLLOUT_CAUSE_NO_OLD, 0);
+  else if (is_ready && !rollout->saw_old)
+    want (rollout, DP_ROLLOUT_SWITCHING, DP_ROLLOUT_CAUSE_NO_OLD, 0);
+  else if (is_ready && dp_rollout_test_has_enough (rollout))
+    decide_with_answers (rollout);
 }
 
 static void
@@ -319,6 +334,8 @@
       return "few_slots";
     case DP_ROLLOUT_CAUSE_FEW_ANSWERS:
       return "few_answers";
+    case DP_ROLLOUT_CAUSE_IN_DOUBT:
+      return "in_doubt";
     }
   return "none";
 }
--- a/core/rollout/rollout.h
+++ b/core/rollout/rollout.h
@@ -40,6 +40,7 @@
   DP_ROLLOUT_CAUSE_NO_TARGETS,  /* no targets of the new version */
   DP_ROLLOUT_CAUSE_FEW_SLOTS,   /* the new targets can't take over the load */
   DP_ROLLOUT_CAUSE_FEW_ANSWERS, /* too few answers until shortly before the time limit */
+  DP_ROLLOUT_CAUSE_IN_DOUBT, /* probably bad when the time to wait for more answers is over */
 } DpRolloutCause;
 
 typedef struct DpRolloutOrder
--- a/core/rollout/rollout_private.h
+++ b/core/rollout/rollout_private.h
@@ -18,6 +18,9 @@
 /* With a sum above this, the share is not raised and requests aren't switched: the next answers
  * decide. A good version has one rarely, and not for long. */
 #define DP_ROLLOUT_DOUBT 4.0
+/* Threshold when the time to wait is over: the sums are compared with it once only, and all
+ * requests would go to the new version next. */
+#define DP_ROLLOUT_THRESHOLD_LAST 7.0
 
 /* Requests and their bad answers count in the slot in which the request was assigned. Counted
  * when they come, fast failures would outnumber slower good answers for a moment each time that
@@ -37,8 +40,9 @@
   guint64 old_requests;
   guint64 old_bad;
   guint64 new_answers; /* that have come */
+  /* of the new version's requests in evaluated slots */
   guint64 new_bad;
-  double expected_bad; /* of the new version's requests, at the old version's rate */
+  double expected_bad; /* at the old version's rate */
   double old_peak;     /* highest rate of the old version at a moment */
   double sums[DP_ROLLOUT_SUMS];
 } DpRolloutChart;
--- a/core/rollout/rollout_test.c
+++ b/core/rollout/rollout_test.c
@@ -45,13 +45,14 @@
 /* Requests at the old version without which nothing is concluded. */
 #define OLD_REQUESTS_MIN 50
 /* A rate that is raised by less is found by its total: at least this many bad answers, and
- * this many standard deviations above one and a half times what was expected. */
+ * this many standard deviations above this multiple of what was expected. */
 #define TOTAL_BAD_MIN 12
+#define TOTAL_FACTOR 1.3
 #define TOTAL_DEVIATIONS 4
 /* The same for bad answers with whole series: below the 50 after which a version may get no
  * more requests. */
 #define RAW_BAD_MIN 40
-#define RAW_BAD_EXTRA 25
+#define RAW_BAD_EXTRA 30
 /* Answers that a completed roll-out needs, and those on each busy route. */
 #define ANSWERS_MIN 100
 #define ROUTE_ANSWERS_MIN 20
@@ -212,7 +213,6 @@
                        chart->slot);
   slot_at (chart, answer->is_new, slot)->bad += is_bad;
   chart->new_answers += answer->is_new;
-  chart->new_bad += answer->is_new && is_bad;
   chart->old_bad += !answer->is_new && is_bad;
 }
 
@@ -234,10 +234,16 @@
   return (slot->bad + weight * prior) / (slot->requests + weight);
 }
 
-/* The old version's rate at the time of that slot: the highest of the last seconds', of the
- * slots around and of the slot itself. Without answers around it, as after the switch, the new
+/* The old version's rate at the time of a slot. */
+typedef struct Rate
+{
+  double mean;
+  double highest; /* of the last seconds', of the slots around and of the slot itself */
+} Rate;
+
+/* With fewer requests at the old version than at the new one, as after the switch, the new
  * version is compared with the old one's worst moment: all targets may be failing just now. */
-static double
+static Rate
 old_rate (DpRolloutChart *chart, gint64 slot)
 {
   double total = ((double)chart->old_bad + PRIOR_RATE * PRIOR_ANSWERS)
@@ -249,19 +255,22 @@
   double recent = mix (&window, total, TOTAL_ANSWERS);
   if (second.requests >= PEAK_REQUESTS)
     chart->old_peak = MAX (chart->old_peak, mix (&second, recent, RECENT_ANSWERS));
-  if (around.requests < RECENT_ANSWERS)
+  if (around.requests < chart->new_slots[slot_index (slot)].requests)
     recent = MAX (recent, chart->old_peak);
-  double moment = MAX (mix (&around, recent, RECENT_ANSWERS), mix (&own, recent, OWN_ANSWERS));
-  return MAX (recent, moment);
+  Rate rate = { .mean = mix (&around, recent, RECENT_ANSWERS) };
+  double highest = MAX (rate.mean, mix (&own, recent, OWN_ANSWERS));
+  rate.highest = MAX (recent, highest);
+  return rate;
 }
 
-/* Adds the log likelihood ratios of one slot to the sums. Returns the old version's rate. */
+/* Adds the log likelihood ratios of one slot to the sums. Returns the old version's mean rate.
+ */
 static double
 add_slot (DpRolloutChart *chart, gint64 slot, double *sums)
 {
   const DpRolloutSlot *row = &chart->new_slots[slot_index (slot)];
-  double rate = old_rate (chart, slot);
-  double low = CLAMP (rate, RATE_MIN, 1 - RATE_MIN);
+  Rate rate = old_rate (chart, slot);
+  double low = CLAMP (rate.highest, RATE_MIN, 1 - RATE_MIN);
   for (guint i = 0; i < DP_ROLLOUT_SUMS; i++)
     {
       double raised = MAX (low + increases[i].by, low * increases[i].factor);
@@ -270,15 +279,17 @@
       double bad = log (high / low);
       sums[i] = MAX (sums[i] + row->requests * good + row->bad * (bad - good), 0);
     }
-  return rate;
+  return rate.mean;
 }
 
 static void
 evaluate (DpRolloutChart *chart, gint64 slot)
 {
-  guint requests = chart->new_slots[slot_index (slot)].requests;
-  if (chart->old_requests >= OLD_REQUESTS_MIN)
-    chart->expected_bad += requests * add_slot (chart, slot, chart->sums);
+  const DpRolloutSlot *row = &chart->new_slots[slot_index (slot)];
+  if (chart->old_requests < OLD_REQUESTS_MIN)
+    return;
+  chart->expected_bad += row->requests * add_slot (chart, slot, chart->sums);
+  chart->new_bad += row->bad;
 }
 
 /* Highest sum, with the slots that are not evaluated yet. All their requests are known, but
@@ -412,7 +423,8 @@
 static gboolean
 exceeds_total (const DpRolloutChart *chart)
 {
-  double limit = 1.5 * chart->expected_bad + TOTAL_DEVIATIONS * sqrt (chart->expected_bad + 1);
+  double limit
+    = TOTAL_FACTOR * chart->expected_bad + TOTAL_DEVIATIONS * sqrt (chart->expected_bad + 1);
   return chart->new_bad >= TOTAL_BAD_MIN && (double)chart->new_bad > limit;
 }
 
