net: messages about orders to roll out versions

rollouts carries the list of orders with its version of the store to VMs that don't watch it, rollout the state of one order as its pool's owner states it.

--- a/core/message.c
+++ b/core/message.c
@@ -27,6 +27,8 @@
   [DP_MESSAGE_USE_REPORT] = "use_report",
   [DP_MESSAGE_TARGET_LEAVING] = "target_leaving",
   [DP_MESSAGE_TARGET_PAUSED] = "target_paused",
+  [DP_MESSAGE_ROLLOUTS] = "rollouts",
+  [DP_MESSAGE_ROLLOUT] = "rollout",
   [DP_MESSAGE_TARGET_LIMITS] = "target_limits",
   [DP_MESSAGE_TARGET_SENT] = "target_sent",
   [DP_MESSAGE_SUSPECT] = "suspect",
@@ -59,6 +61,9 @@
     case DP_MESSAGE_PROBE_ACK:
       g_clear_pointer (&message->probe.updates, g_array_unref);
       break;
+    case DP_MESSAGE_ROLLOUTS:
+      g_clear_pointer (&message->rollouts.rows, g_array_unref);
+      break;
     case DP_MESSAGE_TARGETS:
       g_clear_pointer (&message->targets.rows, g_array_unref);
       break;
--- a/core/message.h
+++ b/core/message.h
@@ -8,6 +8,7 @@
 
 #include "common/id.h"
 #include "core/reason.h"
+#include "core/rollout_orders.h"
 #include "core/store_version.h"
 
 #include <glib.h>
@@ -103,6 +104,10 @@
   DP_MESSAGE_STREAM_VERSION_ASK,
   /* node -> gateway that carried a target's response */
   DP_MESSAGE_TARGET_PAUSED,
+  /* node that watches the store -> nodes that don't; answer to TARGETS_ASK */
+  DP_MESSAGE_ROLLOUTS,
+  /* node that owns the pool -> all nodes, and a node that knows better -> that node */
+  DP_MESSAGE_ROLLOUT,
   DP_MESSAGE_COUNT,
 } DpMessageType;
 
@@ -430,6 +435,13 @@
   GArray *rows;           /* DpTargetRecord; owned by the message */
 } DpTargetRows;
 
+/* List of orders to roll out versions as a node knows it. */
+typedef struct DpRolloutRows
+{
+  DpStoreVersion version; /* of the platform's store that the list corresponds to */
+  GArray *rows;           /* DpRolloutRow; owned by the message */
+} DpRolloutRows;
+
 /* Latest versions in the platform's store, from a VM that watches it for others. */
 typedef struct DpRelay
 {
@@ -530,6 +542,8 @@
     DpTargetsAsk targets_ask;
     DpTargetRows targets;
     DpRelay relay;
+    DpRolloutRows rollouts;
+    DpRolloutNotice rollout;
   };
 } DpMessage;
 
--- a/net/codec.h
+++ b/net/codec.h
@@ -20,6 +20,8 @@
 #define DP_CODEC_VMS_MAX 4096
 /* Targets per message. */
 #define DP_CODEC_TARGETS_MAX 4096
+/* Orders to roll out versions per message; one for each pool. */
+#define DP_CODEC_ROLLOUTS_MAX 256
 
 /* Longer durations, of which G_MAXINT64 stands for never, are decoded as this: sums with times
  * stay in range. */
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -416,6 +416,29 @@
   UINT64 (7, DpMessage, relay.era),
 };
 
+static const DpField rollout_row_fields[] = {
+  STRING (1, DpRolloutRow, service),  STRING (2, DpRolloutRow, target),
+  USEC (3, DpRolloutRow, duration),   UINT64 (4, DpRolloutRow, created),
+  UINT64 (5, DpRolloutRow, revision), UINT (6, DpRolloutRow, state, DP_ROLLOUT_UNCERTAIN),
+  USEC (7, DpRolloutRow, age),
+};
+static const DpFieldTable rollout_row_table = TABLE (DpRolloutRow, rollout_row_fields);
+
+static const DpField rollouts_fields[] = {
+  GARRAY (1, DpMessage, rollouts.rows, DP_CODEC_ROLLOUTS_MAX, &rollout_row_table),
+  UINT64 (2, DpMessage, rollouts.version.revision),
+  UINT64 (3, DpMessage, rollouts.version.era),
+};
+
+static const DpField rollout_fields[] = {
+  UINT64 (1, DpMessage, rollout.pool),
+  UINT64 (2, DpMessage, rollout.order),
+  UINT64 (3, DpMessage, rollout.version),
+  UINT (4, DpMessage, rollout.state, DP_ROLLOUT_UNCERTAIN),
+  USEC (5, DpMessage, rollout.age),
+  FLAG (6, DpMessage, rollout.is_owner),
+};
+
 static const DpFieldTable message_tables[DP_MESSAGE_COUNT] = {
   [DP_MESSAGE_GRANT_ASK] = TABLE (DpMessage, grant_ask_fields),
   [DP_MESSAGE_GRANT_PROGRESS] = TABLE (DpMessage, grant_progress_fields),
@@ -450,6 +473,8 @@
   [DP_MESSAGE_USE_REPORT] = TABLE (DpMessage, use_report_fields),
   [DP_MESSAGE_TARGET_LEAVING] = TABLE (DpMessage, target_leaving_fields),
   [DP_MESSAGE_TARGET_PAUSED] = TABLE (DpMessage, target_paused_fields),
+  [DP_MESSAGE_ROLLOUTS] = TABLE (DpMessage, rollouts_fields),
+  [DP_MESSAGE_ROLLOUT] = TABLE (DpMessage, rollout_fields),
   [DP_MESSAGE_TARGET_LIMITS] = TABLE (DpMessage, target_limits_fields),
   [DP_MESSAGE_TARGET_SENT] = TABLE (DpMessage, target_sent_fields),
 };
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -74,6 +74,16 @@
   return message;
 }
 
+static DpMessage
+make_rollouts (void)
+{
+  DpMessage message = { .type = DP_MESSAGE_ROLLOUTS, .rollouts = { .version = { 3, 2 } } };
+  message.rollouts.rows = g_array_new (FALSE, FALSE, sizeof (DpRolloutRow));
+  const DpRolloutRow row = { "app", "v2", 1, 2, 3, DP_ROLLOUT_ROLLED_BACK, 4 };
+  g_array_append_val (message.rollouts.rows, row);
+  return message;
+}
+
 static DpMessage
 make_probe (DpMessageType type)
 {
@@ -186,6 +196,11 @@
     case DP_MESSAGE_TARGET_SENT:
       message.target_sent = (DpTargetSent){ 1, 2, 3, 3, { 4, 5, 6 } };
       break;
+    case DP_MESSAGE_ROLLOUTS:
+      return make_rollouts ();
+    case DP_MESSAGE_ROLLOUT:
+      message.rollout = (DpRolloutNotice){ 1, 2, 3, DP_ROLLOUT_UNCERTAIN, 4, TRUE };
+      break;
     case DP_MESSAGE_TARGETS_ASK:
       message.targets_ask = (DpTargetsAsk){ 1 };
       break;
@@ -419,6 +434,63 @@
 }
 END_TEST
 
+/* Bodies of messages about roll-outs; a state that this build doesn't know must not be taken
+ * for another one. */
+typedef struct BodyCase
+{
+  const char *name;
+  DpMessageType type;
+  const char *bytes;
+  gsize length;
+  int error; /* DpCodecError, or -1: valid */
+} BodyCase;
+
+#define BODY(name, type, literal, error)                                                       \
+  {                                                                                            \
+    name, type, literal, sizeof (literal) - 1, error                                           \
+  }
+
+static const BodyCase rollout_cases[] = {
+  BODY ("no members", DP_MESSAGE_ROLLOUT, "\x80", -1),
+  BODY ("last state", DP_MESSAGE_ROLLOUT, "\x81\x04\x05", -1),
+  BODY ("unknown state", DP_MESSAGE_ROLLOUT, "\x81\x04\x06", DP_CODEC_ERROR_VALUE),
+  BODY ("negative age", DP_MESSAGE_ROLLOUT, "\x81\x05\xff", DP_CODEC_ERROR_VALUE),
+  BODY ("member of a newer build", DP_MESSAGE_ROLLOUT, "\x81\x60\xa3new", -1),
+  BODY ("empty list", DP_MESSAGE_ROLLOUTS, "\x81\x01\x90", -1),
+  BODY ("row is not a map", DP_MESSAGE_ROLLOUTS, "\x81\x01\x91\xc0", DP_CODEC_ERROR_VALUE),
+  BODY ("unknown state in a row",
+        DP_MESSAGE_ROLLOUTS,
+        "\x81\x01\x91\x81\x06\x06",
+        DP_CODEC_ERROR_VALUE),
+  BODY ("text for a duration",
+        DP_MESSAGE_ROLLOUTS,
+        "\x81\x01\x91\x81\x03\xa2"
+        "60",
+        DP_CODEC_ERROR_VALUE),
+};
+
+START_TEST (bodies_about_rollouts)
+{
+  const BodyCase *row = &rollout_cases[_i];
+  const guint8 head[] = { 0x95, DP_CODEC_VERSION, (guint8)row->type, 0x02, 0x00 };
+  GByteArray *frame = g_byte_array_new ();
+  g_byte_array_append (frame, head, sizeof head);
+  g_byte_array_append (frame, (const guint8 *)row->bytes, (guint)row->length);
+  DpPeer from;
+  DpMessage message;
+  GError *error = NULL;
+  gboolean ok = decode_copy (frame->data, frame->len, &from, &message, &error);
+  ck_assert_msg (ok == (row->error < 0), "%s: %s", row->name, ok ? "decoded" : error->message);
+  if (ok)
+    dp_message_clear (&message);
+  else
+    ck_assert_msg (g_error_matches (error, DP_CODEC_ERROR, row->error), "%s: %s", row->name,
+                   error->message);
+  g_clear_error (&error);
+  g_byte_array_unref (frame);
+}
+END_TEST
+
 START_TEST (too_long_string_is_rejected)
 {
   msgpack_sbuffer buffer;
@@ -487,6 +559,7 @@
   Suite *suite = suite_create ("net_codec");
   TCase *tcase = tcase_create ("codec");
   tcase_add_loop_test (tcase, each_type_round_trips, 0, DP_MESSAGE_COUNT);
+  tcase_add_loop_test (tcase, bodies_about_rollouts, 0, G_N_ELEMENTS (rollout_cases));
   tcase_add_test (tcase, members_keep_their_values);
   tcase_add_test (tcase, durations_can_be_added_to_times);
   tcase_add_loop_test (tcase, each_truncation_is_rejected, 0, DP_MESSAGE_COUNT);
