standins: the store keeps a status and its conditions

PUT on /objects/KIND/NAME/status replaces the status alone, a call that states another revision than the object's gets 409 with the object, metadata has created_rev. Faults: lose_status leaves writes without a response, late_status holds them back until POST /late on the control port; status_state limits both to one state.

--- a/standins/store.c
+++ b/standins/store.c
@@ -1,10 +1,12 @@
 /* standin-store: an in-memory implementation of the users' object store, written from their
  * published protocol; see docs/STANDINS.md.
  *
- * GET, POST and PUT on /objects/KIND; DELETE on /objects/KIND/NAME. A GET with the query
- * parameter `watch` (a revision) waits up to `wait_ms` for changes after that revision. On the
- * control port, POST /copy keeps a copy of everything, and POST /restore returns to it; POST
- * /raw?kind=KIND&name=NAME stores an object whose text in responses is the body.
+ * GET, POST and PUT on /objects/KIND; DELETE on /objects/KIND/NAME; PUT on
+ * /objects/KIND/NAME/status replaces the status alone. A PUT that states a revision other than
+ * the object's gets 409 with the object. A GET with the query parameter `watch` (a revision)
+ * waits up to `wait_ms` for changes after that revision. On the control port, POST /copy keeps
+ * a copy of everything, and POST /restore returns to it; POST /raw?kind=KIND&name=NAME stores
+ * an object whose text in responses is the body.
  */
 #include "common/id.h"
 #include "standins/fault.h"
@@ -30,6 +32,10 @@
   gint64 broken;       /* 1: responses are truncated JSON */
   gint64 as_of;        /* listings and watches get what they would have got at this revision */
   char *era;           /* Store-Era of all responses instead of the number of the era */
+  char *status_state;  /* the next two apply to writes of a status with this state only */
+  gint64 lose_status;  /* number of writes of a status to leave without a response */
+  gint64 late_status;  /* 1: such writes get no response; they take effect, if their condition
+                        * still holds, with POST /late on the control port */
 } StoreFaults;
 
 /* A change, or the current state of an object. */
@@ -69,6 +75,7 @@
   GQueue watches; /* Watch */
   StoreFaults faults;
   FaultTable fault_table;
+  GPtrArray *late; /* struct json_object: writes of a status that have not taken effect */
 } store;
 
 static const FaultSwitch fault_switches[] = {
@@ -79,6 +86,9 @@
   { "broken", .number = &store.faults.broken },
   { "as_of", .number = &store.faults.as_of },
   { "era", .text = &store.faults.era },
+  { "status_state", .text = &store.faults.status_state },
+  { "lose_status", .number = &store.faults.lose_status },
+  { "late_status", .number = &store.faults.late_status },
 };
 
 static void
@@ -295,14 +305,30 @@
   g_free (after);
 }
 
+/* Sets the revision at which the object was created; `object` NULL: by this change. */
+static void
+keep_created (struct json_object *metadata, const Object *object)
+{
+  guint64 created = store.revision;
+  struct json_object *before;
+  struct json_object *number;
+  if (object != NULL && json_object_object_get_ex (object->body, "metadata", &before)
+      && json_object_object_get_ex (before, "created_rev", &number))
+    created = json_object_get_uint64 (number);
+  json_object_object_add (metadata, "created_rev", json_object_new_uint64 (created));
+}
+
 static void
 apply_change (const char *kind, const char *name, struct json_object *body, gboolean is_deleted)
 {
   store.revision++;
   struct json_object *metadata;
-  if (json_object_object_get_ex (body, "metadata", &metadata))
-    json_object_object_add (metadata, "revision", json_object_new_uint64 (store.revision));
   char *key = g_strconcat (kind, "/", name, NULL);
+  if (json_object_object_get_ex (body, "metadata", &metadata))
+    {
+      json_object_object_add (metadata, "revision", json_object_new_uint64 (store.revision));
+      keep_created (metadata, g_hash_table_lookup (store.objects, key));
+    }
   if (is_deleted)
     g_hash_table_remove (store.objects, key);
   else
@@ -328,6 +354,26 @@
   return body;
 }
 
+static const Object *
+find_object (const char *kind, const char *name)
+{
+  char *key = g_strconcat (kind, "/", name, NULL);
+  const Object *object = g_hash_table_lookup (store.objects, key);
+  g_free (key);
+  return object;
+}
+
+/* FALSE if the call states a revision that is not the object's. */
+static gboolean
+meets_condition (struct json_object *body, const Object *object)
+{
+  struct json_object *metadata;
+  struct json_object *revision;
+  return !json_object_object_get_ex (body, "metadata", &metadata)
+         || !json_object_object_get_ex (metadata, "revision", &revision)
+         || json_object_get_uint64 (revision) == object->revision;
+}
+
 static void
 write_object (struct evhttp_request *req, const char *kind, gboolean must_exist)
 {
@@ -339,19 +385,110 @@
       reply_status (req, 400);
       return;
     }
-  char *key = g_strconcat (kind, "/", name, NULL);
-  gboolean exists = g_hash_table_contains (store.objects, key);
-  g_free (key);
-  if (exists != must_exist)
+  const Object *object = find_object (kind, name);
+  if ((object != NULL) != must_exist)
+    {
+      json_object_put (body);
+      reply_status (req, object != NULL ? 409 : 404);
+      return;
+    }
+  if (object != NULL && !meets_condition (body, object))
     {
       json_object_put (body);
-      reply_status (req, exists ? 409 : 404);
+      reply_json (req, 409, json_object_get (object->body));
       return;
     }
+  struct json_object *status;
+  if (object != NULL && json_object_object_get_ex (object->body, "status", &status))
+    json_object_object_add (body, "status", json_object_get (status));
   apply_change (kind, name, body, FALSE);
   reply_json (req, 200, body);
 }
 
+/* Replaces the status of an object as `body` says. */
+static void
+apply_status (const Object *object, struct json_object *body)
+{
+  struct json_object *changed = NULL;
+  struct json_object *status = NULL;
+  char *kind = g_strdup (object->kind);
+  char *name = g_strdup (object->name);
+  json_object_deep_copy (object->body, &changed, NULL);
+  json_object_object_get_ex (body, "status", &status);
+  json_object_object_add (changed, "status", json_object_get (status));
+  apply_change (kind, name, changed, FALSE);
+  json_object_put (changed);
+  g_free (name);
+  g_free (kind);
+}
+
+static gboolean
+has_fault_state (struct json_object *body)
+{
+  struct json_object *status;
+  struct json_object *state;
+  return store.faults.status_state == NULL
+         || (json_object_object_get_ex (body, "status", &status)
+             && json_object_object_get_ex (status, "state", &state)
+             && strcmp (json_object_get_string (state), store.faults.status_state) == 0);
+}
+
+/* PUT on /objects/KIND/NAME/status. */
+static void
+write_status (struct evhttp_request *req, const char *kind, const char *name)
+{
+  const char *stated;
+  struct json_object *body = read_body (req, &stated);
+  const Object *object = find_object (kind, name);
+  gboolean is_faulty = has_fault_state (body);
+  if (object == NULL)
+    reply_status (req, 404);
+  else if (!meets_condition (body, object))
+    reply_json (req, 409, json_object_get (object->body));
+  else if (is_faulty && store.faults.late_status == 1)
+    {
+      json_object_object_add (body, "kind", json_object_new_string (kind));
+      g_ptr_array_add (store.late, json_object_get (body));
+      standin_send_and_close (req, "", 0);
+    }
+  else
+    {
+      apply_status (object, body);
+      if (is_faulty && store.faults.lose_status > 0)
+        {
+          store.faults.lose_status--;
+          standin_send_and_close (req, "", 0);
+        }
+      else
+        reply_json (req, 200, json_object_get (find_object (kind, name)->body));
+    }
+  json_object_put (body);
+}
+
+/* Lets the writes of a status take effect that got no response, if their condition holds. */
+static void
+apply_late_writes (void)
+{
+  for (guint i = 0; i < store.late->len; i++)
+    {
+      struct json_object *body = g_ptr_array_index (store.late, i);
+      struct json_object *kind;
+      struct json_object *metadata;
+      struct json_object *name;
+      if (!json_object_object_get_ex (body, "kind", &kind)
+          || !json_object_object_get_ex (body, "metadata", &metadata)
+          || !json_object_object_get_ex (metadata, "name", &name))
+        continue;
+      const Object *object
+        = find_object (json_object_get_string (kind), json_object_get_string (name));
+      if (object != NULL && meets_condition (body, object))
+        apply_status (object, body);
+    }
+  for (guint i = 0; i < store.late->len; i++)
+    json_object_put (g_ptr_array_index (store.late, i));
+  g_ptr_array_set_size (store.late, 0);
+}
+
 static void
 remove_object (struct evhttp_request *req, const char *kind, const char *name)
 {
@@ -399,6 +536,19 @@
   g_free (wait);
 }
 
+static void
+put_object (struct evhttp_request *req, const char *kind, const char *name)
+{
+  if (name == NULL || !g_str_has_suffix (name, "/status"))
+    {
+      write_object (req, kind, TRUE);
+      return;
+    }
+  char *object = g_strndup (name, strlen (name) - strlen ("/status"));
+  write_status (req, kind, object);
+  g_free (object);
+}
+
 static void
 on_call (struct evhttp_request *req, gpointer data)
 {
@@ -420,7 +570,7 @@
       write_object (req, parts[0], FALSE);
       break;
     case EVHTTP_REQ_PUT:
-      write_object (req, parts[0], TRUE);
+      put_object (req, parts[0], parts[1]);
       break;
     case EVHTTP_REQ_DELETE:
       remove_object (req, parts[0], parts[1] != NULL ? parts[1] : "");
@@ -518,6 +668,12 @@
       reply_status (req, store.copy.objects != NULL ? 200 : 409);
       return;
     }
+  if (strcmp (path, "/late") == 0)
+    {
+      apply_late_writes ();
+      reply_status (req, 200);
+      return;
+    }
   if (strcmp (path, "/raw") == 0)
     {
       write_raw (req);
@@ -539,6 +695,7 @@
   store.base = event_base_new ();
   store.objects = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, object_free);
   store.changes = g_ptr_array_new_with_free_func (object_free);
+  store.late = g_ptr_array_new ();
   store.era = 1;
   store.fault_table
     = (FaultTable){ .switches = fault_switches, .count = G_N_ELEMENTS (fault_switches) };
