node: follow orders to roll out versions

node/rollouts.c reads the orders, passes them to the dispatchers, announces the owner's state at each change and each second, and writes the status on the condition of the order's revision. VMs that watch the store pass the list on with each relay message. A plain pool is dispatched by its owner while the store has no final state of its order. Without expose_share nothing is read, sent or held back.

--- a/node/builds.c
+++ b/node/builds.c
@@ -68,13 +68,16 @@
           "highest", highest, "older_vms", older, "vms", vms, NULL);
 }
 
-/* A VM of level 0 may place its own requests for a plain service, whatever its targets state,
- * so the owner can't keep the rule for these. */
+/* An older VM may place its own requests for a plain service, whatever its targets state and
+ * whatever order is in progress, so the owner can't keep the rule for these. */
 static void
 check_pool (const DpNode *node, DpNodePool *pool)
 {
-  gboolean is_unkept = node->builds.lowest == 0 && pool->kind != DP_POOL_ENGINES
-                       && pool->has_limits && pool->owner == node->self;
+  gboolean breaks_limits = node->builds.lowest == 0 && pool->has_limits;
+  gboolean breaks_order
+    = node->builds.lowest < DP_RULES_LEVEL_ROLLOUTS && dp_rollouts_needs_owner (node, pool);
+  gboolean is_unkept = (breaks_limits || breaks_order) && pool->kind != DP_POOL_ENGINES
+                       && pool->owner == node->self;
   if (is_unkept && !pool->is_unkept)
     {
       char older[24];
--- a/node/main.c
+++ b/node/main.c
@@ -41,6 +41,7 @@
   dp_peers_tick (node, now);
   dp_placement_tick (node, now, was_paused);
   dp_stream_versions_tick (node, now);
+  dp_rollouts_tick (node, now);
   dp_store_watch_tick (node->store_watch, now);
   if (dp_caller_listener_may_exit (node, now, was_paused))
     dp_process_quit (node->process);
@@ -64,6 +65,7 @@
 {
   const DpNode *node = user;
   dp_builds_add_status (node, status);
+  dp_rollouts_add_status (node, status);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, node->pools);
@@ -132,6 +134,7 @@
   node->registration = dp_registration_new (node);
   node->prune = dp_prune_new ();
   node->stream_versions = dp_stream_versions_new (node);
+  node->rollouts = node->params.has_rollouts ? dp_rollouts_new (node) : NULL;
   node->store_watch = dp_store_watch_new (node);
 }
 
@@ -146,6 +149,7 @@
   g_hash_table_unref (node->pools);
   dp_store_watch_free (node->store_watch);
   dp_stream_versions_free (node->stream_versions);
+  dp_rollouts_free (node->rollouts);
   dp_registration_free (node->registration);
   dp_prune_free (node->prune);
   dp_directory_free (node->directory);
--- a/node/node.h
+++ b/node/node.h
@@ -15,6 +15,7 @@
  *   target_limits.c    limits that targets state in their responses
  *   quarantine.c       requests and parts of prompts that crash targets
  *   stream_versions.c  software versions that began streams
+ *   rollouts.c         orders to roll out versions: their states in the store and at other VMs
  *   memory.c           memory use against the process's limit
  *   caller_listener.c  HTTP listeners: admission, readiness, shutdown
  *   request.c          a request from admission to its final answer
@@ -62,6 +63,9 @@
   char *quota_window_s;
   char *quota_slack;
   char *memory_mb;
+  char *expose_share; /* NULL or empty: no staged roll-outs */
+  char *expose_slack;
+  char *rollback_ms;
   guint16 tunnel_port; /* 0: agent_bus_port + 1 */
   char *first_start;   /* "true": first start of the whole system, no quota was used before */
 } DpNodeSettings;
@@ -88,6 +92,8 @@
   DpUsec quota_window;
   double quota_slack;
   gsize memory_max; /* bytes; 0: no limit known */
+  gboolean has_rollouts;
+  DpRolloutOptions rollout; /* if so */
 } DpNodeParams;
 
 /* Returns FALSE and adds to `diagnostics` if a value is invalid. */
@@ -104,6 +110,7 @@
 typedef struct DpRegistration DpRegistration;
 typedef struct DpStreamVersions DpStreamVersions;
 typedef struct DpStoredList DpStoredList;
+typedef struct DpRollouts DpRollouts;
 typedef struct DpTunnels DpTunnels;
 
 /* State of a pool on this VM. */
@@ -147,6 +154,7 @@
   DpStoreWatch *store_watch;
   DpRegistration *registration;
   DpStreamVersions *stream_versions;
+  DpRollouts *rollouts; /* NULL: no staged roll-outs */
   DpPrune *prune;
   DpManifest *manifest;         /* config in force; NULL until one is known */
   GBytes *manifest_text;        /* JSON of the config */
@@ -188,8 +196,10 @@
   DpUsec state_requested_at; /* last query to another VM for store data */
   DpUsec manifest_requested_at;
   DpUsec relay_received_at;
+  DpUsec rollouts_received_at; /* from a VM that watches the orders for others */
   DpUsec last_relay_sent_at;
-  DpRelay last_relay; /* last one sent to the VMs that this one relays to */
+  DpRelay last_relay;           /* last one sent to the VMs that this one relays to */
+  DpStoreVersion last_rollouts; /* the same of the list of orders */
   DpUsec memory_checked_at;
   gboolean is_memory_short;      /* new requests are refused */
   DpByteBudget *response_budget; /* of responses that targets are sending */
@@ -322,8 +332,14 @@
                                      const DpDiagnostics *diagnostics);
 /* TRUE if the targets were listed completely, so that their version is that of a whole list. */
 gboolean dp_store_watch_has_listed_targets (const DpStoreWatch *watch);
-/* TRUE if the last call to the store failed for any kind of objects. */
+/* TRUE if the last call to the store failed for config, targets or VMs. */
 gboolean dp_store_watch_is_failing (const DpStoreWatch *watch);
+/* Version of the store that covers all targets read so far. */
+DpStoreVersion dp_store_watch_targets_seen (const DpStoreWatch *watch);
+/* TRUE if this VM watches the orders of roll-outs itself, and the last call succeeded. */
+gboolean dp_store_watch_has_rollouts (const DpStoreWatch *watch);
+/* Asks the store for changes of the orders at once, if this VM watches them itself. */
+void dp_store_watch_check_rollouts (DpStoreWatch *watch);
 
 /* --- stored_list.c --- */
 
@@ -497,6 +513,35 @@
 /* Returns FALSE if the message is of another type. */
 gboolean dp_stream_versions_on_message (DpNode *node, DpName from, const DpMessage *message);
 
+/* --- rollouts.c --- */
+
+DpRollouts *dp_rollouts_new (DpNode *node);
+void dp_rollouts_free (DpRollouts *rollouts);
+/* The functions below do nothing without roll-outs, i.e. if node->rollouts is NULL. */
+void dp_rollouts_tick (DpNode *node, DpUsec now);
+/* Changes that a watch returned, or a complete listing, as of this version of the store. */
+void dp_rollouts_apply_changes (DpNode *node,
+                                const DpStorePage *const *pages,
+                                guint count,
+                                gboolean is_complete,
+                                DpStoreVersion version);
+/* Returns FALSE if the message is of another type. */
+gboolean dp_rollouts_on_message (DpNode *node, DpName from, const DpMessage *message);
+/* Version of the list of orders; revision 0: none was read. */
+DpStoreVersion dp_rollouts_version (const DpNode *node);
+/* Sends the list of orders to the VM. */
+void dp_rollouts_send_list (DpNode *node, DpName to);
+/* The list of targets has changed. */
+void dp_rollouts_observe_targets (DpNode *node);
+/* TRUE while the pool's owner must assign all its requests. */
+gboolean dp_rollouts_needs_owner (const DpNode *node, const DpNodePool *pool);
+/* Passes the pool's order to its dispatcher. */
+void dp_rollouts_set_order (DpNode *node, DpNodePool *pool, GArray *outbox);
+/* TRUE if the owner may assign a request to the target. */
+gboolean
+dp_rollouts_accepts_grant (const DpNode *node, DpName owner, const DpDirectoryRow *row);
+void dp_rollouts_add_status (const DpNode *node, struct json_object *status);
+
 /* --- memory.c --- */
 
 /* Divides the memory among the buffers that others fill. */
--- a/node/peer_sync.c
+++ b/node/peer_sync.c
@@ -168,6 +168,7 @@
   message.targets.rows = list_targets (node);
   dp_peers_send (node, to, &message);
   dp_message_clear (&message);
+  dp_rollouts_send_list (node, to);
   send_view (node, to);
 }
 
@@ -193,6 +194,8 @@
     send_view (node, vm);
   DpMessage message = { .type = DP_MESSAGE_RELAY, .relay = *state };
   dp_peers_send (node, vm, &message);
+  if (dp_store_watch_has_rollouts (node->store_watch))
+    dp_rollouts_send_list (node, vm);
 }
 
 /* On a relay that reaches the store, sends the store's state to the relay's clients. */
@@ -203,8 +206,10 @@
     return;
   DpRelay state = dp_store_watch_state (node->store_watch);
   DpUsec since = now - node->last_relay_sent_at;
-  gboolean is_due = since >= RELAY_INTERVAL
-                    || (since >= RELAY_BATCH_DELAY && has_changed (&state, &node->last_relay));
+  DpStoreVersion rollouts = dp_rollouts_version (node);
+  gboolean is_new = has_changed (&state, &node->last_relay)
+                    || dp_store_version_compare (rollouts, node->last_rollouts) != 0;
+  gboolean is_due = since >= RELAY_INTERVAL || (since >= RELAY_BATCH_DELAY && is_new);
   if (!is_due || state.age > STATE_AGE_MAX)
     return;
   for (guint i = 0; i < node->view->vms->len; i++)
@@ -214,6 +219,7 @@
         send_relay (node, vm->name, &state);
     }
   node->last_relay = state;
+  node->last_rollouts = rollouts;
   node->last_relay_sent_at = now;
 }
 
--- a/node/placement.c
+++ b/node/placement.c
@@ -99,16 +99,26 @@
       pool->has_limits = TRUE;
 }
 
+/* TRUE if the pool's owner assigns the requests of all VMs. */
+static gboolean
+is_dispatched_by_owner (const DpNode *node, const DpNodePool *pool)
+{
+  return pool->kind == DP_POOL_ENGINES || pool->has_limits
+         || dp_rollouts_needs_owner (node, pool);
+}
+
 static void
 set_pool_targets (DpNode *node, DpNodePool *pool)
 {
   set_pool_limits (node, pool);
-  pool->is_shared = pool->kind == DP_POOL_ENGINES || pool->has_limits;
+  pool->is_shared = is_dispatched_by_owner (node, pool);
   GArray *outbox = dp_dispatch_outbox_new ();
   /* While the targets are set, the pool is shared if it was or will be: an owner announces the
    * first limit as well as the end of the last one. */
   if (pool->is_shared)
     dp_dispatcher_set_shared (pool->dispatcher, TRUE);
+  /* Before the targets, so that none of them gets a waiting request that it must not run. */
+  dp_rollouts_set_order (node, pool, outbox);
   dp_dispatcher_set_targets (pool->dispatcher, node->directory, dp_node_now (), outbox);
   dp_dispatcher_set_shared (pool->dispatcher, pool->is_shared);
   deliver (node, outbox);
@@ -120,6 +130,7 @@
 {
   node->directory_applied = dp_directory_version (node->directory);
   dp_stream_versions_observe (node);
+  dp_rollouts_observe_targets (node);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, node->pools);
--- a/node/request.c
+++ b/node/request.c
@@ -390,7 +390,8 @@
   const DpDirectoryRow *row = dp_directory_find (node->directory, given->target);
   gboolean is_usable = row != NULL
                        && dp_directory_may_use (node->directory, given->target, dp_node_now ())
-                       && (request->version == 0 || row->version == request->version);
+                       && (request->version == 0 || row->version == request->version)
+                       && dp_rollouts_accepts_grant (node, owner, row);
   if (is_usable && dp_target_limits_accepts_grant (request, owner, row, given))
     return TRUE;
   log_event (request, "grant_not_used", DP_REASON_NO_TARGET);
--- a/node/settings.c
+++ b/node/settings.c
@@ -34,6 +34,14 @@
         "MB",
         "memory limit of the process; new requests are refused well below it",
         FALSE),
+  TEXT (expose_share,
+        "SHARE",
+        "share of a service's requests that a version may get before it is completed; without "
+        "it, versions are not rolled out in stages",
+        FALSE),
+  TEXT (expose_slack, "N", "further requests of a roll-out, over all VMs (0)", FALSE),
+  TEXT (
+    rollback_ms, "MS", "time in which a bad version must get no more requests (5000)", FALSE),
   DP_PORT_SETTING ("tunnel_port",
                    DpNodeSettings,
                    tunnel_port,
@@ -56,6 +64,7 @@
 #define RETRY_WINDOW_S_DEFAULT 10
 #define QUOTA_WINDOW_S_DEFAULT 8
 #define WEIGHT_PER_CORE 1000
+#define ROLLBACK_MS_DEFAULT 5000
 
 /* The connections to a caller and to its target. */
 #define DESCRIPTORS_PER_REQUEST 2
@@ -119,6 +128,25 @@
   params->tunnel_port = (guint16)port;
 }
 
+static void
+read_rollout_options (const DpNodeSettings *settings,
+                      DpNodeParams *params,
+                      DpDiagnostics *diagnostics)
+{
+  double share = read_number ("expose_share", settings->expose_share, -1, diagnostics);
+  params->has_rollouts = share >= 0;
+  if (share > 1)
+    dp_diagnostics_add (diagnostics, "settings", 0, "expose_share",
+                        "must be at most 1, not \"%s\"", settings->expose_share);
+  double slack = read_number ("expose_slack", settings->expose_slack, 0, diagnostics);
+  double rollback
+    = read_number ("rollback_ms", settings->rollback_ms, ROLLBACK_MS_DEFAULT, diagnostics);
+  params->rollout = (DpRolloutOptions){ .expose_share = share,
+                                        .expose_slack = (guint)MIN (slack, G_MAXINT),
+                                        .rollback_time
+                                        = (DpUsec)MIN (rollback, G_MAXINT) * DP_USEC_PER_MSEC };
+}
+
 gboolean
 dp_node_parse_settings (const DpNodeSettings *settings,
                         DpNodeParams *params,
@@ -156,5 +184,6 @@
   params->quota_slack = read_number ("quota_slack", settings->quota_slack, 0, diagnostics);
   double memory_mb = read_number ("memory_mb", settings->memory_mb, 0, diagnostics);
   params->memory_max = (gsize)(memory_mb * BYTES_PER_MB);
+  read_rollout_options (settings, params, diagnostics);
   return dp_diagnostics_count (diagnostics) == 0;
 }
--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -51,6 +51,7 @@
   KIND_CONFIG,
   KIND_TARGETS,
   KIND_VMS,
+  KIND_ROLLOUTS, /* only with staged roll-outs */
   KIND_COUNT,
 } Kind;
 
@@ -58,6 +59,7 @@
   [KIND_CONFIG] = DP_KIND_CONFIG,
   [KIND_TARGETS] = DP_KIND_TARGETS,
   [KIND_VMS] = DP_KIND_VMS,
+  [KIND_ROLLOUTS] = DP_KIND_ROLLOUTS,
 };
 
 /* Listing and watch of one kind of objects. */
@@ -69,8 +71,9 @@
   gboolean is_listed;  /* listing complete: watch from `version` */
   gboolean is_relayed; /* no calls: a relay sends the changes */
   DpStoreVersion version;
-  guint failures;     /* consecutive */
-  guint old_listings; /* consecutive */
+  guint64 seen_revision; /* highest of the pages that were applied in the current era */
+  guint failures;        /* consecutive */
+  guint old_listings;    /* consecutive */
   /* The store was restored: the next listing may lack entries that will be written again, and
    * have ones that are out of date. */
   gboolean is_restored;
@@ -89,6 +92,8 @@
   GHashTable *logged; /* guint64: hashes of diagnostics */
   guint64 view_version;
   guint64 era; /* highest known of the store; 0: unknown */
+  gboolean is_checking_rollouts;
+  DpUsec rollouts_checked_at;
 };
 
 static void start_next_call (ObjectFeed *feed);
@@ -183,6 +188,7 @@
       ObjectFeed *feed = &watch->feeds[i];
       feed->is_listed = feed->is_listed && feed->is_relayed;
       feed->is_restored = TRUE;
+      feed->seen_revision = 0;
     }
   dp_registration_on_restored (node->registration);
   dp_stream_versions_on_restored (node);
@@ -470,11 +476,27 @@
 dp_store_watch_is_failing (const DpStoreWatch *watch)
 {
   for (guint i = 0; i < KIND_COUNT; i++)
-    if (watch->feeds[i].failures > 0)
+    if (i != KIND_ROLLOUTS && watch->feeds[i].failures > 0)
       return TRUE;
   return FALSE;
 }
 
+DpStoreVersion
+dp_store_watch_targets_seen (const DpStoreWatch *watch)
+{
+  const ObjectFeed *feed = &watch->feeds[KIND_TARGETS];
+  gboolean is_current = feed->version.era == watch->era || feed->version.era == 0;
+  guint64 listed = is_current ? feed->version.revision : 0;
+  return (DpStoreVersion){ .era = watch->era, .revision = MAX (listed, feed->seen_revision) };
+}
+
+gboolean
+dp_store_watch_has_rollouts (const DpStoreWatch *watch)
+{
+  const ObjectFeed *feed = &watch->feeds[KIND_ROLLOUTS];
+  return feed->is_listed && !feed->is_relayed && feed->failures == 0;
+}
+
 void
 dp_store_watch_apply_relay (DpStoreWatch *watch, const DpRelay *relay)
 {
@@ -494,6 +516,21 @@
       node->directory, EXPIRY_HEARTBEATS * node->params.target_heartbeat, confirmed_at);
 }
 
+/* --- orders of roll-outs --- */
+
+/* `revision`: of the store, that the pages correspond to. Replies of an older era, or that are
+ * older than what is known, say nothing new. */
+static void
+publish_rollouts (DpStoreWatch *watch,
+                  const DpStorePage *const *pages,
+                  guint count,
+                  gboolean is_complete,
+                  guint64 revision)
+{
+  const DpStoreVersion version = { .era = watch->era, .revision = revision };
+  dp_rollouts_apply_changes (watch->node, pages, count, is_complete, version);
+}
+
 /* --- pages --- */
 
 static void
@@ -510,6 +547,7 @@
     case KIND_VMS:
       apply_vm (feed->watch, object, revision);
       break;
+    case KIND_ROLLOUTS: /* by pages, see publish_rollouts() */
     case KIND_COUNT:
       break;
     }
@@ -518,6 +556,7 @@
 static void
 apply_page (ObjectFeed *feed, const DpStorePage *page)
 {
+  feed->seen_revision = MAX (feed->seen_revision, page->revision);
   for (guint i = 0; i < page->objects->len; i++)
     apply_object (feed, &g_array_index (page->objects, DpStoreObject, i), page->revision);
 }
@@ -565,6 +604,7 @@
     case KIND_VMS:
       node->view_confirmed_at = now;
       break;
+    case KIND_ROLLOUTS:
     case KIND_COUNT:
       break;
     }
@@ -610,6 +650,9 @@
     apply_page (feed, g_ptr_array_index (feed->pages, i));
   drop_unlisted (feed);
   publish (feed);
+  if (feed->kind == KIND_ROLLOUTS)
+    publish_rollouts (feed->watch, (const DpStorePage *const *)feed->pages->pdata,
+                      feed->pages->len, TRUE, revision);
   feed->is_listed = TRUE;
   feed->version = (DpStoreVersion){ .era = feed->listing_era, .revision = revision };
   feed->old_listings = 0;
@@ -765,6 +808,8 @@
   apply_page (feed, page);
   if (page->objects->len > 0)
     publish (feed);
+  if (feed->kind == KIND_ROLLOUTS)
+    publish_rollouts (feed->watch, (const DpStorePage *const *)&page, 1, FALSE, page->revision);
   if (page->unnamed > 0 && feed->relist_at == 0)
     feed->relist_at = dp_node_now () + UNNAMED_DELAY;
   feed->version.revision = MAX (feed->version.revision, page->revision);
@@ -780,8 +825,10 @@
 must_watch (const ObjectFeed *feed)
 {
   const DpNode *node = feed->watch->node;
+  DpUsec received_at
+    = feed->kind == KIND_ROLLOUTS ? node->rollouts_received_at : node->relay_received_at;
   return !feed->is_listed || dp_owners_is_relay (node->owners)
-         || dp_node_now () - node->relay_received_at > RELAY_TIMEOUT;
+         || dp_node_now () - received_at > RELAY_TIMEOUT;
 }
 
 static void
@@ -815,6 +862,48 @@
   start_next_call (user);
 }
 
+/* The pending watch goes on; what it returns later is not older than the changes here. */
+static void
+on_rollouts_checked (const DpPlatformReply *reply, gpointer data)
+{
+  DpStoreWatch *watch = data;
+  ObjectFeed *feed = &watch->feeds[KIND_ROLLOUTS];
+  watch->is_checking_rollouts = FALSE;
+  apply_era (watch, reply->era, "store");
+  if (reply->result != DP_PLATFORM_OK || !feed->is_listed
+      || (feed->version.era != 0 && feed->version.era != watch->era))
+    return;
+  DpStorePage *page = read_page (feed, reply, TRUE);
+  if (page != NULL)
+    publish_rollouts (watch, (const DpStorePage *const *)&page, 1, FALSE, page->revision);
+  dp_store_page_free (page);
+}
+
+void
+dp_store_watch_check_rollouts (DpStoreWatch *watch)
+{
+  const ObjectFeed *feed = &watch->feeds[KIND_ROLLOUTS];
+  DpUsec now = dp_node_now ();
+  if (!feed->is_listed || feed->is_relayed || watch->is_checking_rollouts
+      || now - watch->rollouts_checked_at < RETRY_DELAY)
+    return;
+  watch->is_checking_rollouts = TRUE;
+  watch->rollouts_checked_at = now;
+  const DpPlatformCall call = { .type = DP_PLATFORM_WATCH_KIND,
+                                .path = kind_paths[KIND_ROLLOUTS],
+                                .version = feed->version.revision,
+                                .watch_time = DP_USEC_PER_MSEC,
+                                .timeout = CALL_TIMEOUT };
+  dp_platform_client_call (watch->node->store, &call, on_rollouts_checked, watch);
+}
+
+/* Number of kinds that this VM reads. */
+static guint
+kinds_in_use (const DpStoreWatch *watch)
+{
+  return watch->node->params.has_rollouts ? KIND_COUNT : KIND_ROLLOUTS;
+}
+
 /* --- lifecycle --- */
 
 static DpPlatformClient *
@@ -867,7 +956,7 @@
 void
 dp_store_watch_start (DpStoreWatch *watch)
 {
-  for (guint i = 0; i < KIND_COUNT; i++)
+  for (guint i = 0; i < kinds_in_use (watch); i++)
     start_next_call (&watch->feeds[i]);
   dp_registration_start (watch->node->registration);
 }
@@ -876,7 +965,7 @@
 dp_store_watch_tick (DpStoreWatch *watch, DpUsec now)
 {
   DpNode *node = watch->node;
-  for (guint i = 0; i < KIND_COUNT; i++)
+  for (guint i = 0; i < kinds_in_use (watch); i++)
     {
       ObjectFeed *feed = &watch->feeds[i];
       if (feed->relist_at != 0 && now >= feed->relist_at)
