--- a/core/rollout_orders.c
+++ b/core/rollout_orders.c
@@ -4,6 +4,8 @@
 
 /* Versions of one pool that must not be used; the oldest is dropped. */
 #define BARRED_MAX 16
+/* Duration of an order that only keeps a version from being used. */
+#define NO_LIMIT ((DpUsec)1000000 * DP_USEC_PER_SEC)
 
 /* A version that the pool's targets have. */
 typedef struct SeenVersion
@@ -464,11 +466,15 @@
 static gboolean
 is_oldest (const PoolVersions *pool, DpName version)
 {
-  const SeenVersion *own = find_seen (pool, version);
+  /* Of equally old ones, the one that was seen first. */
+  const SeenVersion *oldest = NULL;
   for (guint i = 0; i < pool->seen->len; i++)
-    if (own == NULL || g_array_index (pool->seen, SeenVersion, i).started < own->started)
-      return FALSE;
-  return TRUE;
+    {
+      const SeenVersion *seen = &g_array_index (pool->seen, SeenVersion, i);
+      if (oldest == NULL || seen->started < oldest->started)
+        oldest = seen;
+    }
+  return oldest != NULL && oldest->version == version;
 }
 
 static gboolean
@@ -542,7 +548,9 @@
       return TRUE;
     }
   DpName version = find_unusable (orders, pool);
-  *order = (DpRolloutOrder){ .id = version, .version = version, .state = DP_ROLLOUT_UNCERTAIN };
+  *order = (DpRolloutOrder){
+    .id = version, .version = version, .duration = NO_LIMIT, .state = DP_ROLLOUT_UNCERTAIN
+  };
   if (entry != NULL && entry->version == version)
     {
       order->id = entry->id;
--- a/node/rollouts.c
+++ b/node/rollouts.c
@@ -32,6 +32,8 @@
   char target[DP_TARGET_TEXT_BYTES];
   GHashTable *owners;   /* DpName -> DpUsec: last notice of the order as its owner */
   gboolean was_checked; /* its service and targets */
+  gboolean was_owner;
+  gboolean must_restart; /* the dispatcher forgets what it has decided */
   /* status in the store */
   gboolean is_writing;
   DpName written_id;
@@ -377,14 +379,14 @@
 }
 
 static void
-announce (Progress *progress, const DpRolloutEntry *entry, DpUsec now)
+announce (Progress *progress, const DpRolloutEntry *entry, gboolean owns, DpUsec now)
 {
   DpRolloutState state = dp_rollout_entry_state (entry);
   if (state == progress->announced && now - progress->announced_at < ANNOUNCE_INTERVAL)
     return;
   progress->announced = state;
   progress->announced_at = now;
-  const DpMessage message = make_notice (entry, TRUE, now);
+  const DpMessage message = make_notice (entry, owns, now);
   dp_peers_send_to_all (progress->rollouts->node, &message);
 }
 
@@ -451,6 +453,17 @@
   DpRolloutOrder order;
   gboolean has_order
     = dp_rollout_orders_for_dispatcher (node->rollouts->orders, pool->name, now, &order);
+  Progress *progress = g_hash_table_lookup (node->rollouts->progress, &pool->name);
+  if (progress != NULL && progress->must_restart && has_order)
+    {
+      /* An order of another id begins anew; without any, waiting requests might be assigned to
+       * the version. */
+      DpRolloutOrder other = order;
+      other.id = ~order.id;
+      other.state = DP_ROLLOUT_UNCERTAIN;
+      dp_dispatcher_set_rollout (pool->dispatcher, &node->params.rollout, &other, now, outbox);
+      progress->must_restart = FALSE;
+    }
   dp_dispatcher_set_rollout (pool->dispatcher, &node->params.rollout, has_order ? &order : NULL,
                              now, outbox);
 }
@@ -634,6 +647,29 @@
          && status->id == entry->id;
 }
 
+/* A roll-back for bad answers counts whoever has seen them. Everything else is the owner's
+ * decision: others see no answers, and not what runs. */
+static gboolean
+is_evidence (const DpRolloutStatus *status)
+{
+  return status->state == DP_ROLLOUT_ROLLED_BACK
+         && (status->cause == DP_ROLLOUT_CAUSE_BAD_ANSWERS
+             || status->cause == DP_ROLLOUT_CAUSE_BAD_ROUTE
+             || status->cause == DP_ROLLOUT_CAUSE_BAD_COUNT);
+}
+
+/* What a dispatcher has decided while this VM did not own the pool is based on none of the
+ * pool's answers: it starts anew. Returns FALSE if there is no status then. */
+static gboolean
+begin_ownership (Progress *progress, const DpRolloutEntry *entry, DpRolloutStatus *status)
+{
+  if (status->state == DP_ROLLOUT_RUNNING || status->state == dp_rollout_entry_state (entry))
+    return TRUE;
+  progress->must_restart = TRUE;
+  apply (progress->rollouts);
+  return get_status (progress->rollouts->node, entry, status);
+}
+
 static void
 adopt_decision (DpRollouts *rollouts,
                 const DpRolloutEntry *entry,
@@ -648,25 +684,48 @@
     apply (rollouts);
 }
 
+/* Returns whether `status` is set, which it is if this VM owns the pool and its dispatcher has
+ * the order. */
+static gboolean
+follow_dispatcher (Progress *progress,
+                   const DpRolloutEntry *entry,
+                   gboolean owns,
+                   DpRolloutStatus *status,
+                   DpUsec now)
+{
+  DpRollouts *rollouts = progress->rollouts;
+  gboolean is_first = owns && !progress->was_owner;
+  progress->was_owner = owns;
+  if (!get_status (rollouts->node, entry, status)
+      || !dp_rollout_orders_is_active (rollouts->orders, entry->pool))
+    return FALSE;
+  if (is_evidence (status))
+    adopt_decision (rollouts, entry, status, now);
+  else if (is_first && !begin_ownership (progress, entry, status))
+    return FALSE;
+  else if (owns)
+    adopt_decision (rollouts, entry, status, now);
+  return owns;
+}
+
 static void
 tick_entry (DpRollouts *rollouts, const DpRolloutEntry *entry, DpUsec now)
 {
   DpNode *node = rollouts->node;
   Progress *progress = ensure_progress (rollouts, entry);
   check_order (progress, entry);
+  DpRolloutState before = dp_rollout_entry_state (entry);
   DpRolloutStatus status;
   gboolean owns = find_pool (node, entry->pool) != NULL && is_owner (node, entry->pool, now);
-  gboolean has_status = owns && get_status (node, entry, &status);
-  if (has_status && dp_rollout_orders_is_active (rollouts->orders, entry->pool))
-    adopt_decision (rollouts, entry, &status, now);
+  gboolean has_status = follow_dispatcher (progress, entry, owns, &status, now);
   report (progress, entry, has_status ? &status : NULL, now);
-  if (!owns)
-    return;
-  if (dp_rollout_entry_is_followed (entry)
-      && (dp_rollout_orders_count_versions (rollouts->orders, entry->pool) > 1
-          || entry->final == DP_ROLLOUT_NONE))
-    announce (progress, entry, now);
-  write_if_due (progress, entry, has_status ? &status : NULL, now);
+  gboolean is_told = dp_rollout_entry_is_followed (entry)
+                     && (dp_rollout_orders_count_versions (rollouts->orders, entry->pool) > 1
+                         || entry->final == DP_ROLLOUT_NONE);
+  if (is_told && (owns || dp_rollout_entry_state (entry) != before))
+    announce (progress, entry, owns, now);
+  if (owns)
+    write_if_due (progress, entry, has_status ? &status : NULL, now);
 }
 
 void
--- a/tests/node_cluster.h
+++ b/tests/node_cluster.h
@@ -15,11 +15,12 @@
 
 typedef struct Cluster
 {
-  const char *build;        /* build directory */
-  const char *older_build;  /* NULL: none */
-  gboolean is_older[VMS];   /* the next start runs `older_build` */
-  const char *node_program; /* in the build directory; NULL: the node's */
-  gboolean was_started;     /* nodes are not told of a first start of the whole system */
+  const char *build;         /* build directory */
+  const char *older_build;   /* NULL: none */
+  gboolean is_older[VMS];    /* the next start runs `older_build` */
+  const char *node_program;  /* in the build directory; NULL: the node's */
+  const char *more_settings; /* of all nodes, see NodeKitVm */
+  gboolean was_started;      /* nodes are not told of a first start of the whole system */
   char *folder;
   char *log;
   char address[VMS][16];
--- a/tests/node_kit.c
+++ b/tests/node_kit.c
@@ -110,10 +110,11 @@
     "// settings of a test\n{\"name\":\"%s\",\"address\":\"%s\",\"data_centre\":\"%s\","
     "\"agent_bus_port\":%u,%s\"operator_port\":%u,\"caller_listen\":\"%s:%u\","
     "\"ready_listen\":\"%s:%u\",\"store\":\"%s:%u\",\"seeds\":\"%s\","
-    "\"first_start\":\"%s\"}",
+    "\"first_start\":\"%s\"%s}",
     vm->name, vm->address, vm->data_centre, vm->bus_port, tunnel_port, vm->operator_port,
     vm->address, vm->caller_port, vm->address, vm->ready_port, vm->store.address,
-    vm->store.port, vm->seeds, vm->first_start ? "true" : "false");
+    vm->store.port, vm->seeds, vm->first_start ? "true" : "false",
+    vm->more_settings != NULL ? vm->more_settings : "");
   char *path = g_strdup_printf ("%s/%s.json", vm->folder, vm->name);
   ck_assert (g_file_set_contents (path, text, -1, NULL));
   char *program = g_strconcat (
--- a/tests/node_kit.h
+++ b/tests/node_kit.h
@@ -43,6 +43,7 @@
   NodeKitStore store;
   const char *seeds;
   gboolean first_start;
+  const char *more_settings; /* ",NAME:VALUE..."; NULL: none */
 } NodeKitVm;
 
 /* Each writes to the store and returns the HTTP status, 0 if there was no answer. `more_routes`
