ctl: show the orders to roll out versions

dogwoodplankctl rollouts reads them from running nodes' operator addresses: state here and in the store, and at the pool's owner the step, the share, good and bad answers by version and the cause.

--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -12,6 +12,10 @@
  * the status objects in the platform. */
 int dp_ctl_status (int argc, char **argv);
 
+/* rollouts IP[:PORT]...: prints the orders to roll out versions and their progress, as nodes
+ * know them. */
+int dp_ctl_rollouts (int argc, char **argv);
+
 /* keypair: prints a new key pair for the settings files of all processes. */
 int dp_ctl_keypair (int argc, char **argv);
 
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -14,6 +14,7 @@
     "Commands:\n"
     "  check FILE...        lists findings in manifests with file, line and member\n"
     "  status [IP...]       shows the status of programs on VMs, or of data centres\n"
+    "  rollouts IP...       shows the orders to roll out versions, as nodes know them\n"
     "  explain ID [LOG...]  shows the log lines of a request from all processes\n"
     "  keypair              generates a key pair for traffic between processes\n"
     "  replay [TRACE...]    replays traces through the production decision code\n"
@@ -29,7 +30,7 @@
 
 static const Command commands[] = {
   { "check", dp_ctl_check },     { "status", dp_ctl_status },  { "explain", dp_ctl_explain },
-  { "keypair", dp_ctl_keypair }, { "replay", dp_replay_main },
+  { "keypair", dp_ctl_keypair }, { "replay", dp_replay_main }, { "rollouts", dp_ctl_rollouts },
 };
 
 typedef struct Arguments
