--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -652,6 +652,153 @@
 }
 END_TEST
 
+/* --- roll-outs --- */
+
+typedef struct RolloutCase
+{
+  const char *name;
+  const char *object; /* members after the metadata */
+  gboolean is_followed;
+  const char *target;
+  DpRolloutState state;
+  guint diagnostics;
+} RolloutCase;
+
+#define ORDER(target, duration)                                                                \
+  "\"spec\":{\"service\":\"app\",\"target\":" target ",\"duration_s\":" duration "}"
+#define STATUS(state, target) ",\"status\":{\"state\":" state ",\"target\":" target "}"
+
+/* What can't be followed must be told from no order at all, and keeps its version. */
+static const RolloutCase rollout_cases[] = {
+  { "an order", ORDER ("\"v2\"", "60"), TRUE, "v2", DP_ROLLOUT_NONE, 0 },
+  { "a fraction of a second", ORDER ("\"v2\"", "0.5"), TRUE, "v2", DP_ROLLOUT_NONE, 0 },
+  { "an unknown member", ORDER ("\"v2\"", "60,\"mood\":[{}]"), TRUE, "v2", DP_ROLLOUT_NONE, 0 },
+  { "running", ORDER ("\"v2\"", "60") STATUS ("\"running\"", "\"v2\""), TRUE, "v2",
+    DP_ROLLOUT_RUNNING, 0 },
+  { "completed", ORDER ("\"v2\"", "60") STATUS ("\"completed\"", "\"v2\""), TRUE, "v2",
+    DP_ROLLOUT_COMPLETED, 0 },
+  { "rolled back", ORDER ("\"v2\"", "60") STATUS ("\"rolled_back\"", "\"v2\""), TRUE, "v2",
+    DP_ROLLOUT_ROLLED_BACK, 0 },
+  { "the status of an earlier order", ORDER ("\"v2\"", "60") STATUS ("\"completed\"", "\"v1\""),
+    TRUE, "v2", DP_ROLLOUT_NONE, 0 },
+  { "a status without a version",
+    ORDER ("\"v2\"", "60") ",\"status\":{\"state\":\"completed\"}", TRUE, "v2", DP_ROLLOUT_NONE,
+    0 },
+  { "a status that is no object", ORDER ("\"v2\"", "60") ",\"status\":\"completed\"", TRUE,
+    "v2", DP_ROLLOUT_NONE, 0 },
+  { "an unknown state", ORDER ("\"v2\"", "60") STATUS ("\"paused\"", "\"v2\""), TRUE, "v2",
+    DP_ROLLOUT_NONE, 1 },
+  { "a state of another type", ORDER ("\"v2\"", "60") STATUS ("7", "\"v2\""), TRUE, "v2",
+    DP_ROLLOUT_NONE, 1 },
+  { "a duration of 0", ORDER ("\"v2\"", "0"), FALSE, "v2", DP_ROLLOUT_NONE, 1 },
+  { "a negative duration", ORDER ("\"v2\"", "-1"), FALSE, "v2", DP_ROLLOUT_NONE, 1 },
+  { "a text as duration", ORDER ("\"v2\"", "\"60\""), FALSE, "v2", DP_ROLLOUT_NONE, 1 },
+  { "a duration out of range", ORDER ("\"v2\"", "1e300"), FALSE, "v2", DP_ROLLOUT_NONE, 1 },
+  { "a duration below a microsecond", ORDER ("\"v2\"", "1e-9"), FALSE, "v2", DP_ROLLOUT_NONE,
+    1 },
+  { "no duration", "\"spec\":{\"service\":\"app\",\"target\":\"v2\"}", FALSE, "v2",
+    DP_ROLLOUT_NONE, 1 },
+  { "no service", "\"spec\":{\"target\":\"v2\",\"duration_s\":60}", FALSE, "v2",
+    DP_ROLLOUT_NONE, 1 },
+  { "another service", "\"spec\":{\"service\":\"b\",\"target\":\"v2\",\"duration_s\":60}",
+    FALSE, "v2", DP_ROLLOUT_NONE, 1 },
+  { "no target", "\"spec\":{\"service\":\"app\",\"duration_s\":60}", FALSE, "", DP_ROLLOUT_NONE,
+    1 },
+  { "an empty target", ORDER ("\"\"", "60"), FALSE, "", DP_ROLLOUT_NONE, 1 },
+  { "a target of another type", ORDER ("2", "60"), FALSE, "", DP_ROLLOUT_NONE, 1 },
+  { "no spec", "\"status\":{\"state\":\"running\",\"target\":\"v2\"}", FALSE, "",
+    DP_ROLLOUT_NONE, 1 },
+};
+
+START_TEST (only_valid_orders_are_followed)
+{
+  const RolloutCase *row = &rollout_cases[_i];
+  char *text = g_strdup_printf (
+    "{\"items\":[{\"metadata\":{\"name\":\"app\",\"revision\":9,\"created_rev\":7},%s}],"
+    "\"store_revision\":9}",
+    row->object);
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  DpStorePage *page = read_page (text, FALSE, diagnostics);
+  DpRolloutRow order;
+  ck_assert (dp_records_read_rollout (&g_array_index (page->objects, DpStoreObject, 0), &order,
+                                      diagnostics));
+  ck_assert_msg ((order.duration > 0 && order.target[0] != '\0') == row->is_followed, "%s",
+                 row->name);
+  ck_assert_msg (strcmp (order.target, row->target) == 0, "%s: %s", row->name, order.target);
+  ck_assert_msg (order.state == row->state, "%s: %d", row->name, order.state);
+  ck_assert_msg (dp_diagnostics_count (diagnostics) == row->diagnostics, "%s: %u diagnostics",
+                 row->name, dp_diagnostics_count (diagnostics));
+  ck_assert_str_eq (order.service, "app");
+  ck_assert_uint_eq (order.revision, 9);
+  ck_assert_uint_eq (order.created, 7);
+  dp_store_page_free (page);
+  dp_diagnostics_unref (diagnostics);
+  g_free (text);
+}
+END_TEST
+
+/* The name becomes a part of the path of a write. */
+START_TEST (an_order_whose_name_fits_no_path_is_ignored)
+{
+  static const char *const names[] = { "a/b", "a b", "..", "a?b" };
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  for (guint i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      DpStoreObject object = { .name = (char *)names[i] };
+      DpRolloutRow order;
+      ck_assert_msg (!dp_records_read_rollout (&object, &order, diagnostics), "%s", names[i]);
+    }
+  ck_assert_uint_eq (dp_diagnostics_count (diagnostics), G_N_ELEMENTS (names));
+  dp_diagnostics_unref (diagnostics);
+}
+END_TEST
+
+START_TEST (a_written_status_is_read_back)
+{
+  static const DpRolloutState states[]
+    = { DP_ROLLOUT_RUNNING, DP_ROLLOUT_COMPLETED, DP_ROLLOUT_ROLLED_BACK };
+  const DpRolloutRow order = { .service = "app", .target = "v2", .revision = 17 };
+  char *path = dp_records_rollout_status_path (&order);
+  ck_assert_str_eq (path, "rollouts/app/status");
+  for (guint i = 0; i < G_N_ELEMENTS (states); i++)
+    {
+      char *text = dp_records_write_rollout_status (&order, states[i]);
+      struct json_object *body = json_tokener_parse (text);
+      json_object_object_add (body, "spec",
+                              json_tokener_parse ("{\"service\":\"app\",\"target\":\"v2\","
+                                                  "\"duration_s\":1}"));
+      const char *whole = json_object_to_json_string (body);
+      DpDiagnostics *diagnostics = dp_diagnostics_new ();
+      DpStorePage *page = dp_records_read_object (whole, strlen (whole), diagnostics);
+      DpRolloutRow read;
+      ck_assert (dp_records_read_rollout (&g_array_index (page->objects, DpStoreObject, 0),
+                                          &read, diagnostics));
+      ck_assert_int_eq (read.state, states[i]);
+      ck_assert_uint_eq (read.revision, 17);
+      ck_assert_uint_eq (dp_diagnostics_count (diagnostics), 0);
+      dp_store_page_free (page);
+      dp_diagnostics_unref (diagnostics);
+      json_object_put (body);
+      g_free (text);
+    }
+  g_free (path);
+}
+END_TEST
+
+START_TEST (a_response_without_an_object_is_not_read)
+{
+  static const char *const texts[]
+    = { "", "{}", "[]", "{\"metadata\":{}}", "\xff", "{\"metadata" };
+  for (guint i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      DpDiagnostics *diagnostics = dp_diagnostics_new ();
+      ck_assert_ptr_null (dp_records_read_object (texts[i], strlen (texts[i]), diagnostics));
+      ck_assert_uint_eq (dp_diagnostics_count (diagnostics), 1);
+      dp_diagnostics_unref (diagnostics);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -660,6 +807,10 @@
   tcase_add_loop_test (tests, versions_are_read_as_written, 0,
                        G_N_ELEMENTS (written_versions_cases));
   tcase_add_test (tests, blocks_are_read_as_written);
+  tcase_add_loop_test (tests, only_valid_orders_are_followed, 0, G_N_ELEMENTS (rollout_cases));
+  tcase_add_test (tests, an_order_whose_name_fits_no_path_is_ignored);
+  tcase_add_test (tests, a_written_status_is_read_back);
+  tcase_add_test (tests, a_response_without_an_object_is_not_read);
   tcase_add_loop_test (tests, pages_are_decoded_or_rejected, 0, G_N_ELEMENTS (page_cases));
   tcase_add_loop_test (tests, an_odd_row_spoils_no_other, 0, G_N_ELEMENTS (odd_row_cases));
   tcase_add_loop_test (tests, the_removal_of_an_odd_object_is_read, 0,
