node: log versions that are not used, bound refused grants

version_not_used and version_released show at each VM which version of a pool is held back, and as of which revision of the orders.

--- a/core/rollout_orders.c
+++ b/core/rollout_orders.c
@@ -7,6 +7,9 @@
 /* Duration of an order that only keeps a version from being used. */
 #define NO_LIMIT ((DpUsec)1000000 * DP_USEC_PER_SEC)
 
+/* Ages that VMs state differ by the delay of their messages. */
+#define AGE_TOLERANCE (100 * DP_USEC_PER_MSEC)
+
 /* A version that the pool's targets have. */
 typedef struct SeenVersion
 {
@@ -321,7 +324,7 @@
     entry->heard = state;
   DpUsec known_at = entry->known_at;
   entry->known_at = MIN (known_at, now - MAX (notice->age, 0));
-  return dp_rollout_entry_state (entry) != before || entry->known_at < known_at;
+  return dp_rollout_entry_state (entry) != before || known_at - entry->known_at > AGE_TOLERANCE;
 }
 
 gboolean
--- a/node/node.h
+++ b/node/node.h
@@ -122,9 +122,10 @@
   /* One VM owns dispatch for all: for pools of engines, and while a target has a limit or is
    * brittle. Otherwise each VM dispatches its own requests. */
   gboolean is_shared;
-  gboolean has_limits; /* a target has a limit or is brittle */
-  gboolean is_brittle; /* a target is */
-  gboolean is_unkept;  /* it was logged that older VMs may break the rule */
+  gboolean has_limits;   /* a target has a limit or is brittle */
+  gboolean is_brittle;   /* a target is */
+  gboolean is_unkept;    /* it was logged that older VMs may break the rule */
+  DpName unused_version; /* it was logged that its targets get no requests; 0: none */
   DpDispatcher *dispatcher;
   DpName owner;       /* last chosen owner; 0: none yet */
   DpUsec reported_at; /* last report of held grants to the owner */
@@ -264,6 +265,7 @@
   DpTargetSearch search;
   guint excluded_count;
   DpName excluded[DP_EXCLUDED_MAX]; /* targets that failed or could not be used */
+  guint barred_grants;              /* for targets whose version must not be used */
   guint limit_told_count;
   DpName limit_told[DP_EXCLUDED_MAX]; /* targets whose limit an owner was told of */
   /* current attempt, and counts over all attempts */
--- a/node/request.c
+++ b/node/request.c
@@ -390,8 +390,12 @@
   const DpDirectoryRow *row = dp_directory_find (node->directory, given->target);
   gboolean is_usable = row != NULL
                        && dp_directory_may_use (node->directory, given->target, dp_node_now ())
-                       && (request->version == 0 || row->version == request->version)
-                       && dp_rollouts_accepts_grant (node, owner, row);
+                       && (request->version == 0 || row->version == request->version);
+  if (is_usable && !dp_rollouts_accepts_grant (node, owner, row))
+    {
+      is_usable = FALSE;
+      request->barred_grants++;
+    }
   if (is_usable && dp_target_limits_accepts_grant (request, owner, row, given))
     return TRUE;
   log_event (request, "grant_not_used", DP_REASON_NO_TARGET);
@@ -430,7 +434,11 @@
   if (!accepts_grant (request, request->owner, given))
     {
       dp_placement_release (request, DP_REASON_NO_TARGET);
-      dp_placement_request (request);
+      /* An owner that knows less may name such targets again and again. */
+      if (request->barred_grants > DP_EXCLUDED_MAX)
+        fail_request (request, DP_REASON_NO_TARGET, 0);
+      else
+        dp_placement_request (request);
       return;
     }
   request->attempt_count++;
--- a/node/rollouts.c
+++ b/node/rollouts.c
@@ -444,6 +444,39 @@
          && dp_rollout_orders_is_active (node->rollouts->orders, pool->name);
 }
 
+static const char *
+version_text (const DpNode *node, DpName pool, DpName version)
+{
+  DpHandle at = 0;
+  const DpDirectoryRow *row;
+  while ((row = dp_directory_next (node->directory, &at)) != NULL)
+    if (row->pool == pool && row->version == version)
+      return row->record.version;
+  return "unknown";
+}
+
+/* `order` NULL: all versions may be used. */
+static void
+log_unused_version (const DpNode *node, DpNodePool *pool, const DpRolloutOrder *order)
+{
+  gboolean is_unused
+    = order != NULL
+      && (order->state == DP_ROLLOUT_UNCERTAIN || order->state == DP_ROLLOUT_ROLLED_BACK);
+  DpName version = is_unused ? order->version : 0;
+  if (version == pool->unused_version)
+    return;
+  const DpStoreVersion orders = dp_rollout_orders_version (node->rollouts->orders);
+  char as_of[24];
+  format_number (as_of, (gint64)orders.revision);
+  if (version != 0)
+    dp_log (DP_LOG_NOTICE, "version_not_used", "pool", pool->text, "version",
+            version_text (node, pool->name, version), "orders_as_of", as_of, NULL);
+  else
+    dp_log (DP_LOG_NOTICE, "version_released", "pool", pool->text, "version",
+            version_text (node, pool->name, pool->unused_version), "orders_as_of", as_of, NULL);
+  pool->unused_version = version;
+}
+
 void
 dp_rollouts_set_order (DpNode *node, DpNodePool *pool, GArray *outbox)
 {
@@ -453,6 +486,7 @@
   DpRolloutOrder order;
   gboolean has_order
     = dp_rollout_orders_for_dispatcher (node->rollouts->orders, pool->name, now, &order);
+  log_unused_version (node, pool, has_order ? &order : NULL);
   Progress *progress = g_hash_table_lookup (node->rollouts->progress, &pool->name);
   if (progress != NULL && progress->must_restart && has_order)
     {
@@ -699,11 +733,9 @@
   if (!get_status (rollouts->node, entry, status)
       || !dp_rollout_orders_is_active (rollouts->orders, entry->pool))
     return FALSE;
-  if (is_evidence (status))
-    adopt_decision (rollouts, entry, status, now);
-  else if (is_first && !begin_ownership (progress, entry, status))
+  if (!is_evidence (status) && is_first && !begin_ownership (progress, entry, status))
     return FALSE;
-  else if (owns)
+  if (owns || is_evidence (status))
     adopt_decision (rollouts, entry, status, now);
   return owns;
 }
--- a/tests/test_node_rollouts.c
+++ b/tests/test_node_rollouts.c
@@ -548,6 +548,65 @@
 }
 END_TEST
 
+/* Watches of all VMs that started since the process did. */
+static gint64
+count_watches (const Cluster *cluster, guint vm)
+{
+  return vm_number (cluster, vm, "dogwoodplank_platform_calls_total{type=\"watch_kind\"}");
+}
+
+typedef struct Watches
+{
+  gint64 counts[VMS];
+} Watches;
+
+/* Watches that one VM makes while another one makes none: more than one for each kind of
+ * objects, so that none of the other one's is merely waiting. */
+#define WATCHES_APART 12
+
+/* TRUE if one of the VMs watches nothing any more. */
+static gboolean
+is_one_relayed (const Cluster *cluster, const void *data)
+{
+  Watches *since = (Watches *)data;
+  gint64 most = 0;
+  gboolean is_relayed = FALSE;
+  for (guint i = 0; i < VMS; i++)
+    {
+      gint64 more = count_watches (cluster, i) - since->counts[i];
+      most = MAX (most, more);
+      is_relayed = is_relayed || more == 0;
+    }
+  if (most < WATCHES_APART)
+    return FALSE;
+  for (guint i = 0; i < VMS; i++)
+    since->counts[i] = count_watches (cluster, i);
+  return is_relayed;
+}
+
+/* With a third VM in the store's list, which does not respond, one of the two may not watch the
+ * store itself. It must not watch the orders either, and know them all the same. */
+START_TEST (a_vm_that_watches_nothing_knows_orders_from_its_relay)
+{
+  Cluster *cluster = start_vms (SETTINGS);
+  ck_assert_int_eq (call_store (cluster, "POST", "/objects/dogwoodplank-vms",
+                                "{\"metadata\":{\"name\":\"other\"},\"spec\":{\"address\":"
+                                "\"127.0.0.77\",\"data_centre\":\"b\",\"weight\":900000,"
+                                "\"rules\":2}}"),
+                    200);
+  wait_for_metric (cluster, "dogwoodplank_vms", VMS + 1);
+  Watches since = { 0 };
+  drive_until (cluster, is_one_relayed, &since, "a VM watches nothing");
+  put_order (cluster, "POST", "app", SPEC ("v2", LONG_DURATION));
+  drive_until_all (cluster, DP_ROLLOUT_RUNNING);
+  set_fault (cluster, cluster->target_control[NEW], "{\"status\":500}");
+  put_target_version (cluster, NEW, "POST", "v2");
+  drive_until_all (cluster, DP_ROLLOUT_ROLLED_BACK);
+  check_new_is_unused (cluster, "rolled back");
+  cluster_free (cluster);
+}
+END_TEST
+
 START_TEST (without_the_setting_orders_are_not_read)
 {
   Cluster *cluster = start_vms (",\"expose_share\":\"\"");
@@ -590,6 +649,7 @@
   tcase_add_test (odd, another_order_for_the_same_version_is_followed);
   TCase *knowledge = tcase_create ("knowledge");
   tcase_add_test (knowledge, a_vm_without_the_store_knows_orders_from_others);
+  tcase_add_test (knowledge, a_vm_that_watches_nothing_knows_orders_from_its_relay);
   tcase_add_test (knowledge, without_the_setting_orders_are_not_read);
   Suite *suite = suite_create ("node_rollouts");
   suite_add_tcase (suite, verdicts);
