--- a/core/rollout/rollout.h
+++ b/core/rollout/rollout.h
@@ -40,6 +40,7 @@
   DP_ROLLOUT_CAUSE_NO_TARGETS,  /* no targets of the new version */
   DP_ROLLOUT_CAUSE_FEW_SLOTS,   /* the new targets can't take over the load */
   DP_ROLLOUT_CAUSE_FEW_ANSWERS, /* too few answers until shortly before the time limit */
+  DP_ROLLOUT_CAUSE_IN_DOUBT, /* probably bad when the time to wait for more answers is over */
 } DpRolloutCause;
 
 typedef struct DpRolloutOrder
@@ -130,8 +131,10 @@
 dp_rollout_allows (DpRollout *rollout, const DpRolloutRequest *request, gboolean on_new);
 
 /* A request was assigned to a target. Returns the number to pass to dp_rollout_uncount(). */
-double
-dp_rollout_record_grant (DpRollout *rollout, const DpRolloutRequest *request, gboolean on_new);
+double dp_rollout_record_grant (DpRollout *rollout,
+                                const DpRolloutRequest *request,
+                                gboolean on_new,
+                                DpUsec now);
 /* The request will be assigned again or its end is not known: it no longer counts as one of the
  * requests of which the new version gets a share. */
 void dp_rollout_uncount (DpRollout *rollout, DpName route, double counted);
