--- a/tests/test_node_rollouts.c
+++ b/tests/test_node_rollouts.c
@@ -609,7 +609,7 @@
 
 START_TEST (without_the_setting_orders_are_not_read)
 {
-  Cluster *cluster = start_vms (",\"expose_share\":\"\"");
+  Cluster *cluster = start_vms ("\"expose_share\":\"\",");
   put_order (cluster, "POST", "app", SPEC ("v2", LONG_DURATION));
   put_target_version (cluster, NEW, "POST", "v2");
   const gint64 none = 0;
