net: let pipelined requests take turns

At the readiness address, whose listener has 32 connections, 200 such clients kept the balancer out for more than 10 s.

Change: of requests that had arrived before the response to the one before was sent, eight are in progress at a time on each listener; the others wait in order, and their connections aren't read. At the limit of connections, room is made every 100 ms instead of every second, of connections stalled for 0.5 s instead of 1 s.

--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -30,7 +30,11 @@
 #define PAUSE (20 * DP_USEC_PER_MSEC)
 /* At the limit, requests that are incomplete and responses that are unread for longer make room
  * when there are too few idle connections. */
-#define STALLED_MIN DP_USEC_PER_SEC
+#define STALLED_MIN (500 * DP_USEC_PER_MSEC)
+#define ROOM_INTERVAL (100 * DP_USEC_PER_MSEC)
+/* Requests in progress that had arrived before the response to the one before was sent. More
+ * would let clients that pipeline fill the queues which others wait in. */
+#define PIPELINED_MAX 8
 /* A caller whose buffers are full for SLOW_READER_TIME must have read this much in a second. */
 #define SLOW_READER_TIME (20 * DP_USEC_PER_SEC)
 #define SLOW_READER_BYTES 1024
@@ -67,10 +71,12 @@
   gboolean has_tiny_chunks; /* counted in `tiny_chunk_requests` */
   gboolean is_withheld;     /* evhttp doesn't get the input yet */
   gboolean is_paused;
-  DpUsec unread_since; /* of the output; 0: all was passed to the kernel */
-  gsize taken;         /* bytes of the output that the caller has read since then */
-  DpHttpLimit closing; /* it is closed for that; DP_HTTP_LIMIT_NONE: it isn't */
-  DpUsec since;        /* of the state; of a request its first byte */
+  gboolean is_pipelined;   /* counted in `pipelined` */
+  struct evbuffer *parked; /* its next requests, which wait for their turn; NULL: none */
+  DpUsec unread_since;     /* of the output; 0: all was passed to the kernel */
+  gsize taken;             /* bytes of the output that the caller has read since then */
+  DpHttpLimit closing;     /* it is closed for that; DP_HTTP_LIMIT_NONE: it isn't */
+  DpUsec since;            /* of the state; of a request its first byte */
   DpUsec timeout; /* of the state; of an idle connection the longest in force since it began */
   DpReason rejection; /* of the request that is being received; DP_REASON_NONE: none */
   DpHttpLimit limit;  /* that it exceeds */
@@ -95,6 +101,11 @@
   GPtrArray *paused; /* Connection: not read for a moment */
   struct event *paused_event;
   guint tiny_chunk_requests;
+  guint pipelined;    /* connections, at most PIPELINED_MAX */
+  GQueue *parked;     /* Connection: those with pipelined requests that wait */
+  GPtrArray *parking; /* Connection: parked in this loop iteration */
+  struct event *parked_event;
+  struct event *room_event;       /* while the limit is reached */
   guint exceeded[DP_HTTP_LIMITS]; /* since the last log line */
   DpUsec logged_at;
   struct event *sweep;
@@ -130,7 +141,8 @@
 static gboolean
 is_idle (const Connection *connection)
 {
-  return connection->state == CONNECTION_IDLE && !has_unread_bytes (connection);
+  return connection->state == CONNECTION_IDLE && connection->parked == NULL
+         && !has_unread_bytes (connection);
 }
 
 gboolean
@@ -146,9 +158,14 @@
   if (connections->listener == NULL)
     return;
   if (dp_http_connections_have_room (connections))
-    evconnlistener_enable (connections->listener);
-  else
-    evconnlistener_disable (connections->listener);
+    {
+      evconnlistener_enable (connections->listener);
+      return;
+    }
+  const struct timeval interval = { .tv_usec = ROOM_INTERVAL };
+  evconnlistener_disable (connections->listener);
+  if (!event_pending (connections->room_event, EV_TIMEOUT, NULL))
+    event_add (connections->room_event, &interval);
 }
 
 static DpUsec
@@ -383,6 +400,109 @@
   g_ptr_array_set_size (connections->paused, 0);
 }
 
+/* --- pipelined requests --- */
+
+static void
+end_pipelined (DpHttpConnections *connections, Connection *connection)
+{
+  if (!connection->is_pipelined)
+    return;
+  connection->is_pipelined = FALSE;
+  connections->pipelined--;
+  if (!g_queue_is_empty (connections->parked))
+    event_active (connections->parked_event, EV_TIMEOUT, 0);
+}
+
+void
+dp_http_connections_end_request (DpHttpConnections *connections,
+                                 struct evhttp_connection *connection)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
+  Connection *row = g_hash_table_lookup (connections->by_buffer, bufferevent_get_input (bev));
+  if (row != NULL)
+    end_pipelined (connections, row);
+}
+
+static void
+clear_parked (DpHttpConnections *connections, Connection *connection)
+{
+  if (connection->parked == NULL)
+    return;
+  g_queue_remove (connections->parked, connection);
+  g_ptr_array_remove (connections->parking, connection);
+  g_clear_pointer (&connection->parked, evbuffer_free);
+}
+
+/* Takes what was read ahead from evhttp, which would process it at once. */
+static void
+park (DpHttpConnections *connections, Connection *connection)
+{
+  set_state (connections, connection, CONNECTION_IDLE);
+  connection->parked = evbuffer_new ();
+  evbuffer_add_buffer (connection->parked, connection->input);
+  g_queue_push_tail (connections->parked, connection);
+  limit_input (connection);
+  g_ptr_array_add (connections->parking, connection);
+  event_active (connections->parked_event, EV_TIMEOUT, 0);
+}
+
+/* evhttp begins to read after park(), and before the loop polls for input again. */
+static void
+stop_reading_parked (DpHttpConnections *connections)
+{
+  for (guint i = 0; i < connections->parking->len; i++)
+    {
+      const Connection *connection = g_ptr_array_index (connections->parking, i);
+      if (connection->parked != NULL && is_open (connection))
+        bufferevent_disable (connection->bev, EV_READ);
+    }
+  g_ptr_array_set_size (connections->parking, 0);
+}
+
+/* The response to a request was sent, and the next one had arrived before. */
+static void
+begin_pipelined (DpHttpConnections *connections, Connection *connection)
+{
+  if (connections->pipelined >= PIPELINED_MAX || !g_queue_is_empty (connections->parked))
+    {
+      park (connections, connection);
+      return;
+    }
+  connection->is_pipelined = TRUE;
+  connections->pipelined++;
+}
+
+/* The callback on the input receives the requests. */
+static void
+unpark (DpHttpConnections *connections, Connection *connection)
+{
+  struct evbuffer *parked = g_steal_pointer (&connection->parked);
+  connection->is_pipelined = TRUE;
+  connections->pipelined++;
+  bufferevent_setwatermark (connection->bev, EV_READ, 0, 0);
+  evbuffer_prepend_buffer (connection->input, parked);
+  evbuffer_free (parked);
+  if (connection->is_rejected)
+    return;
+  bufferevent_enable (connection->bev, EV_READ);
+  bufferevent_trigger (connection->bev, EV_READ, 0);
+}
+
+static void
+on_parked (evutil_socket_t fd, short what, void *user)
+{
+  DpHttpConnections *connections = user;
+  stop_reading_parked (connections);
+  while (connections->pipelined < PIPELINED_MAX && !g_queue_is_empty (connections->parked))
+    {
+      Connection *connection = g_queue_pop_head (connections->parked);
+      if (is_open (connection))
+        unpark (connections, connection);
+      else
+        g_clear_pointer (&connection->parked, evbuffer_free);
+    }
+}
+
 /* --- limits of all connections --- */
 
 static void
@@ -551,6 +671,12 @@
   Connection *connection = g_hash_table_lookup (connections->by_buffer, input);
   if (connection == NULL || connection->is_rejected || info->n_added == 0)
     return;
+  if (connection->parked != NULL)
+    {
+      evbuffer_add_buffer (connection->parked, input);
+      bufferevent_disable (connection->bev, EV_READ);
+      return;
+    }
   if (connection->state == CONNECTION_IDLE)
     set_state (connections, connection, CONNECTION_RECEIVING_HEAD);
   if (!is_receiving (connection))
@@ -645,6 +771,8 @@
   g_ptr_array_remove (connections->rejected, connection);
   g_ptr_array_remove (connections->closing, connection);
   g_ptr_array_remove (connections->paused, connection);
+  clear_parked (connections, connection);
+  end_pipelined (connections, connection);
   release_request (connections, connection);
   end_tiny_chunks (connections, connection);
   set_held (connections->options.budgets.unread, connection, 0);
@@ -713,7 +841,8 @@
 static DpUsec
 stalled_time (const Connection *connection, DpUsec now)
 {
-  if (is_receiving (connection) && !connection->is_rejected)
+  gboolean is_waiting = is_receiving (connection) || connection->parked != NULL;
+  if (is_waiting && !connection->is_rejected)
     return now - connection->since;
   return connection->unread_since > 0 ? now - connection->unread_since : 0;
 }
@@ -796,6 +925,12 @@
   update_listener (connections);
 }
 
+static void
+on_room (evutil_socket_t fd, short what, void *user)
+{
+  make_room (user);
+}
+
 /* Runs before the loop polls for input again, so that no connection can be closed yet. */
 static void
 on_accepted (evutil_socket_t fd, short what, void *user)
@@ -873,7 +1008,10 @@
   if (busy)
     limit_input (row);
   else
-    bufferevent_setwatermark (row->bev, EV_READ, 0, 0);
+    {
+      end_pipelined (connections, row);
+      bufferevent_setwatermark (row->bev, EV_READ, 0, 0);
+    }
   if (busy)
     set_state (connections, row, CONNECTION_PROCESSING);
   else if (read_ahead == 0)
@@ -882,19 +1020,29 @@
     {
       set_state (connections, row, CONNECTION_RECEIVING_HEAD);
       receive (connections, row, input, read_ahead);
-      if (row->rejection == DP_REASON_NONE)
+      if (row->framing.stage == DP_HTTP_STAGE_COMPLETE)
+        begin_pipelined (connections, row);
+      if (row->rejection == DP_REASON_NONE || row->parked != NULL)
         return;
       g_ptr_array_add (connections->rejected, row);
       event_active (connections->rejected_event, EV_TIMEOUT, 0);
     }
 }
 
+static void
+free_connection (gpointer data)
+{
+  Connection *connection = data;
+  g_clear_pointer (&connection->parked, evbuffer_free);
+  g_free (connection);
+}
+
 DpHttpConnections *
 dp_http_connections_new (const DpHttpConnectionsOptions *options)
 {
   DpHttpConnections *connections = g_new0 (DpHttpConnections, 1);
   connections->options = *options;
-  connections->by_fd = g_hash_table_new_full (g_int_hash, g_int_equal, NULL, g_free);
+  connections->by_fd = g_hash_table_new_full (g_int_hash, g_int_equal, NULL, free_connection);
   connections->by_buffer = g_hash_table_new (NULL, NULL);
   connections->accepted = g_ptr_array_new ();
   connections->linger = dp_http_linger_new (options->base);
@@ -905,6 +1053,10 @@
   connections->closing_event = event_new (options->base, -1, 0, on_closing, connections);
   connections->paused = g_ptr_array_new ();
   connections->paused_event = event_new (options->base, -1, 0, on_pause_end, connections);
+  connections->parked = g_queue_new ();
+  connections->parking = g_ptr_array_new ();
+  connections->parked_event = event_new (options->base, -1, 0, on_parked, connections);
+  connections->room_event = event_new (options->base, -1, 0, on_room, connections);
   connections->sweep = event_new (options->base, -1, EV_PERSIST, on_sweep, connections);
   const struct timeval interval = { .tv_sec = SWEEP_INTERVAL_SECONDS };
   event_add (connections->sweep, &interval);
@@ -920,6 +1072,10 @@
   event_free (connections->rejected_event);
   event_free (connections->closing_event);
   event_free (connections->paused_event);
+  event_free (connections->parked_event);
+  event_free (connections->room_event);
+  g_queue_free (connections->parked);
+  g_ptr_array_unref (connections->parking);
   g_ptr_array_unref (connections->rejected);
   g_ptr_array_unref (connections->closing);
   g_ptr_array_unref (connections->paused);
--- a/net/http_connections.h
+++ b/net/http_connections.h
@@ -76,6 +76,10 @@
                                    struct evhttp_connection *connection,
                                    gboolean busy);
 
+/* The request has its response, which may not have been sent yet. */
+void dp_http_connections_end_request (DpHttpConnections *connections,
+                                      struct evhttp_connection *connection);
+
 /* Checks a request that evhttp has just received in full: returns what is wrong with it, or
  * DP_HTTP_FAULT_NONE and the number of its header fields, behind which trailers follow. */
 DpHttpFault dp_http_connections_check_request (DpHttpConnections *connections,
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -197,6 +197,7 @@
   unwatch_connection (exchange);
   g_hash_table_steal (server->exchanges, exchange);
   g_hash_table_add (server->sending, exchange);
+  dp_http_connections_end_request (server->connections, connection);
   evhttp_request_set_on_complete_cb (request, on_sent, exchange);
   evhttp_connection_set_closecb (connection, on_closed_while_sending, exchange);
   return request;
