--- a/core/dispatcher_rollout.c
+++ b/core/dispatcher_rollout.c
@@ -15,7 +15,8 @@
 static gboolean
 is_new (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
 {
-  return target->version == dp_rollout_version (dispatcher->rollout);
+  /* The version of a target that states none is 0; no order is for that one. */
+  return target->version != 0 && target->version == dp_rollout_version (dispatcher->rollout);
 }
 
 static DpRolloutRequest
--- a/core/rollout/rollout_budget.c
+++ b/core/rollout/rollout_budget.c
@@ -119,9 +119,12 @@
     rollout->is_open = FALSE;
   else if (usable >= pulse_size (rollout))
     rollout->is_open = TRUE;
-  if (!rollout->is_open || (double)rollout->new_version.sent + 1 > limit)
+  /* The caller of a stream that has begun doesn't wait for the next pulse. */
+  gboolean needs_pulse = request != NULL && !request->is_bound;
+  if ((needs_pulse && !rollout->is_open) || (double)rollout->new_version.sent + 1 > limit)
     return FALSE;
-  return request == NULL || dp_rollout_route (rollout, request->route)->allowance >= 1;
+  return request == NULL ? usable >= 1
+                         : dp_rollout_route (rollout, request->route)->allowance >= 1;
 }
 
 double
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -64,6 +64,7 @@
   { "slow and late", FALSE, 0, 0.5, 5, 0.4, 0, -1, 0.01, FALSE, 120 },
   { "under load", FALSE, 0.6, 0, 1, 0, 0.4, -1, 0.01, FALSE, 120 },
   { "on one route", FALSE, 0.5, 0, 1, 0, 0, 2, 0.01, FALSE, 120 },
+  { "a third on one route", FALSE, 0.33, 0, 1, 0, 0, 2, 0.01, FALSE, 250 },
   { "bad on a bad day", FALSE, 0.4, 0, 1, 0, 0, -1, 0.15, FALSE, 120 },
 };
 
@@ -541,6 +542,43 @@
 }
 END_TEST
 
+typedef struct PulseCase
+{
+  const char *name;
+  DpRolloutRequest request;
+  gboolean is_allowed;
+} PulseCase;
+
+static const PulseCase pulse_cases[] = {
+  { "new request", { .route = 1 }, FALSE },
+  { "stream", { .route = 1, .is_retry = TRUE, .is_bound = TRUE }, TRUE },
+  { "stream of a route without allowance",
+    { .route = 2, .is_retry = TRUE, .is_bound = TRUE },
+    FALSE },
+  { "retry", { .route = 1, .is_retry = TRUE }, FALSE },
+};
+
+/* A stream that waited for the next pulse would be given up by its caller. */
+START_TEST (a_stream_goes_on_between_pulses)
+{
+  const PulseCase *row = &pulse_cases[_i];
+  const DpRolloutOptions options = { EXPOSE_SHARE, EXPOSE_SLACK, ROLLBACK_TIME };
+  const DpRolloutOrder order = { .id = 1, .version = 2, .duration = DURATION };
+  const DpRolloutFacts facts
+    = { .old_targets = 3, .new_targets = 3, .old_slots = 3 * SLOTS, .new_slots = 3 * SLOTS };
+  const DpRolloutRequest first = { .route = 1 };
+  DpRollout *rollout = dp_rollout_new (&options, &order, START);
+  DpUsec now = START;
+  for (; now < START + DURATION / 3; now += SEC)
+    dp_rollout_tick (rollout, &facts, now);
+  for (guint i = 0; i < 20; i++)
+    dp_rollout_record_grant (rollout, &first, FALSE, now);
+  ck_assert_msg (dp_rollout_allows (rollout, &row->request, TRUE) == row->is_allowed, "%s",
+                 row->name);
+  dp_rollout_free (rollout);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -549,6 +587,9 @@
   tcase_add_loop_test (verdicts, verdicts_are_right_and_exposure_is_bounded, 0,
                        G_N_ELEMENTS (cases));
   suite_add_tcase (suite, verdicts);
+  TCase *pulses = tcase_create ("pulses");
+  tcase_add_loop_test (pulses, a_stream_goes_on_between_pulses, 0, G_N_ELEMENTS (pulse_cases));
+  suite_add_tcase (suite, pulses);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
   int failed = srunner_ntests_failed (runner);
