core: learn what each target takes well, and use it in the dispatcher

All targets of a pool had a window of slots + 1, although some slow down long before they are full. The owner now keeps measurements of each target by concurrency; a lower limit is tried on clear evidence, kept only if the trial confirms it, and regularly tried higher. The expected time to the first event includes the prompts that a target has not read yet and the wait for a slot.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -53,6 +53,7 @@
   dispatcher->links = dp_dispatch_links_new ();
   dispatcher->other_owners = dp_dispatch_other_owners_new ();
   dp_latency_model_init (&dispatcher->latency_model);
+  dp_capacity_pool_init (&dispatcher->capacity);
   for (guint i = 0; i < DP_URGENCY_LEVELS; i++)
     dispatcher->slot_ms[i] = SLOT_TIME_INITIAL_MS;
   return dispatcher;
@@ -158,6 +159,7 @@
   request->target = target->self;
   request->granted_at = dispatcher->now;
   g_ptr_array_add (target->requests, request);
+  dp_dispatch_capacity_on_assigned (dispatcher, target, request);
   dispatcher->running++;
 }
 
@@ -166,7 +168,10 @@
 {
   DpDispatchTarget *target = dp_table_get (dispatcher->targets, request->target);
   if (target != NULL)
-    g_ptr_array_remove_fast (target->requests, request);
+    {
+      g_ptr_array_remove_fast (target->requests, request);
+      dp_dispatch_capacity_on_released (dispatcher, target, request);
+    }
   dispatcher->running--;
 }
 
@@ -211,9 +216,8 @@
 grant (DpDispatcher *dispatcher, DpDispatchRequest *request, DpDispatchTarget *target)
 {
   dequeue (dispatcher, request);
+  dp_dispatch_capacity_on_grant (dispatcher, target, request);
   dp_dispatch_assign (dispatcher, request, target);
-  request->expected_first_event = dp_latency_model_expected (
-    &dispatcher->latency_model, request->ask.prompt_tokens, target->pace);
   record_session (dispatcher, request, target->name);
   dp_dispatch_record_link_use (dispatcher, &request->ask, target);
   send_grant (dispatcher, request, target);
@@ -356,6 +360,7 @@
     return;
   target->is_suspect = FALSE;
   dp_dispatch_record_link_success (dispatcher, &request->ask, target);
+  dp_dispatch_capacity_on_started (dispatcher, target, request);
 }
 
 static void
@@ -365,9 +370,10 @@
                   const DpGrantDone *done)
 {
   if (done->time_to_first_token > 0 && !request->was_adopted)
-    target->pace
-      = dp_latency_model_update (&dispatcher->latency_model, request->ask.prompt_tokens,
-                                 target->pace, done->time_to_first_token);
+    target->pace = dp_latency_model_update (
+      &dispatcher->latency_model, request->ask.prompt_tokens + request->tokens_ahead,
+      target->pace, dp_dispatch_read_time (dispatcher, request, done->time_to_first_token));
+  dp_dispatch_capacity_on_done (dispatcher, target, request, done);
   if (done->reason != DP_REASON_NONE || request->was_adopted)
     return;
   double *slot_ms = &dispatcher->slot_ms[request->ask.urgency];
@@ -553,6 +559,7 @@
       target->version = row->version;
       target->slots = MAX (row->record.slots, 1);
       target->is_draining = row->record.is_draining;
+      dp_dispatch_set_capacity (dispatcher, target, row);
       dp_dispatch_set_limit (dispatcher, target, row);
     }
   assign_waiting (dispatcher);
@@ -598,6 +605,7 @@
   begin_call (dispatcher, now, outbox);
   dp_dispatch_expire_entries (dispatcher);
   dp_dispatch_check_timeouts (dispatcher);
+  dp_dispatch_update_capacities (dispatcher);
   assign_waiting (dispatcher);
   refuse_timed_out (dispatcher);
   send_adverts (dispatcher);
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -15,6 +15,7 @@
 #pragma once
 
 #include "common/counters.h"
+#include "core/capacity/capacity.h"
 #include "core/directory.h"
 #include "core/message.h"
 
@@ -35,6 +36,7 @@
   DpName pool;
   guint64 seed;
   DpDispatchPolicy policy;
+  DpCapacityMode capacity;
   gboolean is_shared;   /* this VM may own the pool, i.e. dispatch for all VMs */
   DpCounters *counters; /* a reference is taken */
 } DpDispatcherOptions;
--- /dev/null
+++ b/core/dispatcher_capacity.c
@@ -0,0 +1,214 @@
+/* Use of what is learned of each target, see core/capacity/capacity.h: window, expected time to
+ * the first event. Without it (DP_CAPACITY_SLOTS), all targets have the same window. */
+#include "core/dispatcher_private.h"
+
+/* Requests assigned to a target beyond its slots, so that a freed slot is reused at once. */
+#define WINDOW_EXTRA 1
+/* A target with this many unread prompts is not idle before it can get another one. It gets
+ * more only if their first events are expected on time. */
+#define PROMPTS_ENOUGH 2
+/* Tokens of the prompts whose times give the time per token. */
+#define SLOPE_TOKENS 1000
+
+static gboolean
+is_learned (const DpDispatcher *dispatcher)
+{
+  return dispatcher->options.capacity == DP_CAPACITY_LEARNED;
+}
+
+void
+dp_dispatch_set_capacity (DpDispatcher *dispatcher,
+                          DpDispatchTarget *target,
+                          const DpDirectoryRow *row)
+{
+  guint ceiling = target->slots + WINDOW_EXTRA;
+  if (target->capacity == NULL)
+    target->capacity = dp_capacity_new (&dispatcher->capacity, ceiling);
+  else if (target->started != row->record.started)
+    dp_capacity_reset (target->capacity);
+  dp_capacity_set_ceiling (target->capacity, ceiling);
+}
+
+guint
+dp_dispatch_window (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
+{
+  return is_learned (dispatcher) ? dp_capacity_limit (target->capacity)
+                                 : target->slots + WINDOW_EXTRA;
+}
+
+static double
+ms_per_token (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
+{
+  const DpLatencyModel *model = &dispatcher->latency_model;
+  DpUsec time = dp_latency_model_expected (model, SLOPE_TOKENS, target->pace)
+                - dp_latency_model_expected (model, 0, target->pace);
+  return (double)time / (double)DP_USEC_PER_MSEC / SLOPE_TOKENS;
+}
+
+/* Time until a slot is free for the next request. */
+static DpUsec
+expected_slot_wait (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
+{
+  if (target->requests->len < target->slots)
+    return 0;
+  guint behind = target->requests->len - target->slots + 1;
+  double slot_ms = 0;
+  for (guint i = 0; i < target->requests->len; i++)
+    {
+      const DpDispatchRequest *request = g_ptr_array_index (target->requests, i);
+      slot_ms += dispatcher->slot_ms[request->ask.urgency];
+    }
+  slot_ms *= target->pace / target->requests->len;
+  return (DpUsec)(slot_ms * behind / (target->slots + 1) * (double)DP_USEC_PER_MSEC);
+}
+
+DpFirstEventTerms
+dp_dispatch_first_event_terms (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
+{
+  if (!is_learned (dispatcher))
+    return (DpFirstEventTerms){ 0 };
+  double token_ms = ms_per_token (dispatcher, target);
+  return (DpFirstEventTerms){
+    .tokens_ahead = dp_capacity_tokens_ahead (target->capacity, token_ms, dispatcher->now),
+    .slot_wait = expected_slot_wait (dispatcher, target),
+  };
+}
+
+DpUsec
+dp_dispatch_expected_first_event (const DpDispatcher *dispatcher,
+                                  const DpDispatchTarget *target,
+                                  const DpFirstEventTerms *terms,
+                                  guint prompt_tokens)
+{
+  return terms->slot_wait
+         + dp_latency_model_expected (&dispatcher->latency_model,
+                                      prompt_tokens + terms->tokens_ahead, target->pace);
+}
+
+gboolean
+dp_dispatch_has_prompts_enough (const DpDispatcher *dispatcher,
+                                const DpDispatchTarget *target,
+                                const DpFirstEventTerms *terms,
+                                const DpDispatchRequest *request)
+{
+  if (!is_learned (dispatcher) || request->ask.has_begun || request->ask.prompt_tokens == 0
+      || dp_capacity_prompts (target->capacity) < PROMPTS_ENOUGH)
+    return FALSE;
+  DpUsec first
+    = dp_dispatch_expected_first_event (dispatcher, target, terms, request->ask.prompt_tokens);
+  return dispatcher->now + first > request->objective_at;
+}
+
+/* --- requests at targets --- */
+
+static void
+remove_prompt (const DpDispatcher *dispatcher,
+               const DpDispatchTarget *target,
+               DpDispatchRequest *request)
+{
+  if (!request->has_unread_prompt)
+    return;
+  request->has_unread_prompt = FALSE;
+  dp_capacity_remove_prompt (target->capacity, request->ask.prompt_tokens, dispatcher->now);
+}
+
+void
+dp_dispatch_capacity_on_grant (const DpDispatcher *dispatcher,
+                               const DpDispatchTarget *target,
+                               DpDispatchRequest *request)
+{
+  DpFirstEventTerms terms = dp_dispatch_first_event_terms (dispatcher, target);
+  request->tokens_ahead = terms.tokens_ahead;
+  request->expected_first_event
+    = dp_dispatch_expected_first_event (dispatcher, target, &terms, request->ask.prompt_tokens);
+  if (request->ask.prompt_tokens == 0)
+    return;
+  request->has_unread_prompt = TRUE;
+  dp_capacity_add_prompt (target->capacity, request->ask.prompt_tokens, dispatcher->now);
+}
+
+void
+dp_dispatch_capacity_on_assigned (const DpDispatcher *dispatcher,
+                                  const DpDispatchTarget *target,
+                                  DpDispatchRequest *request)
+{
+  guint count = target->requests->len;
+  request->requests_ahead = count > target->slots ? count - target->slots : 0;
+  request->occupancy = dp_capacity_occupancy (target->capacity, dispatcher->now);
+  dp_capacity_set_running (target->capacity, count, dispatcher->now);
+}
+
+void
+dp_dispatch_capacity_on_released (const DpDispatcher *dispatcher,
+                                  const DpDispatchTarget *target,
+                                  DpDispatchRequest *request)
+{
+  remove_prompt (dispatcher, target, request);
+  dp_capacity_set_running (target->capacity, target->requests->len, dispatcher->now);
+  for (guint i = 0; i < target->requests->len; i++)
+    {
+      DpDispatchRequest *other = g_ptr_array_index (target->requests, i);
+      if (other->requests_ahead > 0 && --other->requests_ahead == 0)
+        other->slot_wait = dispatcher->now - other->granted_at;
+    }
+}
+
+void
+dp_dispatch_capacity_on_started (const DpDispatcher *dispatcher,
+                                 const DpDispatchTarget *target,
+                                 DpDispatchRequest *request)
+{
+  remove_prompt (dispatcher, target, request);
+}
+
+/* TRUE if the request was given up because of its target's slowness, or may have been. */
+static gboolean
+was_given_up (DpReason reason)
+{
+  return reason == DP_REASON_CALLER_GONE || reason == DP_REASON_DEADLINE_PASSED
+         || reason == DP_REASON_TARGET_SILENT;
+}
+
+void
+dp_dispatch_capacity_on_done (const DpDispatcher *dispatcher,
+                              const DpDispatchTarget *target,
+                              const DpDispatchRequest *request,
+                              const DpGrantDone *done)
+{
+  gboolean is_complete = done->reason == DP_REASON_NONE;
+  DpUsec time = dispatcher->now - request->granted_at;
+  if (request->was_adopted || time <= 0 || (!is_complete && !was_given_up (done->reason)))
+    return;
+  double area = dp_capacity_occupancy (target->capacity, dispatcher->now) - request->occupancy;
+  const DpCapacitySample sample = { .urgency = request->ask.urgency,
+                                    .prompt_tokens = request->ask.prompt_tokens,
+                                    .running = area / (double)time,
+                                    .sent_at = request->granted_at,
+                                    .duration = done->duration,
+                                    .first_event = done->time_to_first_token,
+                                    .objective = request->ask.objective_left,
+                                    .is_complete = is_complete };
+  dp_capacity_record (target->capacity, &sample, dispatcher->now);
+}
+
+DpUsec
+dp_dispatch_read_time (const DpDispatcher *dispatcher,
+                       const DpDispatchRequest *request,
+                       DpUsec first_event)
+{
+  return is_learned (dispatcher) ? MAX (first_event - request->slot_wait, DP_USEC_PER_MSEC)
+                                 : first_event;
+}
+
+void
+dp_dispatch_update_capacities (DpDispatcher *dispatcher)
+{
+  if (!is_learned (dispatcher))
+    return;
+  for (DpHandle at = dp_table_next (dispatcher->targets, 0); at != 0;
+       at = dp_table_next (dispatcher->targets, at))
+    {
+      const DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
+      dp_capacity_update (target->capacity, dispatcher->now);
+    }
+}
--- a/core/dispatcher_private.h
+++ b/core/dispatcher_private.h
@@ -36,6 +36,7 @@
   guint rejections_max;     /* if brittle */
   DpUsec brittle_observed_at;
   gboolean has_limit_news; /* one of these has changed, and was not announced yet */
+  DpCapacity *capacity;    /* what it takes well */
   guint64 skipped_round;   /* last assign_round in which no waiting request could use it */
 } DpDispatchTarget;
 
@@ -63,6 +64,12 @@
   gboolean started;            /* first event received */
   gboolean was_adopted;        /* known only from an entry's report */
   gboolean was_revoked;        /* the entry was told to end it */
+  /* at its target, see dispatcher_capacity.c */
+  gboolean has_unread_prompt;
+  guint tokens_ahead;   /* of prompts that the target was to read before, when granted */
+  guint requests_ahead; /* that have to end before it gets a slot */
+  DpUsec slot_wait;     /* after granted_at, until it got a slot */
+  double occupancy;     /* see dp_capacity_occupancy(), when granted */
 };
 
 typedef struct DpDispatchEntry
@@ -96,6 +103,7 @@
   GArray *links;        /* between data centres, see dispatcher_links.c */
   guint64 assign_round; /* number of passes over the waiting requests */
   DpLatencyModel latency_model;
+  DpCapacityPool capacity;
   double slot_ms[DP_URGENCY_LEVELS]; /* moving average of the time in a slot, by urgency */
   guint waiting_by_urgency[DP_URGENCY_LEVELS];
   guint running;
@@ -175,6 +183,57 @@
                                      const DpDispatchRequest *request,
                                      const DpGrantDone *done);
 
+/* --- dispatcher_capacity.c: what targets take well --- */
+
+void dp_dispatch_set_capacity (DpDispatcher *dispatcher,
+                               DpDispatchTarget *target,
+                               const DpDirectoryRow *row);
+/* Number of requests that the target may have at a time, limits and failures aside. */
+guint dp_dispatch_window (const DpDispatcher *dispatcher, const DpDispatchTarget *target);
+/* What a new request at the target waits for before its own prompt is read. */
+typedef struct DpFirstEventTerms
+{
+  guint tokens_ahead;
+  DpUsec slot_wait;
+} DpFirstEventTerms;
+
+DpFirstEventTerms dp_dispatch_first_event_terms (const DpDispatcher *dispatcher,
+                                                 const DpDispatchTarget *target);
+DpUsec dp_dispatch_expected_first_event (const DpDispatcher *dispatcher,
+                                         const DpDispatchTarget *target,
+                                         const DpFirstEventTerms *terms,
+                                         guint prompt_tokens);
+/* TRUE if the target has prompts enough to read until it can get another one, and the request
+ * would be late after them. */
+gboolean dp_dispatch_has_prompts_enough (const DpDispatcher *dispatcher,
+                                         const DpDispatchTarget *target,
+                                         const DpFirstEventTerms *terms,
+                                         const DpDispatchRequest *request);
+/* Called when the request is granted (before it is assigned), assigned to the target, has got
+ * its first event, is released from the target, and has ended (before it is released). */
+void dp_dispatch_capacity_on_grant (const DpDispatcher *dispatcher,
+                                    const DpDispatchTarget *target,
+                                    DpDispatchRequest *request);
+void dp_dispatch_capacity_on_assigned (const DpDispatcher *dispatcher,
+                                       const DpDispatchTarget *target,
+                                       DpDispatchRequest *request);
+void dp_dispatch_capacity_on_started (const DpDispatcher *dispatcher,
+                                      const DpDispatchTarget *target,
+                                      DpDispatchRequest *request);
+void dp_dispatch_capacity_on_released (const DpDispatcher *dispatcher,
+                                       const DpDispatchTarget *target,
+                                       DpDispatchRequest *request);
+void dp_dispatch_capacity_on_done (const DpDispatcher *dispatcher,
+                                   const DpDispatchTarget *target,
+                                   const DpDispatchRequest *request,
+                                   const DpGrantDone *done);
+/* Part of the time to the first event for which the request had a slot. */
+DpUsec dp_dispatch_read_time (const DpDispatcher *dispatcher,
+                              const DpDispatchRequest *request,
+                              DpUsec first_event);
+/* Decides about the targets' limits. */
+void dp_dispatch_update_capacities (DpDispatcher *dispatcher);
+
 /* --- dispatcher_links.c: reachability between data centres --- */
 
 GArray *dp_dispatch_links_new (void);
--- a/core/dispatcher_queue.c
+++ b/core/dispatcher_queue.c
@@ -25,12 +25,13 @@
 static guint
 rank (const DpDispatcher *dispatcher,
       const DpDispatchRequest *request,
-      const DpDispatchTarget *target)
+      const DpDispatchTarget *target,
+      const DpFirstEventTerms *terms)
 {
   if (request->ask.has_begun)
     return 0;
-  DpUsec first = dp_latency_model_expected (&dispatcher->latency_model,
-                                            request->ask.prompt_tokens, target->pace);
+  DpUsec first
+    = dp_dispatch_expected_first_event (dispatcher, target, terms, request->ask.prompt_tokens);
   gboolean on_time = dispatcher->now + (DpUsec)((double)first * ON_TIME_MARGIN) + TRANSPORT_USEC
                      <= request->objective_at;
   guint urgency = request->ask.urgency;
@@ -50,12 +51,14 @@
 {
   DpDispatchRequest *best = NULL;
   guint best_rank = G_MAXUINT;
+  DpFirstEventTerms terms = dp_dispatch_first_event_terms (dispatcher, target);
   for (guint i = 0; i < dispatcher->waiting->len; i++)
     {
       DpDispatchRequest *request = g_ptr_array_index (dispatcher->waiting, i);
-      if (!dp_dispatch_may_use (dispatcher, &request->ask, target))
+      if (!dp_dispatch_may_use (dispatcher, &request->ask, target)
+          || dp_dispatch_has_prompts_enough (dispatcher, target, &terms, request))
         continue;
-      guint request_rank = rank (dispatcher, request, target);
+      guint request_rank = rank (dispatcher, request, target, &terms);
       if (best != NULL
           && (request_rank > best_rank
               || (request_rank == best_rank && !precedes (request, best))))
--- a/core/dispatcher_targets.c
+++ b/core/dispatcher_targets.c
@@ -1,8 +1,6 @@
 /* Targets of a pool: capacity, speed, failures and timeouts. */
 #include "core/dispatcher_private.h"
 
-/* Requests assigned to a target beyond its slots, so that a freed slot is reused at once. */
-#define WINDOW_EXTRA 1
 /* Above this failure rate a target gets one request at a time. */
 #define FAILURE_RATE_MAX 0.45
 /* Weight of one outcome in the failure rate. */
@@ -18,6 +16,8 @@
 /* Relative increase of a target's cost when all its slots are used. The higher, the sooner a
  * slower but less loaded target is chosen. */
 #define LOAD_COST 0.5
+/* Prompt length for a choice of target before a choice of request. */
+#define TYPICAL_TOKENS 1000
 
 #define MSEC_PER_SEC 1000.0
 
@@ -35,6 +35,7 @@
   g_clear_pointer (&target->requests, g_ptr_array_unref);
   g_clear_pointer (&target->limiter, g_free);
   g_clear_pointer (&target->brittle, dp_brittle_target_free);
+  g_clear_pointer (&target->capacity, dp_capacity_free);
 }
 
 gboolean
@@ -46,7 +47,7 @@
 guint
 dp_dispatch_free_capacity (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
 {
-  guint window = target->slots + WINDOW_EXTRA;
+  guint window = dp_dispatch_window (dispatcher, target);
   if (!dp_dispatch_is_accepting (dispatcher, target) || dispatcher->now < target->full_until)
     return 0;
   if (target->is_suspect && dispatcher->now < target->next_probe_at)
@@ -92,6 +93,19 @@
          && dispatcher->now - last->used_at < PROMPT_CACHE_AGE_MAX;
 }
 
+/* Relative time to the first event at the target. */
+static double
+base_cost (const DpDispatcher *dispatcher,
+           const DpDispatchTarget *target,
+           const DpDispatchRequest *request)
+{
+  if (dispatcher->options.capacity == DP_CAPACITY_SLOTS)
+    return target->requests->len >= target->slots ? 2 * target->pace : target->pace;
+  DpFirstEventTerms terms = dp_dispatch_first_event_terms (dispatcher, target);
+  guint tokens = request != NULL ? request->ask.prompt_tokens : TYPICAL_TOKENS;
+  return (double)dp_dispatch_expected_first_event (dispatcher, target, &terms, tokens);
+}
+
 /* Lower is better. */
 static double
 cost (const DpDispatcher *dispatcher,
@@ -99,10 +113,8 @@
       const DpDispatchRequest *request)
 {
   double load = (double)target->requests->len / MAX (target->slots, 1);
-  double total_cost
-    = target->pace * (1 + LOAD_COST * load) * (1 + FAILURE_COST * target->failure_rate);
-  if (target->requests->len >= target->slots)
-    total_cost *= 2;
+  double total_cost = base_cost (dispatcher, target, request) * (1 + LOAD_COST * load)
+                      * (1 + FAILURE_COST * target->failure_rate);
   if (has_cached_prompt (dispatcher, target, request))
     total_cost *= 1 - PROMPT_CACHE_GAIN;
   return total_cost;
@@ -137,6 +149,17 @@
   return best;
 }
 
+static gboolean
+may_choose (const DpDispatcher *dispatcher,
+            const DpDispatchRequest *request,
+            const DpDispatchTarget *target)
+{
+  if (!dp_dispatch_may_use (dispatcher, &request->ask, target))
+    return FALSE;
+  DpFirstEventTerms terms = dp_dispatch_first_event_terms (dispatcher, target);
+  return !dp_dispatch_has_prompts_enough (dispatcher, target, &terms, request);
+}
+
 DpDispatchTarget *
 dp_dispatch_choose_target (DpDispatcher *dispatcher, const DpDispatchRequest *request)
 {
@@ -150,7 +173,7 @@
       DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
       if (dp_dispatch_free_capacity (dispatcher, target) == 0)
         continue;
-      if (request != NULL ? !dp_dispatch_may_use (dispatcher, &request->ask, target)
+      if (request != NULL ? !may_choose (dispatcher, request, target)
                           : target->skipped_round == dispatcher->assign_round)
         continue;
       double found_cost = cost (dispatcher, target, request);
@@ -224,11 +247,12 @@
       const DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
       if (!dp_dispatch_is_accepting (dispatcher, target) || target->is_suspect)
         continue;
+      guint target_slots = MIN (target->slots, dp_dispatch_window (dispatcher, target));
       double limit = target->limiter != NULL
                        ? dp_target_limiter_rate (target->limiter, dispatcher->reach) * slot_ms
                            / MSEC_PER_SEC
-                       : target->slots;
-      slots += MIN (target->slots, limit);
+                       : target_slots;
+      slots += MIN (target_slots, limit);
     }
   return slots;
 }
