--- a/core/capacity/capacity.c
+++ b/core/capacity/capacity.c
@@ -7,29 +7,33 @@
 #define SEC DP_USEC_PER_SEC
 
 /* Scores are compared at most this often. */
-#define CHECK_INTERVAL (250 * MSEC)
-/* Measurements at the limit: how recent they are, how many, and over which time at least. Slow
+#define CHECK_INTERVAL (200 * MSEC)
+/* Present measurements: how recent they are, how many, and over which time at least. Slow
  * periods of 0.6 s occur at sound targets. */
-#define RECENT_AGE (3 * SEC)
-#define RECENT_COUNT_MIN 6
-#define RECENT_SPAN_MIN (1200 * MSEC)
-/* The same for measurements at lower concurrency, which may come from the time before a burst.
- */
+#define PRESENT_AGE (8 * SEC)
+#define PRESENT_COUNT_MIN 6
+#define PRESENT_COUNT_MAX 16
+#define PRESENT_SPAN_MIN (1200 * MSEC)
+/* Measurements at lower concurrency, which may come from the time before a burst. */
 #define LOWER_AGE (20 * SEC)
 #define LOWER_COUNT_MIN 5
+/* They can show that the limit should be lower if they were at up to this part of the present
+ * concurrency; closer ones differ too little. */
+#define LOWER_PART_MAX 0.75
 /* Least excess of a lower concurrency's score, and of the measurements during a trial. */
 #define LOWER_GAIN_MIN 0.18
 #define CONFIRM_GAIN_MIN 0.08
 /* Excess must also be this multiple of the standard error. */
 #define CLEAR_ERRORS 2.0
-/* Measurements during a trial. */
-#define TRIAL_COUNT_MIN 5
-#define TRIAL_SPAN_MIN (800 * MSEC)
-#define TRIAL_DURATION_MAX (4 * SEC)
+/* Measurements during a trial: for a clear result, and for any. */
+#define TRIAL_COUNT_CLEAR 4
+#define TRIAL_COUNT_MIN 6
+#define TRIAL_TIME_MIN (800 * MSEC)
+#define TRIAL_DURATION_MAX (6 * SEC)
 /* Loss of score from which a higher limit is given up. */
 #define RAISE_LOSS_MAX 0.08
 /* A lowered limit is tried higher after this time; the interval doubles with each failure. */
-#define RAISE_INTERVAL_MIN (2 * SEC)
+#define RAISE_INTERVAL_MIN (3 * SEC)
 #define RAISE_INTERVAL_MAX (24 * SEC)
 /* After a trial that was not confirmed; doubles too. */
 #define LOWER_INTERVAL_MIN (5 * SEC)
@@ -37,18 +41,29 @@
 /* A lowered limit that isn't reached for this long is raised by one, and again after the same
  * time: what was learned is outdated. */
 #define OUTDATED_AFTER (20 * SEC)
-/* Part of the targets that may have a lower limit on trial at a time. */
+/* While requests have been waiting for this long, a target without a comparison with lower
+ * concurrency for that long may be explored. */
+#define SATURATED_MIN (1500 * MSEC)
+#define COMPARED_AGE_MAX (60 * SEC)
+/* Interval of explorations: it gets shorter after a limit was lowered and longer otherwise. */
+#define EXPLORE_INTERVAL_INITIAL (400 * MSEC)
+#define EXPLORE_INTERVAL_MIN (50 * MSEC)
+#define EXPLORE_INTERVAL_MAX (12800 * MSEC)
+/* Part of the targets that may have a lower limit on trial at a time; half of them after
+ * several confirmations in a row. */
 #define TRIAL_TARGETS_DIVISOR 4
-/* The limit counts as reached until this long after. */
+#define CONFIRMED_MANY 3
+/* The limit counts as reached, and requests as waiting, until this long after. */
 #define BINDING_AGE (500 * MSEC)
 /* Concurrency of a group relative to its limit: averages over a request's time are lower. */
 #define GROUP_BELOW 1.25
-#define GROUP_ABOVE 0.75
+#define GROUP_ABOVE 1.0
+#define GROUP_SLACK 0.25
 
 void
 dp_capacity_pool_init (DpCapacityPool *pool)
 {
-  *pool = (DpCapacityPool){ 0 };
+  *pool = (DpCapacityPool){ .explore_interval = EXPLORE_INTERVAL_INITIAL };
   for (guint i = 0; i < DP_URGENCY_LEVELS; i++)
     dp_latency_model_init (&pool->durations[i]);
 }
@@ -79,6 +94,8 @@
     return;
   end_trial (capacity);
   capacity->pool->targets--;
+  if (capacity->pool->suspect == capacity)
+    capacity->pool->suspect = NULL;
   g_free (capacity);
 }
 
@@ -156,7 +173,7 @@
     capacity->binding_at = now;
 }
 
-/* --- decisions --- */
+/* --- scores --- */
 
 static gboolean
 is_binding (const DpCapacity *capacity, DpUsec now)
@@ -164,12 +181,35 @@
   return capacity->running >= capacity->limit || now - capacity->binding_at < BINDING_AGE;
 }
 
+/* With requests waiting, a target has as many as it may have, even if they are fewer than its
+ * limit: it has prompts enough to read. */
+static gboolean
+is_saturated (const DpCapacity *capacity, DpUsec now)
+{
+  return capacity->running > 1 && now - capacity->demand_at < BINDING_AGE;
+}
+
 static DpCapacityScore
-score_at_limit (const DpCapacity *capacity, DpUsec now)
+score_present (const DpCapacity *capacity, DpUsec now)
 {
-  const DpCapacityGroup group = { .low = capacity->limit - GROUP_BELOW,
-                                  .high = capacity->limit + GROUP_ABOVE,
-                                  .ended_after = now - RECENT_AGE };
+  const DpCapacityGroup group
+    = { .high = G_MAXDOUBLE, .ended_after = now - PRESENT_AGE, .count_max = PRESENT_COUNT_MAX };
+  return dp_capacity_score (capacity, &group);
+}
+
+/* Measurements during the trial, of requests that shared the target with about as many as the
+ * limit on trial, rather than the confirmed one. */
+static DpCapacityScore
+score_trial (const DpCapacity *capacity)
+{
+  double limit = capacity->limit;
+  double middle = (limit + capacity->confirmed) / 2;
+  gboolean is_lower = capacity->limit < capacity->confirmed;
+  const DpCapacityGroup group
+    = { .low = is_lower ? limit - GROUP_BELOW : middle - GROUP_SLACK,
+        .high = is_lower ? MIN (limit + GROUP_ABOVE, middle) : G_MAXDOUBLE,
+        .ended_after = capacity->trial_at,
+        .count_max = DP_CAPACITY_ROWS };
   return dp_capacity_score (capacity, &group);
 }
 
@@ -179,19 +219,24 @@
   return a->value - b->value > MAX (gain, CLEAR_ERRORS * hypot (a->error, b->error));
 }
 
+/* --- trials of a lower limit --- */
+
 /* Returns the lower concurrency with the best score that is clearly better, or 0. */
 static guint
 find_better_limit (DpCapacity *capacity, const DpCapacityScore *present, DpUsec now)
 {
   guint best = 0;
   double best_value = 0;
-  for (guint k = capacity->limit - 1; k >= 1; k--)
+  for (guint k = (guint)(LOWER_PART_MAX * present->running); k >= 1; k--)
     {
-      const DpCapacityGroup group
-        = { .low = k - 1.0, .high = k + 0.25, .ended_after = now - LOWER_AGE };
+      const DpCapacityGroup group = { .low = k - 1.0,
+                                      .high = k + 0.25,
+                                      .ended_after = now - LOWER_AGE,
+                                      .count_max = DP_CAPACITY_ROWS };
       DpCapacityScore score = dp_capacity_score (capacity, &group);
       if (score.count < LOWER_COUNT_MIN)
         continue;
+      capacity->compared_at = now;
       if (!is_clearly_better (&score, present, LOWER_GAIN_MIN))
         continue;
       if (best != 0 && score.value <= best_value)
@@ -202,61 +247,80 @@
   return best;
 }
 
-static gboolean
-try_lower (DpCapacity *capacity, DpUsec now)
+static void
+begin_lowering (DpCapacity *capacity, guint limit, const DpCapacityScore *present, DpUsec now)
 {
-  DpCapacityPool *pool = capacity->pool;
-  if (capacity->limit <= 1 || now < capacity->lower_at || !is_binding (capacity, now)
-      || pool->trials >= MAX (pool->targets / TRIAL_TARGETS_DIVISOR, 1))
-    return FALSE;
-  DpCapacityScore present = score_at_limit (capacity, now);
-  if (present.count < RECENT_COUNT_MIN || present.span < RECENT_SPAN_MIN)
-    return FALSE;
-  guint limit = find_better_limit (capacity, &present, now);
-  if (limit == 0)
-    return FALSE;
   capacity->state = DP_CAPACITY_LOWERING;
-  capacity->reference = present;
+  capacity->reference = *present;
   capacity->trial_at = now;
   capacity->limit = limit;
-  pool->trials++;
-  pool->lowered++;
-  return TRUE;
+  capacity->pool->trials++;
+  capacity->pool->lowered++;
 }
 
 static gboolean
-try_higher (DpCapacity *capacity, DpUsec now)
+has_trials_enough (const DpCapacityPool *pool)
 {
-  if (capacity->limit >= capacity->ceiling || now < capacity->raise_at)
+  guint trials_max = pool->confirmed_in_row >= CONFIRMED_MANY
+                       ? pool->targets / 2
+                       : pool->targets / TRIAL_TARGETS_DIVISOR;
+  return pool->trials >= MAX (trials_max, 1);
+}
+
+/* Proposes the target for exploration if it qualifies and is slower than others that do. */
+static void
+propose (DpCapacity *capacity, const DpCapacityScore *present, DpUsec now)
+{
+  DpCapacityPool *pool = capacity->pool;
+  if (now - capacity->saturated_at < SATURATED_MIN
+      || (capacity->compared_at != 0 && now - capacity->compared_at < COMPARED_AGE_MAX))
+    return;
+  if (pool->suspect != NULL && pool->suspicion >= present->slowness)
+    return;
+  pool->suspect = capacity;
+  pool->suspicion = present->slowness;
+}
+
+void
+dp_capacity_pool_explore (DpCapacityPool *pool, DpUsec now)
+{
+  DpCapacity *capacity = pool->suspect;
+  if (capacity == NULL || now < pool->explore_at || has_trials_enough (pool))
+    return;
+  pool->suspect = NULL;
+  if (capacity->state != DP_CAPACITY_STEADY || !is_saturated (capacity, now))
+    return;
+  DpCapacityScore present = score_present (capacity, now);
+  guint half = MIN (capacity->limit - 1, (guint)ceil (present.running)) / 2;
+  capacity->compared_at = now;
+  begin_lowering (capacity, MAX (half, 1), &present, now);
+  pool->explore_at = now + pool->explore_interval;
+}
+
+static gboolean
+try_lower (DpCapacity *capacity, DpUsec now)
+{
+  if (capacity->limit <= 1 || now < capacity->lower_at || !is_saturated (capacity, now))
     return FALSE;
-  if (!is_binding (capacity, now))
-    {
-      if (now - capacity->binding_at < OUTDATED_AFTER)
-        return FALSE;
-      capacity->binding_at = now;
-      capacity->limit++;
-      capacity->confirmed = capacity->limit;
-      return TRUE;
-    }
-  DpCapacityScore present = score_at_limit (capacity, now);
-  if (present.count < TRIAL_COUNT_MIN)
+  DpCapacityScore present = score_present (capacity, now);
+  if (present.count < PRESENT_COUNT_MIN || present.span < PRESENT_SPAN_MIN)
     return FALSE;
-  capacity->state = DP_CAPACITY_RAISING;
-  capacity->reference = present;
-  capacity->trial_at = now;
-  capacity->limit = MIN (capacity->limit + capacity->raise_step, capacity->ceiling);
+  guint limit = find_better_limit (capacity, &present, now);
+  if (limit == 0)
+    propose (capacity, &present, now);
+  if (limit == 0 || has_trials_enough (capacity->pool))
+    return FALSE;
+  begin_lowering (capacity, limit, &present, now);
   return TRUE;
 }
 
-/* Measurements of requests that were sent during the trial, once there are enough. */
+/* TRUE if there are enough measurements to end the trial whatever they show. */
 static gboolean
-score_trial (const DpCapacity *capacity, DpCapacityScore *score)
+is_complete (const DpCapacity *capacity, const DpCapacityScore *score, DpUsec now)
 {
-  const DpCapacityGroup group = { .low = capacity->limit - GROUP_BELOW,
-                                  .high = capacity->limit + GROUP_ABOVE,
-                                  .sent_after = capacity->trial_at };
-  *score = dp_capacity_score (capacity, &group);
-  return score->count >= TRIAL_COUNT_MIN && score->span >= TRIAL_SPAN_MIN;
+  DpUsec time = now - capacity->trial_at;
+  return time > TRIAL_DURATION_MAX
+         || (score->count >= TRIAL_COUNT_MIN && time >= TRIAL_TIME_MIN);
 }
 
 static void
@@ -266,37 +330,89 @@
   capacity->confirmed = capacity->limit;
 }
 
+static void
+change_explore_interval (DpCapacityPool *pool, double factor)
+{
+  DpUsec interval = (DpUsec)((double)pool->explore_interval * factor);
+  pool->explore_interval = CLAMP (interval, EXPLORE_INTERVAL_MIN, EXPLORE_INTERVAL_MAX);
+}
+
+static void
+confirm_lower (DpCapacity *capacity, DpUsec now)
+{
+  confirm (capacity);
+  capacity->lower_interval = LOWER_INTERVAL_MIN;
+  capacity->raise_interval = RAISE_INTERVAL_MIN;
+  capacity->raise_step = 1;
+  capacity->raise_at = now + capacity->raise_interval;
+  capacity->pool->confirmed_in_row++;
+  change_explore_interval (capacity->pool, 0.25);
+}
+
+static void
+restore (DpCapacity *capacity, DpUsec now)
+{
+  end_trial (capacity);
+  capacity->limit = capacity->confirmed;
+  capacity->lower_at = now + capacity->lower_interval;
+  capacity->lower_interval = MIN (2 * capacity->lower_interval, LOWER_INTERVAL_MAX);
+  capacity->pool->restored++;
+  capacity->pool->confirmed_in_row = 0;
+  change_explore_interval (capacity->pool, 2);
+}
+
 static gboolean
 check_lowering (DpCapacity *capacity, DpUsec now)
 {
-  DpCapacityScore score;
-  gboolean is_judged = score_trial (capacity, &score);
-  if (is_judged && is_clearly_better (&score, &capacity->reference, CONFIRM_GAIN_MIN))
+  DpCapacityScore score = score_trial (capacity);
+  gboolean has_result = score.count >= TRIAL_COUNT_CLEAR;
+  if (has_result && is_clearly_better (&score, &capacity->reference, CONFIRM_GAIN_MIN))
+    confirm_lower (capacity, now);
+  else if ((has_result && is_clearly_better (&capacity->reference, &score, 0))
+           || is_complete (capacity, &score, now))
+    restore (capacity, now);
+  else
+    return FALSE;
+  return TRUE;
+}
+
+/* --- trials of a higher limit --- */
+
+static gboolean
+try_higher (DpCapacity *capacity, DpUsec now)
+{
+  if (capacity->limit >= capacity->ceiling || now < capacity->raise_at)
+    return FALSE;
+  if (!is_binding (capacity, now))
     {
-      confirm (capacity);
-      capacity->lower_interval = LOWER_INTERVAL_MIN;
-      capacity->raise_interval = RAISE_INTERVAL_MIN;
-      capacity->raise_at = now + capacity->raise_interval;
+      if (now - capacity->binding_at < OUTDATED_AFTER)
+        return FALSE;
+      capacity->binding_at = now;
+      capacity->limit++;
+      capacity->confirmed = capacity->limit;
       return TRUE;
     }
-  gboolean is_over = now - capacity->trial_at > TRIAL_DURATION_MAX;
-  gboolean is_worse = is_judged && score.value < capacity->reference.value + CONFIRM_GAIN_MIN;
-  if (!is_over && !is_worse)
+  DpCapacityScore present = score_present (capacity, now);
+  if (present.count < TRIAL_COUNT_CLEAR)
     return FALSE;
-  end_trial (capacity);
-  capacity->limit = capacity->confirmed;
-  capacity->lower_at = now + capacity->lower_interval;
-  capacity->lower_interval = MIN (2 * capacity->lower_interval, LOWER_INTERVAL_MAX);
-  capacity->pool->restored++;
+  capacity->state = DP_CAPACITY_RAISING;
+  capacity->reference = present;
+  capacity->trial_at = now;
+  capacity->limit = MIN (capacity->limit + capacity->raise_step, capacity->ceiling);
   return TRUE;
 }
 
 static gboolean
 check_raising (DpCapacity *capacity, DpUsec now)
 {
-  DpCapacityScore score;
-  gboolean is_judged = score_trial (capacity, &score);
-  if (is_judged && score.value < capacity->reference.value - RAISE_LOSS_MAX)
+  DpCapacityScore score = score_trial (capacity);
+  gboolean has_result = score.count >= TRIAL_COUNT_CLEAR;
+  gboolean is_over = is_complete (capacity, &score, now);
+  gboolean is_worse
+    = has_result
+      && (is_clearly_better (&capacity->reference, &score, RAISE_LOSS_MAX)
+          || (is_over && score.value < capacity->reference.value - RAISE_LOSS_MAX));
+  if (is_worse)
     {
       end_trial (capacity);
       capacity->limit = capacity->confirmed;
@@ -305,7 +421,7 @@
       capacity->raise_at = now + capacity->raise_interval;
       return TRUE;
     }
-  if (!is_judged && now - capacity->trial_at <= TRIAL_DURATION_MAX)
+  if (!is_over)
     return FALSE;
   confirm (capacity);
   capacity->raise_interval = RAISE_INTERVAL_MIN;
@@ -316,8 +432,12 @@
 }
 
 gboolean
-dp_capacity_update (DpCapacity *capacity, DpUsec now)
+dp_capacity_update (DpCapacity *capacity, gboolean has_demand, DpUsec now)
 {
+  if (has_demand && now - capacity->demand_at > BINDING_AGE)
+    capacity->saturated_at = now;
+  if (has_demand)
+    capacity->demand_at = now;
   if (now - capacity->checked_at < CHECK_INTERVAL)
     return FALSE;
   capacity->checked_at = now;
--- a/core/capacity/capacity.h
+++ b/core/capacity/capacity.h
@@ -18,6 +18,8 @@
 #include "core/latency_model.h"
 #include "core/message.h"
 
+typedef struct DpCapacity DpCapacity;
+
 typedef enum DpCapacityMode
 {
   DP_CAPACITY_LEARNED,
@@ -29,16 +31,19 @@
 {
   DpLatencyModel durations[DP_URGENCY_LEVELS]; /* time in a slot by urgency and prompt */
   guint targets;
-  guint trials;  /* targets whose limit is lowered on trial */
+  guint trials;      /* targets whose limit is lowered on trial */
+  DpUsec explore_at; /* no exploration before, see dp_capacity_pool_explore() */
+  DpUsec explore_interval;
+  DpCapacity *suspect; /* the slowest target to explore, found since the last one */
+  double suspicion;
   guint lowered; /* number of limits lowered so far, trials included */
   guint raised;
-  guint restored; /* trials that were not confirmed */
+  guint restored;         /* trials that were not confirmed */
+  guint confirmed_in_row; /* trials that were, since the last that was not */
 } DpCapacityPool;
 
 void dp_capacity_pool_init (DpCapacityPool *pool);
 
-typedef struct DpCapacity DpCapacity;
-
 /* The pool must outlive it. */
 DpCapacity *dp_capacity_new (DpCapacityPool *pool, guint ceiling);
 void dp_capacity_free (DpCapacity *capacity);
@@ -74,8 +79,12 @@
 } DpCapacitySample;
 
 void dp_capacity_record (DpCapacity *capacity, const DpCapacitySample *sample, DpUsec now);
-/* Decides about the limit; to be called regularly. Returns TRUE if it has changed. */
-gboolean dp_capacity_update (DpCapacity *capacity, DpUsec now);
+/* Decides about the limit; to be called regularly. `has_demand`: requests are waiting. Returns
+ * TRUE if the limit has changed. */
+gboolean dp_capacity_update (DpCapacity *capacity, gboolean has_demand, DpUsec now);
+/* Tries a lower limit at one target that has been at its limit for seconds without measurements
+ * at lower concurrency; to be called after all targets' updates. */
+void dp_capacity_pool_explore (DpCapacityPool *pool, DpUsec now);
 
 /* --- prompts: read one after another, in order of arrival --- */
 
--- a/core/capacity/capacity_private.h
+++ b/core/capacity/capacity_private.h
@@ -29,6 +29,8 @@
 typedef struct DpCapacityScore
 {
   guint count;
+  double running;  /* average concurrency */
+  double slowness; /* median time in a slot relative to the pool's, as a logarithm */
   double value;
   double error; /* standard error of `value` */
   DpUsec span;  /* from the first request's start to the last one's end */
@@ -49,9 +51,11 @@
   guint raise_step;
   DpUsec lower_at; /* no trial of a lower limit before */
   DpUsec lower_interval;
-  DpUsec compared_at; /* last comparison with lower concurrency */
-  DpUsec binding_at;  /* last time that the number of requests was at the limit */
-  DpUsec heard_at;    /* for a limit adopted from another owner */
+  DpUsec compared_at;  /* last comparison with lower concurrency */
+  DpUsec binding_at;   /* last time that the number of requests was at the limit */
+  DpUsec demand_at;    /* last time that requests were waiting */
+  DpUsec saturated_at; /* since then they were */
+  DpUsec heard_at;     /* for a limit adopted from another owner */
   /* number of requests at the target */
   guint running;
   double area;
@@ -67,13 +71,14 @@
 };
 
 /* Selects measurements: average concurrency in [low, high], sent at or after `sent_after` and
- * ended at or after `ended_after`. */
+ * ended at or after `ended_after`; the newest `count_max` of them. */
 typedef struct DpCapacityGroup
 {
   double low;
   double high;
   DpUsec sent_after;
   DpUsec ended_after;
+  guint count_max;
 } DpCapacityGroup;
 
 DpCapacityScore dp_capacity_score (const DpCapacity *capacity, const DpCapacityGroup *group);
--- a/core/capacity/capacity_score.c
+++ b/core/capacity/capacity_score.c
@@ -52,9 +52,10 @@
   guint on_time = 0;
   DpUsec first = G_MAXINT64;
   DpUsec last = 0;
-  for (guint i = 0; i < capacity->row_count; i++)
+  for (guint i = 1; i <= capacity->row_count && score.count < group->count_max; i++)
     {
-      const DpCapacityRow *row = &capacity->rows[i];
+      guint index = (capacity->next_row + DP_CAPACITY_ROWS - i) % DP_CAPACITY_ROWS;
+      const DpCapacityRow *row = &capacity->rows[index];
       if (!is_in_group (row, group))
         continue;
       ratios[score.count++] = log_ratio (capacity, row);
@@ -74,8 +75,10 @@
   double share = (on_time + 1.0) / (judged + 1.0 + (judged > on_time));
   double worth = LATE_WORTH + (1 - LATE_WORTH) * share;
   double share_error = (1 - LATE_WORTH) / worth * sqrt (share * (1 - share) / (judged + 1.0));
+  score.running = running / count;
   score.span = last - first;
-  score.value = log (MAX (running / count, 1)) - ratios[score.count / 2] + log (worth);
+  score.slowness = ratios[score.count / 2];
+  score.value = log (MAX (score.running, 1)) - score.slowness + log (worth);
   score.error = hypot (MEDIAN_ERROR * deviation / sqrt (count), share_error);
   return score;
 }
--- a/core/dispatcher_capacity.c
+++ b/core/dispatcher_capacity.c
@@ -209,6 +209,7 @@
        at = dp_table_next (dispatcher->targets, at))
     {
       const DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
-      dp_capacity_update (target->capacity, dispatcher->now);
+      dp_capacity_update (target->capacity, dispatcher->waiting->len > 0, dispatcher->now);
     }
+  dp_capacity_pool_explore (&dispatcher->capacity, dispatcher->now);
 }
