--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -121,7 +121,7 @@
   guint answered;
   guint refused;
   guint rejected;
-  double work; /* engine time of the answered requests at speed 1 and full batches, s */
+  double work; /* done by the engines while there was load, in s at speed 1 */
 } Result;
 
 typedef struct Simulation
@@ -308,10 +308,26 @@
         NULL);
 }
 
+/* Only while there is load: the rest depends on how many requests are left then. */
+static void
+add_work (Simulation *simulation, double ms)
+{
+  if (simulation->now - START <= simulation->scenario->duration)
+    simulation->result.work += ms / 1000;
+}
+
+static void
+read_chunk (Simulation *simulation, Request *request, guint tokens)
+{
+  request->read += tokens;
+  add_work (simulation, tokens / TOKENS_PER_MS);
+}
+
 static void
 write_token (Simulation *simulation, Request *request)
 {
   request->written++;
+  add_work (simulation, STEP_MS / SLOTS);
   if (request->written == MIN (TOKENS_PER_EVENT, request->tokens))
     push (simulation, simulation->now + DELAY, EVENT_FIRST,
           (guint)(request - simulation->requests), NULL);
@@ -330,7 +346,7 @@
       if (request->read == request->prompt_tokens)
         write_token (simulation, request);
       else if (engine->reader == engine->batch[i])
-        request->read += engine->chunk;
+        read_chunk (simulation, request, engine->chunk);
       if (request->written < request->tokens)
         engine->batch[left++] = engine->batch[i];
     }
@@ -393,8 +409,6 @@
 {
   request->stage = STAGE_ENDED;
   simulation->result.answered++;
-  simulation->result.work
-    += request->prompt_tokens / TOKENS_PER_MS / 1000 + request->tokens * STEP_MS / SLOTS / 1000;
   report_done (simulation, request, DP_REASON_NONE);
 }
 
@@ -593,27 +607,27 @@
 {
   Scenario scenario;
   double on_time_min; /* requests whose first event is on time */
-  double work_min;    /* engine time of the answered requests */
+  double work_min;    /* of the engines */
 } LoadCase;
 
-/* Sound engines must not lose throughput; 5% is for answers that would be late, which a target
- * that has prompts enough to read isn't given. */
+/* Sound engines must not lose throughput: 3% is for trials of lower limits within so short a
+ * time, and for answers that would be late, which an engine with prompts enough isn't given. */
 static const LoadCase load_cases[] = {
   { { "sound, half load", 0.5, .duration = 12 * SEC }, 1, 0.99 },
   { { "sound, 0.8", 0.8, .duration = 12 * SEC }, 1, 0.99 },
-  { { "sound, full load", 1, .duration = 12 * SEC }, 1, 0.95 },
-  { { "sound, 2.5", 2.5, .duration = 12 * SEC }, 1, 0.95 },
+  { { "sound, full load", 1, .duration = 12 * SEC }, 1, 0.97 },
+  { { "sound, 2.5", 2.5, .duration = 12 * SEC }, 1, 0.97 },
   { { "slow for 0.6 s at times, half load", 0.5, .noise_factor = 2.5, .duration = 12 * SEC },
     1,
     0.99 },
   { { "slow for 0.6 s at times, full load", 1, .noise_factor = 2.5, .duration = 12 * SEC },
     1,
-    0.95 },
+    0.97 },
   { { "slow for 0.6 s at times, 2.5", 2.5, .noise_factor = 2.5, .duration = 12 * SEC },
     1,
-    0.95 },
-  { { "a burst after half load", 0.5, 2.5, .duration = 12 * SEC }, 1, 0.95 },
-  { { "prompts get longer", 0.8, .prompt_factor = 1.7, .duration = 12 * SEC }, 1, 0.95 },
+    0.97 },
+  { { "a burst after half load", 0.5, 2.5, .duration = 12 * SEC }, 1, 0.97 },
+  { { "prompts get longer", 0.8, .prompt_factor = 1.7, .duration = 12 * SEC }, 1, 0.97 },
   { { "a third slow from half on, half load", 0.5, 0, 3, 3, .duration = 12 * SEC }, 1, 0.99 },
   { { "a third slow from half on, full load", 1, 0, 3, 3, .duration = 24 * SEC }, 1.15, 1 },
   { { "a third slow from half on, 2.5", 2.5, 0, 3, 3, .duration = 24 * SEC }, 1.15, 0.97 },
