--- a/node/node.h
+++ b/node/node.h
@@ -62,8 +62,9 @@
   char *quota_window_s;
   char *quota_slack;
   char *memory_mb;
-  guint16 tunnel_port; /* 0: agent_bus_port + 1 */
-  char *first_start;   /* "true": first start of the whole system, no quota was used before */
+  char *target_capacity; /* "learned" or "slots" */
+  guint16 tunnel_port;   /* 0: agent_bus_port + 1 */
+  char *first_start;     /* "true": first start of the whole system, no quota was used before */
 } DpNodeSettings;
 
 /* Parsed values of DpNodeSettings. */
@@ -88,6 +89,7 @@
   DpUsec quota_window;
   double quota_slack;
   gsize memory_max; /* bytes; 0: no limit known */
+  DpCapacityMode target_capacity;
 } DpNodeParams;
 
 /* Returns FALSE and adds to `diagnostics` if a value is invalid. */
--- a/node/placement.c
+++ b/node/placement.c
@@ -58,6 +58,7 @@
         .seed = node->random,
         .policy = pool->is_shared ? DP_DISPATCH_QUEUE : DP_DISPATCH_TWO_CHOICES,
         .is_shared = pool->is_shared,
+        .capacity = node->params.target_capacity,
         .counters = node->counters };
   pool->dispatcher = dp_dispatcher_new (&options);
   dp_retry_budget_init (&pool->budget, node->params.retry_ratio, node->params.retry_window);
--- a/node/settings.c
+++ b/node/settings.c
@@ -34,6 +34,10 @@
         "MB",
         "memory limit of the process; new requests are refused well below it",
         FALSE),
+  TEXT (target_capacity,
+        "learned|slots",
+        "limit of concurrent requests per target (learned)",
+        FALSE),
   DP_PORT_SETTING ("tunnel_port",
                    DpNodeSettings,
                    tunnel_port,
@@ -96,6 +100,17 @@
   return fallback;
 }
 
+static DpCapacityMode
+read_target_capacity (const char *text, DpDiagnostics *diagnostics)
+{
+  if (g_strcmp0 (text, "slots") == 0)
+    return DP_CAPACITY_SLOTS;
+  if (text != NULL && text[0] != '\0' && strcmp (text, "learned") != 0)
+    dp_diagnostics_add (diagnostics, "settings", 0, "target_capacity",
+                        "must be \"learned\" or \"slots\", not \"%s\"", text);
+  return DP_CAPACITY_LEARNED;
+}
+
 static void
 share_descriptors (DpNodeParams *params, double descriptors_max)
 {
@@ -156,5 +171,6 @@
   params->quota_slack = read_number ("quota_slack", settings->quota_slack, 0, diagnostics);
   double memory_mb = read_number ("memory_mb", settings->memory_mb, 0, diagnostics);
   params->memory_max = (gsize)(memory_mb * BYTES_PER_MB);
+  params->target_capacity = read_target_capacity (settings->target_capacity, diagnostics);
   return dp_diagnostics_count (diagnostics) == 0;
 }
