core: learn capacities only where the owner assigns all requests

A VM that places requests for itself (two choices) doesn't know what else runs at a target. Estimates there are as before.

dispatcher, target_limits, brittle_targets, overload, net_codec, net_frames and capacity pass.

--- a/core/dispatcher_capacity.c
+++ b/core/dispatcher_capacity.c
@@ -10,10 +10,12 @@
 /* Tokens of the prompts whose times give the time per token. */
 #define SLOPE_TOKENS 1000
 
-static gboolean
-is_learned (const DpDispatcher *dispatcher)
+/* A VM that places requests for itself knows too little of what runs at a target. */
+gboolean
+dp_dispatch_learns_capacity (const DpDispatcher *dispatcher)
 {
-  return dispatcher->options.capacity == DP_CAPACITY_LEARNED;
+  return dispatcher->options.capacity == DP_CAPACITY_LEARNED
+         && dispatcher->options.policy == DP_DISPATCH_QUEUE;
 }
 
 void
@@ -32,8 +34,8 @@
 guint
 dp_dispatch_window (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
 {
-  return is_learned (dispatcher) ? dp_capacity_limit (target->capacity)
-                                 : target->slots + WINDOW_EXTRA;
+  return dp_dispatch_learns_capacity (dispatcher) ? dp_capacity_limit (target->capacity)
+                                                  : target->slots + WINDOW_EXTRA;
 }
 
 static double
@@ -65,7 +67,7 @@
 DpFirstEventTerms
 dp_dispatch_first_event_terms (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
 {
-  if (!is_learned (dispatcher))
+  if (!dp_dispatch_learns_capacity (dispatcher))
     return (DpFirstEventTerms){ 0 };
   double token_ms = ms_per_token (dispatcher, target);
   return (DpFirstEventTerms){
@@ -91,7 +93,8 @@
                                 const DpFirstEventTerms *terms,
                                 const DpDispatchRequest *request)
 {
-  if (!is_learned (dispatcher) || request->ask.has_begun || request->ask.prompt_tokens == 0
+  if (!dp_dispatch_learns_capacity (dispatcher) || request->ask.has_begun
+      || request->ask.prompt_tokens == 0
       || dp_capacity_prompts (target->capacity) < PROMPTS_ENOUGH)
     return FALSE;
   DpUsec first
@@ -196,14 +199,15 @@
                        const DpDispatchRequest *request,
                        DpUsec first_event)
 {
-  return is_learned (dispatcher) ? MAX (first_event - request->slot_wait, DP_USEC_PER_MSEC)
-                                 : first_event;
+  return dp_dispatch_learns_capacity (dispatcher)
+           ? MAX (first_event - request->slot_wait, DP_USEC_PER_MSEC)
+           : first_event;
 }
 
 void
 dp_dispatch_update_capacities (DpDispatcher *dispatcher)
 {
-  if (!is_learned (dispatcher))
+  if (!dp_dispatch_learns_capacity (dispatcher))
     return;
   for (DpHandle at = dp_table_next (dispatcher->targets, 0); at != 0;
        at = dp_table_next (dispatcher->targets, at))
--- a/core/dispatcher_private.h
+++ b/core/dispatcher_private.h
@@ -185,6 +185,7 @@
 
 /* --- dispatcher_capacity.c: what targets take well --- */
 
+gboolean dp_dispatch_learns_capacity (const DpDispatcher *dispatcher);
 void dp_dispatch_set_capacity (DpDispatcher *dispatcher,
                                DpDispatchTarget *target,
                                const DpDirectoryRow *row);
