core: hold prompts back only while the target has enough to read

Two unread prompts held a target back even if they were short, and late requests of a kind with short prompts and long answers then waited in vain beside free slots. The prompts must now also take the 32 ms to read that it takes to learn of a first event and to send another request.

--- a/core/dispatcher_capacity.c
+++ b/core/dispatcher_capacity.c
@@ -4,9 +4,11 @@
 
 /* Requests assigned to a target beyond its slots, so that a freed slot is reused at once. */
 #define WINDOW_EXTRA 1
-/* A target with this many unread prompts is not idle before it can get another one. It gets
- * more only if their first events are expected on time. */
+/* A target with this many unread prompts, and this time to read them, is not idle before it can
+ * get another one: a first event reaches the owner, and a grant the target, in about 16 ms each.
+ * It gets more only if their first events are expected on time. */
 #define PROMPTS_ENOUGH 2
+#define READING_ENOUGH_MS 32
 /* Tokens of the prompts whose times give the time per token. */
 #define SLOPE_TOKENS 1000
 
@@ -95,7 +97,8 @@
 {
   if (!dp_dispatch_learns_capacity (dispatcher) || request->ask.has_begun
       || request->ask.prompt_tokens == 0
-      || dp_capacity_prompts (target->capacity) < PROMPTS_ENOUGH)
+      || dp_capacity_prompts (target->capacity) < PROMPTS_ENOUGH
+      || terms->tokens_ahead * ms_per_token (dispatcher, target) < READING_ENOUGH_MS)
     return FALSE;
   DpUsec first
     = dp_dispatch_expected_first_event (dispatcher, target, terms, request->ask.prompt_tokens);
