core, net: owners announce what they have learned of targets

A new owner started each target at slots + 1. The owner now announces the limits that differ from the default to all VMs (target_capacity), changes at most once in two seconds and all of them every six, with the age of the last measurement. A limit that is back at the default is announced once. A VM that is not the owner begins with what it heard, until it is 20 s old; an owner takes it only for targets that it has not measured. Rows out of range, of unknown targets or of another start of a target are counted and ignored, the others of the message count.

--- a/core/capacity/capacity.c
+++ b/core/capacity/capacity.c
@@ -109,6 +109,7 @@
   capacity->raise_step = 1;
   capacity->lower_at = 0;
   capacity->lower_interval = LOWER_INTERVAL_MIN;
+  capacity->measured_at = 0;
   capacity->row_count = 0;
   capacity->next_row = 0;
 }
@@ -149,12 +150,30 @@
   end_trial (capacity);
   capacity->limit = limit;
   capacity->confirmed = limit;
-  capacity->heard_at = now - age;
+  capacity->measured_at = now - age;
   capacity->binding_at = now - age;
   capacity->raise_at = now + RAISE_INTERVAL_MIN;
   return TRUE;
 }
 
+gboolean
+dp_capacity_is_measured (const DpCapacity *capacity)
+{
+  return capacity->row_count > 0;
+}
+
+DpUsec
+dp_capacity_age (const DpCapacity *capacity, DpUsec now)
+{
+  return capacity->measured_at != 0 ? MAX (now - capacity->measured_at, 0) : G_MAXINT64;
+}
+
+gboolean
+dp_capacity_is_outdated (const DpCapacity *capacity, DpUsec now)
+{
+  return dp_capacity_age (capacity, now) > OUTDATED_AFTER;
+}
+
 /* --- number of requests at the target --- */
 
 double
--- a/core/capacity/capacity.h
+++ b/core/capacity/capacity.h
@@ -57,8 +57,14 @@
 /* Limit to announce to other VMs: the last confirmed one. */
 guint dp_capacity_confirmed_limit (const DpCapacity *capacity);
 /* Begins with a limit that another owner learned this long ago; it is checked like one that was
- * lowered here. Out of range: no effect, returns FALSE. */
+ * lowered here. Out of range or outdated: no effect, returns FALSE. */
 gboolean dp_capacity_adopt (DpCapacity *capacity, guint limit, DpUsec age, DpUsec now);
+/* TRUE if there are measurements of this owner's own requests. */
+gboolean dp_capacity_is_measured (const DpCapacity *capacity);
+/* Time since the last measurement; G_MAXINT64: none. */
+DpUsec dp_capacity_age (const DpCapacity *capacity, DpUsec now);
+/* TRUE if that is too long ago to begin with the limit. */
+gboolean dp_capacity_is_outdated (const DpCapacity *capacity, DpUsec now);
 
 /* The number of requests at the target has changed to this. */
 void dp_capacity_set_running (DpCapacity *capacity, guint running, DpUsec now);
--- a/core/capacity/capacity_private.h
+++ b/core/capacity/capacity_private.h
@@ -55,7 +55,7 @@
   DpUsec binding_at;   /* last time that the number of requests was at the limit */
   DpUsec demand_at;    /* last time that requests were waiting */
   DpUsec saturated_at; /* since then they were */
-  DpUsec heard_at;     /* for a limit adopted from another owner */
+  DpUsec measured_at;  /* last measurement, or that of the owner whose limit was adopted */
   /* number of requests at the target */
   guint running;
   double area;
--- a/core/capacity/capacity_score.c
+++ b/core/capacity/capacity_score.c
@@ -106,6 +106,7 @@
     .sent_at = sample->sent_at,
     .duration = MIN (sample->duration, MAX (now - sample->sent_at, 1)),
   };
+  capacity->measured_at = now;
   capacity->next_row = (capacity->next_row + 1) % DP_CAPACITY_ROWS;
   capacity->row_count = MIN (capacity->row_count + 1, DP_CAPACITY_ROWS);
 }
--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -487,6 +487,9 @@
       else
         dp_dispatch_on_limit_report (dispatcher);
       break;
+    case DP_MESSAGE_TARGET_CAPACITY:
+      dp_dispatch_on_capacities (dispatcher, from, &message->target_capacity);
+      break;
     case DP_MESSAGE_TARGET_SENT:
       dp_dispatch_apply_sent (dispatcher, &message->target_sent);
       break;
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -71,8 +71,8 @@
 void dp_dispatcher_set_reach (DpDispatcher *dispatcher, double fraction);
 
 /* Handles GRANT_ASK, GRANT_PROGRESS, GRANT_DONE, GRANT_HELD, TARGET_LIMITS (reports, and
- * announcements of other owners) or TARGET_SENT from VM `from`. The limits themselves come from
- * the directory. Other types are ignored. */
+ * announcements of other owners), TARGET_SENT or TARGET_CAPACITY from VM `from`. Stated limits
+ * themselves come from the directory. Other types are ignored. */
 void dp_dispatcher_receive (
   DpDispatcher *dispatcher, DpName from, const DpMessage *message, DpUsec now, GArray *outbox);
 
@@ -92,3 +92,31 @@
 } DpDispatcherStatus;
 
 DpDispatcherStatus dp_dispatcher_status (const DpDispatcher *dispatcher);
+
+/* Limits of concurrent requests that were learned, of targets that are not stopping. */
+typedef struct DpCapacityStatus
+{
+  gboolean is_deciding; /* this dispatcher learns them: it assigns the pool's requests */
+  guint targets;
+  guint lowered; /* targets whose limit is below slots plus one */
+  guint lowest;
+  guint median;
+  guint highest;
+  DpName lowest_target;
+  DpUsec lowest_age; /* time since its last measurement; G_MAXINT64: none */
+  guint changes;     /* of all limits so far, trials included */
+} DpCapacityStatus;
+
+DpCapacityStatus dp_dispatcher_capacity_status (const DpDispatcher *dispatcher);
+
+/* The last row of an announcement of learned limits that could not be used. */
+typedef struct DpIgnoredCapacity
+{
+  guint count; /* so far; 0: the other members are not set */
+  DpName from;
+  DpName target;
+  guint limit;
+  const char *problem;
+} DpIgnoredCapacity;
+
+DpIgnoredCapacity dp_dispatcher_ignored_capacity (const DpDispatcher *dispatcher);
--- a/core/dispatcher_capacity.c
+++ b/core/dispatcher_capacity.c
@@ -5,10 +5,15 @@
 /* Requests assigned to a target beyond its slots, so that a freed slot is reused at once. */
 #define WINDOW_EXTRA 1
 /* A target with this many unread prompts, and this time to read them, is not idle before it can
- * get another one: a first event reaches the owner, and a grant the target, in about 16 ms each.
- * It gets more only if their first events are expected on time. */
+ * get another one: a first event reaches the owner, and a grant the target, in about 16 ms
+ * each. It gets more only if their first events are expected on time. */
 #define PROMPTS_ENOUGH 2
 #define READING_ENOUGH_MS 32
+/* Least interval of announcements of learned limits. */
+#define ANNOUNCE_INTERVAL (2 * DP_USEC_PER_SEC)
+/* Limits that haven't changed are repeated, for VMs that missed them or have just started.
+ * Three repetitions fit into the time after which they are outdated. */
+#define REPEAT_INTERVAL (6 * DP_USEC_PER_SEC)
 /* Tokens of the prompts whose times give the time per token. */
 #define SLOPE_TOKENS 1000
 
@@ -207,11 +212,144 @@
            : first_event;
 }
 
+/* --- announcements --- */
+
+static gboolean
+is_deciding (const DpDispatcher *dispatcher)
+{
+  return dp_dispatch_learns_capacity (dispatcher)
+         && (!dispatcher->options.is_shared || dp_dispatch_is_owner (dispatcher));
+}
+
+static void
+append_limit (DpDispatcher *dispatcher, DpMessage **message, DpDispatchTarget *target)
+{
+  if (*message == NULL || (*message)->target_capacity.count == DP_CAPACITY_LIMITS_MAX)
+    {
+      *message = dp_dispatch_send (dispatcher, DP_DISPATCH_ALL_VMS, DP_MESSAGE_TARGET_CAPACITY);
+      (*message)->target_capacity.pool = dispatcher->options.pool;
+    }
+  target->announced_limit = dp_capacity_confirmed_limit (target->capacity);
+  DpTargetCapacity *limits = &(*message)->target_capacity;
+  limits->rows[limits->count++]
+    = (DpCapacityLimit){ .target = target->name,
+                         .started = target->started,
+                         .limit = target->announced_limit,
+                         .age = dp_capacity_age (target->capacity, dispatcher->now) };
+}
+
+/* A limit that is back at the default is announced once: those that miss it forget the lower
+ * one when it is outdated. */
+static gboolean
+has_news (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
+{
+  guint limit = dp_capacity_confirmed_limit (target->capacity);
+  guint known
+    = target->announced_limit != 0 ? target->announced_limit : target->slots + WINDOW_EXTRA;
+  return limit != known && !dp_capacity_is_outdated (target->capacity, dispatcher->now);
+}
+
+static gboolean
+is_worth_repeating (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
+{
+  return dp_capacity_confirmed_limit (target->capacity) < target->slots + WINDOW_EXTRA
+         && !dp_capacity_is_outdated (target->capacity, dispatcher->now);
+}
+
+static void
+announce (DpDispatcher *dispatcher)
+{
+  DpUsec now = dispatcher->now;
+  if (!dispatcher->options.is_shared
+      || now - dispatcher->capacities_announced_at < ANNOUNCE_INTERVAL)
+    return;
+  gboolean all = now - dispatcher->all_capacities_announced_at >= REPEAT_INTERVAL;
+  DpMessage *message = NULL;
+  for (DpHandle at = dp_table_next (dispatcher->targets, 0); at != 0;
+       at = dp_table_next (dispatcher->targets, at))
+    {
+      DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
+      if (has_news (dispatcher, target) || (all && is_worth_repeating (dispatcher, target)))
+        append_limit (dispatcher, &message, target);
+    }
+  if (message != NULL)
+    dispatcher->capacities_announced_at = now;
+  if (all)
+    dispatcher->all_capacities_announced_at = now;
+}
+
+/* Returns why the row can't be used; NULL: it can. */
+static const char *
+find_problem (const DpDispatcher *dispatcher,
+              const DpDispatchTarget *target,
+              const DpCapacityLimit *row)
+{
+  if (target == NULL)
+    return "unknown_target";
+  if (target->started != row->started)
+    return "other_incarnation";
+  if (row->limit < 1 || row->limit > target->slots + WINDOW_EXTRA)
+    return "out_of_range";
+  return NULL;
+}
+
+static void
+ignore (DpDispatcher *dispatcher, DpName from, const DpCapacityLimit *row, const char *problem)
+{
+  guint count = dispatcher->ignored.count + 1;
+  dispatcher->ignored = (DpIgnoredCapacity){
+    .count = count, .from = from, .target = row->target, .limit = row->limit, .problem = problem
+  };
+  dp_counters_add (dispatcher->options.counters, "dogwoodplank_ignored_capacities_total",
+                   "problem", problem, 1);
+}
+
 void
-dp_dispatch_update_capacities (DpDispatcher *dispatcher)
+dp_dispatch_on_capacities (DpDispatcher *dispatcher,
+                           DpName from,
+                           const DpTargetCapacity *message)
 {
-  if (!dp_dispatch_learns_capacity (dispatcher))
+  if (!dp_dispatch_learns_capacity (dispatcher) || from == dispatcher->options.self)
     return;
+  gboolean is_owner = dp_dispatch_is_owner (dispatcher);
+  for (guint i = 0; i < MIN (message->count, DP_CAPACITY_LIMITS_MAX); i++)
+    {
+      const DpCapacityLimit *row = &message->rows[i];
+      const DpDispatchTarget *target = dp_dispatch_find_target (dispatcher, row->target);
+      const char *problem = find_problem (dispatcher, target, row);
+      if (problem != NULL)
+        ignore (dispatcher, from, row, problem);
+      /* Two owners each learn from their own requests. */
+      else if (!is_owner || !dp_capacity_is_measured (target->capacity))
+        dp_capacity_adopt (target->capacity, row->limit, row->age, dispatcher->now);
+    }
+}
+
+DpIgnoredCapacity
+dp_dispatcher_ignored_capacity (const DpDispatcher *dispatcher)
+{
+  return dispatcher->ignored;
+}
+
+/* --- decisions --- */
+
+/* A VM that has not been the owner for long no longer knows what targets take. */
+static void
+forget_outdated (const DpDispatcher *dispatcher)
+{
+  for (DpHandle at = dp_table_next (dispatcher->targets, 0); at != 0;
+       at = dp_table_next (dispatcher->targets, at))
+    {
+      const DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
+      if (dp_capacity_is_lowered (target->capacity)
+          && dp_capacity_is_outdated (target->capacity, dispatcher->now))
+        dp_capacity_reset (target->capacity);
+    }
+}
+
+static void
+decide (DpDispatcher *dispatcher)
+{
   for (DpHandle at = dp_table_next (dispatcher->targets, 0); at != 0;
        at = dp_table_next (dispatcher->targets, at))
     {
@@ -220,3 +358,60 @@
     }
   dp_capacity_pool_explore (&dispatcher->capacity, dispatcher->now);
 }
+
+void
+dp_dispatch_update_capacities (DpDispatcher *dispatcher)
+{
+  if (!dp_dispatch_learns_capacity (dispatcher))
+    return;
+  if (!is_deciding (dispatcher))
+    {
+      forget_outdated (dispatcher);
+      return;
+    }
+  decide (dispatcher);
+  announce (dispatcher);
+}
+
+/* --- status --- */
+
+static int
+compare_guints (gconstpointer a, gconstpointer b)
+{
+  guint x = *(const guint *)a;
+  guint y = *(const guint *)b;
+  return (x > y) - (x < y);
+}
+
+DpCapacityStatus
+dp_dispatcher_capacity_status (const DpDispatcher *dispatcher)
+{
+  const DpCapacityPool *pool = &dispatcher->capacity;
+  DpCapacityStatus status = { .is_deciding = is_deciding (dispatcher),
+                              .changes = pool->lowered + pool->raised + pool->restored };
+  GArray *limits = g_array_new (FALSE, FALSE, sizeof (guint));
+  for (DpHandle at = dp_table_next (dispatcher->targets, 0); at != 0;
+       at = dp_table_next (dispatcher->targets, at))
+    {
+      const DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
+      if (target->is_draining)
+        continue;
+      guint limit = dp_dispatch_window (dispatcher, target);
+      g_array_append_val (limits, limit);
+      status.lowered += limit < target->slots + WINDOW_EXTRA;
+      if (status.lowest != 0 && limit >= status.lowest)
+        continue;
+      status.lowest = limit;
+      status.lowest_target = target->name;
+      status.lowest_age = dp_capacity_age (target->capacity, dispatcher->now);
+    }
+  g_array_sort (limits, compare_guints);
+  status.targets = limits->len;
+  if (limits->len > 0)
+    {
+      status.median = g_array_index (limits, guint, limits->len / 2);
+      status.highest = g_array_index (limits, guint, limits->len - 1);
+    }
+  g_array_unref (limits);
+  return status;
+}
--- a/core/dispatcher_limits.c
+++ b/core/dispatcher_limits.c
@@ -36,9 +36,8 @@
   return g_array_new (FALSE, FALSE, sizeof (OtherOwner));
 }
 
-/* TRUE if VMs lately used this dispatcher as the pool's owner. */
-static gboolean
-is_owner (const DpDispatcher *dispatcher)
+gboolean
+dp_dispatch_is_owner (const DpDispatcher *dispatcher)
 {
   return dispatcher->options.is_shared && dispatcher->asked_at != 0
          && dispatcher->now - dispatcher->asked_at < DP_LIMIT_WINDOW;
@@ -158,7 +157,7 @@
 void
 dp_dispatch_record_use_as_owner (DpDispatcher *dispatcher)
 {
-  gboolean was_owner = is_owner (dispatcher);
+  gboolean was_owner = dp_dispatch_is_owner (dispatcher);
   dispatcher->asked_at = dispatcher->now;
   if (was_owner || dispatcher->limited + dispatcher->brittle == 0)
     return;
@@ -183,7 +182,7 @@
 void
 dp_dispatch_announce_limits (DpDispatcher *dispatcher)
 {
-  if (!is_owner (dispatcher))
+  if (!dp_dispatch_is_owner (dispatcher))
     return;
   DpUsec interval = dispatcher->was_limit_reported ? REPORTED_INTERVAL : ANNOUNCE_INTERVAL;
   gboolean is_due = dispatcher->limited + dispatcher->brittle > 0
--- a/core/dispatcher_private.h
+++ b/core/dispatcher_private.h
@@ -38,6 +38,7 @@
   DpUsec brittle_observed_at;
   gboolean has_limit_news; /* one of these has changed, and was not announced yet */
   DpCapacity *capacity;    /* what it takes well */
+  guint announced_limit;   /* last announced; 0: none */
   guint64 skipped_round;   /* last assign_round in which no waiting request could use it */
 } DpDispatchTarget;
 
@@ -106,6 +107,9 @@
   guint64 assign_round; /* number of passes over the waiting requests */
   DpLatencyModel latency_model;
   DpCapacityPool capacity;
+  DpUsec capacities_announced_at; /* changes, or all that differ from the default */
+  DpUsec all_capacities_announced_at;
+  DpIgnoredCapacity ignored;         /* last bad row of an announcement */
   double slot_ms[DP_URGENCY_LEVELS]; /* moving average of the time in a slot, by urgency */
   guint waiting_by_urgency[DP_URGENCY_LEVELS];
   DpUsec late_granted_at[DP_URGENCY_LEVELS]; /* last grant to a request that was late by then */
@@ -189,6 +193,9 @@
                                      const DpDispatchRequest *request,
                                      const DpGrantDone *done);
 
+/* TRUE if VMs lately used this dispatcher as the pool's owner. */
+gboolean dp_dispatch_is_owner (const DpDispatcher *dispatcher);
+
 /* --- dispatcher_capacity.c: what targets take well --- */
 
 gboolean dp_dispatch_learns_capacity (const DpDispatcher *dispatcher);
@@ -238,8 +245,12 @@
 DpUsec dp_dispatch_read_time (const DpDispatcher *dispatcher,
                               const DpDispatchRequest *request,
                               DpUsec first_event);
-/* Decides about the targets' limits. */
+/* Decides about the targets' limits, and announces them. */
 void dp_dispatch_update_capacities (DpDispatcher *dispatcher);
+/* Another owner has announced what it learned. */
+void dp_dispatch_on_capacities (DpDispatcher *dispatcher,
+                                DpName from,
+                                const DpTargetCapacity *message);
 
 /* --- dispatcher_links.c: reachability between data centres --- */
 
--- a/core/message.h
+++ b/core/message.h
@@ -25,6 +25,8 @@
 #define DP_URGENCY_LEVELS 32
 /* Rows per DpTargetLimits message. */
 #define DP_LIMIT_ROWS_MAX 64
+/* Rows per DpTargetCapacity message. */
+#define DP_CAPACITY_LIMITS_MAX 64
 /* Slots per DpTargetSent. */
 #define DP_SENT_SLOTS_MAX 20
 /* Slots per DpUseReport. */
@@ -103,6 +105,8 @@
   DP_MESSAGE_STREAM_VERSION_ASK,
   /* node -> gateway that carried a target's response */
   DP_MESSAGE_TARGET_PAUSED,
+  /* owner of a pool -> all nodes */
+  DP_MESSAGE_TARGET_CAPACITY,
   DP_MESSAGE_COUNT,
 } DpMessageType;
 
@@ -492,6 +496,23 @@
   guint slots[DP_SENT_SLOTS_MAX]; /* newest first */
 } DpTargetSent;
 
+typedef struct DpCapacityLimit
+{
+  DpName target;
+  guint64 started; /* start of the target's incarnation, Unix milliseconds */
+  guint limit;     /* of concurrent requests, from 1 to the target's slots plus one */
+  DpUsec age;      /* time since the last measurement */
+} DpCapacityLimit;
+
+/* What a pool's owner has learned of targets that take less than their slots, or whose limit
+ * has changed, see core/capacity/capacity.h. The others of the pool are as they were. */
+typedef struct DpTargetCapacity
+{
+  DpName pool;
+  guint count;
+  DpCapacityLimit rows[DP_CAPACITY_LIMITS_MAX];
+} DpTargetCapacity;
+
 typedef struct DpMessage
 {
   DpMessageType type;
@@ -527,6 +548,7 @@
     DpTargetPaused target_paused;
     DpTargetLimits target_limits;
     DpTargetSent target_sent;
+    DpTargetCapacity target_capacity;
     DpTargetsAsk targets_ask;
     DpTargetRows targets;
     DpRelay relay;
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -371,6 +371,25 @@
                 NULL),
 };
 
+static const DpField capacity_limit_fields[] = {
+  UINT64 (1, DpCapacityLimit, target),
+  UINT64 (2, DpCapacityLimit, started),
+  UINT (3, DpCapacityLimit, limit, G_MAXUINT),
+  USEC (4, DpCapacityLimit, age),
+};
+static const DpFieldTable capacity_limit_table = TABLE (DpCapacityLimit, capacity_limit_fields);
+
+static const DpField target_capacity_fields[] = {
+  UINT64 (1, DpMessage, target_capacity.pool),
+  INLINE_ARRAY (2,
+                DP_FIELD_STRUCTS,
+                DpMessage,
+                target_capacity.rows,
+                target_capacity.count,
+                DP_CAPACITY_LIMITS_MAX,
+                &capacity_limit_table),
+};
+
 static const DpField target_leaving_fields[] = {
   UINT64 (1, DpMessage, target_leaving.target),
   UINT64 (2, DpMessage, target_leaving.pool),
@@ -452,6 +471,7 @@
   [DP_MESSAGE_TARGET_PAUSED] = TABLE (DpMessage, target_paused_fields),
   [DP_MESSAGE_TARGET_LIMITS] = TABLE (DpMessage, target_limits_fields),
   [DP_MESSAGE_TARGET_SENT] = TABLE (DpMessage, target_sent_fields),
+  [DP_MESSAGE_TARGET_CAPACITY] = TABLE (DpMessage, target_capacity_fields),
 };
 
 const DpFieldTable *
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -186,6 +186,10 @@
     case DP_MESSAGE_TARGET_SENT:
       message.target_sent = (DpTargetSent){ 1, 2, 3, 3, { 4, 5, 6 } };
       break;
+    case DP_MESSAGE_TARGET_CAPACITY:
+      message.target_capacity
+        = (DpTargetCapacity){ 1, 2, { { 2, 3, 4, 5 }, { 6, 7, G_MAXUINT, 0 } } };
+      break;
     case DP_MESSAGE_TARGETS_ASK:
       message.targets_ask = (DpTargetsAsk){ 1 };
       break;
