net: log line for messages that can't be read

They were only counted. The line gives the reason and the number since the last one, at most once in ten seconds. net_bus (19 checks) passes.

--- a/net/bus.c
+++ b/net/bus.c
@@ -1,6 +1,7 @@
 #include "net/bus.h"
 
 #include "common/clock.h"
+#include "common/log.h"
 #include "net/codec.h"
 
 #include <errno.h>
@@ -28,6 +29,8 @@
 #define LINK_IDLE_TIMEOUT (10 * DP_USEC_PER_SEC)
 /* Messages handled per callback, so that other events aren't delayed. */
 #define RECEIVE_BATCH 256
+/* A VM of another build may send many of them. */
+#define BAD_FRAME_LOG_INTERVAL (10 * DP_USEC_PER_SEC)
 
 #define ROUTING_ID_BYTES 10
 
@@ -70,6 +73,8 @@
   struct event *router_event;
   struct event *maintenance_timer;
   GHashTable *links; /* DpPeer -> Link */
+  DpUsec bad_frame_logged_at;
+  guint bad_frames; /* since then */
   /* set by dp_bus_set_view() */
   DpView *view;
 };
@@ -313,9 +318,19 @@
 }
 
 static void
-count_bad_frame (DpBus *bus, const char *reason)
+record_bad_frame (DpBus *bus, const char *reason, const char *problem)
 {
   dp_counters_add (bus->counters, "dogwoodplank_bus_bad_frames_total", "reason", reason, 1);
+  bus->bad_frames++;
+  DpUsec now = dp_clock_now ();
+  if (bus->bad_frame_logged_at != 0 && now - bus->bad_frame_logged_at < BAD_FRAME_LOG_INTERVAL)
+    return;
+  char count[16];
+  g_snprintf (count, sizeof count, "%u", bus->bad_frames);
+  dp_log (DP_LOG_NOTICE, "bus_bad_frame", "reason", reason, "problem", problem, "count", count,
+          NULL);
+  bus->bad_frame_logged_at = now;
+  bus->bad_frames = 0;
 }
 
 static void
@@ -327,7 +342,7 @@
   gsize length = zmq_msg_size (frame);
   if (!dp_codec_decode (zmq_msg_data (frame), length, &from, &message, &error))
     {
-      count_bad_frame (bus, get_bad_frame_reason (error));
+      record_bad_frame (bus, get_bad_frame_reason (error), error->message);
       g_error_free (error);
       return;
     }
@@ -340,7 +355,7 @@
       bus->receive (bus->user, from, &message);
     }
   else
-    count_bad_frame (bus, "sender");
+    record_bad_frame (bus, "sender", NULL);
   dp_message_clear (&message);
 }
 
@@ -364,7 +379,7 @@
   if (parts == 2)
     handle_frame (bus, &routing_id, &frame);
   else if (parts > 0)
-    count_bad_frame (bus, "parts");
+    record_bad_frame (bus, "parts", NULL);
   zmq_msg_close (&frame);
   zmq_msg_close (&routing_id);
   return received;
