node: logs and metrics of the learned capacity

The owner logs the lowest, median and highest number and the changes, at most once in ten seconds; rows of announcements that can't be used have a line of their own, as bounded. Gauges by pool. Announcements of an owner go to all VMs, and to their dispatchers.

--- a/node/node.h
+++ b/node/node.h
@@ -13,6 +13,7 @@
  *   limits.c           rate limits of workspaces
  *   placement.c        choice of a request's target: owners, grants, dispatchers
  *   target_limits.c    limits that targets state in their responses
+ *   target_capacity.c  logs and metrics of what the owner learns of targets
  *   quarantine.c       requests and parts of prompts that crash targets
  *   stream_versions.c  software versions that began streams
  *   memory.c           memory use against the process's limit
@@ -109,6 +110,17 @@
 typedef struct DpTunnels DpTunnels;
 
 /* State of a pool on this VM. */
+/* What was last logged of the pool's learned limits. */
+typedef struct DpCapacityReport
+{
+  DpUsec checked_at;
+  DpUsec logged_at;
+  DpUsec ignored_logged_at;
+  guint changes;
+  guint ignored;
+  guint lowered;
+} DpCapacityReport;
+
 typedef struct DpNodePool
 {
   DpName name;
@@ -125,6 +137,7 @@
   DpUsec reported_at; /* last report of held grants to the owner */
   DpRetryBudget budget;
   DpShed shed;
+  DpCapacityReport capacity_report;
 } DpNodePool;
 
 /* Levels of the rules that the builds of all VMs keep. */
@@ -452,6 +465,10 @@
 /* A report for the pool's owner, or an announcement from it. */
 void dp_target_limits_on_message (DpNode *node, DpName from, const DpTargetLimits *limits);
 
+/* --- target_capacity.c --- */
+
+void dp_target_capacity_tick (DpNode *node, DpNodePool *pool, DpUsec now);
+
 /* --- quarantine.c --- */
 
 void dp_node_quarantine_init (DpNode *node);
--- a/node/placement.c
+++ b/node/placement.c
@@ -598,12 +598,13 @@
     }
 }
 
-/* An announcement of limits that this VM keeps as an owner. */
+/* An announcement of this VM as an owner. */
 static void
-announce_limits (DpNode *node, const DpMessage *message)
+announce (DpNode *node, const DpMessage *message)
 {
   dp_peers_send_to_all (node, message);
-  dp_target_limits_on_message (node, node->self, &message->target_limits);
+  if (message->type == DP_MESSAGE_TARGET_LIMITS)
+    dp_target_limits_on_message (node, node->self, &message->target_limits);
 }
 
 static void
@@ -613,7 +614,7 @@
     {
       const DpDispatchMessage *outgoing = &g_array_index (outbox, DpDispatchMessage, i);
       if (outgoing->to == DP_DISPATCH_ALL_VMS)
-        announce_limits (node, &outgoing->message);
+        announce (node, &outgoing->message);
       else if (outgoing->to == node->self)
         on_message_to_entry (node, node->self, &outgoing->message);
       else
@@ -638,6 +639,8 @@
       return message->target_limits.pool;
     case DP_MESSAGE_TARGET_SENT:
       return message->target_sent.pool;
+    case DP_MESSAGE_TARGET_CAPACITY:
+      return message->target_capacity.pool;
     default:
       return 0;
     }
@@ -752,6 +755,7 @@
       dp_dispatcher_tick (pool->dispatcher, now, outbox);
       deliver (node, outbox);
       g_array_unref (outbox);
+      dp_target_capacity_tick (node, pool, now);
       if (pool->owner != 0 && now - pool->reported_at >= REPORT_INTERVAL)
         send_report (node, pool, choose_owner (node, pool, now), FALSE);
     }
