core: an owner that hears of another one estimates as before

Two owners each know a part of a target's requests and prompts. While an owner hears another one that is in use, it counts no prompts and decides about no limits; limits learned before stay. Owners announce themselves for that while requests wait (no rows, once in two seconds).

--- a/core/capacity/capacity.c
+++ b/core/capacity/capacity.c
@@ -156,6 +156,15 @@
   return TRUE;
 }
 
+void
+dp_capacity_end_trial (DpCapacity *capacity)
+{
+  if (capacity->state == DP_CAPACITY_STEADY)
+    return;
+  end_trial (capacity);
+  capacity->limit = capacity->confirmed;
+}
+
 gboolean
 dp_capacity_is_measured (const DpCapacity *capacity)
 {
--- a/core/capacity/capacity.h
+++ b/core/capacity/capacity.h
@@ -59,6 +59,8 @@
 /* Begins with a limit that another owner learned this long ago; it is checked like one that was
  * lowered here. Out of range or outdated: no effect, returns FALSE. */
 gboolean dp_capacity_adopt (DpCapacity *capacity, guint limit, DpUsec age, DpUsec now);
+/* Ends a trial without a result. */
+void dp_capacity_end_trial (DpCapacity *capacity);
 /* TRUE if there are measurements of this owner's own requests. */
 gboolean dp_capacity_is_measured (const DpCapacity *capacity);
 /* Time since the last measurement; G_MAXINT64: none. */
--- a/core/dispatcher_capacity.c
+++ b/core/dispatcher_capacity.c
@@ -14,6 +14,10 @@
 /* Limits that haven't changed are repeated, for VMs that missed them or have just started.
  * Three repetitions fit into the time after which they are outdated. */
 #define REPEAT_INTERVAL (6 * DP_USEC_PER_SEC)
+/* Another owner counts until this long after its last announcement. */
+#define OTHER_LEARNER_AGE_MAX (ANNOUNCE_INTERVAL + DP_USEC_PER_SEC / 2)
+/* An owner that was not asked for this long has no requests to assign. */
+#define OWNER_IDLE_MAX (300 * DP_USEC_PER_MSEC)
 /* Tokens of the prompts whose times give the time per token. */
 #define SLOPE_TOKENS 1000
 
@@ -25,6 +29,20 @@
          && dispatcher->options.policy == DP_DISPATCH_QUEUE;
 }
 
+/* Two owners at a time each know of a part of the requests and prompts at a target. */
+static gboolean
+has_other_learner (const DpDispatcher *dispatcher)
+{
+  return dispatcher->other_learner_heard_at != 0
+         && dispatcher->now - dispatcher->other_learner_heard_at < OTHER_LEARNER_AGE_MAX;
+}
+
+gboolean
+dp_dispatch_counts_prompts (const DpDispatcher *dispatcher)
+{
+  return dp_dispatch_learns_capacity (dispatcher) && !has_other_learner (dispatcher);
+}
+
 void
 dp_dispatch_set_capacity (DpDispatcher *dispatcher,
                           DpDispatchTarget *target,
@@ -74,7 +92,7 @@
 DpFirstEventTerms
 dp_dispatch_first_event_terms (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
 {
-  if (!dp_dispatch_learns_capacity (dispatcher))
+  if (!dp_dispatch_counts_prompts (dispatcher))
     return (DpFirstEventTerms){ 0 };
   double token_ms = ms_per_token (dispatcher, target);
   return (DpFirstEventTerms){
@@ -100,7 +118,7 @@
                                 const DpFirstEventTerms *terms,
                                 const DpDispatchRequest *request)
 {
-  if (!dp_dispatch_learns_capacity (dispatcher) || request->ask.has_begun
+  if (!dp_dispatch_counts_prompts (dispatcher) || request->ask.has_begun
       || request->ask.prompt_tokens == 0
       || dp_capacity_prompts (target->capacity) < PROMPTS_ENOUGH
       || terms->tokens_ahead * ms_per_token (dispatcher, target) < READING_ENOUGH_MS)
@@ -221,14 +239,22 @@
          && (!dispatcher->options.is_shared || dp_dispatch_is_owner (dispatcher));
 }
 
+static DpMessage *
+send_announcement (DpDispatcher *dispatcher)
+{
+  DpMessage *message
+    = dp_dispatch_send (dispatcher, DP_DISPATCH_ALL_VMS, DP_MESSAGE_TARGET_CAPACITY);
+  message->target_capacity.pool = dispatcher->options.pool;
+  message->target_capacity.idle = dispatcher->now - dispatcher->asked_at;
+  dispatcher->capacities_announced_at = dispatcher->now;
+  return message;
+}
+
 static void
 append_limit (DpDispatcher *dispatcher, DpMessage **message, DpDispatchTarget *target)
 {
   if (*message == NULL || (*message)->target_capacity.count == DP_CAPACITY_LIMITS_MAX)
-    {
-      *message = dp_dispatch_send (dispatcher, DP_DISPATCH_ALL_VMS, DP_MESSAGE_TARGET_CAPACITY);
-      (*message)->target_capacity.pool = dispatcher->options.pool;
-    }
+    *message = send_announcement (dispatcher);
   target->announced_limit = dp_capacity_confirmed_limit (target->capacity);
   DpTargetCapacity *limits = &(*message)->target_capacity;
   limits->rows[limits->count++]
@@ -272,8 +298,9 @@
       if (has_news (dispatcher, target) || (all && is_worth_repeating (dispatcher, target)))
         append_limit (dispatcher, &message, target);
     }
-  if (message != NULL)
-    dispatcher->capacities_announced_at = now;
+  /* While decisions are due, another owner has to learn of this one. */
+  if (message == NULL && (has_other_learner (dispatcher) || dispatcher->waiting->len > 0))
+    send_announcement (dispatcher);
   if (all)
     dispatcher->all_capacities_announced_at = now;
 }
@@ -312,6 +339,8 @@
   if (!dp_dispatch_learns_capacity (dispatcher) || from == dispatcher->options.self)
     return;
   gboolean is_owner = dp_dispatch_is_owner (dispatcher);
+  if (is_owner && message->idle <= OWNER_IDLE_MAX)
+    dispatcher->other_learner_heard_at = dispatcher->now;
   for (guint i = 0; i < MIN (message->count, DP_CAPACITY_LIMITS_MAX); i++)
     {
       const DpCapacityLimit *row = &message->rows[i];
@@ -354,8 +383,13 @@
        at = dp_table_next (dispatcher->targets, at))
     {
       const DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
-      dp_capacity_update (target->capacity, dispatcher->waiting->len > 0, dispatcher->now);
+      if (has_other_learner (dispatcher))
+        dp_capacity_end_trial (target->capacity);
+      else
+        dp_capacity_update (target->capacity, dispatcher->waiting->len > 0, dispatcher->now);
     }
+  if (has_other_learner (dispatcher))
+    return;
   dp_capacity_pool_explore (&dispatcher->capacity, dispatcher->now);
 }
 
--- a/core/dispatcher_private.h
+++ b/core/dispatcher_private.h
@@ -109,6 +109,7 @@
   DpCapacityPool capacity;
   DpUsec capacities_announced_at; /* changes, or all that differ from the default */
   DpUsec all_capacities_announced_at;
+  DpUsec other_learner_heard_at; /* another owner's announcement, while this VM is one too */
   DpIgnoredCapacity ignored;         /* last bad row of an announcement */
   double slot_ms[DP_URGENCY_LEVELS]; /* moving average of the time in a slot, by urgency */
   guint waiting_by_urgency[DP_URGENCY_LEVELS];
@@ -199,6 +200,8 @@
 /* --- dispatcher_capacity.c: what targets take well --- */
 
 gboolean dp_dispatch_learns_capacity (const DpDispatcher *dispatcher);
+/* TRUE if first events are expected from the prompts at the target. */
+gboolean dp_dispatch_counts_prompts (const DpDispatcher *dispatcher);
 void dp_dispatch_set_capacity (DpDispatcher *dispatcher,
                                DpDispatchTarget *target,
                                const DpDirectoryRow *row);
--- a/core/dispatcher_targets.c
+++ b/core/dispatcher_targets.c
@@ -99,7 +99,7 @@
            const DpDispatchTarget *target,
            const DpDispatchRequest *request)
 {
-  if (!dp_dispatch_learns_capacity (dispatcher))
+  if (!dp_dispatch_counts_prompts (dispatcher))
     return target->requests->len >= target->slots ? 2 * target->pace : target->pace;
   DpFirstEventTerms terms = dp_dispatch_first_event_terms (dispatcher, target);
   guint tokens = request != NULL ? request->ask.prompt_tokens : TYPICAL_TOKENS;
--- a/core/message.h
+++ b/core/message.h
@@ -505,10 +505,12 @@
 } DpCapacityLimit;
 
 /* What a pool's owner has learned of targets that take less than their slots, or whose limit
- * has changed, see core/capacity/capacity.h. The others of the pool are as they were. */
+ * has changed, see core/capacity/capacity.h. The others of the pool are as they were. Without
+ * rows it says that the sender is an owner. */
 typedef struct DpTargetCapacity
 {
   DpName pool;
+  DpUsec idle; /* time since the sender was last asked to assign a request */
   guint count;
   DpCapacityLimit rows[DP_CAPACITY_LIMITS_MAX];
 } DpTargetCapacity;
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -388,6 +388,7 @@
                 target_capacity.count,
                 DP_CAPACITY_LIMITS_MAX,
                 &capacity_limit_table),
+  USEC (3, DpMessage, target_capacity.idle),
 };
 
 static const DpField target_leaving_fields[] = {
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -188,7 +188,7 @@
       break;
     case DP_MESSAGE_TARGET_CAPACITY:
       message.target_capacity
-        = (DpTargetCapacity){ 1, 2, { { 2, 3, 4, 5 }, { 6, 7, G_MAXUINT, 0 } } };
+        = (DpTargetCapacity){ 1, 8, 2, { { 2, 3, 4, 5 }, { 6, 7, G_MAXUINT, 0 } } };
       break;
     case DP_MESSAGE_TARGETS_ASK:
       message.targets_ask = (DpTargetsAsk){ 1 };
