tests: changes, new owners, rare traffic and bad input for the capacity

Guards against an owner that goes on with what is outdated, a new one that starts at slots + 1, decisions on noise of rare traffic, two owners that take a part of a target's load for the whole, and bad rows that are used or take sound ones with them. Events of the simulation are in a GSequence.

--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -25,6 +25,11 @@
 /* Increase of a step's time with each request in the batch. */
 #define BATCH_COST 0.02
 #define REQUESTS_MAX 100000
+#define OWNERS_MAX 2
+#define FIRST_OWNER 100
+/* Within this time an owner follows a change. */
+#define FOLLOW_TIME (2 * SEC)
+#define ANNOUNCE_INTERVAL (2 * SEC)
 #define NONE G_MAXUINT
 
 typedef struct Kind
@@ -43,6 +48,21 @@
 };
 #define KINDS G_N_ELEMENTS (kinds)
 
+/* When weak engines are weak. */
+typedef enum Weakness
+{
+  WEAK_ALWAYS,
+  WEAK_FIRST, /* in the first half */
+  WEAK_SECOND,
+} Weakness;
+
+typedef enum Owners
+{
+  ONE_OWNER,
+  TWO_OWNERS,   /* each for half of the VMs */
+  OWNER_CHANGE, /* at half time, without a word from the first */
+} Owners;
+
 /* A pool and its load. */
 typedef struct Scenario
 {
@@ -54,6 +74,9 @@
   double weak_slope;    /* and for each further one */
   double noise_factor;  /* for a seventh of the time, 0.6 s each */
   double prompt_factor; /* length of prompts in the second half; 0: 1 */
+  double slow_factor;   /* of the weak engines' times, however many requests they have; 0: 1 */
+  Weakness weakness;
+  Owners owners;
   DpUsec duration;
 } Scenario;
 
@@ -97,12 +120,14 @@
 {
   EVENT_ARRIVAL,
   EVENT_TO_OWNER,
+  EVENT_ANNOUNCED, /* to the other dispatcher */
   EVENT_TO_VM,
   EVENT_TO_ENGINE,
   EVENT_FIRST, /* the first event of a response reaches its VM */
   EVENT_END,
   EVENT_STEP,
   EVENT_TICK,
+  EVENT_OWNER_CHANGE,
 } EventType;
 
 typedef struct Event
@@ -110,7 +135,7 @@
   DpUsec at;
   guint64 sequence;
   EventType type;
-  guint index; /* request or engine */
+  guint index; /* request, engine or dispatcher */
   DpMessage *message;
 } Event;
 
@@ -122,46 +147,49 @@
   guint refused;
   guint rejected;
   double work; /* done by the engines while there was load, in s at speed 1 */
+  /* of requests that arrive at `settled_at` or later */
+  guint settled_offered;
+  guint settled_on_time;
+  guint changes; /* of limits */
 } Result;
 
 typedef struct Simulation
 {
   const Scenario *scenario;
-  DpDispatcher *dispatcher;
+  DpDispatcher *dispatchers[OWNERS_MAX];
+  DpUsec announced_at[OWNERS_MAX];
   DpDirectory *directory;
   DpCounters *counters;
   Engine engines[ENGINES];
   GHashTable *engine_by_name;
-  GArray *heap; /* Event, by time */
+  GSequence *events; /* Event, by time */
   guint64 sequence;
   Request *requests;
   guint count;
   guint64 random;
   double rate; /* requests per second at load 1 */
   DpUsec now;
+  DpUsec settled_at;
   Result result;
 } Simulation;
 
 /* --- events in order of time --- */
 
-static gboolean
-precedes (const Event *a, const Event *b)
+static int
+compare_events (gconstpointer a, gconstpointer b, gpointer data)
 {
-  return a->at != b->at ? a->at < b->at : a->sequence < b->sequence;
-}
-
-static Event *
-event_at (const Simulation *simulation, guint i)
-{
-  return &g_array_index (simulation->heap, Event, i);
+  const Event *x = a;
+  const Event *y = b;
+  return x->at != y->at ? (x->at > y->at) - (x->at < y->at)
+                        : (x->sequence > y->sequence) - (x->sequence < y->sequence);
 }
 
 static void
-swap_events (Simulation *simulation, guint a, guint b)
+event_free (gpointer data)
 {
-  Event event = *event_at (simulation, a);
-  *event_at (simulation, a) = *event_at (simulation, b);
-  *event_at (simulation, b) = event;
+  Event *event = data;
+  g_free (event->message);
+  g_free (event);
 }
 
 static void
@@ -173,35 +201,8 @@
         .type = type,
         .index = index,
         .message = message != NULL ? g_memdup2 (message, sizeof *message) : NULL };
-  g_array_append_val (simulation->heap, event);
-  guint i = simulation->heap->len - 1;
-  while (i > 0 && precedes (event_at (simulation, i), event_at (simulation, (i - 1) / 2)))
-    {
-      swap_events (simulation, i, (i - 1) / 2);
-      i = (i - 1) / 2;
-    }
-}
-
-static Event
-pop (Simulation *simulation)
-{
-  Event first = *event_at (simulation, 0);
-  guint count = simulation->heap->len - 1;
-  *event_at (simulation, 0) = *event_at (simulation, count);
-  g_array_set_size (simulation->heap, count);
-  for (guint i = 0;;)
-    {
-      guint child = 2 * i + 1;
-      if (child >= count)
-        return first;
-      if (child + 1 < count
-          && precedes (event_at (simulation, child + 1), event_at (simulation, child)))
-        child++;
-      if (!precedes (event_at (simulation, child), event_at (simulation, i)))
-        return first;
-      swap_events (simulation, i, child);
-      i = child;
-    }
+  g_sequence_insert_sorted (simulation->events, g_memdup2 (&event, sizeof event),
+                            compare_events, NULL);
 }
 
 static double
@@ -220,18 +221,76 @@
   push (simulation, simulation->now + DELAY, EVENT_TO_OWNER, index, message);
 }
 
+static gboolean
+is_second_half (const Simulation *simulation)
+{
+  return simulation->now - START > simulation->scenario->duration / 2;
+}
+
+/* Index of the dispatcher that the VM takes for the owner. */
+static guint
+owner_of (const Simulation *simulation, guint vm)
+{
+  switch (simulation->scenario->owners)
+    {
+    case TWO_OWNERS:
+      return vm % 2;
+    case OWNER_CHANGE:
+      return is_second_half (simulation);
+    case ONE_OWNER:
+    default:
+      return 0;
+    }
+}
+
 static void
-deliver_outbox (Simulation *simulation, GArray *outbox)
+on_announcement (Simulation *simulation, guint owner, const DpMessage *message)
 {
-  for (guint i = 0; i < outbox->len; i++)
+  DpUsec since = simulation->now - simulation->announced_at[owner];
+  ck_assert_int_eq (message->type, DP_MESSAGE_TARGET_CAPACITY);
+  ck_assert_msg (since == 0 || since >= ANNOUNCE_INTERVAL, "announced twice in %d ms",
+                 (int)(since / MSEC));
+  simulation->announced_at[owner] = simulation->now;
+  push (simulation, simulation->now + DELAY, EVENT_ANNOUNCED, 1 - owner, message);
+}
+
+static void
+deliver_outbox (Simulation *simulation, guint owner, GArray *outbox)
+{
+  gboolean has_stopped
+    = simulation->scenario->owners == OWNER_CHANGE && owner == 0 && is_second_half (simulation);
+  for (guint i = 0; i < outbox->len && !has_stopped; i++)
     {
       const DpDispatchMessage *outgoing = &g_array_index (outbox, DpDispatchMessage, i);
-      if (outgoing->to != DP_DISPATCH_ALL_VMS)
+      if (outgoing->to == DP_DISPATCH_ALL_VMS)
+        on_announcement (simulation, owner, &outgoing->message);
+      else
         push (simulation, simulation->now + DELAY, EVENT_TO_VM, 0, &outgoing->message);
     }
   g_array_unref (outbox);
 }
 
+static void
+receive_at_owner (Simulation *simulation, guint owner, guint vm, const DpMessage *message)
+{
+  GArray *outbox = dp_dispatch_outbox_new ();
+  dp_dispatcher_receive (simulation->dispatchers[owner], vm + 1, message, simulation->now,
+                         outbox);
+  deliver_outbox (simulation, owner, outbox);
+}
+
+static void
+tick (Simulation *simulation)
+{
+  for (guint i = 0; i < OWNERS_MAX; i++)
+    {
+      GArray *outbox = dp_dispatch_outbox_new ();
+      dp_dispatcher_tick (simulation->dispatchers[i], simulation->now, outbox);
+      deliver_outbox (simulation, i, outbox);
+    }
+  push (simulation, simulation->now + DP_DISPATCH_TICK_INTERVAL, EVENT_TICK, 0, NULL);
+}
+
 static DpId
 attempt_id (const Simulation *simulation, const Request *request)
 {
@@ -242,12 +301,13 @@
 ask (Simulation *simulation, const Request *request)
 {
   const Kind *kind = &kinds[request->kind];
+  DpUsec age = simulation->now - request->arrived_at;
   DpMessage message = { .type = DP_MESSAGE_GRANT_ASK };
   message.grant_ask = (DpGrantAsk){ .attempt = attempt_id (simulation, request),
                                     .group = dp_name (POOL),
                                     .prompt_tokens = request->prompt_tokens,
-                                    .remaining = kind->deadline,
-                                    .objective_left = kind->objective,
+                                    .remaining = MAX (kind->deadline - age, 0),
+                                    .objective_left = MAX (kind->objective - age, 0),
                                     .urgency = request->kind };
   send_to_owner (simulation, request, &message);
 }
@@ -277,7 +337,13 @@
       && (simulation->now + engine->noise_phase) % period < 600 * MSEC)
     factor *= scenario->noise_factor;
   guint half = SLOTS / 2;
-  if (engine->is_weak && engine->running > half)
+  if (!engine->is_weak
+      || (scenario->weakness != WEAK_ALWAYS
+          && is_second_half (simulation) != (scenario->weakness == WEAK_SECOND)))
+    return factor;
+  if (scenario->slow_factor > 0)
+    factor *= scenario->slow_factor;
+  if (engine->running > half)
     factor *= scenario->weak_factor + scenario->weak_slope * (engine->running - half - 1);
   return factor;
 }
@@ -385,6 +451,9 @@
     return;
   guint index = (guint)message->grant_given.attempt.low - 1;
   Request *request = &simulation->requests[index];
+  /* The former owner may have placed it too. */
+  if (request->stage != STAGE_WAITING)
+    return;
   request->stage = STAGE_SENT;
   request->sent_at = simulation->now;
   request->engine = GPOINTER_TO_UINT (
@@ -392,12 +461,20 @@
   push (simulation, simulation->now + DELAY, EVENT_TO_ENGINE, index, NULL);
 }
 
+/* TRUE if the request counts for what is measured after a change. */
+static gboolean
+is_settled (const Simulation *simulation, const Request *request)
+{
+  return request->arrived_at >= simulation->settled_at;
+}
+
 static void
 on_first_event (Simulation *simulation, Request *request)
 {
   request->first_event = simulation->now - request->sent_at;
-  simulation->result.on_time
-    += simulation->now - request->arrived_at <= kinds[request->kind].objective;
+  gboolean on_time = simulation->now - request->arrived_at <= kinds[request->kind].objective;
+  simulation->result.on_time += on_time;
+  simulation->result.settled_on_time += on_time && is_settled (simulation, request);
   DpMessage message = { .type = DP_MESSAGE_GRANT_PROGRESS };
   message.grant_progress
     = (DpGrantProgress){ .attempt = attempt_id (simulation, request), .group = dp_name (POOL) };
@@ -418,8 +495,7 @@
 load_at (const Simulation *simulation)
 {
   const Scenario *scenario = simulation->scenario;
-  gboolean is_second = simulation->now - START > scenario->duration / 2;
-  return is_second && scenario->after > 0 ? scenario->after : scenario->load;
+  return is_second_half (simulation) && scenario->after > 0 ? scenario->after : scenario->load;
 }
 
 static void
@@ -432,7 +508,7 @@
   while (kind + 1 < KINDS && drawn >= kinds[kind].fraction)
     drawn -= kinds[kind++].fraction;
   double length = 0.7 + 0.6 * random_fraction (simulation);
-  if (scenario->prompt_factor > 0 && simulation->now - START > scenario->duration / 2)
+  if (scenario->prompt_factor > 0 && is_second_half (simulation))
     length *= scenario->prompt_factor;
   double events = kinds[kind].events * (0.7 + 0.6 * random_fraction (simulation));
   *request = (Request){ .kind = kind,
@@ -441,6 +517,7 @@
                         .arrived_at = simulation->now };
   request->vm = (guint)(random_fraction (simulation) * VMS);
   simulation->result.offered++;
+  simulation->result.settled_offered += is_settled (simulation, request);
   ask (simulation, request);
   double rate = simulation->rate * load_at (simulation);
   double pause = -log (1 - random_fraction (simulation)) / rate;
@@ -474,20 +551,43 @@
 
 /* --- runs --- */
 
+/* The VMs report what they hold, and ask again for what waited at the former owner. */
+static void
+report_to_new_owner (Simulation *simulation)
+{
+  for (guint i = 0; i < simulation->count; i++)
+    {
+      const Request *request = &simulation->requests[i];
+      if (request->stage == STAGE_WAITING)
+        ask (simulation, request);
+      if (request->stage != STAGE_SENT)
+        continue;
+      char id[8];
+      g_snprintf (id, sizeof id, "e%u", request->engine);
+      DpMessage message = { .type = DP_MESSAGE_GRANT_HELD };
+      message.grant_held = (DpGrantHeld){ .group = dp_name (POOL), .count = 1 };
+      message.grant_held.held[0] = (DpHeldGrant){ .attempt = attempt_id (simulation, request),
+                                                  .target = dp_name (id),
+                                                  .started = request->first_event > 0 };
+      send_to_owner (simulation, request, &message);
+    }
+}
+
 static void
 handle (Simulation *simulation, const Event *event)
 {
-  GArray *outbox;
+  guint vm;
   switch (event->type)
     {
     case EVENT_ARRIVAL:
       add_arrival (simulation);
       break;
     case EVENT_TO_OWNER:
-      outbox = dp_dispatch_outbox_new ();
-      dp_dispatcher_receive (simulation->dispatcher, simulation->requests[event->index].vm + 1,
-                             event->message, simulation->now, outbox);
-      deliver_outbox (simulation, outbox);
+      vm = simulation->requests[event->index].vm;
+      receive_at_owner (simulation, owner_of (simulation, vm), vm, event->message);
+      break;
+    case EVENT_ANNOUNCED:
+      receive_at_owner (simulation, event->index, VMS, event->message);
       break;
     case EVENT_TO_VM:
       receive_at_vm (simulation, event->message);
@@ -505,10 +605,10 @@
       end_step (simulation, &simulation->engines[event->index]);
       break;
     case EVENT_TICK:
-      outbox = dp_dispatch_outbox_new ();
-      dp_dispatcher_tick (simulation->dispatcher, simulation->now, outbox);
-      deliver_outbox (simulation, outbox);
-      push (simulation, simulation->now + DP_DISPATCH_TICK_INTERVAL, EVENT_TICK, 0, NULL);
+      tick (simulation);
+      break;
+    case EVENT_OWNER_CHANGE:
+      report_to_new_owner (simulation);
       break;
     }
 }
@@ -531,10 +631,13 @@
       g_hash_table_insert (simulation->engine_by_name, g_memdup2 (&name, sizeof name),
                            GUINT_TO_POINTER (i));
     }
-  GArray *outbox = dp_dispatch_outbox_new ();
-  dp_dispatcher_set_targets (simulation->dispatcher, simulation->directory, simulation->now,
-                             outbox);
-  g_array_unref (outbox);
+  for (guint i = 0; i < OWNERS_MAX; i++)
+    {
+      GArray *outbox = dp_dispatch_outbox_new ();
+      dp_dispatcher_set_targets (simulation->dispatchers[i], simulation->directory,
+                                 simulation->now, outbox);
+      g_array_unref (outbox);
+    }
 }
 
 static Simulation *
@@ -549,27 +652,32 @@
   simulation->directory = dp_directory_new ();
   simulation->engine_by_name
     = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
-  simulation->heap = g_array_new (FALSE, FALSE, sizeof (Event));
-  const DpDispatcherOptions options = { .pool = dp_name (POOL),
-                                        .seed = 5,
-                                        .capacity = mode,
-                                        .is_shared = TRUE,
-                                        .counters = simulation->counters };
-  simulation->dispatcher = dp_dispatcher_new (&options);
+  simulation->events = g_sequence_new (event_free);
+  for (guint i = 0; i < OWNERS_MAX; i++)
+    {
+      const DpDispatcherOptions options = { .self = FIRST_OWNER + i,
+                                            .pool = dp_name (POOL),
+                                            .seed = 5,
+                                            .capacity = mode,
+                                            .is_shared = TRUE,
+                                            .counters = simulation->counters };
+      simulation->dispatchers[i] = dp_dispatcher_new (&options);
+    }
   add_engines (simulation);
   simulation->rate = full_rate (simulation);
   push (simulation, START, EVENT_ARRIVAL, 0, NULL);
   push (simulation, START, EVENT_TICK, 0, NULL);
+  if (scenario->owners == OWNER_CHANGE)
+    push (simulation, START + scenario->duration / 2 + 1, EVENT_OWNER_CHANGE, 0, NULL);
   return simulation;
 }
 
 static void
 simulation_free (Simulation *simulation)
 {
-  for (guint i = 0; i < simulation->heap->len; i++)
-    g_free (event_at (simulation, i)->message);
-  g_array_unref (simulation->heap);
-  dp_dispatcher_free (simulation->dispatcher);
+  g_sequence_free (simulation->events);
+  for (guint i = 0; i < OWNERS_MAX; i++)
+    dp_dispatcher_free (simulation->dispatchers[i]);
   dp_directory_free (simulation->directory);
   dp_counters_unref (simulation->counters);
   g_hash_table_unref (simulation->engine_by_name);
@@ -582,22 +690,27 @@
 static void
 run_until (Simulation *simulation, DpUsec end)
 {
-  while (event_at (simulation, 0)->at <= end)
+  GSequenceIter *first;
+  while (first = g_sequence_get_begin_iter (simulation->events),
+         ((const Event *)g_sequence_get (first))->at <= end)
     {
-      Event event = pop (simulation);
-      simulation->now = event.at;
-      handle (simulation, &event);
-      g_free (event.message);
+      const Event *event = g_sequence_get (first);
+      simulation->now = event->at;
+      handle (simulation, event);
+      g_sequence_remove (first);
     }
   simulation->now = end;
 }
 
+/* `settling`: see Result; time since the scenario's second half began. */
 static Result
-simulate (const Scenario *scenario, DpCapacityMode mode, guint64 seed)
+simulate (const Scenario *scenario, DpCapacityMode mode, DpUsec settling)
 {
-  Simulation *simulation = simulation_new (scenario, mode, seed);
+  Simulation *simulation = simulation_new (scenario, mode, 1);
+  simulation->settled_at = START + scenario->duration / 2 + settling;
   run_until (simulation, START + scenario->duration + 3 * SEC);
   Result result = simulation->result;
+  result.changes = dp_dispatcher_capacity_status (simulation->dispatchers[0]).changes;
   simulation_free (simulation);
   return result;
 }
@@ -642,6 +755,10 @@
       .duration = 24 * SEC },
     1.15,
     1 },
+  { { "a third slow from half on, two owners, full load", 1, 0, 3, 3, .owners = TWO_OWNERS,
+      .duration = 24 * SEC },
+    1,
+    0.97 },
 };
 
 static void
@@ -657,8 +774,8 @@
 START_TEST (more_requests_are_on_time_than_with_the_fixed_window)
 {
   const LoadCase *row = &load_cases[_i];
-  Result fixed = simulate (&row->scenario, DP_CAPACITY_SLOTS, 1);
-  Result learned = simulate (&row->scenario, DP_CAPACITY_LEARNED, 1);
+  Result fixed = simulate (&row->scenario, DP_CAPACITY_SLOTS, 0);
+  Result learned = simulate (&row->scenario, DP_CAPACITY_LEARNED, 0);
   printf ("%s\n", row->scenario.name);
   print ("slots", &fixed);
   print ("learned", &learned);
@@ -669,6 +786,152 @@
 }
 END_TEST
 
+/* --- failures and changes --- */
+
+/* What a scenario is compared with from some time after its second half began. */
+typedef struct ChangeCase
+{
+  Scenario scenario;
+  Scenario reference;
+  DpUsec settling;
+} ChangeCase;
+
+/* Part of the reference's on-time share: the rest is for trials. */
+#define FOLLOWED_MIN 0.9
+
+static const ChangeCase change_cases[] = {
+  { { "a third gets slow from half on, 0.7", 0.7, 0, 3, 3, .weakness = WEAK_SECOND,
+      .duration = 24 * SEC },
+    { "always so", 0.7, 0, 3, 3, .duration = 24 * SEC },
+    FOLLOW_TIME },
+  { { "a third gets slow from half on, full load", 1, 0, 3, 3, .weakness = WEAK_SECOND,
+      .duration = 24 * SEC },
+    { "always so", 1, 0, 3, 3, .duration = 24 * SEC },
+    FOLLOW_TIME },
+  { { "a third that was slow from half on recovers", 1, 0, 3, 3, .weakness = WEAK_FIRST,
+      .duration = 24 * SEC },
+    { "always sound", 1, 0, 3, 1, .duration = 24 * SEC },
+    FOLLOW_TIME },
+  { { "a third gets three times as slow", 0.7, 0, 3, 1, .slow_factor = 3,
+      .weakness = WEAK_SECOND, .duration = 24 * SEC },
+    { "always so", 0.7, 0, 3, 1, .slow_factor = 3, .duration = 24 * SEC },
+    FOLLOW_TIME },
+  { { "a third slow from half on, a new owner, 0.7", 0.7, 0, 3, 3, .owners = OWNER_CHANGE,
+      .duration = 24 * SEC },
+    { "the same owner", 0.7, 0, 3, 3, .duration = 24 * SEC },
+    0 },
+  { { "a third slow from half on, a new owner, full load", 1, 0, 3, 3, .owners = OWNER_CHANGE,
+      .duration = 24 * SEC },
+    { "the same owner", 1, 0, 3, 3, .duration = 24 * SEC },
+    0 },
+};
+
+/* Guards against an owner that goes on with what is outdated, and against a new one that has
+ * to learn everything again. */
+START_TEST (a_change_is_followed)
+{
+  const ChangeCase *row = &change_cases[_i];
+  Result result = simulate (&row->scenario, DP_CAPACITY_LEARNED, row->settling);
+  Result reference = simulate (&row->reference, DP_CAPACITY_LEARNED, row->settling);
+  double share = (double)result.settled_on_time / MAX (result.settled_offered, 1);
+  double reference_share
+    = (double)reference.settled_on_time / MAX (reference.settled_offered, 1);
+  printf ("%s: on time %.3f, %s %.3f\n", row->scenario.name, share, row->reference.name,
+          reference_share);
+  ck_assert_msg (share >= FOLLOWED_MIN * reference_share, "%s: %.3f on time, %s %.3f",
+                 row->scenario.name, share, row->reference.name, reference_share);
+}
+END_TEST
+
+/* Guards against a new owner that starts at slots + 1, and against announcements that lose rows
+ * or come too often. */
+START_TEST (a_new_owner_begins_with_what_was_announced)
+{
+  static const Scenario scenario
+    = { "two owners, little load", 0.1, .owners = TWO_OWNERS, .duration = 4 * SEC };
+  Simulation *simulation = simulation_new (&scenario, DP_CAPACITY_LEARNED, 1);
+  DpMessage message = { .type = DP_MESSAGE_TARGET_CAPACITY };
+  message.target_capacity
+    = (DpTargetCapacity){ .pool = dp_name (POOL),
+                          .idle = SEC,
+                          .count = 2,
+                          .rows = { { .target = dp_name ("e3"), .limit = 3 },
+                                    { .target = dp_name ("e5"), .limit = 1 } } };
+  receive_at_owner (simulation, 0, VMS, &message);
+  /* The first requests make both owners; the first owner announces what it has heard. */
+  run_until (simulation, START + 500 * MSEC);
+  for (guint i = 0; i < OWNERS_MAX; i++)
+    {
+      DpCapacityStatus status = dp_dispatcher_capacity_status (simulation->dispatchers[i]);
+      ck_assert (status.is_deciding);
+      ck_assert_uint_eq (status.lowered, 2);
+      ck_assert_uint_eq (status.lowest, 1);
+      ck_assert_uint_eq (status.lowest_target, dp_name ("e5"));
+      ck_assert_uint_eq (status.highest, SLOTS + 1);
+    }
+  simulation_free (simulation);
+}
+END_TEST
+
+static const Scenario rare_cases[] = {
+  { "a request at a time, slow at times", 0.02, .noise_factor = 2.5, .duration = 60 * SEC },
+  { "a fifth of the slots, slow at times", 0.2, .noise_factor = 2.5, .duration = 30 * SEC },
+};
+
+/* Guards against decisions on the noise of few measurements. */
+START_TEST (rare_traffic_changes_no_limit)
+{
+  Result result = simulate (&rare_cases[_i], DP_CAPACITY_LEARNED, 0);
+  ck_assert_msg (result.changes == 0, "%s: %u changes", rare_cases[_i].name, result.changes);
+  ck_assert_uint_eq (result.answered, result.offered);
+}
+END_TEST
+
+typedef struct BadRow
+{
+  const char *name;
+  DpCapacityLimit row;
+  const char *problem;
+} BadRow;
+
+static const BadRow bad_rows[] = {
+  { "zero, as without the member", { .limit = 0 }, "out_of_range" },
+  { "more than slots and one", { .limit = SLOTS + 2 }, "out_of_range" },
+  { "far too large", { .limit = G_MAXUINT }, "out_of_range" },
+  { "another start of the target", { .limit = 2, .started = 7 }, "other_incarnation" },
+  { "unknown target", { .target = 12345, .limit = 2 }, "unknown_target" },
+  { "from long ago", { .limit = 2, .age = G_MAXINT64 / 8 }, NULL },
+};
+
+/* Guards against a message that breaks the owner, or whose sound rows are lost. */
+START_TEST (bad_rows_are_ignored_and_others_count)
+{
+  static const Scenario scenario = { "announcements", 0.5, .duration = 6 * SEC };
+  const BadRow *bad = &bad_rows[_i];
+  Simulation *simulation = simulation_new (&scenario, DP_CAPACITY_LEARNED, 1);
+  DpMessage message = { .type = DP_MESSAGE_TARGET_CAPACITY };
+  message.target_capacity = (DpTargetCapacity){ .pool = dp_name (POOL), .count = 2 };
+  message.target_capacity.rows[0] = bad->row;
+  if (bad->row.target == 0)
+    message.target_capacity.rows[0].target = dp_name ("e0");
+  message.target_capacity.rows[1]
+    = (DpCapacityLimit){ .target = dp_name ("e1"), .limit = 1, .age = SEC };
+  receive_at_owner (simulation, 0, VMS, &message);
+  DpIgnoredCapacity ignored = dp_dispatcher_ignored_capacity (simulation->dispatchers[0]);
+  ck_assert_uint_eq (ignored.count, bad->problem != NULL);
+  if (bad->problem != NULL)
+    ck_assert_str_eq (ignored.problem, bad->problem);
+  DpCapacityStatus status = dp_dispatcher_capacity_status (simulation->dispatchers[0]);
+  ck_assert_uint_eq (status.lowered, 1);
+  ck_assert_uint_eq (status.lowest, 1);
+  ck_assert_uint_eq (status.lowest_target, dp_name ("e1"));
+  /* The longest response takes seven seconds. */
+  run_until (simulation, START + 16 * SEC);
+  ck_assert_uint_eq (simulation->result.answered, simulation->result.offered);
+  simulation_free (simulation);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -676,6 +939,11 @@
   TCase *tests = tcase_create ("capacity");
   tcase_add_loop_test (tests, more_requests_are_on_time_than_with_the_fixed_window, 0,
                        G_N_ELEMENTS (load_cases));
+  tcase_add_loop_test (tests, a_change_is_followed, 0, G_N_ELEMENTS (change_cases));
+  tcase_add_test (tests, a_new_owner_begins_with_what_was_announced);
+  tcase_add_loop_test (tests, rare_traffic_changes_no_limit, 0, G_N_ELEMENTS (rare_cases));
+  tcase_add_loop_test (tests, bad_rows_are_ignored_and_others_count, 0,
+                       G_N_ELEMENTS (bad_rows));
   suite_add_tcase (suite, tests);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -396,6 +396,14 @@
          "\x95\x01\x00\x02\x00\x81\x0c\x95\x01\x02\x03\x04\x05",
          DP_CODEC_ERROR_TOO_LARGE),
   FRAME ("id of 3 bytes", "\x95\x01\x00\x02\x00\x81\x01\xc4\x03xyz", DP_CODEC_ERROR_VALUE),
+  /* target_capacity: a row whose limit is no integer */
+  FRAME ("NaN for a limit",
+         "\x95\x01\x23\x02\x03\x81\x02\x91\x81\x03\xcb\x7f\xf8\x00\x00\x00\x00\x00\x00",
+         DP_CODEC_ERROR_VALUE),
+  FRAME ("infinity for a limit",
+         "\x95\x01\x23\x02\x03\x81\x02\x91\x81\x03\xcb\x7f\xf0\x00\x00\x00\x00\x00\x00",
+         DP_CODEC_ERROR_VALUE),
+  FRAME ("a limit alone", "\x95\x01\x23\x02\x03\x81\x02\x91\x81\x03\x02", -1),
   /* manifest: the text twice; the first one must not leak */
   FRAME ("repeated member", "\x95\x01\x0d\x02\x00\x82\x03\xc4\x01x\x03\xc4\x01y", -1),
   /* view: the second VM is not a map */
