--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -54,6 +54,7 @@
   dispatcher->other_owners = dp_dispatch_other_owners_new ();
   dispatcher->returns = dp_returns_new ();
   dp_latency_model_init (&dispatcher->latency_model);
+  dp_capacity_pool_init (&dispatcher->capacity);
   for (guint i = 0; i < DP_URGENCY_LEVELS; i++)
     dispatcher->slot_ms[i] = SLOT_TIME_INITIAL_MS;
   return dispatcher;
@@ -161,6 +162,7 @@
   request->target = target->self;
   request->granted_at = dispatcher->now;
   g_ptr_array_add (target->requests, request);
+  dp_dispatch_capacity_on_assigned (dispatcher, target, request);
   dispatcher->running++;
 }
 
@@ -169,7 +171,10 @@
 {
   DpDispatchTarget *target = dp_table_get (dispatcher->targets, request->target);
   if (target != NULL)
-    g_ptr_array_remove_fast (target->requests, request);
+    {
+      g_ptr_array_remove_fast (target->requests, request);
+      dp_dispatch_capacity_on_released (dispatcher, target, request);
+    }
   dispatcher->running--;
 }
 
@@ -217,12 +222,11 @@
 grant (DpDispatcher *dispatcher, DpDispatchRequest *request, DpDispatchTarget *target)
 {
   dequeue (dispatcher, request);
+  dp_dispatch_capacity_on_grant (dispatcher, target, request);
   dp_dispatch_assign (dispatcher, request, target);
   dispatcher->granted_at = dispatcher->now;
   if (dispatcher->now > request->objective_at || request->has_returned)
     dispatcher->late_granted_at[request->ask.urgency] = dispatcher->now;
-  request->expected_first_event = dp_latency_model_expected (
-    &dispatcher->latency_model, request->ask.prompt_tokens, target->pace);
   record_session (dispatcher, request, target->name);
   dp_dispatch_record_link_use (dispatcher, &request->ask, target);
   dp_dispatch_rollout_on_grant (dispatcher, request, target);
@@ -376,6 +380,7 @@
     return;
   target->is_suspect = FALSE;
   dp_dispatch_record_link_success (dispatcher, &request->ask, target);
+  dp_dispatch_capacity_on_started (dispatcher, target, request);
 }
 
 static void
@@ -385,9 +390,10 @@
                   const DpGrantDone *done)
 {
   if (done->time_to_first_token > 0 && !request->was_adopted)
-    target->pace
-      = dp_latency_model_update (&dispatcher->latency_model, request->ask.prompt_tokens,
-                                 target->pace, done->time_to_first_token);
+    target->pace = dp_latency_model_update (
+      &dispatcher->latency_model, request->ask.prompt_tokens + request->tokens_ahead,
+      target->pace, dp_dispatch_read_time (dispatcher, request, done->time_to_first_token));
+  dp_dispatch_capacity_on_done (dispatcher, target, request, done);
   if (done->reason != DP_REASON_NONE || request->was_adopted)
     return;
   double *slot_ms = &dispatcher->slot_ms[request->ask.urgency];
@@ -495,6 +501,9 @@
       else
         dp_dispatch_on_limit_report (dispatcher);
       break;
+    case DP_MESSAGE_TARGET_CAPACITY:
+      dp_dispatch_on_capacities (dispatcher, from, &message->target_capacity);
+      break;
     case DP_MESSAGE_TARGET_SENT:
       dp_dispatch_apply_sent (dispatcher, &message->target_sent);
       break;
@@ -593,6 +602,7 @@
       target->version = row->version;
       target->slots = MAX (row->record.slots, 1);
       target->is_draining = row->record.is_draining;
+      dp_dispatch_set_capacity (dispatcher, target, row);
       dp_dispatch_set_limit (dispatcher, target, row);
     }
   dp_dispatch_update_rollout (dispatcher, TRUE);
@@ -640,6 +650,7 @@
   dp_dispatch_expire_entries (dispatcher);
   dp_dispatch_check_timeouts (dispatcher);
   dp_dispatch_update_rollout (dispatcher, FALSE);
+  dp_dispatch_update_capacities (dispatcher);
   assign_waiting (dispatcher);
   refuse_timed_out (dispatcher);
   send_adverts (dispatcher);
--- a/core/dispatcher_private.h
+++ b/core/dispatcher_private.h
@@ -38,6 +38,8 @@
   DpUsec brittle_observed_at;
   gboolean has_limit_news; /* one of these has changed, and was not announced yet */
   gboolean is_participant; /* takes part in the roll-out of its version */
+  DpCapacity *capacity;    /* what it takes well */
+  guint announced_limit;   /* last announced; 0: none */
   guint64 skipped_round;   /* last assign_round in which no waiting request could use it */
 } DpDispatchTarget;
 
@@ -68,6 +70,12 @@
   gboolean was_revoked;        /* the entry was told to end it */
   gboolean is_in_rollout;      /* assigned under the current order */
   double rollout_counted;      /* see dp_rollout_record_grant() */
+  /* at its target, see dispatcher_capacity.c */
+  gboolean has_unread_prompt;
+  guint tokens_ahead;   /* of prompts that the target was to read before, when granted */
+  guint requests_ahead; /* that have to end before it gets a slot */
+  DpUsec slot_wait;     /* after granted_at, until it got a slot */
+  double occupancy;     /* see dp_capacity_occupancy(), when granted */
 };
 
 typedef struct DpDispatchEntry
@@ -101,6 +109,11 @@
   GArray *links;        /* between data centres, see dispatcher_links.c */
   guint64 assign_round; /* number of passes over the waiting requests */
   DpLatencyModel latency_model;
+  DpCapacityPool capacity;
+  DpUsec capacities_announced_at; /* changes, or all that differ from the default */
+  DpUsec all_capacities_announced_at;
+  DpUsec other_learner_heard_at; /* another owner's announcement, while this VM is one too */
+  DpIgnoredCapacity ignored;         /* last bad row of an announcement */
   double slot_ms[DP_URGENCY_LEVELS]; /* moving average of the time in a slot, by urgency */
   guint waiting_by_urgency[DP_URGENCY_LEVELS];
   DpUsec late_granted_at[DP_URGENCY_LEVELS]; /* last grant to a request that was late by then */
@@ -185,6 +198,67 @@
                                      const DpDispatchRequest *request,
                                      const DpGrantDone *done);
 
+/* TRUE if VMs lately used this dispatcher as the pool's owner. */
+gboolean dp_dispatch_is_owner (const DpDispatcher *dispatcher);
+
+/* --- dispatcher_capacity.c: what targets take well --- */
+
+gboolean dp_dispatch_learns_capacity (const DpDispatcher *dispatcher);
+/* TRUE if first events are expected from the prompts at the target. */
+gboolean dp_dispatch_counts_prompts (const DpDispatcher *dispatcher);
+void dp_dispatch_set_capacity (DpDispatcher *dispatcher,
+                               DpDispatchTarget *target,
+                               const DpDirectoryRow *row);
+/* Number of requests that the target may have at a time, limits and failures aside. */
+guint dp_dispatch_window (const DpDispatcher *dispatcher, const DpDispatchTarget *target);
+/* What a new request at the target waits for before its own prompt is read. */
+typedef struct DpFirstEventTerms
+{
+  guint tokens_ahead;
+  DpUsec slot_wait;
+} DpFirstEventTerms;
+
+DpFirstEventTerms dp_dispatch_first_event_terms (const DpDispatcher *dispatcher,
+                                                 const DpDispatchTarget *target);
+DpUsec dp_dispatch_expected_first_event (const DpDispatcher *dispatcher,
+                                         const DpDispatchTarget *target,
+                                         const DpFirstEventTerms *terms,
+                                         guint prompt_tokens);
+/* TRUE if the target has prompts enough to read until it can get another one, and the request
+ * would be late after them. */
+gboolean dp_dispatch_has_prompts_enough (const DpDispatcher *dispatcher,
+                                         const DpDispatchTarget *target,
+                                         const DpFirstEventTerms *terms,
+                                         const DpDispatchRequest *request);
+/* Called when the request is granted (before it is assigned), assigned to the target, has got
+ * its first event, is released from the target, and has ended (before it is released). */
+void dp_dispatch_capacity_on_grant (const DpDispatcher *dispatcher,
+                                    const DpDispatchTarget *target,
+                                    DpDispatchRequest *request);
+void dp_dispatch_capacity_on_assigned (const DpDispatcher *dispatcher,
+                                       const DpDispatchTarget *target,
+                                       DpDispatchRequest *request);
+void dp_dispatch_capacity_on_started (const DpDispatcher *dispatcher,
+                                      const DpDispatchTarget *target,
+                                      DpDispatchRequest *request);
+void dp_dispatch_capacity_on_released (const DpDispatcher *dispatcher,
+                                       const DpDispatchTarget *target,
+                                       DpDispatchRequest *request);
+void dp_dispatch_capacity_on_done (const DpDispatcher *dispatcher,
+                                   const DpDispatchTarget *target,
+                                   const DpDispatchRequest *request,
+                                   const DpGrantDone *done);
+/* Part of the time to the first event for which the request had a slot. */
+DpUsec dp_dispatch_read_time (const DpDispatcher *dispatcher,
+                              const DpDispatchRequest *request,
+                              DpUsec first_event);
+/* Decides about the targets' limits, and announces them. */
+void dp_dispatch_update_capacities (DpDispatcher *dispatcher);
+/* Another owner has announced what it learned. */
+void dp_dispatch_on_capacities (DpDispatcher *dispatcher,
+                                DpName from,
+                                const DpTargetCapacity *message);
+
 /* --- dispatcher_links.c: reachability between data centres --- */
 
 GArray *dp_dispatch_links_new (void);
--- a/core/message.h
+++ b/core/message.h
@@ -26,6 +26,8 @@
 #define DP_URGENCY_LEVELS 32
 /* Rows per DpTargetLimits message. */
 #define DP_LIMIT_ROWS_MAX 64
+/* Rows per DpTargetCapacity message. */
+#define DP_CAPACITY_LIMITS_MAX 64
 /* Slots per DpTargetSent. */
 #define DP_SENT_SLOTS_MAX 20
 /* Slots per DpUseReport. */
@@ -108,6 +110,8 @@
   DP_MESSAGE_ROLLOUTS,
   /* node that owns the pool -> all nodes, and a node that knows better -> that node */
   DP_MESSAGE_ROLLOUT,
+  /* owner of a pool -> all nodes */
+  DP_MESSAGE_TARGET_CAPACITY,
   DP_MESSAGE_COUNT,
 } DpMessageType;
 
@@ -505,6 +509,25 @@
   guint slots[DP_SENT_SLOTS_MAX]; /* newest first */
 } DpTargetSent;
 
+typedef struct DpCapacityLimit
+{
+  DpName target;
+  guint64 started; /* start of the target's incarnation, Unix milliseconds */
+  guint limit;     /* of concurrent requests, from 1 to the target's slots plus one */
+  DpUsec age;      /* time since the last measurement */
+} DpCapacityLimit;
+
+/* What a pool's owner has learned of targets that take less than their slots, or whose limit
+ * has changed, see core/capacity/capacity.h. The others of the pool are as they were. Without
+ * rows it says that the sender is an owner. */
+typedef struct DpTargetCapacity
+{
+  DpName pool;
+  DpUsec idle; /* time since the sender was last asked to assign a request */
+  guint count;
+  DpCapacityLimit rows[DP_CAPACITY_LIMITS_MAX];
+} DpTargetCapacity;
+
 typedef struct DpMessage
 {
   DpMessageType type;
@@ -540,6 +563,7 @@
     DpTargetPaused target_paused;
     DpTargetLimits target_limits;
     DpTargetSent target_sent;
+    DpTargetCapacity target_capacity;
     DpTargetsAsk targets_ask;
     DpTargetRows targets;
     DpRelay relay;
--- a/node/node.h
+++ b/node/node.h
@@ -13,6 +13,7 @@
  *   limits.c           rate limits of workspaces
  *   placement.c        choice of a request's target: owners, grants, dispatchers
  *   target_limits.c    limits that targets state in their responses
+ *   target_capacity.c  logs and metrics of what the owner learns of targets
  *   quarantine.c       requests and parts of prompts that crash targets
  *   stream_versions.c  software versions that began streams
  *   rollouts.c         orders to roll out versions: their states in the store and at other VMs
@@ -66,8 +67,9 @@
   char *expose_share; /* NULL or empty: no staged roll-outs */
   char *expose_slack;
   char *rollback_ms;
-  guint16 tunnel_port; /* 0: agent_bus_port + 1 */
-  char *first_start;   /* "true": first start of the whole system, no quota was used before */
+  char *target_capacity; /* "learned" or "slots" */
+  guint16 tunnel_port;   /* 0: agent_bus_port + 1 */
+  char *first_start;     /* "true": first start of the whole system, no quota was used before */
 } DpNodeSettings;
 
 /* Parsed values of DpNodeSettings. */
@@ -94,6 +96,7 @@
   gsize memory_max; /* bytes; 0: no limit known */
   gboolean has_rollouts;
   DpRolloutOptions rollout; /* if so */
+  DpCapacityMode target_capacity;
 } DpNodeParams;
 
 /* Returns FALSE and adds to `diagnostics` if a value is invalid. */
@@ -114,6 +117,17 @@
 typedef struct DpTunnels DpTunnels;
 
 /* State of a pool on this VM. */
+/* What was last logged of the pool's learned limits. */
+typedef struct DpCapacityReport
+{
+  DpUsec checked_at;
+  DpUsec logged_at;
+  DpUsec ignored_logged_at;
+  guint changes;
+  guint ignored;
+  guint lowered;
+} DpCapacityReport;
+
 typedef struct DpNodePool
 {
   DpName name;
@@ -131,6 +145,7 @@
   DpUsec reported_at; /* last report of held grants to the owner */
   DpRetryBudget budget;
   DpShed shed;
+  DpCapacityReport capacity_report;
 } DpNodePool;
 
 /* Levels of the rules that the builds of all VMs keep. */
@@ -468,6 +483,10 @@
 /* A report for the pool's owner, or an announcement from it. */
 void dp_target_limits_on_message (DpNode *node, DpName from, const DpTargetLimits *limits);
 
+/* --- target_capacity.c --- */
+
+void dp_target_capacity_tick (DpNode *node, DpNodePool *pool, DpUsec now);
+
 /* --- quarantine.c --- */
 
 void dp_node_quarantine_init (DpNode *node);
--- a/node/settings.c
+++ b/node/settings.c
@@ -42,6 +42,10 @@
   TEXT (expose_slack, "N", "further requests of a roll-out, over all VMs (0)", FALSE),
   TEXT (
     rollback_ms, "MS", "time in which a bad version must get no more requests (5000)", FALSE),
+  TEXT (target_capacity,
+        "learned|slots",
+        "limit of concurrent requests per target (learned)",
+        FALSE),
   DP_PORT_SETTING ("tunnel_port",
                    DpNodeSettings,
                    tunnel_port,
@@ -105,6 +109,17 @@
   return fallback;
 }
 
+static DpCapacityMode
+read_target_capacity (const char *text, DpDiagnostics *diagnostics)
+{
+  if (g_strcmp0 (text, "slots") == 0)
+    return DP_CAPACITY_SLOTS;
+  if (text != NULL && text[0] != '\0' && strcmp (text, "learned") != 0)
+    dp_diagnostics_add (diagnostics, "settings", 0, "target_capacity",
+                        "must be \"learned\" or \"slots\", not \"%s\"", text);
+  return DP_CAPACITY_LEARNED;
+}
+
 static void
 share_descriptors (DpNodeParams *params, double descriptors_max)
 {
@@ -187,5 +202,6 @@
   params->connections_max
     = MIN (params->connections_max, dp_memory_connections_max (params->memory_max));
   read_rollout_options (settings, params, diagnostics);
+  params->target_capacity = read_target_capacity (settings->target_capacity, diagnostics);
   return dp_diagnostics_count (diagnostics) == 0;
 }
