--- a/tests/test_net_http_limits.c
+++ b/tests/test_net_http_limits.c
@@ -271,7 +271,7 @@
       dp_http_exchange_reply (g_ptr_array_steal_index (fixture.held, 0), 200, "x", 1);
       wait_for_requests (&fixture, wanted);
     }
-  ck_assert_uint_eq (fixture.requests, 3 * CLIENTS);
+  ck_assert (fixture.requests == 3 * CLIENTS);
   ck_assert_uint_eq (fixture.held->len, 0);
   close (other);
   fixture_free (&fixture);
