--- a/core/dispatcher_private.h
+++ b/core/dispatcher_private.h
@@ -110,7 +110,7 @@
   DpUsec capacities_announced_at; /* changes, or all that differ from the default */
   DpUsec all_capacities_announced_at;
   DpUsec other_learner_heard_at; /* another owner's announcement, while this VM is one too */
-  DpIgnoredCapacity ignored;         /* last bad row of an announcement */
+  DpIgnoredCapacity ignored;     /* last bad row of an announcement */
   double slot_ms[DP_URGENCY_LEVELS]; /* moving average of the time in a slot, by urgency */
   guint waiting_by_urgency[DP_URGENCY_LEVELS];
   DpUsec late_granted_at[DP_URGENCY_LEVELS]; /* last grant to a request that was late by then */
