core: message pool_shared, for plain pools that are short of capacity

VMs that place their own requests for a plain service don't know of each other's and overload its targets. The message carries both the reports of VMs to the pool's owner and the owner's announcement that it assigns all requests.

--- a/core/message.c
+++ b/core/message.c
@@ -29,6 +29,7 @@
   [DP_MESSAGE_TARGET_PAUSED] = "target_paused",
   [DP_MESSAGE_TARGET_LIMITS] = "target_limits",
   [DP_MESSAGE_TARGET_SENT] = "target_sent",
+  [DP_MESSAGE_POOL_SHARED] = "pool_shared",
   [DP_MESSAGE_SUSPECT] = "suspect",
   [DP_MESSAGE_STREAM_VERSION] = "stream_version",
   [DP_MESSAGE_STREAM_VERSION_ASK] = "stream_version_ask",
--- a/core/message.h
+++ b/core/message.h
@@ -103,6 +103,8 @@
   DP_MESSAGE_STREAM_VERSION_ASK,
   /* node -> gateway that carried a target's response */
   DP_MESSAGE_TARGET_PAUSED,
+  /* node -> node that owns the plain pool, and owner -> all nodes */
+  DP_MESSAGE_POOL_SHARED,
   DP_MESSAGE_COUNT,
 } DpMessageType;
 
@@ -492,6 +494,18 @@
   guint slots[DP_SENT_SLOTS_MAX]; /* newest first */
 } DpTargetSent;
 
+/* A plain pool is short of capacity: a report to its owner or the owner's announcement that it
+ * assigns all requests, see core/shared_mode/shared_mode.h. */
+typedef struct DpPoolShared
+{
+  DpName pool;
+  gboolean is_owner; /* an announcement */
+  DpUsec duration;   /* of an announcement: the pool is shared for this long; 0: no longer */
+  guint rejections;  /* of a report: by targets, since the last report */
+  DpName target;     /* of a report: the last one that rejected a request; 0: none */
+  guint milli;       /* thousandths of a request that the sender has at targets on average */
+} DpPoolShared;
+
 typedef struct DpMessage
 {
   DpMessageType type;
@@ -527,6 +541,7 @@
     DpTargetPaused target_paused;
     DpTargetLimits target_limits;
     DpTargetSent target_sent;
+    DpPoolShared pool_shared;
     DpTargetsAsk targets_ask;
     DpTargetRows targets;
     DpRelay relay;
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -382,6 +382,15 @@
   USEC (2, DpMessage, target_paused.pause),
 };
 
+static const DpField pool_shared_fields[] = {
+  UINT64 (1, DpMessage, pool_shared.pool),
+  FLAG (2, DpMessage, pool_shared.is_owner),
+  USEC (3, DpMessage, pool_shared.duration),
+  UINT (4, DpMessage, pool_shared.rejections, G_MAXUINT),
+  UINT64 (5, DpMessage, pool_shared.target),
+  UINT (6, DpMessage, pool_shared.milli, G_MAXUINT),
+};
+
 static const DpField targets_ask_fields[] = {
   UINT64 (1, DpMessage, targets_ask.version),
 };
@@ -452,6 +461,7 @@
   [DP_MESSAGE_TARGET_PAUSED] = TABLE (DpMessage, target_paused_fields),
   [DP_MESSAGE_TARGET_LIMITS] = TABLE (DpMessage, target_limits_fields),
   [DP_MESSAGE_TARGET_SENT] = TABLE (DpMessage, target_sent_fields),
+  [DP_MESSAGE_POOL_SHARED] = TABLE (DpMessage, pool_shared_fields),
 };
 
 const DpFieldTable *
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -186,6 +186,9 @@
     case DP_MESSAGE_TARGET_SENT:
       message.target_sent = (DpTargetSent){ 1, 2, 3, 3, { 4, 5, 6 } };
       break;
+    case DP_MESSAGE_POOL_SHARED:
+      message.pool_shared = (DpPoolShared){ 1, TRUE, 2, 3, 4, 5 };
+      break;
     case DP_MESSAGE_TARGETS_ASK:
       message.targets_ask = (DpTargetsAsk){ 1 };
       break;
