--- /dev/null
+++ b/core/shared_mode/shared_mode.h
@@ -0,0 +1,90 @@
+/* Shared mode of a plain pool: while the pool is short of capacity, its owner assigns the
+ * requests of all VMs; otherwise each VM places its own.
+ *
+ * Each VM has one object per plain pool. It owns two decisions and their state:
+ * - of the VM: when to report to the owner that the pool is short, and whether the owner's
+ *   announcement is in force;
+ * - of the owner: when shared mode begins, is renewed and ends.
+ * It neither chooses the owner nor assigns requests, see core/owners.h and core/dispatcher.h.
+ *
+ * All state is soft. An announcement expires, so that a VM which hears nothing places its own
+ * requests again.
+ */
+#pragma once
+
+#include "core/message.h"
+
+#include <glib.h>
+
+typedef struct DpSharedMode DpSharedMode;
+
+/* What this VM's dispatcher knows of the pool. */
+typedef struct DpSharedModeLoad
+{
+  guint slots;   /* of the targets in service */
+  guint running; /* requests at targets */
+  guint waiting;
+  guint vms; /* number of VMs, this one included */
+} DpSharedModeLoad;
+
+typedef enum DpSharedModeCause
+{
+  DP_SHARED_MODE_NONE,
+  DP_SHARED_MODE_REJECTIONS, /* targets reject requests */
+  DP_SHARED_MODE_USE,        /* the VMs' requests fill most of the slots */
+  DP_SHARED_MODE_ASKED,      /* other VMs use this one as the owner of a shared pool */
+  DP_SHARED_MODE_TAKEN_OVER, /* from another owner */
+  DP_SHARED_MODE_CALM,       /* the mode ended */
+} DpSharedModeCause;
+
+const char *dp_shared_mode_cause_name (DpSharedModeCause cause);
+
+DpSharedMode *dp_shared_mode_new (void);
+void dp_shared_mode_free (DpSharedMode *mode);
+
+/* TRUE while an announcement is in force. */
+gboolean dp_shared_mode_is_on (const DpSharedMode *mode, DpUsec now);
+
+/* --- the VM's part --- */
+
+/* A target rejected a request of this VM for lack of capacity, or reset its connection. */
+void dp_shared_mode_record_rejection (DpSharedMode *mode, DpName target);
+/* Must be called every DP_DISPATCH_TICK_INTERVAL and after a rejection. Returns TRUE if
+ * `report`, which is filled in except for the pool, is to be sent to the pool's owner. */
+gboolean dp_shared_mode_next_report (DpSharedMode *mode,
+                                     const DpSharedModeLoad *load,
+                                     DpUsec now,
+                                     DpPoolShared *report);
+/* The VM `owner`, which may be this one, has announced the mode or its end. */
+void dp_shared_mode_on_announcement (DpSharedMode *mode,
+                                     DpName owner,
+                                     const DpPoolShared *announcement,
+                                     DpUsec now);
+
+/* --- the owner's part --- */
+
+void dp_shared_mode_on_report (DpSharedMode *mode,
+                               DpName vm,
+                               const DpPoolShared *report,
+                               DpUsec now);
+/* Another VM has asked this one for a target. */
+void dp_shared_mode_on_ask (DpSharedMode *mode, DpUsec now);
+
+typedef struct DpSharedModeDecision
+{
+  DpSharedModeCause cause; /* NONE: the mode is renewed */
+  double use;              /* of the slots on average, waiting requests included */
+  guint rejections;        /* reported lately */
+  DpUsec age;              /* of the newest report; 0: none */
+} DpSharedModeDecision;
+
+/* Must be called every DP_DISPATCH_TICK_INTERVAL and after a report at the VM that considers
+ * itself the pool's owner. Returns TRUE if `announcement`, filled in except for the pool, is to
+ * be sent to all VMs, this one included. */
+gboolean dp_shared_mode_next_announcement (DpSharedMode *mode,
+                                           const DpSharedModeLoad *load,
+                                           DpUsec now,
+                                           DpPoolShared *announcement,
+                                           DpSharedModeDecision *decision);
+/* The same call at a VM that is not the owner: forgets what it knew as the owner. */
+void dp_shared_mode_not_owner (DpSharedMode *mode);
--- a/scripts/check_core.sh
+++ b/scripts/check_core.sh
@@ -2,11 +2,11 @@
 # The core must not do I/O, read a clock or draw randomness of its own.
 set -eu
 cd "$(dirname "$0")/.."
-if grep -nE '#include <(event2?|zmq|sys/socket|time\.h|sys/time|unistd|stdio)' core/*.[ch]; then
+if grep -nE '#include <(event2?|zmq|sys/socket|time\.h|sys/time|unistd|stdio)' core/*.[ch] core/*/*.[ch]; then
   echo "core/ includes a header of I/O or time"
   exit 1
 fi
-if grep -nE '\b(g_get_(monotonic|real)_time|g_random_|clock_gettime|getrandom|rand) *\(' core/*.[ch]; then
+if grep -nE '\b(g_get_(monotonic|real)_time|g_random_|clock_gettime|getrandom|rand) *\(' core/*.[ch] core/*/*.[ch]; then
   echo "core/ reads a clock or draws randomness"
   exit 1
 fi
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -16,7 +16,7 @@
 
 # The programs' sources, without those of other subsystems.
 core_sources() {
-  printf "%s\n" common/*.c core/*.c manifest/manifest.c manifest/routes.c | grep -v -e common/log.c -e core/agent -e core/orders
+  printf "%s\n" common/*.c core/*.c core/*/*.c manifest/manifest.c manifest/routes.c | grep -v -e common/log.c -e core/agent -e core/orders
 }
 simulation_sources() {
   printf '%s\n' tests/matrix_*.c tests/entry_fixture.c
