core: queue policy, order and bound of requests for plain pools

A plain pool that is short is dispatched by its owner with DP_DISPATCH_QUEUE; other policies are as before. Among requests with about the same time left, one that may not be repeated goes first there. Where a VM places its own requests, a target gets at most as many of them as it has slots, since each takes one of its connections.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -37,6 +37,7 @@
   DpDispatcher *dispatcher = g_new0 (DpDispatcher, 1);
   dispatcher->options = *options;
   dispatcher->options.counters = dp_counters_ref (options->counters);
+  dispatcher->policy = options->policy;
   dispatcher->random = options->seed;
   dispatcher->reach = 1;
   DpTableOptions targets
@@ -238,7 +239,7 @@
       DpDispatchRequest *request = dp_dispatch_next_request (dispatcher, target);
       if (request == NULL)
         {
-          if (dispatcher->options.policy == DP_DISPATCH_TWO_CHOICES)
+          if (dispatcher->policy == DP_DISPATCH_TWO_CHOICES)
             request = g_ptr_array_index (dispatcher->waiting, 0);
           else
             {
@@ -486,6 +487,13 @@
   dispatcher->options.is_shared = is_shared;
 }
 
+void
+dp_dispatcher_set_short (DpDispatcher *dispatcher, gboolean is_short)
+{
+  dispatcher->is_short = is_short;
+  dispatcher->policy = is_short ? DP_DISPATCH_QUEUE : dispatcher->options.policy;
+}
+
 void
 dp_dispatcher_set_reach (DpDispatcher *dispatcher, double fraction)
 {
@@ -617,6 +625,8 @@
     {
       const DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
       status.suspects += target->is_suspect;
+      if (dp_dispatch_is_accepting (dispatcher, target) && !target->is_suspect)
+        status.slots += target->slots;
     }
   return status;
 }
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -35,7 +35,10 @@
   DpName pool;
   guint64 seed;
   DpDispatchPolicy policy;
-  gboolean is_shared;   /* this VM may own the pool, i.e. dispatch for all VMs */
+  gboolean is_shared; /* this VM may own the pool, i.e. dispatch for all VMs */
+  /* While the pool is not shared, a target gets at most as many requests from this VM as it
+   * has slots: more could not run, and each takes one of the target's connections. */
+  gboolean bounds_own_requests;
   DpCounters *counters; /* a reference is taken */
 } DpDispatcherOptions;
 
@@ -65,6 +68,9 @@
 
 /* Changes whether this VM may own the pool. */
 void dp_dispatcher_set_shared (DpDispatcher *dispatcher, gboolean is_shared);
+/* While the pool is short of capacity (core/shared_mode/shared_mode.h) its owner assigns by
+ * DP_DISPATCH_QUEUE, whatever the policy is. */
+void dp_dispatcher_set_short (DpDispatcher *dispatcher, gboolean is_short);
 /* Fraction of all VMs that this VM can reach, initially 1: its part of the targets' limits. */
 void dp_dispatcher_set_reach (DpDispatcher *dispatcher, double fraction);
 
@@ -85,6 +91,7 @@
   guint suspects; /* targets that receive only probes */
   guint waiting;
   guint running;
+  guint slots;   /* of the targets in service, i.e. accepting and not suspect */
   guint limited; /* targets with a limit */
   guint brittle;
 } DpDispatcherStatus;
--- a/core/dispatcher_private.h
+++ b/core/dispatcher_private.h
@@ -99,6 +99,8 @@
   double slot_ms[DP_URGENCY_LEVELS]; /* moving average of the time in a slot, by urgency */
   guint waiting_by_urgency[DP_URGENCY_LEVELS];
   guint running;
+  DpDispatchPolicy policy;     /* in force: options.policy, or QUEUE while the pool is short */
+  gboolean is_short;           /* see dp_dispatcher_set_short() */
   guint limited;               /* number of targets with a limit */
   guint brittle;               /* number of brittle targets */
   GArray *other_owners;        /* lately heard, see dispatcher_limits.c */
--- a/core/dispatcher_queue.c
+++ b/core/dispatcher_queue.c
@@ -20,6 +20,8 @@
 #define WAIT_MAX (1500 * DP_USEC_PER_MSEC)
 /* Maximum queue length per slot; with more, requests would wait longer than any caller does. */
 #define WAITING_PER_SLOT 4
+/* Requests whose objectives end within the same period of this length have equal time left. */
+#define EQUAL_TIME (20 * DP_USEC_PER_MSEC)
 
 /* Lower ranks go first. An answer that has begun would be cut off if it could not go on. */
 static guint
@@ -37,10 +39,17 @@
   return 1 + (on_time ? 2 * urgency : 2 * (urgency + LATE_TIERS) + 1);
 }
 
-/* TRUE if `a` goes before `b`, given equal ranks. */
+/* TRUE if `a` goes before `b`, given equal ranks. Among requests that have about the same time
+ * left, those that may not be repeated go first in a pool that is short: a refusal or a failure
+ * costs them more. */
 static gboolean
-precedes (const DpDispatchRequest *a, const DpDispatchRequest *b)
+precedes (const DpDispatcher *dispatcher,
+          const DpDispatchRequest *a,
+          const DpDispatchRequest *b)
 {
+  if (dispatcher->is_short && a->ask.repeatable != b->ask.repeatable
+      && a->objective_at / EQUAL_TIME == b->objective_at / EQUAL_TIME)
+    return !a->ask.repeatable;
   return a->objective_at != b->objective_at ? a->objective_at < b->objective_at
                                             : a->arrived_at < b->arrived_at;
 }
@@ -58,7 +67,7 @@
       guint request_rank = rank (dispatcher, request, target);
       if (best != NULL
           && (request_rank > best_rank
-              || (request_rank == best_rank && !precedes (request, best))))
+              || (request_rank == best_rank && !precedes (dispatcher, request, best))))
         continue;
       best = request;
       best_rank = request_rank;
--- a/core/dispatcher_targets.c
+++ b/core/dispatcher_targets.c
@@ -108,6 +108,14 @@
   return total_cost;
 }
 
+/* FALSE if the target has as many requests of this VM as it may get of one VM. */
+static gboolean
+is_within_own_bound (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
+{
+  return dispatcher->options.is_shared || !dispatcher->options.bounds_own_requests
+         || target->requests->len < target->slots;
+}
+
 /* Returns the less loaded of two random targets, regardless of their health. Limits are kept,
  * and brittle targets get no more than they can run. */
 static DpDispatchTarget *
@@ -119,6 +127,7 @@
     {
       DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
       if (dp_dispatch_is_accepting (dispatcher, target)
+          && is_within_own_bound (dispatcher, target)
           && dp_dispatch_limit_allows (dispatcher, target)
           && dp_dispatch_brittle_capacity (dispatcher, target) > 0
           && (request == NULL || dp_dispatch_may_use (dispatcher, &request->ask, target)))
@@ -140,7 +149,7 @@
 DpDispatchTarget *
 dp_dispatch_choose_target (DpDispatcher *dispatcher, const DpDispatchRequest *request)
 {
-  if (dispatcher->options.policy == DP_DISPATCH_TWO_CHOICES)
+  if (dispatcher->policy == DP_DISPATCH_TWO_CHOICES)
     return choose_of_two (dispatcher, request);
   DpDispatchTarget *best = NULL;
   double best_cost = 0;
