node: share plain services through their owner while they are short

Each VM places requests for a plain service by itself, so near capacity targets reject requests and reset connections. From the first rejection on the owner now assigns them all, and the VMs report what runs at the targets to it (GRANT_HELD), until conditions are calm. needs_owner() in node/placement.c has all conditions for a shared pool. The setting shared_mode=off leaves it as it was.

--- a/node/node.h
+++ b/node/node.h
@@ -12,6 +12,7 @@
  *   builds.c           which rules the builds of the other VMs keep
  *   limits.c           rate limits of workspaces
  *   placement.c        choice of a request's target: owners, grants, dispatchers
+ *   plain_pools.c      plain services near capacity: when their owner dispatches for all VMs
  *   target_limits.c    limits that targets state in their responses
  *   quarantine.c       requests and parts of prompts that crash targets
  *   stream_versions.c  software versions that began streams
@@ -34,6 +35,7 @@
 #include "core/quota.h"
 #include "core/reach.h"
 #include "core/retry.h"
+#include "core/shared_mode/shared_mode.h"
 #include "core/shed.h"
 #include "core/suspects.h"
 #include "core/versions.h"
@@ -63,6 +65,7 @@
   char *quota_slack;
   char *memory_mb;
   guint16 tunnel_port; /* 0: agent_bus_port + 1 */
+  char *shared_mode;   /* "off": plain services are never shared for lack of capacity */
   char *first_start;   /* "true": first start of the whole system, no quota was used before */
 } DpNodeSettings;
 
@@ -88,6 +91,7 @@
   DpUsec quota_window;
   double quota_slack;
   gsize memory_max; /* bytes; 0: no limit known */
+  gboolean has_shared_mode;
 } DpNodeParams;
 
 /* Returns FALSE and adds to `diagnostics` if a value is invalid. */
@@ -112,13 +116,15 @@
   DpName name;
   char *text; /* the name as written in the config */
   DpPoolKind kind;
-  /* One VM owns dispatch for all: for pools of engines, and while a target has a limit or is
-   * brittle. Otherwise each VM dispatches its own requests. */
+  /* One VM owns dispatch for all, see needs_owner() in placement.c. Otherwise each VM
+   * dispatches its own requests. */
   gboolean is_shared;
+  gboolean is_short;   /* a plain pool is short of capacity */
   gboolean has_limits; /* a target has a limit or is brittle */
   gboolean is_brittle; /* a target is */
   gboolean is_unkept;  /* it was logged that older VMs may break the rule */
   DpDispatcher *dispatcher;
+  DpSharedMode *mode; /* NULL: the pool never becomes short */
   DpName owner;       /* last chosen owner; 0: none yet */
   DpUsec reported_at; /* last report of held grants to the owner */
   DpRetryBudget budget;
@@ -422,6 +428,8 @@
 void dp_placement_report_started (DpNodeRequest *request);
 /* The target announced in an answer that it is stopping. */
 void dp_placement_target_leaving (DpNode *node, DpName target);
+/* The pool has become short of capacity, or no longer is. */
+void dp_placement_set_short (DpNode *node, DpNodePool *pool, gboolean is_short);
 /* Sends a message about the pool to the VM that owns it, even if it is not shared yet. */
 void dp_placement_send_to_owner (DpNode *node, DpName pool, const DpMessage *message);
 /* Sends the owner all requests that this VM has sent to the pool's targets, whoever assigned
@@ -435,6 +443,18 @@
 void dp_placement_tick (DpNode *node, DpUsec now, gboolean was_paused);
 void dp_placement_pool_free (gpointer data);
 
+/* --- plain_pools.c --- */
+
+/* Returns the state of a plain pool's shared mode; NULL if it is off. */
+DpSharedMode *dp_plain_pools_new_mode (const DpNode *node, DpPoolKind kind);
+/* The attempt has ended: the target may have rejected it or reset its connection. */
+void dp_plain_pools_on_attempt_end (const DpNodeRequest *request, DpReason reason);
+/* Another VM has asked this one for a target of the pool. */
+void dp_plain_pools_on_ask (DpNode *node, DpNodePool *pool);
+/* A report for the pool's owner, or an announcement from it. */
+void dp_plain_pools_on_message (DpNode *node, DpName from, const DpPoolShared *message);
+void dp_plain_pools_tick (DpNode *node, DpUsec now);
+
 /* --- target_limits.c --- */
 
 /* The head of a response was received. */
--- a/node/placement.c
+++ b/node/placement.c
@@ -15,6 +15,8 @@
 static void
 deliver_to_dispatcher (DpNode *node, DpNodePool *pool, DpName from, const DpMessage *message)
 {
+  if (message->type == DP_MESSAGE_GRANT_ASK && from != node->self)
+    dp_plain_pools_on_ask (node, pool);
   GArray *outbox = dp_dispatch_outbox_new ();
   dp_dispatcher_receive (pool->dispatcher, from, message, dp_node_now (), outbox);
   deliver (node, outbox);
@@ -37,10 +39,18 @@
 {
   DpNodePool *pool = data;
   dp_dispatcher_free (pool->dispatcher);
+  dp_shared_mode_free (pool->mode);
   g_free (pool->text);
   g_free (pool);
 }
 
+/* TRUE if one VM has to dispatch the requests of all VMs. */
+static gboolean
+needs_owner (const DpNodePool *pool)
+{
+  return pool->kind == DP_POOL_ENGINES || pool->has_limits || pool->is_short;
+}
+
 static DpNodePool *
 ensure_pool (DpNode *node, const DpPool *row)
 {
@@ -51,13 +61,15 @@
   pool->name = row->name;
   pool->text = g_strdup (row->text);
   pool->kind = row->kind;
-  pool->is_shared = row->kind == DP_POOL_ENGINES;
+  pool->is_shared = needs_owner (pool);
+  pool->mode = dp_plain_pools_new_mode (node, row->kind);
   const DpDispatcherOptions options
     = { .self = node->self,
         .pool = row->name,
         .seed = node->random,
         .policy = pool->is_shared ? DP_DISPATCH_QUEUE : DP_DISPATCH_TWO_CHOICES,
         .is_shared = pool->is_shared,
+        .bounds_own_requests = pool->mode != NULL,
         .counters = node->counters };
   pool->dispatcher = dp_dispatcher_new (&options);
   dp_retry_budget_init (&pool->budget, node->params.retry_ratio, node->params.retry_window);
@@ -103,7 +115,7 @@
 set_pool_targets (DpNode *node, DpNodePool *pool)
 {
   set_pool_limits (node, pool);
-  pool->is_shared = pool->kind == DP_POOL_ENGINES || pool->has_limits;
+  pool->is_shared = needs_owner (pool);
   GArray *outbox = dp_dispatch_outbox_new ();
   /* While the targets are set, the pool is shared if it was or will be: an owner announces the
    * first limit as well as the end of the last one. */
@@ -279,18 +291,8 @@
 /* Moves running requests to the new owner. The previous one gets an empty report, which
  * releases them there. */
 static void
-change_owner (DpNode *node, DpNodePool *pool, DpName owner)
+move_requests (DpNode *node, DpNodePool *pool, DpName previous, DpName owner)
 {
-  DpName previous = pool->owner;
-  pool->owner = owner;
-  dp_limit_client_on_new_owner (node->limit_client, pool->name, owner);
-  /* The new owner may have room for what the previous one refused. */
-  pool->shed = (DpShed){ 0 };
-  if (previous == 0)
-    return;
-  dp_log (DP_LOG_NOTICE, "owner_changed", "pool", pool->text, "from", vm_text (node, previous),
-          "to", vm_text (node, owner), NULL);
-  dp_counters_add (node->counters, "dogwoodplank_owner_changes_total", NULL, NULL, 1);
   for (DpHandle at = dp_table_next (node->requests, 0); at != 0;
        at = dp_table_next (node->requests, at))
     {
@@ -304,6 +306,47 @@
   send_report (node, pool, owner, FALSE);
 }
 
+static void
+change_owner (DpNode *node, DpNodePool *pool, DpName owner)
+{
+  DpName previous = pool->owner;
+  pool->owner = owner;
+  dp_limit_client_on_new_owner (node->limit_client, pool->name, owner);
+  /* The new owner may have room for what the previous one refused. */
+  pool->shed = (DpShed){ 0 };
+  if (previous == 0)
+    return;
+  dp_log (DP_LOG_NOTICE, "owner_changed", "pool", pool->text, "from", vm_text (node, previous),
+          "to", vm_text (node, owner), NULL);
+  dp_counters_add (node->counters, "dogwoodplank_owner_changes_total", NULL, NULL, 1);
+  move_requests (node, pool, previous, owner);
+}
+
+/* The requests that this VM has sent go to the owner's count, and back to its own one. */
+static void
+move_dispatch (DpNode *node, DpNodePool *pool)
+{
+  DpName owner = pool->is_shared ? dp_owners_choose (node->owners, pool->name, dp_node_now ())
+                                 : node->self;
+  DpName previous = pool->is_shared ? node->self : pool->owner;
+  pool->owner = pool->is_shared ? owner : 0;
+  pool->shed = (DpShed){ 0 };
+  if (previous != 0 && previous != owner)
+    move_requests (node, pool, previous, owner);
+}
+
+void
+dp_placement_set_short (DpNode *node, DpNodePool *pool, gboolean is_short)
+{
+  gboolean was_shared = pool->is_shared;
+  pool->is_short = is_short;
+  pool->is_shared = needs_owner (pool);
+  dp_dispatcher_set_short (pool->dispatcher, is_short);
+  dp_dispatcher_set_shared (pool->dispatcher, pool->is_shared);
+  if (pool->is_shared != was_shared)
+    move_dispatch (node, pool);
+}
+
 static DpName
 choose_owner (DpNode *node, DpNodePool *pool, DpUsec now)
 {
@@ -652,6 +695,11 @@
       if (message->target_limits.is_owner && from == node->self)
         return;
     }
+  if (message->type == DP_MESSAGE_POOL_SHARED)
+    {
+      dp_plain_pools_on_message (node, from, &message->pool_shared);
+      return;
+    }
   DpName name = message_pool (message);
   if (name == 0)
     {
@@ -710,6 +758,17 @@
     dp_placement_cancel_search (request);
 }
 
+/* TRUE if the request waits at a VM that no longer assigns this VM's requests. */
+static gboolean
+waits_elsewhere (const DpNodeRequest *request)
+{
+  const DpNodePool *pool = request->pool;
+  if (pool->is_shared)
+    return request->owner != pool->owner;
+  /* A pool that was short: the previous owner has been told that this VM left it. */
+  return pool->mode != NULL && request->owner != request->node->self;
+}
+
 /* Places waiting requests again whose owner is unresponsive or has changed. */
 static void
 check_owners (DpNode *node)
@@ -724,7 +783,7 @@
         continue;
       if (!check_owner (node, request, request->owner, request->grant_requested_at))
         dp_placement_request (request);
-      else if (request->pool->is_shared && request->owner != request->pool->owner)
+      else if (waits_elsewhere (request))
         {
           dp_placement_release (request, DP_REASON_NO_OWNER);
           dp_placement_request (request);
@@ -762,5 +821,6 @@
 {
   if (!was_paused)
     check_owners (node);
+  dp_plain_pools_tick (node, now);
   tick_dispatchers (node, now);
 }
--- a/node/request.c
+++ b/node/request.c
@@ -514,6 +514,7 @@
   gboolean target_disconnected
     = reason == DP_REASON_TARGET_BROKE || reason == DP_REASON_ANSWER_INCOMPLETE;
   DpReason released = release_reason (request, end, reason);
+  dp_plain_pools_on_attempt_end (request, released);
   if (end == DP_ATTEMPT_BROKE && target_disconnected && released != DP_REASON_NO_PATH)
     dp_node_quarantine_record_failure (request);
   /* The response must be forwarded before dp_attempt_cancel() frees it. */
--- a/node/settings.c
+++ b/node/settings.c
@@ -39,6 +39,10 @@
                    tunnel_port,
                    "port of the gateway, the same on all VMs (agent_bus_port + 1)",
                    0),
+  TEXT (shared_mode,
+        "on|off",
+        "dispatch requests of plain services by one VM while they are short of capacity (on)",
+        FALSE),
   TEXT (
     first_start, "true", "first start of the whole system: no quota was used before", FALSE),
 };
@@ -119,6 +123,17 @@
   params->tunnel_port = (guint16)port;
 }
 
+static gboolean
+read_switch (const char *name, const char *text, DpDiagnostics *diagnostics)
+{
+  if (text == NULL || text[0] == '\0' || strcmp (text, "on") == 0)
+    return TRUE;
+  if (strcmp (text, "off") != 0)
+    dp_diagnostics_add (diagnostics, "settings", 0, name, "must be on or off, not \"%s\"",
+                        text);
+  return FALSE;
+}
+
 gboolean
 dp_node_parse_settings (const DpNodeSettings *settings,
                         DpNodeParams *params,
@@ -156,5 +171,6 @@
   params->quota_slack = read_number ("quota_slack", settings->quota_slack, 0, diagnostics);
   double memory_mb = read_number ("memory_mb", settings->memory_mb, 0, diagnostics);
   params->memory_max = (gsize)(memory_mb * BYTES_PER_MB);
+  params->has_shared_mode = read_switch ("shared_mode", settings->shared_mode, diagnostics);
   return dp_diagnostics_count (diagnostics) == 0;
 }
