--- a/core/shared_mode/shared_mode.c
+++ b/core/shared_mode/shared_mode.c
@@ -11,21 +11,21 @@
 #define REPORT_USE_ALONE 0.5
 /* Time constant of the average number of requests. With a shorter one, a VM among a hundred
  * would report after each single request. */
-#define VM_AVERAGE_TIME (3 * DP_USEC_PER_SEC)
-#define REPORT_INTERVAL (500 * DP_USEC_PER_MSEC)
+#define VM_AVERAGE_TIME (5 * DP_USEC_PER_SEC)
+#define REPORT_INTERVAL DP_USEC_PER_SEC
 /* The same after a rejection. The report may have been lost, or a new owner may need it. */
 #define REJECTION_REPORT_INTERVAL (20 * DP_USEC_PER_MSEC)
 
 /* --- decisions of the owner --- */
 
 /* Reports of use count for this long. */
-#define REPORT_AGE_MAX (1200 * DP_USEC_PER_MSEC)
+#define REPORT_AGE_MAX (2 * DP_USEC_PER_SEC)
 /* Shared mode begins when the reports fill this part of the slots. */
 #define ENTER_USE 0.8
 /* It is renewed while the average use is higher than this, or was within CALM_DURATION. */
-#define LEAVE_USE 0.5
+#define LEAVE_USE 0.65
 #define CALM_DURATION (3 * DP_USEC_PER_SEC)
-#define OWNER_AVERAGE_TIME (500 * DP_USEC_PER_MSEC)
+#define OWNER_AVERAGE_TIME DP_USEC_PER_SEC
 #define ANNOUNCE_INTERVAL (500 * DP_USEC_PER_MSEC)
 /* Survives three lost announcements. */
 #define ANNOUNCED_DURATION (2 * DP_USEC_PER_SEC)
@@ -155,14 +155,17 @@
                             DpPoolShared *report)
 {
   gboolean is_on = dp_shared_mode_is_on (mode, now);
-  if (!is_on)
-    update_average (&mode->vm_running, &mode->averaged_at, load->running, VM_AVERAGE_TIME, now);
-  /* In shared mode the owner knows all of this. */
-  if (is_on || !is_report_due (mode, load, now))
+  if (is_on)
     {
-      mode->rejections = is_on ? 0 : mode->rejections;
+      /* The owner knows of rejections, and `load` may be that of all VMs. */
+      mode->rejections = 0;
+      mode->vm_running = 0;
+      mode->averaged_at = now;
       return FALSE;
     }
+  update_average (&mode->vm_running, &mode->averaged_at, load->running, VM_AVERAGE_TIME, now);
+  if (!is_report_due (mode, load, now))
+    return FALSE;
   double running = load->running >= REPORT_USE_ALONE * load->slots ? load->running : 0;
   *report = (DpPoolShared){ .rejections = mode->rejections,
                             .target = mode->rejections > 0 ? mode->rejected_by : 0,
@@ -289,7 +292,8 @@
 update_use (DpSharedMode *mode, const DpSharedModeLoad *load, DpUsec now)
 {
   double requests = (double)load->running + load->waiting;
-  double use = load->slots > 0 ? requests / load->slots : requests > 0;
+  /* A long queue would keep the average high long after it was served. */
+  double use = load->slots > 0 ? MIN (requests / load->slots, 1) : requests > 0;
   update_average (&mode->use, &mode->use_at, use, OWNER_AVERAGE_TIME, now);
   mode->use_max = MAX (mode->use_max, mode->use);
   if (mode->use >= LEAVE_USE)
