--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -37,7 +37,8 @@
   DpDispatchPolicy policy;
   gboolean is_shared; /* this VM may own the pool, i.e. dispatch for all VMs */
   /* While the pool is not shared, a target gets at most as many requests from this VM as it
-   * has slots: more could not run, and each takes one of the target's connections. */
+   * has slots: more could not run, and each takes one of the target's connections. It gets none
+   * for a moment after it rejected one. */
   gboolean bounds_own_requests;
   DpCounters *counters; /* a reference is taken */
 } DpDispatcherOptions;
--- a/core/dispatcher_targets.c
+++ b/core/dispatcher_targets.c
@@ -120,12 +120,14 @@
   return total_cost;
 }
 
-/* FALSE if the target has as many requests of this VM as it may get of one VM. */
+/* FALSE if the target has as many requests of this VM as it may get of one VM, or has just
+ * rejected one. */
 static gboolean
 is_within_own_bound (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
 {
-  return dispatcher->options.is_shared || !dispatcher->options.bounds_own_requests
-         || target->requests->len < target->slots;
+  if (dispatcher->options.is_shared || !dispatcher->options.bounds_own_requests)
+    return TRUE;
+  return target->requests->len < target->slots && dispatcher->now >= target->full_until;
 }
 
 /* Returns the less loaded of two random targets, regardless of their health. Limits are kept,
--- a/core/shared_mode/shared_mode.c
+++ b/core/shared_mode/shared_mode.c
@@ -20,8 +20,14 @@
 
 /* Reports of use count for this long. */
 #define REPORT_AGE_MAX (2 * DP_USEC_PER_SEC)
-/* Shared mode begins when the reports fill this part of the slots. */
+/* Shared mode begins when the reports fill this part of the slots, */
 #define ENTER_USE 0.8
+/* or with this many rejections, none of them longer than REJECTION_GAP_MAX after the one
+ * before. At 0.4 of the capacity, VMs that choose blindly cause a single one every few thousand
+ * requests.
+ */
+#define REJECTIONS_MIN 2
+#define REJECTION_GAP_MAX DP_USEC_PER_SEC
 /* It is renewed while the average use is higher than this, or was within CALM_DURATION. */
 #define LEAVE_USE 0.65
 #define CALM_DURATION (2 * DP_USEC_PER_SEC)
@@ -72,7 +78,8 @@
   DpUsec reported_at;
   /* owner */
   GArray *reports;      /* Report: the newest of each VM */
-  guint reported;       /* rejections in reports since the mode began, or since they count */
+  guint reported;       /* rejections in reports, since the mode began or in the last series */
+  DpUsec rejected_at;   /* time of the last report of some */
   DpName reported_from; /* the target of the last of them */
   DpUsec report_at;     /* time of the newest report */
   DpUsec asked_at;
@@ -239,7 +246,11 @@
     = report->target == mode->unfounded_target && now < mode->unfounded_until;
   if (report->rejections == 0 || is_unfounded)
     return;
-  mode->reported += report->rejections;
+  if (!mode->is_deciding && now - mode->rejected_at > REJECTION_GAP_MAX)
+    mode->reported = 0;
+  mode->rejected_at = now;
+  mode->reported
+    += MIN (report->rejections, G_MAXUINT / 2 - MIN (mode->reported, G_MAXUINT / 2));
   mode->reported_from = report->target;
 }
 
@@ -293,7 +304,7 @@
   gboolean has_just_ended = mode->ended_at != 0 && now - mode->ended_at <= ANNOUNCED_DURATION;
   if (dp_shared_mode_is_used (mode, now) && !has_just_ended)
     return DP_SHARED_MODE_ASKED;
-  if (mode->reported > 0)
+  if (mode->reported >= REJECTIONS_MIN)
     return DP_SHARED_MODE_REJECTIONS;
   if (load->slots > 0 && sum_reports (mode, now) >= ENTER_USE * load->slots)
     return DP_SHARED_MODE_USE;
--- a/node/node.h
+++ b/node/node.h
@@ -454,7 +454,7 @@
 void dp_plain_pools_on_ask (DpNode *node, DpNodePool *pool, const DpGrantAsk *ask);
 /* A report for the pool's owner, or an announcement from it. */
 void dp_plain_pools_on_message (DpNode *node, DpName from, const DpPoolShared *message);
-void dp_plain_pools_tick (DpNode *node, DpUsec now);
+void dp_plain_pools_tick (DpNode *node, DpUsec now, gboolean was_paused);
 
 /* --- target_limits.c --- */
 
--- a/node/placement.c
+++ b/node/placement.c
@@ -825,6 +825,6 @@
 {
   if (!was_paused)
     check_owners (node);
-  dp_plain_pools_tick (node, now);
+  dp_plain_pools_tick (node, now, was_paused);
   tick_dispatchers (node, now);
 }
--- a/node/plain_pools.c
+++ b/node/plain_pools.c
@@ -8,6 +8,9 @@
 /* A new owner assigns nothing for this long: VMs that heard its announcement tell what they
  * have sent. It covers both ways between data centres, and a tick. */
 #define COLLECT_DURATION (20 * DP_USEC_PER_MSEC)
+/* The same after this process was paused: another VM may own the pool by now, and its messages
+ * have to be read first. */
+#define RESUME_DURATION (60 * DP_USEC_PER_MSEC)
 
 DpSharedMode *
 dp_plain_pools_new_mode (const DpNode *node, DpPoolKind kind)
@@ -162,7 +165,7 @@
 }
 
 void
-dp_plain_pools_tick (DpNode *node, DpUsec now)
+dp_plain_pools_tick (DpNode *node, DpUsec now, gboolean was_paused)
 {
   GHashTableIter iter;
   gpointer value;
@@ -175,6 +178,8 @@
   for (guint i = 0; i < pools->len; i++)
     {
       DpNodePool *pool = g_ptr_array_index (pools, i);
+      if (was_paused)
+        dp_dispatcher_hold (pool->dispatcher, now + RESUME_DURATION);
       step (node, pool, now);
       shared += pool->is_short;
     }
--- a/tests/test_plain_overload.c
+++ b/tests/test_plain_overload.c
@@ -26,7 +26,7 @@
 #define DISTURBED_AT (OVERLOAD_AT + 3 * SEC)
 #define CALM_AT (OVERLOAD_AT + 10 * SEC)
 /* After the overload, queues drain within the time limit of 1.5 s, the average falls within 2
- * s, 2 s of calm end shared mode, and announcements last for 2 s. */
+ * s, and 2 s of calm end shared mode. */
 #define SETTLED_AT (CALM_AT + 7 * SEC)
 #define END (SETTLED_AT + 6 * SEC)
 #define BURST_INTERVAL (2 * SEC)
