core: owners of a plain pool learn of each other at once

What the other owner announced within 100 ms after this one had begun was ignored, since it may be its last announcement, and the next one came 500 ms later. Until then both filled all slots.

Such announcements now count for 300 ms, and owners that have just heard of each other announce every 100 ms for a second.

--- a/core/shared_mode/shared_mode.c
+++ b/core/shared_mode/shared_mode.c
@@ -39,8 +39,13 @@
 #define USED_AGE_MAX (300 * DP_USEC_PER_MSEC)
 /* Another VM assigns requests until this long after its last announcement. */
 #define OTHER_AGE_MAX (1200 * DP_USEC_PER_MSEC)
-/* Announcements of the previous owner may arrive this long after this one has begun. */
+/* What the previous owner announces this long after this one has begun may be its last
+ * announcement. It counts only until RENEWAL_MAX after it. */
 #define HANDOVER_DURATION (100 * DP_USEC_PER_MSEC)
+#define RENEWAL_MAX (300 * DP_USEC_PER_MSEC)
+/* Owners that have just heard of each other announce more often for CONTACT_DURATION. */
+#define CONTACT_INTERVAL (100 * DP_USEC_PER_MSEC)
+#define CONTACT_DURATION DP_USEC_PER_SEC
 /* Survives three lost announcements. */
 #define ANNOUNCED_DURATION (2 * DP_USEC_PER_SEC)
 /* If the mode ended without ever seeing this use, the target that had rejected requests has a
@@ -91,6 +96,7 @@
   DpUsec busy_at;
   DpUsec announced_at;
   gboolean was_reported; /* since then */
+  DpUsec contact_at;     /* time at which another owner was heard first */
   DpUsec ended_at;
   DpName unfounded_target;
   DpUsec unfounded_until;
@@ -218,7 +224,10 @@
     g_array_append_val (mode->announcers, row);
   /* Another owner soon needs to know of this one. */
   if (!is_known && owner != mode->self)
-    mode->was_reported = TRUE;
+    {
+      mode->was_reported = TRUE;
+      mode->contact_at = now;
+    }
 }
 
 /* --- the owner's part --- */
@@ -273,8 +282,9 @@
   for (guint i = 0; i < mode->announcers->len && mode->is_deciding; i++)
     {
       const Announcer *row = &g_array_index (mode->announcers, Announcer, i);
-      if (row->vm == mode->self || now - row->heard_at > OTHER_AGE_MAX
-          || row->heard_at < mode->began_at + HANDOVER_DURATION)
+      gboolean may_be_last = row->heard_at < mode->began_at + HANDOVER_DURATION;
+      if (row->vm == mode->self || row->heard_at < mode->began_at
+          || now - row->heard_at > (may_be_last ? RENEWAL_MAX : OTHER_AGE_MAX))
         continue;
       others.count++;
       others.running += row->milli / MILLI;
@@ -355,6 +365,15 @@
     mode->busy_at = now;
 }
 
+static DpUsec
+announce_interval (const DpSharedMode *mode, DpUsec now)
+{
+  if (mode->was_reported)
+    return REPORTED_INTERVAL;
+  gboolean is_new = mode->contact_at != 0 && now - mode->contact_at < CONTACT_DURATION;
+  return is_new ? CONTACT_INTERVAL : ANNOUNCE_INTERVAL;
+}
+
 gboolean
 dp_shared_mode_next_announcement (DpSharedMode *mode,
                                   const DpSharedModeLoad *load,
@@ -372,8 +391,7 @@
     }
   update_use (mode, load, now);
   gboolean is_calm = now - mode->busy_at >= CALM_DURATION && load->waiting == 0;
-  DpUsec interval = mode->was_reported ? REPORTED_INTERVAL : ANNOUNCE_INTERVAL;
-  if (!is_calm && now - mode->announced_at < interval)
+  if (!is_calm && now - mode->announced_at < announce_interval (mode, now))
     return FALSE;
   *decision = (DpSharedModeDecision){ .cause = is_calm ? DP_SHARED_MODE_CALM : cause,
                                       .use = mode->use,
