--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -37,6 +37,7 @@
   DpDispatcher *dispatcher = g_new0 (DpDispatcher, 1);
   dispatcher->options = *options;
   dispatcher->options.counters = dp_counters_ref (options->counters);
+  dispatcher->policy = options->policy;
   dispatcher->random = options->seed;
   dispatcher->reach = 1;
   DpTableOptions targets
@@ -252,7 +253,7 @@
       DpDispatchRequest *request = dp_dispatch_next_request (dispatcher, target);
       if (request == NULL)
         {
-          if (dispatcher->options.policy == DP_DISPATCH_TWO_CHOICES)
+          if (dispatcher->policy == DP_DISPATCH_TWO_CHOICES)
             request = g_ptr_array_index (dispatcher->waiting, 0);
           else
             {
@@ -383,6 +384,16 @@
   dp_dispatch_capacity_on_started (dispatcher, target, request);
 }
 
+/* TRUE if this dispatcher assigned the request while the pool was short. What VMs assign before
+ * says nothing about the owner's window. */
+static gboolean
+was_granted_short (const DpDispatcher *dispatcher, const DpDispatchRequest *request)
+{
+  return dispatcher->is_short && request != NULL && !request->was_adopted
+         && request->state == DP_DISPATCH_REQUEST_RUNNING
+         && request->granted_at >= dispatcher->short_at;
+}
+
 static void
 update_estimates (DpDispatcher *dispatcher,
                   const DpDispatchRequest *request,
@@ -399,6 +410,9 @@
   double *slot_ms = &dispatcher->slot_ms[request->ask.urgency];
   double measured = (double)done->duration / (double)DP_USEC_PER_MSEC;
   *slot_ms += SLOT_TIME_GAIN * (measured - *slot_ms);
+  if (was_granted_short (dispatcher, request))
+    dp_transit_record (&dispatcher->transit, dispatcher->now - request->granted_at,
+                       done->duration);
 }
 
 /* TRUE if the outcome counts against the target. */
@@ -449,6 +463,9 @@
     is_link = is_link_failure (dispatcher, request, target, done->reason);
   if (target != NULL && is_target_failure (done->reason) && !is_link)
     dp_dispatch_record_failure (dispatcher, target, done->reason);
+  if (target != NULL && done->reason == DP_REASON_NO_TARGET
+      && was_granted_short (dispatcher, request))
+    dp_dispatch_lower_window (dispatcher, target);
   if (target != NULL)
     dp_dispatch_record_brittle_end (dispatcher, target, request, done);
   if (request == NULL)
@@ -521,6 +538,36 @@
   dispatcher->options.is_shared = is_shared;
 }
 
+void
+dp_dispatcher_set_short (DpDispatcher *dispatcher, gboolean is_short)
+{
+  if (is_short && !dispatcher->is_short)
+    {
+      dispatcher->transit = (DpTransit){ 0 };
+      dispatcher->short_at = dispatcher->now;
+    }
+  dispatcher->is_short = is_short;
+  dispatcher->policy = is_short ? DP_DISPATCH_QUEUE : dispatcher->options.policy;
+}
+
+void
+dp_dispatcher_set_others (DpDispatcher *dispatcher, guint others, double running)
+{
+  dispatcher->others = others;
+  dispatcher->others_running = running;
+}
+
+void
+dp_dispatcher_hold (DpDispatcher *dispatcher, DpUsec until)
+{
+  for (DpHandle at = dp_table_next (dispatcher->targets, 0); at != 0;
+       at = dp_table_next (dispatcher->targets, at))
+    {
+      DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
+      target->full_until = MAX (target->full_until, until);
+    }
+}
+
 void
 dp_dispatcher_set_reach (DpDispatcher *dispatcher, double fraction)
 {
@@ -670,6 +717,8 @@
     {
       const DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
       status.suspects += target->is_suspect;
+      if (dp_dispatch_is_accepting (dispatcher, target) && !target->is_suspect)
+        status.slots += target->slots;
     }
   return status;
 }
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -38,7 +38,11 @@
   guint64 seed;
   DpDispatchPolicy policy;
   DpCapacityMode capacity;
-  gboolean is_shared;   /* this VM may own the pool, i.e. dispatch for all VMs */
+  gboolean is_shared; /* this VM may own the pool, i.e. dispatch for all VMs */
+  /* While the pool is not shared, a target gets at most as many requests from this VM as it
+   * has slots: more could not run, and each takes one of the target's connections. It gets none
+   * for a moment after it rejected one. */
+  gboolean bounds_own_requests;
   DpCounters *counters; /* a reference is taken */
 } DpDispatcherOptions;
 
@@ -68,6 +72,14 @@
 
 /* Changes whether this VM may own the pool. */
 void dp_dispatcher_set_shared (DpDispatcher *dispatcher, gboolean is_shared);
+/* While the pool is short of capacity (core/shared_mode/shared_mode.h) its owner assigns by
+ * DP_DISPATCH_QUEUE, whatever the policy is. */
+void dp_dispatcher_set_short (DpDispatcher *dispatcher, gboolean is_short);
+/* Others assign requests for the pool at the same time and have `running` at its targets. They
+ * are left a part of each target's window. */
+void dp_dispatcher_set_others (DpDispatcher *dispatcher, guint others, double running);
+/* Assigns no requests before `until`: the VMs' reports of what runs are on the way. */
+void dp_dispatcher_hold (DpDispatcher *dispatcher, DpUsec until);
 /* Fraction of all VMs that this VM can reach, initially 1: its part of the targets' limits. */
 void dp_dispatcher_set_reach (DpDispatcher *dispatcher, double fraction);
 
@@ -100,6 +112,7 @@
   guint suspects; /* targets that receive only probes */
   guint waiting;
   guint running;
+  guint slots;   /* of the targets in service, i.e. accepting and not suspect */
   guint limited; /* targets with a limit */
   guint brittle;
 } DpDispatcherStatus;
--- a/core/dispatcher_capacity.c
+++ b/core/dispatcher_capacity.c
@@ -2,8 +2,6 @@
  * the first event. Without it (DP_CAPACITY_SLOTS), all targets have the same window. */
 #include "core/dispatcher_private.h"
 
-/* Requests assigned to a target beyond its slots, so that a freed slot is reused at once. */
-#define WINDOW_EXTRA 1
 /* A target with this many unread prompts, and this time to read them, is not idle before it can
  * get another one: a first event reaches the owner, and a grant the target, in about 16 ms
  * each. It gets more only if their first events are expected on time. */
@@ -48,7 +46,7 @@
                           DpDispatchTarget *target,
                           const DpDirectoryRow *row)
 {
-  guint ceiling = target->slots + WINDOW_EXTRA;
+  guint ceiling = target->slots + DP_WINDOW_EXTRA;
   if (target->capacity == NULL)
     target->capacity = dp_capacity_new (&dispatcher->capacity, ceiling);
   else if (target->started != row->record.started)
@@ -60,7 +58,7 @@
 dp_dispatch_window (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
 {
   return dp_dispatch_learns_capacity (dispatcher) ? dp_capacity_limit (target->capacity)
-                                                  : target->slots + WINDOW_EXTRA;
+                                                  : target->slots + DP_WINDOW_EXTRA;
 }
 
 static double
@@ -271,14 +269,14 @@
 {
   guint limit = dp_capacity_confirmed_limit (target->capacity);
   guint known
-    = target->announced_limit != 0 ? target->announced_limit : target->slots + WINDOW_EXTRA;
+    = target->announced_limit != 0 ? target->announced_limit : target->slots + DP_WINDOW_EXTRA;
   return limit != known && !dp_capacity_is_outdated (target->capacity, dispatcher->now);
 }
 
 static gboolean
 is_worth_repeating (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
 {
-  return dp_capacity_confirmed_limit (target->capacity) < target->slots + WINDOW_EXTRA
+  return dp_capacity_confirmed_limit (target->capacity) < target->slots + DP_WINDOW_EXTRA
          && !dp_capacity_is_outdated (target->capacity, dispatcher->now);
 }
 
@@ -315,7 +313,7 @@
     return "unknown_target";
   if (target->started != row->started)
     return "other_incarnation";
-  if (row->limit < 1 || row->limit > target->slots + WINDOW_EXTRA)
+  if (row->limit < 1 || row->limit > target->slots + DP_WINDOW_EXTRA)
     return "out_of_range";
   return NULL;
 }
@@ -432,7 +430,7 @@
         continue;
       guint limit = dp_dispatch_window (dispatcher, target);
       g_array_append_val (limits, limit);
-      status.lowered += limit < target->slots + WINDOW_EXTRA;
+      status.lowered += limit < target->slots + DP_WINDOW_EXTRA;
       if (status.lowest != 0 && limit >= status.lowest)
         continue;
       status.lowest = limit;
--- a/core/dispatcher_private.h
+++ b/core/dispatcher_private.h
@@ -5,12 +5,15 @@
 #include "core/brittle_target.h"
 #include "core/dispatcher.h"
 #include "core/latency_model.h"
+#include "core/shared_mode/transit.h"
 #include "core/target_limiter.h"
 
 /* A suspect target is probed with one request after this interval, which doubles with each
  * consecutive failure. */
 #define DP_PROBE_INTERVAL_MIN (250 * DP_USEC_PER_MSEC)
 #define DP_PROBE_INTERVAL_MAX (2 * DP_USEC_PER_SEC)
+/* Requests assigned to a target beyond its slots, so that a freed slot is reused at once. */
+#define DP_WINDOW_EXTRA 1
 
 typedef struct DpDispatchRequest DpDispatchRequest;
 
@@ -29,6 +32,7 @@
   DpUsec next_probe_at;
   DpUsec probe_interval;
   DpUsec full_until;        /* after it rejected a request for lack of capacity */
+  DpTransitBound bound;     /* after such rejections while the pool was short */
   DpUsec paused_until;      /* as requested by the target */
   DpTargetLimiter *limiter; /* NULL: the target has stated no limit */
   guint64 started;          /* Unix milliseconds, identifies the incarnation */
@@ -121,6 +125,12 @@
   DpInflow inflow;
   DpReturns *returns;
   guint running;
+  DpDispatchPolicy policy; /* in force: options.policy, or QUEUE while the pool is short */
+  guint others;            /* see dp_dispatcher_set_others() */
+  double others_running;
+  gboolean is_short;           /* see dp_dispatcher_set_short() */
+  DpUsec short_at;             /* time of the last beginning */
+  DpTransit transit;           /* since then */
   guint limited;               /* number of targets with a limit */
   guint brittle;               /* number of brittle targets */
   GArray *other_owners;        /* lately heard, see dispatcher_limits.c */
@@ -144,6 +154,8 @@
 /* Number of additional requests that the target can be given now. */
 guint dp_dispatch_free_capacity (const DpDispatcher *dispatcher,
                                  const DpDispatchTarget *target);
+/* The target has rejected a request that this dispatcher assigned while the pool was short. */
+void dp_dispatch_lower_window (const DpDispatcher *dispatcher, DpDispatchTarget *target);
 /* Returns the best target with free capacity, or NULL. If `request` is not NULL, skips targets
  * that it may not use and prefers one that probably has its prompt cached. Otherwise skips
  * targets whose skipped_round is the current one. */
--- a/core/dispatcher_targets.c
+++ b/core/dispatcher_targets.c
@@ -44,10 +44,39 @@
   return !target->is_draining && dispatcher->now >= target->paused_until;
 }
 
+static guint
+window_extra (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
+{
+  if (!dispatcher->is_short)
+    return DP_WINDOW_EXTRA;
+  guint extra = dp_transit_extra (&dispatcher->transit, target->slots);
+  return dp_transit_bound_apply (&target->bound, extra, dispatcher->now);
+}
+
+void
+dp_dispatch_lower_window (const DpDispatcher *dispatcher, DpDispatchTarget *target)
+{
+  guint extra = dp_transit_extra (&dispatcher->transit, target->slots);
+  dp_transit_bound_lower (&target->bound, extra, dispatcher->now);
+}
+
+/* Number of requests that this dispatcher may have at the target. */
+static guint
+own_window (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
+{
+  guint window = dp_dispatch_window (dispatcher, target) + window_extra (dispatcher, target)
+                 - DP_WINDOW_EXTRA;
+  if (dispatcher->others == 0)
+    return window;
+  double used = dispatcher->others_running / MAX (dp_table_count (dispatcher->targets), 1);
+  double part = MAX (window - used, (double)window / (dispatcher->others + 1));
+  return (guint)MAX (part, 1);
+}
+
 guint
 dp_dispatch_free_capacity (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
 {
-  guint window = dp_dispatch_window (dispatcher, target);
+  guint window = own_window (dispatcher, target);
   if (!dp_dispatch_is_accepting (dispatcher, target) || dispatcher->now < target->full_until)
     return 0;
   if (target->is_suspect && dispatcher->now < target->next_probe_at)
@@ -133,6 +162,16 @@
       g_ptr_array_remove_index (candidates, i - 1);
 }
 
+/* FALSE if the target has as many requests of this VM as it may get of one VM, or has just
+ * rejected one. */
+static gboolean
+is_within_own_bound (const DpDispatcher *dispatcher, const DpDispatchTarget *target)
+{
+  if (dispatcher->options.is_shared || !dispatcher->options.bounds_own_requests)
+    return TRUE;
+  return target->requests->len < target->slots && dispatcher->now >= target->full_until;
+}
+
 /* Returns the less loaded of two random targets, regardless of their health. Limits are kept,
  * and brittle targets get no more than they can run. */
 static DpDispatchTarget *
@@ -145,6 +184,7 @@
     {
       DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
       if (dp_dispatch_is_accepting (dispatcher, target)
+          && is_within_own_bound (dispatcher, target)
           && dp_dispatch_limit_allows (dispatcher, target)
           && dp_dispatch_brittle_capacity (dispatcher, target) > 0
           && (request != NULL ? dp_dispatch_may_use (dispatcher, &request->ask, target)
@@ -179,7 +219,7 @@
 DpDispatchTarget *
 dp_dispatch_choose_target (DpDispatcher *dispatcher, const DpDispatchRequest *request)
 {
-  if (dispatcher->options.policy == DP_DISPATCH_TWO_CHOICES)
+  if (dispatcher->policy == DP_DISPATCH_TWO_CHOICES)
     return choose_of_two (dispatcher, request);
   DpDispatchTarget *best = NULL;
   double best_cost = 0;
--- a/core/message.h
+++ b/core/message.h
@@ -112,6 +112,8 @@
   DP_MESSAGE_ROLLOUT,
   /* owner of a pool -> all nodes */
   DP_MESSAGE_TARGET_CAPACITY,
+  /* node -> node that owns the plain pool, and owner -> all nodes */
+  DP_MESSAGE_POOL_SHARED,
   DP_MESSAGE_COUNT,
 } DpMessageType;
 
@@ -528,6 +530,19 @@
   DpCapacityLimit rows[DP_CAPACITY_LIMITS_MAX];
 } DpTargetCapacity;
 
+/* A plain pool is short of capacity: a report to its owner or the owner's announcement that it
+ * assigns all requests, see core/shared_mode/shared_mode.h. */
+typedef struct DpPoolShared
+{
+  DpName pool;
+  gboolean is_owner; /* an announcement */
+  DpUsec duration;   /* of an announcement: the pool is shared for this long; 0: no longer */
+  guint rejections;  /* of a report: by targets, since the last report */
+  DpName target;     /* of a report: the last one that rejected a request; 0: none */
+  guint milli; /* requests at targets, in thousandths: of a report, the sender's on average;
+                * of an announcement, those that it counts now */
+} DpPoolShared;
+
 typedef struct DpMessage
 {
   DpMessageType type;
@@ -564,6 +579,7 @@
     DpTargetLimits target_limits;
     DpTargetSent target_sent;
     DpTargetCapacity target_capacity;
+    DpPoolShared pool_shared;
     DpTargetsAsk targets_ask;
     DpTargetRows targets;
     DpRelay relay;
--- a/node/node.h
+++ b/node/node.h
@@ -12,6 +12,7 @@
  *   builds.c           which rules the builds of the other VMs keep
  *   limits.c           rate limits of workspaces
  *   placement.c        choice of a request's target: owners, grants, dispatchers
+ *   plain_pools.c      plain services near capacity: when their owner dispatches for all VMs
  *   target_limits.c    limits that targets state in their responses
  *   target_capacity.c  logs and metrics of what the owner learns of targets
  *   quarantine.c       requests and parts of prompts that crash targets
@@ -36,6 +37,7 @@
 #include "core/quota.h"
 #include "core/reach.h"
 #include "core/retry.h"
+#include "core/shared_mode/shared_mode.h"
 #include "core/shed.h"
 #include "core/suspects.h"
 #include "core/versions.h"
@@ -68,6 +70,7 @@
   char *expose_slack;
   char *rollback_ms;
   char *target_capacity; /* "learned" or "slots" */
+  char *shared_mode;     /* "off": plain services are never shared for lack of capacity */
   guint16 tunnel_port;   /* 0: agent_bus_port + 1 */
   char *first_start;     /* "true": first start of the whole system, no quota was used before */
 } DpNodeSettings;
@@ -97,6 +100,7 @@
   gboolean has_rollouts;
   DpRolloutOptions rollout; /* if so */
   DpCapacityMode target_capacity;
+  gboolean has_shared_mode;
 } DpNodeParams;
 
 /* Returns FALSE and adds to `diagnostics` if a value is invalid. */
@@ -133,14 +137,16 @@
   DpName name;
   char *text; /* the name as written in the config */
   DpPoolKind kind;
-  /* One VM owns dispatch for all: for pools of engines, and while a target has a limit or is
-   * brittle. Otherwise each VM dispatches its own requests. */
+  /* One VM owns dispatch for all, see needs_owner() in placement.c. Otherwise each VM
+   * dispatches its own requests. */
   gboolean is_shared;
+  gboolean is_short;     /* a plain pool is short of capacity */
   gboolean has_limits;   /* a target has a limit or is brittle */
   gboolean is_brittle;   /* a target is */
   gboolean is_unkept;    /* it was logged that older VMs may break the rule */
   DpName unused_version; /* it was logged that its targets get no requests; 0: none */
   DpDispatcher *dispatcher;
+  DpSharedMode *mode; /* NULL: the pool never becomes short */
   DpName owner;       /* last chosen owner; 0: none yet */
   DpUsec reported_at; /* last report of held grants to the owner */
   DpRetryBudget budget;
@@ -285,7 +291,8 @@
   DpName limit_told[DP_EXCLUDED_MAX]; /* targets whose limit an owner was told of */
   /* current attempt, and counts over all attempts */
   guint attempt_count;
-  guint runs; /* attempts in which the target may have run the request */
+  gboolean was_rejected; /* by a target of a plain pool */
+  guint runs;            /* attempts in which the target may have run the request */
   gboolean may_have_run;
   DpName target;
   DpName target_version; /* hash of its software version */
@@ -455,6 +462,8 @@
 void dp_placement_report_started (DpNodeRequest *request);
 /* The target announced in an answer that it is stopping. */
 void dp_placement_target_leaving (DpNode *node, DpName target);
+/* The pool has become short of capacity, or no longer is. */
+void dp_placement_set_short (DpNode *node, DpNodePool *pool, gboolean is_short);
 /* Sends a message about the pool to the VM that owns it, even if it is not shared yet. */
 void dp_placement_send_to_owner (DpNode *node, DpName pool, const DpMessage *message);
 /* Sends the owner all requests that this VM has sent to the pool's targets, whoever assigned
@@ -468,6 +477,18 @@
 void dp_placement_tick (DpNode *node, DpUsec now, gboolean was_paused);
 void dp_placement_pool_free (gpointer data);
 
+/* --- plain_pools.c --- */
+
+/* Returns the state of a plain pool's shared mode; NULL if it is off. */
+DpSharedMode *dp_plain_pools_new_mode (const DpNode *node, DpPoolKind kind);
+/* The attempt has ended: the target may have rejected it or reset its connection. */
+void dp_plain_pools_on_attempt_end (DpNodeRequest *request, DpReason reason);
+/* Another VM has asked this one for a target of the pool. */
+void dp_plain_pools_on_ask (DpNode *node, DpNodePool *pool, const DpGrantAsk *ask);
+/* A report for the pool's owner, or an announcement from it. */
+void dp_plain_pools_on_message (DpNode *node, DpName from, const DpPoolShared *message);
+void dp_plain_pools_tick (DpNode *node, DpUsec now, gboolean was_paused);
+
 /* --- target_limits.c --- */
 
 /* The head of a response was received. */
--- a/node/settings.c
+++ b/node/settings.c
@@ -51,6 +51,10 @@
                    tunnel_port,
                    "port of the gateway, the same on all VMs (agent_bus_port + 1)",
                    0),
+  TEXT (shared_mode,
+        "on|off",
+        "dispatch requests of plain services by one VM while they are short of capacity (on)",
+        FALSE),
   TEXT (
     first_start, "true", "first start of the whole system: no quota was used before", FALSE),
 };
@@ -162,6 +166,17 @@
                                         = (DpUsec)MIN (rollback, G_MAXINT) * DP_USEC_PER_MSEC };
 }
 
+static gboolean
+read_switch (const char *name, const char *text, DpDiagnostics *diagnostics)
+{
+  if (text == NULL || text[0] == '\0' || strcmp (text, "on") == 0)
+    return TRUE;
+  if (strcmp (text, "off") != 0)
+    dp_diagnostics_add (diagnostics, "settings", 0, name, "must be on or off, not \"%s\"",
+                        text);
+  return FALSE;
+}
+
 gboolean
 dp_node_parse_settings (const DpNodeSettings *settings,
                         DpNodeParams *params,
@@ -203,5 +218,6 @@
     = MIN (params->connections_max, dp_memory_connections_max (params->memory_max));
   read_rollout_options (settings, params, diagnostics);
   params->target_capacity = read_target_capacity (settings->target_capacity, diagnostics);
+  params->has_shared_mode = read_switch ("shared_mode", settings->shared_mode, diagnostics);
   return dp_diagnostics_count (diagnostics) == 0;
 }
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -206,6 +206,9 @@
       message.target_capacity
         = (DpTargetCapacity){ 1, 8, 2, { { 2, 3, 4, 5 }, { 6, 7, G_MAXUINT, 0 } } };
       break;
+    case DP_MESSAGE_POOL_SHARED:
+      message.pool_shared = (DpPoolShared){ 1, TRUE, 2, 3, 4, 5 };
+      break;
     case DP_MESSAGE_TARGETS_ASK:
       message.targets_ask = (DpTargetsAsk){ 1 };
       break;
