node: memory of connections as measured

Cause: 900 connections with unread pipelined requests took 14504 kB, 16 KB each, where 6 KB were assumed: libevent reads 4096 bytes into blocks of 8 KB.

Change: while no body is received, 2000 bytes are read at a time. Of the memory, connections get an eighth at 10 KB each, long heads a sixteenth and tunnels' buffers a twentieth; all bounds sum to 0.58, with the other listeners' connections to 0.59.

--- a/net/http_connections.c
+++ b/net/http_connections.c
@@ -21,6 +21,9 @@
 #define SHORT_BODY_BYTES 16384
 /* Bytes read from a caller beyond the request in progress, besides those of one read. */
 #define READ_AHEAD_BYTES 1024
+/* Bytes read at a time while no body is received: with libevent's 4096 bytes, a block of 8 KB
+ * would be kept for each connection that has sent a part of a head. */
+#define HEAD_READ_BYTES 2000
 /* evhttp handles a chunked body in parts of at least this size. It keeps a whole block of its
  * input, of 1 KB and more, for each read that ends with a chunk's data. */
 #define PART_BYTES 4096
@@ -222,6 +225,8 @@
   if (state != CONNECTION_PROCESSING)
     release_request (connections, connection);
   end_tiny_chunks (connections, connection);
+  if (state != CONNECTION_PROCESSING)
+    bufferevent_set_max_single_read (connection->bev, HEAD_READ_BYTES);
   connection->state = state;
   connection->framing = (DpHttpFraming){ 0 };
   connection->cost = (DpHttpCost){ 0 };
@@ -322,6 +327,7 @@
   connection->rejection = check_received (connections, connection);
   if (connection->state != CONNECTION_RECEIVING_HEAD || !dp_http_framing_has_head (framing))
     return;
+  bufferevent_set_max_single_read (connection->bev, 0);
   connection->state = CONNECTION_RECEIVING;
   connection->timeout = state_timeout (connections, CONNECTION_RECEIVING);
 }
--- a/node/memory.c
+++ b/node/memory.c
@@ -14,16 +14,16 @@
  * short ones a sixth. */
 #define BODIES_DIVISOR 7.5
 /* Long heads of requests, with the copy that a call to a target holds. */
-#define HEADS_DIVISOR 12
+#define HEADS_DIVISOR 16
 /* Responses that callers have not read, outside of the kernel. */
 #define UNREAD_DIVISOR 20
 /* Connections of callers. */
-#define CONNECTIONS_DIVISOR 12
-/* evhttp's objects of a connection and of its next request (2 KB), and a short head or what is
- * read ahead (4 KB). */
-#define CONNECTION_BYTES 6144
+#define CONNECTIONS_DIVISOR 8
+/* Of an idle connection 4 KB; with input read ahead, a short head or a short response that
+ * isn't read up to 10 KB. */
+#define CONNECTION_BYTES 10240
 /* Buffers of tunnels. */
-#define TUNNELS_DIVISOR 16
+#define TUNNELS_DIVISOR 20
 /* Less makes tunnels slow. */
 #define TUNNEL_BUFFER_MIN ((gsize)4096)
 
