core/rollout: compare series of bad answers per request, not per second

An old target's interval now shrinks with its requests, very slow answers count three times in it, and the total with whole series is compared with the same total of the old version. The test's participants, like the dispatcher's, get nothing while they are avoided after a broken request.

--- a/core/rollout/rollout_private.h
+++ b/core/rollout/rollout_private.h
@@ -66,7 +66,8 @@
   guint answers;
   DpUsec broken_at; /* start of a series of failures; 0: none */
   DpUsec break_counted_at;
-  DpUsec slow_counted_at;
+  DpUsec slow_since; /* begin of a second with slow answers */
+  guint slow_counted;
 } DpRolloutSpeed;
 
 struct DpRollout
--- a/core/rollout/rollout_test.c
+++ b/core/rollout/rollout_test.c
@@ -10,8 +10,9 @@
 /* A first event is late after this multiple of what the old version takes. */
 #define SLOW_FACTOR 2.5
 /* Machines that are busy with other work were seen to take 2.5 times as long, and answers
- * beside others a little more. What takes longer than this is counted also within a series. */
+ * beside others a little more. Of what takes longer than this, more is counted in a second. */
 #define VERY_SLOW_FACTOR 3.5
+#define VERY_SLOW_MAX 3
 /* Added to it: differences in the way to the target matter where answers take few ms. */
 #define SLOW_SLACK (5 * DP_USEC_PER_MSEC)
 /* The speed of a machine is this quantile of its times relative to expected ones: slow answers
@@ -54,6 +55,7 @@
 /* The same for bad answers with whole series: below the 50 after which a version may get no
  * more requests. */
 #define RAW_BAD_MIN 40
+#define RAW_FACTOR 2
 #define RAW_BAD_EXTRA 30
 /* Answers that a completed roll-out needs, and those on each busy route. */
 #define ANSWERS_MIN 100
@@ -344,24 +346,43 @@
 
 /* --- answers --- */
 
+/* Time in which one bad answer of a series counts. An old target that gets more requests than a
+ * participant has as many of them in a shorter time: with the same time, the old version's rate
+ * would be lower only because more of its bad answers are left out. */
+static DpUsec
+series_interval (const DpRollout *rollout, const DpRolloutSpeed *speed)
+{
+  double old_each = (double)rollout->old_version.sent / MAX (rollout->facts.old_targets, 1);
+  double new_each = (double)rollout->new_version.sent / dp_rollout_count_participants (rollout);
+  double part = speed->is_new || old_each <= 0 ? 1 : MIN (new_each / old_each, 1);
+  return (DpUsec)(part * (double)SERIES_INTERVAL);
+}
+
 /* Failures of a series, which an answer to a later request ends. */
 static gboolean
 counts_break (const DpRollout *rollout, DpRolloutSpeed *speed)
 {
   if (speed->broken_at == 0)
     speed->broken_at = rollout->now;
-  else if (rollout->now - speed->break_counted_at < SERIES_INTERVAL)
+  else if (rollout->now - speed->break_counted_at < series_interval (rollout, speed))
     return FALSE;
   speed->break_counted_at = rollout->now;
   return TRUE;
 }
 
+/* Slow answers of a series: the first, and then some that are very slow. */
 static gboolean
-counts_slow (const DpRollout *rollout, DpRolloutSpeed *speed)
+counts_slow (const DpRollout *rollout, DpRolloutSpeed *speed, Grade grade)
 {
-  if (speed->slow_counted_at != 0 && rollout->now - speed->slow_counted_at < SERIES_INTERVAL)
+  if (speed->slow_counted == 0
+      || rollout->now - speed->slow_since >= series_interval (rollout, speed))
+    {
+      speed->slow_since = rollout->now;
+      speed->slow_counted = 0;
+    }
+  if (speed->slow_counted >= (grade == GRADE_VERY_SLOW ? VERY_SLOW_MAX : 1))
     return FALSE;
-  speed->slow_counted_at = rollout->now;
+  speed->slow_counted++;
   return TRUE;
 }
 
@@ -376,7 +397,8 @@
     return counts_break (rollout, speed);
   if (answer->outcome == DP_ROLLOUT_OUTCOME_COMPLETE && answer->granted_at >= speed->broken_at)
     speed->broken_at = 0;
-  return grade != GRADE_SLOW || counts_slow (rollout, speed);
+  gboolean is_slow = grade == GRADE_SLOW || grade == GRADE_VERY_SLOW;
+  return !is_slow || counts_slow (rollout, speed, grade);
 }
 
 static Grade
@@ -432,6 +454,16 @@
   return chart->new_bad >= TOTAL_BAD_MIN && (double)chart->new_bad > limit;
 }
 
+/* Bad answers that the new version would have at the old one's rate. */
+static double
+expected_raw (const DpRollout *rollout)
+{
+  const DpRolloutCounts *before = &rollout->old_version;
+  const DpRolloutCounts *after = &rollout->new_version;
+  double rate = (double)before->bad / (double)MAX (before->bad + before->good, 1);
+  return rate * (double)(after->bad + after->good);
+}
+
 DpRolloutCause
 dp_rollout_test_verdict (const DpRollout *rollout, DpName *route)
 {
@@ -449,7 +481,7 @@
       }
   double raw = (double)rollout->new_version.bad;
   if (exceeds_total (overall)
-      || (raw >= RAW_BAD_MIN && raw > 2 * overall->expected_bad + RAW_BAD_EXTRA))
+      || (raw >= RAW_BAD_MIN && raw > RAW_FACTOR * expected_raw (rollout) + RAW_BAD_EXTRA))
     return DP_ROLLOUT_CAUSE_BAD_COUNT;
   return DP_ROLLOUT_CAUSE_NONE;
 }
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -284,10 +284,11 @@
   for (guint i = 0; i < TARGETS; i++)
     {
       old_running += simulation->targets[i].running;
-      if (owner->participants[i])
+      if (owner->participants[i]
+          && simulation->now >= simulation->targets[TARGETS + i].avoided_until)
         least = MIN (least, simulation->targets[TARGETS + i].running);
     }
-  return least * TARGETS <= 1.5 * old_running;
+  return (double)least * TARGETS <= 1.5 * old_running;
 }
 
 static void
