tests: targets of roll-outs take longer than a busy machine's delays

With targets that answer within a millisecond, a delay of 5 ms on a busy machine counts as a slow answer of the new version: at a load average of 20, 3 of 9 runs rolled a good version back (cause=bad_answers, 9 of 105 answers).

--- a/tests/test_node_rollouts.c
+++ b/tests/test_node_rollouts.c
@@ -17,11 +17,16 @@
 /* A roll-out without enough answers is rolled back. On a slow machine it takes longer to get
  * them: the order is given again with this multiple of its time. */
 #define DURATION_FACTOR 4
-#define DURATION_FIRST 6
-#define DURATION_LAST 400
+#define DURATION_FIRST 12
+#define DURATION_LAST 800
 /* Where the time limit must not matter. */
 #define LONG_DURATION "600"
-#define QUIET_REQUESTS 60
+#define QUIET_ROUNDS 20
+/* Requests in flight at a time, for each VM. */
+#define CALLERS 3
+/* Targets take this long, so that delays of a busy machine, which a version is not to blame
+ * for, stay well below the 2.5 times that count as slow. */
+#define TARGET_TIME "{\"wait_ms\":80}"
 #define HANG_TIME (300 * DP_USEC_PER_SEC)
 
 #define OLD 0
@@ -110,6 +115,22 @@
   return count;
 }
 
+/* The log's lines with that part, for messages of failed checks. */
+static char *
+find_lines (const Cluster *cluster, const char *part)
+{
+  char *text = NULL;
+  ck_assert (g_file_get_contents (cluster->log, &text, NULL, NULL));
+  char **lines = g_strsplit (text, "\n", -1);
+  GString *found = g_string_new (NULL);
+  for (guint i = 0; lines[i] != NULL; i++)
+    if (strstr (lines[i], part) != NULL)
+      g_string_append_printf (found, "%s\n", lines[i]);
+  g_strfreev (lines);
+  g_free (text);
+  return g_string_free (found, FALSE);
+}
+
 static gint64
 target_runs (const Cluster *cluster, guint target)
 {
@@ -120,12 +141,37 @@
   return runs;
 }
 
+typedef struct Caller
+{
+  const Cluster *cluster;
+  guint vm;
+} Caller;
+
+static gpointer
+call (gpointer data)
+{
+  const Caller *caller = data;
+  get_status (caller->cluster, caller->vm, "/look/1");
+  return NULL;
+}
+
+/* Sends requests to all VMs at once, and waits for the responses. */
 static void
 send_round (const Cluster *cluster)
 {
-  for (guint i = 0; i < VMS; i++)
-    if (cluster->node[i] != NULL)
-      get_status (cluster, i, "/look/1");
+  Caller callers[VMS * CALLERS];
+  GThread *threads[VMS * CALLERS];
+  guint count = 0;
+  for (guint i = 0; i < VMS * CALLERS; i++)
+    {
+      if (cluster->node[i % VMS] == NULL)
+        continue;
+      callers[count] = (Caller){ .cluster = cluster, .vm = i % VMS };
+      threads[count] = g_thread_new ("caller", call, &callers[count]);
+      count++;
+    }
+  for (guint i = 0; i < count; i++)
+    g_thread_join (threads[i]);
 }
 
 /* --- waiting --- */
@@ -140,7 +186,7 @@
   while (!condition (cluster, data))
     {
       ck_assert_msg (g_get_monotonic_time () < end, "never: %s", what);
-      for (guint i = 0; i < 10; i++)
+      for (guint i = 0; i < 2; i++)
         send_round (cluster);
     }
 }
@@ -186,7 +232,7 @@
 check_new_is_unused (const Cluster *cluster, const char *name)
 {
   gint64 before = target_runs (cluster, NEW);
-  for (guint i = 0; i < QUIET_REQUESTS; i++)
+  for (guint i = 0; i < QUIET_ROUNDS; i++)
     send_round (cluster);
   gint64 after = target_runs (cluster, NEW);
   ck_assert_msg (after == before, "%s: %d requests to the new version", name,
@@ -200,6 +246,8 @@
 {
   Cluster *cluster = cluster_new (build);
   cluster->more_settings = settings;
+  for (guint i = 0; i < TARGETS; i++)
+    set_fault (cluster, cluster->target_control[i], TARGET_TIME);
   put_config (cluster, 1, "");
   put_target_version (cluster, OLD, "POST", "v1");
   for (guint i = 0; i < VMS; i++)
@@ -243,8 +291,8 @@
       drive_until (cluster, is_state_or_rolled_back, line, line);
       if (count_lines (cluster, line) > 0)
         return;
-      ck_assert_msg (count_lines (cluster, "cause=few_answers") > 0, "rolled back, not %s",
-                     line);
+      ck_assert_msg (count_lines (cluster, "cause=few_answers") > 0, "rolled back, not %s\n%s",
+                     line, find_lines (cluster, "event=rollout_"));
       ck_assert_int_eq (call_store (cluster, "DELETE", "/objects/rollouts/app", NULL), 200);
     }
   ck_abort_msg ("too few answers in any time");
@@ -259,7 +307,7 @@
   ck_assert (has_stored (cluster, "completed"));
   drive_until_all (cluster, DP_ROLLOUT_COMPLETED);
   gint64 old_runs = target_runs (cluster, OLD);
-  for (guint i = 0; i < QUIET_REQUESTS; i++)
+  for (guint i = 0; i < QUIET_ROUNDS; i++)
     send_round (cluster);
   ck_assert_int_eq (target_runs (cluster, OLD), old_runs);
   ck_assert_int_eq (node_kit_remove_target (store_of (cluster), "t0"), 200);
