node: repeat announcements to a VM that starts or was cut off

The owner now repeats its last announcement to a VM from which nothing came for 150 ms, before it answers that VM's message.

--- a/core/shared_mode/shared_mode.c
+++ b/core/shared_mode/shared_mode.c
@@ -95,6 +95,7 @@
   DpUsec use_at;
   DpUsec busy_at;
   DpUsec announced_at;
+  guint announced_milli;
   gboolean was_reported; /* since then */
   DpUsec contact_at;     /* time at which another owner was heard first */
   DpUsec ended_at;
@@ -401,12 +402,25 @@
                                   .duration = is_calm ? 0 : ANNOUNCED_DURATION,
                                   .milli = (guint)MIN (load->running * MILLI, G_MAXINT) };
   mode->announced_at = now;
+  mode->announced_milli = announcement->milli;
   mode->was_reported = FALSE;
   if (is_calm)
     end (mode, now);
   return TRUE;
 }
 
+gboolean
+dp_shared_mode_repeat (const DpSharedMode *mode, DpUsec now, DpPoolShared *announcement)
+{
+  if (!mode->is_deciding || mode->announced_at == 0)
+    return FALSE;
+  *announcement
+    = (DpPoolShared){ .is_owner = TRUE,
+                      .duration = MAX (mode->announced_at + ANNOUNCED_DURATION - now, 0),
+                      .milli = mode->announced_milli };
+  return announcement->duration > 0;
+}
+
 void
 dp_shared_mode_not_owner (DpSharedMode *mode)
 {
--- a/core/shared_mode/shared_mode.h
+++ b/core/shared_mode/shared_mode.h
@@ -99,5 +99,9 @@
                                            DpUsec now,
                                            DpPoolShared *announcement,
                                            DpSharedModeDecision *decision);
-/* The same call at a VM that is not the owner: forgets what it knew as the owner. */
+/* Returns TRUE if the last announcement, to which `announcement` is set, is in force. */
+gboolean
+dp_shared_mode_repeat (const DpSharedMode *mode, DpUsec now, DpPoolShared *announcement);
+/* Must be called in place of dp_shared_mode_next_announcement() at other VMs: forgets what it
+ * knew as the owner. */
 void dp_shared_mode_not_owner (DpSharedMode *mode);
--- a/node/peers.c
+++ b/node/peers.c
@@ -4,6 +4,9 @@
 #include "common/log.h"
 
 #define PEERS_TICK_INTERVAL (100 * DP_USEC_PER_MSEC)
+/* A VM that sent nothing for this long may have missed announcements. A process that was killed
+ * is back sooner than the interval of those. */
+#define CONTACT_GAP_MIN (150 * DP_USEC_PER_MSEC)
 #define PRUNE_INTERVAL DP_USEC_PER_SEC
 /* VMs are removed only if the store or a relay confirmed the list within this time. */
 #define PRUNE_VIEW_AGE_MAX (5 * DP_USEC_PER_SEC)
@@ -149,6 +152,9 @@
 void
 dp_peers_on_message (DpNode *node, DpPeer from, const DpMessage *message)
 {
+  /* Before any reply, upon which the VM may place requests. */
+  if (dp_node_now () - dp_owners_last_seen_at (node->owners, from.vm) > CONTACT_GAP_MIN)
+    dp_plain_pools_on_contact (node, from.vm);
   switch (message->type)
     {
     case DP_MESSAGE_PROBE:
--- a/node/plain_pools.c
+++ b/node/plain_pools.c
@@ -150,6 +150,24 @@
     decide (node, pool, dp_node_now ());
 }
 
+void
+dp_plain_pools_on_contact (DpNode *node, DpName vm)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, node->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DpNodePool *pool = value;
+      DpMessage message = { .type = DP_MESSAGE_POOL_SHARED };
+      if (pool->mode == NULL
+          || !dp_shared_mode_repeat (pool->mode, dp_node_now (), &message.pool_shared))
+        continue;
+      message.pool_shared.pool = pool->name;
+      dp_peers_send (node, vm, &message);
+    }
+}
+
 void
 dp_plain_pools_on_message (DpNode *node, DpName from, const DpPoolShared *message)
 {
