--- a/tests/test_node_rollouts.c
+++ b/tests/test_node_rollouts.c
@@ -318,6 +318,25 @@
 }
 END_TEST
 
+/* dogwoodplankctl reads the orders from a running VM. */
+static void
+check_tool_shows (const Cluster *cluster, guint vm, const char *part)
+{
+  char *program = g_strconcat (build, "/ctl/dogwoodplankctl", NULL);
+  char *address = g_strdup_printf ("%s:%u", cluster->address[vm], cluster->operator_port);
+  char command[] = "rollouts";
+  char *argv[] = { program, command, address, NULL };
+  char *text = NULL;
+  int status = -1;
+  ck_assert (
+    g_spawn_sync (NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL, &text, NULL, &status, NULL));
+  ck_assert_int_eq (status, 0);
+  ck_assert_msg (strstr (text, part) != NULL, "%s", text);
+  g_free (text);
+  g_free (address);
+  g_free (program);
+}
+
 START_TEST (a_bad_version_is_rolled_back)
 {
   Cluster *cluster = start_vms (SETTINGS);
@@ -331,6 +350,9 @@
     = EXPOSE_SHARE * (double)(new_runs + target_runs (cluster, OLD)) + EXPOSE_SLACK;
   ck_assert_msg ((double)new_runs <= allowed, "%d requests to the new version", (int)new_runs);
   check_new_is_unused (cluster, "rolled back");
+  for (guint i = 0; i < VMS; i++)
+    check_tool_shows (cluster, i,
+                      "app to v2: rolled_back (order followed, in the store: rolled_back)");
   kill_nodes (cluster, VMS);
   for (guint i = 0; i < VMS; i++)
     ck_assert (wait_ready (cluster, i));
