--- a/core/dispatcher.c
+++ b/core/dispatcher/dispatcher.c
@@ -1,4 +1,4 @@
-#include "core/dispatcher_private.h"
+#include "core/dispatcher/dispatcher_private.h"
 
 /* Entries with waiting requests get an advert after this interval, rounded up to a tick: at
  * most half of the time after which they treat the owner as unresponsive (120 ms,
--- a/core/dispatcher_capacity.c
+++ b/core/dispatcher/dispatcher_capacity.c
@@ -1,6 +1,6 @@
 /* Use of what is learned of each target, see core/capacity/capacity.h: window, expected time to
  * the first event. Without it (DP_CAPACITY_SLOTS), all targets have the same window. */
-#include "core/dispatcher_private.h"
+#include "core/dispatcher/dispatcher_private.h"
 
 /* A target with this many unread prompts, and this time to read them, is not idle before it can
  * get another one: a first event reaches the owner, and a grant the target, in about 16 ms
--- a/core/dispatcher_limits.c
+++ b/core/dispatcher/dispatcher_limits.c
@@ -5,7 +5,7 @@
  *
  * While several owners announce themselves, each fills only a part of the slots of brittle
  * targets: at once, two would fill the same slot. */
-#include "core/dispatcher_private.h"
+#include "core/dispatcher/dispatcher_private.h"
 
 #include <math.h>
 
--- a/core/dispatcher_links.c
+++ b/core/dispatcher/dispatcher_links.c
@@ -1,6 +1,6 @@
 /* Links from entries' data centres to targets' data centres. A lost link is detected from a few
  * failed connections; further ones then don't count as failures of the targets behind it. */
-#include "core/dispatcher_private.h"
+#include "core/dispatcher/dispatcher_private.h"
 
 /* A link counts as lost after this many consecutive failed connections, if they were to more
  * than one target. */
--- a/core/dispatcher_private.h
+++ b/core/dispatcher/dispatcher_private.h
@@ -1,9 +1,9 @@
-/* Internal state of the dispatcher, shared by core/dispatcher*.c. */
+/* Internal state of the dispatcher, shared by core/dispatcher/dispatcher*.c. */
 #pragma once
 
 #include "core/admission/admission.h"
 #include "core/brittle_target.h"
-#include "core/dispatcher.h"
+#include "core/dispatcher/dispatcher.h"
 #include "core/latency_model.h"
 #include "core/shared_mode/transit.h"
 #include "core/target_limiter.h"
--- a/core/dispatcher_queue.c
+++ b/core/dispatcher/dispatcher_queue.c
@@ -4,7 +4,7 @@
  * requests whose first byte can still meet its latency objective, by tier and then by time
  * left; late requests follow. Slot time is worth most for urgent requests on time and least for
  * long low-tier ones; late urgent requests rank in between (LATE_TIERS). */
-#include "core/dispatcher_private.h"
+#include "core/dispatcher/dispatcher_private.h"
 
 /* A late request ranks after requests on time that are up to this many levels less urgent. */
 #define LATE_TIERS 1
--- a/core/dispatcher_reports.c
+++ b/core/dispatcher/dispatcher_reports.c
@@ -1,6 +1,6 @@
 /* Entries' reports of the requests that they hold. A new owner rebuilds its state from them,
  * and an owner removes requests that have ended. */
-#include "core/dispatcher_private.h"
+#include "core/dispatcher/dispatcher_private.h"
 
 /* An entry counts as failed after this long without a message: three missed reports. */
 #define ENTRY_TIMEOUT (2500 * DP_USEC_PER_MSEC)
--- a/core/dispatcher_rollout.c
+++ b/core/dispatcher/dispatcher_rollout.c
@@ -1,6 +1,6 @@
 /* Staged roll-outs in a pool's dispatcher: which targets a request may be given, and what the
  * roll-out learns from requests. The decisions are those of core/rollout/. */
-#include "core/dispatcher_private.h"
+#include "core/dispatcher/dispatcher_private.h"
 
 /* Participants are preferred up to this multiple of the old targets' average load, so that they
  * carry what an old target often carries. */
--- a/core/dispatcher_targets.c
+++ b/core/dispatcher/dispatcher_targets.c
@@ -1,5 +1,5 @@
 /* Targets of a pool: capacity, speed, failures and timeouts. */
-#include "core/dispatcher_private.h"
+#include "core/dispatcher/dispatcher_private.h"
 
 /* Above this failure rate a target gets one request at a time. */
 #define FAILURE_RATE_MAX 0.45
--- a/core/message.h
+++ b/core/message.h
@@ -8,7 +8,7 @@
 
 #include "common/id.h"
 #include "core/reason.h"
-#include "core/rollout_orders.h"
+#include "core/rollout/rollout_orders.h"
 #include "core/store_version.h"
 
 #include <glib.h>
--- a/core/rollout_orders.c
+++ b/core/rollout/rollout_orders.c
@@ -1,4 +1,4 @@
-#include "core/rollout_orders.h"
+#include "core/rollout/rollout_orders.h"
 
 #include <string.h>
 
--- a/node/node.h
+++ b/node/node.h
@@ -30,7 +30,7 @@
 #include "core/answer_times.h"
 #include "core/byte_budget.h"
 #include "core/directory.h"
-#include "core/dispatcher.h"
+#include "core/dispatcher/dispatcher.h"
 #include "core/limit_client.h"
 #include "core/owners.h"
 #include "core/prune.h"
--- a/node/placement.c
+++ b/node/placement.c
@@ -5,7 +5,7 @@
 #include "common/log.h"
 
 /* An owner that sends nothing for this time while a request waits there is unresponsive. It
- * sends an advert every 40 ms while requests wait, see core/dispatcher.c. */
+ * sends an advert every 40 ms while requests wait, see core/dispatcher/dispatcher.c. */
 #define OWNER_TIMEOUT (120 * DP_USEC_PER_MSEC)
 /* Interval of the reports to owners, which list the grants held and requested by this VM. */
 #define REPORT_INTERVAL (500 * DP_USEC_PER_MSEC)
--- a/tests/test_brittle_targets.c
+++ b/tests/test_brittle_targets.c
@@ -1,6 +1,6 @@
 /* Brittle targets, which crash when they reject too many requests, in virtual time: all VMs of
  * a fleet around the production dispatchers and directories. */
-#include "core/dispatcher.h"
+#include "core/dispatcher/dispatcher.h"
 #include "core/limit_client.h"
 
 #include <check.h>
--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -1,7 +1,7 @@
 /* What the dispatcher learns of its targets: limits of concurrent requests and prompts that are
  * still to be read. Simulates model engines in virtual time around the production dispatcher
  * and compares callers' results with those of the fixed window (slots plus one). */
-#include "core/dispatcher.h"
+#include "core/dispatcher/dispatcher.h"
 
 #include <check.h>
 #include <math.h>
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -1,5 +1,5 @@
 /* The dispatcher of a pool: queue order, refusals, failures and entries' reports. */
-#include "core/dispatcher.h"
+#include "core/dispatcher/dispatcher.h"
 
 #include <check.h>
 #include <stdlib.h>
--- a/tests/test_dispatcher_rollout.c
+++ b/tests/test_dispatcher_rollout.c
@@ -1,6 +1,6 @@
 /* Roll-outs in the dispatcher of a pool: which targets a grant names in each state, and a whole
  * roll-out in virtual time with 110 VMs, late messages and a cut. */
-#include "core/dispatcher.h"
+#include "core/dispatcher/dispatcher.h"
 
 #include <check.h>
 #include <stdlib.h>
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -2,7 +2,7 @@
  * requests that engines of different speeds can serve. Simulates them in virtual time around
  * the production dispatcher and checks the callers' results, also against a baseline that picks
  * the less loaded of two random engines. */
-#include "core/dispatcher.h"
+#include "core/dispatcher/dispatcher.h"
 #include "core/shed.h"
 
 #include <check.h>
--- a/tests/test_plain_overload.c
+++ b/tests/test_plain_overload.c
@@ -1,7 +1,7 @@
 /* A plain service near capacity, in virtual time: all VMs of a fleet around the production
  * dispatchers and shared modes. Each case is also run with shared mode off, which is how the
  * service was dispatched before, as the baseline. */
-#include "core/dispatcher.h"
+#include "core/dispatcher/dispatcher.h"
 #include "core/retry.h"
 #include "core/shared_mode/shared_mode.h"
 #include "core/shed.h"
--- a/tests/test_rollout_orders.c
+++ b/tests/test_rollout_orders.c
@@ -1,6 +1,6 @@
 /* Orders to roll out versions as one VM knows them: which state counts, and which versions must
  * not be used. No I/O; versions of the store stand for the order of events. */
-#include "core/rollout_orders.h"
+#include "core/rollout/rollout_orders.h"
 
 #include <check.h>
 #include <stdlib.h>
--- a/tests/test_target_limits.c
+++ b/tests/test_target_limits.c
@@ -1,5 +1,5 @@
 /* Limits that targets state for the requests of all VMs, in virtual time. */
-#include "core/dispatcher.h"
+#include "core/dispatcher/dispatcher.h"
 #include "core/limit_client.h"
 
 #include <check.h>
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -1,5 +1,5 @@
 /* Which software version may have begun a stream, and where it goes on. */
-#include "core/dispatcher.h"
+#include "core/dispatcher/dispatcher.h"
 #include "core/versions.h"
 
 #include <check.h>
