--- a/core/shared_mode/shared_mode.h
+++ b/core/shared_mode/shared_mode.h
@@ -5,7 +5,8 @@
  * - of the VM: when to report to the owner that the pool is short, and whether the owner's
  *   announcement is in force;
  * - of the owner: when shared mode begins, is renewed and ends.
- * It neither chooses the owner nor assigns requests, see core/owners.h and core/dispatcher/dispatcher.h.
+ * It neither chooses the owner nor assigns requests, see core/owners.h and
+ * core/dispatcher/dispatcher.h.
  *
  * All state is soft. An announcement expires, so that a VM which hears nothing places its own
  * requests again.
--- a/core/shared_mode/transit.h
+++ b/core/shared_mode/transit.h
@@ -3,7 +3,8 @@
  *
  * An owner measures, per pool, the time that its VMs' requests spend in slots and on the way.
  * How many requests a target lets wait isn't known, so each rejection lowers the number for
- * that target for some seconds. Does not choose targets, see core/dispatcher/dispatcher_targets.c.
+ * that target for some seconds. Does not choose targets, see
+ * core/dispatcher/dispatcher_targets.c.
  */
 #pragma once
 
--- a/node/rollouts.c
+++ b/node/rollouts.c
@@ -1,10 +1,10 @@
 /* Orders to roll out versions: their list in the store, the status that this system writes
  * there, and what VMs tell each other of it.
  *
- * The owner of an order's pool decides (core/dispatcher/dispatcher.h). It tells all VMs its state at each
- * change and each second, and writes `running` and one final state to the store, each on the
- * condition that the order has not changed since it was read. What each state means for
- * requests is in core/rollout/rollout_orders.h.
+ * The owner of an order's pool decides (core/dispatcher/dispatcher.h). It tells all VMs its
+ * state at each change and each second, and writes `running` and one final state to the store,
+ * each on the condition that the order has not changed since it was read. What each state means
+ * for requests is in core/rollout/rollout_orders.h.
  */
 #include "node/node.h"
 
