--- a/tests/test_node_parts.c
+++ b/tests/test_node_parts.c
@@ -756,7 +756,7 @@
 /* The VMs, of which the first `newer` are of this build. VMs of level 0 pass lists on without
  * levels. */
 static DpOwners *
-make_mixed_owners (guint newer, gboolean has_levels)
+make_mixed_owners (guint newer, guint64 level)
 {
   DpVm vms[BUILD_VMS] = { 0 };
   for (guint i = 0; i < BUILD_VMS; i++)
@@ -765,8 +765,8 @@
       vms[i] = (DpVm){ .name = i + 1, .weight = share };
       if (i < newer)
         vms[i].weight = dp_vm_stated_weight (share);
-      if (i < newer && has_levels)
-        vms[i].rules = DP_RULES_LEVEL;
+      if (i < newer)
+        vms[i].rules = level;
     }
   DpView *view = dp_view_new (1, vms, BUILD_VMS);
   DpOwners *owners = dp_owners_new (BUILD_VMS + 1, 0);
@@ -782,15 +782,18 @@
 START_TEST (owners_are_of_the_newest_build_for_vms_of_all_builds)
 {
   guint newer = (guint)_i;
-  DpOwners *owners = make_mixed_owners (newer, TRUE);
-  DpOwners *older = make_mixed_owners (newer, FALSE);
-  for (DpName key = 1; key <= BUILD_KEYS; key++)
+  DpOwners *older = make_mixed_owners (newer, 0);
+  for (guint64 level = 1; level <= DP_RULES_LEVEL; level++)
     {
-      DpName owner = dp_owners_choose (owners, key, START);
-      ck_assert_msg (newer == 0 || owner <= newer, "VM %u of %u", (guint)owner, newer);
-      ck_assert_uint_eq (owner, dp_owners_choose (older, key, START));
+      DpOwners *owners = make_mixed_owners (newer, level);
+      for (DpName key = 1; key <= BUILD_KEYS; key++)
+        {
+          DpName owner = dp_owners_choose (owners, key, START);
+          ck_assert_msg (newer == 0 || owner <= newer, "VM %u of %u", (guint)owner, newer);
+          ck_assert_uint_eq (owner, dp_owners_choose (older, key, START));
+        }
+      dp_owners_free (owners);
     }
-  dp_owners_free (owners);
   dp_owners_free (older);
 }
 END_TEST
@@ -805,7 +808,7 @@
       DpName previous = 0;
       for (guint newer = 1; newer <= BUILD_VMS; newer++)
         {
-          DpOwners *owners = make_mixed_owners (newer, TRUE);
+          DpOwners *owners = make_mixed_owners (newer, DP_RULES_LEVEL);
           DpName owner = dp_owners_choose (owners, key, START);
           dp_owners_free (owners);
           ck_assert_msg (previous == 0 || owner == previous || owner == newer,
