--- a/node/node.h
+++ b/node/node.h
@@ -485,10 +485,10 @@
 void dp_plain_pools_on_attempt_end (DpNodeRequest *request, DpReason reason);
 /* Another VM has asked this one for a target of the pool. */
 void dp_plain_pools_on_ask (DpNode *node, DpNodePool *pool, const DpGrantAsk *ask);
-/* A report for the pool's owner, or an announcement from it. */
 /* The first message for a while from the VM, which may have started or been cut off: repeats
  * this VM's announcements to it. */
 void dp_plain_pools_on_contact (DpNode *node, DpName vm);
+/* A report for the pool's owner, or an announcement from it. */
 void dp_plain_pools_on_message (DpNode *node, DpName from, const DpPoolShared *message);
 void dp_plain_pools_tick (DpNode *node, DpUsec now, gboolean was_paused);
 
