--- a/review/kit-2/kit.h
+++ b/review/kit-2/kit.h
@@ -149,6 +149,7 @@
   char address[32];
   uint16_t caller_port;
   uint16_t ready_port;
+  uint16_t store_port; /* at the store's address, for this node; 0: the store's own */
   pid_t pid;
 } KitNode;
 
