--- a/review/kit-2/kit.c
+++ b/review/kit-2/kit.c
@@ -807,6 +807,7 @@
   char path[256], variable[300];
   Value values[32] = { 0 };
   unsigned count = 0;
+  unsigned store_port = node->store_port != 0 ? node->store_port : system->store_port;
 #define VALUE(key, ...)                                                                        \
   values[count].name = key, snprintf (values[count++].text, sizeof values[0].text, __VA_ARGS__)
   VALUE ("node_name", "%s", node->name);
@@ -816,8 +817,7 @@
   VALUE ("internal_ports.1", "%u", system->operator_port);
   VALUE ("listen.front", "%s:%u", node->address, node->caller_port);
   VALUE ("listen.ready", "%s:%u", node->address, node->ready_port);
-  VALUE ("platform.address", "%s:%u", system->store_address,
-         node->store_port != 0 ? node->store_port : system->store_port);
+  VALUE ("platform.address", "%s:%u", system->store_address, store_port);
   VALUE ("seeds", "%s:1,%s:1,%s:1", system->nodes[0].address,
          system->nodes[system->node_count > 1 ? 1 : 0].address,
          system->nodes[system->node_count > 2 ? 2 : 0].address);
