--- a/review/8/case.c
+++ b/review/8/case.c
@@ -45,7 +45,7 @@
   if (kit_read_request (fd, &request))
     {
       kit_header (request.head.data, "Request-Id", id, sizeof id);
-      kit_header (request.head.data, "Token-Count", tokens, sizeof tokens);
+      kit_header (request.head.data, W_TOKENS, tokens, sizeof tokens);
       bool is_long = strstr (tokens, ",420") != NULL;
       unsigned total = is_long ? EVENTS_LONG : EVENTS_SHORT, from = 0;
       if (kit_header (request.head.data, "Last-Event-Id", last, sizeof last))
@@ -53,12 +53,11 @@
       kit_record ("engine %u of v%u runs %s after event %u", engine, version_of (engine), id,
                   from);
       kit_sleep (40);
-      bool ok
-        = kit_write_text (fd,
-                          "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s.%s.%u\r\n"
-                          "Content-Type: text/event-stream\r\n"
-                          "Transfer-Encoding: chunked\r\n\r\n",
-                          id, id, engine);
+      bool ok = kit_write_text (fd,
+                                "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n" W_SEAL ": s.%s.%u\r\n"
+                                "Content-Type: text/event-stream\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n",
+                                id, id, engine);
       for (unsigned i = from + 1; i <= total && ok; i++)
         {
           char event[64];
@@ -93,7 +92,7 @@
 {
   char headers[256];
   snprintf (headers, sizeof headers,
-            "Model: m\r\nToken-Count: 543,%s\r\nPrefix-Hash: 1:60,%lx:483\r\n%s",
+            "Model: m\r\n" W_TOKENS ": 543,%s\r\n" W_PARTS ": 1:60,%lx:483\r\n%s",
             is_long ? "420" : "49", (unsigned long)strtoul (id + 1, NULL, 36), more);
   const KitCall call = { .address = sys.nodes[node].address,
                          .port = sys.nodes[node].caller_port,
@@ -115,7 +114,7 @@
 {
   const KitResponse *first = &stream->first;
   char id[48], more[128];
-  snprintf (more, sizeof more, "Resumes: %s\r\nLast-Event-Id: %u\r\n", first_id,
+  snprintf (more, sizeof more, "" W_CONTINUES ": %s\r\nLast-Event-Id: %u\r\n", first_id,
             (unsigned)first->events[first->event_count - 1].id);
   stream->is_taken_up = true;
   for (unsigned attempt = 1; attempt <= TRIES && !stream->goes_on; attempt++)
@@ -188,12 +187,11 @@
     &sys, "POST", "config", "main",
     "{\"version\":7,\"routes\":[{\"name\":\"chat\",\"host\":\"" KIT_HOST "\","
     "\"path_prefix\":\"/chat/\",\"kind\":\"streaming\",\"timeout_ms\":10000,"
-    "\"target_latency_ms\":600,\"priority\":2,\"service\":\"modelo\",\"max_attempts\":2,"
-    "\"public\":false,\"sticky_sessions\":true,\"stream_resume\":true,\"gap_aim_ms\":200}],"
+    "\"" W_OBJECTIVE "\":600,\"priority\":2,\"service\":\"modelo\",\"max_attempts\":2,"
+    "\"public\":false,\"sticky_sessions\":true,\"" W_RESUMABLE "\":true,\"" W_PAUSE "\":200}],"
     "\"services\":[" CONFIG_ENGINES (
-      "modelo", "321", "713635") "]," CONFIG_LIMITS
-                                 ",\"tenants\":[{\"name\":\"one\",\"api_keys\":[\"" KIT_KEY
-                                 "\"],\"priority\":1}]}");
+      "modelo", "321", "713635") "]," CONFIG_LIMITS ",\"tenants\":[{\"name\":\"one\",\"" W_KEYS
+                                 "\":[\"" KIT_KEY "\"],\"priority\":1}]}");
   for (unsigned i = 0; i < ENGINES; i++)
     {
       char address[32], name[32], spec[400];
--- a/review/kit-2/kit.c
+++ b/review/kit-2/kit.c
@@ -587,7 +587,7 @@
   if (call->key != NULL)
     kit_printf (&text, "Authorization: Bearer %s\r\n", call->key);
   if (call->deadline_ms > 0)
-    kit_printf (&text, "Deadline-Ms: %u\r\n", call->deadline_ms);
+    kit_printf (&text, "" W_DEADLINE ": %u\r\n", call->deadline_ms);
   if (call->headers != NULL)
     kit_printf (&text, "%s", call->headers);
   if (length > 0 || strcmp (call->method, "GET") != 0)
--- a/review/kit-2/kit.h
+++ b/review/kit-2/kit.h
@@ -3,6 +3,8 @@
  */
 #pragma once
 
+#include "review/kit-2/wire.inc"
+
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
