--- a/review/kit-2/kit.c
+++ b/review/kit-2/kit.c
@@ -161,19 +161,17 @@
 }
 
 void
-kit_begin (const char *folder, unsigned seconds)
+kit_begin (const char *record, unsigned seconds)
 {
   static double limit;
-  char path[512];
   run.started = clock_ms ();
   signal (SIGPIPE, SIG_IGN);
   signal (SIGTERM, on_signal);
   signal (SIGINT, on_signal);
-  snprintf (path, sizeof path, "%s/record.txt", folder);
-  run.record = fopen (path, "w");
+  run.record = fopen (record, "w");
   if (run.record == NULL)
     {
-      fprintf (stderr, "can't write %s\n", path);
+      fprintf (stderr, "can't write %s\n", record);
       _exit (2);
     }
   fcntl (fileno (run.record), F_SETFD, FD_CLOEXEC);
--- a/review/kit-2/kit.h
+++ b/review/kit-2/kit.h
@@ -16,14 +16,13 @@
 
 /* --- run --- */
 
-/* Opens record.txt in `folder`, makes a temporary folder, and ends everything after `seconds`.
- */
-void kit_begin (const char *folder, unsigned seconds);
+/* Opens the record, makes a temporary folder, and ends everything after `seconds`. */
+void kit_begin (const char *record, unsigned seconds);
 /* Ends all processes that were started and exits with this code. */
 void kit_end (int code) __attribute__ ((noreturn));
 /* Ends with 2: the case couldn't run. */
 void kit_fail (const char *format, ...) __attribute__ ((noreturn, format (printf, 1, 2)));
-/* Writes a line with the time to record.txt. */
+/* Writes a line with the time to the record. */
 void kit_record (const char *format, ...) __attribute__ ((format (printf, 1, 2)));
 /* The same, and to the standard output. */
 void kit_say (const char *format, ...) __attribute__ ((format (printf, 1, 2)));
