net, node: how long work holds the loop, and bytes of messages by type

Change: DpWorkMeter measures pieces of work by kind and how late the loop's timer runs; lines loop_late and work_slow, one a second each at most; bytes sent by message type.

--- a/net/bus.c
+++ b/net/bus.c
@@ -61,6 +61,7 @@
   char *address;
   guint16 ports[DP_ROLE_COUNT];
   DpCounters *counters;
+  DpWorkMeter *meter; /* may be NULL */
   DpUsec pending_timeout;
   DpBusReceiveFunc receive;
   gpointer user;
@@ -95,6 +96,13 @@
                    bytes);
 }
 
+static void
+count_sent_type (DpBus *bus, DpMessageType type, gsize bytes)
+{
+  dp_counters_add (bus->counters, "dogwoodplank_bus_sent_bytes_total", "type",
+                   dp_message_type_name (type), bytes);
+}
+
 static void
 set_int (void *socket, int option, int value)
 {
@@ -340,6 +348,7 @@
   DpMessage message;
   GError *error = NULL;
   gsize length = zmq_msg_size (frame);
+  DpUsec begun_at = dp_clock_now ();
   if (!dp_codec_decode (zmq_msg_data (frame), length, &from, &message, &error))
     {
       record_bad_frame (bus, get_bad_frame_reason (error), error->message);
@@ -356,6 +365,9 @@
     }
   else
     record_bad_frame (bus, "sender", NULL);
+  if (bus->meter != NULL)
+    dp_work_meter_add (bus->meter, dp_message_type_name (message.type), length, begun_at,
+                       dp_clock_now ());
   dp_message_clear (&message);
 }
 
@@ -512,6 +524,7 @@
   bus->address = g_strdup (options->address);
   memcpy (bus->ports, options->ports, sizeof bus->ports);
   bus->counters = dp_counters_ref (options->counters);
+  bus->meter = options->meter;
   bus->pending_timeout
     = options->pending_timeout != 0 ? options->pending_timeout : PENDING_TIMEOUT_DEFAULT;
   bus->receive = options->receive;
@@ -567,6 +580,7 @@
       return;
     }
   GByteArray *frame = dp_codec_encode (bus->self, message);
+  count_sent_type (bus, message->type, frame->len);
   link->last_sent_at = dp_clock_now ();
   if (g_queue_get_length (&link->pending) >= PENDING_MESSAGES_MAX
       || link->pending_bytes + frame->len > PENDING_BYTES_MAX)
--- a/net/bus.h
+++ b/net/bus.h
@@ -16,6 +16,7 @@
 #include "core/message.h"
 #include "core/view.h"
 #include "net/bus_auth.h"
+#include "net/work_meter.h"
 
 #include <event2/event.h>
 #include <glib.h>
@@ -41,6 +42,7 @@
   const char *address;          /* IP address to bind; also used for peers on this VM */
   guint16 ports[DP_ROLE_COUNT]; /* indexed by DpRole; the same on all VMs */
   DpCounters *counters;         /* a reference is taken */
+  DpWorkMeter *meter;           /* gets the time that messages take; must outlive the bus */
   const DpBusKeys *keys;        /* NULL: no CURVE */
   DpUsec pending_timeout;       /* for messages that wait for a connection; 0: one second */
   DpBusReceiveFunc receive;
--- a/net/process.c
+++ b/net/process.c
@@ -34,6 +34,7 @@
   /* live as long as the process */
   struct event_base *base;
   DpCounters *counters;
+  DpWorkMeter *meter;
   DpBus *bus;
   DpHttpServer *operator_server;
   struct event *tick;
@@ -445,6 +446,7 @@
                                             [DP_ROLE_AGENT] = settings->agent_bus_port,
                                             [DP_ROLE_NODE] = settings->agent_bus_port },
                                  .counters = process->counters,
+                                 .meter = process->meter,
                                  .keys = has_keys ? &keys : NULL,
                                  .receive = on_message,
                                  .user = process };
@@ -508,6 +510,7 @@
   event_set_log_callback (on_libevent_log);
   process->base = create_base ();
   process->counters = dp_counters_new ();
+  process->meter = dp_work_meter_new (process->counters);
   add_events (process);
   start_bus (process, diagnostics);
   start_operator_server (process, diagnostics);
@@ -534,6 +537,7 @@
     return;
   g_clear_pointer (&process->operator_server, dp_http_server_free);
   g_clear_pointer (&process->bus, dp_bus_free);
+  dp_work_meter_free (process->meter);
   event_free (process->tick);
   event_free (process->hello);
   event_free (process->sigterm);
@@ -578,6 +582,12 @@
   return process->counters;
 }
 
+DpWorkMeter *
+dp_process_meter (DpProcess *process)
+{
+  return process->meter;
+}
+
 guint64
 dp_process_incarnation (const DpProcess *process)
 {
--- a/net/process.h
+++ b/net/process.h
@@ -12,6 +12,7 @@
 #include "manifest/manifest.h"
 #include "manifest/settings.h"
 #include "net/http_connections.h"
+#include "net/work_meter.h"
 
 #include <event2/event.h>
 #include <glib.h>
@@ -134,6 +135,8 @@
 
 struct event_base *dp_process_base (DpProcess *process);
 DpCounters *dp_process_counters (DpProcess *process);
+/* Measures the work of the event loop, messages included. */
+DpWorkMeter *dp_process_meter (DpProcess *process);
 /* What clients of the operators' listener may make the process hold, together with others. Call
  * it before the process runs, and with empty budgets before they are freed. */
 void dp_process_set_client_budgets (DpProcess *process, const DpHttpBudgets *budgets);
--- a/node/caller_listener.c
+++ b/node/caller_listener.c
@@ -237,9 +237,9 @@
 }
 
 static void
-on_request (gpointer user, DpHttpExchange *exchange)
+admit_request (DpNode *node, DpHttpExchange *exchange)
 {
-  Admission admission = { .node = user, .exchange = exchange };
+  Admission admission = { .node = node, .exchange = exchange };
   if (!dp_wire_read_request (exchange, &admission.caller))
     refuse (&admission, DP_REASON_BAD_REQUEST, 0);
   else if (check_ready (&admission) && find_route (&admission) && check_key (&admission)
@@ -253,6 +253,15 @@
                               admission.refusal, admission.retry_after);
 }
 
+static void
+on_request (gpointer user, DpHttpExchange *exchange)
+{
+  DpNode *node = user;
+  DpUsec begun_at = dp_node_now ();
+  admit_request (node, exchange);
+  dp_work_meter_add (dp_process_meter (node->process), "request", 0, begun_at, dp_node_now ());
+}
+
 /* --- readiness --- */
 
 static gboolean
--- a/node/main.c
+++ b/node/main.c
@@ -33,6 +33,8 @@
   DpNode *node = user;
   DpUsec now = dp_node_now ();
   gboolean was_paused = now - node->ticked_at > PAUSE_THRESHOLD;
+  DpWorkMeter *meter = dp_process_meter (node->process);
+  dp_work_meter_add_lateness (meter, now - node->ticked_at - DP_DISPATCH_TICK_INTERVAL, now);
   node->ticked_at = now;
   if (was_paused)
     dp_counters_add (node->counters, "dogwoodplank_pauses_total", NULL, NULL, 1);
@@ -44,6 +46,7 @@
   dp_node_copies_tick (node, now);
   dp_rollouts_tick (node, now);
   dp_store_watch_tick (node->store_watch, now);
+  dp_work_meter_add (meter, "tick", 0, now, dp_node_now ());
   if (dp_caller_listener_may_exit (node, now, was_paused))
     dp_process_quit (node->process);
 }
--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -237,6 +237,7 @@
 static void
 set_config (DpStoreWatch *watch, const DpJsonSpan *text, guint64 revision, const char *source)
 {
+  DpUsec begun_at = dp_node_now ();
   DpDiagnostics *diagnostics = dp_diagnostics_new ();
   struct json_object *spec = dp_records_parse_config (text, diagnostics);
   DpManifest *manifest = spec != NULL ? dp_records_read_config (spec, diagnostics) : NULL;
@@ -245,6 +246,8 @@
   if (manifest != NULL)
     set_manifest (watch, manifest, spec, source);
   json_object_put (spec);
+  dp_work_meter_add (dp_process_meter (watch->node->process), "config_read", text->length,
+                     begun_at, dp_node_now ());
 }
 
 static void
@@ -723,10 +726,10 @@
   return TRUE;
 }
 
+/* Takes what was listed; starts the next call. */
 static void
-on_listed (const DpPlatformReply *reply, gpointer data)
+handle_listing (ObjectFeed *feed, const DpPlatformReply *reply)
 {
-  ObjectFeed *feed = data;
   apply_era (feed->watch, reply->era, "store");
   gboolean is_first = feed->pages->len == 0;
   if ((reply->era != 0 && reply->era < feed->watch->era)
@@ -768,10 +771,10 @@
   start_next_call (feed);
 }
 
+/* Takes the changes; starts the next call. */
 static void
-on_watched (const DpPlatformReply *reply, gpointer data)
+handle_watch (ObjectFeed *feed, const DpPlatformReply *reply)
 {
-  ObjectFeed *feed = data;
   apply_era (feed->watch, reply->era, "store");
   /* Revisions of another era say nothing about the changes since the last response. */
   feed->is_listed
@@ -822,6 +825,30 @@
     start_next_call (feed);
 }
 
+static void
+record_work (const ObjectFeed *feed, const DpPlatformReply *reply, DpUsec begun_at)
+{
+  gsize bytes = reply->value != NULL ? g_bytes_get_size (reply->value) : 0;
+  dp_work_meter_add (dp_process_meter (feed->watch->node->process), kind_paths[feed->kind],
+                     bytes, begun_at, dp_node_now ());
+}
+
+static void
+on_listed (const DpPlatformReply *reply, gpointer data)
+{
+  DpUsec begun_at = dp_node_now ();
+  handle_listing (data, reply);
+  record_work (data, reply, begun_at);
+}
+
+static void
+on_watched (const DpPlatformReply *reply, gpointer data)
+{
+  DpUsec begun_at = dp_node_now ();
+  handle_watch (data, reply);
+  record_work (data, reply, begun_at);
+}
+
 static gboolean
 must_watch (const ObjectFeed *feed)
 {
