--- a/tests/node_cluster.c
+++ b/tests/node_cluster.c
@@ -105,7 +105,7 @@
         .log = cluster->log,
         .name = name,
         .address = cluster->address[vm],
-        .data_centre = "a",
+        .data_centre = cluster->data_centre[vm] != NULL ? cluster->data_centre[vm] : "a",
         .bus_port
         = cluster->vm_bus_port[vm] != 0 ? cluster->vm_bus_port[vm] : cluster->bus_port,
         .tunnel_port = is_older ? 0 : cluster->tunnel_port,
--- a/tests/node_cluster.h
+++ b/tests/node_cluster.h
@@ -26,6 +26,7 @@
   gboolean was_started;      /* nodes are not told of a first start of the whole system */
   char *folder;
   char *log;
+  const char *data_centre[VMS]; /* NULL: "a" */
   char address[VMS][16];
   guint16 store;
   guint16 store_control;
