net: messages of other VMs take the loop for 5 ms at a time

Cause: up to 256 messages were handled before other sockets were polled, whatever they cost.

Change: after 5 ms of work the rest waits until sockets were polled.

Result: 256 messages of 1 ms each in a row before, 6 at most now (net_bus). That the socket's event, made active by its own callback, keeps others from being polled at all was suspected and is not so: the bound of 256 held before.

--- a/net/bus.c
+++ b/net/bus.c
@@ -27,8 +27,10 @@
 #define PENDING_TIMEOUT_DEFAULT DP_USEC_PER_SEC
 /* Links on which nothing is sent for this long are closed. */
 #define LINK_IDLE_TIMEOUT (10 * DP_USEC_PER_SEC)
-/* Messages handled per callback, so that other events aren't delayed. */
+/* Messages handled per callback, and the time after which no further one is, so that other
+ * events aren't delayed. */
 #define RECEIVE_BATCH 256
+#define RECEIVE_TIME (5 * DP_USEC_PER_MSEC)
 /* A VM of another build may send many of them. */
 #define BAD_FRAME_LOG_INTERVAL (10 * DP_USEC_PER_SEC)
 
@@ -401,9 +403,10 @@
 on_router_event (evutil_socket_t fd, short what, void *user)
 {
   DpBus *bus = user;
+  DpUsec begun_at = dp_clock_now ();
   /* The file descriptor is edge-triggered and does not signal messages that are already
    * queued, so read all of them or schedule another callback. */
-  for (guint i = 0; i < RECEIVE_BATCH; i++)
+  for (guint i = 0; i < RECEIVE_BATCH && dp_clock_now () - begun_at < RECEIVE_TIME; i++)
     if (!receive_message (bus))
       return;
   event_active (bus->router_event, EV_READ, 0);
--- a/tests/test_net_bus.c
+++ b/tests/test_net_bus.c
@@ -13,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <zmq.h>
 
 /* Far longer than any expected event takes. */
@@ -38,6 +39,7 @@
   guint received;
   DpPeer from;
   GArray *revisions;     /* guint64, in order of arrival */
+  DpUsec handling_time;  /* of a message */
   const DpBusKeys *keys; /* NULL: no CURVE */
   DpUsec pending_timeout;
 } TestProcess;
@@ -49,6 +51,8 @@
   process->from = from;
   if (message->type == DP_MESSAGE_MANIFEST_ASK)
     g_array_append_val (process->revisions, message->manifest_ask.revision);
+  if (process->handling_time > 0)
+    g_usleep ((gulong)process->handling_time);
   if (++process->received == process->expected)
     event_base_loopbreak (process->base);
 }
@@ -179,6 +183,70 @@
 }
 END_TEST
 
+/* More than the receiver's queue takes, so that it is full until they are handled. */
+#define FLOOD 900
+/* Messages that are handled without a look at other sockets, if each takes HANDLING_TIME: work
+ * of 5 ms, and the message during which it ends. */
+#define HANDLING_TIME DP_USEC_PER_MSEC
+#define BATCH_MAX 6
+
+typedef struct OtherSocket
+{
+  TestProcess *process;
+  guint received_before; /* when the socket was last served */
+  guint longest;         /* run of messages between two times */
+} OtherSocket;
+
+static void
+on_other_socket (evutil_socket_t fd, short what, void *user)
+{
+  OtherSocket *other = user;
+  guint run = other->process->received - other->received_before;
+  other->received_before = other->process->received;
+  other->longest = MAX (other->longest, run);
+}
+
+/* A peer that sends as fast as messages are handled must not keep callers from being accepted.
+ */
+START_TEST (other_sockets_are_served_between_queued_messages)
+{
+  struct event_base *sending_base = event_base_new ();
+  struct event_base *base = event_base_new ();
+  TestProcess a = make_process (sending_base, "a", DP_ROLE_ENTRY, "127.0.1.11");
+  TestProcess b = make_process (base, "b", DP_ROLE_SCHEDULER, "127.0.1.12");
+  ck_assert (start_process (&a, "127.0.1.11", NULL));
+  ck_assert (start_process (&b, "127.0.1.12", NULL));
+  DpView *view = make_view (2);
+  dp_bus_set_view (a.bus, view);
+  for (guint i = 0; i < FLOOD; i++)
+    {
+      send_revision (&a, b.self, i);
+      event_base_loop (sending_base, EVLOOP_NONBLOCK);
+      g_usleep (100);
+    }
+  /* Always readable. */
+  int fds[2];
+  ck_assert_int_eq (socketpair (AF_UNIX, SOCK_STREAM, 0, fds), 0);
+  ck_assert_int_eq (write (fds[0], "x", 1), 1);
+  b.handling_time = HANDLING_TIME;
+  OtherSocket other = { .process = &b };
+  struct event *event = event_new (base, fds[1], EV_READ | EV_PERSIST, on_other_socket, &other);
+  event_add (event, NULL);
+  b.expected = FLOOD - (guint)get_dropped (&a, "queue_full");
+  run (base);
+  ck_assert_uint_gt (b.received, FLOOD / 2);
+  ck_assert_msg (other.longest <= BATCH_MAX, "%u messages in a row", other.longest);
+  event_free (event);
+  close (fds[0]);
+  close (fds[1]);
+  clear_process (&a);
+  clear_process (&b);
+  dp_view_unref (view);
+  event_base_free (base);
+  event_base_free (sending_base);
+}
+END_TEST
+
 START_TEST (messages_wait_for_a_peer_that_starts_later)
 {
   struct event_base *base = event_base_new ();
@@ -678,6 +746,7 @@
   tcase_add_checked_fixture (tcase, choose_ports, NULL);
   tcase_add_test (tcase, messages_arrive_in_order_including_the_first);
   tcase_add_test (tcase, peers_on_the_same_vm_need_no_view);
+  tcase_add_test (tcase, other_sockets_are_served_between_queued_messages);
   tcase_add_test (tcase, messages_wait_for_a_peer_that_starts_later);
   tcase_add_test (tcase, link_that_comes_up_during_a_send_is_used_at_once);
   tcase_add_test (tcase, messages_to_unknown_and_removed_peers_are_counted_as_dropped);
