--- a/core/message.c
+++ b/core/message.c
@@ -35,6 +35,8 @@
   [DP_MESSAGE_POOL_SHARED] = "pool_shared",
   [DP_MESSAGE_STREAM_COPIES] = "stream_copies",
   [DP_MESSAGE_STREAM_COPIES_ASK] = "stream_copies_ask",
+  [DP_MESSAGE_ROWS_ASK] = "rows_ask",
+  [DP_MESSAGE_ROWS] = "rows",
   [DP_MESSAGE_SUSPECT] = "suspect",
   [DP_MESSAGE_STREAM_VERSION] = "stream_version",
   [DP_MESSAGE_STREAM_VERSION_ASK] = "stream_version_ask",
@@ -71,6 +73,9 @@
     case DP_MESSAGE_TARGETS:
       g_clear_pointer (&message->targets.rows, g_array_unref);
       break;
+    case DP_MESSAGE_ROWS:
+      g_clear_pointer (&message->rows.steps, g_bytes_unref);
+      break;
     default:
       break;
     }
--- a/core/message.h
+++ b/core/message.h
@@ -119,6 +119,9 @@
   /* node -> nodes of its group, and the answer to STREAM_COPIES_ASK; since level 3 */
   DP_MESSAGE_STREAM_COPIES,
   DP_MESSAGE_STREAM_COPIES_ASK,
+  /* node -> node that has a newer state, and the answer; since level 4 */
+  DP_MESSAGE_ROWS_ASK,
+  DP_MESSAGE_ROWS,
   DP_MESSAGE_COUNT,
 } DpMessageType;
 
@@ -398,6 +401,7 @@
 {
   guint64 revision; /* that the requester has */
   guint64 digest;   /* of that revision; 0: send no delta to it */
+  guint64 rules;    /* level of the requester, see DP_RULES_LEVEL; between nodes only */
 } DpManifestAsk;
 
 /* Requests admission of a number of requests under the limits of a workspace; also the
@@ -475,6 +479,7 @@
 typedef struct DpTargetsAsk
 {
   guint64 version; /* of the requester's list */
+  guint64 rules;   /* level of the requester, see DP_RULES_LEVEL */
 } DpTargetsAsk;
 
 /* List of targets as a node knows it. */
@@ -498,10 +503,46 @@
   guint64 manifest_revision;
   DpStoreVersion targets;
   DpStoreVersion vms;
-  DpUsec age;  /* time since the least recent of the three was confirmed */
-  guint64 era; /* latest known of the store */
+  DpUsec age;            /* time since the least recent of the three was confirmed */
+  guint64 era;           /* latest known of the store */
+  DpStoreVersion config; /* of the store at which `manifest_revision` was the newest */
+  /* Digests of the lists of rows, see core/row_sync/; 0: not stated. */
+  guint64 manifest_digest;
+  guint64 targets_digest;
+  guint64 vms_digest;
 } DpRelay;
 
+/* Kinds of state that VMs follow as lists of rows, see core/row_sync/. */
+typedef enum DpRowKind
+{
+  DP_ROWS_CONFIG,
+  DP_ROWS_TARGETS,
+  DP_ROWS_VMS,
+  DP_ROWS_COUNT,
+} DpRowKind;
+
+/* Requests a part of a state that is newer than the requester's. */
+typedef struct DpRowsAsk
+{
+  DpRowKind kind;
+  DpStoreVersion version; /* that the requester has */
+  guint64 base_digest;    /* of that state; 0: send the whole state */
+  guint64 wanted;         /* digest of the state that is being transferred; 0: the newest */
+  guint first;            /* number of its rows that the requester has */
+} DpRowsAsk;
+
+typedef struct DpRowsPart
+{
+  DpRowKind kind;
+  DpStoreVersion version;
+  guint64 digest;      /* of the complete list */
+  guint64 base_digest; /* of the list that the steps refer to; 0: they refer to none */
+  guint first;         /* index of the first row in this part */
+  guint total;         /* rows of the complete list */
+  DpUsec age;          /* time since the store confirmed the state */
+  GBytes *steps;       /* see core/row_sync/row_delta.h; owned by the message */
+} DpRowsPart;
+
 /* A target has announced in an answer that it is leaving. */
 typedef struct DpTargetLeaving
 {
@@ -630,6 +671,8 @@
     DpRelay relay;
     DpRolloutRows rollouts;
     DpRolloutNotice rollout;
+    DpRowsAsk rows_ask;
+    DpRowsPart rows;
   };
 } DpMessage;
 
--- a/net/codec.c
+++ b/net/codec.c
@@ -147,6 +147,16 @@
   return frame;
 }
 
+GByteArray *
+dp_codec_encode_row (DpCodecRow type, const void *row)
+{
+  GByteArray *text = g_byte_array_new ();
+  msgpack_packer packer;
+  msgpack_packer_init (&packer, text, append_bytes);
+  pack_struct (&packer, dp_codec_row_fields (type), row);
+  return text;
+}
+
 /* --- decoding --- */
 
 static gboolean
@@ -415,3 +425,22 @@
   msgpack_unpacked_destroy (&unpacked);
   return ok;
 }
+
+gboolean
+dp_codec_decode_row (DpCodecRow type, const void *data, gsize length, void *row, GError **error)
+{
+  const DpFieldTable *table = dp_codec_row_fields (type);
+  memset (row, 0, table->size);
+  if (!dp_frame_check (data, length))
+    return set_decode_error (error, DP_CODEC_ERROR_MALFORMED, "not valid MessagePack", 0);
+  msgpack_unpacked unpacked;
+  msgpack_unpacked_init (&unpacked);
+  gsize offset = 0;
+  gboolean ok = FALSE;
+  if (msgpack_unpack_next (&unpacked, data, length, &offset) == MSGPACK_UNPACK_SUCCESS)
+    ok = unpack_struct (table, &unpacked.data, row, error);
+  else
+    set_decode_error (error, DP_CODEC_ERROR_MALFORMED, "not valid MessagePack", 0);
+  msgpack_unpacked_destroy (&unpacked);
+  return ok;
+}
--- a/net/codec.h
+++ b/net/codec.h
@@ -48,3 +48,18 @@
  * unchanged. */
 gboolean dp_codec_decode (
   const void *data, gsize length, DpPeer *from, DpMessage *message, GError **error);
+
+/* Rows of lists that are sent as opaque text, see core/row_sync/. */
+typedef enum DpCodecRow
+{
+  DP_CODEC_ROW_TARGET, /* DpTargetRecord */
+  DP_CODEC_ROW_VM,     /* DpVm */
+} DpCodecRow;
+
+/* Returns the row as text. Free with g_byte_array_unref(). */
+GByteArray *dp_codec_encode_row (DpCodecRow type, const void *row);
+
+/* Sets the row's struct, as dp_codec_decode() sets a message. On failure sets a DpCodecError;
+ * the struct then has some of the members. */
+gboolean dp_codec_decode_row (
+  DpCodecRow type, const void *data, gsize length, void *row, GError **error);
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -267,6 +267,7 @@
 static const DpField manifest_ask_fields[] = {
   UINT64 (1, DpMessage, manifest_ask.revision),
   UINT64 (2, DpMessage, manifest_ask.digest),
+  UINT64 (3, DpMessage, manifest_ask.rules),
 };
 
 static const DpField limit_ask_fields[] = {
@@ -448,6 +449,7 @@
 
 static const DpField targets_ask_fields[] = {
   UINT64 (1, DpMessage, targets_ask.version),
+  UINT64 (2, DpMessage, targets_ask.rules),
 };
 
 static const DpField target_fields[] = {
@@ -478,6 +480,33 @@
   UINT64 (5, DpMessage, relay.targets.era),
   UINT64 (6, DpMessage, relay.vms.era),
   UINT64 (7, DpMessage, relay.era),
+  UINT64 (8, DpMessage, relay.manifest_digest),
+  UINT64 (9, DpMessage, relay.targets_digest),
+  UINT64 (10, DpMessage, relay.vms_digest),
+  UINT64 (11, DpMessage, relay.config.revision),
+  UINT64 (12, DpMessage, relay.config.era),
+};
+
+static const DpField rows_ask_fields[] = {
+  UINT (1, DpMessage, rows_ask.kind, DP_ROWS_COUNT - 1),
+  UINT64 (2, DpMessage, rows_ask.version.revision),
+  UINT64 (3, DpMessage, rows_ask.version.era),
+  UINT64 (4, DpMessage, rows_ask.base_digest),
+  UINT64 (5, DpMessage, rows_ask.wanted),
+  UINT (6, DpMessage, rows_ask.first, G_MAXUINT),
+};
+
+static const DpField rows_fields[] = {
+  UINT (1, DpMessage, rows.kind, DP_ROWS_COUNT - 1),
+  UINT64 (2, DpMessage, rows.version.revision),
+  UINT64 (3, DpMessage, rows.version.era),
+  UINT64 (4, DpMessage, rows.digest),
+  UINT64 (5, DpMessage, rows.base_digest),
+  UINT (6, DpMessage, rows.first, G_MAXUINT),
+  UINT (7, DpMessage, rows.total, G_MAXUINT),
+  USEC (8, DpMessage, rows.age),
+  /* Parts are small, but a single row may be as large as the manifest. */
+  BYTES (9, DpMessage, rows.steps, DP_MANIFEST_BYTES_MAX),
 };
 
 static const DpField rollout_row_fields[] = {
@@ -545,8 +574,21 @@
   [DP_MESSAGE_POOL_SHARED] = TABLE (DpMessage, pool_shared_fields),
   [DP_MESSAGE_STREAM_COPIES] = TABLE (DpMessage, stream_copies_fields),
   [DP_MESSAGE_STREAM_COPIES_ASK] = TABLE (DpMessage, stream_copies_ask_fields),
+  [DP_MESSAGE_ROWS_ASK] = TABLE (DpMessage, rows_ask_fields),
+  [DP_MESSAGE_ROWS] = TABLE (DpMessage, rows_fields),
 };
 
+static const DpFieldTable *const row_tables[] = {
+  [DP_CODEC_ROW_TARGET] = &target_table,
+  [DP_CODEC_ROW_VM] = &vm_table,
+};
+
+const DpFieldTable *
+dp_codec_row_fields (DpCodecRow type)
+{
+  return row_tables[type];
+}
+
 const DpFieldTable *
 dp_codec_fields (DpMessageType type)
 {
--- a/net/codec_fields.h
+++ b/net/codec_fields.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/message.h"
+#include "net/codec.h"
 
 #include <glib.h>
 
@@ -41,3 +42,5 @@
 
 /* Returns the fields of a message type, with offsets into DpMessage, or NULL if unknown. */
 const DpFieldTable *dp_codec_fields (DpMessageType type);
+/* Returns the fields of a row, with offsets into its struct. */
+const DpFieldTable *dp_codec_row_fields (DpCodecRow type);
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -11,7 +11,7 @@
 export MATRIX_PAIRS=${MATRIX_PAIRS:-240}
 
 flags="$(pkg-config --cflags glib-2.0 json-c check) -std=gnu11 -O1 -g -D_GNU_SOURCE -I."
-libs="$(pkg-config --libs glib-2.0 json-c check libxxhash) -lm"
+libs="$(pkg-config --libs glib-2.0 json-c check libxxhash) -lmsgpackc -lm"
 export flags libs
 
 # The programs' sources, without those of other subsystems.
@@ -38,7 +38,7 @@
   simulation_sources
   printf '%s\n' tests/fault_matrix.c tests/test_entry.c tests/test_claim_pace.c \
     tests/test_node_parts.c tests/test_dispatcher.c tests/test_overload.c tests/test_quota.c tests/test_target_limits.c tests/test_brittle_targets.c tests/test_suspects.c tests/test_versions.c tests/test_stream_copies.c tests/test_reach.c \
-    tests/test_rollout.c tests/test_dispatcher_rollout.c
+    tests/test_rollout.c tests/test_dispatcher_rollout.c tests/test_row_sync.c
 } | xargs -P 4 -I{} bash -c 'set -eu; compile {} "$scratch/base"'
 
 run_mutation() {
@@ -58,7 +58,7 @@
   case $test in
     fault_matrix) sources=$(core_sources; simulation_sources; echo tests/fault_matrix.c) ;;
     claim_pace) sources=$(core_sources; simulation_sources; echo tests/test_claim_pace.c) ;;
-    node_parts | dispatcher | overload | quota | target_limits | brittle_targets | suspects | versions | stream_copies | reach | rollout | dispatcher_rollout) sources=$(core_sources; echo tests/test_$test.c) ;;
+    node_parts | dispatcher | overload | quota | target_limits | brittle_targets | suspects | versions | stream_copies | reach | rollout | dispatcher_rollout | row_sync) sources=$(core_sources; echo tests/test_$test.c) ;;
     entry) sources=$(core_sources; echo tests/test_entry.c; echo tests/entry_fixture.c) ;;
     *) echo "$name: unknown test $test"; return 2 ;;
   esac
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -157,7 +157,7 @@
     case DP_MESSAGE_PROBE_ACK:
       return make_probe (type);
     case DP_MESSAGE_MANIFEST_ASK:
-      message.manifest_ask = (DpManifestAsk){ 1, 2 };
+      message.manifest_ask = (DpManifestAsk){ 1, 2, 3 };
       break;
     case DP_MESSAGE_LIMIT_ASK:
       message.limit_ask = (DpLimitAsk){ 1, 2, 3, 4 };
@@ -218,12 +218,20 @@
       message.stream_copies_ask = (DpStreamCopiesAsk){ 1, TRUE, 2, { 3, G_MAXUINT64 } };
       break;
     case DP_MESSAGE_TARGETS_ASK:
-      message.targets_ask = (DpTargetsAsk){ 1 };
+      message.targets_ask = (DpTargetsAsk){ 1, 2 };
       break;
     case DP_MESSAGE_TARGETS:
       return make_targets ();
     case DP_MESSAGE_RELAY:
-      message.relay = (DpRelay){ 1, { 2, 3 }, { 4, 5 }, 6, 7 };
+      message.relay = (DpRelay){ 1, { 2, 3 }, { 4, 5 }, 6, 7, { 8, 9 }, 10, 11, 12 };
+      break;
+    case DP_MESSAGE_ROWS_ASK:
+      message.rows_ask = (DpRowsAsk){ DP_ROWS_VMS, { 1, 2 }, 3, 4, 5 };
+      break;
+    case DP_MESSAGE_ROWS:
+      message.rows = (DpRowsPart){
+        DP_ROWS_TARGETS, { 1, 2 }, 3, 4, 5, 6, 7, g_bytes_new_static ("steps", 5)
+      };
       break;
     case DP_MESSAGE_COUNT:
       break;
