--- a/core/view.h
+++ b/core/view.h
@@ -11,7 +11,9 @@
 
 /* Number of the rules that this build keeps, see docs/design-platform.md, "Two builds side by
  * side". It rises with each release that adds a rule; 0: a build that states none. */
-#define DP_RULES_LEVEL 3
+#define DP_RULES_LEVEL 4
+/* Builds of lower levels know state only as whole lists, see core/row_sync/. */
+#define DP_RULES_LEVEL_ROWS 4
 /* Builds of lower levels know no copies of streams' versions. */
 #define DP_RULES_LEVEL_STREAM_COPIES 3
 /* Builds of lower levels know no orders to roll out versions. */
--- a/manifest/manifest.c
+++ b/manifest/manifest.c
@@ -73,13 +73,9 @@
 }
 
 static void
-route_clear (gpointer data)
+route_unref (gpointer data)
 {
-  DpRoute *route = data;
-  g_free (route->text);
-  g_free (route->host);
-  g_free (route->path_prefix);
-  g_clear_pointer (&route->shares, g_array_unref);
+  dp_route_unref (data);
 }
 
 static GArray *
@@ -108,7 +104,7 @@
   manifest->models = new_rows (sizeof (DpModel), model_clear);
   manifest->pools = new_rows (sizeof (DpPool), pool_clear);
   manifest->targets = new_rows (sizeof (DpTarget), target_clear);
-  manifest->routes = new_rows (sizeof (DpRoute), route_clear);
+  manifest->routes = g_ptr_array_new_with_free_func (route_unref);
   manifest->groups = new_rows (sizeof (DpGroup), group_clear);
   return manifest;
 }
@@ -132,14 +128,39 @@
   g_array_unref (manifest->models);
   g_array_unref (manifest->pools);
   g_array_unref (manifest->targets);
-  g_array_unref (manifest->routes);
+  g_ptr_array_unref (manifest->routes);
   g_array_unref (manifest->groups);
-  g_clear_pointer (&manifest->host_index, g_hash_table_unref);
+  dp_route_index_unref (manifest->route_index);
   g_clear_pointer (&manifest->index, g_hash_table_unref);
   g_clear_pointer (&manifest->key_index, g_hash_table_unref);
   g_free (manifest);
 }
 
+void
+dp_manifest_share_routes (DpManifest *manifest, const DpManifest *other)
+{
+  g_ptr_array_unref (manifest->routes);
+  manifest->routes = g_ptr_array_ref (other->routes);
+  manifest->route_index = dp_route_index_ref (other->route_index);
+}
+
+void
+dp_manifest_share_pools (DpManifest *manifest, const DpManifest *other)
+{
+  g_array_unref (manifest->pools);
+  manifest->pools = g_array_ref (other->pools);
+}
+
+void
+dp_manifest_share_workspaces (DpManifest *manifest, const DpManifest *other)
+{
+  g_array_unref (manifest->workspaces);
+  g_array_unref (manifest->keys);
+  manifest->workspaces = g_array_ref (other->workspaces);
+  manifest->keys = g_array_ref (other->keys);
+  manifest->key_index = g_hash_table_ref (other->key_index);
+}
+
 /* Adds the target to a group of its pool and data centre, or to a new one if they are full. */
 static void
 add_to_group (DpManifest *manifest, guint target_index)
@@ -189,6 +210,17 @@
   for (guint i = 0; i < (manifest)->array->len; i++)                                           \
   index_row (manifest, kind, DP_MANIFEST_ROW (manifest, array, Type, i)->name, i)
 
+/* The strings belong to `keys`, which must live as long as the index. */
+static GHashTable *
+index_keys (const GArray *keys)
+{
+  GHashTable *index = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = 0; i < keys->len; i++)
+    g_hash_table_insert (index, g_array_index (keys, DpAccessKey, i).sha256,
+                         GUINT_TO_POINTER (i + 1));
+  return index;
+}
+
 void
 dp_manifest_finish (DpManifest *manifest)
 {
@@ -197,7 +229,6 @@
   for (guint i = 0; i < manifest->targets->len; i++)
     add_to_group (manifest, i);
   manifest->index = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
-  manifest->key_index = g_hash_table_new (g_str_hash, g_str_equal);
   INDEX_ROWS (manifest, tiers, DpTier, DP_MANIFEST_TIER);
   INDEX_ROWS (manifest, data_centres, DpDataCentre, DP_MANIFEST_DATA_CENTRE);
   INDEX_ROWS (manifest, workspaces, DpWorkspace, DP_MANIFEST_WORKSPACE);
@@ -205,11 +236,10 @@
   INDEX_ROWS (manifest, pools, DpPool, DP_MANIFEST_POOL);
   INDEX_ROWS (manifest, targets, DpTarget, DP_MANIFEST_TARGET);
   INDEX_ROWS (manifest, groups, DpGroup, DP_MANIFEST_GROUP);
-  dp_manifest_build_route_index (manifest);
-  for (guint i = 0; i < manifest->keys->len; i++)
-    g_hash_table_insert (manifest->key_index,
-                         DP_MANIFEST_ROW (manifest, keys, DpAccessKey, i)->sha256,
-                         GUINT_TO_POINTER (i + 1));
+  if (manifest->route_index == NULL)
+    manifest->route_index = dp_route_index_new (manifest->routes);
+  if (manifest->key_index == NULL)
+    manifest->key_index = index_keys (manifest->keys);
 }
 
 int
--- a/manifest/manifest.h
+++ b/manifest/manifest.h
@@ -126,17 +126,21 @@
 /* A pool of a route and its share of the requests. */
 typedef struct DpRouteShare
 {
-  guint pool;
+  DpName pool;
+  char *pool_text;
   guint weight;
 } DpRouteShare;
 
-/* Matches requests by host and path prefix. */
+/* Matches requests by host and path prefix. Immutable and reference-counted, so that manifests
+ * share the routes that a change leaves as they are. */
 typedef struct DpRoute
 {
+  gatomicrefcount refs;
   char *text;
   DpName name;
   char *host;
   char *path_prefix; /* begins and ends with '/' */
+  char *match_key;   /* for the index; set by dp_route_new() */
   DpRouteKind kind;
   gboolean resumable; /* streams: may resume elsewhere after the last complete event */
   gboolean is_public; /* needs no access key */
@@ -148,6 +152,10 @@
   GArray *shares;              /* DpRouteShare, at least one */
 } DpRoute;
 
+/* Finds the route of a request in steps that depend on its path, not on the number of routes.
+ */
+typedef struct DpRouteIndex DpRouteIndex;
+
 /* Limits on the connections and requests of callers; 0: not set. */
 typedef struct DpCallerLimits
 {
@@ -181,19 +189,26 @@
   GArray *models;       /* DpModel */
   GArray *pools;        /* DpPool */
   GArray *targets;      /* DpTarget; empty if targets register themselves */
-  GArray *routes;       /* DpRoute */
+  GPtrArray *routes;    /* DpRoute; may be shared with another manifest */
   DpCallerLimits caller_limits;
   /* Derived by dp_manifest_finish(): */
-  guint group_targets_max; /* may be set before; 0: DP_GROUP_TARGETS_MAX */
-  GArray *groups;          /* DpGroup */
-  GHashTable *index;       /* kind and name -> index + 1 */
-  GHashTable *key_index;   /* SHA-256 -> index + 1 */
-  GHashTable *host_index; /* host in lower case -> GPtrArray of DpRoute, longest prefix first */
+  guint group_targets_max;   /* may be set before; 0: DP_GROUP_TARGETS_MAX */
+  GArray *groups;            /* DpGroup */
+  GHashTable *index;         /* kind and name -> index + 1 */
+  GHashTable *key_index;     /* SHA-256 -> index + 1 */
+  DpRouteIndex *route_index; /* of `routes`, and shared with them */
 } DpManifest;
 
 /* Creates an empty manifest. Fill its arrays, then call dp_manifest_finish() once. */
 DpManifest *dp_manifest_new (void);
 
+/* Before dp_manifest_finish(): takes the routes of another manifest, with their index. */
+void dp_manifest_share_routes (DpManifest *manifest, const DpManifest *other);
+/* The same for pools. */
+void dp_manifest_share_pools (DpManifest *manifest, const DpManifest *other);
+/* The same for workspaces and access keys. */
+void dp_manifest_share_workspaces (DpManifest *manifest, const DpManifest *other);
+
 /* Creates an empty array of DpCall that frees its elements. */
 GArray *dp_manifest_calls_new (void);
 
@@ -217,6 +232,10 @@
 #define DP_MANIFEST_ROW(manifest, array, Type, index)                                          \
   (&g_array_index ((manifest)->array, Type, (index)))
 
+/* The same of a route. */
+#define DP_MANIFEST_ROUTE(manifest, index)                                                     \
+  ((const DpRoute *)g_ptr_array_index ((manifest)->routes, index))
+
 /* Returns the index of the row of this kind and name, or -1. */
 int dp_manifest_find (const DpManifest *manifest, DpManifestKind kind, DpName name);
 
@@ -231,10 +250,15 @@
 /* TRUE if requests of the route may be executed more than once. */
 gboolean dp_route_is_repeatable (const DpRoute *route);
 
-/* Returns the index of a pool, chosen by weight; `random_value` is uniformly distributed. */
-guint dp_route_select_pool (const DpRoute *route, guint64 random_value);
+/* Returns a pool, chosen by weight; `random_value` is uniformly distributed. */
+DpName dp_route_select_pool (const DpRoute *route, guint64 random_value);
+
+/* Takes over the strings and the shares of `row`. */
+DpRoute *dp_route_new (const DpRoute *row);
+DpRoute *dp_route_ref (DpRoute *route);
+void dp_route_unref (DpRoute *route);
 
-/* Creates an empty array of DpRouteShare. */
+/* Creates an empty array of DpRouteShare that frees its elements. */
 GArray *dp_route_shares_new (void);
 
 /* Returns the call of the service pool that matches, or NULL. */
--- a/manifest/routes.h
+++ b/manifest/routes.h
@@ -1,7 +1,9 @@
-/* Route lookup by host and path. Private to manifest/. */
+/* Index of routes by host and path prefix. Immutable and reference-counted; the routes must
+ * live as long as it. */
 #pragma once
 
 #include "manifest/manifest.h"
 
-/* Fills manifest->host_index. The routes must not change afterwards. */
-void dp_manifest_build_route_index (DpManifest *manifest);
+DpRouteIndex *dp_route_index_new (const GPtrArray *routes);
+DpRouteIndex *dp_route_index_ref (DpRouteIndex *index);
+void dp_route_index_unref (DpRouteIndex *index);
--- a/node/caller_listener.c
+++ b/node/caller_listener.c
@@ -198,9 +198,8 @@
 {
   DpNode *node = admission->node;
   node->random = dp_hash_bytes (&node->random, sizeof node->random, node->next_attempt);
-  guint index = dp_route_select_pool (admission->route, node->random);
-  const DpPool *pool = DP_MANIFEST_ROW (node->manifest, pools, DpPool, index);
-  return g_hash_table_lookup (node->pools, &pool->name);
+  DpName pool = dp_route_select_pool (admission->route, node->random);
+  return g_hash_table_lookup (node->pools, &pool);
 }
 
 static void
--- a/node/main.c
+++ b/node/main.c
@@ -40,6 +40,7 @@
     dp_counters_add (node->counters, "dogwoodplank_pauses_total", NULL, NULL, 1);
   dp_memory_tick (node, now);
   dp_request_tick (node, now, was_paused);
+  dp_peer_sync_tick_rows (node, now, was_paused);
   dp_peers_tick (node, now);
   dp_placement_tick (node, now, was_paused);
   dp_stream_versions_tick (node, now);
@@ -140,6 +141,8 @@
   node->stream_versions = dp_stream_versions_new (node);
   node->copies = dp_node_copies_new (node, dp_stream_versions_table (node));
   node->rollouts = node->params.has_rollouts ? dp_rollouts_new (node) : NULL;
+  node->config = dp_node_config_new (node);
+  node->peer_sync = dp_peer_sync_new (node);
   node->store_watch = dp_store_watch_new (node);
 }
 
@@ -153,6 +156,8 @@
   g_hash_table_unref (node->requests_by_attempt);
   g_hash_table_unref (node->pools);
   dp_store_watch_free (node->store_watch);
+  dp_peer_sync_free (node->peer_sync);
+  dp_node_config_free (node->config);
   dp_node_copies_free (node->copies);
   dp_stream_versions_free (node->stream_versions);
   dp_rollouts_free (node->rollouts);
@@ -168,7 +173,6 @@
   dp_quota_client_free (node->quota_client);
   dp_quota_server_free (node->quota_server);
   dp_manifest_unref (node->manifest);
-  g_clear_pointer (&node->manifest_text, g_bytes_unref);
   dp_view_unref (node->view);
 }
 
--- a/node/node.h
+++ b/node/node.h
@@ -6,6 +6,7 @@
  *   settings.c         process settings
  *   store_watch.c      reads config, targets and VMs from the platform's store
  *   stored_list.c      reads what this system keeps in the store, at startup
+ *   config.c           reads new versions of the config and puts them in force
  *   registration.c     this VM's entry in the store
  *   peer_sync.c        exchanges store data with other VMs
  *   peers.c            other VMs: probes, messages, removal of dead ones
@@ -39,6 +40,7 @@
 #include "core/quota.h"
 #include "core/reach.h"
 #include "core/retry.h"
+#include "core/row_sync/row_sync.h"
 #include "core/shared_mode/shared_mode.h"
 #include "core/shed.h"
 #include "core/stream_copies/stream_copies.h"
@@ -69,6 +71,7 @@
   char *quota_window_s;
   char *quota_slack;
   char *memory_mb;
+  char *link_mbps;    /* megabits a second of this VM's link */
   char *expose_share; /* NULL or empty: no staged roll-outs */
   char *expose_slack;
   char *rollback_ms;
@@ -100,6 +103,7 @@
   DpUsec quota_window;
   double quota_slack;
   gsize memory_max; /* bytes; 0: no limit known */
+  double link_rate; /* bytes a second; 0: not known */
   gboolean has_rollouts;
   DpRolloutOptions rollout; /* if so */
   DpCapacityMode target_capacity;
@@ -123,6 +127,8 @@
 typedef struct DpStoredList DpStoredList;
 typedef struct DpRollouts DpRollouts;
 typedef struct DpTunnels DpTunnels;
+typedef struct DpNodeConfig DpNodeConfig;
+typedef struct DpPeerSync DpPeerSync;
 
 /* State of a pool on this VM. */
 /* What was last logged of the pool's learned limits. */
@@ -184,13 +190,14 @@
   DpRollouts *rollouts; /* NULL: no staged roll-outs */
   DpPrune *prune;
   DpManifest *manifest;         /* config in force; NULL until one is known */
-  GBytes *manifest_text;        /* JSON of the config */
+  DpNodeConfig *config;         /* its rows, and a version that is being read */
   DpUsec manifest_confirmed_at; /* last time the store confirmed the config as current */
   DpDirectory *directory;
   guint64 directory_applied; /* directory version last passed to the dispatchers */
   DpView *view;
   DpUsec view_confirmed_at; /* last time the store confirmed the list of VMs as current */
   /* other VMs */
+  DpPeerSync *peer_sync;
   DpOwners *owners;
   guint64 probe_sequence;
   DpUsec builds_checked_at;
@@ -220,13 +227,8 @@
   DpUsec peers_ticked_at;
   DpUsec pruned_at;
   DpUsec started_at;
-  DpUsec state_requested_at; /* last query to another VM for store data */
-  DpUsec manifest_requested_at;
   DpUsec relay_received_at;
   DpUsec rollouts_received_at; /* from a VM that watches the orders for others */
-  DpUsec last_relay_sent_at;
-  DpRelay last_relay;           /* last one sent to the VMs that this one relays to */
-  DpStoreVersion last_rollouts; /* the same of the list of orders */
   DpUsec memory_checked_at;
   gboolean is_memory_short;      /* new requests are refused */
   DpByteBudget *response_budget; /* of responses that targets are sending */
@@ -357,12 +359,13 @@
 void dp_store_watch_tick (DpStoreWatch *watch, DpUsec now);
 
 /* Apply data received from another VM; ignored if this VM's own is newer. */
-void dp_store_watch_apply_config_text (DpStoreWatch *watch, GBytes *text);
 void dp_store_watch_apply_targets (DpStoreWatch *watch, const DpTargetRows *targets);
 /* `version` NULL, or not newer: adds missing VMs only, removes none. */
 void dp_store_watch_apply_vms (DpStoreWatch *watch,
                                const GArray *vms,
                                const DpStoreVersion *version);
+/* This VM's targets or VMs are also those of a newer version. */
+void dp_store_watch_confirm (DpStoreWatch *watch, DpRowKind kind, DpStoreVersion version);
 /* Another VM reports what the store's current versions are: confirms this VM's data if its
  * versions are at least as new. */
 void dp_store_watch_apply_relay (DpStoreWatch *watch, const DpRelay *relay);
@@ -417,8 +420,33 @@
 /* This VM's entry. */
 DpVm dp_registration_own_vm (const DpNode *node);
 
+/* --- config.c --- */
+
+DpNodeConfig *dp_node_config_new (DpNode *node);
+void dp_node_config_free (DpNodeConfig *config);
+/* Begins to read the rows if their version is newer than those in force and being read. */
+gboolean dp_node_config_put_rows (DpNode *node, DpRowList *rows, const char *source);
+/* The same for the config's text; `revision` of its object in the store, or 0. `source` must be
+ * a string constant. */
+void dp_node_config_put_text (DpNode *node,
+                              const DpJsonSpan *text,
+                              guint64 revision,
+                              const char *source);
+/* TRUE while a newer version is not in force yet. */
+gboolean dp_node_config_is_reading (const DpNode *node);
+/* Returns the text of the config in force, or NULL. */
+GBytes *dp_node_config_text (const DpNode *node);
+
 /* --- peer_sync.c --- */
 
+DpPeerSync *dp_peer_sync_new (DpNode *node);
+void dp_peer_sync_free (DpPeerSync *sync);
+/* Sets this VM's state, from the store or in force. Takes a reference to the list. */
+void dp_peer_sync_set (DpNode *node, DpRowKind kind, DpStoreVersion version, DpRowList *list);
+/* TRUE if other VMs have a newer state, and this VM has not got it from them for some time. */
+gboolean dp_peer_sync_is_stuck (const DpNode *node, DpRowKind kind);
+/* Must be called every DP_ROW_SYNC_INTERVAL. `was_paused`: other VMs may have answered. */
+void dp_peer_sync_tick_rows (DpNode *node, DpUsec now, gboolean was_paused);
 void dp_peer_sync_tick (DpNode *node, DpUsec now);
 /* Returns FALSE if the message is of another type. */
 gboolean dp_peer_sync_on_message (DpNode *node, DpName from, const DpMessage *message);
--- a/node/peer_sync.c
+++ b/node/peer_sync.c
@@ -1,11 +1,14 @@
 /* Config, targets and VMs of the store, exchanged between VMs.
  *
- * A VM that can't reach the store requests them from other VMs. Relays send them to their
- * clients, which don't watch the store themselves.
+ * Relays watch the store and state their versions to their clients, which ask for what they
+ * lack; so does a VM that can't reach the store. What is asked of whom, and what is sent, is
+ * decided in core/row_sync/. VMs of builds that don't know it are asked, and answered, with
+ * whole lists.
  */
 #include "node/node.h"
 
 #include "common/log.h"
+#include "net/codec.h"
 
 #include <string.h>
 
@@ -21,8 +24,33 @@
 /* Relays send at least this often: a third of the timeout after which other VMs watch the store
  * themselves. */
 #define RELAY_INTERVAL (300 * DP_USEC_PER_MSEC)
-/* Changes within this time are sent together. */
+/* Changes within this time are stated together. */
 #define RELAY_BATCH_DELAY (40 * DP_USEC_PER_MSEC)
+/* State for other VMs takes this share of the link at most. */
+#define LINK_SHARE 0.5
+/* Bytes of state in DP_ROW_SYNC_INTERVAL if the rate of the link is not known. */
+#define LINK_BYTES_DEFAULT ((gint64)1024 * 1024)
+
+/* One kind of state. */
+typedef struct Feed
+{
+  DpNode *node;
+  DpRowKind kind;
+  DpRowSync *rows;
+  DpRowSyncStatus reported; /* in metrics */
+} Feed;
+
+struct DpPeerSync
+{
+  DpNode *node;
+  DpRowBudget budget;
+  Feed feeds[DP_ROWS_COUNT];
+  guint64 listed_directory; /* version of the directory that the list of targets was made of */
+  DpUsec requested_at;      /* last query to another VM */
+  DpUsec relay_sent_at;
+  DpRelay last_relay;           /* last one sent to the VMs that this one relays to */
+  DpStoreVersion last_rollouts; /* the same of the list of orders */
+};
 
 GArray *
 dp_peer_sync_seeds (const DpNode *node)
@@ -47,6 +75,234 @@
   return rows;
 }
 
+/* --- rows of targets and VMs --- */
+
+/* `row` NULL: it can't be read. */
+static gconstpointer
+read_row (DpRow *row, DpCodecRow type, gsize size)
+{
+  static const char unreadable;
+  if (row->value == NULL)
+    {
+      gpointer value = g_malloc0 (size);
+      if (dp_codec_decode_row (type, row->text, row->length, value, NULL))
+        dp_row_set_value (row, value, g_free);
+      else
+        {
+          g_free (value);
+          dp_row_set_value (row, (gpointer)&unreadable, NULL);
+        }
+    }
+  return row->value != &unreadable ? row->value : NULL;
+}
+
+/* Returns the structs that the rows describe. */
+static GArray *
+read_rows (const DpRowList *list, DpCodecRow type, guint size)
+{
+  GArray *structs = g_array_sized_new (FALSE, FALSE, size, list->rows->len);
+  for (guint i = 0; i < list->rows->len; i++)
+    {
+      gconstpointer value = read_row (DP_ROW_LIST_ROW (list, i), type, size);
+      if (value != NULL)
+        g_array_append_vals (structs, value, 1);
+    }
+  return structs;
+}
+
+static gint
+compare_texts (gconstpointer a, gconstpointer b)
+{
+  const GByteArray *left = *(GByteArray *const *)a;
+  const GByteArray *right = *(GByteArray *const *)b;
+  int order = memcmp (left->data, right->data, MIN (left->len, right->len));
+  return order != 0 ? order : (gint)left->len - (gint)right->len;
+}
+
+static void
+unref_text (gpointer text)
+{
+  g_byte_array_unref (text);
+}
+
+/* Returns a list of the rows, sorted, so that VMs with the same rows have the same list. Takes
+ * over the texts. */
+static DpRowList *
+make_list (GPtrArray *texts, const DpRowList *known)
+{
+  g_ptr_array_sort (texts, compare_texts);
+  DpRowPool *pool = dp_row_pool_new (known);
+  GPtrArray *rows = dp_row_array_new (texts->len);
+  for (guint i = 0; i < texts->len; i++)
+    {
+      const GByteArray *text = g_ptr_array_index (texts, i);
+      g_ptr_array_add (rows, dp_row_pool_get (pool, 0, (const char *)text->data, text->len));
+    }
+  dp_row_pool_free (pool);
+  g_ptr_array_unref (texts);
+  return dp_row_list_new (rows);
+}
+
+static GArray *
+list_targets (const DpNode *node)
+{
+  GArray *records = g_array_new (FALSE, FALSE, sizeof (DpTargetRecord));
+  DpHandle at = 0;
+  const DpDirectoryRow *row;
+  while ((row = dp_directory_next (node->directory, &at)) != NULL)
+    if (row->is_listed)
+      g_array_append_val (records, row->record);
+  return records;
+}
+
+static DpRowList *
+make_target_list (const DpNode *node, const DpRowList *known)
+{
+  GPtrArray *texts = g_ptr_array_new_with_free_func (unref_text);
+  GArray *records = list_targets (node);
+  for (guint i = 0; i < records->len; i++)
+    g_ptr_array_add (texts, dp_codec_encode_row (DP_CODEC_ROW_TARGET,
+                                                 &g_array_index (records, DpTargetRecord, i)));
+  g_array_unref (records);
+  return make_list (texts, known);
+}
+
+static DpRowList *
+make_vm_list (const DpNode *node, const DpRowList *known)
+{
+  GPtrArray *texts = g_ptr_array_new_with_free_func (unref_text);
+  for (guint i = 0; i < node->view->vms->len; i++)
+    g_ptr_array_add (
+      texts, dp_codec_encode_row (DP_CODEC_ROW_VM, &g_array_index (node->view->vms, DpVm, i)));
+  return make_list (texts, known);
+}
+
+/* --- own state --- */
+
+void
+dp_peer_sync_set (DpNode *node, DpRowKind kind, DpStoreVersion version, DpRowList *list)
+{
+  dp_row_sync_set (node->peer_sync->feeds[kind].rows, version, list, dp_node_now ());
+}
+
+static void
+update_targets (DpPeerSync *sync, DpStoreVersion version)
+{
+  DpNode *node = sync->node;
+  DpRowSync *rows = sync->feeds[DP_ROWS_TARGETS].rows;
+  DpRowList *known = dp_row_sync_list (rows);
+  guint64 directory_version = dp_directory_version (node->directory);
+  if (dp_directory_last_contact_at (node->directory) == 0
+      || (known != NULL && dp_store_version_compare (version, dp_row_sync_version (rows)) <= 0))
+    return;
+  DpRowList *list = known != NULL && sync->listed_directory == directory_version
+                      ? dp_row_list_ref (known)
+                      : make_target_list (node, known);
+  sync->listed_directory = directory_version;
+  dp_row_sync_set (rows, version, list, dp_node_now ());
+  dp_row_list_unref (list);
+}
+
+static void
+update_vms (DpPeerSync *sync, DpStoreVersion version)
+{
+  DpRowSync *rows = sync->feeds[DP_ROWS_VMS].rows;
+  DpRowList *known = dp_row_sync_list (rows);
+  if (sync->node->view_confirmed_at == 0
+      || (known != NULL && dp_store_version_compare (version, dp_row_sync_version (rows)) <= 0))
+    return;
+  DpRowList *list = make_vm_list (sync->node, known);
+  dp_row_sync_set (rows, version, list, dp_node_now ());
+  dp_row_list_unref (list);
+}
+
+/* Sets the lists of targets and VMs if this VM has read newer ones from the store. Those that
+ * came from other VMs are set already. */
+static void
+update_lists (DpPeerSync *sync)
+{
+  DpRelay state = dp_store_watch_state (sync->node->store_watch);
+  update_targets (sync, state.targets);
+  update_vms (sync, state.vms);
+}
+
+/* --- state of other VMs --- */
+
+/* Accepts targets of a newer version of the store; other targets only while this VM has none.
+ */
+static gboolean
+apply_targets (DpNode *node, const DpTargetRows *targets)
+{
+  DpStoreVersion own = dp_store_watch_state (node->store_watch).targets;
+  gboolean is_newer
+    = dp_store_version_compare (targets->version, own) > 0 && targets->age < RECEIVED_AGE_MAX;
+  gboolean is_first = dp_directory_count (node->directory) == 0;
+  if (targets->rows == NULL || (!is_newer && !is_first))
+    return FALSE;
+  dp_store_watch_apply_targets (node->store_watch, targets);
+  node->peer_sync->listed_directory = dp_directory_version (node->directory);
+  return TRUE;
+}
+
+static gboolean
+apply_rows (gpointer user, DpStoreVersion version, DpUsec age, DpRowList *list)
+{
+  const Feed *feed = user;
+  gboolean is_accepted = TRUE;
+  GArray *rows;
+  switch (feed->kind)
+    {
+    case DP_ROWS_CONFIG:
+      return dp_node_config_put_rows (feed->node, list, "another VM");
+    case DP_ROWS_TARGETS:
+      rows = read_rows (list, DP_CODEC_ROW_TARGET, sizeof (DpTargetRecord));
+      is_accepted = apply_targets (
+        feed->node, &(DpTargetRows){ .age = age, .version = version, .rows = rows });
+      g_array_unref (rows);
+      break;
+    case DP_ROWS_VMS:
+      rows = read_rows (list, DP_CODEC_ROW_VM, sizeof (DpVm));
+      dp_store_watch_apply_vms (feed->node->store_watch, rows, &version);
+      g_array_unref (rows);
+      break;
+    case DP_ROWS_COUNT:
+      break;
+    }
+  return is_accepted;
+}
+
+static void
+confirm_rows (gpointer user, DpStoreVersion version)
+{
+  const Feed *feed = user;
+  dp_store_watch_confirm (feed->node->store_watch, feed->kind, version);
+}
+
+static DpUsec
+age_of_rows (gpointer user)
+{
+  const DpNode *node = ((const Feed *)user)->node;
+  return dp_store_watch_state (node->store_watch).age;
+}
+
+static void
+send_rows (gpointer user, DpName to, const DpMessage *message)
+{
+  dp_peers_send (((const Feed *)user)->node, to, message);
+}
+
+static gboolean
+knows_rows (const DpNode *node, DpName vm)
+{
+  return dp_owners_rules (node->owners, vm) >= DP_RULES_LEVEL_ROWS;
+}
+
+gboolean
+dp_peer_sync_is_stuck (const DpNode *node, DpRowKind kind)
+{
+  return dp_row_sync_is_stuck (node->peer_sync->feeds[kind].rows, dp_node_now ());
+}
+
 /* --- requests --- */
 
 /* Returns the names of VMs that sent a message lately; the seeds if there are none. */
@@ -75,20 +331,29 @@
 {
   DpMessage message = { .type = DP_MESSAGE_MANIFEST_ASK };
   message.manifest_ask.revision = node->manifest != NULL ? node->manifest->revision : 0;
+  message.manifest_ask.rules = DP_RULES_LEVEL;
   dp_peers_send (node, vm, &message);
 }
 
-/* Sends the known VMs. The other VM may not know this one yet, and can't respond without its
- * address. */
 static void
-send_view (DpNode *node, DpName vm)
+request_targets (DpNode *node, DpName vm)
 {
-  DpMessage message = { .type = DP_MESSAGE_VIEW };
-  DpStoreVersion version = dp_store_watch_state (node->store_watch).vms;
-  message.view.version = version.revision;
-  message.view.era = version.era;
-  message.view.vms = node->view->vms;
+  DpMessage message = { .type = DP_MESSAGE_TARGETS_ASK };
+  message.targets_ask.version = dp_store_watch_state (node->store_watch).targets.revision;
+  message.targets_ask.rules = DP_RULES_LEVEL;
+  dp_peers_send (node, vm, &message);
+}
+
+/* The other VM may not know this one yet, and can't respond without its address. */
+static void
+introduce (DpNode *node, DpName vm)
+{
+  DpVm self = dp_registration_own_vm (node);
+  GArray *vms = g_array_new (FALSE, FALSE, sizeof (DpVm));
+  g_array_append_val (vms, self);
+  DpMessage message = { .type = DP_MESSAGE_VIEW, .view = { .vms = vms } };
   dp_peers_send (node, vm, &message);
+  g_array_unref (vms);
 }
 
 static void
@@ -98,11 +363,17 @@
   if (names->len > 0)
     {
       DpName vm = g_array_index (names, DpName, ++node->probe_sequence % names->len);
-      send_view (node, vm);
-      request_manifest (node, vm);
-      DpMessage message = { .type = DP_MESSAGE_TARGETS_ASK };
-      message.targets_ask.version = dp_directory_version (node->directory);
-      dp_peers_send (node, vm, &message);
+      introduce (node, vm);
+      if (knows_rows (node, vm))
+        {
+          for (guint i = 0; i < DP_ROWS_COUNT; i++)
+            dp_row_sync_ask_any (node->peer_sync->feeds[i].rows, vm, now);
+        }
+      else
+        {
+          request_manifest (node, vm);
+          request_targets (node, vm);
+        }
     }
   g_array_unref (names);
 }
@@ -110,66 +381,113 @@
 static void
 request_state_if_outdated (DpNode *node, DpUsec now)
 {
+  DpPeerSync *sync = node->peer_sync;
   DpUsec confirmed_at
     = MIN (node->manifest_confirmed_at, dp_directory_last_contact_at (node->directory));
   gboolean is_starting = confirmed_at == 0 && now - node->started_at > START_DELAY;
   gboolean is_outdated = confirmed_at != 0 && now - confirmed_at > STATE_AGE_MAX;
-  if ((!is_starting && !is_outdated) || now - node->state_requested_at < REQUEST_INTERVAL)
+  if ((!is_starting && !is_outdated) || now - sync->requested_at < REQUEST_INTERVAL)
     return;
-  node->state_requested_at = now;
+  sync->requested_at = now;
   request_state (node, now);
 }
 
 void
 dp_peer_sync_on_revision (DpNode *node, DpName vm, guint64 revision)
 {
+  DpPeerSync *sync = node->peer_sync;
   DpUsec now = dp_node_now ();
+  if (knows_rows (node, vm))
+    {
+      const DpRowStatement statement = { .version = { .revision = revision } };
+      dp_row_sync_on_statement (sync->feeds[DP_ROWS_CONFIG].rows, vm, &statement, now);
+      return;
+    }
   guint64 own = node->manifest != NULL ? node->manifest->revision : 0;
-  if (revision <= own || now - node->manifest_requested_at < REQUEST_INTERVAL)
+  if (revision <= own || now - sync->requested_at < REQUEST_INTERVAL)
     return;
-  node->manifest_requested_at = now;
+  sync->requested_at = now;
   request_manifest (node, vm);
 }
 
 /* --- responses --- */
 
+/* Answers a VM that knows rows, and does not know whether this one does. */
 static void
-send_manifest (DpNode *node, DpName to, const DpManifestAsk *request)
+send_first_part (DpNode *node, DpName to, DpRowKind kind, guint64 revision)
 {
-  if (node->manifest == NULL || node->manifest->revision <= request->revision)
-    return;
-  DpMessage message = { .type = DP_MESSAGE_MANIFEST };
-  message.manifest.revision = node->manifest->revision;
-  message.manifest.text = node->manifest_text;
-  dp_peers_send (node, to, &message);
+  const DpRowsAsk ask = { .kind = kind, .version = { .revision = revision } };
+  dp_row_sync_on_ask (node->peer_sync->feeds[kind].rows, to, &ask, dp_node_now ());
 }
 
-static GArray *
-list_targets (const DpNode *node)
+static void
+on_manifest_ask (DpNode *node, DpName from, const DpManifestAsk *request)
 {
-  GArray *records = g_array_new (FALSE, FALSE, sizeof (DpTargetRecord));
-  DpHandle at = 0;
-  const DpDirectoryRow *row;
-  while ((row = dp_directory_next (node->directory, &at)) != NULL)
-    if (row->is_listed)
-      g_array_append_val (records, row->record);
-  return records;
+  if (request->rules >= DP_RULES_LEVEL_ROWS)
+    {
+      send_first_part (node, from, DP_ROWS_CONFIG, request->revision);
+      return;
+    }
+  GBytes *text = dp_node_config_text (node);
+  if (text != NULL && node->manifest->revision > request->revision)
+    {
+      DpMessage message = { .type = DP_MESSAGE_MANIFEST };
+      message.manifest.revision = node->manifest->revision;
+      message.manifest.text = text;
+      dp_peers_send (node, from, &message);
+    }
+  g_clear_pointer (&text, g_bytes_unref);
+}
+
+/* The list as VMs of older builds know it. */
+static void
+send_view (DpNode *node, DpName to)
+{
+  DpMessage message = { .type = DP_MESSAGE_VIEW };
+  DpStoreVersion version = dp_store_watch_state (node->store_watch).vms;
+  message.view.version = version.revision;
+  message.view.era = version.era;
+  message.view.vms = node->view->vms;
+  dp_peers_send (node, to, &message);
 }
 
 static void
 send_targets (DpNode *node, DpName to)
 {
   DpUsec now = dp_node_now ();
-  if (dp_directory_last_contact_at (node->directory) == 0)
-    return;
   DpMessage message = { .type = DP_MESSAGE_TARGETS };
   message.targets.age = now - dp_directory_last_contact_at (node->directory);
   message.targets.version = dp_store_watch_state (node->store_watch).targets;
   message.targets.rows = list_targets (node);
   dp_peers_send (node, to, &message);
   dp_message_clear (&message);
-  dp_rollouts_send_list (node, to);
-  send_view (node, to);
+}
+
+static void
+on_targets_ask (DpNode *node, DpName from, const DpTargetsAsk *request)
+{
+  if (dp_directory_last_contact_at (node->directory) == 0)
+    return;
+  if (request->rules >= DP_RULES_LEVEL_ROWS)
+    {
+      update_lists (node->peer_sync);
+      send_first_part (node, from, DP_ROWS_TARGETS, request->version);
+      send_first_part (node, from, DP_ROWS_VMS, 0);
+    }
+  else
+    {
+      send_targets (node, from);
+      send_view (node, from);
+    }
+  dp_rollouts_send_list (node, from);
+}
+
+static void
+on_rows_ask (DpNode *node, DpName from, const DpRowsAsk *ask)
+{
+  if (ask->kind != DP_ROWS_CONFIG)
+    update_lists (node->peer_sync);
+  dp_row_sync_on_ask (node->peer_sync->feeds[ask->kind].rows, from, ask, dp_node_now ());
 }
 
 /* --- relays --- */
@@ -178,80 +496,92 @@
 has_changed (const DpRelay *current, const DpRelay *previous)
 {
   return current->manifest_revision != previous->manifest_revision
+         || current->targets_digest != previous->targets_digest
+         || current->vms_digest != previous->vms_digest
          || dp_store_version_compare (current->targets, previous->targets) != 0
          || dp_store_version_compare (current->vms, previous->vms) != 0;
 }
 
 static void
-send_relay (DpNode *node, DpName vm, const DpRelay *state)
-{
-  const DpRelay *previous = &node->last_relay;
-  if (state->manifest_revision != previous->manifest_revision)
-    send_manifest (node, vm, &(DpManifestAsk){ 0 });
-  if (dp_store_version_compare (state->targets, previous->targets) != 0)
-    send_targets (node, vm);
-  if (dp_store_version_compare (state->vms, previous->vms) != 0)
-    send_view (node, vm);
-  DpMessage message = { .type = DP_MESSAGE_RELAY, .relay = *state };
-  dp_peers_send (node, vm, &message);
-  if (dp_store_watch_has_rollouts (node->store_watch))
-    dp_rollouts_send_list (node, vm);
+add_digests (const DpPeerSync *sync, DpRelay *state)
+{
+  const DpRowSync *config = sync->feeds[DP_ROWS_CONFIG].rows;
+  if (dp_row_sync_version (config).revision == state->manifest_revision)
+    state->manifest_digest = dp_row_sync_digest (config);
+  state->targets_digest = dp_row_sync_digest (sync->feeds[DP_ROWS_TARGETS].rows);
+  state->vms_digest = dp_row_sync_digest (sync->feeds[DP_ROWS_VMS].rows);
 }
 
-/* On a relay that reaches the store, sends the store's state to the relay's clients. */
+/* On a relay that reaches the store, states the store's versions to the relay's clients. */
 static void
 relay_state (DpNode *node, DpUsec now)
 {
+  DpPeerSync *sync = node->peer_sync;
   if (!dp_owners_is_relay (node->owners) || dp_store_watch_is_failing (node->store_watch))
     return;
-  DpRelay state = dp_store_watch_state (node->store_watch);
-  DpUsec since = now - node->last_relay_sent_at;
+  update_lists (sync);
+  DpMessage message = { .type = DP_MESSAGE_RELAY };
+  message.relay = dp_store_watch_state (node->store_watch);
+  add_digests (sync, &message.relay);
+  DpUsec since = now - sync->relay_sent_at;
   DpStoreVersion rollouts = dp_rollouts_version (node);
-  gboolean is_new = has_changed (&state, &node->last_relay)
-                    || dp_store_version_compare (rollouts, node->last_rollouts) != 0;
+  gboolean is_new = has_changed (&message.relay, &sync->last_relay)
+                    || dp_store_version_compare (rollouts, sync->last_rollouts) != 0;
   gboolean is_due = since >= RELAY_INTERVAL || (since >= RELAY_BATCH_DELAY && is_new);
-  if (!is_due || state.age > STATE_AGE_MAX)
+  if (!is_due || message.relay.age > STATE_AGE_MAX)
     return;
   for (guint i = 0; i < node->view->vms->len; i++)
     {
       const DpVm *vm = &g_array_index (node->view->vms, DpVm, i);
-      if (dp_owners_is_relay_client (node->owners, vm))
-        send_relay (node, vm->name, &state);
+      if (!dp_owners_is_relay_client (node->owners, vm))
+        continue;
+      dp_peers_send (node, vm->name, &message);
+      if (dp_store_watch_has_rollouts (node->store_watch))
+        dp_rollouts_send_list (node, vm->name);
     }
-  node->last_relay = state;
-  node->last_rollouts = rollouts;
-  node->last_relay_sent_at = now;
+  sync->last_relay = message.relay;
+  sync->last_rollouts = rollouts;
+  sync->relay_sent_at = now;
 }
 
-/* Records what the relay reports of the store, and requests the state that this VM lacks. */
+/* A relay of an older build states no digests: asks it for what this VM lacks. */
 static void
-on_relay (DpNode *node, DpName from, const DpRelay *state)
+request_from_older_relay (DpNode *node, DpName from, const DpRelay *state, const DpRelay *own)
 {
   DpUsec now = dp_node_now ();
-  DpRelay own = dp_store_watch_state (node->store_watch);
-  dp_store_watch_apply_relay (node->store_watch, state);
   dp_peer_sync_on_revision (node, from, state->manifest_revision);
-  gboolean is_behind = dp_store_version_compare (own.targets, state->targets) < 0
-                       || dp_store_version_compare (own.vms, state->vms) < 0;
-  if (!is_behind || now - node->state_requested_at < REQUEST_INTERVAL)
+  gboolean is_behind = dp_store_version_compare (own->targets, state->targets) < 0
+                       || dp_store_version_compare (own->vms, state->vms) < 0;
+  if (!is_behind || now - node->peer_sync->requested_at < REQUEST_INTERVAL)
     return;
-  node->state_requested_at = now;
-  DpMessage message = { .type = DP_MESSAGE_TARGETS_ASK };
-  message.targets_ask.version = own.targets.revision;
-  dp_peers_send (node, from, &message);
+  node->peer_sync->requested_at = now;
+  request_targets (node, from);
 }
 
-/* Accepts targets of a newer version of the store; other targets only while this VM has none.
- */
 static void
-on_targets (DpNode *node, const DpTargetRows *targets)
+on_statement (DpNode *node, DpName from, DpRowKind kind, DpStoreVersion version, guint64 digest)
 {
-  DpStoreVersion own = dp_store_watch_state (node->store_watch).targets;
-  gboolean is_newer
-    = dp_store_version_compare (targets->version, own) > 0 && targets->age < RECEIVED_AGE_MAX;
-  gboolean is_first = dp_directory_count (node->directory) == 0;
-  if (targets->rows != NULL && (is_newer || is_first))
-    dp_store_watch_apply_targets (node->store_watch, targets);
+  const DpRowStatement statement = { .version = version, .digest = digest, .is_relay = TRUE };
+  dp_row_sync_on_statement (node->peer_sync->feeds[kind].rows, from, &statement,
+                            dp_node_now ());
+}
+
+/* Records what the relay reports of the store, and requests the state that this VM lacks. */
+static void
+on_relay (DpNode *node, DpName from, const DpRelay *state)
+{
+  DpRelay own = dp_store_watch_state (node->store_watch);
+  if (knows_rows (node, from))
+    {
+      /* Before the confirmation of what this VM has. */
+      const DpStoreVersion config = { .revision = state->manifest_revision };
+      on_statement (node, from, DP_ROWS_TARGETS, state->targets, state->targets_digest);
+      on_statement (node, from, DP_ROWS_CONFIG, config, state->manifest_digest);
+      on_statement (node, from, DP_ROWS_VMS, state->vms, state->vms_digest);
+    }
+  dp_store_watch_apply_relay (node->store_watch, state);
+  if (!knows_rows (node, from))
+    request_from_older_relay (node, from, state, &own);
 }
 
 /* Accepts the whole list if its version of the store is newer. Otherwise accepts the sender's
@@ -277,23 +607,41 @@
   g_array_unref (accepted);
 }
 
+/* The config's text, of a VM of an older build. */
+static void
+on_manifest (DpNode *node, const DpManifestText *manifest)
+{
+  guint64 own = node->manifest != NULL ? node->manifest->revision : 0;
+  if (manifest->text == NULL || manifest->revision <= own)
+    return;
+  DpJsonSpan text = { 0 };
+  text.text = g_bytes_get_data (manifest->text, &text.length);
+  dp_node_config_put_text (node, &text, 0, "another VM");
+}
+
 gboolean
 dp_peer_sync_on_message (DpNode *node, DpName from, const DpMessage *message)
 {
   switch (message->type)
     {
+    case DP_MESSAGE_ROWS_ASK:
+      on_rows_ask (node, from, &message->rows_ask);
+      return TRUE;
+    case DP_MESSAGE_ROWS:
+      dp_row_sync_on_part (node->peer_sync->feeds[message->rows.kind].rows, from,
+                           &message->rows, dp_node_now ());
+      return TRUE;
     case DP_MESSAGE_MANIFEST_ASK:
-      send_manifest (node, from, &message->manifest_ask);
+      on_manifest_ask (node, from, &message->manifest_ask);
       return TRUE;
     case DP_MESSAGE_MANIFEST:
-      if (message->manifest.text != NULL)
-        dp_store_watch_apply_config_text (node->store_watch, message->manifest.text);
+      on_manifest (node, &message->manifest);
       return TRUE;
     case DP_MESSAGE_TARGETS_ASK:
-      send_targets (node, from);
+      on_targets_ask (node, from, &message->targets_ask);
       return TRUE;
     case DP_MESSAGE_TARGETS:
-      on_targets (node, &message->targets);
+      apply_targets (node, &message->targets);
       return TRUE;
     case DP_MESSAGE_RELAY:
       on_relay (node, from, &message->relay);
@@ -306,9 +654,99 @@
     }
 }
 
+/* --- lifecycle --- */
+
+static const char *const kind_names[DP_ROWS_COUNT] = {
+  [DP_ROWS_CONFIG] = "config",
+  [DP_ROWS_TARGETS] = "targets",
+  [DP_ROWS_VMS] = "vms",
+};
+
+static const DpRowSyncCallbacks row_callbacks = {
+  .send = send_rows,
+  .apply = apply_rows,
+  .confirm = confirm_rows,
+  .age = age_of_rows,
+};
+
+DpPeerSync *
+dp_peer_sync_new (DpNode *node)
+{
+  DpPeerSync *sync = g_new0 (DpPeerSync, 1);
+  sync->node = node;
+  for (guint i = 0; i < DP_ROWS_COUNT; i++)
+    {
+      Feed *feed = &sync->feeds[i];
+      feed->node = node;
+      feed->kind = (DpRowKind)i;
+      const DpRowSyncOptions options = { .kind = feed->kind,
+                                         .self = node->self,
+                                         .budget = &sync->budget,
+                                         .callbacks = &row_callbacks,
+                                         .user = feed };
+      feed->rows = dp_row_sync_new (&options);
+    }
+  return sync;
+}
+
+void
+dp_peer_sync_free (DpPeerSync *sync)
+{
+  if (sync == NULL)
+    return;
+  for (guint i = 0; i < DP_ROWS_COUNT; i++)
+    dp_row_sync_free (sync->feeds[i].rows);
+  g_free (sync);
+}
+
+static void
+count (const Feed *feed, const char *name, guint64 now, guint64 before)
+{
+  if (now > before)
+    dp_counters_add (feed->node->counters, name, "kind", kind_names[feed->kind], now - before);
+}
+
+static void
+report (Feed *feed, DpUsec now)
+{
+  const DpRowSyncStatus status = dp_row_sync_status (feed->rows, now);
+  const DpRowSyncStatus *before = &feed->reported;
+  count (feed, "dogwoodplank_rows_lists_total", status.lists_received, before->lists_received);
+  count (feed, "dogwoodplank_rows_full_lists_total", status.fulls_received,
+         before->fulls_received);
+  count (feed, "dogwoodplank_rows_parts_refused_total", status.parts_refused,
+         before->parts_refused);
+  count (feed, "dogwoodplank_rows_timeouts_total", status.timeouts, before->timeouts);
+  dp_counters_set (feed->node->counters, "dogwoodplank_rows_behind_ms", "kind",
+                   kind_names[feed->kind], (guint64)(status.behind / DP_USEC_PER_MSEC));
+  if (status.parts_refused > before->parts_refused)
+    dp_log (DP_LOG_WARNING, "rows_refused", "kind", kind_names[feed->kind], "next",
+            "the whole state is asked for", NULL);
+  feed->reported = status;
+}
+
+void
+dp_peer_sync_tick_rows (DpNode *node, DpUsec now, gboolean was_paused)
+{
+  DpPeerSync *sync = node->peer_sync;
+  gint64 share = LINK_BYTES_DEFAULT;
+  if (node->params.link_rate > 0)
+    share
+      = (gint64)(node->params.link_rate * LINK_SHARE * DP_ROW_SYNC_INTERVAL / DP_USEC_PER_SEC);
+  sync->budget.bytes = MIN (sync->budget.bytes + share, share);
+  for (guint i = 0; i < DP_ROWS_COUNT; i++)
+    {
+      if (was_paused)
+        dp_row_sync_on_pause (sync->feeds[i].rows, now);
+      dp_row_sync_tick (sync->feeds[i].rows, now);
+    }
+}
+
 void
 dp_peer_sync_tick (DpNode *node, DpUsec now)
 {
   request_state_if_outdated (node, now);
   relay_state (node, now);
+  for (guint i = 0; i < DP_ROWS_COUNT; i++)
+    report (&node->peer_sync->feeds[i], now);
 }
--- a/node/settings.c
+++ b/node/settings.c
@@ -34,6 +34,10 @@
         "MB",
         "memory limit of the process; new requests are refused well below it",
         FALSE),
+  TEXT (link_mbps,
+        "MBIT",
+        "megabits a second of the VM's link; state for other VMs takes half of it at most",
+        FALSE),
   TEXT (expose_share,
         "SHARE",
         "share of a service's requests that a version may get before it is completed; without "
@@ -63,6 +67,7 @@
 
 /* Defaults of numeric settings. */
 #define BYTES_PER_MB 1e6
+#define BYTES_PER_MBIT 125e3
 #define PROCESSOR_SHARE_DEFAULT 0.1
 #define DESCRIPTORS_DEFAULT 4096
 #define HEARTBEAT_MS_DEFAULT 1200
@@ -214,6 +219,8 @@
   params->quota_slack = read_number ("quota_slack", settings->quota_slack, 0, diagnostics);
   double memory_mb = read_number ("memory_mb", settings->memory_mb, 0, diagnostics);
   params->memory_max = (gsize)(memory_mb * BYTES_PER_MB);
+  params->link_rate
+    = read_number ("link_mbps", settings->link_mbps, 0, diagnostics) * BYTES_PER_MBIT;
   params->connections_max
     = MIN (params->connections_max, dp_memory_connections_max (params->memory_max));
   read_rollout_options (settings, params, diagnostics);
--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -207,62 +207,10 @@
 /* --- config --- */
 
 static void
-set_manifest (DpStoreWatch *watch,
-              DpManifest *manifest,
-              struct json_object *spec,
-              const char *source)
-{
-  DpNode *node = watch->node;
-  char version[24];
-  g_snprintf (version, sizeof version, "%" G_GUINT64_FORMAT, manifest->revision);
-  if (node->manifest != NULL && manifest->revision <= node->manifest->revision)
-    {
-      if (manifest->revision < node->manifest->revision)
-        dp_log (DP_LOG_NOTICE, "config_ignored", "version", version, "source", source, "reason",
-                "older than the one in force", NULL);
-      dp_manifest_unref (manifest);
-      return;
-    }
-  dp_log (DP_LOG_NOTICE, "config_in_force", "version", version, "source", source, NULL);
-  dp_manifest_unref (node->manifest);
-  node->manifest = manifest;
-  g_clear_pointer (&node->manifest_text, g_bytes_unref);
-  gsize length;
-  const char *text = json_object_to_json_string_length (spec, JSON_C_TO_STRING_PLAIN, &length);
-  node->manifest_text = g_bytes_new (text, length);
-  dp_placement_set_manifest (node);
-  dp_caller_listener_set_limits (node);
-}
-
-static void
-set_config (DpStoreWatch *watch, const DpJsonSpan *text, guint64 revision, const char *source)
-{
-  DpUsec begun_at = dp_node_now ();
-  DpDiagnostics *diagnostics = dp_diagnostics_new ();
-  struct json_object *spec = dp_records_parse_config (text, diagnostics);
-  DpManifest *manifest = spec != NULL ? dp_records_read_config (spec, diagnostics) : NULL;
-  dp_store_watch_log_diagnostics (watch, "config", revision, diagnostics);
-  dp_diagnostics_unref (diagnostics);
-  if (manifest != NULL)
-    set_manifest (watch, manifest, spec, source);
-  json_object_put (spec);
-  dp_work_meter_add (dp_process_meter (watch->node->process), "config_read", text->length,
-                     begun_at, dp_node_now ());
-}
-
-static void
-apply_config (DpStoreWatch *watch, const DpStoreObject *object, guint64 revision)
+apply_config (DpStoreWatch *watch, const DpStoreObject *object)
 {
   if (!object->is_deleted && strcmp (object->name, DP_CONFIG_NAME) == 0)
-    set_config (watch, &object->spec, object->revision, "store");
-}
-
-void
-dp_store_watch_apply_config_text (DpStoreWatch *watch, GBytes *text)
-{
-  DpJsonSpan spec = { 0 };
-  spec.text = g_bytes_get_data (text, &spec.length);
-  set_config (watch, &spec, 0, "another VM");
+    dp_node_config_put_text (watch->node, &object->spec, object->revision, "store");
 }
 
 /* --- targets --- */
@@ -467,7 +415,8 @@
                     .targets = watch->feeds[KIND_TARGETS].version,
                     .vms = watch->feeds[KIND_VMS].version,
                     .age = dp_node_now () - confirmed_at,
-                    .era = watch->era };
+                    .era = watch->era,
+                    .config = watch->feeds[KIND_CONFIG].version };
 }
 
 gboolean
@@ -501,6 +450,27 @@
   return feed->is_listed && !feed->is_relayed && feed->failures == 0;
 }
 
+/* This VM has the relay's config. If it watches the store later, it gets changes since the
+ * relay's version instead of the whole config once more. */
+static void
+confirm_config (DpStoreWatch *watch, const DpRelay *relay)
+{
+  ObjectFeed *feed = &watch->feeds[KIND_CONFIG];
+  if (feed->is_listed && feed->is_relayed && relay->config.revision != 0
+      && dp_store_version_compare (relay->config, feed->version) > 0)
+    set_version (feed, relay->config);
+}
+
+void
+dp_store_watch_confirm (DpStoreWatch *watch, DpRowKind kind, DpStoreVersion version)
+{
+  ObjectFeed *feed = &watch->feeds[kind == DP_ROWS_TARGETS ? KIND_TARGETS : KIND_VMS];
+  if (kind == DP_ROWS_CONFIG || dp_store_version_compare (version, feed->version) <= 0)
+    return;
+  apply_era (watch, version.era, "another VM");
+  set_version (feed, version);
+}
+
 void
 dp_store_watch_apply_relay (DpStoreWatch *watch, const DpRelay *relay)
 {
@@ -511,7 +481,10 @@
   apply_era (watch, relay->era, "relay");
   DpRelay own = dp_store_watch_state (watch);
   if (own.manifest_revision >= relay->manifest_revision)
-    node->manifest_confirmed_at = MAX (node->manifest_confirmed_at, confirmed_at);
+    {
+      node->manifest_confirmed_at = MAX (node->manifest_confirmed_at, confirmed_at);
+      confirm_config (watch, relay);
+    }
   if (dp_store_version_compare (own.vms, relay->vms) >= 0)
     node->view_confirmed_at = MAX (node->view_confirmed_at, confirmed_at);
   if (dp_store_version_compare (own.targets, relay->targets) >= 0
@@ -543,7 +516,7 @@
   switch (feed->kind)
     {
     case KIND_CONFIG:
-      apply_config (feed->watch, object, revision);
+      apply_config (feed->watch, object);
       break;
     case KIND_TARGETS:
       apply_target (feed->watch, object, revision);
@@ -599,7 +572,9 @@
   switch (feed->kind)
     {
     case KIND_CONFIG:
-      node->manifest_confirmed_at = now;
+      /* Otherwise when the version that is being read is in force. */
+      if (!dp_node_config_is_reading (node))
+        node->manifest_confirmed_at = now;
       break;
     case KIND_TARGETS:
       dp_directory_record_contact (node->directory,
@@ -849,6 +824,17 @@
   record_work (data, reply, begun_at);
 }
 
+/* TRUE if other VMs have a newer state, and this one doesn't get it from them. */
+static gboolean
+is_stuck (const ObjectFeed *feed)
+{
+  static const DpRowKind row_kinds[] = {
+    [KIND_CONFIG] = DP_ROWS_CONFIG, [KIND_TARGETS] = DP_ROWS_TARGETS, [KIND_VMS] = DP_ROWS_VMS
+  };
+  return feed->kind < G_N_ELEMENTS (row_kinds)
+         && dp_peer_sync_is_stuck (feed->watch->node, row_kinds[feed->kind]);
+}
+
 static gboolean
 must_watch (const ObjectFeed *feed)
 {
@@ -856,7 +842,7 @@
   DpUsec received_at
     = feed->kind == KIND_ROLLOUTS ? node->rollouts_received_at : node->relay_received_at;
   return !feed->is_listed || dp_owners_is_relay (node->owners)
-         || dp_node_now () - received_at > RELAY_TIMEOUT;
+         || dp_node_now () - received_at > RELAY_TIMEOUT || is_stuck (feed);
 }
 
 static void
--- a/node/stream_copies.c
+++ b/node/stream_copies.c
@@ -144,13 +144,13 @@
 /* --- sharing --- */
 
 static void
-add_pools (GHashTable *pools, const DpManifest *manifest, const DpRoute *route)
+add_pools (GHashTable *pools, const DpRoute *route)
 {
   for (guint i = 0; route->resumable && i < route->shares->len; i++)
     {
-      guint index = g_array_index (route->shares, DpRouteShare, i).pool;
-      DpName name = DP_MANIFEST_ROW (manifest, pools, DpPool, index)->name;
-      g_hash_table_add (pools, g_memdup2 (&name, sizeof name));
+      const DpName *name = &g_array_index (route->shares, DpRouteShare, i).pool;
+      if (!g_hash_table_contains (pools, name))
+        g_hash_table_add (pools, g_memdup2 (name, sizeof *name));
     }
 }
 
@@ -160,8 +160,7 @@
   DpNodeCopies *copies = node->copies;
   g_hash_table_remove_all (copies->pools);
   for (guint i = 0; i < node->manifest->routes->len; i++)
-    add_pools (copies->pools, node->manifest,
-               DP_MANIFEST_ROW (node->manifest, routes, DpRoute, i));
+    add_pools (copies->pools, DP_MANIFEST_ROUTE (node->manifest, i));
 }
 
 void
--- a/node/stream_versions.c
+++ b/node/stream_versions.c
@@ -149,8 +149,7 @@
   DpUsec lifetime = STREAM_LIFETIME_MIN;
   for (guint i = 0; i < node->manifest->routes->len; i++)
     lifetime
-      = MAX (lifetime, STREAM_LIFETIME_FACTOR
-                         * DP_MANIFEST_ROW (node->manifest, routes, DpRoute, i)->timeout);
+      = MAX (lifetime, STREAM_LIFETIME_FACTOR * DP_MANIFEST_ROUTE (node->manifest, i)->timeout);
   dp_versions_set_lifetime (node->stream_versions->table, lifetime);
 }
 
--- a/tests/test_node_changes.c
+++ b/tests/test_node_changes.c
@@ -6,7 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#define ROUTES 1400
+#define ROUTES ((gsize)1400)
 #define OTHER_TARGETS 200
 /* Other messages of one VM in SETTLE_TIME; far below a list of OTHER_TARGETS. */
 #define IDLE_BYTES 16000
@@ -85,7 +85,7 @@
 
 static const ChangeCase change_cases[] = {
   { "a route more, small config", CHANGE_ROUTE, 0, 0, 2000 },
-  { "a route more, large config", CHANGE_ROUTE, ROUTES, 0, 2000 },
+  { "a route more, large config", CHANGE_ROUTE, (guint)ROUTES, 0, 2000 },
   /* Once 160 bytes for each route, with a tenth for what is around them. */
   { "many routes more", CHANGE_GROWTH, 0, 0, ROUTES * 176 },
   { "a target more, few targets", CHANGE_TARGET, 0, 0, 2000 },
@@ -117,7 +117,7 @@
       append_routes (routes, "new", 1);
       break;
     case CHANGE_GROWTH:
-      append_routes (routes, "new", ROUTES);
+      append_routes (routes, "new", (guint)ROUTES);
       break;
     case CHANGE_TARGET:
       put_other_target (cluster, row->targets);
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -1,4 +1,5 @@
 /* Decoding of the objects in the platform's store, valid and malformed. */
+#include "platform/config_rows.h"
 #include "platform/records.h"
 
 #include <check.h>
@@ -532,29 +533,46 @@
     TRUE, 1, 0 },
 };
 
+/* Reads the config in steps of one row. */
+static DpManifest *
+read_config (const char *text, DpDiagnostics *diagnostics)
+{
+  const DpJsonSpan span = { .text = text, .length = strlen (text) };
+  DpRowList *rows = dp_config_rows_split (&span, NULL, diagnostics);
+  if (rows == NULL)
+    return NULL;
+  DpConfigReader *reader = dp_config_reader_new (rows, NULL, NULL);
+  guint steps = 1;
+  while (!dp_config_reader_step (reader, 1, diagnostics))
+    steps++;
+  ck_assert_uint_eq (steps, MAX (rows->rows->len, 1));
+  DpManifest *manifest = dp_config_reader_finish (reader, diagnostics);
+  dp_config_reader_free (reader);
+  dp_row_list_unref (rows);
+  return manifest;
+}
+
 START_TEST (configs_are_decoded_or_rejected)
 {
   const ConfigCase *row = &config_cases[_i];
-  struct json_object *spec = json_tokener_parse (row->text);
   DpDiagnostics *diagnostics = dp_diagnostics_new ();
-  DpManifest *manifest = dp_records_read_config (spec, diagnostics);
+  DpManifest *manifest = read_config (row->text, diagnostics);
   ck_assert_msg ((manifest != NULL) == row->is_read, "%s", row->name);
   if (manifest != NULL)
     ck_assert_msg (manifest->routes->len == row->routes, "%s", row->name);
   ck_assert_msg (dp_diagnostics_count (diagnostics) == row->diagnostics, "%s", row->name);
   dp_manifest_unref (manifest);
   dp_diagnostics_unref (diagnostics);
-  json_object_put (spec);
 }
 END_TEST
 
 START_TEST (all_limits_of_callers_are_read)
 {
-  struct json_object *spec = json_tokener_parse (
-    "{\"version\":1,\"routes\":[],\"limits\":{\"max_header_bytes\":1000,"
-    "\"max_body_bytes\":2000,\"header_timeout_ms\":3000,\"idle_timeout_ms\":4000}}");
   DpDiagnostics *diagnostics = dp_diagnostics_new ();
-  DpManifest *manifest = dp_records_read_config (spec, diagnostics);
+  DpManifest *manifest = read_config (
+    "{\"version\":1,\"routes\":[],\"limits\":{\"max_header_bytes\":1000,"
+    "\"max_body_bytes\":2000,\"header_timeout_ms\":3000,\"idle_timeout_ms\":4000}}",
+    diagnostics);
   ck_assert_ptr_nonnull (manifest);
   const DpCallerLimits *limits = &manifest->caller_limits;
   ck_assert_uint_eq (limits->head_bytes, 1000);
@@ -564,27 +582,25 @@
   ck_assert_uint_eq (dp_diagnostics_count (diagnostics), 0);
   dp_manifest_unref (manifest);
   dp_diagnostics_unref (diagnostics);
-  json_object_put (spec);
 }
 END_TEST
 
 START_TEST (the_longest_prefix_wins)
 {
-  struct json_object *spec = json_tokener_parse (
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  DpManifest *manifest = read_config (
     "{\"version\":1,\"routes\":["
     "{\"name\":\"short\",\"host\":\"h\",\"path_prefix\":\"/a/\",\"kind\":\"safe\","
     "\"service\":\"s\"},"
     "{\"name\":\"long\",\"host\":\"h\",\"path_prefix\":\"/a/b/\",\"kind\":\"safe\","
-    "\"service\":\"s\"}]}");
-  DpDiagnostics *diagnostics = dp_diagnostics_new ();
-  DpManifest *manifest = dp_records_read_config (spec, diagnostics);
+    "\"service\":\"s\"}]}",
+    diagnostics);
   ck_assert_str_eq (dp_manifest_find_route (manifest, "h", "/a/b/c")->text, "long");
   ck_assert_str_eq (dp_manifest_find_route (manifest, "H:80", "/a/c")->text, "short");
   ck_assert_ptr_null (dp_manifest_find_route (manifest, "h", "/a"));
   ck_assert_ptr_null (dp_manifest_find_route (manifest, "other", "/a/b/c"));
   dp_manifest_unref (manifest);
   dp_diagnostics_unref (diagnostics);
-  json_object_put (spec);
 }
 END_TEST
 
