--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -113,6 +113,8 @@
   GString *routes = g_string_new (NULL);
   for (guint i = 2; i <= version; i++)
     g_string_append_printf (routes, NODE_KIT_ROUTE ("v%u"), i, i);
+  for (guint i = 0; i < cluster->further_routes; i++)
+    g_string_append_printf (routes, NODE_KIT_ROUTE ("further%u"), i, i);
   gboolean is_accepted
     = node_kit_put_config (operator_store (cluster), version, routes->str) == 200;
   g_string_free (routes, TRUE);
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -19,6 +19,11 @@
 #define HERDS_MAX 3
 /* Streams last for so long that many are open when VMs are killed. */
 #define HERD_FAULTS "{\"pause_after\":2,\"pause_ms\":150}"
+#define GROWTHS_MAX 2
+#define GROWTH_ROUTES 1400
+/* Changes after a growth, and the time between two. */
+#define SERIES_CHANGES 8
+#define SERIES_SECONDS 0.15
 /* One of so many herds leaves no VM. */
 #define WHOLE_HERD_PART 2
 
@@ -41,6 +46,7 @@
   FAULT_KINDS,
   FAULT_VM_REPLACE = FAULT_KINDS, /* not drawn with the others */
   FAULT_VM_HERD,                  /* nor this */
+  FAULT_CONFIG_GROWS,             /* nor this */
 } FaultKind;
 
 static const char *const kind_names[] = {
@@ -60,6 +66,7 @@
   [FAULT_CONFIG] = "config",
   [FAULT_VM_REPLACE] = "vm_replace",
   [FAULT_VM_HERD] = "vm_herd",
+  [FAULT_CONFIG_GROWS] = "config_grows",
 };
 
 static const char *const target_faults[] = {
@@ -260,6 +267,13 @@
   SoakCluster *cluster = fault->cluster;
   if (!cluster->store_is_available)
     return FALSE;
+  if (fault->kind == FAULT_CONFIG_GROWS)
+    {
+      cluster->further_routes += GROWTH_ROUTES;
+      gboolean is_accepted = soak_put_config (cluster);
+      cluster->further_routes -= is_accepted ? 0 : GROWTH_ROUTES;
+      return is_accepted;
+    }
   if (fault->kind == FAULT_CONFIG)
     return soak_put_config (cluster);
   return soak_put_target (cluster, &cluster->targets[fault->index % SOAK_TARGETS], "draining");
@@ -279,6 +293,8 @@
 {
   if (kind == FAULT_VM_HERD)
     return COMPONENT_VMS;
+  if (kind == FAULT_CONFIG_GROWS)
+    return COMPONENT_OPERATOR;
   if (kind <= FAULT_VM_RELOAD || kind == FAULT_VM_REPLACE)
     return COMPONENT_VM;
   if (kind <= FAULT_TARGET_LINK)
@@ -340,7 +356,7 @@
     case COMPONENT_OPERATOR:
       break;
     }
-  return fault->kind == FAULT_CONFIG
+  return fault->kind == FAULT_CONFIG || fault->kind == FAULT_CONFIG_GROWS
          || end_target_fault (fault, &cluster->targets[fault->index % SOAK_TARGETS]);
 }
 
@@ -429,6 +445,22 @@
     }
 }
 
+void
+soak_faults_schedule_changes (SoakCluster *cluster, double duration)
+{
+  double series = SERIES_CHANGES * SERIES_SECONDS;
+  guint count = draw (cluster, GROWTHS_MAX + 1);
+  for (guint i = 0; i < count; i++)
+    {
+      Fault fault = { .kind = FAULT_CONFIG_GROWS, .duration = SERIES_SECONDS };
+      double begin = g_rand_double_range (cluster->random, 0, MAX (duration - series, 0.1));
+      add_fault (cluster, &fault, begin);
+      fault.kind = FAULT_CONFIG;
+      for (guint k = 1; k <= SERIES_CHANGES; k++)
+        add_fault (cluster, &fault, begin + k * SERIES_SECONDS);
+    }
+}
+
 void
 soak_faults_clear (SoakCluster *cluster)
 {
--- a/soak/main.c
+++ b/soak/main.c
@@ -141,6 +141,7 @@
     soak_faults_schedule_replacements (cluster, FAULTS_DURATION_SECONDS);
   soak_limits_choose (cluster);
   soak_faults_schedule_herds (cluster, FAULTS_DURATION_SECONDS);
+  soak_faults_schedule_changes (cluster, FAULTS_DURATION_SECONDS);
   run_loop (cluster, FAULTS_DURATION_SECONDS);
   wait_for_recovery (cluster);
   check_config (cluster);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -128,6 +128,7 @@
   SoakVm vms[SOAK_VMS];
   SoakTarget targets[SOAK_TARGETS];
   guint config_version;     /* newest version that the store has accepted */
+  guint further_routes;     /* of the config, that no caller uses */
   guint pending_faults;     /* scheduled and not ended */
   GHashTable *run_counts;   /* request id -> number of runs, as collected so far */
   GHashTable *run_versions; /* request id -> bits of the versions that ran it */
@@ -196,6 +197,8 @@
 void soak_faults_schedule_replacements (SoakCluster *cluster, double duration);
 /* Schedules kills of all VMs, or of all but one, at the same moment, while streams pause. */
 void soak_faults_schedule_herds (SoakCluster *cluster, double duration);
+/* Growths of the config, each followed by changes in quick succession. */
+void soak_faults_schedule_changes (SoakCluster *cluster, double duration);
 /* Clears all faults that are still active. */
 void soak_faults_clear (SoakCluster *cluster);
 
