core: a state that was refused may be taken in a later version

Found while reading: targets that a VM refuses, since the store's confirmation was too old, were not asked for again with the same digest, though a later version confirms them; and the age stated with targets was that of the oldest confirmation of config, targets and VMs together.

Change: a refusal holds for the version refused; targets state their own age.

Result: row_sync, "a state is refused, and confirmed by a later version": red before (not all have the newest), green now.

--- a/core/row_sync/row_follower.c
+++ b/core/row_sync/row_follower.c
@@ -42,6 +42,15 @@
 
 /* --- what others have --- */
 
+/* TRUE if the version can't be used. Another one with the same digest may be: what was refused
+ * may have been confirmed by the store too long ago. */
+static gboolean
+is_refused (const DpRowSync *sync, DpStoreVersion version, guint64 digest)
+{
+  return digest == sync->refused
+         && dp_store_version_compare (version, sync->refused_version) <= 0;
+}
+
 static gboolean
 is_newer (const DpRowSync *sync, const DpRowStatement *statement)
 {
@@ -49,7 +58,7 @@
   return dp_store_version_compare (statement->version, own) > 0
          && (statement->digest == 0
              || (statement->digest != dp_row_sync_digest (sync)
-                 && statement->digest != sync->refused));
+                 && !is_refused (sync, statement->version, statement->digest)));
 }
 
 static gboolean
@@ -353,7 +362,10 @@
   if (list->digest != part->digest)
     refuse_part (sync);
   else if (!sync->options.callbacks->apply (sync->options.user, part->version, part->age, list))
-    sync->refused = list->digest;
+    {
+      sync->refused = list->digest;
+      sync->refused_version = part->version;
+    }
   else
     {
       sync->status.lists_received++;
@@ -404,7 +416,7 @@
       end_transfer (sync);
       confirm (sync, part->version);
     }
-  else if (part->digest != sync->refused && take_up (sync, from, part))
+  else if (!is_refused (sync, part->version, part->digest) && take_up (sync, from, part))
     {
       sync->progressed_at = now;
       add_part (sync, part, now);
--- a/core/row_sync/row_sync_private.h
+++ b/core/row_sync/row_sync_private.h
@@ -45,10 +45,11 @@
   GArray *asks;      /* waiting for the budget, see row_source.c */
   GArray *peers;     /* DpRowPeer */
   DpRowTransfer transfer;
-  gboolean needs_full;  /* a delta did not fit: the next transfer is asked for without one */
-  guint64 refused;      /* digest of a state that can't be used; 0: none */
-  DpUsec behind_since;  /* 0: no newer state is known of */
-  DpUsec progressed_at; /* last part, or the begin of behind_since */
+  gboolean needs_full; /* a delta did not fit: the next transfer is asked for without one */
+  guint64 refused;     /* digest of a state that can't be used; 0: none */
+  DpStoreVersion refused_version; /* a later version of the same state may be of use */
+  DpUsec behind_since;            /* 0: no newer state is known of */
+  DpUsec progressed_at;           /* last part, or the begin of behind_since */
   DpRowSyncStatus status;
 };
 
--- a/node/peer_sync.c
+++ b/node/peer_sync.c
@@ -281,7 +281,10 @@
 static DpUsec
 age_of_rows (gpointer user)
 {
-  const DpNode *node = ((const Feed *)user)->node;
+  const Feed *feed = user;
+  const DpNode *node = feed->node;
+  if (feed->kind == DP_ROWS_TARGETS)
+    return dp_node_now () - dp_directory_last_contact_at (node->directory);
   return dp_store_watch_state (node->store_watch).age;
 }
 
--- a/tests/test_row_sync.c
+++ b/tests/test_row_sync.c
@@ -35,8 +35,8 @@
   gboolean followers_lose; /* all state, in the middle */
   gboolean is_restored; /* the store goes back to the state before the growth, in a new era */
   guint late_percent;   /* of all messages, by up to 2 s; until the last change */
-  gboolean
-    is_unordered; /* a relay has the rows in another order, and one of them has them later */
+  gboolean is_refused_once; /* followers can't use the change, which is confirmed later */
+  gboolean is_unordered;    /* a relay has the rows in another order, one of them later */
   /* what is allowed */
   DpUsec time;       /* from the last change until all have it */
   gsize bytes;       /* that a follower is sent after the first state */
@@ -166,6 +166,16 @@
     .fulls = 1,
     .bytes = ROWS (220) + CHANGES (6) + STATEMENTS (6, 8) + 10 * ENVELOPE * 2,
     .queue_bytes = QUEUE_BYTES },
+  /* Such as targets of which the store's confirmation was too old. */
+  { .name = "a state is refused, and confirmed by a later version",
+    .rows = 40,
+    .changes = 1,
+    .change_interval = 500000,
+    .is_refused_once = TRUE,
+    .time = 1000000,
+    .fulls = 1,
+    .bytes = 2 * CHANGES (1) + STATEMENTS (5, 2),
+    .queue_bytes = QUEUE_BYTES },
   /* Each follower keeps to its relay. */
   { .name = "relays have the rows in another order",
     .rows = 400,
@@ -212,7 +222,8 @@
   GHashTable *digests; /* guint64: of all states that there were */
   DpUsec lagging_at;   /* when the late relay reads the newest state; 0: it has */
   gsize queue_max;
-  gboolean is_calm; /* nothing is lost or garbled */
+  gboolean is_refusing; /* followers refuse what they get */
+  gboolean is_calm;     /* nothing is lost or garbled */
 } World;
 
 static DpName
@@ -290,6 +301,8 @@
                  vm->world->row->name);
   ck_assert_msg (g_hash_table_contains (vm->world->digests, &list->digest), "%s: another state",
                  vm->world->row->name);
+  if (vm->world->is_refusing)
+    return FALSE;
   vm->applied = version;
   return TRUE;
 }
@@ -559,11 +572,16 @@
     grow (&world, row->grown_by);
   run_for (&world, 100 * DP_USEC_PER_MSEC);
   disturb (&world);
+  world.is_refusing = row->is_refused_once;
   for (guint i = 0; i < row->changes; i++)
     {
       change_row (&world);
       run_for (&world, row->change_interval);
     }
+  world.is_refusing = FALSE;
+  /* The same state. */
+  if (row->is_refused_once)
+    publish (&world);
   world.is_calm = TRUE;
   DpUsec time = run_until_all_have_it (&world, 20 * DP_USEC_PER_SEC);
   run_for (&world, DP_USEC_PER_SEC);
