--- a/node/config.c
+++ b/node/config.c
@@ -8,6 +8,8 @@
 #include "common/log.h"
 #include "platform/config_rows.h"
 
+#include <string.h>
+
 /* Rows that one step parses, at a few microseconds each. */
 #define ROWS_PER_STEP 32
 
@@ -72,6 +74,23 @@
           "rows", rows, "parsed", parsed, "read_ms", read_ms, NULL);
 }
 
+/* TRUE if only workspaces, keys or limits may differ. */
+static gboolean
+has_same_routes (const DpManifest *manifest, const DpManifest *previous)
+{
+  return previous != NULL && manifest->routes == previous->routes
+         && manifest->pools == previous->pools;
+}
+
+static gboolean
+has_same_limits (const DpManifest *manifest, const DpManifest *previous)
+{
+  return previous != NULL
+         && memcmp (&manifest->caller_limits, &previous->caller_limits,
+                    sizeof manifest->caller_limits)
+              == 0;
+}
+
 /* Takes over the manifest. */
 static void
 set_manifest (DpNodeConfig *config, DpManifest *manifest)
@@ -83,8 +102,10 @@
   node->manifest_confirmed_at = MAX (node->manifest_confirmed_at, config->received_at);
   dp_row_list_unref (config->rows);
   config->rows = dp_row_list_ref (config->latest);
-  dp_placement_set_manifest (node);
-  dp_caller_listener_set_limits (node);
+  if (!has_same_routes (manifest, previous))
+    dp_placement_set_manifest (node);
+  if (!has_same_limits (manifest, previous))
+    dp_caller_listener_set_limits (node);
   dp_manifest_unref (previous);
   const DpStoreVersion version = { .revision = manifest->revision };
   dp_peer_sync_set (node, DP_ROWS_CONFIG, version, config->rows);
