--- a/net/codec.c
+++ b/net/codec.c
@@ -406,22 +406,27 @@
   return TRUE;
 }
 
+/* Unpacks data that is exactly one value. `unpacked` must be initialized. */
+static gboolean
+unpack_single (const void *data, gsize length, msgpack_unpacked *unpacked, GError **error)
+{
+  gsize offset = 0;
+  if (dp_frame_check (data, length)
+      && msgpack_unpack_next (unpacked, data, length, &offset) == MSGPACK_UNPACK_SUCCESS)
+    return TRUE;
+  return set_decode_error (error, DP_CODEC_ERROR_MALFORMED, "not valid MessagePack", 0);
+}
+
 gboolean
 dp_codec_decode (
   const void *data, gsize length, DpPeer *from, DpMessage *message, GError **error)
 {
   if (length > DP_CODEC_FRAME_BYTES_MAX)
     return set_decode_error (error, DP_CODEC_ERROR_TOO_LARGE, "frame too large", 0);
-  if (!dp_frame_check (data, length))
-    return set_decode_error (error, DP_CODEC_ERROR_MALFORMED, "not valid MessagePack", 0);
   msgpack_unpacked unpacked;
   msgpack_unpacked_init (&unpacked);
-  gsize offset = 0;
-  gboolean ok = FALSE;
-  if (msgpack_unpack_next (&unpacked, data, length, &offset) == MSGPACK_UNPACK_SUCCESS)
-    ok = unpack_frame (&unpacked.data, from, message, error);
-  else
-    set_decode_error (error, DP_CODEC_ERROR_MALFORMED, "not valid MessagePack", 0);
+  gboolean ok = unpack_single (data, length, &unpacked, error)
+                && unpack_frame (&unpacked.data, from, message, error);
   msgpack_unpacked_destroy (&unpacked);
   return ok;
 }
@@ -431,16 +436,10 @@
 {
   const DpFieldTable *table = dp_codec_row_fields (type);
   memset (row, 0, table->size);
-  if (!dp_frame_check (data, length))
-    return set_decode_error (error, DP_CODEC_ERROR_MALFORMED, "not valid MessagePack", 0);
   msgpack_unpacked unpacked;
   msgpack_unpacked_init (&unpacked);
-  gsize offset = 0;
-  gboolean ok = FALSE;
-  if (msgpack_unpack_next (&unpacked, data, length, &offset) == MSGPACK_UNPACK_SUCCESS)
-    ok = unpack_struct (table, &unpacked.data, row, error);
-  else
-    set_decode_error (error, DP_CODEC_ERROR_MALFORMED, "not valid MessagePack", 0);
+  gboolean ok = unpack_single (data, length, &unpacked, error)
+                && unpack_struct (table, &unpacked.data, row, error);
   msgpack_unpacked_destroy (&unpacked);
   return ok;
 }
