--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -800,28 +800,30 @@
     start_next_call (feed);
 }
 
+/* Handles a reply of the store. */
 static void
-record_work (const ObjectFeed *feed, const DpPlatformReply *reply, DpUsec begun_at)
+handle_reply (ObjectFeed *feed,
+              const DpPlatformReply *reply,
+              void (*handle) (ObjectFeed *feed, const DpPlatformReply *reply))
 {
+  const char *kind = kind_paths[feed->kind];
   gsize bytes = reply->value != NULL ? g_bytes_get_size (reply->value) : 0;
-  dp_work_meter_add (dp_process_meter (feed->watch->node->process), kind_paths[feed->kind],
-                     bytes, begun_at, dp_node_now ());
+  DpUsec begun_at = dp_node_now ();
+  handle (feed, reply);
+  dp_work_meter_add (dp_process_meter (feed->watch->node->process), kind, bytes, begun_at,
+                     dp_node_now ());
 }
 
 static void
 on_listed (const DpPlatformReply *reply, gpointer data)
 {
-  DpUsec begun_at = dp_node_now ();
-  handle_listing (data, reply);
-  record_work (data, reply, begun_at);
+  handle_reply (data, reply, handle_listing);
 }
 
 static void
 on_watched (const DpPlatformReply *reply, gpointer data)
 {
-  DpUsec begun_at = dp_node_now ();
-  handle_watch (data, reply);
-  record_work (data, reply, begun_at);
+  handle_reply (data, reply, handle_watch);
 }
 
 /* TRUE if other VMs have a newer state, and this one doesn't get it from them. */
