--- a/soak/main.c
+++ b/soak/main.c
@@ -6,6 +6,7 @@
 #include "soak/soak.h"
 
 #include <check.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -209,9 +210,17 @@
 }
 END_TEST
 
+/* A handler, unlike SIG_IGN, is not inherited by the programs under test. */
+static void
+ignore_signal (int number)
+{
+}
+
 int
 main (int argc, char **argv)
 {
+  /* A VM may be killed while a caller writes to it. */
+  signal (SIGPIPE, ignore_signal);
   int first = 2;
   if (argc > 3 && strcmp (argv[2], "--older") == 0)
     {
