--- a/standins/http.c
+++ b/standins/http.c
@@ -56,6 +56,8 @@
           void (*handle) (struct evhttp_request *, gpointer),
           gpointer data)
 {
+  /* A VM may be killed while it is sent a response. */
+  signal (SIGPIPE, SIG_IGN);
   struct evhttp *http = evhttp_new (options->base);
   evhttp_set_max_body_size (http, (ev_ssize_t)options->body_max);
   evhttp_set_max_headers_size (http, HEADERS_MAX);
