node: a relay that is reading a config states no version of the store for it

Found while reading: a relay states the config in force with the version of the store up to which it has watched. While a newer config is being read, in steps, the two don't belong together: a client that went to the store just then, both relays being lost, would watch from behind the newer config and miss it until the next change.

Change: the version is stated only while nothing is being read.

--- a/core/message.h
+++ b/core/message.h
@@ -503,9 +503,10 @@
   guint64 manifest_revision;
   DpStoreVersion targets;
   DpStoreVersion vms;
-  DpUsec age;            /* time since the least recent of the three was confirmed */
-  guint64 era;           /* latest known of the store */
-  DpStoreVersion config; /* of the store at which `manifest_revision` was the newest */
+  DpUsec age;  /* time since the least recent of the three was confirmed */
+  guint64 era; /* latest known of the store */
+  /* Of the store at which `manifest_revision` was the newest; revision 0: not stated. */
+  DpStoreVersion config;
   /* Digests of the lists of rows, see core/row_sync/; 0: not stated. */
   guint64 manifest_digest;
   guint64 targets_digest;
