--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -411,15 +411,15 @@
   const DpNode *node = watch->node;
   DpUsec confirmed_at = MIN (MIN (node->manifest_confirmed_at, node->view_confirmed_at),
                              dp_directory_last_contact_at (node->directory));
-  /* While a newer version is being read, the one in force is not that of the feed's version. */
-  gboolean is_reading = dp_node_config_is_reading (node);
-  return (DpRelay){ .manifest_revision = node->manifest != NULL ? node->manifest->revision : 0,
+  DpRelay state = { .manifest_revision = node->manifest != NULL ? node->manifest->revision : 0,
                     .targets = watch->feeds[KIND_TARGETS].version,
                     .vms = watch->feeds[KIND_VMS].version,
                     .age = dp_node_now () - confirmed_at,
-                    .era = watch->era,
-                    .config
-                    = is_reading ? (DpStoreVersion){ 0 } : watch->feeds[KIND_CONFIG].version };
+                    .era = watch->era };
+  /* While a newer version is being read, the one in force is not that of the feed's version. */
+  if (!dp_node_config_is_reading (node))
+    state.config = watch->feeds[KIND_CONFIG].version;
+  return state;
 }
 
 gboolean
