core: a part of rows without a digest is refused

Cause: 0 is the digest of no state, so that a part stating it was taken for a confirmation of the state of a VM that has none, which ended the process. No VM sends one; a damaged or foreign message may. Found on reading the whole change once more.

--- a/core/row_sync/row_follower.c
+++ b/core/row_sync/row_follower.c
@@ -409,7 +409,8 @@
 dp_row_sync_on_part (DpRowSync *sync, DpName from, const DpRowsPart *part, DpUsec now)
 {
   sync->status.parts_received++;
-  if (dp_store_version_compare (part->version, dp_row_sync_version (sync)) <= 0)
+  if (part->digest == 0
+      || dp_store_version_compare (part->version, dp_row_sync_version (sync)) <= 0)
     return;
   if (part->digest == dp_row_sync_digest (sync))
     {
--- a/tests/test_row_sync.c
+++ b/tests/test_row_sync.c
@@ -659,11 +659,27 @@
 }
 END_TEST
 
+/* Digest 0 stands for no state, and is no state's digest. */
+START_TEST (a_part_without_a_digest_is_refused)
+{
+  World world = { .row = &cases[0] };
+  start_vm (&world, RELAYS);
+  DpRowSync *sync = world.vms[RELAYS].sync;
+  DpRowsPart part = { .version = { 1, 1 }, .steps = g_bytes_new_static ("", 0) };
+  dp_row_sync_on_part (sync, name_of (0), &part, STEP);
+  ck_assert_ptr_null (dp_row_sync_list (sync));
+  ck_assert_uint_eq (dp_row_sync_status (sync, STEP).lists_received, 0);
+  g_bytes_unref (part.steps);
+  dp_row_sync_free (sync);
+}
+END_TEST
+
 int
 main (void)
 {
   TCase *tests = tcase_create ("row_sync");
   tcase_add_loop_test (tests, all_follow_at_the_cost_of_the_change, 0, G_N_ELEMENTS (cases));
+  tcase_add_test (tests, a_part_without_a_digest_is_refused);
   tcase_add_loop_test (tests, odd_steps_are_refused, 0, G_N_ELEMENTS (steps_cases));
   Suite *suite = suite_create ("row_sync");
   suite_add_tcase (suite, tests);
