--- a/review/11/case.py
+++ b/review/11/case.py
@@ -18,7 +18,7 @@
     streams, tasks = [], []
 
     async def one(number):
-        item = Stream(cluster, number, record, tries=4, wait=0.4)
+        item = Stream(cluster, number, record, tries=1, wait=0.5)
         streams.append(item)
         await item.run()
 
