--- a/review/11/case.py
+++ b/review/11/case.py
@@ -59,4 +59,4 @@
         await cluster.stop()
 
 
-main(case, HERE)
+main(case, HERE / "record.txt")
--- a/review/kit-3/kit.py
+++ b/review/kit-3/kit.py
@@ -668,9 +668,9 @@
     return len(mixed) > 2
 
 
-def main(case, folder):
-    """Runs a case; its result is the exit status."""
-    record = Record(pathlib.Path(folder) / "record.txt")
+def main(case, path):
+    """Runs a case, which is recorded at the path; its result is the exit status."""
+    record = Record(path)
 
     async def guarded():
         return await asyncio.wait_for(case(record), 110)
