--- a/review/12/case.py
+++ b/review/12/case.py
@@ -103,4 +103,4 @@
             and sum(after) / len(after) < sum(before) / len(before) / 2)
 
 
-main(case, HERE)
+main(case, HERE / "record.txt")
