node: a stored list of versions is complete only in the era it was written in

Callers that took streams up after a restore of the store, with all VMs killed at the same time, got one answer joined from two software versions.

Cause: a process that has just started took the stored list of a pool's versions for all that can have begun a stream. The list did not say in which era of the store it was written, and a process that starts after a restore knows a single era. Logs: stored_versions versions=v1 and stream_taken_up version=single, without a line store_restored.

Change: the list states its era and is complete only while the store is in that era. VMs that live through a restore begin a gap, instead of trusting their lists again after 5 s.

--- a/core/versions.c
+++ b/core/versions.c
@@ -119,10 +119,16 @@
     ((Pool *)pool)->is_complete = FALSE;
 }
 
-void
-dp_versions_set_complete (DpVersions *versions, DpName pool)
+gboolean
+dp_versions_apply_list (
+  DpVersions *versions, DpName pool, const DpVersionList *list, guint64 store_era, DpUsec now)
 {
+  for (guint i = 0; i < list->texts->len; i++)
+    dp_versions_observe (versions, pool, g_ptr_array_index (list->texts, i), now);
+  if (list->era != store_era)
+    return FALSE;
   ensure_pool (versions, pool)->is_complete = TRUE;
+  return TRUE;
 }
 
 static gboolean
--- a/core/versions.h
+++ b/core/versions.h
@@ -20,6 +20,14 @@
 
 typedef struct DpVersions DpVersions;
 
+/* A pool's recent versions as they are kept in the store. */
+typedef struct DpVersionList
+{
+  GPtrArray *texts; /* char *, sorted */
+  guint64 era;      /* of the store when the list was written; 0: not stated, or the store has
+                     * none */
+} DpVersionList;
+
 DpVersions *dp_versions_new (const DpVersionsOptions *options);
 void dp_versions_free (DpVersions *versions);
 void dp_versions_set_lifetime (DpVersions *versions, DpUsec stream_lifetime);
@@ -30,9 +38,12 @@
 /* Targets may have served and left since the last observations: the lists are incomplete again.
  */
 void dp_versions_begin_gap (DpVersions *versions, DpUsec now);
-/* All versions that served the pool before this process started, or in the last gap, have been
- * observed. */
-void dp_versions_set_complete (DpVersions *versions, DpName pool);
+/* The list was read from the store in its era `store_era`. Its versions are observed. Unless
+ * the store was restored since it was written, they are all that served before this process
+ * started, or in the last gap: returns TRUE. Versions that a restored store has forgotten may
+ * have begun streams, too. */
+gboolean dp_versions_apply_list (
+  DpVersions *versions, DpName pool, const DpVersionList *list, guint64 store_era, DpUsec now);
 /* Returns the only version that can have begun a stream of the pool; 0 if there may be several.
  */
 DpName dp_versions_single (const DpVersions *versions, DpName pool, DpUsec now);
--- a/node/node.h
+++ b/node/node.h
@@ -396,6 +396,8 @@
 DpStoredList *dp_stored_list_new (DpNode *node, const char *kind, DpStoredListFunc function);
 void dp_stored_list_free (DpStoredList *list);
 void dp_stored_list_start (DpStoredList *list);
+/* Era of the store in which the object was read; during `function`. */
+guint64 dp_stored_list_era (const DpStoredList *list);
 /* TRUE if all objects were read since the last start. */
 gboolean dp_stored_list_is_read (const DpStoredList *list);
 
@@ -590,7 +592,7 @@
 void dp_stream_versions_set_manifest (DpNode *node);
 /* The directory has changed. */
 void dp_stream_versions_observe (DpNode *node);
-/* The store was restored from a copy: writes the lists again. */
+/* The store was restored from a copy: lists of before are no longer complete. */
 void dp_stream_versions_on_restored (DpNode *node);
 /* The version if this VM knows of a single one that can have begun a stream of the pool, else
  * 0. */
--- a/node/stored_list.c
+++ b/node/stored_list.c
@@ -18,6 +18,7 @@
   struct event *timer;
   char *after; /* name of the last object of the last page; NULL: the first page is next */
   gboolean is_read;
+  guint64 era; /* of the store, in the last response */
 };
 
 static void
@@ -67,6 +68,7 @@
       schedule (list, RETRY_DELAY);
       return;
     }
+  list->era = reply->era;
   for (guint i = 0; i < page->objects->len; i++)
     apply_object (list, &g_array_index (page->objects, DpStoreObject, i));
   list->is_read = page->is_last;
@@ -109,6 +111,12 @@
   schedule (list, 0);
 }
 
+guint64
+dp_stored_list_era (const DpStoredList *list)
+{
+  return list->era;
+}
+
 gboolean
 dp_stored_list_is_read (const DpStoredList *list)
 {
--- a/node/stream_versions.c
+++ b/node/stream_versions.c
@@ -14,8 +14,6 @@
 /* Without word from the store for longer, targets may have come and left unseen. A working
  * watch returns every two seconds. */
 #define CONTACT_GAP_MAX (4 * DP_USEC_PER_SEC)
-/* After a restore, entries of live targets are written again within about two seconds. */
-#define RESTORE_SETTLE_TIME (5 * DP_USEC_PER_SEC)
 /* About 60 bytes each in each of two generations. */
 #define STREAMS_MAX 16384
 #define STREAM_LIFETIME_MIN (30 * DP_USEC_PER_SEC)
@@ -31,15 +29,16 @@
   DpStoredList *stored;
   gboolean is_writing;
   DpUsec ticked_at;
-  DpUsec restored_at; /* the store; 0: never */
-  DpUsec contact_at;  /* the list of targets was last confirmed; 0: never */
+  DpUsec contact_at; /* the list of targets was last confirmed; 0: never */
   /* check of the list of targets */
   gboolean is_checking;
   DpUsec check_started_at;
   guint64 check_era;
   DpName written_pool;    /* of the write in progress */
   char *written_text;     /* of the write in progress */
-  GHashTable *known_text; /* DpName -> char *: list of a pool's versions in the store */
+  guint64 written_era;    /* of the write in progress */
+  GHashTable *known_text; /* DpName -> char *: list of a pool's versions in the store, unless it
+                           * is of an older era */
 };
 
 /* --- gaps --- */
@@ -103,19 +102,12 @@
   dp_take_ups_on_checked (versions->node, versions->check_started_at);
 }
 
-static gboolean
-is_list_usable (const DpStreamVersions *versions, DpUsec now)
-{
-  return dp_store_watch_has_listed_targets (versions->node->store_watch)
-         && (versions->restored_at == 0 || now - versions->restored_at > RESTORE_SETTLE_TIME);
-}
-
 void
 dp_stream_versions_start_check (DpNode *node, DpUsec now)
 {
   DpStreamVersions *versions = node->stream_versions;
   if (versions->is_checking || now - versions->check_started_at < CHECK_INTERVAL
-      || !is_list_usable (versions, now))
+      || !dp_store_watch_has_listed_targets (node->store_watch))
     return;
   DpStoreVersion listed = dp_store_watch_state (versions->node->store_watch).targets;
   versions->is_checking = TRUE;
@@ -173,19 +165,25 @@
 on_stored (DpNode *node, const DpStoreObject *object, DpDiagnostics *diagnostics)
 {
   DpStreamVersions *versions = node->stream_versions;
+  DpUsec now = dp_node_now ();
+  guint64 era = dp_stored_list_era (versions->stored);
   DpName pool;
-  GPtrArray *texts = dp_records_read_versions (object, &pool, diagnostics);
-  if (texts == NULL)
+  DpVersionList list;
+  if (!dp_records_read_versions (object, &pool, &list, diagnostics))
     return;
-  for (guint i = 0; i < texts->len; i++)
-    dp_versions_observe (versions->table, pool, g_ptr_array_index (texts, i), dp_node_now ());
-  dp_versions_set_complete (versions->table, pool);
-  dp_node_copies_update (node, dp_node_now ());
-  char *text = join_texts (texts);
-  set_known_text (versions, pool, text);
-  dp_log (DP_LOG_NOTICE, "stored_versions", "pool", object->name, "versions", text, NULL);
+  gboolean is_complete = dp_versions_apply_list (versions->table, pool, &list, era, now);
+  dp_node_copies_update (node, now);
+  char *text = join_texts (list.texts);
+  if (is_complete)
+    set_known_text (versions, pool, text);
+  char written_era[24], read_era[24];
+  g_snprintf (written_era, sizeof written_era, "%" G_GUINT64_FORMAT, list.era);
+  g_snprintf (read_era, sizeof read_era, "%" G_GUINT64_FORMAT, era);
+  dp_log (DP_LOG_NOTICE, "stored_versions", "pool", object->name, "versions", text,
+          "written_era", written_era, "store_era", read_era, "complete",
+          is_complete ? "yes" : "no", NULL);
   g_free (text);
-  g_ptr_array_unref (texts);
+  g_ptr_array_unref (list.texts);
 }
 
 static void write_list (DpStreamVersions *versions, DpPlatformCallType type);
@@ -197,7 +195,7 @@
   versions->is_writing = FALSE;
   dp_log (DP_LOG_NOTICE, "versions_stored", "versions", versions->written_text, "outcome",
           dp_platform_result_name (reply->result), NULL);
-  if (reply->result == DP_PLATFORM_OK)
+  if (reply->result == DP_PLATFORM_OK && reply->era == versions->written_era)
     set_known_text (versions, versions->written_pool, versions->written_text);
   else if (reply->result == DP_PLATFORM_NOT_FOUND)
     write_list (versions, DP_PLATFORM_CREATE);
@@ -211,8 +209,12 @@
   gboolean is_single = strchr (versions->written_text, ',') == NULL;
   char *single[] = { versions->written_text, NULL };
   char **texts = is_single ? g_strdupv (single) : g_strsplit (versions->written_text, ",", -1);
+  GPtrArray *array = g_ptr_array_new ();
+  for (char **text = texts; *text != NULL; text++)
+    g_ptr_array_add (array, *text);
+  const DpVersionList list = { .texts = array, .era = versions->written_era };
   char *name = dp_records_key_name (versions->written_pool);
-  char *body = dp_records_write_versions (versions->written_pool, texts);
+  char *body = dp_records_write_versions (versions->written_pool, &list);
   const DpPlatformCall call = { .type = type,
                                 .path = DP_KIND_VERSIONS,
                                 .name = name,
@@ -223,6 +225,7 @@
   dp_platform_client_call (versions->node->store, &call, on_written, versions);
   g_free (body);
   g_free (name);
+  g_ptr_array_unref (array);
   g_strfreev (texts);
 }
 
@@ -244,6 +247,7 @@
       versions->written_pool = pool->name;
       g_free (versions->written_text);
       versions->written_text = g_strdup (text);
+      versions->written_era = dp_store_watch_state (node->store_watch).era;
       write_list (versions, DP_PLATFORM_REPLACE);
     }
   g_free (text);
@@ -268,8 +272,14 @@
 void
 dp_stream_versions_on_restored (DpNode *node)
 {
-  node->stream_versions->restored_at = dp_node_now ();
-  g_hash_table_remove_all (node->stream_versions->known_text);
+  DpStreamVersions *versions = node->stream_versions;
+  DpUsec now = dp_node_now ();
+  g_hash_table_remove_all (versions->known_text);
+  /* A target may have served between this VM's last news and the restore, and left before it
+   * could register again. */
+  dp_versions_begin_gap (versions->table, now);
+  dp_stored_list_start (versions->stored);
+  dp_node_copies_update (node, now);
 }
 
 DpStreamVersions *
--- a/tests/test_node_versions.c
+++ b/tests/test_node_versions.c
@@ -24,6 +24,8 @@
   EVENT_FIRST_TARGET_GONE_ALL_VMS_KILLED,
   EVENT_FIRST_TARGET_REBORN, /* under the same id, with the second target's version */
   EVENT_SECOND_TARGET_JOINS_FIRST_VM_KILLED,
+  /* The second target's entry is lost with what the store forgets. */
+  EVENT_ALL_VMS_KILLED_STORE_RESTORED,
 } Event;
 
 typedef struct TakeUpCase
@@ -59,6 +61,11 @@
     EVENT_SECOND_TARGET_JOINS_FIRST_VM_KILLED,
     TRUE,
     TRUE },
+  { "all VMs are killed, the store is restored from before the second version",
+    { "v1", "v2" },
+    EVENT_ALL_VMS_KILLED_STORE_RESTORED,
+    TRUE,
+    FALSE },
 };
 
 static Cluster *
@@ -69,10 +76,56 @@
   return cluster;
 }
 
+/* Waits until the pool's owner has stored the versions that serve. */
+static void
+wait_for_stored_versions (const Cluster *cluster)
+{
+  gboolean is_stored = FALSE;
+  for (gint64 end = g_get_monotonic_time () + WAIT; !is_stored && g_get_monotonic_time () < end;
+       g_usleep (20000))
+    {
+      char *text = http_exchange ("GET", cluster->address[0], cluster->store,
+                                  "/objects/dogwoodplank-versions", NULL, NULL, NULL);
+      is_stored = text != NULL && strstr (text, "\"v1\"") != NULL;
+      g_free (text);
+    }
+  ck_assert (is_stored);
+}
+
+static void
+control_store (const Cluster *cluster, const char *path)
+{
+  int status = 0;
+  g_free (http_exchange ("POST", cluster->address[0], cluster->store_control, path, NULL, "",
+                         &status));
+  ck_assert_int_eq (status, 200);
+}
+
+/* What happens before the streams begin. */
+static void
+prepare_event (Cluster *cluster, const TakeUpCase *row)
+{
+  if (row->event != EVENT_ALL_VMS_KILLED_STORE_RESTORED)
+    return;
+  wait_for_stored_versions (cluster);
+  control_store (cluster, "/copy");
+  put_target_version (cluster, 1, "POST", row->versions[1]);
+  wait_for_metric (cluster, "dogwoodplank_targets", TARGETS);
+}
+
 static void
 play_event (Cluster *cluster, const TakeUpCase *row)
 {
   Event event = row->event;
+  if (event == EVENT_ALL_VMS_KILLED_STORE_RESTORED)
+    {
+      for (guint i = 0; i < VMS; i++)
+        g_clear_pointer (&cluster->node[i], process_free);
+      control_store (cluster, "/restore");
+      cluster->was_started = TRUE;
+      for (guint i = 0; i < VMS; i++)
+        start_node (cluster, i);
+    }
   if (event == EVENT_SECOND_TARGET_JOINS_FIRST_VM_KILLED)
     {
       put_target_version (cluster, 1, "POST", row->versions[1]);
@@ -127,8 +180,10 @@
 {
   const TakeUpCase *row = &take_up_cases[_i];
   Cluster *cluster = cluster_new (build);
-  gboolean joins_later = row->event == EVENT_SECOND_TARGET_JOINS_FIRST_VM_KILLED;
+  gboolean joins_later = row->event == EVENT_SECOND_TARGET_JOINS_FIRST_VM_KILLED
+                         || row->event == EVENT_ALL_VMS_KILLED_STORE_RESTORED;
   chat_start_vms (cluster, row->versions, joins_later ? 1 : TARGETS);
+  prepare_event (cluster, row);
   guint runners[STREAMS];
   chat_begin_streams (cluster, 1, STREAMS, runners);
   play_event (cluster, row);
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -625,28 +625,35 @@
 {
   char *versions[3];
   guint count;
+  guint64 era;
 } WrittenVersionsCase;
 
 static const WrittenVersionsCase written_versions_cases[] = {
-  { { "v1" }, 1 },
-  { { "v1", "v1.1" }, 2 },
-  { { "" }, 1 },
+  { { "v1" }, 1, 1 },
+  { { "v1", "v1.1" }, 2, 7 },
+  { { "" }, 1, 0 },
 };
 
 START_TEST (versions_are_read_as_written)
 {
   const WrittenVersionsCase *row = &written_versions_cases[_i];
-  DpStorePage *page = read_written (dp_records_write_versions (77, row->versions));
+  GPtrArray *texts = g_ptr_array_new ();
+  for (guint i = 0; i < row->count; i++)
+    g_ptr_array_add (texts, row->versions[i]);
+  const DpVersionList written = { .texts = texts, .era = row->era };
+  DpStorePage *page = read_written (dp_records_write_versions (77, &written));
   DpName pool = 0;
+  DpVersionList read;
   DpDiagnostics *diagnostics = dp_diagnostics_new ();
-  GPtrArray *versions = dp_records_read_versions (
-    &g_array_index (page->objects, DpStoreObject, 0), &pool, diagnostics);
-  ck_assert_ptr_nonnull (versions);
+  ck_assert (dp_records_read_versions (&g_array_index (page->objects, DpStoreObject, 0), &pool,
+                                       &read, diagnostics));
   ck_assert_uint_eq (pool, 77);
-  ck_assert_uint_eq (versions->len, row->count);
-  for (guint i = 0; i < versions->len; i++)
-    ck_assert_str_eq (g_ptr_array_index (versions, i), row->versions[i]);
-  g_ptr_array_unref (versions);
+  ck_assert_uint_eq (read.era, row->era);
+  ck_assert_uint_eq (read.texts->len, row->count);
+  for (guint i = 0; i < read.texts->len; i++)
+    ck_assert_str_eq (g_ptr_array_index (read.texts, i), row->versions[i]);
+  g_ptr_array_unref (read.texts);
+  g_ptr_array_unref (texts);
   dp_diagnostics_unref (diagnostics);
   dp_store_page_free (page);
 }
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -10,15 +10,18 @@
 #define LIFETIME (30 * SEC)
 #define POOL 7
 #define STREAM 5
+/* Of the store. */
+#define ERA 2
 #define STEPS_MAX 6
 
 typedef enum StepType
 {
   STEP_END,
   STEP_SEEN,
-  STEP_STORED, /* the store lists the version */
-  STEP_WAIT,   /* seconds */
-  STEP_GAP,    /* targets may have come and left unseen */
+  STEP_STORED,    /* the store lists the version, in the era in which this was written */
+  STEP_FORGOTTEN, /* the same, but the store was restored since */
+  STEP_WAIT,      /* seconds */
+  STEP_GAP,       /* targets may have come and left unseen */
 } StepType;
 
 typedef struct HistoryCase
@@ -76,6 +79,34 @@
     TRUE,
     { { STEP_GAP, NULL, 0 }, { STEP_WAIT, NULL, 31 }, { STEP_SEEN, "v1", 0 } },
     "v1" },
+  { "restarted, the store was restored meanwhile",
+    FALSE,
+    { { STEP_FORGOTTEN, "v1", 0 }, { STEP_SEEN, "v1", 0 } },
+    NULL },
+  { "restarted, the store was restored meanwhile and no target has come back",
+    FALSE,
+    { { STEP_FORGOTTEN, "v1", 0 } },
+    NULL },
+  { "restarted, the store was restored long ago",
+    FALSE,
+    { { STEP_FORGOTTEN, "v1", 0 }, { STEP_WAIT, NULL, 31 }, { STEP_SEEN, "v1", 0 } },
+    "v1" },
+  { "restarted after a restore, then the list was written again",
+    FALSE,
+    { { STEP_FORGOTTEN, "v1", 0 }, { STEP_GAP, NULL, 0 }, { STEP_STORED, "v1", 0 } },
+    "v1" },
+  { "complete, then the store was restored",
+    FALSE,
+    { { STEP_STORED, "v1", 0 }, { STEP_GAP, NULL, 0 }, { STEP_FORGOTTEN, "v1", 0 } },
+    NULL },
+  { "complete, then the store was restored long ago",
+    FALSE,
+    { { STEP_STORED, "v1", 0 },
+      { STEP_GAP, NULL, 0 },
+      { STEP_FORGOTTEN, "v1", 0 },
+      { STEP_WAIT, NULL, 31 },
+      { STEP_SEEN, "v1", 0 } },
+    "v1" },
   { "two versions", TRUE, { { STEP_SEEN, "v1", 0 }, { STEP_SEEN, "v2", 0 } }, NULL },
   { "one has just left",
     TRUE,
@@ -85,6 +116,16 @@
   { "no target", TRUE, { { STEP_WAIT, NULL, 1 } }, NULL },
 };
 
+static gboolean
+apply_stored (DpVersions *versions, const char *version, guint64 written_era, DpUsec now)
+{
+  DpVersionList list = { .texts = g_ptr_array_new (), .era = written_era };
+  g_ptr_array_add (list.texts, (gpointer)version);
+  gboolean is_complete = dp_versions_apply_list (versions, POOL, &list, ERA, now);
+  g_ptr_array_unref (list.texts);
+  return is_complete;
+}
+
 START_TEST (streams_may_have_been_begun_by_any_recent_version)
 {
   const HistoryCase *row = &history_cases[_i];
@@ -98,8 +139,10 @@
     switch (row->steps[i].type)
       {
       case STEP_STORED:
-        dp_versions_set_complete (versions, POOL);
-        dp_versions_observe (versions, POOL, row->steps[i].version, now);
+        ck_assert (apply_stored (versions, row->steps[i].version, ERA, now));
+        break;
+      case STEP_FORGOTTEN:
+        ck_assert (!apply_stored (versions, row->steps[i].version, ERA - 1, now));
         break;
       case STEP_SEEN:
         dp_versions_observe (versions, POOL, row->steps[i].version, now);
