core: orders name versions of up to 1023 bytes

An order to roll out a version of 64 bytes or more was not followed, and held back all new versions of its service, since its target did not fit into the 64 bytes that a row has for it.

The row has 1,024 bytes now; a longer target still can't be read, as before. records: the rows 'a long name' and 'the longest name' fail before.

--- a/core/rollout/rollout_orders.h
+++ b/core/rollout/rollout_orders.h
@@ -16,16 +16,20 @@
 
 #include <glib.h>
 
+/* Longer names of versions can't be read: nothing new gets requests in that pool then. */
+#define DP_ROLLOUT_TARGET_BYTES 1024
+
 /* An order in the store. */
 typedef struct DpRolloutRow
 {
   char service[DP_TARGET_TEXT_BYTES];
-  char target[DP_TARGET_TEXT_BYTES]; /* version; "": it can't be read */
-  DpUsec duration;                   /* 0: the order can't be followed */
-  guint64 created;                   /* revision of the store at which the object was created */
-  guint64 revision;                  /* of its last change */
-  DpRolloutState state;              /* in the store, for this order; NONE: none */
-  DpUsec age;                        /* since the order became known to any VM */
+  /* Version, whole, since the status has to repeat it; "": it can't be read. */
+  char target[DP_ROLLOUT_TARGET_BYTES];
+  DpUsec duration;      /* 0: the order can't be followed */
+  guint64 created;      /* revision of the store at which the object was created */
+  guint64 revision;     /* of its last change */
+  DpRolloutState state; /* in the store, for this order; NONE: none */
+  DpUsec age;           /* since the order became known to any VM */
 } DpRolloutRow;
 
 /* What a VM says of an order to all others. */
--- a/node/rollouts.c
+++ b/node/rollouts.c
@@ -29,7 +29,7 @@
   DpRollouts *rollouts;
   DpName pool;
   DpName id; /* order that the rest belongs to */
-  char target[DP_TARGET_TEXT_BYTES];
+  char target[DP_ROLLOUT_TARGET_BYTES];
   GHashTable *owners;   /* DpName -> DpUsec: last notice of the order as its owner */
   gboolean was_checked; /* its service and targets */
   gboolean was_owner;
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -751,6 +751,9 @@
   guint diagnostics;
 } RolloutCase;
 
+#define IMAGE TEXT_62 "0123456789abcdef01234"
+#define TEXT_248 TEXT_62 TEXT_62 TEXT_62 TEXT_62
+#define TEXT_1023 TEXT_248 TEXT_248 TEXT_248 TEXT_248 "0123456789abcdef0123456789abcde"
 #define ORDER(target, duration)                                                                \
   "\"spec\":{\"service\":\"app\",\"target\":" target ",\"duration_s\":" duration "}"
 #define STATUS(state, target) ",\"status\":{\"state\":" state ",\"target\":" target "}"
@@ -758,6 +761,11 @@
 /* What can't be followed must be told from no order at all, and keeps its version. */
 static const RolloutCase rollout_cases[] = {
   { "an order", ORDER ("\"v2\"", "60"), TRUE, "v2", DP_ROLLOUT_NONE, 0 },
+  { "a long name", ORDER ("\"" IMAGE "\"", "60") STATUS ("\"running\"", "\"" IMAGE "\""), TRUE,
+    IMAGE, DP_ROLLOUT_RUNNING, 0 },
+  { "the longest name", ORDER ("\"" TEXT_1023 "\"", "60"), TRUE, TEXT_1023, DP_ROLLOUT_NONE,
+    0 },
+  { "a longer name", ORDER ("\"" TEXT_1023 "f\"", "60"), FALSE, "", DP_ROLLOUT_NONE, 1 },
   { "a fraction of a second", ORDER ("\"v2\"", "0.5"), TRUE, "v2", DP_ROLLOUT_NONE, 0 },
   { "an unknown member", ORDER ("\"v2\"", "60,\"mood\":[{}]"), TRUE, "v2", DP_ROLLOUT_NONE, 0 },
   { "running", ORDER ("\"v2\"", "60") STATUS ("\"running\"", "\"v2\""), TRUE, "v2",
