--- a/core/message.c
+++ b/core/message.c
@@ -52,6 +52,12 @@
   return type < DP_MESSAGE_COUNT ? type_names[type] : "invalid";
 }
 
+void
+dp_suspect_clear (DpSuspect *state)
+{
+  g_clear_pointer (&state->joint, g_array_unref);
+}
+
 void
 dp_message_clear (DpMessage *message)
 {
@@ -76,6 +82,12 @@
     case DP_MESSAGE_ROWS:
       g_clear_pointer (&message->rows.steps, g_bytes_unref);
       break;
+    case DP_MESSAGE_SUSPECT:
+      dp_suspect_clear (&message->suspect);
+      break;
+    case DP_MESSAGE_SUSPECT_REPORT:
+      g_clear_pointer (&message->suspect_report.keys, g_array_unref);
+      break;
     default:
       break;
     }
--- a/core/message.h
+++ b/core/message.h
@@ -33,8 +33,11 @@
 /* Slots per DpUseReport. */
 #define DP_USE_REPORT_SLOTS_MAX 81
 
-/* Keys of a request, see DpSuspectKeys. */
-#define DP_SUSPECT_KEYS_MAX 16
+/* Keys per DpSuspectReport, and per set of DpSuspect. Requests that have more count as a whole,
+ * see core/suspects.h. A head of 16 KB has about 1,300 parts with ids of 8 digits. */
+#define DP_SUSPECT_KEYS_MAX 2048
+/* The same of builds below DP_RULES_LEVEL_PARTS. */
+#define DP_SUSPECT_KEYS_MAX_BEFORE 16
 /* Rows per DpStreamCopyRows message, and streams per DpStreamCopiesAsk. */
 #define DP_STREAM_COPIES_MAX 256
 
@@ -284,19 +287,14 @@
   DpName target; /* of the last failure */
 } DpQuarantine;
 
-/* What a request may have in common with others that crash targets, see core/suspects.h. */
-typedef struct DpSuspectKeys
-{
-  guint count;
-  guint64 keys[DP_SUSPECT_KEYS_MAX];
-} DpSuspectKeys;
-
-/* A target broke off while it ran a request with these keys, or answered it completely. */
+/* What a request may have in common with others that crash targets are keys, see
+ * core/suspects.h. A target broke off while it ran a request with these keys, or answered it
+ * completely. */
 typedef struct DpSuspectReport
 {
   DpName target; /* that broke off; 0: the request was answered */
   DpUsec age;    /* time since the request was sent or, if it was answered, since then */
-  DpSuspectKeys keys;
+  GArray *keys;  /* set, see core/key_set.h; owned by the message */
 } DpSuspectReport;
 
 /* State of a key; without failures and not blocked, it is no longer a suspect. */
@@ -306,8 +304,10 @@
   guint failures;
   gboolean is_blocked;
   guint trials;
-  DpUsec remaining;    /* until the next trial */
-  DpSuspectKeys joint; /* only requests with all of these keys are blocked; empty: with `key` */
+  DpUsec remaining; /* until the next trial */
+  /* Set of keys, owned by the message; NULL or empty: `key` alone. If it is blocked, only
+   * requests with all of these are. Otherwise the same is stated of each of them. */
+  GArray *joint;
 } DpSuspect;
 
 /* Software version that began a stream. */
@@ -681,3 +681,4 @@
 
 /* Frees the contents of a message. */
 void dp_message_clear (DpMessage *message);
+void dp_suspect_clear (DpSuspect *state);
--- a/core/suspects.c
+++ b/core/suspects.c
@@ -1,5 +1,6 @@
 #include "core/suspects.h"
 
+#include "core/key_set.h"
 #include "core/recent_map.h"
 
 /* A crash breaks all open responses of a target, and one that breaks off everything may be at
@@ -24,7 +25,7 @@
   guint count;
   Failure failures[DP_SUSPECT_FAILURES_MAX]; /* oldest first */
   gboolean is_blocked;
-  DpSuspectKeys joint; /* blocked jointly with these keys, itself included; empty: by itself */
+  GArray *joint; /* set that it is blocked jointly with, itself included; NULL: by itself */
   DpUsec blocked_until;
   guint trials;
   DpUsec remembered_until;
@@ -39,12 +40,20 @@
   DpRecentMap *served; /* key -> DpUsec: time of the last complete response */
 };
 
+static void
+row_free (gpointer data)
+{
+  Row *row = data;
+  g_clear_pointer (&row->joint, g_array_unref);
+  g_free (row);
+}
+
 DpSuspectTable *
 dp_suspects_new (const DpSuspectOptions *options)
 {
   DpSuspectTable *table = g_new0 (DpSuspectTable, 1);
   table->options = *options;
-  table->rows = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  table->rows = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, row_free);
   table->served = dp_recent_map_new (options->served_duration, SERVED_KEYS_MAX);
   return table;
 }
@@ -72,46 +81,113 @@
   return row;
 }
 
-/* --- keys --- */
+static Row *
+find_row (const DpSuspectTable *table, guint64 key)
+{
+  return g_hash_table_lookup (table->rows, &key);
+}
 
-static gboolean
-has_key (const DpSuspectKeys *keys, guint64 key)
+typedef struct Candidate
 {
-  for (guint i = 0; i < keys->count; i++)
-    if (keys->keys[i] == key)
-      return TRUE;
-  return FALSE;
+  guint64 key;
+  DpUsec failed_at; /* last time */
+} Candidate;
+
+static gint
+compare_ages (gconstpointer a, gconstpointer b)
+{
+  DpUsec first = ((const Candidate *)a)->failed_at;
+  DpUsec second = ((const Candidate *)b)->failed_at;
+  return first < second ? -1 : first > second;
 }
 
-static void
-remove_key (DpSuspectKeys *keys, guint64 key)
+/* Keys that are not among `keys` and may give way to others, the oldest first. */
+static GArray *
+list_droppable (const DpSuspectTable *table, const GArray *keys)
+{
+  GArray *candidates = g_array_new (FALSE, FALSE, sizeof (Candidate));
+  GHashTableIter iter;
+  gpointer key, value;
+  g_hash_table_iter_init (&iter, table->rows);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const Row *row = value;
+      const Candidate candidate
+        = { *(guint64 *)key, row->count > 0 ? row->failures[row->count - 1].at : 0 };
+      if (!row->is_blocked && row->count < FAILURES_ANNOUNCED
+          && !dp_key_set_contains (keys, candidate.key))
+        g_array_append_val (candidates, candidate);
+    }
+  g_array_sort (candidates, compare_ages);
+  return candidates;
+}
+
+/* Returns FALSE if the table has no room for all of these keys. */
+static gboolean
+make_room (DpSuspectTable *table, const GArray *keys)
 {
-  guint kept = 0;
-  for (guint i = 0; i < keys->count; i++)
-    if (keys->keys[i] != key)
-      keys->keys[kept++] = keys->keys[i];
-  keys->count = kept;
+  guint wanted = g_hash_table_size (table->rows);
+  for (guint i = 0; i < dp_key_set_count (keys); i++)
+    wanted += find_row (table, dp_key_set_get (keys, i)) == NULL;
+  if (wanted <= table->options.rows_max)
+    return TRUE;
+  GArray *candidates = list_droppable (table, keys);
+  guint excess = wanted - table->options.rows_max;
+  gboolean has_room = excess <= candidates->len;
+  for (guint i = 0; has_room && i < excess; i++)
+    g_hash_table_remove (table->rows, &g_array_index (candidates, Candidate, i).key);
+  g_array_unref (candidates);
+  return has_room;
 }
 
+/* --- joint blocks --- */
+
 /* TRUE if requests with these keys, of which the row's is one, are blocked. */
 static gboolean
-row_blocks (const Row *row, const DpSuspectKeys *keys)
+row_blocks (const Row *row, const GArray *keys)
 {
-  if (row == NULL || !row->is_blocked)
-    return FALSE;
-  for (guint i = 0; i < row->joint.count; i++)
-    if (!has_key (keys, row->joint.keys[i]))
-      return FALSE;
-  return TRUE;
+  return row != NULL && row->is_blocked && dp_key_set_includes (keys, row->joint);
 }
 
 /* A single key is blocked by itself. */
 static void
-set_joint (Row *row, const DpSuspectKeys *joint)
+set_joint (Row *row, GArray *joint)
 {
-  row->joint = *joint;
-  if (joint->count < 2)
-    row->joint.count = 0;
+  GArray *before = row->joint;
+  row->joint = dp_key_set_count (joint) > 1 ? g_array_ref (joint) : NULL;
+  g_clear_pointer (&before, g_array_unref);
+}
+
+/* Calls for each key of the request that blocks it. The rows of a joint block share one set,
+ * which is compared once. */
+typedef void (*BlockingRowFunc) (Row *row, guint64 key, gpointer data);
+
+static gboolean
+for_each_blocking (const DpSuspectTable *table,
+                   const GArray *keys,
+                   BlockingRowFunc function,
+                   gpointer data)
+{
+  const GArray *compared = NULL;
+  gboolean is_included = FALSE;
+  gboolean blocks = FALSE;
+  for (guint i = 0; i < dp_key_set_count (keys); i++)
+    {
+      guint64 key = dp_key_set_get (keys, i);
+      Row *row = find_row (table, key);
+      if (row == NULL || !row->is_blocked)
+        continue;
+      if (row->joint == NULL || row->joint != compared)
+        is_included = row_blocks (row, keys);
+      compared = row->joint;
+      if (!is_included)
+        continue;
+      blocks = TRUE;
+      if (function == NULL)
+        break;
+      function (row, key, data);
+    }
+  return blocks;
 }
 
 /* --- failures --- */
@@ -180,99 +256,135 @@
                                                 : table->options.failures_max;
 }
 
-static void
-block (DpSuspectTable *table, Row *row, DpUsec now)
+static gboolean
+is_any_blocked (const DpSuspectTable *table, const GArray *keys)
 {
-  row->is_blocked = TRUE;
-  row->blocked_until = now + table->options.block_duration;
-  for (guint i = 0; i < row->count; i++)
-    {
-      const Failure failure = row->failures[i];
-      explain (table, &failure);
-    }
+  return for_each_blocking (table, keys, NULL, NULL);
 }
 
-static gboolean
-is_any_blocked (const DpSuspectTable *table, const DpSuspectKeys *keys)
+static void
+count_for (DpSuspectTable *table, guint64 key, const Failure *failure, DpUsec sent_at)
 {
-  for (guint i = 0; i < keys->count; i++)
-    if (row_blocks (g_hash_table_lookup (table->rows, &keys->keys[i]), keys))
-      return TRUE;
-  return FALSE;
+  Row *row = ensure_row (table, key);
+  if (row == NULL)
+    return;
+  if (row->count > 0 && dp_suspects_served_at (table, key) >= row->failures[row->count - 1].at)
+    row->count = 0;
+  count_failure (row, failure, sent_at);
+  row->remembered_until = failure->at + table->options.memory_duration;
 }
 
 static void
 count_for_all (DpSuspectTable *table,
-               const DpSuspectKeys *keys,
+               const GArray *keys,
                const Failure *failure,
                DpUsec sent_at)
 {
-  for (guint i = 0; i < keys->count; i++)
+  gboolean counts_parts = make_room (table, keys);
+  for (guint i = 0; i < dp_key_set_count (keys); i++)
     {
-      Row *row = ensure_row (table, keys->keys[i]);
-      if (row == NULL)
-        continue;
-      if (row->count > 0
-          && dp_suspects_served_at (table, keys->keys[i]) >= row->failures[row->count - 1].at)
-        row->count = 0;
-      count_failure (row, failure, sent_at);
-      row->remembered_until = failure->at + table->options.memory_duration;
+      guint64 key = dp_key_set_get (keys, i);
+      if (counts_parts || !(key & DP_SUSPECT_PART_BIT))
+        count_for (table, key, failure, sent_at);
+    }
+}
+
+static GArray *
+list_guilty (const DpSuspectTable *table, const GArray *keys, gboolean was_served)
+{
+  GArray *guilty = dp_key_set_new (0);
+  for (guint i = 0; i < dp_key_set_count (keys); i++)
+    {
+      guint64 key = dp_key_set_get (keys, i);
+      const Row *row = find_row (table, key);
+      if (row != NULL && !row->is_blocked
+          && (dp_suspects_served_at (table, key) > 0) == was_served
+          && row->count >= failures_max (table, key))
+        dp_key_set_append (guilty, key);
+    }
+  return guilty;
+}
+
+/* Adds those failures of the row that are not in the list yet. */
+static void
+collect_failures (const Row *row, GArray *failures)
+{
+  for (guint i = 0; i < row->count; i++)
+    {
+      gboolean is_known = FALSE;
+      for (guint j = 0; !is_known && j < failures->len; j++)
+        is_known = is_same_crash (&row->failures[i], &g_array_index (failures, Failure, j));
+      if (!is_known)
+        g_array_append_val (failures, row->failures[i]);
     }
 }
 
 /* Keys that were never served are blocked first: they explain the failures of the others. */
 static void
-block_guilty (DpSuspectTable *table, const DpSuspectKeys *keys, gboolean was_served, DpUsec now)
+block_guilty (DpSuspectTable *table, const GArray *keys, gboolean was_served, DpUsec now)
 {
-  gboolean is_guilty[DP_SUSPECT_KEYS_MAX] = { FALSE };
-  for (guint i = 0; i < keys->count; i++)
+  GArray *guilty = list_guilty (table, keys, was_served);
+  GArray *failures = g_array_new (FALSE, FALSE, sizeof (Failure));
+  for (guint i = 0; i < guilty->len; i++)
     {
-      const Row *row = g_hash_table_lookup (table->rows, &keys->keys[i]);
-      is_guilty[i] = row != NULL && !row->is_blocked
-                     && (dp_suspects_served_at (table, keys->keys[i]) > 0) == was_served
-                     && row->count >= failures_max (table, keys->keys[i]);
+      Row *row = find_row (table, dp_key_set_get (guilty, i));
+      set_joint (row, guilty);
+      row->is_blocked = TRUE;
+      row->blocked_until = now + table->options.block_duration;
+      collect_failures (row, failures);
     }
-  DpSuspectKeys guilty = { 0 };
-  for (guint i = 0; i < keys->count; i++)
-    if (is_guilty[i])
-      guilty.keys[guilty.count++] = keys->keys[i];
-  for (guint i = 0; i < guilty.count; i++)
+  for (guint i = 0; i < failures->len; i++)
+    explain (table, &g_array_index (failures, Failure, i));
+  g_array_unref (failures);
+  g_array_unref (guilty);
+}
+
+/* Forgets the keys of a joint block that are not in `guilty`. */
+static void
+clear_others (DpSuspectTable *table, const GArray *joint, const GArray *guilty, GArray *changed)
+{
+  GArray *others = dp_key_set_subtract (joint, guilty);
+  for (guint i = 0; i < others->len; i++)
     {
-      Row *row = g_hash_table_lookup (table->rows, &guilty.keys[i]);
-      set_joint (row, &guilty);
-      block (table, row, now);
+      guint64 key = dp_key_set_get (others, i);
+      if (g_hash_table_remove (table->rows, &key))
+        g_array_append_val (changed, key);
     }
+  g_array_unref (others);
 }
 
 /* A request with some of the keys that are blocked jointly has failed: the others are innocent.
  * Returns FALSE if it has no such keys. */
 static gboolean
-narrow_joint_block (DpSuspectTable *table, const DpSuspectKeys *keys, GArray *changed)
+narrow_joint_block (DpSuspectTable *table, const GArray *keys, GArray *changed)
 {
-  DpSuspectKeys guilty = { 0 };
-  for (guint i = 0; i < keys->count; i++)
+  GArray *guilty = dp_key_set_new (0);
+  for (guint i = 0; i < dp_key_set_count (keys); i++)
     {
-      const Row *row = g_hash_table_lookup (table->rows, &keys->keys[i]);
+      const Row *row = find_row (table, dp_key_set_get (keys, i));
       if (row != NULL && row->is_blocked)
-        guilty.keys[guilty.count++] = keys->keys[i];
+        dp_key_set_append (guilty, dp_key_set_get (keys, i));
     }
-  for (guint i = 0; i < guilty.count; i++)
+  const GArray *cleared = NULL;
+  for (guint i = 0; i < guilty->len; i++)
     {
-      Row *row = g_hash_table_lookup (table->rows, &guilty.keys[i]);
-      const DpSuspectKeys before = row->joint;
-      for (guint j = 0; j < before.count; j++)
-        if (!has_key (&guilty, before.keys[j])
-            && g_hash_table_remove (table->rows, &before.keys[j]))
-          g_array_append_val (changed, before.keys[j]);
-      set_joint (row, &guilty);
-      g_array_append_val (changed, guilty.keys[i]);
+      guint64 key = dp_key_set_get (guilty, i);
+      Row *row = find_row (table, key);
+      if (row->joint != NULL && row->joint != cleared)
+        clear_others (table, row->joint, guilty, changed);
+      /* Compared only: the other rows of the block still refer to it until their turn. */
+      cleared = row->joint;
+      set_joint (row, guilty);
+      g_array_append_val (changed, key);
     }
-  return guilty.count > 0;
+  gboolean is_narrowed = guilty->len > 0;
+  g_array_unref (guilty);
+  return is_narrowed;
 }
 
 void
 dp_suspects_record_failure (DpSuspectTable *table,
-                            const DpSuspectKeys *keys,
+                            const GArray *keys,
                             DpName target,
                             DpUsec sent_at,
                             DpUsec now,
@@ -294,11 +406,12 @@
   count_for_all (table, keys, &failure, sent_at);
   block_guilty (table, keys, FALSE, now);
   block_guilty (table, keys, TRUE, now);
-  for (guint i = 0; i < keys->count; i++)
+  for (guint i = 0; i < dp_key_set_count (keys); i++)
     {
-      const Row *row = g_hash_table_lookup (table->rows, &keys->keys[i]);
+      guint64 key = dp_key_set_get (keys, i);
+      const Row *row = find_row (table, key);
       if (row != NULL && (row->is_blocked || row->count >= FAILURES_ANNOUNCED))
-        g_array_append_val (changed, keys->keys[i]);
+        g_array_append_val (changed, key);
     }
 }
 
@@ -310,114 +423,145 @@
   return (DpUsec)dp_recent_map_get (table->served, key);
 }
 
-/* The key is innocent: the others of its joint block are blocked without it. */
+/* The cleared keys are innocent: the others of a joint block are blocked without them. */
+static void
+leave_joint_block (DpSuspectTable *table, GArray *joint, const GArray *cleared, GArray *changed)
+{
+  GArray *rest = dp_key_set_subtract (joint, cleared);
+  for (guint i = 0; i < rest->len; i++)
+    {
+      guint64 key = dp_key_set_get (rest, i);
+      Row *row = find_row (table, key);
+      if (row == NULL || row->joint == NULL)
+        continue;
+      GArray *own
+        = row->joint == joint ? g_array_ref (rest) : dp_key_set_subtract (row->joint, cleared);
+      set_joint (row, own);
+      g_array_unref (own);
+      g_array_append_val (changed, key);
+    }
+  g_array_unref (rest);
+}
+
+/* Forgets the cleared keys, and takes them out of joint blocks. */
 static void
-leave_joint_block (DpSuspectTable *table, guint64 key, GArray *changed)
+clear_keys (DpSuspectTable *table, const GArray *cleared, GArray *changed)
 {
-  const Row *row = g_hash_table_lookup (table->rows, &key);
-  const DpSuspectKeys joint = row->joint;
-  for (guint i = 0; i < joint.count; i++)
+  GArray *left = NULL;
+  for (guint i = 0; i < dp_key_set_count (cleared); i++)
     {
-      Row *other = g_hash_table_lookup (table->rows, &joint.keys[i]);
-      if (joint.keys[i] == key || other == NULL)
+      Row *row = find_row (table, dp_key_set_get (cleared, i));
+      if (row->joint == NULL || row->joint == left)
         continue;
-      DpSuspectKeys rest = other->joint;
-      remove_key (&rest, key);
-      set_joint (other, &rest);
-      g_array_append_val (changed, joint.keys[i]);
+      g_clear_pointer (&left, g_array_unref);
+      left = g_array_ref (row->joint);
+      leave_joint_block (table, left, cleared, changed);
+    }
+  g_clear_pointer (&left, g_array_unref);
+  for (guint i = 0; i < dp_key_set_count (cleared); i++)
+    {
+      guint64 key = dp_key_set_get (cleared, i);
+      g_hash_table_remove (table->rows, &key);
     }
 }
 
 void
-dp_suspects_record_served (DpSuspectTable *table,
-                           const DpSuspectKeys *keys,
-                           DpUsec served_at,
-                           DpUsec now,
-                           GArray *changed)
+dp_suspects_record_served (
+  DpSuspectTable *table, const GArray *keys, DpUsec served_at, DpUsec now, GArray *changed)
 {
-  for (guint i = 0; i < keys->count; i++)
+  GArray *cleared = dp_key_set_new (0);
+  for (guint i = 0; i < dp_key_set_count (keys); i++)
     {
-      DpUsec known_at = dp_suspects_served_at (table, keys->keys[i]);
-      dp_recent_map_put (table->served, keys->keys[i], (guint64)MAX (served_at, known_at), now);
-      const Row *row = g_hash_table_lookup (table->rows, &keys->keys[i]);
+      guint64 key = dp_key_set_get (keys, i);
+      DpUsec known_at = dp_suspects_served_at (table, key);
+      dp_recent_map_put (table->served, key, (guint64)MAX (served_at, known_at), now);
+      const Row *row = find_row (table, key);
       if (row == NULL || (row->count > 0 && served_at < row->failures[row->count - 1].at))
         continue;
       if (row->is_blocked || row->count >= FAILURES_ANNOUNCED)
-        g_array_append_val (changed, keys->keys[i]);
-      leave_joint_block (table, keys->keys[i], changed);
-      g_hash_table_remove (table->rows, &keys->keys[i]);
+        g_array_append_val (changed, key);
+      dp_key_set_append (cleared, key);
     }
+  clear_keys (table, cleared, changed);
+  g_array_unref (cleared);
 }
 
 /* --- blocks and trials --- */
 
 gboolean
-dp_suspects_includes_any (const DpSuspectTable *table, const DpSuspectKeys *keys)
+dp_suspects_includes_any (const DpSuspectTable *table, const GArray *keys)
 {
-  for (guint i = 0; i < keys->count; i++)
-    if (g_hash_table_contains (table->rows, &keys->keys[i]))
+  for (guint i = 0; i < dp_key_set_count (keys); i++)
+    if (find_row (table, dp_key_set_get (keys, i)) != NULL)
       return TRUE;
   return FALSE;
 }
 
 gboolean
-dp_suspects_includes_blocked (const DpSuspectTable *table, const DpSuspectKeys *keys)
+dp_suspects_includes_blocked (const DpSuspectTable *table, const GArray *keys)
 {
-  for (guint i = 0; i < keys->count; i++)
+  for (guint i = 0; i < dp_key_set_count (keys); i++)
     {
-      const Row *row = g_hash_table_lookup (table->rows, &keys->keys[i]);
+      const Row *row = find_row (table, dp_key_set_get (keys, i));
       if (row != NULL && row->is_blocked)
         return TRUE;
     }
   return FALSE;
 }
 
+typedef struct BlockQuery
+{
+  const DpSuspectTable *table;
+  DpUsec now;
+  DpUsec *remaining;
+  gboolean may_try;
+  GArray *changed;
+} BlockQuery;
+
+static void
+remember_block (Row *row, guint64 key, gpointer data)
+{
+  const BlockQuery *query = data;
+  row->remembered_until = query->now + query->table->options.memory_duration;
+  if (query->remaining != NULL)
+    *query->remaining = MAX (row->blocked_until - query->now, DP_USEC_PER_SEC);
+}
+
 gboolean
-dp_suspects_blocks (DpSuspectTable *table,
-                    const DpSuspectKeys *keys,
-                    DpUsec now,
-                    DpUsec *remaining)
+dp_suspects_blocks (DpSuspectTable *table, const GArray *keys, DpUsec now, DpUsec *remaining)
 {
-  gboolean blocks = FALSE;
-  for (guint i = 0; i < keys->count; i++)
-    {
-      Row *row = g_hash_table_lookup (table->rows, &keys->keys[i]);
-      if (!row_blocks (row, keys))
-        continue;
-      blocks = TRUE;
-      row->remembered_until = now + table->options.memory_duration;
-      if (remaining != NULL)
-        *remaining = MAX (row->blocked_until - now, DP_USEC_PER_SEC);
-    }
-  return blocks;
+  BlockQuery query = { .table = table, .now = now, .remaining = remaining };
+  return for_each_blocking (table, keys, remember_block, &query);
+}
+
+static void
+check_trial (Row *row, guint64 key, gpointer data)
+{
+  BlockQuery *query = data;
+  if (query->now < row->blocked_until || row->trials >= query->table->options.trials_max)
+    query->may_try = FALSE;
+}
+
+static void
+begin_trial (Row *row, guint64 key, gpointer data)
+{
+  const BlockQuery *query = data;
+  DpUsec interval = query->table->options.block_duration;
+  for (guint trial = 0; trial <= row->trials; trial++)
+    interval *= TRIAL_INTERVAL_FACTOR;
+  row->trials++;
+  row->blocked_until = query->now + interval;
+  g_array_append_val (query->changed, key);
 }
 
 gboolean
-dp_suspects_begin_trial (DpSuspectTable *table,
-                         const DpSuspectKeys *keys,
-                         DpUsec now,
-                         GArray *changed)
+dp_suspects_begin_trial (DpSuspectTable *table, const GArray *keys, DpUsec now, GArray *changed)
 {
-  for (guint i = 0; i < keys->count; i++)
-    {
-      const Row *row = g_hash_table_lookup (table->rows, &keys->keys[i]);
-      if (row_blocks (row, keys)
-          && (now < row->blocked_until || row->trials >= table->options.trials_max))
-        return FALSE;
-    }
-  for (guint i = 0; i < keys->count; i++)
-    {
-      Row *row = g_hash_table_lookup (table->rows, &keys->keys[i]);
-      if (!row_blocks (row, keys))
-        continue;
-      DpUsec interval = table->options.block_duration;
-      for (guint trial = 0; trial <= row->trials; trial++)
-        interval *= TRIAL_INTERVAL_FACTOR;
-      row->trials++;
-      row->blocked_until = now + interval;
-      g_array_append_val (changed, keys->keys[i]);
-    }
-  return TRUE;
+  BlockQuery query = { .table = table, .now = now, .may_try = TRUE, .changed = changed };
+  for_each_blocking (table, keys, check_trial, &query);
+  if (query.may_try)
+    for_each_blocking (table, keys, begin_trial, &query);
+  return query.may_try;
 }
 
 /* --- other VMs --- */
@@ -426,26 +570,27 @@
 dp_suspects_state (const DpSuspectTable *table, guint64 key, DpUsec now)
 {
   DpSuspect state = { .key = key };
-  const Row *row = g_hash_table_lookup (table->rows, &key);
+  const Row *row = find_row (table, key);
   if (row == NULL)
     return state;
   state.failures = row->count;
   state.is_blocked = row->is_blocked;
   state.trials = row->trials;
   state.remaining = MAX (row->blocked_until - now, 0);
-  state.joint = row->joint;
+  state.joint = row->joint != NULL ? g_array_ref (row->joint) : NULL;
   return state;
 }
 
-gboolean
-dp_suspects_merge (DpSuspectTable *table, const DpSuspect *state, DpUsec now)
+/* Applies the state to one of its keys. */
+static gboolean
+merge_key (DpSuspectTable *table, guint64 key, const DpSuspect *state, DpUsec now)
 {
   if (state->failures == 0 && !state->is_blocked)
     {
-      g_hash_table_remove (table->rows, &state->key);
+      g_hash_table_remove (table->rows, &key);
       return FALSE;
     }
-  Row *row = ensure_row (table, state->key);
+  Row *row = ensure_row (table, key);
   if (row == NULL)
     return FALSE;
   gboolean is_new_block = state->is_blocked && !row->is_blocked;
@@ -454,10 +599,11 @@
     row->remembered_until = now + table->options.memory_duration;
   if (!state->is_blocked)
     return FALSE;
-  gboolean is_narrower = !is_new_block && row->joint.count > state->joint.count;
+  gboolean is_narrower
+    = !is_new_block && dp_key_set_count (row->joint) > dp_key_set_count (state->joint);
   row->is_blocked = TRUE;
   if (is_new_block || is_narrower)
-    set_joint (row, &state->joint);
+    set_joint (row, state->joint);
   if (is_new_block || state->trials > row->trials)
     {
       row->trials = state->trials;
@@ -466,16 +612,39 @@
   return is_new_block || is_narrower;
 }
 
+gboolean
+dp_suspects_merge (DpSuspectTable *table, const DpSuspect *state, DpUsec now)
+{
+  if (dp_key_set_count (state->joint) == 0)
+    return merge_key (table, state->key, state, now);
+  if (state->is_blocked)
+    make_room (table, state->joint);
+  gboolean blocks_more = FALSE;
+  for (guint i = 0; i < state->joint->len; i++)
+    if (merge_key (table, dp_key_set_get (state->joint, i), state, now))
+      blocks_more = TRUE;
+  return blocks_more;
+}
+
+/* TRUE if the key stands for a block: for itself, or as the first of a joint one. */
+static gboolean
+is_listed_block (const Row *row, guint64 key)
+{
+  return row->is_blocked && (row->joint == NULL || dp_key_set_get (row->joint, 0) == key);
+}
+
 void
 dp_suspects_list_blocked (const DpSuspectTable *table, GArray *keys)
 {
   GHashTableIter iter;
   gpointer key;
-  gpointer row;
+  gpointer value;
   g_hash_table_iter_init (&iter, table->rows);
-  while (g_hash_table_iter_next (&iter, &key, &row))
-    if (((Row *)row)->is_blocked)
-      g_array_append_val (keys, *(guint64 *)key);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      if (is_listed_block (value, *(guint64 *)key))
+        g_array_append_val (keys, *(guint64 *)key);
+    }
 }
 
 guint
@@ -496,7 +665,7 @@
       const Row *row = value;
       if (now < row->remembered_until)
         continue;
-      if (row->is_blocked)
+      if (is_listed_block (row, *(guint64 *)key))
         g_array_append_val (expired, *(guint64 *)key);
       g_hash_table_iter_remove (&iter);
     }
--- a/core/view.h
+++ b/core/view.h
@@ -11,7 +11,9 @@
 
 /* Number of the rules that this build keeps, see docs/design-platform.md, "Two builds side by
  * side". It rises with each release that adds a rule; 0: a build that states none. */
-#define DP_RULES_LEVEL 4
+#define DP_RULES_LEVEL 5
+/* Builds of lower levels know the first 15 shared parts of a prompt only. */
+#define DP_RULES_LEVEL_PARTS 5
 /* Builds of lower levels know state only as whole lists, see core/row_sync/. */
 #define DP_RULES_LEVEL_ROWS 4
 /* Builds of lower levels know no copies of streams' versions. */
--- a/net/codec.c
+++ b/net/codec.c
@@ -64,6 +64,16 @@
     pack_struct (packer, table, first + i * table->size);
 }
 
+/* `array` may be NULL. */
+static void
+pack_uint64_garray (msgpack_packer *packer, const GArray *array, guint64 max)
+{
+  guint count = array != NULL ? MIN (array->len, (guint)max) : 0;
+  msgpack_pack_array (packer, count);
+  for (guint i = 0; i < count; i++)
+    msgpack_pack_uint64 (packer, g_array_index (array, guint64, i));
+}
+
 static guint
 get_inline_array_length (const DpField *field, const char *base)
 {
@@ -108,6 +118,9 @@
       for (guint i = 0; i < count; i++)
         msgpack_pack_uint64 (packer, ((const guint64 *)value)[i]);
       break;
+    case DP_FIELD_UINT64_GARRAY:
+      pack_uint64_garray (packer, *(GArray *const *)value, field->max);
+      break;
     case DP_FIELD_STRUCTS:
       pack_structs (packer, field->element_table, value, get_inline_array_length (field, base));
       break;
@@ -289,6 +302,24 @@
   return TRUE;
 }
 
+static gboolean
+unpack_uint64_garray (const DpField *field,
+                      const msgpack_object *object,
+                      GArray **out,
+                      GError **error)
+{
+  if (!check_array (field, object, error))
+    return FALSE;
+  guint count = object->via.array.size;
+  g_clear_pointer (out, g_array_unref); /* set already if the key is repeated */
+  *out = g_array_sized_new (FALSE, TRUE, sizeof (guint64), count);
+  g_array_set_size (*out, count);
+  for (guint i = 0; i < count; i++)
+    if (!unpack_element (field, &object->via.array.ptr[i], (*out)->data, i, error))
+      return FALSE;
+  return TRUE;
+}
+
 static gboolean
 unpack_garray (const DpField *field, const msgpack_object *object, GArray **out, GError **error)
 {
@@ -327,6 +358,8 @@
     case DP_FIELD_UINT64S:
     case DP_FIELD_STRUCTS:
       return unpack_inline_array (field, object, base, error);
+    case DP_FIELD_UINT64_GARRAY:
+      return unpack_uint64_garray (field, object, out, error);
     case DP_FIELD_GARRAY:
       return unpack_garray (field, object, out, error);
     }
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -37,6 +37,10 @@
     key, KIND, G_STRUCT_OFFSET (Type, member), limit, G_STRUCT_OFFSET (Type, count_member),    \
       elements_table                                                                           \
   }
+#define UINT64_GARRAY(key, Type, member, limit)                                                \
+  {                                                                                            \
+    key, DP_FIELD_UINT64_GARRAY, G_STRUCT_OFFSET (Type, member), limit, 0, NULL                \
+  }
 #define GARRAY(key, Type, member, limit, elements_table)                                       \
   {                                                                                            \
     key, DP_FIELD_GARRAY, G_STRUCT_OFFSET (Type, member), limit, 0, elements_table             \
@@ -188,13 +192,7 @@
 static const DpField suspect_report_fields[] = {
   UINT64 (5, DpMessage, suspect_report.target),
   USEC (6, DpMessage, suspect_report.age),
-  INLINE_ARRAY (7,
-                DP_FIELD_UINT64S,
-                DpMessage,
-                suspect_report.keys.keys,
-                suspect_report.keys.count,
-                DP_SUSPECT_KEYS_MAX,
-                NULL),
+  UINT64_GARRAY (7, DpMessage, suspect_report.keys, DP_SUSPECT_KEYS_MAX),
 };
 
 static const DpField suspect_fields[] = {
@@ -203,13 +201,7 @@
   FLAG (3, DpMessage, suspect.is_blocked),
   UINT (4, DpMessage, suspect.trials, G_MAXUINT),
   USEC (5, DpMessage, suspect.remaining),
-  INLINE_ARRAY (6,
-                DP_FIELD_UINT64S,
-                DpMessage,
-                suspect.joint.keys,
-                suspect.joint.count,
-                DP_SUSPECT_KEYS_MAX,
-                NULL),
+  UINT64_GARRAY (6, DpMessage, suspect.joint, DP_SUSPECT_KEYS_MAX),
 };
 
 static const DpField stream_version_fields[] = {
--- a/net/codec_fields.h
+++ b/net/codec_fields.h
@@ -11,14 +11,15 @@
 {
   DP_FIELD_UINT, /* guint, enum or gboolean, at most `max` */
   DP_FIELD_UINT64,
-  DP_FIELD_USEC,    /* DpUsec from 0 to DP_CODEC_DURATION_MAX */
-  DP_FIELD_ID,      /* DpId, as 16 bytes */
-  DP_FIELD_STRING,  /* char[max], NUL-terminated */
-  DP_FIELD_BYTES,   /* GBytes *, at most `max` bytes */
-  DP_FIELD_UINTS,   /* guint[max], element count at `count_offset` */
-  DP_FIELD_UINT64S, /* guint64[max], element count at `count_offset` */
-  DP_FIELD_STRUCTS, /* struct[max], element count at `count_offset` */
-  DP_FIELD_GARRAY,  /* GArray * of structs, at most `max` elements */
+  DP_FIELD_USEC,          /* DpUsec from 0 to DP_CODEC_DURATION_MAX */
+  DP_FIELD_ID,            /* DpId, as 16 bytes */
+  DP_FIELD_STRING,        /* char[max], NUL-terminated */
+  DP_FIELD_BYTES,         /* GBytes *, at most `max` bytes */
+  DP_FIELD_UINTS,         /* guint[max], element count at `count_offset` */
+  DP_FIELD_UINT64S,       /* guint64[max], element count at `count_offset` */
+  DP_FIELD_STRUCTS,       /* struct[max], element count at `count_offset` */
+  DP_FIELD_GARRAY,        /* GArray * of structs, at most `max` elements */
+  DP_FIELD_UINT64_GARRAY, /* GArray * of guint64, at most `max` elements */
 } DpFieldKind;
 
 typedef struct DpFieldTable DpFieldTable;
--- a/node/node.h
+++ b/node/node.h
@@ -207,6 +207,8 @@
   DpSuspectTable *suspects;
   DpStoredList *stored_blocks;
   GHashTable *block_writes; /* those in progress, see quarantine.c */
+  GHashTable
+    *blocks_stored; /* keys of blocks that this VM has read from the store or written */
   DpUsec quarantine_announced_at;
   DpLimitClient *limit_client;
   DpReach *reach;
@@ -284,8 +286,8 @@
   DpCallerRequest caller; /* parsed headers; strings are valid as long as the exchange */
   guint urgency;
   gboolean is_repeatable;
-  DpSuspectKeys suspect_keys;
-  DpQuotaCharge quota; /* cost against the workspace's limit */
+  GArray *suspect_keys; /* set, see core/key_set.h */
+  DpQuotaCharge quota;  /* cost against the workspace's limit */
   DpUsec arrived;
   DpUsec objective_at; /* when the first byte should be out */
   DpUsec deadline;
--- a/node/quarantine.c
+++ b/node/quarantine.c
@@ -9,6 +9,7 @@
 #include "node/node.h"
 
 #include "common/log.h"
+#include "core/key_set.h"
 
 #include <string.h>
 
@@ -21,14 +22,17 @@
 #define BLOCK_DURATION (60 * DP_USEC_PER_SEC)
 #define TRIALS_MAX 2
 #define MEMORY_DURATION (600 * DP_USEC_PER_SEC)
-/* About 150 bytes each, 600 KB in total. */
-#define ROWS_MAX 4096
+/* About 200 bytes each, 1.6 MB in total. */
+#define ROWS_MAX 8192
 #define COUNTER_VMS 2
 #define ANNOUNCE_INTERVAL DP_USEC_PER_SEC
 /* Key whose owner counts failures besides the pool's. All VMs must hash the same text. */
 #define SECOND_COUNTER_KEY "failures of requests"
-/* The lowest bit of a key tells parts of prompts from whole requests. */
-#define PART_BIT G_GUINT64_CONSTANT (1)
+/* Keys that are announced in messages of their own, as all builds understand them. */
+#define SINGLE_ANNOUNCEMENTS_MAX 16
+/* Large joint blocks are repeated less often: one more interval for so many keys. */
+#define KEYS_PER_INTERVAL 64
+#define KEYS_LOGGED_MAX 16
 #define KEY_TEXT_BYTES 24
 #define CALL_TIMEOUT (500 * DP_USEC_PER_MSEC)
 
@@ -52,15 +56,27 @@
   return hash_text (dp_http_exchange_target (request->exchange), hash);
 }
 
-G_STATIC_ASSERT (DP_SUSPECT_KEYS_MAX > DP_SHARED_PARTS_MAX);
+static void
+append_part (gpointer user, guint64 part)
+{
+  dp_key_set_append (user, part | DP_SUSPECT_PART_BIT);
+}
 
 void
 dp_node_quarantine_set_keys (DpNodeRequest *request)
 {
-  DpSuspectKeys *keys = &request->suspect_keys;
-  keys->keys[keys->count++] = request_fingerprint (request) & ~PART_BIT;
-  for (guint i = 0; i < request->caller.shared_part_count; i++)
-    keys->keys[keys->count++] = request->caller.shared_parts[i] | PART_BIT;
+  guint64 fingerprint = request_fingerprint (request) & ~DP_SUSPECT_PART_BIT;
+  GArray *keys = dp_key_set_new (1);
+  dp_key_set_append (keys, fingerprint);
+  dp_wire_each_shared_part (request->caller.prompt_parts, append_part, keys);
+  dp_key_set_complete (keys);
+  /* Some parts alone would be blamed for the others. */
+  if (keys->len > DP_SUSPECT_KEYS_MAX)
+    {
+      g_array_set_size (keys, 0);
+      dp_key_set_append (keys, fingerprint);
+    }
+  request->suspect_keys = keys;
 }
 
 /* --- logs --- */
@@ -68,25 +84,30 @@
 static void
 log_state (DpLogLevel level, const char *event, const DpSuspect *state)
 {
-  char key[KEY_TEXT_BYTES], failures[16], trials[16];
+  char key[KEY_TEXT_BYTES], failures[16], trials[16], keys[16];
   g_snprintf (key, sizeof key, "%016" G_GINT64_MODIFIER "x", state->key);
   g_snprintf (failures, sizeof failures, "%u", state->failures);
   g_snprintf (trials, sizeof trials, "%u", state->trials);
-  dp_log (level, event, "what", state->key & PART_BIT ? "part" : "request", "fingerprint", key,
-          "failures", failures, "trials", trials, NULL);
+  g_snprintf (keys, sizeof keys, "%u", MAX (dp_key_set_count (state->joint), 1));
+  dp_log (level, event, "what", state->key & DP_SUSPECT_PART_BIT ? "part" : "request",
+          "fingerprint", key, "failures", failures, "trials", trials, "joint_keys", keys, NULL);
 }
 
 static void
 log_failure (DpNode *node, const DpSuspectReport *report)
 {
   GString *counts = g_string_new (NULL);
-  for (guint i = 0; i < report->keys.count; i++)
+  guint count = dp_key_set_count (report->keys);
+  for (guint i = 0; i < MIN (count, KEYS_LOGGED_MAX); i++)
     {
       DpSuspect state
-        = dp_suspects_state (node->suspects, report->keys.keys[i], dp_node_now ());
+        = dp_suspects_state (node->suspects, dp_key_set_get (report->keys, i), dp_node_now ());
       g_string_append_printf (counts, "%s%016" G_GINT64_MODIFIER "x:%u", i > 0 ? "," : "",
                               state.key, state.failures);
+      dp_suspect_clear (&state);
     }
+  if (count > KEYS_LOGGED_MAX)
+    g_string_append_printf (counts, ",%u more", count - KEYS_LOGGED_MAX);
   const DpDirectoryRow *row = dp_directory_find (node->directory, report->target);
   dp_log (DP_LOG_INFO, "failure_counted", "target", row != NULL ? row->record.id : "unknown",
           "counts", counts->str, NULL);
@@ -119,7 +140,7 @@
 write_block (DpNode *node, guint64 key, DpPlatformCallType type)
 {
   char *name = dp_records_key_name (key);
-  const DpSuspect state = dp_suspects_state (node->suspects, key, dp_node_now ());
+  DpSuspect state = dp_suspects_state (node->suspects, key, dp_node_now ());
   char *body = type != DP_PLATFORM_REMOVE ? dp_records_write_block (&state) : NULL;
   const DpPlatformCall call = { .type = type,
                                 .path = DP_KIND_BLOCKS,
@@ -130,8 +151,13 @@
   BlockWrite *write = g_new0 (BlockWrite, 1);
   write->node = node;
   write->key = key;
+  if (type == DP_PLATFORM_REMOVE)
+    g_hash_table_remove (node->blocks_stored, &key);
+  else
+    g_hash_table_add (node->blocks_stored, g_memdup2 (&key, sizeof key));
   g_hash_table_add (node->block_writes, write);
   dp_platform_client_call (node->store, &call, on_written, write);
+  dp_suspect_clear (&state);
   g_free (body);
   g_free (name);
 }
@@ -140,18 +166,22 @@
 static void
 store_block (DpNode *node, guint64 key)
 {
-  const DpSuspect state = dp_suspects_state (node->suspects, key, dp_node_now ());
+  DpSuspect state = dp_suspects_state (node->suspects, key, dp_node_now ());
   write_block (node, key, state.is_blocked ? DP_PLATFORM_CREATE : DP_PLATFORM_REMOVE);
+  dp_suspect_clear (&state);
 }
 
 static void
 on_stored_block (DpNode *node, const DpStoreObject *object, DpDiagnostics *diagnostics)
 {
   DpSuspect state = { .is_blocked = TRUE, .remaining = BLOCK_DURATION };
-  if (!dp_records_read_block (object, &state, diagnostics))
-    return;
-  dp_suspects_merge (node->suspects, &state, dp_node_now ());
-  log_state (DP_LOG_NOTICE, "stored_quarantine", &state);
+  if (dp_records_read_block (object, &state, diagnostics))
+    {
+      g_hash_table_add (node->blocks_stored, g_memdup2 (&state.key, sizeof state.key));
+      dp_suspects_merge (node->suspects, &state, dp_node_now ());
+      log_state (DP_LOG_NOTICE, "stored_quarantine", &state);
+    }
+  dp_suspect_clear (&state);
 }
 
 void
@@ -166,6 +196,7 @@
                                      .rows_max = ROWS_MAX };
   node->suspects = dp_suspects_new (&options);
   node->block_writes = g_hash_table_new_full (NULL, NULL, g_free, NULL);
+  node->blocks_stored = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   node->stored_blocks = dp_stored_list_new (node, DP_KIND_BLOCKS, on_stored_block);
 }
 
@@ -180,6 +211,7 @@
 {
   dp_stored_list_free (node->stored_blocks);
   g_hash_table_unref (node->block_writes);
+  g_hash_table_unref (node->blocks_stored);
   dp_suspects_free (node->suspects);
 }
 
@@ -196,39 +228,116 @@
 static void
 announce (DpNode *node, guint64 key)
 {
-  const DpMessage message
-    = { .type = DP_MESSAGE_SUSPECT,
-        .suspect = dp_suspects_state (node->suspects, key, dp_node_now ()) };
+  DpMessage message = { .type = DP_MESSAGE_SUSPECT,
+                        .suspect = dp_suspects_state (node->suspects, key, dp_node_now ()) };
   dp_peers_send_to_all (node, &message);
+  dp_message_clear (&message);
+}
+
+/* Announces keys that are not blocked, and of which the same is stated: they have failures, or
+ * none any more. */
+static void
+announce_unblocked (DpNode *node, GArray *keys)
+{
+  dp_key_set_complete (keys);
+  if (keys->len <= SINGLE_ANNOUNCEMENTS_MAX)
+    {
+      for (guint i = 0; i < keys->len; i++)
+        announce (node, dp_key_set_get (keys, i));
+      return;
+    }
+  for (guint first = 0; first < keys->len; first += DP_SUSPECT_KEYS_MAX)
+    {
+      DpMessage message = { .type = DP_MESSAGE_SUSPECT,
+                            .suspect = dp_suspects_state (
+                              node->suspects, dp_key_set_get (keys, first), dp_node_now ()) };
+      message.suspect.joint = dp_key_set_new (0);
+      for (guint i = first; i < MIN (keys->len, first + DP_SUSPECT_KEYS_MAX); i++)
+        dp_key_set_append (message.suspect.joint, dp_key_set_get (keys, i));
+      dp_peers_send_to_all (node, &message);
+      dp_message_clear (&message);
+    }
 }
 
 static void
 on_block (DpNode *node, const DpSuspect *state)
 {
   dp_counters_add (node->counters, "dogwoodplank_quarantined_total", "what",
-                   state->key & PART_BIT ? "part" : "request", 1);
+                   state->key & DP_SUSPECT_PART_BIT ? "part" : "request", 1);
   log_state (DP_LOG_WARNING, "request_quarantined", state);
   dp_request_recheck_quarantine (node);
 }
 
+/* Keys that have changed, by what other VMs must be told of them. */
+typedef struct Changes
+{
+  GArray *blocked; /* one key of each block */
+  GArray *counted; /* failures, but not blocked */
+  GArray *cleared;
+} Changes;
+
+static Changes
+sort_changes (const DpNode *node, GArray *changed)
+{
+  Changes changes = { dp_key_set_new (0), dp_key_set_new (0), dp_key_set_new (0) };
+  dp_key_set_complete (changed);
+  for (guint i = 0; i < changed->len; i++)
+    {
+      guint64 key = dp_key_set_get (changed, i);
+      DpSuspect state = dp_suspects_state (node->suspects, key, dp_node_now ());
+      if (state.is_blocked)
+        dp_key_set_append (changes.blocked, dp_key_set_count (state.joint) > 0
+                                              ? dp_key_set_get (state.joint, 0)
+                                              : key);
+      else
+        dp_key_set_append (state.failures > 0 ? changes.counted : changes.cleared, key);
+      dp_suspect_clear (&state);
+    }
+  dp_key_set_complete (changes.blocked);
+  return changes;
+}
+
+static void
+changes_clear (Changes *changes)
+{
+  g_array_unref (changes->blocked);
+  g_array_unref (changes->counted);
+  g_array_unref (changes->cleared);
+}
+
+/* Tells all VMs of the changes, and the store of blocks that begin or end. */
+static void
+publish (DpNode *node, GArray *changed, gboolean may_end_blocks)
+{
+  Changes changes = sort_changes (node, changed);
+  for (guint i = 0; i < changes.blocked->len; i++)
+    {
+      guint64 key = dp_key_set_get (changes.blocked, i);
+      DpSuspect state = dp_suspects_state (node->suspects, key, dp_node_now ());
+      announce (node, key);
+      on_block (node, &state);
+      store_block (node, key);
+      dp_suspect_clear (&state);
+    }
+  announce_unblocked (node, changes.counted);
+  announce_unblocked (node, changes.cleared);
+  for (guint i = 0; may_end_blocks && i < changes.cleared->len; i++)
+    if (changes.cleared->len <= SINGLE_ANNOUNCEMENTS_MAX
+        || g_hash_table_contains (node->blocks_stored,
+                                  &g_array_index (changes.cleared, guint64, i)))
+      store_block (node, dp_key_set_get (changes.cleared, i));
+  changes_clear (&changes);
+}
+
 static void
 add_failure (DpNode *node, const DpSuspectReport *report)
 {
   DpUsec now = dp_node_now ();
-  GArray *changed = g_array_new (FALSE, FALSE, sizeof (guint64));
-  dp_suspects_record_failure (node->suspects, &report->keys, report->target, now - report->age,
+  GArray *changed = dp_key_set_new (0);
+  dp_suspects_record_failure (node->suspects, report->keys, report->target, now - report->age,
                               now, changed);
   log_failure (node, report);
-  for (guint i = 0; i < changed->len; i++)
-    {
-      guint64 key = g_array_index (changed, guint64, i);
-      DpSuspect state = dp_suspects_state (node->suspects, key, now);
-      announce (node, key);
-      if (state.is_blocked)
-        on_block (node, &state);
-      if (state.is_blocked || state.failures == 0)
-        store_block (node, key);
-    }
+  publish (node, changed, TRUE);
   g_array_unref (changed);
 }
 
@@ -236,20 +345,15 @@
 add_response (DpNode *node, const DpSuspectReport *report)
 {
   DpUsec now = dp_node_now ();
-  gboolean was_blocked = dp_suspects_includes_blocked (node->suspects, &report->keys);
-  GArray *changed = g_array_new (FALSE, FALSE, sizeof (guint64));
-  dp_suspects_record_served (node->suspects, &report->keys, now - report->age, now, changed);
-  for (guint i = 0; i < changed->len; i++)
+  gboolean was_blocked = dp_suspects_includes_blocked (node->suspects, report->keys);
+  GArray *changed = dp_key_set_new (0);
+  dp_suspects_record_served (node->suspects, report->keys, now - report->age, now, changed);
+  if (changed->len > 0)
     {
-      guint64 key = g_array_index (changed, guint64, i);
-      const DpSuspect state = dp_suspects_state (node->suspects, key, now);
-      announce (node, key);
-      if (state.is_blocked)
-        on_block (node, &state);
-      else
-        log_state (DP_LOG_INFO, "failures_cleared", &state);
-      if (was_blocked)
-        store_block (node, key);
+      char count[16];
+      g_snprintf (count, sizeof count, "%u", changed->len);
+      dp_log (DP_LOG_INFO, "failures_cleared", "keys", count, NULL);
+      publish (node, changed, was_blocked);
     }
   g_array_unref (changed);
 }
@@ -287,6 +391,17 @@
   g_array_unref (blocked);
 }
 
+/* VMs that have started since, or were cut off, learn of the block. */
+static void
+repeat_block (DpNode *node, guint64 key, DpUsec now)
+{
+  DpSuspect state = dp_suspects_state (node->suspects, key, now);
+  gint64 intervals = 1 + dp_key_set_count (state.joint) / KEYS_PER_INTERVAL;
+  if (is_keeper (node, key) && now / ANNOUNCE_INTERVAL % intervals == 0)
+    announce (node, key);
+  dp_suspect_clear (&state);
+}
+
 void
 dp_node_quarantine_tick (DpNode *node, DpUsec now)
 {
@@ -305,18 +420,40 @@
                    dp_suspects_count (node->suspects));
   dp_counters_set (node->counters, "dogwoodplank_quarantined", NULL, NULL, blocked->len);
   for (guint i = 0; i < blocked->len; i++)
-    if (is_keeper (node, g_array_index (blocked, guint64, i)))
-      announce (node, g_array_index (blocked, guint64, i));
+    repeat_block (node, g_array_index (blocked, guint64, i), now);
   g_array_unref (blocked);
 }
 
 /* --- at each VM --- */
 
+/* Keys that the VM can read. An older build would blame the first ones alone, so it is told of
+ * the request as a whole. */
+static GArray *
+keys_for (const DpNode *node, DpName vm, GArray *keys)
+{
+  if (dp_key_set_count (keys) <= DP_SUSPECT_KEYS_MAX_BEFORE
+      || dp_owners_rules (node->owners, vm) >= DP_RULES_LEVEL_PARTS)
+    return g_array_ref (keys);
+  GArray *whole = dp_key_set_new (1);
+  for (guint i = 0; i < keys->len; i++)
+    if (!(dp_key_set_get (keys, i) & DP_SUSPECT_PART_BIT))
+      dp_key_set_append (whole, dp_key_set_get (keys, i));
+  return whole;
+}
+
+static void
+send_report_to (DpNode *node, DpName vm, const DpSuspectReport *report)
+{
+  DpMessage message = { .type = DP_MESSAGE_SUSPECT_REPORT, .suspect_report = *report };
+  message.suspect_report.keys = keys_for (node, vm, report->keys);
+  dp_peers_send (node, vm, &message);
+  dp_message_clear (&message);
+}
+
 static void
 send_report (DpNodeRequest *request, const DpSuspectReport *report)
 {
   DpNode *node = request->node;
-  const DpMessage message = { .type = DP_MESSAGE_SUSPECT_REPORT, .suspect_report = *report };
   DpName counters[COUNTER_VMS];
   choose_counters (node, request->pool->name, counters);
   gboolean is_own = FALSE;
@@ -324,7 +461,7 @@
     {
       is_own = is_own || counters[i] == node->self;
       if (counters[i] != node->self && (i == 0 || counters[i] != counters[0]))
-        dp_peers_send (node, counters[i], &message);
+        send_report_to (node, counters[i], report);
     }
   if (is_own)
     on_report (node, report);
@@ -341,9 +478,11 @@
     return FALSE;
   GArray *changed = g_array_new (FALSE, FALSE, sizeof (guint64));
   gboolean is_trial
-    = dp_suspects_begin_trial (node->suspects, &request->suspect_keys, dp_node_now (), changed);
-  for (guint i = 0; i < changed->len; i++)
-    announce (node, g_array_index (changed, guint64, i));
+    = dp_suspects_begin_trial (node->suspects, request->suspect_keys, dp_node_now (), changed);
+  Changes changes = sort_changes (node, changed);
+  for (guint i = 0; i < changes.blocked->len; i++)
+    announce (node, dp_key_set_get (changes.blocked, i));
+  changes_clear (&changes);
   g_array_unref (changed);
   if (is_trial)
     dp_log (DP_LOG_NOTICE, "quarantine_trial", "request", request->id, NULL);
@@ -353,7 +492,7 @@
 gboolean
 dp_node_quarantine_blocks (DpNodeRequest *request, DpUsec *remaining)
 {
-  return dp_suspects_blocks (request->node->suspects, &request->suspect_keys, dp_node_now (),
+  return dp_suspects_blocks (request->node->suspects, request->suspect_keys, dp_node_now (),
                              remaining)
          && !begin_trial (request);
 }
@@ -372,22 +511,35 @@
 {
   DpNode *node = request->node;
   const DpSuspectReport report = { .keys = request->suspect_keys };
-  if (dp_suspects_includes_any (node->suspects, &request->suspect_keys))
+  if (dp_suspects_includes_any (node->suspects, request->suspect_keys))
     send_report (request, &report);
   add_response (node, &report);
 }
 
-/* A VM that counts failures has a suspect, which was served here before. */
+/* A VM that counts failures has suspects, some of which were served here before. */
 static void
 report_served (DpNode *node, DpName from, const DpSuspect *state)
 {
-  DpUsec served_at = dp_suspects_served_at (node->suspects, state->key);
-  if (state->is_blocked || state->failures == 0 || served_at == 0)
+  if (state->is_blocked || state->failures == 0)
     return;
-  DpMessage message = { .type = DP_MESSAGE_SUSPECT_REPORT };
-  message.suspect_report
-    = (DpSuspectReport){ .age = dp_node_now () - served_at, .keys = { 1, { state->key } } };
-  dp_peers_send (node, from, &message);
+  DpUsec now = dp_node_now ();
+  DpSuspectReport report = { .age = 0, .keys = dp_key_set_new (1) };
+  guint count = MAX (dp_key_set_count (state->joint), 1);
+  for (guint i = 0; i < count; i++)
+    {
+      guint64 key = state->joint != NULL && state->joint->len > 0
+                      ? dp_key_set_get (state->joint, i)
+                      : state->key;
+      DpUsec served_at = dp_suspects_served_at (node->suspects, key);
+      if (served_at == 0)
+        continue;
+      dp_key_set_append (report.keys, key);
+      /* Of several, the time of the first: a later failure must not be cleared. */
+      report.age = MAX (report.age, now - served_at);
+    }
+  if (report.keys->len > 0)
+    send_report_to (node, from, &report);
+  g_array_unref (report.keys);
 }
 
 gboolean
@@ -396,11 +548,17 @@
   switch (message->type)
     {
     case DP_MESSAGE_SUSPECT:
+      /* Older builds don't sort keys. */
+      if (message->suspect.joint != NULL)
+        dp_key_set_complete (message->suspect.joint);
       if (dp_suspects_merge (node->suspects, &message->suspect, dp_node_now ()))
         on_block (node, &message->suspect);
       report_served (node, from, &message->suspect);
       return TRUE;
     case DP_MESSAGE_SUSPECT_REPORT:
+      if (message->suspect_report.keys == NULL)
+        return TRUE;
+      dp_key_set_complete (message->suspect_report.keys);
       on_report (node, &message->suspect_report);
       return TRUE;
     default:
--- a/node/request.c
+++ b/node/request.c
@@ -2,6 +2,7 @@
 #include "node/node.h"
 
 #include "common/log.h"
+#include "core/key_set.h"
 
 #include <string.h>
 
@@ -9,6 +10,7 @@
 #define RETRY_AFTER_DEFAULT (300 * DP_USEC_PER_MSEC)
 /* Between two searches for another target. */
 #define SEARCH_INTERVAL (250 * DP_USEC_PER_MSEC)
+#define PARTS_LOGGED_MAX 16
 
 static void
 format_ms (char out[16], DpUsec duration)
@@ -78,9 +80,13 @@
   format_ms (age, now - request->arrived);
   format_ms (left, request->deadline - now);
   GString *parts = g_string_new (NULL);
-  for (guint i = 0; i < request->caller.shared_part_count; i++)
-    g_string_append_printf (parts, "%s%016" G_GINT64_MODIFIER "x", i > 0 ? "," : "",
-                            request->caller.shared_parts[i]);
+  guint count = dp_key_set_count (request->suspect_keys);
+  for (guint i = 0; i < MIN (count, PARTS_LOGGED_MAX); i++)
+    if (dp_key_set_get (request->suspect_keys, i) & DP_SUSPECT_PART_BIT)
+      g_string_append_printf (parts, "%s%016" G_GINT64_MODIFIER "x", parts->len > 0 ? "," : "",
+                              dp_key_set_get (request->suspect_keys, i));
+  if (count > PARTS_LOGGED_MAX)
+    g_string_append_printf (parts, ",%u more", count - PARTS_LOGGED_MAX);
   dp_log (DP_LOG_INFO, "sending_failed", "request", request->id, "target", request->target_text,
           "reason", dp_reason_name (reason), "age_ms", age, "left_ms", left, "parts",
           parts->len > 0 ? parts->str : NULL, NULL);
@@ -136,6 +142,7 @@
   dp_manifest_unref (request->manifest);
   g_free (request->id);
   g_free (request->last_event_id);
+  g_clear_pointer (&request->suspect_keys, g_array_unref);
 }
 
 static void
@@ -349,7 +356,7 @@
       DpNodeRequest *request = dp_table_get (node->requests, at);
       DpUsec remaining = 0;
       if (request->stage == DP_STAGE_SENT
-          || !dp_suspects_blocks (node->suspects, &request->suspect_keys, dp_node_now (),
+          || !dp_suspects_blocks (node->suspects, request->suspect_keys, dp_node_now (),
                                   &remaining))
         continue;
       dp_placement_release (request, DP_REASON_TARGETS_DIED);
@@ -581,7 +588,7 @@
 {
   DpUsec remaining = 0;
   return now >= request->search.again_at && dp_retry_budget_allows (&request->pool->budget, now)
-         && !dp_suspects_blocks (request->node->suspects, &request->suspect_keys, now,
+         && !dp_suspects_blocks (request->node->suspects, request->suspect_keys, now,
                                  &remaining);
 }
 
--- a/tests/test_net_codec.c
+++ b/tests/test_net_codec.c
@@ -1,6 +1,7 @@
 /* Tests of the message codec: round trips, truncation, bit flips, unknown members and malicious
  * element counts. */
 #include "core/directory.h"
+#include "core/key_set.h"
 #include "core/view.h"
 #include "net/codec.h"
 #include "net/frame_check.h"
@@ -64,6 +65,15 @@
   return message;
 }
 
+static GArray *
+make_keys (void)
+{
+  GArray *keys = dp_key_set_new (3);
+  for (guint64 key = 4; key <= 6; key++)
+    dp_key_set_append (keys, key);
+  return keys;
+}
+
 static DpMessage
 make_targets (void)
 {
@@ -132,10 +142,10 @@
       message.holder_answer = (DpHolderAnswer){ id, id, DP_HOLDER_RELEASED };
       break;
     case DP_MESSAGE_SUSPECT_REPORT:
-      message.suspect_report = (DpSuspectReport){ 1, 2, { 3, { 4, 5, 6 } } };
+      message.suspect_report = (DpSuspectReport){ 1, 2, make_keys () };
       break;
     case DP_MESSAGE_SUSPECT:
-      message.suspect = (DpSuspect){ 1, 2, TRUE, 3, 4, { 2, { 5, 6 } } };
+      message.suspect = (DpSuspect){ 1, 2, TRUE, 3, 4, make_keys () };
       break;
     case DP_MESSAGE_STREAM_VERSION:
     case DP_MESSAGE_STREAM_VERSION_ASK:
--- a/tests/test_node_builds.c
+++ b/tests/test_node_builds.c
@@ -61,17 +61,19 @@
 
 static const BuildCase build_cases[] = {
   { "an older build", SPEC ("\"weight\":100"), 1,
-    "event=builds_mixed lowest=0 highest=4 older_vms=1 vms=3" },
+    "event=builds_mixed lowest=0 highest=5 older_vms=1 vms=3" },
   { "a build that knows no roll-outs", SPEC ("\"weight\":6400,\"rules\":1"), 1,
-    "event=builds_mixed lowest=1 highest=4 older_vms=1 vms=3" },
+    "event=builds_mixed lowest=1 highest=5 older_vms=1 vms=3" },
   { "a build that knows no copies", SPEC ("\"weight\":6400,\"rules\":2"), 1,
-    "event=builds_mixed lowest=2 highest=4 older_vms=1 vms=3" },
+    "event=builds_mixed lowest=2 highest=5 older_vms=1 vms=3" },
   { "a build that knows no rows", SPEC ("\"weight\":6400,\"rules\":3"), 1,
-    "event=builds_mixed lowest=3 highest=4 older_vms=1 vms=3" },
-  { "a newer build that says more", SPEC ("\"weight\":6400,\"rules\":5,\"mood\":{\"a\":[1]}"),
-    VMS, "event=builds_mixed lowest=4 highest=5 older_vms=2 vms=3" },
+    "event=builds_mixed lowest=3 highest=5 older_vms=1 vms=3" },
+  { "a build that knows few parts", SPEC ("\"weight\":6400,\"rules\":4"), 1,
+    "event=builds_mixed lowest=4 highest=5 older_vms=1 vms=3" },
+  { "a newer build that says more", SPEC ("\"weight\":6400,\"rules\":6,\"mood\":{\"a\":[1]}"),
+    VMS, "event=builds_mixed lowest=5 highest=6 older_vms=2 vms=3" },
   { "a number out of range", SPEC ("\"weight\":6400,\"rules\":1e15"), 1,
-    "event=builds_mixed lowest=0 highest=4 older_vms=1 vms=3" },
+    "event=builds_mixed lowest=0 highest=5 older_vms=1 vms=3" },
 };
 
 START_TEST (a_vm_of_another_build_is_known_and_logged_once)
@@ -98,10 +100,10 @@
 START_TEST (a_vm_that_is_replaced_under_its_name_is_known_anew)
 {
   Cluster *cluster = cluster_start (build);
-  write_vm (cluster, "POST", SPEC ("\"weight\":900000,\"rules\":4"));
+  write_vm (cluster, "POST", SPEC ("\"weight\":900000,\"rules\":5"));
   wait_for_metric (cluster, "dogwoodplank_vms", VMS + 1);
   g_usleep ((gulong)PASSED_OVER_MS * 1000);
-  write_vm (cluster, "PUT", SPEC ("\"weight\":900000,\"rules\":5"));
+  write_vm (cluster, "PUT", SPEC ("\"weight\":900000,\"rules\":6"));
   wait_for_metric (cluster, "dogwoodplank_older_vms", VMS);
   write_vm (cluster, "PUT", SPEC ("\"weight\":100"));
   wait_for_metric (cluster, "dogwoodplank_older_vms", 1);
--- a/tests/test_node_poison_part.c
+++ b/tests/test_node_poison_part.c
@@ -17,6 +17,15 @@
 #define SOUND_STEPS 3
 #define REQUESTS_AFTER 40
 
+/* Sixteen parts that begin with the same digit. */
+#define PARTS_8(digit, a, b, c, d, e, f, g, h)                                                 \
+  digit a ":9," digit b ":9," digit c ":9," digit d ":9," digit e ":9," digit f ":9," digit g  \
+          ":9," digit h ":9,"
+#define PARTS_16(digit)                                                                        \
+  PARTS_8 (digit, "0", "1", "2", "3", "4", "5", "6", "7")                                      \
+  PARTS_8 (digit, "8", "9", "a", "b", "c", "d", "e", "f")
+#define PARTS_64 PARTS_16 ("a") PARTS_16 ("b") PARTS_16 ("c") PARTS_16 ("d")
+
 static const char *build;
 
 typedef struct Load
@@ -34,6 +43,10 @@
     SOUND_STEPS },
   { "the other parts are in few sound requests", "5c1e07a2:60,91bd3f06:50,bad0bad0:5,%x:10",
     "5c1e07a2:60,91bd3f06:50,%x:10", 8 * SOUND_STEPS },
+  { "seventeenth of eighteen parts", PARTS_16 ("a") "bad0bad0:5,%x:10",
+    PARTS_16 ("a") "91bd3f06:5,%x:10", SOUND_STEPS },
+  { "sixty-fifth of 82 parts", PARTS_64 "bad0bad0:5," PARTS_16 ("e") "%x:10",
+    PARTS_64 "91bd3f06:5," PARTS_16 ("e") "%x:10", SOUND_STEPS },
 };
 
 static int
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -1,4 +1,5 @@
 /* Decoding of the objects in the platform's store, valid and malformed. */
+#include "core/key_set.h"
 #include "platform/config_rows.h"
 #include "platform/records.h"
 
@@ -725,15 +726,19 @@
 
 START_TEST (blocks_are_read_as_written)
 {
-  const DpSuspect state = { .key = 78, .is_blocked = TRUE, .joint = { 2, { 78, 79 } } };
+  DpSuspect state = { .key = 78, .is_blocked = TRUE, .joint = dp_key_set_new (2) };
+  dp_key_set_append (state.joint, 78);
+  dp_key_set_append (state.joint, 79);
   DpStorePage *page = read_written (dp_records_write_block (&state));
   DpSuspect read = { 0 };
   DpDiagnostics *diagnostics = dp_diagnostics_new ();
   ck_assert (dp_records_read_block (&g_array_index (page->objects, DpStoreObject, 0), &read,
                                     diagnostics));
   ck_assert_uint_eq (read.key, state.key);
-  ck_assert_uint_eq (read.joint.count, 2);
-  ck_assert_uint_eq (read.joint.keys[1], 79);
+  ck_assert_uint_eq (dp_key_set_count (read.joint), 2);
+  ck_assert_uint_eq (dp_key_set_get (read.joint, 1), 79);
+  dp_suspect_clear (&read);
+  dp_suspect_clear (&state);
   dp_diagnostics_unref (diagnostics);
   dp_store_page_free (page);
 }
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -1,4 +1,5 @@
 /* Which requests and parts of prompts are blocked after targets have crashed. */
+#include "core/key_set.h"
 #include "core/suspects.h"
 
 #include <check.h>
@@ -235,13 +236,14 @@
     0 },
 };
 
-static DpSuspectKeys
+/* Keys of parts. */
+static GArray *
 make_keys (guint mask)
 {
-  DpSuspectKeys keys = { 0 };
+  GArray *keys = dp_key_set_new (KEYS);
   for (guint i = 0; i < KEYS; i++)
     if (mask & (1u << i))
-      keys.keys[keys.count++] = i + 1;
+      dp_key_set_append (keys, 2 * i + 1);
   return keys;
 }
 
@@ -254,7 +256,7 @@
 } Play;
 
 static void
-play_crash (Play *play, const DpSuspectKeys *keys)
+play_crash (Play *play, const GArray *keys)
 {
   dp_suspects_record_failure (play->table, keys, play->target, play->now - 100 * MSEC,
                               play->now, play->changed);
@@ -263,23 +265,23 @@
 static void
 play_step (Play *play, const SuspectCase *row, const Step *step)
 {
-  const DpSuspectKeys keys = make_keys (step->value);
+  GArray *keys = make_keys (step->value);
   DpSuspect state;
   switch (step->type)
     {
     case STEP_CRASH:
       play->target++;
-      play_crash (play, &keys);
+      play_crash (play, keys);
       break;
     case STEP_CRASH2:
-      play_crash (play, &keys);
+      play_crash (play, keys);
       break;
     case STEP_CRASH_OF_FIRST:
-      dp_suspects_record_failure (play->table, &keys, 1, play->now - 100 * MSEC, play->now,
+      dp_suspects_record_failure (play->table, keys, 1, play->now - 100 * MSEC, play->now,
                                   play->changed);
       break;
     case STEP_SERVED:
-      dp_suspects_record_served (play->table, &keys, play->now, play->now, play->changed);
+      dp_suspects_record_served (play->table, keys, play->now, play->now, play->changed);
       break;
     case STEP_WAIT:
       play->now += step->value * MSEC;
@@ -287,18 +289,20 @@
       break;
     case STEP_TRIAL:
     case STEP_NO_TRIAL:
-      ck_assert_msg (dp_suspects_blocks (play->table, &keys, play->now, NULL), "%s", row->name);
-      ck_assert_msg (dp_suspects_begin_trial (play->table, &keys, play->now, play->changed)
+      ck_assert_msg (dp_suspects_blocks (play->table, keys, play->now, NULL), "%s", row->name);
+      ck_assert_msg (dp_suspects_begin_trial (play->table, keys, play->now, play->changed)
                        == (step->type == STEP_TRIAL),
                      "%s", row->name);
       break;
     case STEP_REPEAT:
-      state = dp_suspects_state (play->table, keys.keys[0], play->now);
+      state = dp_suspects_state (play->table, dp_key_set_get (keys, 0), play->now);
       dp_suspects_merge (play->table, &state, play->now);
+      dp_suspect_clear (&state);
       break;
     case STEP_END:
       break;
     }
+  g_array_unref (keys);
 }
 
 START_TEST (only_what_crashes_targets_is_blocked)
@@ -318,14 +322,16 @@
     play_step (&play, row, &row->steps[i]);
   for (guint i = 0; i < KEYS; i++)
     {
-      const DpSuspectKeys key = make_keys (1u << i);
-      gboolean blocks = dp_suspects_blocks (play.table, &key, play.now, NULL);
+      GArray *key = make_keys (1u << i);
+      gboolean blocks = dp_suspects_blocks (play.table, key, play.now, NULL);
+      g_array_unref (key);
       ck_assert_msg (blocks == ((row->blocked & (1u << i)) != 0), "%s: key %u", row->name, i);
     }
-  const DpSuspectKeys together = make_keys (row->together);
-  ck_assert_msg (dp_suspects_blocks (play.table, &together, play.now, NULL)
+  GArray *together = make_keys (row->together);
+  ck_assert_msg (dp_suspects_blocks (play.table, together, play.now, NULL)
                    == (row->together != 0),
                  "%s: together", row->name);
+  g_array_unref (together);
   g_array_unref (play.changed);
   dp_suspects_free (play.table);
 }
@@ -340,23 +346,173 @@
                                      .rows_max = 1 };
   DpSuspectTable *first = dp_suspects_new (&options);
   DpSuspectTable *second = dp_suspects_new (&options);
-  const DpSuspectKeys key = make_keys (POISON);
+  GArray *key = make_keys (POISON);
   GArray *changed = g_array_new (FALSE, FALSE, sizeof (guint64));
-  dp_suspects_record_failure (first, &key, 1, START - 1, START, changed);
+  dp_suspects_record_failure (first, key, 1, START - 1, START, changed);
   ck_assert_uint_eq (changed->len, 1);
-  DpSuspect state = dp_suspects_state (first, key.keys[0], START);
+  DpSuspect state = dp_suspects_state (first, dp_key_set_get (key, 0), START);
   ck_assert (dp_suspects_merge (second, &state, START));
   ck_assert (!dp_suspects_merge (second, &state, START));
-  ck_assert (dp_suspects_blocks (second, &key, START, NULL));
-  const DpSuspectKeys other = make_keys (OTHER);
-  dp_suspects_record_failure (second, &other, 1, START - 1, START, changed);
+  ck_assert (dp_suspects_blocks (second, key, START, NULL));
+  GArray *other = make_keys (OTHER);
+  dp_suspects_record_failure (second, other, 1, START - 1, START, changed);
   ck_assert_uint_eq (dp_suspects_count (second), 1);
   g_array_set_size (changed, 0);
-  dp_suspects_record_served (first, &key, START, START, changed);
+  dp_suspects_record_served (first, key, START, START, changed);
   ck_assert_uint_eq (changed->len, 1);
-  state = dp_suspects_state (first, key.keys[0], START);
+  state = dp_suspects_state (first, dp_key_set_get (key, 0), START);
   dp_suspects_merge (second, &state, START);
-  ck_assert (!dp_suspects_blocks (second, &key, START, NULL));
+  ck_assert (!dp_suspects_blocks (second, key, START, NULL));
+  g_array_unref (other);
+  g_array_unref (key);
+  g_array_unref (changed);
+  dp_suspects_free (first);
+  dp_suspects_free (second);
+}
+END_TEST
+
+/* --- prompts of many parts --- */
+
+/* Requests share all parts but the guilty one, which sound ones have another part for. */
+typedef struct PartsCase
+{
+  const char *name;
+  guint parts;         /* that requests share */
+  guint guilty;        /* place of the guilty one among them */
+  gboolean are_served; /* sound requests are, before and between the crashes */
+  gboolean is_served;  /* the guilty part was, long before */
+  guint other_crashes; /* of targets that run sound requests */
+  guint rows_max;
+  gboolean finds_part; /* else: no sound request may be blocked, that is all */
+} PartsCase;
+
+static const PartsCase parts_cases[] = {
+  { "one part", 1, 0, TRUE, FALSE, 0, 8192, TRUE },
+  { "15 parts, the last", 15, 14, TRUE, FALSE, 0, 8192, TRUE },
+  { "16 parts, the last", 16, 15, TRUE, FALSE, 0, 8192, TRUE },
+  { "17 parts, the first", 17, 0, TRUE, FALSE, 0, 8192, TRUE },
+  { "17 parts, the last", 17, 16, TRUE, FALSE, 0, 8192, TRUE },
+  { "60 parts, in the middle", 60, 30, TRUE, FALSE, 0, 8192, TRUE },
+  { "400 parts, the last", 400, 399, TRUE, FALSE, 0, 8192, TRUE },
+  { "2,000 parts, the last", 2000, 1999, TRUE, FALSE, 0, 8192, TRUE },
+  { "60 parts, sound requests come later", 60, 59, FALSE, FALSE, 0, 8192, TRUE },
+  { "400 parts, sound requests come later", 400, 399, FALSE, FALSE, 0, 8192, TRUE },
+  { "60 parts, the guilty one was harmless", 60, 59, TRUE, TRUE, 0, 8192, TRUE },
+  { "17 parts, targets crash for other reasons", 17, 16, TRUE, FALSE, 2, 8192, TRUE },
+  { "400 parts, targets crash for other reasons", 400, 200, TRUE, FALSE, 2, 8192, TRUE },
+  { "60 parts, room for 20", 60, 59, TRUE, FALSE, 0, 20, FALSE },
+  { "60 parts, room for 20, sound requests come later", 60, 0, FALSE, FALSE, 0, 20, FALSE },
+};
+
+#define PARTS_KEY_SOUND G_GUINT64_CONSTANT (0xffff1)
+
+/* `number` makes the request's own key differ from those of others. */
+static GArray *
+make_prompt (const PartsCase *row, gboolean is_sound, guint number)
+{
+  GArray *keys = dp_key_set_new (row->parts + 1);
+  dp_key_set_append (keys, (guint64)(number + 1) << 32);
+  for (guint i = 0; i < row->parts; i++)
+    dp_key_set_append (keys,
+                       is_sound && i == row->guilty ? PARTS_KEY_SOUND : 2 * (guint64)i + 1);
+  dp_key_set_complete (keys);
+  return keys;
+}
+
+static void
+play_prompt (Play *play, const PartsCase *row, gboolean is_sound, gboolean crashes)
+{
+  GArray *keys = make_prompt (row, is_sound, (guint)(play->now / MSEC));
+  play->now += 200 * MSEC;
+  if (dp_suspects_blocks (play->table, keys, play->now, NULL))
+    ck_assert_msg (!is_sound, "%s: a sound request is blocked", row->name);
+  else if (crashes)
+    {
+      play->target++;
+      play_crash (play, keys);
+    }
+  else
+    dp_suspects_record_served (play->table, keys, play->now, play->now, play->changed);
+  g_array_unref (keys);
+}
+
+START_TEST (one_of_many_parts_is_found_and_no_other_is_blamed)
+{
+  const PartsCase *row = &parts_cases[_i];
+  const DpSuspectOptions options = { .failures_max = 3,
+                                     .failures_max_served = 5,
+                                     .served_duration = 60 * SEC,
+                                     .block_duration = 60 * SEC,
+                                     .trials_max = 2,
+                                     .memory_duration = 600 * SEC,
+                                     .rows_max = row->rows_max };
+  Play play = { .table = dp_suspects_new (&options),
+                .now = START,
+                .changed = g_array_new (FALSE, FALSE, sizeof (guint64)) };
+  if (row->is_served)
+    play_prompt (&play, row, FALSE, FALSE);
+  for (guint i = 0; i < 6; i++)
+    {
+      if (row->are_served)
+        play_prompt (&play, row, TRUE, FALSE);
+      if (i < row->other_crashes)
+        play_prompt (&play, row, TRUE, TRUE);
+      play_prompt (&play, row, FALSE, TRUE);
+    }
+  GArray *guilty = make_prompt (row, FALSE, 0);
+  ck_assert_msg (dp_suspects_blocks (play.table, guilty, play.now, NULL) == row->finds_part,
+                 "%s", row->name);
+  play_prompt (&play, row, TRUE, FALSE);
+  ck_assert_msg (dp_suspects_blocks (play.table, guilty, play.now, NULL) == row->finds_part,
+                 "%s: after a sound request", row->name);
+  ck_assert_uint_le (dp_suspects_count (play.table), row->rows_max);
+  /* Another VM that is told of the blocks refuses the same requests. */
+  DpSuspectTable *other = dp_suspects_new (&options);
+  GArray *blocked = g_array_new (FALSE, FALSE, sizeof (guint64));
+  dp_suspects_list_blocked (play.table, blocked);
+  for (guint i = 0; i < blocked->len; i++)
+    {
+      DpSuspect state
+        = dp_suspects_state (play.table, g_array_index (blocked, guint64, i), play.now);
+      dp_suspects_merge (other, &state, play.now);
+      dp_suspect_clear (&state);
+    }
+  ck_assert_msg (dp_suspects_blocks (other, guilty, play.now, NULL) == row->finds_part,
+                 "%s: at another VM", row->name);
+  g_array_unref (blocked);
+  g_array_unref (guilty);
+  g_array_unref (play.changed);
+  dp_suspects_free (other);
+  dp_suspects_free (play.table);
+}
+END_TEST
+
+/* A VM must report responses to requests with any of the parts: they narrow the block. */
+START_TEST (a_joint_block_is_known_by_each_of_its_parts)
+{
+  const DpSuspectOptions options = { .failures_max = 1,
+                                     .failures_max_served = 1,
+                                     .block_duration = SEC,
+                                     .memory_duration = SEC,
+                                     .rows_max = 8 };
+  DpSuspectTable *first = dp_suspects_new (&options);
+  DpSuspectTable *second = dp_suspects_new (&options);
+  GArray *keys = make_keys (TOPIC | POISON | OTHER);
+  GArray *changed = g_array_new (FALSE, FALSE, sizeof (guint64));
+  dp_suspects_record_failure (first, keys, 1, START - 1, START, changed);
+  DpSuspect state = dp_suspects_state (first, dp_key_set_get (keys, 0), START);
+  ck_assert (dp_suspects_merge (second, &state, START));
+  dp_suspect_clear (&state);
+  ck_assert_uint_eq (dp_suspects_count (second), keys->len);
+  for (guint i = 0; i < KEYS; i++)
+    {
+      GArray *key = make_keys (1u << i);
+      ck_assert (dp_suspects_includes_any (second, key) == ((1u << i) != COMMON));
+      ck_assert (!dp_suspects_blocks (second, key, START, NULL));
+      g_array_unref (key);
+    }
+  ck_assert (dp_suspects_blocks (second, keys, START, NULL));
+  g_array_unref (keys);
   g_array_unref (changed);
   dp_suspects_free (first);
   dp_suspects_free (second);
@@ -369,6 +525,9 @@
   TCase *tests = tcase_create ("suspects");
   tcase_add_loop_test (tests, only_what_crashes_targets_is_blocked, 0, G_N_ELEMENTS (cases));
   tcase_add_test (tests, a_block_and_its_end_reach_other_vms);
+  tcase_add_test (tests, a_joint_block_is_known_by_each_of_its_parts);
+  tcase_add_loop_test (tests, one_of_many_parts_is_found_and_no_other_is_blamed, 0,
+                       G_N_ELEMENTS (parts_cases));
   Suite *suite = suite_create ("suspects");
   suite_add_tcase (suite, tests);
   SRunner *runner = srunner_create (suite);
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -171,6 +171,71 @@
 }
 END_TEST
 
+/* --- texts of versions --- */
+
+/* 63 bytes, as long as a label. */
+#define TEXT_63 "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcde"
+
+typedef struct TextCase
+{
+  const char *first;
+  const char *second;
+  gboolean are_equal;
+} TextCase;
+
+static const TextCase text_cases[] = {
+  { "v1", "v1", TRUE },
+  { "v1", "v2", FALSE },
+  { TEXT_63, TEXT_63, TRUE },
+  { TEXT_63, TEXT_63 "f", FALSE },
+  { TEXT_63 "f", TEXT_63 "f", TRUE },
+  { TEXT_63 "f", TEXT_63 "g", FALSE },
+  { TEXT_63 TEXT_63 "f", TEXT_63 TEXT_63 "g", FALSE },
+  { "v1,v2", "v1", FALSE },
+  { "\u00e9", "\u00e8", FALSE },
+};
+
+START_TEST (versions_are_compared_by_their_whole_texts)
+{
+  const TextCase *row = &text_cases[_i];
+  const DpSoftwareVersion first = dp_software_version (row->first);
+  const DpSoftwareVersion second = dp_software_version (row->second);
+  ck_assert_uint_ne (dp_software_version_name (&first), 0);
+  ck_assert ((dp_software_version_name (&first) == dp_software_version_name (&second))
+             == row->are_equal);
+  /* A build that states no hash leaves out texts that its label can't hold. */
+  const DpSoftwareVersion older = { .label = "v1" };
+  ck_assert_uint_eq (dp_software_version_name (&older), dp_name ("v1"));
+}
+END_TEST
+
+typedef struct BindingCase
+{
+  DpVersionBinding binding;
+  gboolean allows_own;      /* version 7 */
+  gboolean allows_other;    /* version 8 */
+  gboolean allows_unstated; /* a target that states none */
+} BindingCase;
+
+static const BindingCase binding_cases[] = {
+  { { DP_VERSION_BINDING_FREE, 0 }, TRUE, TRUE, TRUE },
+  { { DP_VERSION_BINDING_ONLY, 7 }, TRUE, FALSE, FALSE },
+  { { DP_VERSION_BINDING_NOWHERE, 0 }, FALSE, FALSE, FALSE },
+};
+
+START_TEST (a_stream_goes_on_only_where_its_binding_allows)
+{
+  const BindingCase *row = &binding_cases[_i];
+  ck_assert (dp_version_binding_allows (&row->binding, 7) == row->allows_own);
+  ck_assert (dp_version_binding_allows (&row->binding, 8) == row->allows_other);
+  ck_assert (dp_version_binding_allows (&row->binding, 0) == row->allows_unstated);
+  ck_assert_int_eq (dp_version_binding_begun_at (7).type, DP_VERSION_BINDING_ONLY);
+  ck_assert_int_eq (dp_version_binding_begun_at (0).type, DP_VERSION_BINDING_NOWHERE);
+}
+END_TEST
+
+/* --- streams --- */
+
 START_TEST (versions_of_streams_are_kept_for_their_lifetime)
 {
   const DpVersionsOptions options = { .stream_lifetime = LIFETIME, .streams_max = 2 };
@@ -309,6 +374,10 @@
   TCase *tests = tcase_create ("versions");
   tcase_add_loop_test (tests, streams_may_have_been_begun_by_any_recent_version, 0,
                        G_N_ELEMENTS (history_cases));
+  tcase_add_loop_test (tests, versions_are_compared_by_their_whole_texts, 0,
+                       G_N_ELEMENTS (text_cases));
+  tcase_add_loop_test (tests, a_stream_goes_on_only_where_its_binding_allows, 0,
+                       G_N_ELEMENTS (binding_cases));
   tcase_add_test (tests, versions_of_streams_are_kept_for_their_lifetime);
   tcase_add_loop_test (tests, a_stream_is_placed_at_its_version_only, 0,
                        G_N_ELEMENTS (placement_cases));
