node: a version is in the stored list before it begins streams

The list of a pool's versions was written up to a second after a version had registered, and read as complete after a restart of all VMs. If all VMs and the new targets' entries were lost within that second, streams of the new version would have gone on at the old one, without any restore. Two VMs that took themselves for the owner could also overwrite each other's lists.

Change: a version that a complete list leaves out begins no streams until it is listed, for two seconds at most. The VM that dispatches writes the list at once, on condition of its revision; one that doesn't know the list reads it first. A reading that began before a gap no longer counts as one after it.

--- a/core/dispatcher/dispatcher.c
+++ b/core/dispatcher/dispatcher.c
@@ -499,6 +499,7 @@
     {
     case DP_MESSAGE_GRANT_ASK:
       dp_dispatch_record_use_as_owner (dispatcher);
+      dispatcher->was_asked_with_held = dispatcher->held > 0;
       on_request (dispatcher, from, &message->grant_ask);
       break;
     case DP_MESSAGE_GRANT_PROGRESS:
@@ -628,6 +629,30 @@
     }
 }
 
+/* Versions that were not stored in time begin streams all the same, so that this must be called
+ * again while a target is held. */
+static void
+update_held_targets (DpDispatcher *dispatcher)
+{
+  const DpVersions *versions = dispatcher->options.versions;
+  dispatcher->held = 0;
+  for (DpHandle at = dp_table_next (dispatcher->targets, 0); at != 0 && versions != NULL;
+       at = dp_table_next (dispatcher->targets, at))
+    {
+      DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
+      target->is_held = !dp_versions_may_begin (versions, dispatcher->options.pool,
+                                                target->version, dispatcher->now);
+      dispatcher->held += target->is_held;
+    }
+  dispatcher->was_asked_with_held = dispatcher->was_asked_with_held && dispatcher->held > 0;
+}
+
+gboolean
+dp_dispatcher_awaits_version (const DpDispatcher *dispatcher)
+{
+  return dispatcher->held > 0 && dispatcher->was_asked_with_held;
+}
+
 void
 dp_dispatcher_set_targets (DpDispatcher *dispatcher,
                            const DpDirectory *directory,
@@ -652,6 +677,7 @@
       dp_dispatch_set_capacity (dispatcher, target, row);
       dp_dispatch_set_limit (dispatcher, target, row);
     }
+  update_held_targets (dispatcher);
   dp_dispatch_update_rollout (dispatcher, TRUE);
   assign_waiting (dispatcher);
   dp_dispatch_announce_limits (dispatcher);
@@ -696,6 +722,8 @@
   begin_call (dispatcher, now, outbox);
   dp_dispatch_expire_entries (dispatcher);
   dp_dispatch_check_timeouts (dispatcher);
+  if (dispatcher->held > 0)
+    update_held_targets (dispatcher);
   dp_dispatch_update_rollout (dispatcher, FALSE);
   dp_dispatch_update_capacities (dispatcher);
   assign_waiting (dispatcher);
--- a/core/dispatcher/dispatcher.h
+++ b/core/dispatcher/dispatcher.h
@@ -19,6 +19,7 @@
 #include "core/directory.h"
 #include "core/message.h"
 #include "core/rollout/rollout.h"
+#include "core/versions.h"
 
 #include <glib.h>
 
@@ -43,6 +44,8 @@
    * has slots: more could not run, and each takes one of the target's connections. It gets none
    * for a moment after it rejected one. */
   gboolean bounds_own_requests;
+  /* Tells which versions may begin streams; NULL: all. Must outlive the dispatcher. */
+  const DpVersions *versions;
   DpCounters *counters; /* a reference is taken */
 } DpDispatcherOptions;
 
@@ -70,6 +73,9 @@
                                 DpUsec now,
                                 GArray *outbox);
 
+/* TRUE if requests have come while a target's version may begin no streams yet. */
+gboolean dp_dispatcher_awaits_version (const DpDispatcher *dispatcher);
+
 /* Changes whether this VM may own the pool. */
 void dp_dispatcher_set_shared (DpDispatcher *dispatcher, gboolean is_shared);
 /* While the pool is short of capacity (core/shared_mode/shared_mode.h) its owner assigns by
--- a/core/versions.c
+++ b/core/versions.c
@@ -1,8 +1,11 @@
 #include "core/versions.h"
 
+#include "core/key_set.h"
+
 typedef struct Observation
 {
   DpSoftwareVersion version;
+  DpUsec first_seen_at;
   DpUsec seen_at; /* last time */
 } Observation;
 
@@ -10,12 +13,16 @@
 {
   GArray *observations; /* Observation */
   gboolean is_complete;
+  /* Set of the versions in the store's list; NULL: it was not read, or there was none that a VM
+   * which starts would take for complete. */
+  GArray *stored;
 } Pool;
 
 struct DpVersions
 {
   DpVersionsOptions options;
   GHashTable *pools;    /* DpName -> Pool */
+  DpUsec lists_read_at; /* time at which the last reading of all lists began; 0: none */
   DpRecentMap *streams; /* stream -> DpName: its version */
 };
 
@@ -24,6 +31,7 @@
 {
   Pool *pool = data;
   g_array_unref (pool->observations);
+  g_clear_pointer (&pool->stored, g_array_unref);
   g_free (pool);
 }
 
@@ -102,7 +110,7 @@
       row->seen_at = now;
       return;
     }
-  Observation row = { .version = *version, .seen_at = now };
+  Observation row = { .version = *version, .first_seen_at = now, .seen_at = now };
   row.version.name = name;
   g_array_append_val (pool->observations, row);
 }
@@ -112,11 +120,40 @@
 {
   versions->options.started_at = now;
   versions->options.is_first_start = FALSE;
+  versions->lists_read_at = 0;
   GHashTableIter iter;
   gpointer pool;
   g_hash_table_iter_init (&iter, versions->pools);
   while (g_hash_table_iter_next (&iter, NULL, &pool))
-    ((Pool *)pool)->is_complete = FALSE;
+    {
+      ((Pool *)pool)->is_complete = FALSE;
+      g_clear_pointer (&((Pool *)pool)->stored, g_array_unref);
+    }
+}
+
+void
+dp_versions_set_read (DpVersions *versions, DpUsec began_at)
+{
+  versions->lists_read_at = began_at;
+}
+
+void
+dp_versions_set_stored (DpVersions *versions,
+                        DpName pool_name,
+                        const DpVersionList *list,
+                        guint64 store_era)
+{
+  Pool *pool = ensure_pool (versions, pool_name);
+  g_clear_pointer (&pool->stored, g_array_unref);
+  if (list->era != store_era)
+    return;
+  pool->stored = dp_key_set_new (list->versions->len);
+  for (guint i = 0; i < list->versions->len; i++)
+    {
+      const DpSoftwareVersion *version = &g_array_index (list->versions, DpSoftwareVersion, i);
+      dp_key_set_append (pool->stored, dp_software_version_name (version));
+    }
+  dp_key_set_complete (pool->stored);
 }
 
 gboolean
@@ -126,12 +163,32 @@
   for (guint i = 0; i < list->versions->len; i++)
     dp_versions_observe (versions, pool, &g_array_index (list->versions, DpSoftwareVersion, i),
                          now);
+  dp_versions_set_stored (versions, pool, list, store_era);
   if (list->era != store_era)
     return FALSE;
   ensure_pool (versions, pool)->is_complete = TRUE;
   return TRUE;
 }
 
+gboolean
+dp_versions_may_begin (const DpVersions *versions, DpName pool_name, DpName version, DpUsec now)
+{
+  const Pool *pool = g_hash_table_lookup (versions->pools, &pool_name);
+  /* A stream that begins at a target without a version goes on nowhere else. */
+  if (pool == NULL || version == 0 || dp_key_set_contains (pool->stored, version))
+    return TRUE;
+  for (guint i = 0; i < pool->observations->len; i++)
+    {
+      const Observation *row = &g_array_index (pool->observations, Observation, i);
+      if (row->version.name != version)
+        continue;
+      gboolean is_list_absent
+        = pool->stored == NULL && versions->lists_read_at >= row->first_seen_at;
+      return is_list_absent || now - row->first_seen_at > DP_VERSION_HOLD_MAX;
+    }
+  return FALSE;
+}
+
 static gboolean
 is_complete (const DpVersions *versions, const Pool *pool, DpUsec now)
 {
--- a/core/versions.h
+++ b/core/versions.h
@@ -2,13 +2,22 @@
  *
  * What two versions write doesn't fit together, so a stream may go on only at the version that
  * began it. While a single version has served a pool for as long as streams last, it began all
- * of them. Otherwise the version has to be recorded for each stream. No I/O.
+ * of them. Otherwise the version has to be recorded for each stream.
+ *
+ * After the loss of all VMs, the list in the store has to name every version that may have
+ * begun a stream. So a version that a complete list leaves out begins none until it was written
+ * there. No I/O.
  */
 #pragma once
 
 #include "core/directory.h"
 #include "core/recent_map.h"
 
+/* Longest time that a version begins no streams because the list can't be written. After that,
+ * streams that it began may be joined if all VMs and all of its targets are lost before the
+ * list is written. */
+#define DP_VERSION_HOLD_MAX (2 * DP_USEC_PER_SEC)
+
 typedef struct DpVersionsOptions
 {
   DpUsec
@@ -47,6 +56,17 @@
  * have begun streams, too. */
 gboolean dp_versions_apply_list (
   DpVersions *versions, DpName pool, const DpVersionList *list, guint64 store_era, DpUsec now);
+/* The list was written to the store in its era `store_era`. */
+void dp_versions_set_stored (DpVersions *versions,
+                             DpName pool,
+                             const DpVersionList *list,
+                             guint64 store_era);
+/* All lists in the store were read, from `began_at` on. */
+void dp_versions_set_read (DpVersions *versions, DpUsec began_at);
+/* FALSE if a target of the version may begin no stream yet: a list that a VM would take for
+ * complete leaves the version out, or may by now, as far as this VM has read. */
+gboolean
+dp_versions_may_begin (const DpVersions *versions, DpName pool, DpName version, DpUsec now);
 /* Returns the only version that can have begun a stream of the pool; 0 if there may be several,
  * or if its targets don't state theirs. */
 DpName dp_versions_single (const DpVersions *versions, DpName pool, DpUsec now);
--- a/node/main.c
+++ b/node/main.c
@@ -187,7 +187,6 @@
           node->settings->process.data_centre, "version", DP_VERSION, "rules",
           G_STRINGIFY (DP_RULES_LEVEL), NULL);
   dp_store_watch_start (node->store_watch);
-  dp_stream_versions_start (node->stream_versions);
   dp_node_quarantine_start (node);
   dp_process_run (node->process);
   dp_log (DP_LOG_NOTICE, "stopped", "vm", node->settings->process.name, NULL);
--- a/node/node.h
+++ b/node/node.h
@@ -400,6 +400,8 @@
 guint64 dp_stored_list_era (const DpStoredList *list);
 /* TRUE if all objects were read since the last start. */
 gboolean dp_stored_list_is_read (const DpStoredList *list);
+/* Time at which the last complete reading began; 0: none yet. */
+DpUsec dp_stored_list_read_from (const DpStoredList *list);
 
 /* --- registration.c --- */
 
@@ -587,7 +589,6 @@
 DpStreamVersions *dp_stream_versions_new (DpNode *node);
 void dp_stream_versions_free (DpStreamVersions *versions);
 DpVersions *dp_stream_versions_table (const DpNode *node);
-void dp_stream_versions_start (DpStreamVersions *versions);
 void dp_stream_versions_tick (DpNode *node, DpUsec now);
 void dp_stream_versions_set_manifest (DpNode *node);
 /* The directory has changed. */
--- a/node/placement.c
+++ b/node/placement.c
@@ -72,6 +72,7 @@
         .is_shared = pool->is_shared,
         .capacity = node->params.target_capacity,
         .bounds_own_requests = pool->mode != NULL,
+        .versions = pool->kind == DP_POOL_ENGINES ? dp_stream_versions_table (node) : NULL,
         .counters = node->counters };
   pool->dispatcher = dp_dispatcher_new (&options);
   dp_retry_budget_init (&pool->budget, node->params.retry_ratio, node->params.retry_window);
--- a/node/stored_list.c
+++ b/node/stored_list.c
@@ -18,7 +18,11 @@
   struct event *timer;
   char *after; /* name of the last object of the last page; NULL: the first page is next */
   gboolean is_read;
-  guint64 era; /* of the store, in the last response */
+  DpUsec began_at;  /* the reading in progress */
+  DpUsec read_from; /* beginning of the last complete one */
+  gboolean is_calling;
+  gboolean is_outdated; /* the call in progress began before the last start */
+  guint64 era;          /* of the store, in the last response */
 };
 
 static void
@@ -57,6 +61,13 @@
 on_page (const DpPlatformReply *reply, gpointer data)
 {
   DpStoredList *list = data;
+  list->is_calling = FALSE;
+  if (list->is_outdated)
+    {
+      list->is_outdated = FALSE;
+      schedule (list, 0);
+      return;
+    }
   DpStorePage *page = read_page (list, reply);
   const char *last = page != NULL ? dp_store_page_last_name (page) : NULL;
   if (page != NULL && !page->is_last && (last == NULL || g_strcmp0 (last, list->after) == 0))
@@ -72,6 +83,8 @@
   for (guint i = 0; i < page->objects->len; i++)
     apply_object (list, &g_array_index (page->objects, DpStoreObject, i));
   list->is_read = page->is_last;
+  if (page->is_last)
+    list->read_from = list->began_at;
   if (!page->is_last)
     {
       g_free (list->after);
@@ -89,6 +102,9 @@
                                 .path = list->kind,
                                 .after = list->after,
                                 .timeout = CALL_TIMEOUT };
+  list->is_calling = TRUE;
+  if (list->after == NULL)
+    list->began_at = dp_node_now ();
   dp_platform_client_call (list->node->store, &call, on_page, list);
 }
 
@@ -108,7 +124,9 @@
 {
   g_clear_pointer (&list->after, g_free);
   list->is_read = FALSE;
-  schedule (list, 0);
+  list->is_outdated = list->is_calling;
+  if (!list->is_calling)
+    schedule (list, 0);
 }
 
 guint64
@@ -123,6 +141,12 @@
   return list->is_read;
 }
 
+DpUsec
+dp_stored_list_read_from (const DpStoredList *list)
+{
+  return list->read_from;
+}
+
 void
 dp_stored_list_free (DpStoredList *list)
 {
--- a/node/stream_versions.c
+++ b/node/stream_versions.c
@@ -20,6 +20,8 @@
 /* A caller may have begun to wait before the request that brought its first event. */
 #define STREAM_LIFETIME_FACTOR 2
 #define TICK_INTERVAL DP_USEC_PER_SEC
+#define WRITE_RETRY_DELAY (300 * DP_USEC_PER_MSEC)
+#define READ_INTERVAL (100 * DP_USEC_PER_MSEC)
 #define CALL_TIMEOUT (500 * DP_USEC_PER_MSEC)
 
 struct DpStreamVersions
@@ -27,8 +29,10 @@
   DpNode *node;
   DpVersions *table;
   DpStoredList *stored;
+  gboolean has_begun; /* to read what is stored */
   gboolean is_writing;
   DpUsec ticked_at;
+  DpUsec read_from;  /* beginning of the last reading of the stored lists; 0: none */
   DpUsec contact_at; /* the list of targets was last confirmed; 0: never */
   /* check of the list of targets */
   gboolean is_checking;
@@ -36,10 +40,24 @@
   guint64 check_era;
   DpName written_pool;     /* of the write in progress */
   DpVersionList written;   /* of the write in progress */
-  GHashTable *known_lists; /* DpName -> GArray of DpSoftwareVersion: a pool's list in the store,
-                            * unless it is of an older era */
+  GHashTable *known_lists; /* DpName -> KnownList: a pool's list in the store */
 };
 
+typedef struct KnownList
+{
+  GArray *versions;    /* DpSoftwareVersion */
+  gboolean is_current; /* of the store's present era */
+  guint64 revision;    /* of the object; 0: not known */
+} KnownList;
+
+static void
+known_list_free (gpointer data)
+{
+  KnownList *known = data;
+  g_array_unref (known->versions);
+  g_free (known);
+}
+
 /* --- gaps --- */
 
 /* The list of targets was confirmed: its versions are read from the store again if some may
@@ -122,16 +140,24 @@
 
 /* --- versions of pools --- */
 
+static void store_lists (DpStreamVersions *versions, DpUsec now);
+
 void
 dp_stream_versions_observe (DpNode *node)
 {
+  DpStreamVersions *versions = node->stream_versions;
   DpUsec now = dp_node_now ();
   DpHandle at = 0;
   const DpDirectoryRow *row;
-  record_contact (node->stream_versions, dp_directory_last_contact_at (node->directory));
+  record_contact (versions, dp_directory_last_contact_at (node->directory));
   while ((row = dp_directory_next (node->directory, &at)) != NULL)
-    dp_versions_observe (node->stream_versions->table, row->pool, &row->record.version, now);
+    dp_versions_observe (versions->table, row->pool, &row->record.version, now);
+  /* Not before, so that the lists are as new as what this VM knows of targets. */
+  if (!versions->has_begun && versions->contact_at != 0)
+    dp_stored_list_start (versions->stored);
+  versions->has_begun = versions->contact_at != 0;
   dp_node_copies_update (node, now);
+  store_lists (versions, now);
 }
 
 void
@@ -167,38 +193,84 @@
 }
 
 static void
-set_known_list (DpStreamVersions *versions, DpName pool, GArray *list)
+log_list (const char *name, const DpVersionList *list, guint64 era, gboolean is_complete)
 {
-  g_hash_table_insert (versions->known_lists, g_memdup2 (&pool, sizeof pool),
-                       g_array_ref (list));
+  char written_era[24], read_era[24];
+  char *text = join_labels (list->versions);
+  g_snprintf (written_era, sizeof written_era, "%" G_GUINT64_FORMAT, list->era);
+  g_snprintf (read_era, sizeof read_era, "%" G_GUINT64_FORMAT, era);
+  dp_log (DP_LOG_NOTICE, "stored_versions", "pool", name, "versions", text, "written_era",
+          written_era, "store_era", read_era, "complete", is_complete ? "yes" : "no", NULL);
+  g_free (text);
 }
 
+/* Applies a list that was read from the store in its era `era`. */
 static void
-on_stored (DpNode *node, const DpStoreObject *object, DpDiagnostics *diagnostics)
+apply_object (DpStreamVersions *versions,
+              const DpStoreObject *object,
+              guint64 era,
+              DpDiagnostics *diagnostics)
 {
-  DpStreamVersions *versions = node->stream_versions;
   DpUsec now = dp_node_now ();
-  guint64 era = dp_stored_list_era (versions->stored);
   DpName pool;
   DpVersionList list;
   if (!dp_records_read_versions (object, &pool, &list, diagnostics))
     return;
   gboolean is_complete = dp_versions_apply_list (versions->table, pool, &list, era, now);
-  dp_node_copies_update (node, now);
-  char *text = join_labels (list.versions);
-  if (is_complete)
-    set_known_list (versions, pool, list.versions);
-  char written_era[24], read_era[24];
-  g_snprintf (written_era, sizeof written_era, "%" G_GUINT64_FORMAT, list.era);
-  g_snprintf (read_era, sizeof read_era, "%" G_GUINT64_FORMAT, era);
-  dp_log (DP_LOG_NOTICE, "stored_versions", "pool", object->name, "versions", text,
-          "written_era", written_era, "store_era", read_era, "complete",
-          is_complete ? "yes" : "no", NULL);
-  g_free (text);
-  g_array_unref (list.versions);
+  dp_node_copies_update (versions->node, now);
+  log_list (object->name, &list, era, is_complete);
+  KnownList *known = g_new0 (KnownList, 1);
+  *known = (KnownList){ .versions = list.versions,
+                        .is_current = is_complete,
+                        .revision = object->revision };
+  g_hash_table_insert (versions->known_lists, g_memdup2 (&pool, sizeof pool), known);
 }
 
-static void write_list (DpStreamVersions *versions, DpPlatformCallType type);
+static void
+on_stored (DpNode *node, const DpStoreObject *object, DpDiagnostics *diagnostics)
+{
+  DpStreamVersions *versions = node->stream_versions;
+  apply_object (versions, object, dp_stored_list_era (versions->stored), diagnostics);
+}
+
+/* Revision of the object in the reply to a write; 0: not known. */
+static guint64
+read_revision (DpStreamVersions *versions, const DpPlatformReply *reply, gboolean is_applied)
+{
+  if (reply->value == NULL)
+    return 0;
+  gsize length;
+  const char *text = g_bytes_get_data (reply->value, &length);
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  DpStorePage *page = dp_records_read_object (text, length, diagnostics);
+  guint64 revision = 0;
+  if (page != NULL)
+    {
+      const DpStoreObject *object = &g_array_index (page->objects, DpStoreObject, 0);
+      revision = object->revision;
+      if (is_applied)
+        apply_object (versions, object, reply->era, diagnostics);
+      dp_store_page_free (page);
+    }
+  dp_diagnostics_unref (diagnostics);
+  return revision;
+}
+
+/* The list is in the store. */
+static void
+record_written (DpStreamVersions *versions, const DpPlatformReply *reply)
+{
+  DpName pool = versions->written_pool;
+  KnownList *known = g_new0 (KnownList, 1);
+  *known = (KnownList){ .versions = g_array_ref (versions->written.versions),
+                        .is_current = reply->era == versions->written.era,
+                        .revision = read_revision (versions, reply, FALSE) };
+  if (known->revision == 0)
+    dp_stored_list_start (versions->stored);
+  g_hash_table_insert (versions->known_lists, g_memdup2 (&pool, sizeof pool), known);
+  dp_versions_set_stored (versions->table, pool, &versions->written, reply->era);
+  dp_placement_set_targets (versions->node);
+}
 
 static void
 on_written (const DpPlatformReply *reply, gpointer data)
@@ -209,67 +281,124 @@
   dp_log (DP_LOG_NOTICE, "versions_stored", "versions", text, "outcome",
           dp_platform_result_name (reply->result), NULL);
   g_free (text);
-  if (reply->result == DP_PLATFORM_OK && reply->era == versions->written.era)
-    set_known_list (versions, versions->written_pool, versions->written.versions);
-  else if (reply->result == DP_PLATFORM_NOT_FOUND)
-    write_list (versions, DP_PLATFORM_CREATE);
+  switch (reply->result)
+    {
+    case DP_PLATFORM_OK:
+      record_written (versions, reply);
+      return;
+    case DP_PLATFORM_CONFLICT:
+      /* Another VM has written the list: the next write has its versions, too. */
+      if (read_revision (versions, reply, TRUE) == 0)
+        dp_stored_list_start (versions->stored);
+      break;
+    case DP_PLATFORM_NOT_FOUND:
+      g_hash_table_remove (versions->known_lists, &versions->written_pool);
+      break;
+    default:
+      break;
+    }
+  versions->ticked_at = dp_node_now () - TICK_INTERVAL + WRITE_RETRY_DELAY;
 }
 
 /* Writes versions->written as the list of versions->written_pool. */
 static void
-write_list (DpStreamVersions *versions, DpPlatformCallType type)
+write_list (DpStreamVersions *versions, const KnownList *known)
 {
   char *name = dp_records_key_name (versions->written_pool);
-  char *body = dp_records_write_versions (versions->written_pool, &versions->written);
-  const DpPlatformCall call = { .type = type,
-                                .path = DP_KIND_VERSIONS,
-                                .name = name,
-                                .value = body,
-                                .length = strlen (body),
-                                .timeout = CALL_TIMEOUT };
+  char *body = dp_records_write_versions (versions->written_pool, &versions->written,
+                                          known != NULL ? known->revision : 0);
+  const DpPlatformCall call
+    = { .type = known != NULL ? DP_PLATFORM_REPLACE : DP_PLATFORM_CREATE,
+        .path = DP_KIND_VERSIONS,
+        .name = name,
+        .value = body,
+        .length = strlen (body),
+        .timeout = CALL_TIMEOUT };
   versions->is_writing = TRUE;
   dp_platform_client_call (versions->node->store, &call, on_written, versions);
   g_free (body);
   g_free (name);
 }
 
-/* Writes the list of a pool that this VM owns if it has changed. */
+/* TRUE if this VM keeps the pool's list in the store: as its owner, or while it dispatches
+ * requests that wait for a version to be listed. */
+static gboolean
+keeps_list (const DpNode *node, const DpNodePool *pool, DpUsec now)
+{
+  return pool->kind == DP_POOL_ENGINES
+         && (dp_owners_choose (node->owners, pool->name, now) == node->self
+             || dp_dispatcher_awaits_version (pool->dispatcher));
+}
+
+/* Writes the list of a pool if it has changed. What the store has must be known, so that no
+ * version of another VM's list is lost. */
 static void
 store_list (DpStreamVersions *versions, const DpNodePool *pool, DpUsec now)
 {
   DpNode *node = versions->node;
-  if (versions->is_writing || pool->kind != DP_POOL_ENGINES
-      || dp_owners_choose (node->owners, pool->name, now) != node->self)
+  if (versions->is_writing || !dp_stored_list_is_read (versions->stored)
+      || !keeps_list (node, pool, now))
     return;
   GArray *list = dp_versions_list (versions->table, pool->name, now);
   if (list == NULL)
     return;
-  const GArray *known = g_hash_table_lookup (versions->known_lists, &pool->name);
-  if (list->len > 0 && (known == NULL || !is_same_list (list, known)))
+  const KnownList *known = g_hash_table_lookup (versions->known_lists, &pool->name);
+  gboolean is_stored
+    = known != NULL && known->is_current && is_same_list (list, known->versions);
+  if (list->len > 0 && !is_stored)
     {
       g_clear_pointer (&versions->written.versions, g_array_unref);
       versions->written_pool = pool->name;
       versions->written
         = (DpVersionList){ .versions = g_array_ref (list),
                            .era = dp_store_watch_state (node->store_watch).era };
-      write_list (versions, DP_PLATFORM_REPLACE);
+      write_list (versions, known);
     }
   g_array_unref (list);
 }
 
+static void
+store_lists (DpStreamVersions *versions, DpUsec now)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, versions->node->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    store_list (versions, value, now);
+}
+
+/* This VM dispatches requests, and a version is not listed as far as it knows: reads the lists
+ * again, which another VM may have written since, and then writes what is missing. */
+static void
+update_for_dispatchers (DpStreamVersions *versions, DpUsec now)
+{
+  gboolean is_awaited = FALSE;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, versions->node->pools);
+  while (!is_awaited && g_hash_table_iter_next (&iter, NULL, &value))
+    is_awaited = dp_dispatcher_awaits_version (((DpNodePool *)value)->dispatcher);
+  if (is_awaited && !versions->is_writing && dp_stored_list_is_read (versions->stored)
+      && now - versions->read_from > READ_INTERVAL)
+    dp_stored_list_start (versions->stored);
+}
+
 void
 dp_stream_versions_tick (DpNode *node, DpUsec now)
 {
   DpStreamVersions *versions = node->stream_versions;
+  DpUsec read_from = dp_stored_list_read_from (versions->stored);
+  if (read_from != versions->read_from)
+    {
+      versions->read_from = read_from;
+      dp_versions_set_read (versions->table, read_from);
+      store_lists (versions, now);
+    }
+  update_for_dispatchers (versions, now);
   if (now - versions->ticked_at < TICK_INTERVAL)
     return;
   versions->ticked_at = now;
   dp_stream_versions_observe (node);
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, node->pools);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    store_list (versions, value, now);
 }
 
 void
@@ -297,8 +426,8 @@
         .streams_max = STREAMS_MAX };
   versions->table = dp_versions_new (&options);
   versions->stored = dp_stored_list_new (node, DP_KIND_VERSIONS, on_stored);
-  versions->known_lists = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
-                                                 (GDestroyNotify)g_array_unref);
+  versions->known_lists
+    = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, known_list_free);
   return versions;
 }
 
@@ -308,12 +437,6 @@
   return node->stream_versions->table;
 }
 
-void
-dp_stream_versions_start (DpStreamVersions *versions)
-{
-  dp_stored_list_start (versions->stored);
-}
-
 void
 dp_stream_versions_free (DpStreamVersions *versions)
 {
--- a/tests/test_node_versions.c
+++ b/tests/test_node_versions.c
@@ -16,6 +16,7 @@
 #define OLD_IMAGE IMAGE "a4b"
 #define NEW_IMAGE IMAGE "a4c"
 /* 63 and 64 bytes that begin alike. */
+#define FIRST_STREAMS_MAX 200
 #define TEXT_63 "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcde"
 #define TEXT_64 TEXT_63 "f"
 
@@ -413,6 +414,39 @@
 }
 END_TEST
 
+/* After the loss of all VMs, the list in the store has to name all versions that may have begun
+ * streams. */
+START_TEST (a_version_is_stored_before_it_begins_streams)
+{
+  const char *const versions[TARGETS] = { "v1", "v2" };
+  Cluster *cluster = cluster_new (build);
+  chat_start_vms (cluster, versions, 1);
+  wait_for_stored_versions (cluster);
+  /* Streams that break off make the other target preferable. */
+  for (guint i = 0; i < TARGETS; i++)
+    set_fault (cluster, cluster->target_control[i], "{\"cut_after\":2}");
+  put_target_version (cluster, 1, "POST", versions[1]);
+  char *log = NULL;
+  const char *sent = NULL;
+  for (guint i = 0; sent == NULL && i < FIRST_STREAMS_MAX; i++)
+    {
+      char id[ID_BYTES];
+      g_snprintf (id, sizeof id, "first%u", i);
+      chat_post (cluster, i % VMS, id, "");
+      g_free (log);
+      ck_assert (g_file_get_contents (cluster->log, &log, NULL, NULL));
+      sent = strstr (log, " target=t1 version=v2 ");
+    }
+  ck_assert_ptr_nonnull (sent);
+  const char *stored = strstr (log, "event=versions_stored versions=v2,v1 outcome=ok");
+  if (stored == NULL)
+    stored = strstr (log, "event=versions_stored versions=v1,v2 outcome=ok");
+  ck_assert (stored != NULL && stored < sent);
+  g_free (log);
+  cluster_free (cluster);
+}
+END_TEST
+
 typedef struct AnswerCase
 {
   const char *versions[TARGETS];
@@ -470,6 +504,7 @@
   tcase_add_loop_test (tests, a_cut_off_vm_joins_no_versions, 0, G_N_ELEMENTS (cut_cases));
   tcase_add_loop_test (tests, a_disturbed_vm_joins_no_versions, 0,
                        G_N_ELEMENTS (disturbed_cases));
+  tcase_add_test (tests, a_version_is_stored_before_it_begins_streams);
   tcase_add_test (tests, a_vm_that_missed_a_version_joins_no_streams);
   tcase_add_loop_test (tests, an_answer_is_not_joined_from_two_versions, 0,
                        G_N_ELEMENTS (answer_cases));
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -655,7 +655,7 @@
       g_array_append_val (versions, version);
     }
   const DpVersionList written = { .versions = versions, .era = row->era };
-  DpStorePage *page = read_written (dp_records_write_versions (77, &written));
+  DpStorePage *page = read_written (dp_records_write_versions (77, &written, 0));
   DpName pool = 0;
   DpVersionList read;
   DpDiagnostics *diagnostics = dp_diagnostics_new ();
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -236,6 +236,66 @@
 
 /* --- streams --- */
 
+/* --- versions that begin streams --- */
+
+typedef struct BeginCase
+{
+  const char *name;
+  const char *stored; /* list in the store; NULL: not known */
+  guint64 era;        /* in which it was written */
+  const char *seen;   /* version of a target that registers then */
+  gboolean has_gap;
+  gboolean is_read;    /* all lists are, afterwards */
+  gboolean is_written; /* the list is written again, with both */
+  guint wait_ms;
+  gboolean may_begin;
+} BeginCase;
+
+static const BeginCase begin_cases[] = {
+  { "listed", "v1", ERA, "v1", FALSE, FALSE, FALSE, 0, TRUE },
+  { "not listed", "v1", ERA, "v2", FALSE, TRUE, FALSE, 0, FALSE },
+  { "not listed for a while", "v1", ERA, "v2", FALSE, TRUE, FALSE, 2000, FALSE },
+  { "can't be listed", "v1", ERA, "v2", FALSE, TRUE, FALSE, 2001, TRUE },
+  { "listed meanwhile", "v1", ERA, "v2", FALSE, FALSE, TRUE, 0, TRUE },
+  { "the list proved nothing before", "v1", ERA - 1, "v2", FALSE, FALSE, FALSE, 0, FALSE },
+  { "the list proves nothing", "v1", ERA - 1, "v2", FALSE, TRUE, FALSE, 0, TRUE },
+  { "the list was not read", NULL, 0, "v1", FALSE, FALSE, FALSE, 0, FALSE },
+  { "there is no list", NULL, 0, "v1", FALSE, TRUE, FALSE, 0, TRUE },
+  { "the list may have changed", "v1", ERA, "v2", TRUE, FALSE, FALSE, 0, FALSE },
+  { "the list may have changed, served before", "v1", ERA, "v1", TRUE, FALSE, FALSE, 0, TRUE },
+  { "no version is stated", "v1", ERA, "", FALSE, FALSE, FALSE, 0, TRUE },
+};
+
+START_TEST (a_version_is_listed_before_it_begins_streams)
+{
+  const BeginCase *row = &begin_cases[_i];
+  const DpVersionsOptions options
+    = { .stream_lifetime = LIFETIME, .started_at = START, .streams_max = 2 };
+  DpVersions *versions = dp_versions_new (&options);
+  const DpSoftwareVersion seen = dp_software_version (row->seen);
+  DpUsec now = START;
+  if (row->stored != NULL)
+    apply_stored (versions, row->stored, row->era, now);
+  now += 10 * SEC;
+  observe (versions, row->seen, now);
+  if (row->has_gap)
+    dp_versions_begin_gap (versions, now);
+  if (row->is_read)
+    dp_versions_set_read (versions, now);
+  if (row->is_written)
+    {
+      const DpVersionList list
+        = { .versions = dp_versions_list (versions, POOL, now), .era = ERA };
+      dp_versions_set_stored (versions, POOL, &list, ERA);
+      g_array_unref (list.versions);
+    }
+  now += row->wait_ms * DP_USEC_PER_MSEC;
+  ck_assert_msg (dp_versions_may_begin (versions, POOL, seen.name, now) == row->may_begin, "%s",
+                 row->name);
+  dp_versions_free (versions);
+}
+END_TEST
+
 START_TEST (versions_of_streams_are_kept_for_their_lifetime)
 {
   const DpVersionsOptions options = { .stream_lifetime = LIFETIME, .streams_max = 2 };
@@ -345,6 +405,52 @@
   { "no answer", 3, { { 0 } }, 0, 0 },
 };
 
+/* A target whose version is not listed yet gets none, and waiting ones as soon as it is. */
+START_TEST (a_dispatcher_begins_streams_at_listed_versions_only)
+{
+  DpCounters *counters = dp_counters_new ();
+  DpDirectory *directory = dp_directory_new ();
+  const DpVersionsOptions versions_options
+    = { .stream_lifetime = LIFETIME, .started_at = START, .streams_max = 2 };
+  DpVersions *versions = dp_versions_new (&versions_options);
+  const DpTargetRecord record
+    = { .id = "t2", .pool = "p", .slots = 4, .version = dp_software_version ("v2") };
+  const DpSoftwareVersion v1 = dp_software_version ("v1");
+  DpVersionList list = { .versions = g_array_new (FALSE, FALSE, sizeof v1), .era = ERA };
+  g_array_append_val (list.versions, v1);
+  dp_versions_apply_list (versions, dp_name ("p"), &list, ERA, START);
+  dp_directory_put (directory, &record);
+  dp_versions_observe (versions, dp_name ("p"), &record.version, START);
+  const DpDispatcherOptions options = { .pool = dp_name ("p"),
+                                        .seed = 1,
+                                        .is_shared = TRUE,
+                                        .versions = versions,
+                                        .counters = counters };
+  DpDispatcher *dispatcher = dp_dispatcher_new (&options);
+  GArray *outbox = dp_dispatch_outbox_new ();
+  dp_dispatcher_set_targets (dispatcher, directory, START, outbox);
+  DpMessage message = { .type = DP_MESSAGE_GRANT_ASK };
+  message.grant_ask = (DpGrantAsk){ .attempt = { 1, 1 },
+                                    .group = dp_name ("p"),
+                                    .remaining = 10 * SEC,
+                                    .objective_left = SEC,
+                                    .repeatable = TRUE };
+  dp_dispatcher_receive (dispatcher, 9, &message, START, outbox);
+  ck_assert_uint_eq (dp_dispatcher_status (dispatcher).running, 0);
+  ck_assert_uint_eq (dp_dispatcher_status (dispatcher).waiting, 1);
+  g_array_append_val (list.versions, record.version);
+  dp_versions_set_stored (versions, dp_name ("p"), &list, ERA);
+  dp_dispatcher_set_targets (dispatcher, directory, START, outbox);
+  ck_assert_uint_eq (dp_dispatcher_status (dispatcher).running, 1);
+  g_array_unref (list.versions);
+  g_array_unref (outbox);
+  dp_dispatcher_free (dispatcher);
+  dp_versions_free (versions);
+  dp_directory_free (directory);
+  dp_counters_unref (counters);
+}
+END_TEST
+
 START_TEST (a_guess_of_an_older_vm_does_not_outweigh_a_record)
 {
   const AnswerCase *row = &answer_cases[_i];
@@ -378,6 +484,9 @@
                        G_N_ELEMENTS (text_cases));
   tcase_add_loop_test (tests, a_stream_goes_on_only_where_its_binding_allows, 0,
                        G_N_ELEMENTS (binding_cases));
+  tcase_add_loop_test (tests, a_version_is_listed_before_it_begins_streams, 0,
+                       G_N_ELEMENTS (begin_cases));
+  tcase_add_test (tests, a_dispatcher_begins_streams_at_listed_versions_only);
   tcase_add_test (tests, versions_of_streams_are_kept_for_their_lifetime);
   tcase_add_loop_test (tests, a_stream_is_placed_at_its_version_only, 0,
                        G_N_ELEMENTS (placement_cases));
