soak: long version names, prompts of many parts, restores with the loss of all VMs

Targets state versions of 83 characters that differ in the last one, drafts have 21 parts, some with one that crashes targets, and one of three restores of the store comes while all VMs are killed.

--- a/soak/caller.c
+++ b/soak/caller.c
@@ -5,6 +5,9 @@
 #include <event2/bufferevent.h>
 #include <string.h>
 
+#define SHARED_PARTS 20
+/* One of so many requests of a caller, if it is a draft, crashes targets. */
+#define CRASHING_PERIOD 12
 #define PAUSE_MIN_MS 5
 #define PAUSE_MAX_MS 40
 /* Short, since behind a load balancer callers retry at once when a connection fails. */
@@ -242,6 +245,24 @@
   return FALSE;
 }
 
+/* Parts of the prompt of a draft, all but the last of which it shares with others. While faults
+ * occur, some have the part that crashes targets, behind more sound ones than a VM that reads
+ * few would know. */
+static char *
+format_parts (const SoakCaller *caller)
+{
+  GString *text = g_string_new (NULL);
+  gboolean is_crashing = caller->request->kind == SOAK_DRAFT
+                         && caller->cluster->pending_faults > 0
+                         && caller->sent % CRASHING_PERIOD == 0;
+  for (guint i = 0; i < SHARED_PARTS; i++)
+    g_string_append_printf (text, "5c1e%04x:4,", i);
+  if (is_crashing)
+    g_string_append (text, SOAK_CRASHING_PART ":4,");
+  g_string_append_printf (text, "%x%04x:4", caller->index + 1, caller->sent);
+  return g_string_free (text, FALSE);
+}
+
 static void
 write_request (SoakCaller *caller)
 {
@@ -256,6 +277,7 @@
   gboolean is_stream
     = request->kind == SOAK_DRAFT || request->kind == SOAK_LETTER || is_taken_up;
   gboolean is_read = request->kind == SOAK_LOOK || request->kind == SOAK_NEW_ROUTE;
+  char *parts = is_stream ? format_parts (caller) : NULL;
   const NodeKitRequest text = { .method = is_read ? "GET" : "POST",
                                 .path = path,
                                 .id = caller->id,
@@ -263,10 +285,12 @@
                                 .timeout_ms = REQUEST_TIMEOUT_MS,
                                 .is_stream = is_stream,
                                 .resumes = is_taken_up ? request->resumes : NULL,
-                                .last_event = request->last_event };
+                                .last_event = request->last_event,
+                                .prompt_parts = parts };
   char *bytes = node_kit_format_request (&text);
   bufferevent_write (caller->bev, bytes, strlen (bytes));
   g_free (bytes);
+  g_free (parts);
   g_hash_table_insert (cluster->requests, g_strdup (caller->id), request);
 }
 
--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -129,7 +129,10 @@
   return is_accepted;
 }
 
-static const char *const soak_versions[SOAK_VERSIONS] = { "v1", "v2" };
+/* They differ in the last of their 83 characters. */
+#define IMAGE                                                                                  \
+  "engine@sha256:c1a5298f939e87e8f962a5edfc206918a0b1f5f0e2c7a1d3b4e5f607182930a4b5c6d"
+static const char *const soak_versions[SOAK_VERSIONS] = { IMAGE "a", IMAGE "b" };
 
 gboolean
 soak_put_target (SoakCluster *cluster, SoakTarget *target, const char *state)
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -26,6 +26,8 @@
 #define SERIES_SECONDS 0.15
 /* One of so many herds leaves no VM. */
 #define WHOLE_HERD_PART 2
+/* One of so many restores of the store comes with the loss of all VMs. */
+#define RESTORE_WITH_HERD_PART 3
 
 typedef enum FaultKind
 {
@@ -70,9 +72,19 @@
 };
 
 static const char *const target_faults[] = {
-  "{\"cut_before\":1}", "{\"cut_after\":2}", "{\"decline\":1}",      "{\"other\":1}",
-  "{\"status\":500}",   "{\"wrong_id\":1}",  "{\"no_signature\":1}", "{\"second\":1}",
-  "{\"unframed\":1}",   "{\"wait_ms\":400}", "{\"promise_503\":1}",  "{\"silent\":1}",
+  "{\"cut_before\":1}",
+  "{\"cut_after\":2}",
+  "{\"decline\":1}",
+  "{\"other\":1}",
+  "{\"status\":500}",
+  "{\"wrong_id\":1}",
+  "{\"no_signature\":1}",
+  "{\"second\":1}",
+  "{\"unframed\":1}",
+  "{\"wait_ms\":400}",
+  "{\"promise_503\":1}",
+  "{\"silent\":1}",
+  "{\"crash_part\":\"" SOAK_CRASHING_PART "\"}",
 };
 
 static const char *const store_faults[] = {
@@ -242,13 +254,28 @@
     soak_store_set_faults (cluster, store_faults[fault->choice % G_N_ELEMENTS (store_faults)]);
 }
 
+static void
+kill_herd (Fault *fault, gboolean is_whole)
+{
+  for (guint i = 0; i < SOAK_VMS; i++)
+    if (is_whole || i != fault->index % SOAK_VMS)
+      soak_vm_signal (fault->cluster, &fault->cluster->vms[i], SIGKILL);
+}
+
 /* FALSE if the store did not accept the change, to be retried. */
 static gboolean
 end_store_fault (Fault *fault)
 {
   SoakCluster *cluster = fault->cluster;
   if (fault->kind == FAULT_STORE_RESTORE)
-    return cluster->store_is_available && soak_store_restore (cluster);
+    {
+      if (!cluster->store_is_available)
+        return FALSE;
+      /* A loss of power in one place takes the VMs along. */
+      if (fault->choice % RESTORE_WITH_HERD_PART == 0)
+        kill_herd (fault, TRUE);
+      return soak_store_restore (cluster);
+    }
   if (fault->kind == FAULT_STORE_LINK)
     {
       soak_proxy_set_mode (cluster->vms[fault->index % SOAK_VMS].store_proxy, SOAK_PROXY_PASS);
@@ -303,15 +330,6 @@
                                                                   : COMPONENT_OPERATOR;
 }
 
-static void
-kill_herd (Fault *fault)
-{
-  gboolean is_whole = fault->choice % WHOLE_HERD_PART == 0;
-  for (guint i = 0; i < SOAK_VMS; i++)
-    if (is_whole || i != fault->index % SOAK_VMS)
-      soak_vm_signal (fault->cluster, &fault->cluster->vms[i], SIGKILL);
-}
-
 /* FALSE if it can't begin yet, to be retried. */
 static gboolean
 begin_fault (Fault *fault)
@@ -322,7 +340,7 @@
     case COMPONENT_VM:
       return begin_vm_fault (fault, &cluster->vms[fault->index % SOAK_VMS]);
     case COMPONENT_VMS:
-      kill_herd (fault);
+      kill_herd (fault, fault->choice % WHOLE_HERD_PART == 0);
       return TRUE;
     case COMPONENT_TARGET:
       begin_target_fault (fault, &cluster->targets[fault->index % SOAK_TARGETS]);
--- a/tests/node_kit.c
+++ b/tests/node_kit.c
@@ -81,13 +81,17 @@
                     ? g_strdup_printf ("Resumes: %s\r\nLast-Event-Id: %u\r\n", request->resumes,
                                        request->last_event)
                     : g_strdup ("");
+  char *more = request->prompt_parts != NULL
+                 ? g_strconcat (resumes, "Prefix-Hash: ", request->prompt_parts, "\r\n", NULL)
+                 : g_strdup (resumes);
+  g_free (resumes);
   char *text = g_strdup_printf (
     "%s %s HTTP/1.1\r\nHost: " NODE_KIT_HOST "\r\nAuthorization: Bearer " NODE_KIT_KEY
     "\r\nRequest-Id: %s\r\nDeadline-Ms: %u\r\n%s%sContent-Length: %u\r\n\r\n%s",
     request->method, request->path, request->id, request->timeout_ms,
-    request->is_stream ? "Token-Count: 100,40\r\nModel: m\r\n" : "", resumes,
+    request->is_stream ? "Token-Count: 100,40\r\nModel: m\r\n" : "", more,
     (guint)strlen (request->body), request->body);
-  g_free (resumes);
+  g_free (more);
   return text;
 }
 
--- a/tests/node_kit.h
+++ b/tests/node_kit.h
@@ -63,10 +63,11 @@
   const char *path;
   const char *id;
   const char *body;
-  guint timeout_ms;    /* Deadline-Ms header */
-  gboolean is_stream;  /* requests a stream of events */
-  const char *resumes; /* id of the request whose stream it takes up; NULL: none */
-  guint last_event;    /* of that stream, if so */
+  guint timeout_ms;         /* Deadline-Ms header */
+  gboolean is_stream;       /* requests a stream of events */
+  const char *resumes;      /* id of the request whose stream it takes up; NULL: none */
+  guint last_event;         /* of that stream, if so */
+  const char *prompt_parts; /* ids and tokens of the prompt's parts; NULL: none are stated */
 } NodeKitRequest;
 
 /* The request as HTTP/1.1 bytes. Free with g_free(). */
