--- a/soak/faults.c
+++ b/soak/faults.c
@@ -262,6 +262,14 @@
       soak_vm_signal (fault->cluster, &fault->cluster->vms[i], SIGKILL);
 }
 
+static void
+start_killed (SoakCluster *cluster)
+{
+  for (guint i = 0; i < SOAK_VMS; i++)
+    if (cluster->vms[i].process == NULL)
+      soak_vm_start (cluster, &cluster->vms[i]);
+}
+
 /* FALSE if the store did not accept the change, to be retried. */
 static gboolean
 end_store_fault (Fault *fault)
@@ -274,7 +282,9 @@
       /* A loss of power in one place takes the VMs along. */
       if (fault->choice % RESTORE_WITH_HERD_PART == 0)
         kill_herd (fault, TRUE);
-      return soak_store_restore (cluster);
+      gboolean is_restored = soak_store_restore (cluster);
+      start_killed (cluster);
+      return is_restored;
     }
   if (fault->kind == FAULT_STORE_LINK)
     {
@@ -363,9 +373,7 @@
     case COMPONENT_VM:
       return end_vm_fault (fault, &cluster->vms[fault->index % SOAK_VMS]);
     case COMPONENT_VMS:
-      for (guint i = 0; i < SOAK_VMS; i++)
-        if (cluster->vms[i].process == NULL)
-          soak_vm_start (cluster, &cluster->vms[i]);
+      start_killed (cluster);
       return TRUE;
     case COMPONENT_TARGET:
       return end_target_fault (fault, &cluster->targets[fault->index % SOAK_TARGETS]);
