--- a/soak/faults.c
+++ b/soak/faults.c
@@ -84,7 +84,7 @@
   "{\"wait_ms\":400}",
   "{\"promise_503\":1}",
   "{\"silent\":1}",
-  "{\"crash_part\":\"" SOAK_CRASHING_PART "\"}",
+  "{\"crash_part\":\"bad0bad0\"}",
 };
 
 static const char *const store_faults[] = {
