--- a/net/codec.c
+++ b/net/codec.c
@@ -64,14 +64,19 @@
     pack_struct (packer, table, first + i * table->size);
 }
 
-/* `array` may be NULL. */
 static void
-pack_uint64_garray (msgpack_packer *packer, const GArray *array, guint64 max)
+pack_uint64s (msgpack_packer *packer, const guint64 *first, guint count)
 {
-  guint count = array != NULL ? MIN (array->len, (guint)max) : 0;
   msgpack_pack_array (packer, count);
   for (guint i = 0; i < count; i++)
-    msgpack_pack_uint64 (packer, g_array_index (array, guint64, i));
+    msgpack_pack_uint64 (packer, first[i]);
+}
+
+/* Number of elements that are packed of a GArray, which may be NULL. */
+static guint
+get_garray_length (const DpField *field, const GArray *array)
+{
+  return array != NULL ? MIN (array->len, (guint)field->max) : 0;
 }
 
 static guint
@@ -85,6 +90,7 @@
 pack_value (msgpack_packer *packer, const DpField *field, const char *base)
 {
   const void *value = base + field->offset;
+  const GArray *array;
   guint count;
   switch (field->kind)
     {
@@ -113,24 +119,22 @@
         msgpack_pack_uint64 (packer, ((const guint *)value)[i]);
       break;
     case DP_FIELD_UINT64S:
-      count = get_inline_array_length (field, base);
-      msgpack_pack_array (packer, count);
-      for (guint i = 0; i < count; i++)
-        msgpack_pack_uint64 (packer, ((const guint64 *)value)[i]);
+      pack_uint64s (packer, value, get_inline_array_length (field, base));
       break;
     case DP_FIELD_UINT64_GARRAY:
-      pack_uint64_garray (packer, *(GArray *const *)value, field->max);
+      array = *(GArray *const *)value;
+      count = get_garray_length (field, array);
+      pack_uint64s (packer, count > 0 ? (const guint64 *)(gconstpointer)array->data : NULL,
+                    count);
       break;
     case DP_FIELD_STRUCTS:
       pack_structs (packer, field->element_table, value, get_inline_array_length (field, base));
       break;
     case DP_FIELD_GARRAY:
-      {
-        const GArray *array = *(GArray *const *)value;
-        count = array != NULL ? MIN (array->len, (guint)field->max) : 0;
-        pack_structs (packer, field->element_table, array != NULL ? array->data : NULL, count);
-        break;
-      }
+      array = *(GArray *const *)value;
+      count = get_garray_length (field, array);
+      pack_structs (packer, field->element_table, count > 0 ? array->data : NULL, count);
+      break;
     }
 }
 
@@ -269,6 +273,7 @@
   switch (field->kind)
     {
     case DP_FIELD_STRUCTS:
+    case DP_FIELD_GARRAY:
       return unpack_struct (field->element_table, object,
                             first + index * field->element_table->size, error);
     case DP_FIELD_UINTS:
@@ -303,16 +308,14 @@
 }
 
 static gboolean
-unpack_uint64_garray (const DpField *field,
-                      const msgpack_object *object,
-                      GArray **out,
-                      GError **error)
+unpack_garray (const DpField *field, const msgpack_object *object, GArray **out, GError **error)
 {
   if (!check_array (field, object, error))
     return FALSE;
   guint count = object->via.array.size;
   g_clear_pointer (out, g_array_unref); /* set already if the key is repeated */
-  *out = g_array_sized_new (FALSE, TRUE, sizeof (guint64), count);
+  gsize size = field->element_table != NULL ? field->element_table->size : sizeof (guint64);
+  *out = g_array_sized_new (FALSE, TRUE, (guint)size, count);
   g_array_set_size (*out, count);
   for (guint i = 0; i < count; i++)
     if (!unpack_element (field, &object->via.array.ptr[i], (*out)->data, i, error))
@@ -320,24 +323,6 @@
   return TRUE;
 }
 
-static gboolean
-unpack_garray (const DpField *field, const msgpack_object *object, GArray **out, GError **error)
-{
-  if (!check_array (field, object, error))
-    return FALSE;
-  guint count = object->via.array.size;
-  g_clear_pointer (out, g_array_unref); /* set already if the key is repeated */
-  *out = g_array_sized_new (FALSE, TRUE, (guint)field->element_table->size, count);
-  g_array_set_size (*out, count);
-  for (guint i = 0; i < count; i++)
-    {
-      char *element = (*out)->data + i * field->element_table->size;
-      if (!unpack_struct (field->element_table, &object->via.array.ptr[i], element, error))
-        return FALSE;
-    }
-  return TRUE;
-}
-
 static gboolean
 unpack_value (const DpField *field, const msgpack_object *object, char *base, GError **error)
 {
@@ -359,7 +344,6 @@
     case DP_FIELD_STRUCTS:
       return unpack_inline_array (field, object, base, error);
     case DP_FIELD_UINT64_GARRAY:
-      return unpack_uint64_garray (field, object, out, error);
     case DP_FIELD_GARRAY:
       return unpack_garray (field, object, out, error);
     }
