--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -678,6 +678,52 @@
 }
 END_TEST
 
+typedef struct StoredVersionsCase
+{
+  const char *spec;
+  gboolean is_read;
+  guint64 era;
+  guint diagnostics;
+} StoredVersionsCase;
+
+static const StoredVersionsCase stored_versions_cases[] = {
+  { "{\"versions\":[\"v1\"],\"version_keys\":[\"07\"],\"store_era\":3}", TRUE, 3, 0 },
+  /* of an older release */
+  { "{\"versions\":[\"v1\",\"v2\"]}", TRUE, 0, 0 },
+  { "{\"versions\":[],\"version_keys\":[],\"store_era\":1}", TRUE, 1, 0 },
+  /* It must not pass for one of the present era. */
+  { "{\"versions\":[\"v1\"],\"store_era\":\"3\"}", TRUE, 0, 1 },
+  { "{\"versions\":[\"v1\"],\"store_era\":-1}", TRUE, 0, 1 },
+  { "{\"versions\":[\"v1\",\"v2\"],\"version_keys\":[\"07\"],\"store_era\":3}", FALSE, 3, 1 },
+  { "{\"versions\":[\"v1\"],\"version_keys\":[\"x\"],\"store_era\":3}", FALSE, 3, 1 },
+  { "{\"versions\":[1],\"store_era\":3}", FALSE, 3, 1 },
+  { "{\"store_era\":3}", FALSE, 3, 1 },
+};
+
+START_TEST (only_whole_lists_of_versions_are_read)
+{
+  const StoredVersionsCase *row = &stored_versions_cases[_i];
+  char *text = g_strdup_printf (
+    "{\"items\":[{\"metadata\":{\"name\":\"4d\",\"revision\":9},\"spec\":%s}],"
+    "\"store_revision\":9}",
+    row->spec);
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  DpStorePage *page = read_page (text, FALSE, diagnostics);
+  DpName pool = 0;
+  DpVersionList list;
+  ck_assert (dp_records_read_versions (&g_array_index (page->objects, DpStoreObject, 0), &pool,
+                                       &list, diagnostics)
+             == row->is_read);
+  ck_assert_uint_eq (pool, 0x4d);
+  ck_assert_uint_eq (list.era, row->era);
+  ck_assert_uint_eq (dp_diagnostics_count (diagnostics), row->diagnostics);
+  g_clear_pointer (&list.versions, g_array_unref);
+  dp_store_page_free (page);
+  dp_diagnostics_unref (diagnostics);
+  g_free (text);
+}
+END_TEST
+
 START_TEST (streams_are_read_as_written)
 {
   const DpStreamCopy rows[]
@@ -906,6 +952,8 @@
   TCase *tests = tcase_create ("records");
   tcase_add_loop_test (tests, versions_are_read_as_written, 0,
                        G_N_ELEMENTS (written_versions_cases));
+  tcase_add_loop_test (tests, only_whole_lists_of_versions_are_read, 0,
+                       G_N_ELEMENTS (stored_versions_cases));
   tcase_add_test (tests, streams_are_read_as_written);
   tcase_add_loop_test (tests, malformed_streams_are_refused, 0,
                        G_N_ELEMENTS (malformed_streams));
