core: the table of suspects says which stored blocks have ended

The node kept a second set of the keys whose blocks it had stored, and asked whether any key had been blocked before; both could be derived where a key is acquitted. dp_suspects_take_ended() replaces them, and a list of blocking keys replaces three callbacks. When the table has no room for all parts, the request itself gets a row in place of a key with few failures. failure_counted names the keys with the most failures instead of the first ones.

--- a/core/suspects.c
+++ b/core/suspects.c
@@ -38,6 +38,7 @@
   Failure explained[EXPLAINED_MAX];
   guint explained_next;
   DpRecentMap *served; /* key -> DpUsec: time of the last complete response */
+  GArray *ended;       /* guint64, see dp_suspects_take_ended() */
 };
 
 static void
@@ -55,6 +56,7 @@
   table->options = *options;
   table->rows = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, row_free);
   table->served = dp_recent_map_new (options->served_duration, SERVED_KEYS_MAX);
+  table->ended = dp_key_set_new (0);
   return table;
 }
 
@@ -65,6 +67,7 @@
     return;
   g_hash_table_unref (table->rows);
   dp_recent_map_free (table->served);
+  g_array_unref (table->ended);
   g_free (table);
 }
 
@@ -142,13 +145,6 @@
 
 /* --- joint blocks --- */
 
-/* TRUE if requests with these keys, of which the row's is one, are blocked. */
-static gboolean
-row_blocks (const Row *row, const GArray *keys)
-{
-  return row != NULL && row->is_blocked && dp_key_set_includes (keys, row->joint);
-}
-
 /* A single key is blocked by itself. */
 static void
 set_joint (Row *row, GArray *joint)
@@ -158,36 +154,47 @@
   g_clear_pointer (&before, g_array_unref);
 }
 
-/* Calls for each key of the request that blocks it. The rows of a joint block share one set,
- * which is compared once. */
-typedef void (*BlockingRowFunc) (Row *row, guint64 key, gpointer data);
-
-static gboolean
-for_each_blocking (const DpSuspectTable *table,
-                   const GArray *keys,
-                   BlockingRowFunc function,
-                   gpointer data)
+/* Returns those of the request's keys that block it; NULL if none does. */
+static GArray *
+list_blocking (const DpSuspectTable *table, const GArray *keys)
 {
+  GArray *blocking = NULL;
+  /* The rows of a joint block share its set, which is compared once. */
   const GArray *compared = NULL;
   gboolean is_included = FALSE;
-  gboolean blocks = FALSE;
   for (guint i = 0; i < dp_key_set_count (keys); i++)
     {
       guint64 key = dp_key_set_get (keys, i);
-      Row *row = find_row (table, key);
+      const Row *row = find_row (table, key);
       if (row == NULL || !row->is_blocked)
         continue;
       if (row->joint == NULL || row->joint != compared)
-        is_included = row_blocks (row, keys);
+        is_included = dp_key_set_includes (keys, row->joint);
       compared = row->joint;
       if (!is_included)
         continue;
-      blocks = TRUE;
-      if (function == NULL)
-        break;
-      function (row, key, data);
+      if (blocking == NULL)
+        blocking = dp_key_set_new (1);
+      dp_key_set_append (blocking, key);
     }
-  return blocks;
+  return blocking;
+}
+
+/* TRUE if the key stands for a block: for itself, or as the first of a joint one. */
+static gboolean
+is_listed_block (const Row *row, guint64 key)
+{
+  return row->is_blocked && (row->joint == NULL || dp_key_set_get (row->joint, 0) == key);
+}
+
+/* Forgets a key that is innocent. Returns FALSE if it was not known. */
+static gboolean
+acquit (DpSuspectTable *table, guint64 key)
+{
+  const Row *row = find_row (table, key);
+  if (row != NULL && is_listed_block (row, key))
+    g_array_append_val (table->ended, key);
+  return g_hash_table_remove (table->rows, &key);
 }
 
 /* --- failures --- */
@@ -256,17 +263,11 @@
                                                 : table->options.failures_max;
 }
 
-static gboolean
-is_any_blocked (const DpSuspectTable *table, const GArray *keys)
-{
-  return for_each_blocking (table, keys, NULL, NULL);
-}
-
 static void
 count_for (DpSuspectTable *table, guint64 key, const Failure *failure, DpUsec sent_at)
 {
   Row *row = ensure_row (table, key);
-  if (row == NULL)
+  if (row == NULL) /* all rows are blocked or announced */
     return;
   if (row->count > 0 && dp_suspects_served_at (table, key) >= row->failures[row->count - 1].at)
     row->count = 0;
@@ -274,19 +275,32 @@
   row->remembered_until = failure->at + table->options.memory_duration;
 }
 
+GArray *
+dp_suspects_without_parts (const GArray *keys)
+{
+  GArray *whole = dp_key_set_new (1);
+  for (guint i = 0; i < dp_key_set_count (keys); i++)
+    if (!(dp_key_set_get (keys, i) & DP_SUSPECT_PART_BIT))
+      dp_key_set_append (whole, dp_key_set_get (keys, i));
+  return whole;
+}
+
 static void
 count_for_all (DpSuspectTable *table,
                const GArray *keys,
                const Failure *failure,
                DpUsec sent_at)
 {
-  gboolean counts_parts = make_room (table, keys);
-  for (guint i = 0; i < dp_key_set_count (keys); i++)
+  GArray *whole = NULL;
+  if (!make_room (table, keys))
     {
-      guint64 key = dp_key_set_get (keys, i);
-      if (counts_parts || !(key & DP_SUSPECT_PART_BIT))
-        count_for (table, key, failure, sent_at);
+      whole = dp_suspects_without_parts (keys);
+      make_room (table, whole);
     }
+  const GArray *counted = whole != NULL ? whole : keys;
+  for (guint i = 0; i < dp_key_set_count (counted); i++)
+    count_for (table, dp_key_set_get (counted, i), failure, sent_at);
+  g_clear_pointer (&whole, g_array_unref);
 }
 
 static GArray *
@@ -347,7 +361,7 @@
   for (guint i = 0; i < others->len; i++)
     {
       guint64 key = dp_key_set_get (others, i);
-      if (g_hash_table_remove (table->rows, &key))
+      if (acquit (table, key))
         g_array_append_val (changed, key);
     }
   g_array_unref (others);
@@ -391,9 +405,11 @@
                             GArray *changed)
 {
   const Failure failure = { .target = target, .at = now };
-  if (is_any_blocked (table, keys))
+  GArray *blocking = list_blocking (table, keys);
+  if (blocking != NULL)
     {
       explain (table, &failure);
+      g_array_unref (blocking);
       return;
     }
   if (is_explained (table, &failure))
@@ -459,10 +475,7 @@
     }
   g_clear_pointer (&left, g_array_unref);
   for (guint i = 0; i < dp_key_set_count (cleared); i++)
-    {
-      guint64 key = dp_key_set_get (cleared, i);
-      g_hash_table_remove (table->rows, &key);
-    }
+    acquit (table, dp_key_set_get (cleared, i));
 }
 
 void
@@ -498,70 +511,52 @@
 }
 
 gboolean
-dp_suspects_includes_blocked (const DpSuspectTable *table, const GArray *keys)
+dp_suspects_blocks (DpSuspectTable *table, const GArray *keys, DpUsec now, DpUsec *remaining)
 {
-  for (guint i = 0; i < dp_key_set_count (keys); i++)
+  GArray *blocking = list_blocking (table, keys);
+  if (blocking == NULL)
+    return FALSE;
+  for (guint i = 0; i < blocking->len; i++)
     {
-      const Row *row = find_row (table, dp_key_set_get (keys, i));
-      if (row != NULL && row->is_blocked)
-        return TRUE;
+      Row *row = find_row (table, dp_key_set_get (blocking, i));
+      row->remembered_until = now + table->options.memory_duration;
+      if (remaining != NULL)
+        *remaining = MAX (row->blocked_until - now, DP_USEC_PER_SEC);
     }
-  return FALSE;
-}
-
-typedef struct BlockQuery
-{
-  const DpSuspectTable *table;
-  DpUsec now;
-  DpUsec *remaining;
-  gboolean may_try;
-  GArray *changed;
-} BlockQuery;
-
-static void
-remember_block (Row *row, guint64 key, gpointer data)
-{
-  const BlockQuery *query = data;
-  row->remembered_until = query->now + query->table->options.memory_duration;
-  if (query->remaining != NULL)
-    *query->remaining = MAX (row->blocked_until - query->now, DP_USEC_PER_SEC);
+  g_array_unref (blocking);
+  return TRUE;
 }
 
-gboolean
-dp_suspects_blocks (DpSuspectTable *table, const GArray *keys, DpUsec now, DpUsec *remaining)
-{
-  BlockQuery query = { .table = table, .now = now, .remaining = remaining };
-  return for_each_blocking (table, keys, remember_block, &query);
-}
-
-static void
-check_trial (Row *row, guint64 key, gpointer data)
-{
-  BlockQuery *query = data;
-  if (query->now < row->blocked_until || row->trials >= query->table->options.trials_max)
-    query->may_try = FALSE;
-}
-
-static void
-begin_trial (Row *row, guint64 key, gpointer data)
+static gboolean
+may_try (const DpSuspectTable *table, const GArray *blocking, DpUsec now)
 {
-  const BlockQuery *query = data;
-  DpUsec interval = query->table->options.block_duration;
-  for (guint trial = 0; trial <= row->trials; trial++)
-    interval *= TRIAL_INTERVAL_FACTOR;
-  row->trials++;
-  row->blocked_until = query->now + interval;
-  g_array_append_val (query->changed, key);
+  for (guint i = 0; i < dp_key_set_count (blocking); i++)
+    {
+      const Row *row = find_row (table, dp_key_set_get (blocking, i));
+      if (now < row->blocked_until || row->trials >= table->options.trials_max)
+        return FALSE;
+    }
+  return TRUE;
 }
 
 gboolean
 dp_suspects_begin_trial (DpSuspectTable *table, const GArray *keys, DpUsec now, GArray *changed)
 {
-  BlockQuery query = { .table = table, .now = now, .may_try = TRUE, .changed = changed };
-  for_each_blocking (table, keys, check_trial, &query);
-  if (query.may_try)
-    for_each_blocking (table, keys, begin_trial, &query);
-  return query.may_try;
+  GArray *blocking = list_blocking (table, keys);
+  gboolean is_trial = may_try (table, blocking, now);
+  for (guint i = 0; is_trial && i < dp_key_set_count (blocking); i++)
+    {
+      guint64 key = dp_key_set_get (blocking, i);
+      Row *row = find_row (table, key);
+      DpUsec interval = table->options.block_duration;
+      for (guint trial = 0; trial <= row->trials; trial++)
+        interval *= TRIAL_INTERVAL_FACTOR;
+      row->trials++;
+      row->blocked_until = now + interval;
+      g_array_append_val (changed, key);
+    }
+  g_clear_pointer (&blocking, g_array_unref);
+  return is_trial;
 }
 
 /* --- other VMs --- */
@@ -626,13 +621,6 @@
   return blocks_more;
 }
 
-/* TRUE if the key stands for a block: for itself, or as the first of a joint one. */
-static gboolean
-is_listed_block (const Row *row, guint64 key)
-{
-  return row->is_blocked && (row->joint == NULL || dp_key_set_get (row->joint, 0) == key);
-}
-
 void
 dp_suspects_list_blocked (const DpSuspectTable *table, GArray *keys)
 {
@@ -641,10 +629,15 @@
   gpointer value;
   g_hash_table_iter_init (&iter, table->rows);
   while (g_hash_table_iter_next (&iter, &key, &value))
-    {
-      if (is_listed_block (value, *(guint64 *)key))
-        g_array_append_val (keys, *(guint64 *)key);
-    }
+    if (is_listed_block (value, *(guint64 *)key))
+      g_array_append_val (keys, *(guint64 *)key);
+}
+
+void
+dp_suspects_take_ended (DpSuspectTable *table, GArray *keys)
+{
+  g_array_append_vals (keys, table->ended->data, table->ended->len);
+  g_array_set_size (table->ended, 0);
 }
 
 guint
--- a/core/suspects.h
+++ b/core/suspects.h
@@ -30,6 +30,9 @@
 /* The lowest bit of a key tells parts of prompts from whole requests. */
 #define DP_SUSPECT_PART_BIT G_GUINT64_CONSTANT (1)
 
+/* Returns those of a request's keys that stand for it as a whole. */
+GArray *dp_suspects_without_parts (const GArray *keys);
+
 typedef struct DpSuspectOptions
 {
   guint failures_max;        /* of a key that was not served before */
@@ -61,8 +64,6 @@
 
 /* TRUE if failures were counted for one of the keys, here or by another VM. */
 gboolean dp_suspects_includes_any (const DpSuspectTable *table, const GArray *keys);
-/* TRUE if one of the keys is blocked, by itself or jointly with others. */
-gboolean dp_suspects_includes_blocked (const DpSuspectTable *table, const GArray *keys);
 /* Time of a complete response to a request with the key; 0: not known. */
 DpUsec dp_suspects_served_at (const DpSuspectTable *table, guint64 key);
 
@@ -82,8 +83,12 @@
 /* Applies another VM's state of a key, and of those that are blocked jointly with it. Returns
  * TRUE if more requests are blocked since then. */
 gboolean dp_suspects_merge (DpSuspectTable *table, const DpSuspect *state, DpUsec now);
-/* Appends the blocked keys, and one of each set that is blocked jointly. */
+/* Appends the keys that stand for blocks: one that is blocked by itself, or the first of a set
+ * that is blocked jointly. */
 void dp_suspects_list_blocked (const DpSuspectTable *table, GArray *keys);
+/* Appends the keys that stood for blocks which failures and responses have ended since the last
+ * call. */
+void dp_suspects_take_ended (DpSuspectTable *table, GArray *keys);
 /* Number of keys with counted failures. */
 guint dp_suspects_count (const DpSuspectTable *table);
 
--- a/node/node.h
+++ b/node/node.h
@@ -207,8 +207,6 @@
   DpSuspectTable *suspects;
   DpStoredList *stored_blocks;
   GHashTable *block_writes; /* those in progress, see quarantine.c */
-  GHashTable
-    *blocks_stored; /* keys of blocks that this VM has read from the store or written */
   DpUsec quarantine_announced_at;
   DpLimitClient *limit_client;
   DpReach *reach;
--- a/node/quarantine.c
+++ b/node/quarantine.c
@@ -28,8 +28,6 @@
 #define ANNOUNCE_INTERVAL DP_USEC_PER_SEC
 /* Key whose owner counts failures besides the pool's. All VMs must hash the same text. */
 #define SECOND_COUNTER_KEY "failures of requests"
-/* Keys that are announced in messages of their own, as all builds understand them. */
-#define SINGLE_ANNOUNCEMENTS_MAX 16
 /* Large joint blocks are repeated less often: one more interval for so many keys. */
 #define KEYS_PER_INTERVAL 64
 #define KEYS_LOGGED_MAX 16
@@ -65,18 +63,14 @@
 void
 dp_node_quarantine_set_keys (DpNodeRequest *request)
 {
-  guint64 fingerprint = request_fingerprint (request) & ~DP_SUSPECT_PART_BIT;
   GArray *keys = dp_key_set_new (1);
-  dp_key_set_append (keys, fingerprint);
+  dp_key_set_append (keys, request_fingerprint (request) & ~DP_SUSPECT_PART_BIT);
   dp_wire_each_shared_part (request->caller.prompt_parts, append_part, keys);
   dp_key_set_complete (keys);
-  /* Some parts alone would be blamed for the others. */
-  if (keys->len > DP_SUSPECT_KEYS_MAX)
-    {
-      g_array_set_size (keys, 0);
-      dp_key_set_append (keys, fingerprint);
-    }
-  request->suspect_keys = keys;
+  /* The parts that are kept would be blamed for those that are not. */
+  gboolean is_cut = keys->len > DP_SUSPECT_KEYS_MAX;
+  request->suspect_keys = is_cut ? dp_suspects_without_parts (keys) : g_array_ref (keys);
+  g_array_unref (keys);
 }
 
 /* --- logs --- */
@@ -93,24 +87,35 @@
           "fingerprint", key, "failures", failures, "trials", trials, "joint_keys", keys, NULL);
 }
 
+static guint
+count_failures (const DpNode *node, guint64 key)
+{
+  DpSuspect state = dp_suspects_state (node->suspects, key, dp_node_now ());
+  dp_suspect_clear (&state);
+  return state.failures;
+}
+
+/* Names the keys with the most failures: the guilty one is among them. */
 static void
 log_failure (DpNode *node, const DpSuspectReport *report)
 {
+  guint most = 0;
+  for (guint i = 0; i < dp_key_set_count (report->keys); i++)
+    most = MAX (most, count_failures (node, dp_key_set_get (report->keys, i)));
   GString *counts = g_string_new (NULL);
-  guint count = dp_key_set_count (report->keys);
-  for (guint i = 0; i < MIN (count, KEYS_LOGGED_MAX); i++)
+  guint logged = 0;
+  for (guint i = 0; i < dp_key_set_count (report->keys) && logged < KEYS_LOGGED_MAX; i++)
     {
-      DpSuspect state
-        = dp_suspects_state (node->suspects, dp_key_set_get (report->keys, i), dp_node_now ());
-      g_string_append_printf (counts, "%s%016" G_GINT64_MODIFIER "x:%u", i > 0 ? "," : "",
-                              state.key, state.failures);
-      dp_suspect_clear (&state);
+      guint64 key = dp_key_set_get (report->keys, i);
+      if (count_failures (node, key) == most)
+        g_string_append_printf (counts, "%s%016" G_GINT64_MODIFIER "x:%u",
+                                logged++ > 0 ? "," : "", key, most);
     }
-  if (count > KEYS_LOGGED_MAX)
-    g_string_append_printf (counts, ",%u more", count - KEYS_LOGGED_MAX);
+  char keys[16];
+  g_snprintf (keys, sizeof keys, "%u", dp_key_set_count (report->keys));
   const DpDirectoryRow *row = dp_directory_find (node->directory, report->target);
   dp_log (DP_LOG_INFO, "failure_counted", "target", row != NULL ? row->record.id : "unknown",
-          "counts", counts->str, NULL);
+          "keys", keys, "counts", counts->str, NULL);
   g_string_free (counts, TRUE);
 }
 
@@ -151,10 +156,6 @@
   BlockWrite *write = g_new0 (BlockWrite, 1);
   write->node = node;
   write->key = key;
-  if (type == DP_PLATFORM_REMOVE)
-    g_hash_table_remove (node->blocks_stored, &key);
-  else
-    g_hash_table_add (node->blocks_stored, g_memdup2 (&key, sizeof key));
   g_hash_table_add (node->block_writes, write);
   dp_platform_client_call (node->store, &call, on_written, write);
   dp_suspect_clear (&state);
@@ -177,7 +178,6 @@
   DpSuspect state = { .is_blocked = TRUE, .remaining = BLOCK_DURATION };
   if (dp_records_read_block (object, &state, diagnostics))
     {
-      g_hash_table_add (node->blocks_stored, g_memdup2 (&state.key, sizeof state.key));
       dp_suspects_merge (node->suspects, &state, dp_node_now ());
       log_state (DP_LOG_NOTICE, "stored_quarantine", &state);
     }
@@ -196,7 +196,6 @@
                                      .rows_max = ROWS_MAX };
   node->suspects = dp_suspects_new (&options);
   node->block_writes = g_hash_table_new_full (NULL, NULL, g_free, NULL);
-  node->blocks_stored = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   node->stored_blocks = dp_stored_list_new (node, DP_KIND_BLOCKS, on_stored_block);
 }
 
@@ -211,7 +210,6 @@
 {
   dp_stored_list_free (node->stored_blocks);
   g_hash_table_unref (node->block_writes);
-  g_hash_table_unref (node->blocks_stored);
   dp_suspects_free (node->suspects);
 }
 
@@ -235,12 +233,12 @@
 }
 
 /* Announces keys that are not blocked, and of which the same is stated: they have failures, or
- * none any more. */
+ * none any more. A few get messages of their own, as older builds understand them. */
 static void
 announce_unblocked (DpNode *node, GArray *keys)
 {
   dp_key_set_complete (keys);
-  if (keys->len <= SINGLE_ANNOUNCEMENTS_MAX)
+  if (keys->len <= DP_SUSPECT_KEYS_MAX_BEFORE)
     {
       for (guint i = 0; i < keys->len; i++)
         announce (node, dp_key_set_get (keys, i));
@@ -307,7 +305,7 @@
 
 /* Tells all VMs of the changes, and the store of blocks that begin or end. */
 static void
-publish (DpNode *node, GArray *changed, gboolean may_end_blocks)
+publish (DpNode *node, GArray *changed)
 {
   Changes changes = sort_changes (node, changed);
   for (guint i = 0; i < changes.blocked->len; i++)
@@ -321,12 +319,12 @@
     }
   announce_unblocked (node, changes.counted);
   announce_unblocked (node, changes.cleared);
-  for (guint i = 0; may_end_blocks && i < changes.cleared->len; i++)
-    if (changes.cleared->len <= SINGLE_ANNOUNCEMENTS_MAX
-        || g_hash_table_contains (node->blocks_stored,
-                                  &g_array_index (changes.cleared, guint64, i)))
-      store_block (node, dp_key_set_get (changes.cleared, i));
   changes_clear (&changes);
+  GArray *ended = dp_key_set_new (0);
+  dp_suspects_take_ended (node->suspects, ended);
+  for (guint i = 0; i < ended->len; i++)
+    store_block (node, dp_key_set_get (ended, i));
+  g_array_unref (ended);
 }
 
 static void
@@ -337,7 +335,7 @@
   dp_suspects_record_failure (node->suspects, report->keys, report->target, now - report->age,
                               now, changed);
   log_failure (node, report);
-  publish (node, changed, TRUE);
+  publish (node, changed);
   g_array_unref (changed);
 }
 
@@ -345,7 +343,6 @@
 add_response (DpNode *node, const DpSuspectReport *report)
 {
   DpUsec now = dp_node_now ();
-  gboolean was_blocked = dp_suspects_includes_blocked (node->suspects, report->keys);
   GArray *changed = dp_key_set_new (0);
   dp_suspects_record_served (node->suspects, report->keys, now - report->age, now, changed);
   if (changed->len > 0)
@@ -353,7 +350,7 @@
       char count[16];
       g_snprintf (count, sizeof count, "%u", changed->len);
       dp_log (DP_LOG_INFO, "failures_cleared", "keys", count, NULL);
-      publish (node, changed, was_blocked);
+      publish (node, changed);
     }
   g_array_unref (changed);
 }
@@ -434,11 +431,7 @@
   if (dp_key_set_count (keys) <= DP_SUSPECT_KEYS_MAX_BEFORE
       || dp_owners_rules (node->owners, vm) >= DP_RULES_LEVEL_PARTS)
     return g_array_ref (keys);
-  GArray *whole = dp_key_set_new (1);
-  for (guint i = 0; i < keys->len; i++)
-    if (!(dp_key_set_get (keys, i) & DP_SUSPECT_PART_BIT))
-      dp_key_set_append (whole, dp_key_set_get (keys, i));
-  return whole;
+  return dp_suspects_without_parts (keys);
 }
 
 static void
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -236,6 +236,29 @@
     0 },
 };
 
+static DpSuspectOptions
+make_options (guint rows_max)
+{
+  return (DpSuspectOptions){ .failures_max = 3,
+                             .failures_max_served = 5,
+                             .served_duration = 60 * SEC,
+                             .block_duration = 60 * SEC,
+                             .trials_max = 2,
+                             .memory_duration = 600 * SEC,
+                             .rows_max = rows_max };
+}
+
+/* The first failure blocks. */
+static DpSuspectOptions
+make_strict_options (guint rows_max)
+{
+  return (DpSuspectOptions){ .failures_max = 1,
+                             .failures_max_served = 1,
+                             .block_duration = SEC,
+                             .memory_duration = SEC,
+                             .rows_max = rows_max };
+}
+
 /* Keys of parts. */
 static GArray *
 make_keys (guint mask)
@@ -308,13 +331,7 @@
 START_TEST (only_what_crashes_targets_is_blocked)
 {
   const SuspectCase *row = &cases[_i];
-  const DpSuspectOptions options = { .failures_max = 3,
-                                     .failures_max_served = 5,
-                                     .served_duration = 60 * SEC,
-                                     .block_duration = 60 * SEC,
-                                     .trials_max = 2,
-                                     .memory_duration = 600 * SEC,
-                                     .rows_max = 100 };
+  const DpSuspectOptions options = make_options (100);
   Play play = { .table = dp_suspects_new (&options),
                 .now = START,
                 .changed = g_array_new (FALSE, FALSE, sizeof (guint64)) };
@@ -339,11 +356,7 @@
 
 START_TEST (a_block_and_its_end_reach_other_vms)
 {
-  const DpSuspectOptions options = { .failures_max = 1,
-                                     .failures_max_served = 1,
-                                     .block_duration = SEC,
-                                     .memory_duration = SEC,
-                                     .rows_max = 1 };
+  const DpSuspectOptions options = make_strict_options (1);
   DpSuspectTable *first = dp_suspects_new (&options);
   DpSuspectTable *second = dp_suspects_new (&options);
   GArray *key = make_keys (POISON);
@@ -439,13 +452,7 @@
 START_TEST (one_of_many_parts_is_found_and_no_other_is_blamed)
 {
   const PartsCase *row = &parts_cases[_i];
-  const DpSuspectOptions options = { .failures_max = 3,
-                                     .failures_max_served = 5,
-                                     .served_duration = 60 * SEC,
-                                     .block_duration = 60 * SEC,
-                                     .trials_max = 2,
-                                     .memory_duration = 600 * SEC,
-                                     .rows_max = row->rows_max };
+  const DpSuspectOptions options = make_options (row->rows_max);
   Play play = { .table = dp_suspects_new (&options),
                 .now = START,
                 .changed = g_array_new (FALSE, FALSE, sizeof (guint64)) };
@@ -490,11 +497,7 @@
 /* A VM must report responses to requests with any of the parts: they narrow the block. */
 START_TEST (a_joint_block_is_known_by_each_of_its_parts)
 {
-  const DpSuspectOptions options = { .failures_max = 1,
-                                     .failures_max_served = 1,
-                                     .block_duration = SEC,
-                                     .memory_duration = SEC,
-                                     .rows_max = 8 };
+  const DpSuspectOptions options = make_strict_options (8);
   DpSuspectTable *first = dp_suspects_new (&options);
   DpSuspectTable *second = dp_suspects_new (&options);
   GArray *keys = make_keys (TOPIC | POISON | OTHER);
@@ -519,12 +522,88 @@
 }
 END_TEST
 
+typedef struct EndedCase
+{
+  const char *name;
+  guint blocked; /* masks of keys */
+  guint served;
+  guint failed;
+  guint ended;
+} EndedCase;
+
+static const EndedCase ended_cases[] = {
+  { "a single key", POISON, POISON, 0, POISON },
+  { "the first of a joint block", TOPIC | POISON | OTHER, TOPIC, 0, TOPIC },
+  { "another of a joint block", TOPIC | POISON | OTHER, POISON, 0, 0 },
+  { "all of a joint block", TOPIC | POISON, TOPIC | POISON, 0, TOPIC },
+  { "the first, by a failure of the others", TOPIC | POISON | OTHER, 0, POISON | OTHER, TOPIC },
+  { "another, by a failure of the others", TOPIC | POISON | OTHER, 0, TOPIC | POISON, 0 },
+  { "none", POISON, COMMON, OTHER, 0 },
+};
+
+/* What is stored of a block is named by one key, and must go once the key stands for none. */
+START_TEST (a_stored_block_ends_with_the_block)
+{
+  const EndedCase *row = &ended_cases[_i];
+  const DpSuspectOptions options = make_strict_options (8);
+  DpSuspectTable *table = dp_suspects_new (&options);
+  GArray *blocked = make_keys (row->blocked);
+  GArray *served = make_keys (row->served);
+  GArray *failed = make_keys (row->failed);
+  GArray *wanted = make_keys (row->ended);
+  GArray *changed = dp_key_set_new (0);
+  GArray *ended = dp_key_set_new (0);
+  dp_suspects_record_failure (table, blocked, 1, START - 1, START, changed);
+  dp_suspects_record_served (table, served, START + SEC, START + SEC, changed);
+  if (row->failed != 0)
+    dp_suspects_record_failure (table, failed, 2, START + 5 * SEC, START + 6 * SEC, changed);
+  dp_suspects_take_ended (table, ended);
+  dp_key_set_complete (ended);
+  ck_assert_msg (ended->len == wanted->len && dp_key_set_includes (ended, wanted), "%s",
+                 row->name);
+  g_array_set_size (ended, 0);
+  dp_suspects_take_ended (table, ended);
+  ck_assert_uint_eq (ended->len, 0);
+  GArray *const sets[] = { blocked, served, failed, wanted, changed, ended };
+  for (guint i = 0; i < G_N_ELEMENTS (sets); i++)
+    g_array_unref (sets[i]);
+  dp_suspects_free (table);
+}
+END_TEST
+
+/* A failure that the table has no room for counts for the request, not for its parts. */
+START_TEST (a_request_with_too_many_parts_is_blocked_as_a_whole)
+{
+  const PartsCase row = { .parts = 60, .rows_max = 20 };
+  const DpSuspectOptions options = make_options (row.rows_max);
+  Play play
+    = { .table = dp_suspects_new (&options), .now = START, .changed = dp_key_set_new (0) };
+  GArray *request = make_prompt (&row, FALSE, 1);
+  GArray *other = make_prompt (&row, FALSE, 2);
+  for (guint i = 0; i < options.failures_max; i++)
+    {
+      play.now += 200 * MSEC;
+      play.target++;
+      play_crash (&play, request);
+    }
+  ck_assert (dp_suspects_blocks (play.table, request, play.now, NULL));
+  ck_assert (!dp_suspects_blocks (play.table, other, play.now, NULL));
+  g_array_unref (other);
+  g_array_unref (request);
+  g_array_unref (play.changed);
+  dp_suspects_free (play.table);
+}
+END_TEST
+
 int
 main (void)
 {
   TCase *tests = tcase_create ("suspects");
   tcase_add_loop_test (tests, only_what_crashes_targets_is_blocked, 0, G_N_ELEMENTS (cases));
   tcase_add_test (tests, a_block_and_its_end_reach_other_vms);
+  tcase_add_loop_test (tests, a_stored_block_ends_with_the_block, 0,
+                       G_N_ELEMENTS (ended_cases));
+  tcase_add_test (tests, a_request_with_too_many_parts_is_blocked_as_a_whole);
   tcase_add_test (tests, a_joint_block_is_known_by_each_of_its_parts);
   tcase_add_loop_test (tests, one_of_many_parts_is_found_and_no_other_is_blamed, 0,
                        G_N_ELEMENTS (parts_cases));
