core: whether a pool's list is stored is asked of DpVersions

stream_versions.c kept a copy of each stored list beside the set that DpVersions has, with its own comparison. It keeps the object's revision alone now.

--- a/core/versions.c
+++ b/core/versions.c
@@ -220,25 +220,29 @@
   return pool != NULL && !has_single (versions, pool, now) && pool->observations->len > 0;
 }
 
-static gint
-compare_names (gconstpointer a, gconstpointer b)
+/* TRUE if the store's list has these versions and no others. */
+static gboolean
+is_stored (const Pool *pool)
 {
-  DpName first = ((const DpSoftwareVersion *)a)->name;
-  DpName second = ((const DpSoftwareVersion *)b)->name;
-  return first < second ? -1 : first > second;
+  gboolean is_same = pool->stored != NULL && pool->stored->len == pool->observations->len;
+  for (guint i = 0; is_same && i < pool->observations->len; i++)
+    is_same = dp_key_set_contains (
+      pool->stored, g_array_index (pool->observations, Observation, i).version.name);
+  return is_same;
 }
 
 GArray *
-dp_versions_list (const DpVersions *versions, DpName pool_name, DpUsec now)
+dp_versions_list_to_store (const DpVersions *versions, DpName pool_name, DpUsec now)
 {
   Pool *pool = g_hash_table_lookup (versions->pools, &pool_name);
   if (pool == NULL || !is_complete (versions, pool, now))
     return NULL;
   drop_expired (versions, pool, now);
+  if (pool->observations->len == 0 || is_stored (pool))
+    return NULL;
   GArray *list = g_array_new (FALSE, FALSE, sizeof (DpSoftwareVersion));
   for (guint i = 0; i < pool->observations->len; i++)
     g_array_append_val (list, g_array_index (pool->observations, Observation, i).version);
-  g_array_sort (list, compare_names);
   return list;
 }
 
--- a/core/versions.h
+++ b/core/versions.h
@@ -32,7 +32,7 @@
 /* A pool's recent versions as they are kept in the store. */
 typedef struct DpVersionList
 {
-  GArray *versions; /* DpSoftwareVersion, sorted by name */
+  GArray *versions; /* DpSoftwareVersion */
   guint64 era;      /* of the store when the list was written; 0: not stated, or the store has
                      * none */
 } DpVersionList;
@@ -72,9 +72,9 @@
 DpName dp_versions_single (const DpVersions *versions, DpName pool, DpUsec now);
 /* TRUE if several versions may have begun streams of the pool. FALSE without targets. */
 gboolean dp_versions_may_differ (const DpVersions *versions, DpName pool, DpUsec now);
-/* Returns all versions (DpSoftwareVersion) that may have begun a stream, sorted by name; NULL
- * if some may be unknown. */
-GArray *dp_versions_list (const DpVersions *versions, DpName pool, DpUsec now);
+/* Returns all versions (DpSoftwareVersion) that may have begun a stream, if the store's list
+ * has to be replaced by them; NULL if it has them, some may be unknown, or there are none. */
+GArray *dp_versions_list_to_store (const DpVersions *versions, DpName pool, DpUsec now);
 
 /* `stream` is a hash of the id of the request that brought its first event. */
 void
--- a/node/stream_versions.c
+++ b/node/stream_versions.c
@@ -22,6 +22,8 @@
 #define STREAM_LIFETIME_FACTOR 2
 #define TICK_INTERVAL DP_USEC_PER_SEC
 #define WRITE_RETRY_DELAY (300 * DP_USEC_PER_MSEC)
+/* Between two readings while a version is not listed as far as this VM knows: some round trips
+ * to the store. */
 #define READ_INTERVAL (100 * DP_USEC_PER_MSEC)
 #define CALL_TIMEOUT (500 * DP_USEC_PER_MSEC)
 
@@ -39,26 +41,12 @@
   gboolean is_checking;
   DpUsec check_started_at;
   guint64 check_era;
-  DpName written_pool;     /* of the write in progress */
-  DpVersionList written;   /* of the write in progress */
-  GHashTable *known_lists; /* DpName -> KnownList: a pool's list in the store */
+  DpName written_pool;   /* of the write in progress */
+  DpVersionList written; /* of the write in progress */
+  /* DpName -> guint64: revision of a pool's object in the store, where it is known */
+  GHashTable *revisions;
 };
 
-typedef struct KnownList
-{
-  GArray *versions;    /* DpSoftwareVersion */
-  gboolean is_current; /* of the store's present era */
-  guint64 revision;    /* of the object; 0: not known */
-} KnownList;
-
-static void
-known_list_free (gpointer data)
-{
-  KnownList *known = data;
-  g_array_unref (known->versions);
-  g_free (known);
-}
-
 /* --- gaps --- */
 
 /* The list of targets was confirmed: its versions are read from the store again if some may
@@ -155,8 +143,10 @@
     dp_versions_observe (versions->table, row->pool, &row->record.version, now);
   /* Not before, so that the lists are as new as what this VM knows of targets. */
   if (!versions->has_begun && versions->contact_at != 0)
-    dp_stored_list_start (versions->stored);
-  versions->has_begun = versions->contact_at != 0;
+    {
+      versions->has_begun = TRUE;
+      dp_stored_list_start (versions->stored);
+    }
   dp_node_copies_update (node, now);
   store_lists (versions, now);
 }
@@ -182,17 +172,6 @@
   return g_string_free (joined, FALSE);
 }
 
-/* Both are sorted by name. */
-static gboolean
-is_same_list (const GArray *a, const GArray *b)
-{
-  gboolean is_same = a->len == b->len;
-  for (guint i = 0; is_same && i < a->len; i++)
-    is_same = dp_software_version_name (&g_array_index (a, DpSoftwareVersion, i))
-              == dp_software_version_name (&g_array_index (b, DpSoftwareVersion, i));
-  return is_same;
-}
-
 static void
 log_list (const char *name, const DpVersionList *list, guint64 era, gboolean is_complete)
 {
@@ -205,6 +184,17 @@
   g_free (text);
 }
 
+/* `revision` 0: not known. */
+static void
+set_revision (DpStreamVersions *versions, DpName pool, guint64 revision)
+{
+  if (revision != 0)
+    g_hash_table_insert (versions->revisions, g_memdup2 (&pool, sizeof pool),
+                         g_memdup2 (&revision, sizeof revision));
+  else
+    g_hash_table_remove (versions->revisions, &pool);
+}
+
 /* Applies a list that was read from the store in its era `era`. */
 static void
 apply_object (DpStreamVersions *versions,
@@ -220,11 +210,8 @@
   gboolean is_complete = dp_versions_apply_list (versions->table, pool, &list, era, now);
   dp_node_copies_update (versions->node, now);
   log_list (object->name, &list, era, is_complete);
-  KnownList *known = g_new0 (KnownList, 1);
-  *known = (KnownList){ .versions = list.versions,
-                        .is_current = is_complete,
-                        .revision = object->revision };
-  g_hash_table_insert (versions->known_lists, g_memdup2 (&pool, sizeof pool), known);
+  set_revision (versions, pool, object->revision);
+  g_array_unref (list.versions);
 }
 
 static void
@@ -234,45 +221,57 @@
   apply_object (versions, object, dp_stored_list_era (versions->stored), diagnostics);
 }
 
-/* Revision of the object in the reply to a write; 0: not known. */
-static guint64
-read_revision (DpStreamVersions *versions, const DpPlatformReply *reply, gboolean is_applied)
+/* Decodes the object in the reply to a write. NULL if there is none that can be read. */
+static DpStorePage *
+read_object (DpStreamVersions *versions, const DpPlatformReply *reply)
 {
   if (reply->value == NULL)
-    return 0;
+    return NULL;
   gsize length;
   const char *text = g_bytes_get_data (reply->value, &length);
   DpDiagnostics *diagnostics = dp_diagnostics_new ();
   DpStorePage *page = dp_records_read_object (text, length, diagnostics);
-  guint64 revision = 0;
-  if (page != NULL)
-    {
-      const DpStoreObject *object = &g_array_index (page->objects, DpStoreObject, 0);
-      revision = object->revision;
-      if (is_applied)
-        apply_object (versions, object, reply->era, diagnostics);
-      dp_store_page_free (page);
-    }
+  dp_store_watch_log_diagnostics (versions->node->store_watch, DP_KIND_VERSIONS, 0,
+                                  diagnostics);
   dp_diagnostics_unref (diagnostics);
-  return revision;
+  return page;
 }
 
 /* The list is in the store. */
 static void
 record_written (DpStreamVersions *versions, const DpPlatformReply *reply)
 {
-  DpName pool = versions->written_pool;
-  KnownList *known = g_new0 (KnownList, 1);
-  *known = (KnownList){ .versions = g_array_ref (versions->written.versions),
-                        .is_current = reply->era == versions->written.era,
-                        .revision = read_revision (versions, reply, FALSE) };
-  if (known->revision == 0)
+  DpStorePage *page = read_object (versions, reply);
+  guint64 revision
+    = page != NULL ? g_array_index (page->objects, DpStoreObject, 0).revision : 0;
+  dp_store_page_free (page);
+  set_revision (versions, versions->written_pool, revision);
+  if (revision == 0)
     dp_stored_list_start (versions->stored);
-  g_hash_table_insert (versions->known_lists, g_memdup2 (&pool, sizeof pool), known);
-  dp_versions_set_stored (versions->table, pool, &versions->written, reply->era);
+  dp_versions_set_stored (versions->table, versions->written_pool, &versions->written,
+                          reply->era);
   dp_placement_set_targets (versions->node);
 }
 
+/* Another VM has written the list: the next write has its versions, too. */
+static void
+apply_conflict (DpStreamVersions *versions, const DpPlatformReply *reply)
+{
+  DpStorePage *page = read_object (versions, reply);
+  if (page == NULL)
+    {
+      dp_stored_list_start (versions->stored);
+      return;
+    }
+  const DpStoreObject *object = &g_array_index (page->objects, DpStoreObject, 0);
+  DpDiagnostics *diagnostics = dp_diagnostics_new ();
+  apply_object (versions, object, reply->era, diagnostics);
+  dp_store_watch_log_diagnostics (versions->node->store_watch, DP_KIND_VERSIONS,
+                                  object->revision, diagnostics);
+  dp_diagnostics_unref (diagnostics);
+  dp_store_page_free (page);
+}
+
 static void
 on_written (const DpPlatformReply *reply, gpointer data)
 {
@@ -288,12 +287,10 @@
       record_written (versions, reply);
       return;
     case DP_PLATFORM_CONFLICT:
-      /* Another VM has written the list: the next write has its versions, too. */
-      if (read_revision (versions, reply, TRUE) == 0)
-        dp_stored_list_start (versions->stored);
+      apply_conflict (versions, reply);
       break;
     case DP_PLATFORM_NOT_FOUND:
-      g_hash_table_remove (versions->known_lists, &versions->written_pool);
+      set_revision (versions, versions->written_pool, 0);
       break;
     default:
       break;
@@ -303,13 +300,14 @@
 
 /* Writes versions->written as the list of versions->written_pool. */
 static void
-write_list (DpStreamVersions *versions, const KnownList *known)
+write_list (DpStreamVersions *versions)
 {
+  const guint64 *revision = g_hash_table_lookup (versions->revisions, &versions->written_pool);
   char *name = dp_records_key_name (versions->written_pool);
   char *body = dp_records_write_versions (versions->written_pool, &versions->written,
-                                          known != NULL ? known->revision : 0);
+                                          revision != NULL ? *revision : 0);
   const DpPlatformCall call
-    = { .type = known != NULL ? DP_PLATFORM_REPLACE : DP_PLATFORM_CREATE,
+    = { .type = revision != NULL ? DP_PLATFORM_REPLACE : DP_PLATFORM_CREATE,
         .path = DP_KIND_VERSIONS,
         .name = name,
         .value = body,
@@ -340,22 +338,14 @@
   if (versions->is_writing || !dp_stored_list_is_read (versions->stored)
       || !keeps_list (node, pool, now))
     return;
-  GArray *list = dp_versions_list (versions->table, pool->name, now);
+  GArray *list = dp_versions_list_to_store (versions->table, pool->name, now);
   if (list == NULL)
     return;
-  const KnownList *known = g_hash_table_lookup (versions->known_lists, &pool->name);
-  gboolean is_stored
-    = known != NULL && known->is_current && is_same_list (list, known->versions);
-  if (list->len > 0 && !is_stored)
-    {
-      g_clear_pointer (&versions->written.versions, g_array_unref);
-      versions->written_pool = pool->name;
-      versions->written
-        = (DpVersionList){ .versions = g_array_ref (list),
-                           .era = dp_store_watch_state (node->store_watch).era };
-      write_list (versions, known);
-    }
-  g_array_unref (list);
+  g_clear_pointer (&versions->written.versions, g_array_unref);
+  versions->written_pool = pool->name;
+  versions->written
+    = (DpVersionList){ .versions = list, .era = dp_store_watch_state (node->store_watch).era };
+  write_list (versions);
 }
 
 static void
@@ -407,7 +397,7 @@
 {
   DpStreamVersions *versions = node->stream_versions;
   DpUsec now = dp_node_now ();
-  g_hash_table_remove_all (versions->known_lists);
+  g_hash_table_remove_all (versions->revisions);
   /* A target may have served between this VM's last news and the restore, and left before it
    * could register again. */
   dp_versions_begin_gap (versions->table, now);
@@ -427,8 +417,7 @@
         .streams_max = STREAMS_MAX };
   versions->table = dp_versions_new (&options);
   versions->stored = dp_stored_list_new (node, DP_KIND_VERSIONS, on_stored);
-  versions->known_lists
-    = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, known_list_free);
+  versions->revisions = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   return versions;
 }
 
@@ -443,7 +432,7 @@
 {
   dp_stored_list_free (versions->stored);
   dp_versions_free (versions->table);
-  g_hash_table_unref (versions->known_lists);
+  g_hash_table_unref (versions->revisions);
   g_clear_pointer (&versions->written.versions, g_array_unref);
   g_free (versions);
 }
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -285,9 +285,10 @@
   if (row->is_written)
     {
       const DpVersionList list
-        = { .versions = dp_versions_list (versions, POOL, now), .era = ERA };
+        = { .versions = dp_versions_list_to_store (versions, POOL, now), .era = ERA };
       dp_versions_set_stored (versions, POOL, &list, ERA);
       g_array_unref (list.versions);
+      ck_assert_ptr_null (dp_versions_list_to_store (versions, POOL, now));
     }
   now += row->wait_ms * DP_USEC_PER_MSEC;
   ck_assert_msg (dp_versions_may_begin (versions, POOL, seen.name, now) == row->may_begin, "%s",
