--- a/soak/faults.c
+++ b/soak/faults.c
@@ -71,20 +71,13 @@
   [FAULT_CONFIG_GROWS] = "config_grows",
 };
 
+static const char crash_fault[] = "{\"crash_part\":\"" SOAK_CRASHING_PART "\"}";
+
 static const char *const target_faults[] = {
-  "{\"cut_before\":1}",
-  "{\"cut_after\":2}",
-  "{\"decline\":1}",
-  "{\"other\":1}",
-  "{\"status\":500}",
-  "{\"wrong_id\":1}",
-  "{\"no_signature\":1}",
-  "{\"second\":1}",
-  "{\"unframed\":1}",
-  "{\"wait_ms\":400}",
-  "{\"promise_503\":1}",
-  "{\"silent\":1}",
-  "{\"crash_part\":\"bad0bad0\"}",
+  "{\"cut_before\":1}", "{\"cut_after\":2}", "{\"decline\":1}",      "{\"other\":1}",
+  "{\"status\":500}",   "{\"wrong_id\":1}",  "{\"no_signature\":1}", "{\"second\":1}",
+  "{\"unframed\":1}",   "{\"wait_ms\":400}", "{\"promise_503\":1}",  "{\"silent\":1}",
+  crash_fault,
 };
 
 static const char *const store_faults[] = {
@@ -279,7 +272,7 @@
     {
       if (!cluster->store_is_available)
         return FALSE;
-      /* A loss of power in one place takes the VMs along. */
+      /* As after a power failure that hits the VMs and the store. */
       if (fault->choice % RESTORE_WITH_HERD_PART == 0)
         kill_herd (fault, TRUE);
       gboolean is_restored = soak_store_restore (cluster);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -18,7 +18,7 @@
 #define SOAK_TARGETS 5
 /* Of their software, in turn. */
 #define SOAK_VERSIONS 2
-/* Targets with one of the faults crash on prompts with this part. */
+/* One of the faults makes a target crash on prompts with this part. */
 #define SOAK_CRASHING_PART "bad0bad0"
 #define SOAK_CALLERS 16
 
