--- a/core/dispatcher/dispatcher.c
+++ b/core/dispatcher/dispatcher.c
@@ -499,7 +499,7 @@
     {
     case DP_MESSAGE_GRANT_ASK:
       dp_dispatch_record_use_as_owner (dispatcher);
-      dispatcher->was_asked_with_held = dispatcher->held > 0;
+      dispatcher->was_asked_with_unlisted = dispatcher->unlisted > 0;
       on_request (dispatcher, from, &message->grant_ask);
       break;
     case DP_MESSAGE_GRANT_PROGRESS:
@@ -629,28 +629,29 @@
     }
 }
 
-/* Versions that were not stored in time begin streams all the same, so that this must be called
- * again while a target is held. */
+/* Must be called again while there are unlisted targets: their versions may begin streams after
+ * DP_VERSION_HOLD_MAX all the same. */
 static void
-update_held_targets (DpDispatcher *dispatcher)
+update_unlisted_targets (DpDispatcher *dispatcher)
 {
   const DpVersions *versions = dispatcher->options.versions;
-  dispatcher->held = 0;
+  dispatcher->unlisted = 0;
   for (DpHandle at = dp_table_next (dispatcher->targets, 0); at != 0 && versions != NULL;
        at = dp_table_next (dispatcher->targets, at))
     {
       DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
-      target->is_held = !dp_versions_may_begin (versions, dispatcher->options.pool,
-                                                target->version, dispatcher->now);
-      dispatcher->held += target->is_held;
+      target->is_unlisted = !dp_versions_may_begin (versions, dispatcher->options.pool,
+                                                    target->version, dispatcher->now);
+      dispatcher->unlisted += target->is_unlisted;
     }
-  dispatcher->was_asked_with_held = dispatcher->was_asked_with_held && dispatcher->held > 0;
+  if (dispatcher->unlisted == 0)
+    dispatcher->was_asked_with_unlisted = FALSE;
 }
 
 gboolean
 dp_dispatcher_awaits_version (const DpDispatcher *dispatcher)
 {
-  return dispatcher->held > 0 && dispatcher->was_asked_with_held;
+  return dispatcher->was_asked_with_unlisted;
 }
 
 void
@@ -677,7 +678,7 @@
       dp_dispatch_set_capacity (dispatcher, target, row);
       dp_dispatch_set_limit (dispatcher, target, row);
     }
-  update_held_targets (dispatcher);
+  update_unlisted_targets (dispatcher);
   dp_dispatch_update_rollout (dispatcher, TRUE);
   assign_waiting (dispatcher);
   dp_dispatch_announce_limits (dispatcher);
@@ -722,8 +723,8 @@
   begin_call (dispatcher, now, outbox);
   dp_dispatch_expire_entries (dispatcher);
   dp_dispatch_check_timeouts (dispatcher);
-  if (dispatcher->held > 0)
-    update_held_targets (dispatcher);
+  if (dispatcher->unlisted > 0)
+    update_unlisted_targets (dispatcher);
   dp_dispatch_update_rollout (dispatcher, FALSE);
   dp_dispatch_update_capacities (dispatcher);
   assign_waiting (dispatcher);
--- a/core/dispatcher/dispatcher_private.h
+++ b/core/dispatcher/dispatcher_private.h
@@ -25,11 +25,11 @@
   DpName version; /* of its software */
   guint slots;
   gboolean is_draining;
-  gboolean is_held;    /* its version may begin no streams yet */
-  GPtrArray *requests; /* DpDispatchRequest: assigned to this target */
-  double pace;         /* relative to the pool's model, see core/latency_model.h */
-  double failure_rate; /* moving average of outcomes, 0 to 1 */
-  gboolean is_suspect; /* unresponsive or unreachable: receives single probes only */
+  gboolean is_unlisted; /* its version may begin no streams, see dp_versions_may_begin() */
+  GPtrArray *requests;  /* DpDispatchRequest: assigned to this target */
+  double pace;          /* relative to the pool's model, see core/latency_model.h */
+  double failure_rate;  /* moving average of outcomes, 0 to 1 */
+  gboolean is_suspect;  /* unresponsive or unreachable: receives single probes only */
   DpUsec next_probe_at;
   DpUsec probe_interval;
   DpUsec full_until;        /* after it rejected a request for lack of capacity */
@@ -129,21 +129,21 @@
   DpDispatchPolicy policy; /* in force: options.policy, or QUEUE while the pool is short */
   guint others;            /* see dp_dispatcher_set_others() */
   double others_running;
-  gboolean is_short;            /* see dp_dispatcher_set_short() */
-  DpUsec short_at;              /* time of the last beginning */
-  DpTransit transit;            /* since then */
-  guint limited;                /* number of targets with a limit */
-  guint brittle;                /* number of brittle targets */
-  guint held;                   /* number of targets whose versions may begin no streams yet */
-  gboolean was_asked_with_held; /* a request has come since there is one */
-  GArray *other_owners;         /* lately heard, see dispatcher_limits.c */
-  double reach;                 /* see dp_dispatcher_set_reach() */
-  DpUsec asked_at;              /* last use as the owner of a shared pool */
-  DpUsec announced_at;          /* last announcement of all limits */
-  gboolean was_limit_reported;  /* since then */
-  DpUsec present_at;            /* last announcement, also of none */
-  DpRollout *rollout;           /* NULL: no order */
-  guint64 random;               /* state of the random number generator */
+  gboolean is_short; /* see dp_dispatcher_set_short() */
+  DpUsec short_at;   /* time of the last beginning */
+  DpTransit transit; /* since then */
+  guint limited;     /* number of targets with a limit */
+  guint brittle;     /* number of brittle targets */
+  guint unlisted;    /* number of targets whose versions may begin no streams yet */
+  gboolean was_asked_with_unlisted; /* a request has come since there is one */
+  GArray *other_owners;             /* lately heard, see dispatcher_limits.c */
+  double reach;                     /* see dp_dispatcher_set_reach() */
+  DpUsec asked_at;                  /* last use as the owner of a shared pool */
+  DpUsec announced_at;              /* last announcement of all limits */
+  gboolean was_limit_reported;      /* since then */
+  DpUsec present_at;                /* last announcement, also of none */
+  DpRollout *rollout;               /* NULL: no order */
+  guint64 random;                   /* state of the random number generator */
 };
 
 /* --- dispatcher_targets.c: target health and selection --- */
