--- a/core/directory.h
+++ b/core/directory.h
@@ -10,7 +10,7 @@
 #include "common/counters.h"
 #include "common/id.h"
 #include "common/table.h"
-#include "core/software_version.h"
+#include "core/versions/software_version.h"
 
 #include <glib.h>
 
--- a/core/dispatcher/dispatcher.h
+++ b/core/dispatcher/dispatcher.h
@@ -19,7 +19,7 @@
 #include "core/directory.h"
 #include "core/message.h"
 #include "core/rollout/rollout.h"
-#include "core/versions.h"
+#include "core/versions/versions.h"
 
 #include <glib.h>
 
--- a/core/message.h
+++ b/core/message.h
@@ -34,7 +34,7 @@
 #define DP_USE_REPORT_SLOTS_MAX 81
 
 /* Keys per DpSuspectReport, and per set of DpSuspect. Requests that have more count as a whole,
- * see core/suspects.h. A head of 16 KB has about 1,300 parts with ids of 8 digits. */
+ * see core/suspects/suspects.h. A head of 16 KB has about 1,300 parts with ids of 8 digits. */
 #define DP_SUSPECT_KEYS_MAX 2048
 /* The same of builds below DP_RULES_LEVEL_PARTS. */
 #define DP_SUSPECT_KEYS_MAX_BEFORE 16
@@ -288,8 +288,8 @@
 } DpQuarantine;
 
 /* What a request may have in common with others that crash targets are keys, see
- * core/suspects.h. A target broke off while it ran a request with these keys, or answered it
- * completely. */
+ * core/suspects/suspects.h. A target broke off while it ran a request with these keys, or
+ * answered it completely. */
 typedef struct DpSuspectReport
 {
   DpName target; /* that broke off; 0: the request was answered */
--- a/core/stream_copies/stream_copies.h
+++ b/core/stream_copies/stream_copies.h
@@ -18,7 +18,7 @@
 
 #include "core/message.h"
 #include "core/owners.h"
-#include "core/versions.h"
+#include "core/versions/versions.h"
 
 /* `message` is valid only during the call. */
 typedef void (*DpStreamCopiesSend) (gpointer user, DpName to, const DpMessage *message);
--- a/core/suspects.c
+++ b/core/suspects/suspects.c
@@ -1,4 +1,4 @@
-#include "core/suspects.h"
+#include "core/suspects/suspects.h"
 
 #include "core/key_set.h"
 #include "core/recent_map.h"
--- a/core/software_version.c
+++ b/core/versions/software_version.c
@@ -1,4 +1,4 @@
-#include "core/software_version.h"
+#include "core/versions/software_version.h"
 
 DpSoftwareVersion
 dp_software_version (const char *text)
--- a/core/versions.c
+++ b/core/versions/versions.c
@@ -1,4 +1,4 @@
-#include "core/versions.h"
+#include "core/versions/versions.h"
 
 #include "core/key_set.h"
 
--- a/node/stream_versions.c
+++ b/node/stream_versions.c
@@ -2,8 +2,8 @@
  *
  * The VM that dispatches a pool's requests keeps the list of its recent versions in the store:
  * when all VMs have restarted at once, it shows whether a single version can have begun the
- * streams. It is written before a version begins any (core/versions.h). Versions of single
- * streams: take_ups.c.
+ * streams. It is written before a version begins any (core/versions/versions.h). Versions of
+ * single streams: take_ups.c.
  */
 #include "node/node.h"
 
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -1,6 +1,6 @@
 /* Which requests and parts of prompts are blocked after targets have crashed. */
 #include "core/key_set.h"
-#include "core/suspects.h"
+#include "core/suspects/suspects.h"
 
 #include <check.h>
 #include <stdlib.h>
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -1,6 +1,6 @@
 /* Which software version may have begun a stream, and where it goes on. */
 #include "core/dispatcher/dispatcher.h"
-#include "core/versions.h"
+#include "core/versions/versions.h"
 
 #include <check.h>
 #include <stdlib.h>
