core: only streams that may be resumed wait for their version to be listed

What callers saw: a VM that started while the store was away refused plain requests with 503 deadline_unreachable for two seconds.

Cause: held up all requests while a version might be missing from the stored list, though only a stream that may be resumed is bound to the version that begins it. Lists that can't be read counted as lists that are not read yet, so that nothing ended the wait but DP_VERSION_HOLD_MAX.

Change: grant_ask says whether a stream that may be resumed is about to begin; only those wait. DpVersions knows that the last reading of the lists has failed, and then holds nothing up.

--- a/core/dispatcher/dispatcher.c
+++ b/core/dispatcher/dispatcher.c
@@ -499,7 +499,8 @@
     {
     case DP_MESSAGE_GRANT_ASK:
       dp_dispatch_record_use_as_owner (dispatcher);
-      dispatcher->was_asked_with_unlisted = dispatcher->unlisted > 0;
+      if (message->grant_ask.begins_stream && dispatcher->unlisted > 0)
+        dispatcher->was_asked_with_unlisted = TRUE;
       on_request (dispatcher, from, &message->grant_ask);
       break;
     case DP_MESSAGE_GRANT_PROGRESS:
--- a/core/dispatcher/dispatcher.h
+++ b/core/dispatcher/dispatcher.h
@@ -73,7 +73,7 @@
                                 DpUsec now,
                                 GArray *outbox);
 
-/* TRUE if requests have come while a target's version may begin no streams yet. */
+/* TRUE if streams were to begin while a target's version may begin none yet. */
 gboolean dp_dispatcher_awaits_version (const DpDispatcher *dispatcher);
 
 /* Changes whether this VM may own the pool. */
--- a/core/dispatcher/dispatcher_private.h
+++ b/core/dispatcher/dispatcher_private.h
@@ -135,7 +135,7 @@
   guint limited;     /* number of targets with a limit */
   guint brittle;     /* number of brittle targets */
   guint unlisted;    /* number of targets whose versions may begin no streams yet */
-  gboolean was_asked_with_unlisted; /* a request has come since there is one */
+  gboolean was_asked_with_unlisted; /* a stream was to begin since there is one */
   GArray *other_owners;             /* lately heard, see dispatcher_limits.c */
   double reach;                     /* see dp_dispatcher_set_reach() */
   DpUsec asked_at;                  /* last use as the owner of a shared pool */
--- a/core/dispatcher/dispatcher_targets.c
+++ b/core/dispatcher/dispatcher_targets.c
@@ -104,7 +104,8 @@
                      const DpDispatchTarget *target)
 {
   return !dp_dispatch_is_excluded (ask, target->name)
-         && (ask->version == 0 ? !target->is_unlisted : ask->version == target->version)
+         && (ask->version == 0 || ask->version == target->version)
+         && !(ask->begins_stream && target->is_unlisted)
          && dp_dispatch_rollout_allows (dispatcher, ask, target)
          && dp_dispatch_link_is_usable (dispatcher, ask, target);
 }
--- a/core/message.h
+++ b/core/message.h
@@ -147,13 +147,14 @@
   guint excluded_count;
   DpName excluded[DP_EXCLUDED_MAX];
   /* only for the dispatcher of a pool */
-  guint urgency;         /* 0 is the most urgent; below DP_URGENCY_LEVELS */
-  DpUsec objective_left; /* until the first byte is late; 0: already late */
-  guint64 session;       /* hash of the last part of the prompt; 0: none */
-  DpName data_centre;    /* of the sender; 0: not known */
-  DpName version;        /* of the software that began the stream; 0: any */
-  gboolean has_begun;    /* the caller has got a part of the answer */
-  DpName route;          /* that the request matched; 0: not known */
+  guint urgency;          /* 0 is the most urgent; below DP_URGENCY_LEVELS */
+  DpUsec objective_left;  /* until the first byte is late; 0: already late */
+  guint64 session;        /* hash of the last part of the prompt; 0: none */
+  DpName data_centre;     /* of the sender; 0: not known */
+  DpName version;         /* of the software that began the stream; 0: any */
+  gboolean has_begun;     /* the caller has got a part of the answer */
+  DpName route;           /* that the request matched; 0: not known */
+  gboolean begins_stream; /* one that may be resumed: its first event binds it to a version */
 } DpGrantAsk;
 
 typedef struct DpGrantGiven
--- a/core/versions/versions.c
+++ b/core/versions/versions.c
@@ -18,12 +18,20 @@
   GArray *stored;
 } Pool;
 
+typedef enum ListsState
+{
+  LISTS_UNREAD, /* since this process started, or the last gap */
+  LISTS_READ,
+  LISTS_UNREADABLE,
+} ListsState;
+
 struct DpVersions
 {
   DpVersionsOptions options;
-  GHashTable *pools;    /* DpName -> Pool */
-  DpUsec lists_read_at; /* time at which the last reading of all lists began; 0: none */
-  DpRecentMap *streams; /* stream -> DpName: its version */
+  GHashTable *pools;      /* DpName -> Pool */
+  ListsState lists_state; /* of those in the store */
+  DpUsec lists_read_at;   /* READ: beginning of the last reading */
+  DpRecentMap *streams;   /* stream -> DpName: its version */
 };
 
 static void
@@ -120,7 +128,7 @@
 {
   versions->options.started_at = now;
   versions->options.is_first_start = FALSE;
-  versions->lists_read_at = 0;
+  versions->lists_state = LISTS_UNREAD;
   GHashTableIter iter;
   gpointer pool;
   g_hash_table_iter_init (&iter, versions->pools);
@@ -134,9 +142,16 @@
 void
 dp_versions_set_read (DpVersions *versions, DpUsec began_at)
 {
+  versions->lists_state = LISTS_READ;
   versions->lists_read_at = began_at;
 }
 
+void
+dp_versions_set_unreadable (DpVersions *versions)
+{
+  versions->lists_state = LISTS_UNREADABLE;
+}
+
 void
 dp_versions_set_stored (DpVersions *versions,
                         DpName pool_name,
@@ -170,6 +185,22 @@
   return TRUE;
 }
 
+/* TRUE if there was no complete list of a pool at that time, or this can't be found out. */
+static gboolean
+has_no_list (const DpVersions *versions, DpUsec at)
+{
+  switch (versions->lists_state)
+    {
+    case LISTS_UNREAD:
+      return FALSE;
+    case LISTS_READ:
+      return versions->lists_read_at >= at;
+    case LISTS_UNREADABLE:
+      return TRUE;
+    }
+  return FALSE;
+}
+
 gboolean
 dp_versions_may_begin (const DpVersions *versions, DpName pool_name, DpName version, DpUsec now)
 {
@@ -182,9 +213,8 @@
       const Observation *row = &g_array_index (pool->observations, Observation, i);
       if (row->version.name != version)
         continue;
-      gboolean is_list_absent
-        = pool->stored == NULL && versions->lists_read_at >= row->first_seen_at;
-      return is_list_absent || now - row->first_seen_at > DP_VERSION_HOLD_MAX;
+      return now - row->first_seen_at > DP_VERSION_HOLD_MAX
+             || (pool->stored == NULL && has_no_list (versions, row->first_seen_at));
     }
   return FALSE;
 }
--- a/core/versions/versions.h
+++ b/core/versions/versions.h
@@ -13,9 +13,9 @@
 #include "core/directory.h"
 #include "core/recent_map.h"
 
-/* Longest time that a version begins no streams because the list can't be written. After that,
- * streams that it began may be joined if all VMs and all of its targets are lost before the
- * list is written. */
+/* Longest time that a version begins no resumable streams because the list can't be written.
+ * After that, streams that it began may be joined if all VMs and all of its targets are lost
+ * before the list is written. */
 #define DP_VERSION_HOLD_MAX (2 * DP_USEC_PER_SEC)
 
 typedef struct DpVersionsOptions
@@ -63,8 +63,11 @@
                              guint64 store_era);
 /* All lists in the store were read, from `began_at` on. */
 void dp_versions_set_read (DpVersions *versions, DpUsec began_at);
-/* FALSE if a target of the version may begin no stream yet: a list that a VM would take for
- * complete leaves the version out, or may by now, as far as this VM has read. */
+/* The last attempt to read the lists has failed. */
+void dp_versions_set_unreadable (DpVersions *versions);
+/* FALSE if a target of the version may begin no resumable stream yet: a list that a VM would
+ * take for complete leaves the version out, or may by now, as far as this VM has read. While
+ * the lists can't be read, they hold nothing up. */
 gboolean
 dp_versions_may_begin (const DpVersions *versions, DpName pool, DpName version, DpUsec now);
 /* Returns the only version that can have begun a stream of the pool; 0 if there may be several,
--- a/net/codec.c
+++ b/net/codec.c
@@ -307,6 +307,12 @@
   return TRUE;
 }
 
+static gsize
+get_element_size (const DpField *field)
+{
+  return field->kind == DP_FIELD_UINT64_GARRAY ? sizeof (guint64) : field->element_table->size;
+}
+
 static gboolean
 unpack_garray (const DpField *field, const msgpack_object *object, GArray **out, GError **error)
 {
@@ -314,8 +320,7 @@
     return FALSE;
   guint count = object->via.array.size;
   g_clear_pointer (out, g_array_unref); /* set already if the key is repeated */
-  gsize size = field->element_table != NULL ? field->element_table->size : sizeof (guint64);
-  *out = g_array_sized_new (FALSE, TRUE, (guint)size, count);
+  *out = g_array_sized_new (FALSE, TRUE, (guint)get_element_size (field), count);
   g_array_set_size (*out, count);
   for (guint i = 0; i < count; i++)
     if (!unpack_element (field, &object->via.array.ptr[i], (*out)->data, i, error))
--- a/net/codec_fields.c
+++ b/net/codec_fields.c
@@ -84,6 +84,7 @@
   UINT64 (17, DpMessage, grant_ask.version),
   FLAG (18, DpMessage, grant_ask.has_begun),
   UINT64 (19, DpMessage, grant_ask.route),
+  FLAG (20, DpMessage, grant_ask.begins_stream),
 };
 
 static const DpField grant_progress_fields[] = {
--- a/node/node.h
+++ b/node/node.h
@@ -398,6 +398,8 @@
 guint64 dp_stored_list_era (const DpStoredList *list);
 /* TRUE if all objects were read since the last start. */
 gboolean dp_stored_list_is_read (const DpStoredList *list);
+/* TRUE if the last call has failed. */
+gboolean dp_stored_list_is_failing (const DpStoredList *list);
 /* Time at which the last complete reading began; 0: none yet. */
 DpUsec dp_stored_list_read_from (const DpStoredList *list);
 
--- a/node/placement.c
+++ b/node/placement.c
@@ -406,6 +406,9 @@
   grant_request->urgency = request->urgency;
   grant_request->session = request->caller.session;
   grant_request->version = request->binding.version;
+  grant_request->begins_stream = request->route->kind == DP_ROUTE_STREAM
+                                 && request->route->resumable
+                                 && request->binding.type == DP_VERSION_BINDING_FREE;
   grant_request->has_begun = request->head_sent;
   grant_request->route = request->route->name;
   grant_request->data_centre = dp_name (node->settings->process.data_centre);
--- a/node/stored_list.c
+++ b/node/stored_list.c
@@ -18,8 +18,9 @@
   struct event *timer;
   char *after; /* name of the last object of the last page; NULL: the first page is next */
   gboolean is_read;
-  DpUsec began_at;  /* the reading in progress */
-  DpUsec read_from; /* beginning of the last complete one */
+  DpUsec began_at;     /* the reading in progress */
+  DpUsec read_from;    /* beginning of the last complete one */
+  gboolean is_failing; /* the last call did */
   gboolean is_calling;
   gboolean is_outdated; /* the call in progress began before the last start */
   guint64 era;          /* of the store, in the last response */
@@ -72,6 +73,7 @@
   const char *last = page != NULL ? dp_store_page_last_name (page) : NULL;
   if (page != NULL && !page->is_last && (last == NULL || g_strcmp0 (last, list->after) == 0))
     g_clear_pointer (&page, dp_store_page_free);
+  list->is_failing = page == NULL;
   if (page == NULL)
     {
       dp_log (DP_LOG_INFO, "stored_list_unread", "kind", list->kind, "outcome",
@@ -141,6 +143,12 @@
   return list->is_read;
 }
 
+gboolean
+dp_stored_list_is_failing (const DpStoredList *list)
+{
+  return list->is_failing;
+}
+
 DpUsec
 dp_stored_list_read_from (const DpStoredList *list)
 {
--- a/node/stream_versions.c
+++ b/node/stream_versions.c
@@ -379,7 +379,9 @@
 {
   DpStreamVersions *versions = node->stream_versions;
   DpUsec read_from = dp_stored_list_read_from (versions->stored);
-  if (read_from != versions->read_from)
+  if (dp_stored_list_is_failing (versions->stored))
+    dp_versions_set_unreadable (versions->table);
+  else if (read_from != versions->read_from)
     {
       versions->read_from = read_from;
       dp_versions_set_read (versions->table, read_from);
--- a/tests/test_node_versions.c
+++ b/tests/test_node_versions.c
@@ -15,8 +15,8 @@
 #define IMAGE "rota-engine@sha256:c1a5298f939e87e8f962a5edfc206918a0b1f5f0e2c7a1d3b4e5f60718293"
 #define OLD_IMAGE IMAGE "a4b"
 #define NEW_IMAGE IMAGE "a4c"
-/* 63 and 64 bytes that begin alike. */
 #define FIRST_STREAMS_MAX 200
+/* 63 and 64 bytes that begin alike. */
 #define TEXT_63 "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcde"
 #define TEXT_64 TEXT_63 "f"
 
@@ -447,6 +447,29 @@
 }
 END_TEST
 
+/* The lists can't be read, and hold nothing up. */
+START_TEST (a_vm_that_starts_without_the_store_begins_streams)
+{
+  const char *const versions[TARGETS] = { "v1", "v2" };
+  Cluster *cluster = cluster_new (build);
+  put_config (cluster, 1, CHAT_ROUTE);
+  for (guint i = 0; i < TARGETS; i++)
+    put_target_version (cluster, i, "POST", versions[i]);
+  start_node (cluster, 0);
+  ck_assert (wait_ready (cluster, 0));
+  set_fault (cluster, cluster->store_control, "{\"unavailable\":1}");
+  start_node (cluster, 1);
+  ck_assert (wait_ready (cluster, 1));
+  int status = 0;
+  /* Well below DP_VERSION_HOLD_MAX. */
+  g_free (http_exchange ("POST", cluster->address[1], cluster->caller_port[1], "/chat/early",
+                         HOST KEY TOKENS "Request-Id: early\r\nDeadline-Ms: 1000\r\n", NULL,
+                         &status));
+  ck_assert_int_eq (status, 200);
+  cluster_free (cluster);
+}
+END_TEST
+
 typedef struct AnswerCase
 {
   const char *versions[TARGETS];
@@ -505,6 +528,7 @@
   tcase_add_loop_test (tests, a_disturbed_vm_joins_no_versions, 0,
                        G_N_ELEMENTS (disturbed_cases));
   tcase_add_test (tests, a_version_is_stored_before_it_begins_streams);
+  tcase_add_test (tests, a_vm_that_starts_without_the_store_begins_streams);
   tcase_add_test (tests, a_vm_that_missed_a_version_joins_no_streams);
   tcase_add_loop_test (tests, an_answer_is_not_joined_from_two_versions, 0,
                        G_N_ELEMENTS (answer_cases));
