scripts: the demo's targets state a version

Cause: its entries of targets had no version, which PROTOCOL.md lists among an entry's members. Since a stream that began at a target without a version goes on nowhere, since two such targets may be of two versions.

Change: the entries state v1. What the demo asks of each answer is the same.

--- a/scripts/demo_platform.sh
+++ b/scripts/demo_platform.sh
@@ -27,7 +27,7 @@
   for i in 1 2; do
     start "target-$i" "$bin/standins/standin-target" "$net.7$i:8000" 8001 "target-$i"
     put_object servers "{\"metadata\":{\"name\":\"target-$i\"},\"spec\":{\"service\":\"rota\",
-      \"address\":\"$net.7$i:8000\",\"zone\":\"dc-a\",\"slots\":4,\"state\":\"ready\",\"born\":1}}"
+      \"address\":\"$net.7$i:8000\",\"zone\":\"dc-a\",\"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"born\":1}}"
     start "node-$i" "$bin/node/dogwoodplank-node" --name "node-$i" --address "$net.5$i" \
       --data-centre dc-a --caller-listen "$net.5$i:7080" --ready-listen "$net.5$i:7084" \
       --store "$net.61:7070"
