--- a/core/dispatcher/dispatcher.c
+++ b/core/dispatcher/dispatcher.c
@@ -630,25 +630,6 @@
     }
 }
 
-/* Must be called again while there are unlisted targets: their versions may begin streams after
- * DP_VERSION_HOLD_MAX all the same. */
-static void
-update_unlisted_targets (DpDispatcher *dispatcher)
-{
-  const DpVersions *versions = dispatcher->options.versions;
-  dispatcher->unlisted = 0;
-  for (DpHandle at = dp_table_next (dispatcher->targets, 0); at != 0 && versions != NULL;
-       at = dp_table_next (dispatcher->targets, at))
-    {
-      DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
-      target->is_unlisted = !dp_versions_may_begin (versions, dispatcher->options.pool,
-                                                    target->version, dispatcher->now);
-      dispatcher->unlisted += target->is_unlisted;
-    }
-  if (dispatcher->unlisted == 0)
-    dispatcher->was_asked_with_unlisted = FALSE;
-}
-
 gboolean
 dp_dispatcher_awaits_version (const DpDispatcher *dispatcher)
 {
@@ -679,7 +660,7 @@
       dp_dispatch_set_capacity (dispatcher, target, row);
       dp_dispatch_set_limit (dispatcher, target, row);
     }
-  update_unlisted_targets (dispatcher);
+  dp_dispatch_update_unlisted (dispatcher);
   dp_dispatch_update_rollout (dispatcher, TRUE);
   assign_waiting (dispatcher);
   dp_dispatch_announce_limits (dispatcher);
@@ -725,7 +706,7 @@
   dp_dispatch_expire_entries (dispatcher);
   dp_dispatch_check_timeouts (dispatcher);
   if (dispatcher->unlisted > 0)
-    update_unlisted_targets (dispatcher);
+    dp_dispatch_update_unlisted (dispatcher);
   dp_dispatch_update_rollout (dispatcher, FALSE);
   dp_dispatch_update_capacities (dispatcher);
   assign_waiting (dispatcher);
--- a/core/dispatcher/dispatcher_private.h
+++ b/core/dispatcher/dispatcher_private.h
@@ -154,6 +154,9 @@
 /* TRUE unless the target is draining or paused. */
 gboolean dp_dispatch_is_accepting (const DpDispatcher *dispatcher,
                                    const DpDispatchTarget *target);
+/* Sets which targets' versions may begin no streams yet. Must be called again while there are
+ * any: they may after DP_VERSION_HOLD_MAX all the same. */
+void dp_dispatch_update_unlisted (DpDispatcher *dispatcher);
 /* Number of additional requests that the target can be given now. */
 guint dp_dispatch_free_capacity (const DpDispatcher *dispatcher,
                                  const DpDispatchTarget *target);
--- a/core/dispatcher/dispatcher_targets.c
+++ b/core/dispatcher/dispatcher_targets.c
@@ -98,6 +98,23 @@
   return FALSE;
 }
 
+void
+dp_dispatch_update_unlisted (DpDispatcher *dispatcher)
+{
+  const DpVersions *versions = dispatcher->options.versions;
+  dispatcher->unlisted = 0;
+  for (DpHandle at = dp_table_next (dispatcher->targets, 0); at != 0 && versions != NULL;
+       at = dp_table_next (dispatcher->targets, at))
+    {
+      DpDispatchTarget *target = dp_table_get (dispatcher->targets, at);
+      target->is_unlisted = !dp_versions_may_begin (versions, dispatcher->options.pool,
+                                                    target->version, dispatcher->now);
+      dispatcher->unlisted += target->is_unlisted;
+    }
+  if (dispatcher->unlisted == 0)
+    dispatcher->was_asked_with_unlisted = FALSE;
+}
+
 gboolean
 dp_dispatch_may_use (const DpDispatcher *dispatcher,
                      const DpGrantAsk *ask,
