platform: an era that can't be read is no era, not the era 0

What was seen: nothing yet; found by reading. The diagnostic for a list of versions whose store_era is malformed says that the list counts as incomplete.

Cause: the malformed era became 0, which also is the era of a store that states none. In such a store the list counted as complete.

Change: such a list has an era of its own, DP_STORE_ERA_INVALID, which no store has. Eras are written as unsigned, as revisions are.

--- a/core/versions/versions.h
+++ b/core/versions/versions.h
@@ -29,6 +29,9 @@
 
 typedef struct DpVersions DpVersions;
 
+/* Era of a list whose era can't be read: above those of stores, so equal to none. */
+#define DP_STORE_ERA_INVALID G_MAXUINT64
+
 /* A pool's recent versions as they are kept in the store. */
 typedef struct DpVersionList
 {
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -691,15 +691,26 @@
   /* of an older release */
   { "{\"versions\":[\"v1\",\"v2\"]}", TRUE, 0, 0 },
   { "{\"versions\":[],\"version_keys\":[],\"store_era\":1}", TRUE, 1, 0 },
-  /* It must not pass for one of the present era. */
-  { "{\"versions\":[\"v1\"],\"store_era\":\"3\"}", TRUE, 0, 1 },
-  { "{\"versions\":[\"v1\"],\"store_era\":-1}", TRUE, 0, 1 },
+  /* It must not pass for one of the present era, nor of a store that has none. */
+  { "{\"versions\":[\"v1\"],\"store_era\":\"3\"}", TRUE, DP_STORE_ERA_INVALID, 1 },
+  { "{\"versions\":[\"v1\"],\"store_era\":-1}", TRUE, DP_STORE_ERA_INVALID, 1 },
   { "{\"versions\":[\"v1\",\"v2\"],\"version_keys\":[\"07\"],\"store_era\":3}", FALSE, 3, 1 },
   { "{\"versions\":[\"v1\"],\"version_keys\":[\"x\"],\"store_era\":3}", FALSE, 3, 1 },
   { "{\"versions\":[1],\"store_era\":3}", FALSE, 3, 1 },
   { "{\"store_era\":3}", FALSE, 3, 1 },
 };
 
+/* TRUE if the list proves something in a store that states no era. */
+static gboolean
+is_complete_without_eras (DpName pool, const DpVersionList *list)
+{
+  const DpVersionsOptions options = { .stream_lifetime = DP_USEC_PER_SEC, .streams_max = 1 };
+  DpVersions *versions = dp_versions_new (&options);
+  gboolean is_complete = dp_versions_apply_list (versions, pool, list, 0, DP_USEC_PER_SEC);
+  dp_versions_free (versions);
+  return is_complete;
+}
+
 START_TEST (only_whole_lists_of_versions_are_read)
 {
   const StoredVersionsCase *row = &stored_versions_cases[_i];
@@ -717,6 +728,8 @@
   ck_assert_uint_eq (pool, 0x4d);
   ck_assert_uint_eq (list.era, row->era);
   ck_assert_uint_eq (dp_diagnostics_count (diagnostics), row->diagnostics);
+  if (row->is_read)
+    ck_assert (is_complete_without_eras (pool, &list) == (row->era == 0));
   g_clear_pointer (&list.versions, g_array_unref);
   dp_store_page_free (page);
   dp_diagnostics_unref (diagnostics);
