node: logs where a VM gets changes from and which relays it hears

Change: feed_source, with the reason, whenever the source of a kind of objects changes; relay_heard at a relay's first statement, and again when it enters or leaves the list of VMs; relaying_begun and relaying_ended.

--- a/node/peer_sync.c
+++ b/node/peer_sync.c
@@ -31,6 +31,17 @@
 /* Bytes of state in DP_ROW_SYNC_INTERVAL if the rate of the link is not known. */
 #define LINK_BYTES_DEFAULT ((gint64)1024 * 1024)
 
+/* Relays of which the log line is remembered; they change with the list of VMs only. */
+#define RELAYS_LOGGED_MAX 64
+
+/* What the last log line about a relay said. */
+typedef enum RelayLogged
+{
+  RELAY_LOGGED_NONE,
+  RELAY_LOGGED_UNLISTED,
+  RELAY_LOGGED_LISTED,
+} RelayLogged;
+
 /* One kind of state. */
 typedef struct Feed
 {
@@ -50,6 +61,8 @@
   DpUsec relay_sent_at;
   DpRelay last_relay;           /* last one sent to the VMs that this one relays to */
   DpStoreVersion last_rollouts; /* the same of the list of orders */
+  gboolean is_relaying;
+  GHashTable *relays_logged; /* DpName -> RelayLogged */
 };
 
 GArray *
@@ -515,12 +528,27 @@
   state->vms_digest = dp_row_sync_digest (sync->feeds[DP_ROWS_VMS].rows);
 }
 
+static void
+log_relaying (const DpNode *node, gboolean is_relaying)
+{
+  char revision[24];
+  g_snprintf (revision, sizeof revision, "%" G_GUINT64_FORMAT,
+              dp_store_watch_state (node->store_watch).vms.revision);
+  dp_log (DP_LOG_NOTICE, is_relaying ? "relaying_begun" : "relaying_ended", "vms_revision",
+          revision, NULL);
+}
+
 /* On a relay that reaches the store, states the store's versions to the relay's clients. */
 static void
 relay_state (DpNode *node, DpUsec now)
 {
   DpPeerSync *sync = node->peer_sync;
-  if (!dp_owners_is_relay (node->owners) || dp_store_watch_is_failing (node->store_watch))
+  gboolean is_relaying
+    = dp_owners_is_relay (node->owners) && !dp_store_watch_is_failing (node->store_watch);
+  if (is_relaying != sync->is_relaying)
+    log_relaying (node, is_relaying);
+  sync->is_relaying = is_relaying;
+  if (!is_relaying)
     return;
   update_lists (sync);
   DpMessage message = { .type = DP_MESSAGE_RELAY };
@@ -569,10 +597,31 @@
                             dp_node_now ());
 }
 
+/* Logs a relay's first statement, and the first one after it came into the list of VMs or left
+ * it: one that is not in the list has no address to ask. */
+static void
+log_relay (DpNode *node, DpName from, const DpRelay *state)
+{
+  DpPeerSync *sync = node->peer_sync;
+  const DpVm *row = dp_view_find (node->view, from);
+  gpointer logged = GINT_TO_POINTER (row != NULL ? RELAY_LOGGED_LISTED : RELAY_LOGGED_UNLISTED);
+  if (g_hash_table_lookup (sync->relays_logged, &from) == logged)
+    return;
+  if (g_hash_table_size (sync->relays_logged) >= RELAYS_LOGGED_MAX)
+    g_hash_table_remove_all (sync->relays_logged);
+  g_hash_table_insert (sync->relays_logged, g_memdup2 (&from, sizeof from), logged);
+  char name[24], targets[24];
+  g_snprintf (name, sizeof name, "%016" G_GINT64_MODIFIER "x", from);
+  g_snprintf (targets, sizeof targets, "%" G_GUINT64_FORMAT, state->targets.revision);
+  dp_log (DP_LOG_NOTICE, "relay_heard", "vm", row != NULL ? row->text : name, "listed",
+          row != NULL ? "yes" : "no", "targets_revision", targets, NULL);
+}
+
 /* Records what the relay reports of the store, and requests the state that this VM lacks. */
 static void
 on_relay (DpNode *node, DpName from, const DpRelay *state)
 {
+  log_relay (node, from, state);
   DpRelay own = dp_store_watch_state (node->store_watch);
   if (knows_rows (node, from))
     {
@@ -677,6 +726,7 @@
 {
   DpPeerSync *sync = g_new0 (DpPeerSync, 1);
   sync->node = node;
+  sync->relays_logged = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   for (guint i = 0; i < DP_ROWS_COUNT; i++)
     {
       Feed *feed = &sync->feeds[i];
@@ -699,6 +749,7 @@
     return;
   for (guint i = 0; i < DP_ROWS_COUNT; i++)
     dp_row_sync_free (sync->feeds[i].rows);
+  g_hash_table_unref (sync->relays_logged);
   g_free (sync);
 }
 
--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -62,6 +62,26 @@
   [KIND_ROLLOUTS] = DP_KIND_ROLLOUTS,
 };
 
+/* Where the changes of a kind come from, and why. */
+typedef enum FeedSource
+{
+  SOURCE_NONE, /* before the first call */
+  SOURCE_RELAYS,
+  SOURCE_STORE_FIRST,       /* there is no complete listing */
+  SOURCE_STORE_AS_RELAY,    /* this VM watches for others */
+  SOURCE_STORE_UNCONFIRMED, /* no relay has confirmed this VM's state lately */
+  SOURCE_STORE_STUCK,       /* a newer state does not arrive from other VMs */
+} FeedSource;
+
+static const char *const source_names[] = {
+  [SOURCE_NONE] = "none",
+  [SOURCE_RELAYS] = "relays",
+  [SOURCE_STORE_FIRST] = "store_first",
+  [SOURCE_STORE_AS_RELAY] = "store_as_relay",
+  [SOURCE_STORE_UNCONFIRMED] = "store_unconfirmed",
+  [SOURCE_STORE_STUCK] = "store_stuck",
+};
+
 /* Listing and watch of one kind of objects. */
 typedef struct ObjectFeed
 {
@@ -70,6 +90,7 @@
   struct event *timer; /* starts the next call */
   gboolean is_listed;  /* listing complete: watch from `version` */
   gboolean is_relayed; /* no calls: a relay sends the changes */
+  FeedSource source;   /* of the last call, or SOURCE_RELAYS */
   DpStoreVersion version;
   guint64 seen_revision; /* highest of the pages that were applied in the current era */
   guint failures;        /* consecutive */
@@ -840,21 +861,45 @@
          && dp_peer_sync_is_stuck (feed->watch->node, row_kinds[feed->kind]);
 }
 
-static gboolean
-must_watch (const ObjectFeed *feed)
+static FeedSource
+choose_source (const ObjectFeed *feed)
 {
   const DpNode *node = feed->watch->node;
   DpUsec received_at
     = feed->kind == KIND_ROLLOUTS ? node->rollouts_received_at : node->relay_received_at;
-  return !feed->is_listed || dp_owners_is_relay (node->owners)
-         || dp_node_now () - received_at > RELAY_TIMEOUT || is_stuck (feed);
+  if (!feed->is_listed)
+    return SOURCE_STORE_FIRST;
+  if (dp_owners_is_relay (node->owners))
+    return SOURCE_STORE_AS_RELAY;
+  if (dp_node_now () - received_at > RELAY_TIMEOUT)
+    return SOURCE_STORE_UNCONFIRMED;
+  return is_stuck (feed) ? SOURCE_STORE_STUCK : SOURCE_RELAYS;
+}
+
+static void
+log_source (const ObjectFeed *feed)
+{
+  const DpNode *node = feed->watch->node;
+  char revision[24], age[24];
+  g_snprintf (revision, sizeof revision, "%" G_GUINT64_FORMAT, feed->version.revision);
+  g_snprintf (age, sizeof age, "%" G_GINT64_FORMAT,
+              (dp_node_now () - node->relay_received_at) / DP_USEC_PER_MSEC);
+  dp_log (DP_LOG_NOTICE, "feed_source", "kind", kind_paths[feed->kind], "source",
+          source_names[feed->source], "as_of", revision, "relay_age_ms",
+          node->relay_received_at != 0 ? age : "none", NULL);
 }
 
 static void
 start_next_call (ObjectFeed *feed)
 {
   const DpStoreWatch *watch = feed->watch;
-  feed->is_relayed = !must_watch (feed);
+  FeedSource source = choose_source (feed);
+  feed->is_relayed = source == SOURCE_RELAYS;
+  if (source != feed->source)
+    {
+      feed->source = source;
+      log_source (feed);
+    }
   if (feed->is_relayed)
     return;
   DpUsec timeout = MIN (CALL_TIMEOUT * (feed->failures + 1), CALL_TIMEOUT_MAX);
@@ -992,7 +1037,7 @@
           feed->relist_at = 0;
           feed->is_listed = FALSE;
         }
-      if (feed->is_relayed && must_watch (feed))
+      if (feed->is_relayed && choose_source (feed) != SOURCE_RELAYS)
         start_next_call (feed);
     }
   /* While the store is unreachable, targets missing from it may still be live. */
