core: what a VM has, not a relay's message, keeps it from the store

Cause: on_relay() recorded the arrival of any relay's message, whoever sent it, and that one time kept config, targets and VMs from the store. Relays that had just been added were in nobody's list yet: their statements were not recorded, so that the VM didn't count as behind, and it had no address to ask. Only the age of its state, 3 s, ended that.

Change: dp_row_sync_standing() says for each kind whether a relay has stated what this VM has, or something newer is arriving; anything else is read from the store. Statements of relays that can't be asked are recorded as such. The times differ by VM, by up to 0.2 s.

Why it works: a statement of a newer version can't confirm an older one any more, whoever sends it; it is in the VM within the time that is stated, or the VM asks the store.

--- a/core/row_sync/row_follower.c
+++ b/core/row_sync/row_follower.c
@@ -14,9 +14,6 @@
 #define OTHERS_DELAY (300 * DP_USEC_PER_MSEC)
 /* A VM that did not answer is asked last for this time. */
 #define FAILURE_MEMORY (2 * DP_USEC_PER_SEC)
-/* Without a part for this long, the state is read from the store, well before the time in which
- * a new config must be in force. */
-#define STUCK_TIME DP_USEC_PER_SEC
 /* VMs of which a statement is kept. */
 #define PEERS_MAX 4096
 
@@ -95,6 +92,7 @@
 update_behind (DpRowSync *sync, DpUsec now)
 {
   gboolean is_behind = FALSE;
+  gboolean is_obtainable = FALSE;
   for (guint i = 0; i < sync->peers->len; i++)
     {
       DpRowPeer *peer = &g_array_index (sync->peers, DpRowPeer, i);
@@ -102,8 +100,12 @@
         peer->newer_since = 0;
       else if (peer->newer_since == 0)
         peer->newer_since = now;
-      is_behind |= peer->newer_since != 0 && is_heard (peer, now);
+      if (peer->newer_since == 0 || !is_heard (peer, now))
+        continue;
+      is_behind = TRUE;
+      is_obtainable |= peer->statement.service != DP_ROW_SERVICE_NONE;
     }
+  sync->is_obtainable = is_obtainable;
   if (!is_behind)
     sync->behind_since = 0;
   else if (sync->behind_since == 0)
@@ -138,6 +140,7 @@
     {
       const DpRowPeer *peer = &g_array_index (sync->peers, DpRowPeer, i);
       if (peer->statement.is_relay && is_heard (peer, now)
+          && peer->statement.service == DP_ROW_SERVICE_ROWS
           && (best == NULL || is_preferred (sync, peer, best, now)))
         best = peer;
     }
@@ -156,6 +159,7 @@
     {
       const DpRowPeer *peer = &g_array_index (sync->peers, DpRowPeer, i);
       if (peer->newer_since == 0 || !is_heard (peer, now)
+          || peer->statement.service != DP_ROW_SERVICE_ROWS
           || (relay != NULL && peer != relay && now - peer->newer_since < OTHERS_DELAY))
         continue;
       if (best == NULL || is_preferred (sync, peer, best, now))
@@ -268,6 +272,9 @@
 {
   if (statement->digest != 0 && statement->digest == dp_row_sync_digest (sync))
     confirm (sync, statement->version);
+  if (statement->is_relay && dp_row_sync_list (sync) != NULL
+      && dp_store_version_compare (statement->version, dp_row_sync_version (sync)) <= 0)
+    sync->confirmed_at = now;
   DpRowPeer *peer = obtain_peer (sync, from, now);
   gboolean is_relay
     = statement->is_relay
@@ -302,12 +309,6 @@
   sync->progressed_at = now;
 }
 
-gboolean
-dp_row_sync_is_stuck (const DpRowSync *sync, DpUsec now)
-{
-  return sync->behind_since != 0 && now - sync->progressed_at > STUCK_TIME;
-}
-
 /* --- parts --- */
 
 /* What came can't be used: the next transfer starts with the whole state. */
@@ -321,7 +322,7 @@
 
 /* Starts with the first part of a state. FALSE if the part is not to be used. */
 static gboolean
-take_up (DpRowSync *sync, DpName from, const DpRowsPart *part)
+take_up (DpRowSync *sync, DpName from, const DpRowsPart *part, DpUsec now)
 {
   DpRowTransfer *transfer = &sync->transfer;
   if (transfer->rows != NULL && transfer->digest == part->digest
@@ -339,6 +340,7 @@
     return FALSE;
   end_transfer (sync);
   transfer->from = from;
+  transfer->begun_at = now;
   transfer->rows = dp_row_array_new (MIN (part->total, DP_ROW_LIST_ROWS_MAX));
   return TRUE;
 }
@@ -417,7 +419,7 @@
       end_transfer (sync);
       confirm (sync, part->version);
     }
-  else if (!is_refused (sync, part->version, part->digest) && take_up (sync, from, part))
+  else if (!is_refused (sync, part->version, part->digest) && take_up (sync, from, part, now))
     {
       sync->progressed_at = now;
       add_part (sync, part, now);
--- a/core/row_sync/row_sync.c
+++ b/core/row_sync/row_sync.c
@@ -98,5 +98,6 @@
 {
   DpRowSyncStatus status = sync->status;
   status.behind = sync->behind_since != 0 ? now - sync->behind_since : 0;
+  status.confirmed_at = sync->confirmed_at;
   return status;
 }
--- a/core/row_sync/row_sync.h
+++ b/core/row_sync/row_sync.h
@@ -63,12 +63,21 @@
 /* 0: no state. */
 guint64 dp_row_sync_digest (const DpRowSync *sync);
 
+/* How this VM can get the state of the one that made a statement. */
+typedef enum DpRowService
+{
+  DP_ROW_SERVICE_ROWS,  /* it answers questions for parts */
+  DP_ROW_SERVICE_LISTS, /* an older build, which the owner asks for whole lists */
+  DP_ROW_SERVICE_NONE,  /* not at all: its address is not known */
+} DpRowService;
+
 /* What a VM says of its own state. */
 typedef struct DpRowStatement
 {
   DpStoreVersion version;
   guint64 digest;    /* 0: not known */
   gboolean is_relay; /* the VM watches the store for others */
+  DpRowService service;
 } DpRowStatement;
 
 void dp_row_sync_on_statement (DpRowSync *sync,
@@ -85,9 +94,22 @@
 #define DP_ROW_SYNC_INTERVAL (20 * DP_USEC_PER_MSEC)
 void dp_row_sync_tick (DpRowSync *sync, DpUsec now);
 
-/* TRUE if a newer state is known of and no part of it came for some time: it is to be read from
- * the store. */
-gboolean dp_row_sync_is_stuck (const DpRowSync *sync, DpUsec now);
+/* What this VM has, compared with what relays state. A message of a relay alone says nothing
+ * about it: the relay may have what this VM lacks and can't get. */
+typedef enum DpRowStanding
+{
+  DP_ROW_STANDING_UNCONFIRMED, /* no relay has stated this VM's version, or an older one, lately
+                                */
+  DP_ROW_STANDING_CONFIRMED,
+  DP_ROW_STANDING_FETCHING, /* a newer state is known of, and expected from another VM soon */
+  DP_ROW_STANDING_STUCK,    /* a newer state is known of, and does not arrive in time */
+} DpRowStanding;
+
+/* In all but DP_ROW_STANDING_CONFIRMED and _FETCHING, the state is to be read from the store.
+ * VMs get there at different times, up to DP_ROW_STANDING_SPREAD apart, so that a large system
+ * doesn't read the store all at once. */
+DpRowStanding dp_row_sync_standing (const DpRowSync *sync, DpUsec now);
+#define DP_ROW_STANDING_SPREAD (200 * DP_USEC_PER_MSEC)
 
 typedef struct DpRowSyncStatus
 {
@@ -99,6 +121,7 @@
   guint64 parts_refused;  /* garbled, or not for the state that this VM has */
   guint64 timeouts;       /* a part was asked for again */
   DpUsec behind;          /* since a newer state is known of; 0: it is the newest known */
+  DpUsec confirmed_at;    /* last time a relay stated this state, or an older one; 0: never */
 } DpRowSyncStatus;
 
 DpRowSyncStatus dp_row_sync_status (const DpRowSync *sync, DpUsec now);
--- a/core/row_sync/row_sync_private.h
+++ b/core/row_sync/row_sync_private.h
@@ -34,7 +34,8 @@
   gboolean is_full;     /* some parts were sent without a base */
   gboolean is_awaiting; /* a part was asked for and has not come */
   DpUsec asked_at;
-  guint timeouts; /* consecutive */
+  DpUsec begun_at; /* first part; 0: none yet */
+  guint timeouts;  /* consecutive */
 } DpRowTransfer;
 
 struct DpRowSync
@@ -50,6 +51,8 @@
   DpStoreVersion refused_version; /* a later version of the same state may be of use */
   DpUsec behind_since;            /* 0: no newer state is known of */
   DpUsec progressed_at;           /* last part, or the begin of behind_since */
+  gboolean is_obtainable;         /* a VM that has a newer state can be asked for it */
+  DpUsec confirmed_at; /* a relay stated this VM's version, or an older one; 0: never */
   DpRowSyncStatus status;
 };
 
--- a/node/node.h
+++ b/node/node.h
@@ -227,7 +227,6 @@
   DpUsec peers_ticked_at;
   DpUsec pruned_at;
   DpUsec started_at;
-  DpUsec relay_received_at;
   DpUsec rollouts_received_at; /* from a VM that watches the orders for others */
   DpUsec memory_checked_at;
   gboolean is_memory_short;      /* new requests are refused */
@@ -448,7 +447,8 @@
 /* Sets this VM's state, from the store or in force. Takes a reference to the list. */
 void dp_peer_sync_set (DpNode *node, DpRowKind kind, DpStoreVersion version, DpRowList *list);
 /* TRUE if other VMs have a newer state, and this VM has not got it from them for some time. */
-gboolean dp_peer_sync_is_stuck (const DpNode *node, DpRowKind kind);
+DpRowStanding dp_peer_sync_standing (const DpNode *node, DpRowKind kind);
+DpUsec dp_peer_sync_confirmed_at (const DpNode *node, DpRowKind kind);
 /* Must be called every DP_ROW_SYNC_INTERVAL. `was_paused`: other VMs may have answered. */
 void dp_peer_sync_tick_rows (DpNode *node, DpUsec now, gboolean was_paused);
 void dp_peer_sync_tick (DpNode *node, DpUsec now);
--- a/node/peer_sync.c
+++ b/node/peer_sync.c
@@ -313,10 +313,26 @@
   return dp_owners_rules (node->owners, vm) >= DP_RULES_LEVEL_ROWS;
 }
 
-gboolean
-dp_peer_sync_is_stuck (const DpNode *node, DpRowKind kind)
+DpRowStanding
+dp_peer_sync_standing (const DpNode *node, DpRowKind kind)
 {
-  return dp_row_sync_is_stuck (node->peer_sync->feeds[kind].rows, dp_node_now ());
+  /* The store may have been read since the last statement of a relay. */
+  update_lists (node->peer_sync);
+  return dp_row_sync_standing (node->peer_sync->feeds[kind].rows, dp_node_now ());
+}
+
+DpUsec
+dp_peer_sync_confirmed_at (const DpNode *node, DpRowKind kind)
+{
+  return dp_row_sync_status (node->peer_sync->feeds[kind].rows, dp_node_now ()).confirmed_at;
+}
+
+static DpRowService
+service_of (const DpNode *node, DpName vm)
+{
+  if (dp_view_find (node->view, vm) == NULL)
+    return DP_ROW_SERVICE_NONE;
+  return knows_rows (node, vm) ? DP_ROW_SERVICE_ROWS : DP_ROW_SERVICE_LISTS;
 }
 
 /* --- requests --- */
@@ -592,7 +608,9 @@
 static void
 on_statement (DpNode *node, DpName from, DpRowKind kind, DpStoreVersion version, guint64 digest)
 {
-  const DpRowStatement statement = { .version = version, .digest = digest, .is_relay = TRUE };
+  const DpRowStatement statement = {
+    .version = version, .digest = digest, .is_relay = TRUE, .service = service_of (node, from)
+  };
   dp_row_sync_on_statement (node->peer_sync->feeds[kind].rows, from, &statement,
                             dp_node_now ());
 }
@@ -623,16 +641,14 @@
 {
   log_relay (node, from, state);
   DpRelay own = dp_store_watch_state (node->store_watch);
-  if (knows_rows (node, from))
-    {
-      /* Before the confirmation of what this VM has. */
-      const DpStoreVersion config = { .revision = state->manifest_revision };
-      on_statement (node, from, DP_ROWS_TARGETS, state->targets, state->targets_digest);
-      on_statement (node, from, DP_ROWS_CONFIG, config, state->manifest_digest);
-      on_statement (node, from, DP_ROWS_VMS, state->vms, state->vms_digest);
-    }
+  const DpStoreVersion config = { .revision = state->manifest_revision };
+  update_lists (node->peer_sync);
+  /* Before the confirmation of what this VM has. */
+  on_statement (node, from, DP_ROWS_TARGETS, state->targets, state->targets_digest);
+  on_statement (node, from, DP_ROWS_CONFIG, config, state->manifest_digest);
+  on_statement (node, from, DP_ROWS_VMS, state->vms, state->vms_digest);
   dp_store_watch_apply_relay (node->store_watch, state);
-  if (!knows_rows (node, from))
+  if (service_of (node, from) == DP_ROW_SERVICE_LISTS)
     request_from_older_relay (node, from, state, &own);
 }
 
--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -15,9 +15,9 @@
 /* Listings may take longer under load: the timeout grows by CALL_TIMEOUT with each consecutive
  * failure, up to this. */
 #define CALL_TIMEOUT_MAX (3 * DP_USEC_PER_SEC)
-/* Without a relay message for this long, the VM watches the store itself. Well below the time
- * in which a new config must be in force. */
-#define RELAY_TIMEOUT (900 * DP_USEC_PER_MSEC)
+/* Without a list of orders from a relay for this long, the VM watches them itself. Well below
+ * the time in which a new config must be in force. */
+#define ROLLOUTS_TIMEOUT (900 * DP_USEC_PER_MSEC)
 /* Delay before the next watch after a change, so that one call returns several changes. */
 #define BATCH_DELAY (20 * DP_USEC_PER_MSEC)
 /* All VMs may start at once, and it is not urgent that they learn of each other. */
@@ -501,7 +501,6 @@
   DpNode *node = watch->node;
   DpUsec now = dp_node_now ();
   DpUsec confirmed_at = now - relay->age;
-  node->relay_received_at = now;
   apply_era (watch, relay->era, "relay");
   DpRelay own = dp_store_watch_state (watch);
   if (own.manifest_revision >= relay->manifest_revision)
@@ -850,43 +849,55 @@
   handle_reply (data, reply, handle_watch);
 }
 
-/* TRUE if other VMs have a newer state, and this one doesn't get it from them. */
-static gboolean
-is_stuck (const ObjectFeed *feed)
+/* Kinds that other VMs send as rows. */
+static const DpRowKind row_kinds[] = {
+  [KIND_CONFIG] = DP_ROWS_CONFIG, [KIND_TARGETS] = DP_ROWS_TARGETS, [KIND_VMS] = DP_ROWS_VMS
+};
+
+static FeedSource
+choose_row_source (const DpNode *node, DpRowKind kind)
 {
-  static const DpRowKind row_kinds[] = {
-    [KIND_CONFIG] = DP_ROWS_CONFIG, [KIND_TARGETS] = DP_ROWS_TARGETS, [KIND_VMS] = DP_ROWS_VMS
-  };
-  return feed->kind < G_N_ELEMENTS (row_kinds)
-         && dp_peer_sync_is_stuck (feed->watch->node, row_kinds[feed->kind]);
+  switch (dp_peer_sync_standing (node, kind))
+    {
+    case DP_ROW_STANDING_UNCONFIRMED:
+      return SOURCE_STORE_UNCONFIRMED;
+    case DP_ROW_STANDING_STUCK:
+      return SOURCE_STORE_STUCK;
+    case DP_ROW_STANDING_CONFIRMED:
+    case DP_ROW_STANDING_FETCHING:
+      break;
+    }
+  return SOURCE_RELAYS;
 }
 
 static FeedSource
 choose_source (const ObjectFeed *feed)
 {
   const DpNode *node = feed->watch->node;
-  DpUsec received_at
-    = feed->kind == KIND_ROLLOUTS ? node->rollouts_received_at : node->relay_received_at;
   if (!feed->is_listed)
     return SOURCE_STORE_FIRST;
   if (dp_owners_is_relay (node->owners))
     return SOURCE_STORE_AS_RELAY;
-  if (dp_node_now () - received_at > RELAY_TIMEOUT)
-    return SOURCE_STORE_UNCONFIRMED;
-  return is_stuck (feed) ? SOURCE_STORE_STUCK : SOURCE_RELAYS;
+  if (feed->kind < G_N_ELEMENTS (row_kinds))
+    return choose_row_source (node, row_kinds[feed->kind]);
+  gboolean is_silent = dp_node_now () - node->rollouts_received_at > ROLLOUTS_TIMEOUT;
+  return is_silent ? SOURCE_STORE_UNCONFIRMED : SOURCE_RELAYS;
 }
 
 static void
 log_source (const ObjectFeed *feed)
 {
   const DpNode *node = feed->watch->node;
+  DpUsec confirmed_at = feed->kind < G_N_ELEMENTS (row_kinds)
+                          ? dp_peer_sync_confirmed_at (node, row_kinds[feed->kind])
+                          : node->rollouts_received_at;
   char revision[24], age[24];
   g_snprintf (revision, sizeof revision, "%" G_GUINT64_FORMAT, feed->version.revision);
   g_snprintf (age, sizeof age, "%" G_GINT64_FORMAT,
-              (dp_node_now () - node->relay_received_at) / DP_USEC_PER_MSEC);
+              (dp_node_now () - confirmed_at) / DP_USEC_PER_MSEC);
   dp_log (DP_LOG_NOTICE, "feed_source", "kind", kind_paths[feed->kind], "source",
-          source_names[feed->source], "as_of", revision, "relay_age_ms",
-          node->relay_received_at != 0 ? age : "none", NULL);
+          source_names[feed->source], "as_of", revision, "confirmed_ms",
+          confirmed_at != 0 ? age : "never", NULL);
 }
 
 static void
