core: a state that arrived from a relay counts as confirmed by it

Cause: only a statement of the version that a VM already had confirmed it. If each statement was of a newer one, which then arrived, none ever did.

Change: what relays stated last is compared again when the VM's state changes.

--- a/core/row_sync/row_follower.c
+++ b/core/row_sync/row_follower.c
@@ -87,7 +87,16 @@
   return &g_array_index (sync->peers, DpRowPeer, sync->peers->len - 1);
 }
 
-/* Forgets that this VM is behind if nobody is known to have a newer state. */
+/* A relay has stated this VM's version, or an older one, perhaps before this VM got it. */
+static void
+confirm_by (DpRowSync *sync, const DpRowPeer *peer)
+{
+  if (peer->statement.is_relay && dp_row_sync_list (sync) != NULL
+      && dp_store_version_compare (peer->statement.version, dp_row_sync_version (sync)) <= 0)
+    sync->confirmed_at = MAX (sync->confirmed_at, peer->heard_at);
+}
+
+/* Compares this VM's state with what the others stated last. */
 static void
 update_behind (DpRowSync *sync, DpUsec now)
 {
@@ -96,6 +105,7 @@
   for (guint i = 0; i < sync->peers->len; i++)
     {
       DpRowPeer *peer = &g_array_index (sync->peers, DpRowPeer, i);
+      confirm_by (sync, peer);
       if (!is_newer (sync, &peer->statement))
         peer->newer_since = 0;
       else if (peer->newer_since == 0)
@@ -272,9 +282,6 @@
 {
   if (statement->digest != 0 && statement->digest == dp_row_sync_digest (sync))
     confirm (sync, statement->version);
-  if (statement->is_relay && dp_row_sync_list (sync) != NULL
-      && dp_store_version_compare (statement->version, dp_row_sync_version (sync)) <= 0)
-    sync->confirmed_at = now;
   DpRowPeer *peer = obtain_peer (sync, from, now);
   gboolean is_relay
     = statement->is_relay
--- a/tests/test_row_standing.c
+++ b/tests/test_row_standing.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define EVENTS_MAX 10
+#define EVENTS_MAX 14
 /* VMs of these names are the first and the last to read the store. */
 #define NAME_EARLY ((DpName)DP_ROW_STANDING_SPREAD)
 #define NAME_LATE (2 * (DpName)DP_ROW_STANDING_SPREAD - 1)
@@ -119,6 +119,22 @@
     1150,
     FETCHING,
     FETCHING },
+  { "a newer one has arrived, a second after the statement of the one before",
+    { { 0, EVENT_RELAY, 5 },
+      { 600, EVENT_RELAY, 6 },
+      { 620, EVENT_PART, 0 },
+      { 660, EVENT_PART, 0 },
+      { 700, EVENT_PART, 0 },
+      { 740, EVENT_PART, 0 },
+      { 780, EVENT_PART, 0 },
+      { 820, EVENT_PART, 0 },
+      { 860, EVENT_PART, 0 },
+      { 900, EVENT_PART, 0 },
+      { 940, EVENT_PART, 0 },
+      { 980, EVENT_PART, 0 } },
+    1200,
+    CONFIRMED,
+    CONFIRMED },
   { "a newer one arrives too slowly",
     { { 0, EVENT_RELAY, 6 },
       { 200, EVENT_PART, 0 },
