node: the first page of a listing confirms nothing

What callers would see: a relay whose listings don't get past the first page vouches for its old list for as long as that lasts; no VM that follows it reads the store.

Cause: each page counted as the store's confirmation of the whole state and as the end of a failure.

Change: both are recorded when the listing is complete, as of its first page.

--- a/node/store_watch.c
+++ b/node/store_watch.c
@@ -102,7 +102,8 @@
   /* listing in progress */
   guint64 listing_era;
   GPtrArray *pages; /* DpStorePage */
-  char *after;      /* name of the last object of the last page */
+  DpUsec first_page_at;
+  char *after; /* name of the last object of the last page */
 } ObjectFeed;
 
 struct DpStoreWatch
@@ -585,26 +586,25 @@
   g_hash_table_unref (listed);
 }
 
-/* The store has answered: the data is current as of now. */
+/* What this VM has is all that the store had at that time. */
 static void
-record_confirmation (ObjectFeed *feed)
+record_confirmation (ObjectFeed *feed, DpUsec at)
 {
-  DpStoreWatch *watch = feed->watch;
-  DpNode *node = watch->node;
-  DpUsec now = dp_node_now ();
+  DpNode *node = feed->watch->node;
   switch (feed->kind)
     {
     case KIND_CONFIG:
       /* Otherwise when the version that is being read is in force. */
       if (!dp_node_config_is_reading (node))
-        node->manifest_confirmed_at = now;
+        node->manifest_confirmed_at = MAX (node->manifest_confirmed_at, at);
       break;
     case KIND_TARGETS:
-      dp_directory_record_contact (node->directory,
-                                   EXPIRY_HEARTBEATS * node->params.target_heartbeat, now);
+      if (at > dp_directory_last_contact_at (node->directory))
+        dp_directory_record_contact (node->directory,
+                                     EXPIRY_HEARTBEATS * node->params.target_heartbeat, at);
       break;
     case KIND_VMS:
-      node->view_confirmed_at = now;
+      node->view_confirmed_at = MAX (node->view_confirmed_at, at);
       break;
     case KIND_ROLLOUTS:
     case KIND_COUNT:
@@ -752,11 +752,13 @@
       record_failure (feed, is_old ? "old_reply" : dp_platform_result_name (reply->result));
       return;
     }
-  record_success (feed);
-  record_confirmation (feed);
+  if (is_first)
+    feed->first_page_at = dp_node_now ();
   g_ptr_array_add (feed->pages, page);
   if (page->is_last)
     {
+      record_success (feed);
+      record_confirmation (feed, feed->first_page_at);
       /* The watch starts at the first page's revision to get changes made between pages. */
       const DpStorePage *first = g_ptr_array_index (feed->pages, 0);
       finish_listing (feed, first->revision);
@@ -806,7 +808,7 @@
       return;
     }
   record_success (feed);
-  record_confirmation (feed);
+  record_confirmation (feed, dp_node_now ());
   apply_page (feed, page);
   if (page->objects->len > 0)
     publish (feed);
