core: only relays that served for a second hand over

Cause: a VM counted as a former relay after its first statement.

Change: it must have served for a second.

--- a/core/row_sync/relay_term.c
+++ b/core/row_sync/relay_term.c
@@ -6,10 +6,14 @@
 /* Changes within this time are stated together. */
 #define BATCH_DELAY (40 * DP_USEC_PER_MSEC)
 
+/* A VM that ranked as a relay for less than this has no followers to hand over. */
+#define TERM_MIN DP_USEC_PER_SEC
+
 gboolean
 dp_relay_term_is_active (const DpRelayTerm *term, gboolean is_ranked, DpUsec now)
 {
-  return is_ranked || (term->served_at != 0 && now - term->served_at < DP_RELAY_HANDOVER_TIME);
+  gboolean has_followers = term->served_at - term->begun_at >= TERM_MIN;
+  return is_ranked || (has_followers && now - term->served_at < DP_RELAY_HANDOVER_TIME);
 }
 
 gboolean
@@ -23,6 +27,9 @@
 dp_relay_term_on_stated (DpRelayTerm *term, gboolean is_ranked, guint count, DpUsec now)
 {
   term->stated_at = now;
-  if (is_ranked && count > 0)
-    term->served_at = now;
+  if (!is_ranked || count == 0)
+    return;
+  if (now - term->served_at > DP_RELAY_HANDOVER_TIME)
+    term->begun_at = now;
+  term->served_at = now;
 }
--- a/core/row_sync/relay_term.h
+++ b/core/row_sync/relay_term.h
@@ -2,7 +2,8 @@
  *
  * The relays are the first VMs of a ranking of the list (core/owners.h). Each VM ranks by the
  * list that it has, so that a relay finds that it was replaced before the VMs that follow it
- * can: it is who tells them. A relay that is replaced goes on for a while.
+ * can: it is who tells them. A relay that is replaced goes on for a while, unless it was one
+ * for a moment only, as VMs are that start together and don't have the whole list yet.
  *
  * No I/O, reads no clock.
  */
@@ -16,7 +17,8 @@
 
 typedef struct DpRelayTerm
 {
-  DpUsec served_at; /* last time this VM ranked as a relay of other VMs; 0: never */
+  DpUsec begun_at;  /* first statement to other VMs of this term; 0: never */
+  DpUsec served_at; /* last one while this VM ranked as a relay */
   DpUsec stated_at; /* last statement */
 } DpRelayTerm;
 
--- a/tests/test_relays.c
+++ b/tests/test_relays.c
@@ -633,10 +633,42 @@
 }
 END_TEST
 
+typedef struct TermCase
+{
+  const char *name;
+  guint served; /* ms for which the VM ranks as a relay and has followers */
+  guint after;  /* ms since */
+  gboolean is_active;
+} TermCase;
+
+static const TermCase term_cases[] = {
+  { "never a relay", 0, 0, FALSE },
+  { "a relay for a moment", 500, 300, FALSE },
+  { "a relay for some time", 1500, 300, TRUE },
+  { "the same, later", 1500, 1400, FALSE },
+};
+
+/* VMs that start together rank as relays until they have the whole list. */
+START_TEST (only_relays_with_followers_hand_over)
+{
+  const TermCase *row = &term_cases[_i];
+  DpRelayTerm term = { 0 };
+  DpUsec begin = JOIN_AT;
+  for (DpUsec now = begin; now < begin + row->served * MSEC; now += PEERS_TICK)
+    dp_relay_term_on_stated (&term, TRUE, VMS, now);
+  DpUsec end = begin + row->served * MSEC;
+  ck_assert_msg (dp_relay_term_is_active (&term, TRUE, end), "%s", row->name);
+  gboolean is_active = dp_relay_term_is_active (&term, FALSE, end + row->after * MSEC);
+  ck_assert_msg (is_active == row->is_active, "%s", row->name);
+}
+END_TEST
+
 int
 main (void)
 {
   TCase *tests = tcase_create ("relays");
+  tcase_add_loop_test (tests, only_relays_with_followers_hand_over, 0,
+                       G_N_ELEMENTS (term_cases));
   tcase_add_loop_test (tests, replaced_relays_pass_on_the_list, 0, CONDUCT_COUNT);
   tcase_add_loop_test (tests, a_change_reaches_all_vms_in_time, 0, CASES);
   Suite *suite = suite_create ("relays");
