node: a relay's own row is taken only if its list differs and isn't older

Cause: found by reading: a relay that stops deletes its entry and may state its row to VMs that have the list without it already; nothing would take it out of their lists before the next change.

Change: a VM that stops states no row; the row of a relay whose list is older or the same is not taken.

--- a/node/peer_sync.c
+++ b/node/peer_sync.c
@@ -586,7 +586,9 @@
     return;
   sync->last_relay = message.relay;
   sync->last_rollouts = rollouts;
-  message.relay.sender = make_own_row (node);
+  /* A VM that stops may have left the list. */
+  if (!node->is_stopping)
+    message.relay.sender = make_own_row (node);
   guint count = 0;
   for (guint i = 0; i < node->view->vms->len; i++)
     {
@@ -646,12 +648,17 @@
           row != NULL ? "yes" : "no", "targets_revision", targets, NULL);
 }
 
-/* A relay that has just started is in no list yet, and has to be asked for the list too. */
+/* A relay that has just started is in no list yet, and has to be asked for the list too. One
+ * whose list is older or the same is not in it because it has left. */
 static void
-learn_relay (DpNode *node, DpName from, const GArray *sender)
+learn_relay (DpNode *node, DpName from, const DpRelay *state)
 {
+  const DpRowSync *vms = node->peer_sync->feeds[DP_ROWS_VMS].rows;
+  const GArray *sender = state->sender;
   if (sender == NULL || sender->len != 1 || g_array_index (sender, DpVm, 0).name != from
-      || dp_view_find (node->view, from) != NULL)
+      || dp_view_find (node->view, from) != NULL
+      || dp_store_version_compare (state->vms, dp_row_sync_version (vms)) < 0
+      || state->vms_digest == dp_row_sync_digest (vms))
     return;
   dp_store_watch_apply_vms (node->store_watch, sender, NULL);
 }
@@ -660,11 +667,11 @@
 static void
 on_relay (DpNode *node, DpName from, const DpRelay *state)
 {
-  learn_relay (node, from, state->sender);
+  update_lists (node->peer_sync);
+  learn_relay (node, from, state);
   log_relay (node, from, state);
   DpRelay own = dp_store_watch_state (node->store_watch);
   const DpStoreVersion config = { .revision = state->manifest_revision };
-  update_lists (node->peer_sync);
   /* Before the confirmation of what this VM has. */
   on_statement (node, from, DP_ROWS_TARGETS, state->targets, state->targets_digest);
   on_statement (node, from, DP_ROWS_CONFIG, config, state->manifest_digest);
--- a/tests/test_node_relays.c
+++ b/tests/test_node_relays.c
@@ -200,6 +200,24 @@
 }
 END_TEST
 
+/* Relays state their own row to VMs that don't have it, also while they stop. */
+START_TEST (a_relay_that_stops_leaves_the_list)
+{
+  guint ranked[VMS];
+  Cluster *cluster = cluster_new (build);
+  rank_vms (cluster, ranked);
+  cluster_start_nodes (cluster);
+  wait_for_metric (cluster, "dogwoodplank_vms", VMS);
+  ck_assert (process_stop (cluster->node[ranked[0]], WAIT));
+  for (guint i = 1; i < VMS; i++)
+    wait_for_metric_at (cluster, ranked[i], "dogwoodplank_vms", VMS - 1);
+  g_usleep (SETTLE_TIME);
+  for (guint i = 1; i < VMS; i++)
+    wait_for_metric_at (cluster, ranked[i], "dogwoodplank_vms", VMS - 1);
+  cluster_free (cluster);
+}
+END_TEST
+
 int
 main (int argc, char **argv)
 {
@@ -210,6 +228,7 @@
     }
   build = argv[1];
   TCase *tests = tcase_create ("relays");
+  tcase_add_test (tests, a_relay_that_stops_leaves_the_list);
   tcase_add_loop_test (tests, a_change_is_followed_while_relays_are_replaced, 0,
                        G_N_ELEMENTS (replacement_cases));
   Suite *suite = suite_create ("node_relays");
