soak: VMs that nobody knows join in the place of others

What is new: one in three VMs that were stopped or killed starts under a name that no other VM knows, while targets drain and configs change. The entry of a killed VM stays in the list, so that a relay may be one that is gone.

--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -271,6 +271,13 @@
   g_array_append_val (vm->disturbances, msec);
 }
 
+void
+soak_vm_rename (SoakCluster *cluster, SoakVm *vm)
+{
+  g_snprintf (vm->name, sizeof vm->name, "vm%u-%u", (guint)(vm - cluster->vms),
+              vm->incarnation);
+}
+
 void
 soak_vm_start (SoakCluster *cluster, SoakVm *vm)
 {
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -24,6 +24,8 @@
 /* Changes after a growth, and the time between two. */
 #define SERIES_CHANGES 8
 #define SERIES_SECONDS 0.15
+/* One of so many VMs that are stopped or killed is replaced by a VM of another name. */
+#define RENAMED_PART 3
 /* One of so many herds leaves no VM. */
 #define WHOLE_HERD_PART 2
 /* One of so many restores of the store comes with the loss of all VMs. */
@@ -155,8 +157,11 @@
         return FALSE;
       g_clear_pointer (&vm->process, process_free);
     }
-  if (vm->process == NULL)
-    soak_vm_start (cluster, vm);
+  if (vm->process != NULL)
+    return TRUE;
+  if (fault->choice % RENAMED_PART == 0)
+    soak_vm_rename (cluster, vm);
+  soak_vm_start (cluster, vm);
   return TRUE;
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -62,7 +62,7 @@
 
 typedef struct SoakVm
 {
-  char name[8];
+  char name[16];
   const char *build; /* folder of the programs that its next start runs */
   char address[SOAK_ADDRESS_BYTES];
   const char *data_centre;
@@ -164,6 +164,8 @@
   G_GNUC_PRINTF (2, 3);
 
 void soak_vm_start (SoakCluster *cluster, SoakVm *vm);
+/* The next start is that of a VM which no other one knows, in the place of this one. */
+void soak_vm_rename (SoakCluster *cluster, SoakVm *vm);
 void soak_vm_signal (SoakCluster *cluster, SoakVm *vm, int number);
 /* TRUE if the VM runs, is not paused, and was not started or signalled during the last
  * `duration` microseconds. */
