--- a/node/node.h
+++ b/node/node.h
@@ -447,10 +447,11 @@
 void dp_peer_sync_free (DpPeerSync *sync);
 /* Sets this VM's state, from the store or in force. Takes a reference to the list. */
 void dp_peer_sync_set (DpNode *node, DpRowKind kind, DpStoreVersion version, DpRowList *list);
-/* TRUE if other VMs have a newer state, and this VM has not got it from them for some time. */
 /* TRUE if this VM watches the store for others. */
 gboolean dp_peer_sync_is_relay (const DpNode *node);
+/* Whether other VMs keep this VM's state of the kind up to date, or the store has to be read. */
 DpRowStanding dp_peer_sync_standing (const DpNode *node, DpRowKind kind);
+/* Last time a relay stated what this VM has; 0: never. */
 DpUsec dp_peer_sync_confirmed_at (const DpNode *node, DpRowKind kind);
 /* Must be called every DP_ROW_SYNC_INTERVAL. `was_paused`: other VMs may have answered. */
 void dp_peer_sync_tick_rows (DpNode *node, DpUsec now, gboolean was_paused);
