--- a/node/node.h
+++ b/node/node.h
@@ -449,7 +449,8 @@
 void dp_peer_sync_set (DpNode *node, DpRowKind kind, DpStoreVersion version, DpRowList *list);
 /* TRUE if this VM watches the store for others. */
 gboolean dp_peer_sync_is_relay (const DpNode *node);
-/* Whether other VMs keep this VM's state of the kind up to date, or the store has to be read. */
+/* Whether other VMs keep this VM's state of the kind up to date, or the store has to be read.
+ */
 DpRowStanding dp_peer_sync_standing (const DpNode *node, DpRowKind kind);
 /* Last time a relay stated what this VM has; 0: never. */
 DpUsec dp_peer_sync_confirmed_at (const DpNode *node, DpRowKind kind);
